--- /dev/null
+++ b/include/radishroute/effect.h
@@ -0,0 +1,148 @@
+#ifndef RADISHROUTE_EFFECT_H_
+#define RADISHROUTE_EFFECT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "radishroute/clock.h"
+#include "radishroute/error.h"
+#include "radishroute/log_event.h"
+#include "radishroute/message.h"
+#include "radishroute/metric.h"
+#include "radishroute/routing_table.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+struct send_message {
+  link_id link;
+  message body;
+};
+
+/// Opens a link; ends in `link_opened` or `link_closed` with the same address.
+struct open_link {
+  endpoint address;
+};
+
+struct close_link {
+  link_id link;
+};
+
+/// Delivers `timer_expired` at `at` or soon after; the earliest request counts.
+struct schedule_wakeup {
+  steady_time at;
+};
+
+/// Whether a refused or failed request was run, as told to the caller.
+enum class run_outcome : std::uint8_t { kNotRun, kUnknown };
+
+struct respond_begin {
+  exchange_id exchange;
+  std::uint32_t status = 0;
+  std::string content_type;
+  bool stream = false;
+};
+
+struct respond_bytes {
+  exchange_id exchange;
+  std::string bytes;
+};
+
+struct respond_end {
+  exchange_id exchange;
+};
+
+/// Ends a started answer so that the caller can tell it from a complete one.
+struct respond_abort {
+  exchange_id exchange;
+  dispatch_failure reason = dispatch_failure::kNone;
+};
+
+/// Answers with a problem document.
+struct respond_problem {
+  exchange_id exchange;
+  refusal_reason refusal = refusal_reason::kNone;
+  dispatch_failure failure = dispatch_failure::kNone;
+  run_outcome outcome = run_outcome::kNotRun;
+  std::chrono::microseconds retry_after{};
+};
+
+/// Sends a request to the backend server beside this agent.
+struct start_engine_call {
+  dispatch_id id;
+  std::string path;
+  std::string member;
+  std::string idempotency_key;
+  priority_class cls = priority_class::kInteractive;
+  std::uint64_t resume_offset = 0;
+  std::string body;
+};
+
+struct cancel_engine_call {
+  dispatch_id id;
+};
+
+/// Control thread only: hands a table to every traffic thread.
+struct publish_routing_table {
+  std::shared_ptr<const routing_table> table;
+};
+
+struct write_log {
+  log_event event;
+};
+
+struct count {
+  counter which = counter::kRequestsReceived;
+  std::uint64_t by = 1;
+};
+
+struct count_refusal {
+  refusal_reason reason = refusal_reason::kNone;
+};
+
+struct count_retry {
+  retry_reason reason = retry_reason::kRefusedByBackend;
+};
+
+struct observe_latency {
+  latency_metric which = latency_metric::kAnswer;
+  priority_class cls = priority_class::kInteractive;
+  std::chrono::microseconds value{};
+};
+
+/// The process has nothing left to do after a drain request.
+struct stop_process {
+  bool all_finished = true;
+};
+
+/// Everything a process can do. Carried out by the event loop after each reduction.
+using effect = std::variant<  //
+    send_message,             //
+    open_link,                //
+    close_link,               //
+    schedule_wakeup,          //
+    respond_begin,            //
+    respond_bytes,            //
+    respond_end,              //
+    respond_abort,            //
+    respond_problem,          //
+    start_engine_call,        //
+    cancel_engine_call,       //
+    publish_routing_table,    //
+    write_log,                //
+    count,                    //
+    count_refusal,            //
+    count_retry,              //
+    observe_latency,          //
+    stop_process>;
+
+using effect_list = std::vector<effect>;
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_EFFECT_H_
--- /dev/null
+++ b/include/radishroute/error.h
@@ -0,0 +1,109 @@
+#ifndef RADISHROUTE_ERROR_H_
+#define RADISHROUTE_ERROR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <system_error>
+
+namespace radishroute {
+
+/// Why a request was refused. A refusal always means that the request was not run.
+enum class refusal_reason : std::uint8_t {
+  kNone,
+  kMalformedRequest,
+  kBodyTooLarge,
+  kUnknownMember,
+  kUnknownKind,
+  kUnknownModel,
+  kMissingIdempotencyKey,
+  kMalformedIdempotencyKey,
+  kIdempotencyKeyExpired,
+  kIdempotencyKeyConflict,
+  kNoBackend,
+  kQueueFull,
+  kOverMemberShare,
+  kDeadlineUnreachable,
+  kDeadlinePassed,
+  kDraining,
+  kWrongIncarnation,
+  kQuarantined,
+  kNoQuorum,
+  kConfigLeaseLost,
+  kNoConfiguration,
+  kRetryBudgetExhausted,
+  kTooManyRequests,
+  kTombstoned,
+  kSuspectAlreadyRunning,
+};
+
+inline constexpr std::size_t kRefusalReasonCount = 25;
+
+/// Stable identifier of a refusal reason, used in problem types and counter labels.
+std::string_view ToString(refusal_reason reason);
+
+/// Why a dispatch ended without a whole answer although it may have run.
+enum class dispatch_failure : std::uint8_t {
+  kNone,
+  kEngineUnreachable,
+  kEngineCrashed,
+  kEngineStalled,
+  kEngineError,
+  kLinkLost,
+  kAgentRestarted,
+  kCancelled,
+  kDeadlinePassed,
+  kAnswerTooLarge,
+};
+
+inline constexpr std::size_t kDispatchFailureCount = 10;
+
+std::string_view ToString(dispatch_failure failure);
+
+/// Why a request is tried again on another backend server.
+enum class retry_reason : std::uint8_t {
+  kRefusedByBackend,
+  kBackendUnreachable,
+  kEngineCrashed,
+  kEngineStalled,
+  kLinkLost,
+  kAgentRestarted,
+};
+
+inline constexpr std::size_t kRetryReasonCount = 6;
+
+std::string_view ToString(retry_reason reason);
+
+/// Errors of the system's own operations, as std::error_code values.
+enum class errc {
+  kOk = 0,
+  kSettingsInvalid,
+  kSheetInvalid,
+  kFileUnreadable,
+  kFrameTooLong,
+  kFrameMalformed,
+  kUnsupportedVersion,
+  kUnauthorized,
+  kConnectFailed,
+  kTimeout,
+  kDiskFull,
+  kSyncFailed,
+  kLogCorrupt,
+  kSnapshotCorrupt,
+  kVersionConflict,
+  kNotLeader,
+  kNoQuorum,
+  kUnknownVoter,
+  kListenFailed,
+  kOutcomeUnknown,
+};
+
+const std::error_category& RadishrouteCategory();
+std::error_code make_error_code(errc e);
+
+}  // namespace radishroute
+
+template <>
+struct std::is_error_code_enum<radishroute::errc> : std::true_type {};
+
+#endif  // RADISHROUTE_ERROR_H_
--- /dev/null
+++ b/include/radishroute/event.h
@@ -0,0 +1,29 @@
+#ifndef RADISHROUTE_EVENT_H_
+#define RADISHROUTE_EVENT_H_
+
+#include <variant>
+
+#include "radishroute/link_event.h"
+#include "radishroute/traffic_event.h"
+
+namespace radishroute {
+
+/// Everything that can happen to a process. One reducer handles all of it.
+using event = std::variant<  //
+    process_started,         //
+    timer_expired,           //
+    drain_requested,         //
+    link_opened,             //
+    link_closed,             //
+    message_received,        //
+    caller_request,          //
+    caller_closed,           //
+    engine_answer_begin,     //
+    engine_answer_bytes,     //
+    engine_answer_end,       //
+    engine_call_failed,      //
+    routing_table_published>;
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_EVENT_H_
--- /dev/null
+++ b/include/radishroute/link_event.h
@@ -0,0 +1,46 @@
+#ifndef RADISHROUTE_LINK_EVENT_H_
+#define RADISHROUTE_LINK_EVENT_H_
+
+#include <chrono>
+#include <system_error>
+
+#include "radishroute/clock.h"
+#include "radishroute/message.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// First event of every thread.
+struct process_started {};
+
+/// A wake-up that an effect asked for is due.
+struct timer_expired {};
+
+/// An operator or a signal asks the process to stop after its work in progress.
+struct drain_requested {
+  steady_time deadline;
+};
+
+/// A link is usable: both sides have sent an accepted `hello`.
+struct link_opened {
+  link_id link;
+  hello peer;
+  /// The address that this process connected to; empty host for an accepted link.
+  endpoint dialed;
+};
+
+/// A link is gone, or could not be opened (`link.value` is then 0).
+struct link_closed {
+  link_id link;
+  endpoint dialed;
+  std::error_code reason;
+};
+
+struct message_received {
+  link_id link;
+  message body;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_LINK_EVENT_H_
--- /dev/null
+++ b/include/radishroute/log_event.h
@@ -0,0 +1,50 @@
+#ifndef RADISHROUTE_LOG_EVENT_H_
+#define RADISHROUTE_LOG_EVENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishroute {
+
+/// Number of a log event; docs/events.md is the catalogue.
+enum class event_code : std::uint16_t {
+  kProcessStarted = 100,
+  kProcessStopped = 101,
+  kDrainStarted = 102,
+  kDrainDeadlinePassed = 103,
+  kListening = 104,
+  kLinkOpened = 200,
+  kLinkClosed = 201,
+  kLinkRejected = 202,
+  kFrameRejected = 203,
+  kBackendUp = 300,
+  kBackendLeaving = 301,
+  kBackendDown = 302,
+  kEngineCallFailed = 400,
+  kInvariantViolated = 900,
+};
+
+enum class log_level : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+struct log_field {
+  std::string key;
+  std::string value;
+};
+
+struct log_event {
+  event_code code = event_code::kProcessStarted;
+  log_level level = log_level::kInfo;
+  std::vector<log_field> fields;
+};
+
+/// Short name of a log event, as in the catalogue.
+std::string_view ToString(event_code code);
+
+/// All codes, for the catalogue test.
+const std::vector<event_code>& AllEventCodes();
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_LOG_EVENT_H_
--- /dev/null
+++ b/include/radishroute/message.h
@@ -0,0 +1,48 @@
+#ifndef RADISHROUTE_MESSAGE_H_
+#define RADISHROUTE_MESSAGE_H_
+
+#include <variant>
+
+#include "radishroute/discovery_message.h"
+#include "radishroute/traffic_message.h"
+
+namespace radishroute {
+
+/// First message on every link, in both directions.
+struct hello {
+  std::uint32_t protocol_version = 0;
+  process_id process;
+  process_role role = process_role::kEntry;
+  std::string node_name;
+  std::string zone;
+  std::string secret;
+};
+
+/// Sent on a link after a period without other messages.
+struct heartbeat {
+  std::uint64_t sequence = 0;
+};
+
+/// Every message between two of the system's processes.
+using message = std::variant<  //
+    hello,                     //
+    heartbeat,                 //
+    dispatch_request,          //
+    answer_begin,              //
+    answer_chunk,              //
+    answer_end,                //
+    answer_ack,                //
+    dispatch_refused,          //
+    dispatch_failed,           //
+    cancel_dispatch,           //
+    attach_dispatch,           //
+    resolve_dispatch,          //
+    resolve_reply,             //
+    announcement,              //
+    directory_delta,           //
+    directory_digest,          //
+    directory_pull>;
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_MESSAGE_H_
--- /dev/null
+++ b/include/radishroute/metric.h
@@ -0,0 +1,41 @@
+#ifndef RADISHROUTE_METRIC_H_
+#define RADISHROUTE_METRIC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace radishroute {
+
+/// Counters beside those of the refusal and retry reasons.
+enum class counter : std::uint8_t {
+  kRequestsReceived,
+  kAnswersCompleted,
+  kAnswersInTime,
+  kAnswersAborted,
+  kCallersHungUp,
+  kStaleChunksDropped,
+  kDuplicateDispatches,
+  kDispatchesSent,
+  kDispatchesCancelled,
+  kLinksOpened,
+  kLinksClosed,
+  kFramesRejected,
+  kLinksUnauthorized,
+  kEventQueueFull,
+};
+
+inline constexpr std::size_t kCounterCount = 14;
+
+std::string_view ToString(counter c);
+
+/// Latency histograms, one per priority class.
+enum class latency_metric : std::uint8_t { kFirstByte, kAnswer, kQueueWait };
+
+inline constexpr std::size_t kLatencyMetricCount = 3;
+
+std::string_view ToString(latency_metric m);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_METRIC_H_
--- /dev/null
+++ b/include/radishroute/reducer.h
@@ -0,0 +1,17 @@
+#ifndef RADISHROUTE_REDUCER_H_
+#define RADISHROUTE_REDUCER_H_
+
+#include "radishroute/event.h"
+#include "radishroute/reduce_context.h"
+#include "radishroute/state.h"
+
+namespace radishroute {
+
+/// Applies one event to a thread's state and appends the effects to `ctx.effects`.
+/// Does no input or output, and reads no clock other than `ctx`.
+template <policy_set P>
+void Reduce(node_state<P>& state, const event& e, reduce_context& ctx);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_REDUCER_H_
--- /dev/null
+++ b/include/radishroute/routing_table.h
@@ -0,0 +1,50 @@
+#ifndef RADISHROUTE_ROUTING_TABLE_H_
+#define RADISHROUTE_ROUTING_TABLE_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "radishroute/discovery_message.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// One kind of work, from the sheet.
+struct work_kind {
+  std::string name;
+  priority_class cls = priority_class::kInteractive;
+  std::chrono::microseconds deadline{};
+  std::uint32_t worth = 1;
+  bool repeatable = true;
+};
+
+/// One customer, from the sheet.
+struct member_entry {
+  std::string name;
+  std::uint32_t weight = 1;
+};
+
+/// Backend servers that serve one model or service, nearest zone first.
+struct backend_pool {
+  std::vector<std::uint32_t> local;
+  std::vector<std::uint32_t> remote;
+};
+
+/// Immutable view of backend servers and configuration that traffic threads route by.
+struct routing_table {
+  std::uint64_t config_version = 0;
+  bool has_configuration = false;
+  std::vector<announcement> backends;
+  /// By model or service name; values index `backends`.
+  std::unordered_map<std::string, backend_pool> pools;
+  std::unordered_map<std::string, work_kind> kinds;
+  std::unordered_map<std::string, member_entry> members;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_ROUTING_TABLE_H_
--- /dev/null
+++ b/include/radishroute/settings.h
@@ -0,0 +1,84 @@
+#ifndef RADISHROUTE_SETTINGS_H_
+#define RADISHROUTE_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "radishroute/discovery_message.h"
+#include "radishroute/log_event.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// One fault in a settings file: where it is and what was expected there.
+struct settings_error {
+  /// Path of the key, for example "http.listen".
+  std::string path;
+  std::string expected;
+};
+
+struct log_settings {
+  std::string file;
+  log_level level = log_level::kInfo;
+};
+
+/// Settings that every role has.
+struct common_settings {
+  std::string node;
+  std::string zone;
+  /// Shared by all of the system's processes; checked on every link.
+  std::string secret;
+  log_settings log;
+  std::chrono::milliseconds drain_timeout{30000};
+  /// Name of the policy set, see docs/operators.md.
+  std::string policy;
+};
+
+struct entry_settings {
+  common_settings common;
+  endpoint http_listen;
+  endpoint admin_listen;
+  endpoint control_listen;
+  std::string tls_certificate;
+  std::string tls_key;
+  std::uint32_t threads = 2;
+  std::size_t max_body_bytes = std::size_t{1} << 20;
+  std::size_t max_requests = 20000;
+  std::vector<endpoint> peers;
+  std::vector<endpoint> controllers;
+  /// Sheet used until a controller provides a configuration; empty for none.
+  std::string sheet;
+};
+
+struct agent_settings {
+  common_settings common;
+  endpoint traffic_listen;
+  endpoint admin_listen;
+  std::vector<endpoint> entries;
+  std::vector<endpoint> controllers;
+  endpoint engine;
+  backend_kind kind = backend_kind::kEngine;
+  std::vector<std::string> models;
+  std::vector<std::string> adapters;
+  std::string version;
+  std::uint32_t concurrency = 16;
+  bool checks_fencing = false;
+};
+
+/// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
+/// if there is none.
+entry_settings ParseEntrySettings(std::string_view text, std::vector<settings_error>& errors);
+agent_settings ParseAgentSettings(std::string_view text, std::vector<settings_error>& errors);
+
+/// Value of the key "role"; empty if the text has none.
+std::string SettingsRole(std::string_view text);
+
+/// Parses "a.b.c.d:port".
+bool ParseEndpoint(std::string_view text, endpoint& out);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_SETTINGS_H_
--- /dev/null
+++ b/include/radishroute/sheet.h
@@ -0,0 +1,46 @@
+#ifndef RADISHROUTE_SHEET_H_
+#define RADISHROUTE_SHEET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "radishroute/routing_table.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// Requests that the planners expect of one kind in one hour of the day.
+struct expected_work {
+  std::string kind;
+  std::uint32_t hour = 0;
+  std::uint32_t requests = 0;
+};
+
+/// The planners' sheet: kinds of work, Members, guaranteed shares and expected work.
+struct work_sheet {
+  std::vector<work_kind> kinds;
+  std::vector<member_entry> members;
+  /// Guaranteed share of each priority class, in percent of a backend server's capacity.
+  std::array<std::uint32_t, kPriorityClassCount> floor_percent{};
+  std::vector<expected_work> work;
+};
+
+/// One fault in a sheet.
+struct sheet_error {
+  /// Row as a spreadsheet counts it; the header is row 1, 0 stands for the whole sheet.
+  std::size_t row = 0;
+  std::string column;
+  std::string expected;
+};
+
+/// Parses a sheet in CSV, described in docs/operators.md. Appends every fault found to `errors`;
+/// the result is usable only if there is none.
+work_sheet ParseSheet(std::string_view csv, std::vector<sheet_error>& errors);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_SHEET_H_
--- /dev/null
+++ b/include/radishroute/state.h
@@ -0,0 +1,34 @@
+#ifndef RADISHROUTE_STATE_H_
+#define RADISHROUTE_STATE_H_
+
+#include <optional>
+
+#include "radishroute/discovery.h"
+#include "radishroute/executions.h"
+#include "radishroute/requests.h"
+
+namespace radishroute {
+
+/// State of a process's control thread. Which parts exist depends on the process's role.
+struct control_state {
+  std::optional<directory> backends;
+  std::optional<announcer> announcements;
+};
+
+/// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
+template <policy_set P>
+struct traffic_state {
+  std::optional<request_table<P>> requests;
+  std::optional<execution_table<P>> executions;
+};
+
+/// State of one thread; a thread owns either the control part or a traffic part.
+template <policy_set P>
+struct node_state {
+  control_state control;
+  traffic_state<P> traffic;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_STATE_H_
--- /dev/null
+++ b/src/cli/agent.cc
@@ -0,0 +1,116 @@
+#include <iostream>
+#include <memory>
+
+#include "cli/admin.h"
+#include "cli/commands.h"
+#include "cli/options.h"
+#include "cli/process.h"
+#include "io/node_thread.h"
+#include "radishroute/policies.h"
+
+namespace radishroute {
+
+namespace {
+
+announcement MakeAnnouncement(const agent_settings& settings, const hello& self) {
+  announcement a;
+  a.backend = settings.common.node;
+  a.incarnation = self.process.incarnation;
+  a.kind = settings.kind;
+  a.zone = settings.common.zone;
+  a.traffic_address = settings.traffic_listen;
+  a.models = settings.models;
+  a.adapters = settings.adapters;
+  a.version = settings.version;
+  a.concurrency_limit = settings.concurrency;
+  a.checks_fencing = settings.checks_fencing;
+  return a;
+}
+
+/// All threads of an agent process.
+template <policy_set P>
+class agent_process {
+ public:
+  explicit agent_process(const agent_settings& settings) : settings_(settings), latch_(1) {}
+
+  int Run() {
+    if (std::error_code error = Build()) {
+      std::cerr << error.message() << "\n";
+      return kExitFailed;
+    }
+    LogProcessEvent(event_code::kProcessStarted,
+                    {{"role", "agent"}, {"node", settings_.common.node}});
+    traffic_->Start();
+    control_->Start();
+    LogProcessEvent(event_code::kListening, {{"address", ToString(settings_.traffic_listen)}});
+    WaitForStopSignal();
+    return Drain();
+  }
+
+  ~agent_process() {
+    if (traffic_) traffic_->Join();
+    if (control_) control_->Join();
+  }
+
+ private:
+  std::error_code Build() {
+    hello self = MakeHello(settings_.common, process_role::kAgent);
+    control_ = std::make_unique<node_thread<P>>(self, node_hooks{});
+    control_->State().control.announcements.emplace(MakeAnnouncement(settings_, self),
+                                                    settings_.entries);
+    admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
+    if (auto error = admin_->Start(settings_.admin_listen)) return error;
+
+    node_hooks hooks;
+    hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
+    traffic_ = std::make_unique<node_thread<P>>(self, hooks);
+    execution_limits limits;
+    limits.concurrency = settings_.concurrency;
+    traffic_->State().traffic.executions.emplace(self.process.incarnation, limits);
+    traffic_->CallEngine(settings_.engine);
+    return traffic_->Links().Listen(settings_.traffic_listen);
+  }
+
+  int Drain() {
+    LogProcessEvent(event_code::kDrainStarted, {});
+    steady_time deadline = std::chrono::steady_clock::now() + settings_.common.drain_timeout;
+    control_->Post(drain_requested{deadline});
+    // The announcement spreads while the agent still takes the work that is under way to it.
+    traffic_->Post(drain_requested{deadline});
+    bool finished = latch_.Wait();
+    LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    return finished ? kExitSuccess : kExitUnfinished;
+  }
+
+  agent_settings settings_;
+  stop_latch latch_;
+  std::unique_ptr<node_thread<P>> control_;
+  std::unique_ptr<admin_api> admin_;
+  std::unique_ptr<node_thread<P>> traffic_;
+};
+
+}  // namespace
+
+int RunAgent(int argc, char** argv) {
+  cxxopts::Options options("radishroute agent", "Runs the work of one backend server.");
+  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
+  int exit = kExitSuccess;
+  auto parsed = ParseOptions(options, argc, argv, exit);
+  if (!parsed) return exit;
+  if (parsed->count("settings") == 0) {
+    std::cerr << "--settings is required\n";
+    return kExitUsage;
+  }
+  std::string file = (*parsed)["settings"].as<std::string>();
+  auto text = ReadFile(file);
+  std::vector<settings_error> errors;
+  agent_settings settings = ParseAgentSettings(text.value_or(""), errors);
+  if (PrintErrors(file, errors)) return kExitUsage;
+  ConfigureLogging(settings.common.log.file, settings.common.log.level);
+  BlockStopSignals();
+  QuietLibwebsockets();
+  agent_process<baseline_policies> process(settings);
+  return process.Run();
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/cli/entry.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "cli/admin.h"
+#include "cli/commands.h"
+#include "cli/options.h"
+#include "cli/process.h"
+#include "io/acceptor.h"
+#include "io/node_thread.h"
+#include "radishroute/policies.h"
+#include "radishroute/sheet.h"
+
+namespace radishroute {
+
+namespace {
+
+std::optional<work_sheet> LoadSheet(const std::string& path) {
+  auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": " << make_error_code(errc::kFileUnreadable).message() << "\n";
+    return std::nullopt;
+  }
+  std::vector<sheet_error> errors;
+  work_sheet sheet = ParseSheet(*text, errors);
+  for (const sheet_error& error : errors) {
+    std::cerr << path << ": row " << error.row << ", column " << error.column << ": expected "
+              << error.expected << "\n";
+  }
+  if (!errors.empty()) return std::nullopt;
+  return sheet;
+}
+
+/// All threads of an entry process.
+template <policy_set P>
+class entry_process {
+ public:
+  explicit entry_process(const entry_settings& settings)
+      : settings_(settings), latch_(settings.threads) {}
+
+  int Run(const work_sheet& sheet) {
+    if (std::error_code error = Build(sheet)) {
+      std::cerr << error.message() << "\n";
+      return kExitFailed;
+    }
+    LogProcessEvent(event_code::kProcessStarted,
+                    {{"role", "entry"}, {"node", settings_.common.node}});
+    control_->Start();
+    for (auto& thread : traffic_) thread->Start();
+    if (std::error_code error = acceptor_.Start(settings_.http_listen)) {
+      std::cerr << ToString(settings_.http_listen) << ": " << error.message() << "\n";
+      return kExitFailed;
+    }
+    LogProcessEvent(event_code::kListening, {{"address", ToString(settings_.http_listen)}});
+    WaitForStopSignal();
+    return Drain();
+  }
+
+  ~entry_process() {
+    acceptor_.Stop();
+    for (auto& thread : traffic_) thread->Join();
+    if (control_) control_->Join();
+  }
+
+ private:
+  std::error_code Build(const work_sheet& sheet) {
+    hello self = MakeHello(settings_.common, process_role::kEntry);
+    node_hooks hooks;
+    hooks.on_publish = [this](std::shared_ptr<const routing_table> table) {
+      for (auto& thread : traffic_) thread->Post(routing_table_published{table});
+    };
+    control_ = std::make_unique<node_thread<P>>(self, hooks);
+    control_->State().control.backends.emplace(settings_.common.zone, sheet);
+    if (auto error = control_->Links().Listen(settings_.control_listen)) return error;
+    admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
+    if (auto error = admin_->Start(settings_.admin_listen)) return error;
+
+    std::random_device entropy;
+    std::uint64_t origin = (std::uint64_t{entropy()} << 32) | entropy();
+    for (std::uint32_t i = 0; i < settings_.threads; ++i) {
+      node_hooks traffic_hooks;
+      traffic_hooks.on_stop = [this, i](bool finished) { latch_.Report(i, finished); };
+      auto thread = std::make_unique<node_thread<P>>(self, traffic_hooks);
+      request_limits limits;
+      limits.max_requests = settings_.max_requests / settings_.threads;
+      thread->State().traffic.requests.emplace(origin, i, limits);
+      http_server_settings http;
+      http.max_body_bytes = settings_.max_body_bytes;
+      http.tls_certificate = settings_.tls_certificate;
+      http.tls_key = settings_.tls_key;
+      thread->ServeCallers(http);
+      if (auto error = thread->Callers().Start()) return error;
+      traffic_.push_back(std::move(thread));
+    }
+    return {};
+  }
+
+  void Distribute(int socket) {
+    node_thread<P>& thread = *traffic_[next_thread_++ % traffic_.size()];
+    if (!thread.Loop().Post([&thread, socket] { thread.Callers().Adopt(socket); })) close(socket);
+  }
+
+  int Drain() {
+    LogProcessEvent(event_code::kDrainStarted, {});
+    acceptor_.Stop();
+    steady_time deadline = std::chrono::steady_clock::now() + settings_.common.drain_timeout;
+    for (auto& thread : traffic_) thread->Post(drain_requested{deadline});
+    bool finished = latch_.Wait();
+    if (!finished) LogProcessEvent(event_code::kDrainDeadlinePassed, {});
+    LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    return finished ? kExitSuccess : kExitUnfinished;
+  }
+
+  entry_settings settings_;
+  stop_latch latch_;
+  std::unique_ptr<node_thread<P>> control_;
+  std::unique_ptr<admin_api> admin_;
+  std::vector<std::unique_ptr<node_thread<P>>> traffic_;
+  std::size_t next_thread_ = 0;
+  acceptor acceptor_{[this](int socket) { Distribute(socket); }};
+};
+
+}  // namespace
+
+int RunEntry(int argc, char** argv) {
+  cxxopts::Options options("radishroute entry", "Accepts callers' requests and routes them.");
+  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
+  int exit = kExitSuccess;
+  auto parsed = ParseOptions(options, argc, argv, exit);
+  if (!parsed) return exit;
+  if (parsed->count("settings") == 0) {
+    std::cerr << "--settings is required\n";
+    return kExitUsage;
+  }
+  std::string file = (*parsed)["settings"].as<std::string>();
+  auto text = ReadFile(file);
+  std::vector<settings_error> errors;
+  entry_settings settings = ParseEntrySettings(text.value_or(""), errors);
+  if (PrintErrors(file, errors)) return kExitUsage;
+  ConfigureLogging(settings.common.log.file, settings.common.log.level);
+  work_sheet sheet;
+  if (!settings.sheet.empty()) {
+    auto loaded = LoadSheet(settings.sheet);
+    if (!loaded) return kExitUsage;
+    sheet = *loaded;
+  }
+  BlockStopSignals();
+  QuietLibwebsockets();
+  entry_process<baseline_policies> process(settings);
+  return process.Run(sheet);
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,51 @@
+#include <iostream>
+#include <string_view>
+
+#include "cli/commands.h"
+#include "cli/process.h"
+
+namespace {
+
+struct subcommand {
+  std::string_view name;
+  std::string_view summary;
+  int (*run)(int, char**);
+};
+
+constexpr subcommand kSubcommands[] = {
+    {"entry", "accept callers' requests and route them", radishroute::RunEntry},
+    {"agent", "run the work of one backend server", radishroute::RunAgent},
+    {"check", "validate settings or a sheet", radishroute::RunCheck},
+    {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
+    {"load", "send requests and check every answer", radishroute::RunLoad},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "usage: radishroute SUBCOMMAND [options]\n\n";
+  for (const subcommand& command : kSubcommands) {
+    out << "  " << command.name << "\t" << command.summary << "\n";
+  }
+  out << "\nradishroute SUBCOMMAND --help shows a subcommand's options.\n"
+         "exit codes: 0 success, 1 failed, 2 usage or settings error, 3 stopped with requests\n"
+         "unfinished, 4 conflict with another operator's change\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    PrintUsage(std::cerr);
+    return radishroute::kExitUsage;
+  }
+  std::string_view name = argv[1];
+  if (name == "--help" || name == "-h") {
+    PrintUsage(std::cout);
+    return radishroute::kExitSuccess;
+  }
+  for (const subcommand& command : kSubcommands) {
+    if (command.name == name) return command.run(argc - 1, argv + 1);
+  }
+  std::cerr << "unknown subcommand: " << name << "\n";
+  PrintUsage(std::cerr);
+  return radishroute::kExitUsage;
+}
--- /dev/null
+++ b/src/cli/process.cc
@@ -0,0 +1,88 @@
+#include "cli/process.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "io/metrics.h"
+
+namespace radishroute {
+
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void WaitForStopSignal() {
+  sigset_t signals = StopSignals();
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+void stop_latch::Report(std::size_t thread, bool all_finished) {
+  std::lock_guard lock(mutex_);
+  std::uint64_t bit = std::uint64_t{1} << thread;
+  if ((reported_ & bit) != 0) return;
+  reported_ |= bit;
+  all_finished_ = all_finished_ && all_finished;
+  --remaining_;
+  changed_.notify_all();
+}
+
+bool stop_latch::Wait() {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [this] { return remaining_ == 0; });
+  return all_finished_;
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+hello MakeHello(const common_settings& settings, process_role role) {
+  hello self;
+  self.process.node = StableHash(settings.node);
+  // Microseconds since 1970: grows with each restart unless the clock is set back.
+  self.process.incarnation =
+      static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                     std::chrono::system_clock::now().time_since_epoch())
+                                     .count());
+  self.role = role;
+  self.node_name = settings.node;
+  self.zone = settings.zone;
+  self.secret = settings.secret;
+  return self;
+}
+
+bool PrintErrors(const std::string& file, const std::vector<settings_error>& errors) {
+  for (const settings_error& error : errors) {
+    std::cerr << file << ": " << (error.path.empty() ? "(whole file)" : error.path) << ": expected "
+              << error.expected << "\n";
+  }
+  return !errors.empty();
+}
+
+void LogProcessEvent(event_code code, std::vector<log_field> fields) {
+  WriteLog({code, log_level::kInfo, std::move(fields)});
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/cli/process.h
@@ -0,0 +1,62 @@
+#ifndef RADISHROUTE_CLI_PROCESS_H_
+#define RADISHROUTE_CLI_PROCESS_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "radishroute/message.h"
+#include "radishroute/settings.h"
+
+namespace radishroute {
+
+/// Exit codes of the program.
+enum exit_code : int {
+  kExitSuccess = 0,
+  kExitFailed = 1,
+  kExitUsage = 2,
+  kExitUnfinished = 3,
+  kExitConflict = 4,
+};
+
+/// Blocks the signals that ask for a graceful stop in this thread and those it starts.
+void BlockStopSignals();
+
+/// Waits until SIGTERM or SIGINT arrives.
+void WaitForStopSignal();
+
+/// Counts threads that report that they have stopped.
+class stop_latch {
+ public:
+  explicit stop_latch(std::size_t threads) : remaining_(threads) {}
+
+  /// Called once or more by each thread; only the first report of a thread may count, so callers
+  /// pass the thread's index.
+  void Report(std::size_t thread, bool all_finished);
+
+  /// Waits for every thread; true if all requests were finished.
+  bool Wait();
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::size_t remaining_;
+  std::uint64_t reported_ = 0;
+  bool all_finished_ = true;
+};
+
+/// Reads a whole file; empty if it cannot be read.
+std::optional<std::string> ReadFile(const std::string& path);
+
+/// Identity of this process for `hello`, with a new incarnation.
+hello MakeHello(const common_settings& settings, process_role role);
+
+/// Prints settings errors to standard error; true if there are any.
+bool PrintErrors(const std::string& file, const std::vector<settings_error>& errors);
+
+void LogProcessEvent(event_code code, std::vector<log_field> fields);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_CLI_PROCESS_H_
--- /dev/null
+++ b/src/error.cc
@@ -0,0 +1,113 @@
+#include "radishroute/error.h"
+
+#include <array>
+#include <string>
+
+namespace radishroute {
+
+std::string_view ToString(refusal_reason reason) {
+  constexpr std::array<std::string_view, kRefusalReasonCount> kNames = {"none",
+                                                                        "malformed-request",
+                                                                        "body-too-large",
+                                                                        "unknown-member",
+                                                                        "unknown-kind",
+                                                                        "unknown-model",
+                                                                        "missing-idempotency-key",
+                                                                        "malformed-idempotency-key",
+                                                                        "idempotency-key-expired",
+                                                                        "idempotency-key-conflict",
+                                                                        "no-backend",
+                                                                        "queue-full",
+                                                                        "over-member-share",
+                                                                        "deadline-unreachable",
+                                                                        "deadline-passed",
+                                                                        "draining",
+                                                                        "wrong-incarnation",
+                                                                        "quarantined",
+                                                                        "no-quorum",
+                                                                        "config-lease-lost",
+                                                                        "no-configuration",
+                                                                        "retry-budget-exhausted",
+                                                                        "too-many-requests",
+                                                                        "tombstoned",
+                                                                        "suspect-already-running"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+std::string_view ToString(dispatch_failure failure) {
+  constexpr std::array<std::string_view, kDispatchFailureCount> kNames = {
+      "none",      "engine-unreachable", "engine-crashed", "engine-stalled",  "engine-error",
+      "link-lost", "agent-restarted",    "cancelled",      "deadline-passed", "answer-too-large"};
+  return kNames[static_cast<std::size_t>(failure)];
+}
+
+std::string_view ToString(retry_reason reason) {
+  constexpr std::array<std::string_view, kRetryReasonCount> kNames = {
+      "refused-by-backend", "backend-unreachable", "engine-crashed",
+      "engine-stalled",     "link-lost",           "agent-restarted"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+namespace {
+
+class radishroute_category final : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "radishroute"; }
+
+  std::string message(int value) const override {
+    switch (static_cast<errc>(value)) {
+      case errc::kOk:
+        return "success";
+      case errc::kSettingsInvalid:
+        return "settings are invalid";
+      case errc::kSheetInvalid:
+        return "sheet is invalid";
+      case errc::kFileUnreadable:
+        return "file cannot be read";
+      case errc::kFrameTooLong:
+        return "frame exceeds the length limit";
+      case errc::kFrameMalformed:
+        return "frame cannot be decoded";
+      case errc::kUnsupportedVersion:
+        return "protocol version is not supported";
+      case errc::kUnauthorized:
+        return "peer is not authorized";
+      case errc::kConnectFailed:
+        return "connection failed";
+      case errc::kTimeout:
+        return "operation timed out";
+      case errc::kDiskFull:
+        return "disk is full";
+      case errc::kSyncFailed:
+        return "file could not be synced";
+      case errc::kLogCorrupt:
+        return "log has a damaged record before its end";
+      case errc::kSnapshotCorrupt:
+        return "snapshot is damaged";
+      case errc::kVersionConflict:
+        return "version number is already taken by another change";
+      case errc::kNotLeader:
+        return "this replica is not the leader";
+      case errc::kNoQuorum:
+        return "no majority of voters is reachable";
+      case errc::kUnknownVoter:
+        return "voter is not a member of the group";
+      case errc::kListenFailed:
+        return "cannot listen on the address";
+      case errc::kOutcomeUnknown:
+        return "outcome is unknown";
+    }
+    return "unknown error";
+  }
+};
+
+}  // namespace
+
+const std::error_category& RadishrouteCategory() {
+  static const radishroute_category category;
+  return category;
+}
+
+std::error_code make_error_code(errc e) { return {static_cast<int>(e), RadishrouteCategory()}; }
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/io/engine_api.cc
@@ -0,0 +1,62 @@
+#include "io/engine_api.h"
+
+#include <utility>
+
+namespace radishroute {
+
+engine_api::engine_api(io_loop& loop, endpoint engine, event_sink sink)
+    : engine_(std::move(engine)),
+      sink_(std::move(sink)),
+      client_(loop, {[this](http_client::call_id call, unsigned status, const std::string& type) {
+                       sink_(engine_answer_begin{dispatches_.at(call), status, type});
+                     },
+                     [this](http_client::call_id call, std::string_view bytes) {
+                       sink_(engine_answer_bytes{dispatches_.at(call), std::string(bytes)});
+                     },
+                     [this](http_client::call_id call, http_call_result result) {
+                       OnEnd(call, result);
+                     }}) {}
+
+void engine_api::Execute(const start_engine_call& e) {
+  std::vector<http_header> headers = {
+      {"x-member", e.member},
+      {"x-request-id", ToString(e.id.request) + "-" + std::to_string(e.id.attempt)},
+      {"x-priority", std::to_string(ClassIndex(e.cls))}};
+  if (e.resume_offset > 0) {
+    headers.push_back({"x-resume-offset", std::to_string(e.resume_offset)});
+  }
+  if (!e.idempotency_key.empty()) headers.push_back({"idempotency-key", e.idempotency_key});
+  http_client::call_id call = client_.Start(engine_, e.path, headers, e.body);
+  dispatches_[call] = e.id;
+  calls_[e.id] = call;
+}
+
+void engine_api::Execute(const cancel_engine_call& e) {
+  auto it = calls_.find(e.id);
+  if (it == calls_.end()) return;
+  // Closing the connection is the engine's signal to stop generating.
+  client_.Cancel(it->second);
+  dispatches_.erase(it->second);
+  calls_.erase(it);
+}
+
+void engine_api::OnEnd(http_client::call_id call, http_call_result result) {
+  auto it = dispatches_.find(call);
+  if (it == dispatches_.end()) return;
+  dispatch_id id = it->second;
+  dispatches_.erase(it);
+  calls_.erase(id);
+  switch (result) {
+    case http_call_result::kComplete:
+      sink_(engine_answer_end{id});
+      return;
+    case http_call_result::kNotSent:
+      sink_(engine_call_failed{id, dispatch_failure::kEngineUnreachable, false});
+      return;
+    case http_call_result::kBroken:
+      sink_(engine_call_failed{id, dispatch_failure::kEngineCrashed, true});
+      return;
+  }
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/io/engine_api.h
@@ -0,0 +1,36 @@
+#ifndef RADISHROUTE_IO_ENGINE_API_H_
+#define RADISHROUTE_IO_ENGINE_API_H_
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "io/http_client.h"
+#include "radishroute/effect.h"
+#include "radishroute/event.h"
+
+namespace radishroute {
+
+/// Maps effects to calls on the backend server beside this agent, and its responses to events.
+class engine_api {
+ public:
+  using event_sink = std::function<void(event&&)>;
+
+  engine_api(io_loop& loop, endpoint engine, event_sink sink);
+
+  void Execute(const start_engine_call& e);
+  void Execute(const cancel_engine_call& e);
+
+ private:
+  void OnEnd(http_client::call_id call, http_call_result result);
+
+  endpoint engine_;
+  event_sink sink_;
+  std::unordered_map<http_client::call_id, dispatch_id> dispatches_;
+  std::unordered_map<dispatch_id, http_client::call_id> calls_;
+  http_client client_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_ENGINE_API_H_
--- /dev/null
+++ b/src/io/http_client.cc
@@ -0,0 +1,222 @@
+#include "io/http_client.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace radishroute {
+
+namespace {
+
+constexpr const char* kProtocolName = "http-client";
+constexpr std::size_t kMaxWriteBytes = 16 * 1024;
+constexpr std::size_t kReadBufferBytes = 16 * 1024;
+
+// Last bytes of a complete server-sent event stream in the chat completions interface. A stream
+// without a length is complete only if it ends so.
+constexpr std::string_view kStreamEnd = "data: [DONE]\n\n";
+
+}  // namespace
+
+struct http_client::call {
+  http_client* owner = nullptr;
+  lws* wsi = nullptr;
+  call_id id = 0;
+  std::string host;
+  std::vector<http_header> headers;
+  std::string body;
+  std::size_t written = 0;
+  bool starting = true;
+  bool sent = false;
+  bool established = false;
+  bool finished = false;
+  bool event_stream = false;
+  std::int64_t remaining = -1;
+  std::string tail;
+};
+
+http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {}
+
+http_client::~http_client() {
+  for (auto& [id, c] : calls_) {
+    if (c->wsi != nullptr) lws_set_opaque_user_data(c->wsi, nullptr);
+  }
+}
+
+lws_protocols http_client::Protocol() {
+  lws_protocols protocol{};
+  protocol.name = kProtocolName;
+  protocol.callback = &http_client::OnHttp;
+  protocol.rx_buffer_size = kReadBufferBytes;
+  return protocol;
+}
+
+http_client::call_id http_client::Start(const endpoint& server, const std::string& path,
+                                        const std::vector<http_header>& headers, std::string body) {
+  auto c = std::make_unique<call>();
+  c->owner = this;
+  c->id = next_id_++;
+  c->host = ToString(server);
+  c->headers = headers;
+  c->body = std::string(LWS_PRE, '\0') + body;
+  call* raw = c.get();
+  call_id id = raw->id;
+  calls_.emplace(id, std::move(c));
+
+  lws_client_connect_info info{};
+  info.context = loop_.Context();
+  info.vhost = loop_.ClientVhost();
+  info.address = server.host.c_str();
+  info.port = server.port;
+  info.path = path.c_str();
+  info.host = raw->host.c_str();
+  info.method = body.empty() ? "GET" : "POST";
+  info.local_protocol_name = kProtocolName;
+  info.opaque_user_data = raw;
+  info.pwsi = &raw->wsi;
+  bool connecting = lws_client_connect_via_info(&info) != nullptr;
+  raw->starting = false;
+  if (!connecting) {
+    // Reported later, so that the caller has the id before the event.
+    bool posted = loop_.Post([this, id] {
+      auto it = calls_.find(id);
+      if (it != calls_.end()) Finish(*it->second, http_call_result::kNotSent);
+    });
+    if (!posted) Finish(*raw, http_call_result::kNotSent);
+  }
+  return id;
+}
+
+void http_client::Cancel(call_id id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  lws* wsi = it->second->wsi;
+  calls_.erase(it);
+  if (wsi == nullptr) return;
+  lws_set_opaque_user_data(wsi, nullptr);
+  lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+}
+
+int http_client::AppendHeaders(call& c, unsigned char** p, unsigned char* end) {
+  auto add = [&](const std::string& name, const std::string& value) {
+    std::string key = name + ":";
+    return lws_add_http_header_by_name(c.wsi, reinterpret_cast<const unsigned char*>(key.c_str()),
+                                       reinterpret_cast<const unsigned char*>(value.data()),
+                                       static_cast<int>(value.size()), p, end);
+  };
+  for (const http_header& header : c.headers) {
+    if (add(header.name, header.value) != 0) return -1;
+  }
+  std::size_t length = c.body.size() - LWS_PRE;
+  if (length > 0) {
+    if (add("content-type", "application/json") != 0) return -1;
+    if (add("content-length", std::to_string(length)) != 0) return -1;
+    lws_client_http_body_pending(c.wsi, 1);
+    lws_callback_on_writable(c.wsi);
+  }
+  c.sent = true;
+  return 0;
+}
+
+int http_client::OnWritable(call& c) {
+  std::size_t pending = c.body.size() - LWS_PRE - c.written;
+  if (pending == 0) return 0;
+  std::size_t length = std::min(pending, kMaxWriteBytes);
+  bool last = length == pending;
+  auto* data = reinterpret_cast<unsigned char*>(c.body.data()) + LWS_PRE + c.written;
+  auto how = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
+  if (last) lws_client_http_body_pending(c.wsi, 0);
+  if (lws_write(c.wsi, data, length, how) < static_cast<int>(length)) return -1;
+  c.written += length;
+  if (!last) lws_callback_on_writable(c.wsi);
+  return 0;
+}
+
+void http_client::OnEstablished(call& c) {
+  c.established = true;
+  std::array<char, 128> type{};
+  std::array<char, 32> length{};
+  lws_hdr_copy(c.wsi, type.data(), static_cast<int>(type.size()), WSI_TOKEN_HTTP_CONTENT_TYPE);
+  if (lws_hdr_copy(c.wsi, length.data(), static_cast<int>(length.size()),
+                   WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0) {
+    c.remaining = std::strtoll(length.data(), nullptr, 10);
+  }
+  std::string content_type(type.data());
+  c.event_stream = content_type.starts_with("text/event-stream");
+  unsigned status = lws_http_client_http_response(c.wsi);
+  on_.on_begin(c.id, status, content_type);
+}
+
+void http_client::OnBytes(call& c, std::string_view bytes) {
+  if (c.remaining >= 0) c.remaining -= static_cast<std::int64_t>(bytes.size());
+  if (c.event_stream) {
+    c.tail.append(bytes);
+    if (c.tail.size() > kStreamEnd.size()) c.tail.erase(0, c.tail.size() - kStreamEnd.size());
+  }
+  on_.on_bytes(c.id, bytes);
+}
+
+void http_client::Finish(call& c, http_call_result result) {
+  call_id id = c.id;
+  if (c.wsi != nullptr) lws_set_opaque_user_data(c.wsi, nullptr);
+  calls_.erase(id);
+  on_.on_end(id, result);
+}
+
+int http_client::OnHttp(lws* wsi, lws_callback_reasons reason, void*, void* in, size_t len) {
+  if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) {
+    io_loop::OnCancelled(wsi);
+    return 0;
+  }
+  if (wsi == nullptr) return 0;
+  auto* c = static_cast<call*>(lws_get_opaque_user_data(wsi));
+  if (c == nullptr) {
+    // Cancelled: the connection is closed at the next callback that can close it.
+    return reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE ||
+                   reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
+               ? -1
+               : 0;
+  }
+  c->wsi = wsi;
+  switch (reason) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+      auto** p = static_cast<unsigned char**>(in);
+      return c->owner->AppendHeaders(*c, p, *p + len);
+    }
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+      return c->owner->OnWritable(*c);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+      c->owner->OnEstablished(*c);
+      return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
+      std::array<char, LWS_PRE + kReadBufferBytes> buffer;
+      char* start = buffer.data() + LWS_PRE;
+      int length = static_cast<int>(kReadBufferBytes);
+      return lws_http_client_read(wsi, &start, &length) < 0 ? -1 : 0;
+    }
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+      c->owner->OnBytes(*c, {static_cast<const char*>(in), len});
+      return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP: {
+      bool whole = c->event_stream ? c->tail == kStreamEnd : c->remaining <= 0;
+      c->owner->Finish(*c, whole ? http_call_result::kComplete : http_call_result::kBroken);
+      return -1;
+    }
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+      lws_set_opaque_user_data(wsi, nullptr);
+      c->wsi = nullptr;
+      // Start reports the failure itself once its caller knows the call's id.
+      if (c->starting) return 0;
+      c->owner->Finish(*c, c->sent ? http_call_result::kBroken : http_call_result::kNotSent);
+      return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP: {
+      bool whole = c->established && (c->event_stream ? c->tail == kStreamEnd : c->remaining == 0);
+      c->owner->Finish(*c, whole ? http_call_result::kComplete : http_call_result::kBroken);
+      return 0;
+    }
+    default:
+      return 0;
+  }
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/io/http_client.h
@@ -0,0 +1,75 @@
+#ifndef RADISHROUTE_IO_HTTP_CLIENT_H_
+#define RADISHROUTE_IO_HTTP_CLIENT_H_
+
+#include <libwebsockets.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "io/http_server.h"
+#include "io/loop.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// How an HTTP call ended.
+enum class http_call_result : std::uint8_t {
+  /// The response is complete.
+  kComplete,
+  /// No byte of the request was sent.
+  kNotSent,
+  /// The connection closed before the response was complete.
+  kBroken,
+};
+
+/// HTTP/1.1 client on one event loop; each call uses its own connection.
+class http_client {
+ public:
+  using call_id = std::uint64_t;
+
+  struct handlers {
+    std::function<void(call_id, unsigned status, const std::string& content_type)> on_begin;
+    std::function<void(call_id, std::string_view bytes)> on_bytes;
+    std::function<void(call_id, http_call_result)> on_end;
+  };
+
+  http_client(io_loop& loop, handlers on);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  /// Starts a call with a JSON body; a body of zero length makes a GET. Events follow through the
+  /// handlers, `on_end` exactly once unless the call is cancelled.
+  call_id Start(const endpoint& server, const std::string& path,
+                const std::vector<http_header>& headers, std::string body);
+
+  /// Closes the call's connection; no further events follow.
+  void Cancel(call_id id);
+
+  std::size_t Active() const { return calls_.size(); }
+
+  static lws_protocols Protocol();
+
+ private:
+  struct call;
+
+  static int OnHttp(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
+  int AppendHeaders(call& c, unsigned char** p, unsigned char* end);
+  int OnWritable(call& c);
+  void OnEstablished(call& c);
+  void OnBytes(call& c, std::string_view bytes);
+  void Finish(call& c, http_call_result result);
+
+  io_loop& loop_;
+  handlers on_;
+  call_id next_id_ = 1;
+  std::unordered_map<call_id, std::unique_ptr<call>> calls_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/io/http_server.h
@@ -0,0 +1,112 @@
+#ifndef RADISHROUTE_IO_HTTP_SERVER_H_
+#define RADISHROUTE_IO_HTTP_SERVER_H_
+
+#include <libwebsockets.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "io/loop.h"
+#include "radishroute/error.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
+/// A complete request with its body.
+struct http_request {
+  exchange_id exchange;
+  std::string method;
+  std::string path;
+  /// Values of the headers named in `http_server_settings::headers`, in lower case, if present.
+  std::unordered_map<std::string, std::string> headers;
+  std::string body;
+};
+
+struct http_server_settings {
+  http_server_settings() = default;
+  explicit http_server_settings(std::vector<std::string> read) : headers(std::move(read)) {}
+
+  /// Lower-case names of the request headers to read.
+  std::vector<std::string> headers;
+  std::size_t max_body_bytes = std::size_t{1} << 20;
+  std::string tls_certificate;
+  std::string tls_key;
+};
+
+/// HTTP/1.1 and HTTP/2 server on one event loop.
+class http_server {
+ public:
+  struct handlers {
+    std::function<void(http_request&&)> on_request;
+    /// The client closed its connection before the response was complete.
+    std::function<void(exchange_id)> on_closed;
+    /// The request body exceeds the limit; the server has answered 413.
+    std::function<void()> on_body_too_large;
+  };
+
+  http_server(io_loop& loop, http_server_settings settings, handlers on);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Creates the vhost that serves connections. With an address it also listens there; without
+  /// one it serves only sockets handed to Adopt. Error: kListenFailed.
+  std::error_code Start(const std::optional<endpoint>& listen);
+
+  /// Takes over an accepted socket.
+  void Adopt(int socket);
+
+  /// Starts a response. Without a length, the end is marked by closing the stream.
+  void Begin(exchange_id id, unsigned status, const std::string& content_type,
+             const std::vector<http_header>& headers, std::optional<std::size_t> length);
+  void Write(exchange_id id, std::string_view bytes);
+  void End(exchange_id id);
+  /// Closes the connection without completing the response.
+  void Abort(exchange_id id);
+
+  /// Calls `on_idle` once no exchange is in progress and every response has been sent.
+  void WhenIdle(std::function<void()> on_idle);
+
+  /// Sends a complete response.
+  void Respond(exchange_id id, unsigned status, const std::string& content_type,
+               const std::vector<http_header>& headers, std::string_view body);
+
+ private:
+  struct exchange;
+
+  static int OnHttp(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
+  int OnHeaders(lws* wsi, std::string_view uri);
+  int OnComplete(exchange& x);
+  int OnWritable(exchange& x);
+  int WriteHeaders(exchange& x);
+  int WriteBody(exchange& x);
+  int Complete(exchange& x);
+  void Drop(exchange& x, bool notify);
+  exchange* Find(exchange_id id);
+
+  io_loop& loop_;
+  http_server_settings settings_;
+  handlers on_;
+  lws_protocols protocols_[2] = {};
+  lws_vhost* vhost_ = nullptr;
+  std::uint64_t next_id_ = 1;
+  std::function<void()> on_idle_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_HTTP_SERVER_H_
--- /dev/null
+++ b/src/io/node_thread.h
@@ -0,0 +1,147 @@
+#ifndef RADISHROUTE_IO_NODE_THREAD_H_
+#define RADISHROUTE_IO_NODE_THREAD_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "io/caller_api.h"
+#include "io/engine_api.h"
+#include "io/link.h"
+#include "io/loop.h"
+#include "io/metrics.h"
+#include "radishroute/reducer.h"
+
+namespace radishroute {
+
+/// Actions that one thread cannot carry out alone.
+struct node_hooks {
+  std::function<void(std::shared_ptr<const routing_table>)> on_publish;
+  std::function<void(bool all_finished)> on_stop;
+};
+
+/// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
+/// events and carry out effects.
+template <policy_set P, clock_source Clock = system_clock_source>
+class node_thread {
+ public:
+  node_thread(hello self, node_hooks hooks)
+      : links_(loop_, std::move(self), [this](event&& e) { Apply(std::move(e)); }),
+        hooks_(std::move(hooks)),
+        random_(std::random_device{}()) {
+    static const lws_protocols protocols[] = {
+        link_transport::Protocol(), http_client::Protocol(), {}};
+    loop_.CreateClientVhost(protocols);
+    loop_.SetTimerHandler([this] { Apply(timer_expired{}); });
+  }
+
+  io_loop& Loop() { return loop_; }
+  link_transport& Links() { return links_; }
+  node_state<P>& State() { return state_; }
+
+  void ServeCallers(http_server_settings settings) {
+    callers_ = std::make_unique<caller_api>(loop_, std::move(settings),
+                                            [this](event&& e) { Apply(std::move(e)); });
+  }
+  caller_api& Callers() { return *callers_; }
+
+  void CallEngine(const endpoint& engine) {
+    engine_ =
+        std::make_unique<engine_api>(loop_, engine, [this](event&& e) { Apply(std::move(e)); });
+  }
+
+  /// Delivers an event from another thread; false if the queue is full, which is counted.
+  bool Post(event e) {
+    auto shared = std::make_shared<event>(std::move(e));
+    if (loop_.Post([this, shared] { Apply(std::move(*shared)); })) return true;
+    CountMetric(counter::kEventQueueFull);
+    return false;
+  }
+
+  /// Starts the thread; its first event is process_started.
+  void Start() {
+    thread_ = std::thread([this] {
+      Apply(process_started{});
+      loop_.Run();
+    });
+  }
+
+  void Join() {
+    loop_.Stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  /// Reduces an event and carries out its effects. Events that arise meanwhile are queued, so that
+  /// the reducer is never entered twice.
+  void Apply(event&& e) {
+    pending_.push_back(std::move(e));
+    if (reducing_) return;
+    reducing_ = true;
+    while (!pending_.empty()) {
+      event next = std::move(pending_.front());
+      pending_.pop_front();
+      effects_.clear();
+      reduce_context ctx{clock_.Now(), clock_.WallNow(), random_, effects_};
+      Reduce(state_, next, ctx);
+      for (effect& one : effects_) {
+        std::visit([this](auto& specific) { Execute(specific); }, one);
+      }
+    }
+    reducing_ = false;
+  }
+
+ private:
+  void Execute(const send_message& e) { links_.Send(e.link, e.body); }
+  void Execute(const open_link& e) { links_.Open(e.address); }
+  void Execute(const close_link& e) { links_.Close(e.link); }
+  void Execute(const schedule_wakeup& e) { loop_.WakeAt(e.at); }
+  void Execute(const publish_routing_table& e) {
+    if (hooks_.on_publish) hooks_.on_publish(e.table);
+  }
+  void Execute(const stop_process& e) {
+    if (!hooks_.on_stop) return;
+    bool finished = e.all_finished;
+    if (callers_ && finished) {
+      // The last response may still be waiting to be written.
+      callers_->WhenIdle([this] { hooks_.on_stop(true); });
+    } else {
+      hooks_.on_stop(finished);
+    }
+  }
+  void Execute(const write_log& e) { WriteLog(e.event); }
+  void Execute(const count& e) { CountMetric(e.which, e.by); }
+  void Execute(const count_refusal& e) { CountRefusal(e.reason); }
+  void Execute(const count_retry& e) { CountRetry(e.reason); }
+  void Execute(const observe_latency& e) { ObserveLatency(e.which, e.cls, e.value); }
+
+  // The remaining effects belong to an adapter that only some threads have.
+  template <class Effect>
+  void Execute(const Effect& e) {
+    if constexpr (requires(caller_api api) { api.Execute(e); }) {
+      if (callers_) callers_->Execute(e);
+    } else {
+      if (engine_) engine_->Execute(e);
+    }
+  }
+
+  Clock clock_;
+  io_loop loop_;
+  node_state<P> state_;
+  link_transport links_;
+  std::unique_ptr<caller_api> callers_;
+  std::unique_ptr<engine_api> engine_;
+  node_hooks hooks_;
+  random_source random_;
+  effect_list effects_;
+  std::deque<event> pending_;
+  bool reducing_ = false;
+  std::thread thread_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_NODE_THREAD_H_
--- /dev/null
+++ b/src/io/wire.cc
@@ -0,0 +1,129 @@
+#include "io/wire.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+#include "io/wire_basic.h"
+#include "io/wire_discovery.h"
+#include "io/wire_traffic.h"
+
+namespace radishroute {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+
+/// Binds a message type to its number in FrameHeader and its Thrift struct.
+template <std::int32_t Number, class Core, class Wire>
+struct wire_entry {
+  static constexpr std::int32_t kNumber = Number;
+  using core_type = Core;
+  using wire_type = Wire;
+};
+
+template <class... Entries>
+struct wire_registry {};
+
+// Numbers are never reused, so that processes of two versions do not misread each other.
+using registry = wire_registry<                               //
+    wire_entry<1, hello, wire::Hello>,                        //
+    wire_entry<2, heartbeat, wire::Heartbeat>,                //
+    wire_entry<3, dispatch_request, wire::DispatchRequest>,   //
+    wire_entry<4, answer_begin, wire::AnswerBegin>,           //
+    wire_entry<5, answer_chunk, wire::AnswerChunk>,           //
+    wire_entry<6, answer_end, wire::AnswerEnd>,               //
+    wire_entry<7, answer_ack, wire::AnswerAck>,               //
+    wire_entry<8, dispatch_refused, wire::DispatchRefused>,   //
+    wire_entry<9, dispatch_failed, wire::DispatchFailed>,     //
+    wire_entry<10, cancel_dispatch, wire::CancelDispatch>,    //
+    wire_entry<11, attach_dispatch, wire::AttachDispatch>,    //
+    wire_entry<12, resolve_dispatch, wire::ResolveDispatch>,  //
+    wire_entry<13, resolve_reply, wire::ResolveReply>,        //
+    wire_entry<14, announcement, wire::Announcement>,         //
+    wire_entry<15, directory_delta, wire::DirectoryDelta>,    //
+    wire_entry<16, directory_digest, wire::DirectoryDigest>,  //
+    wire_entry<17, directory_pull, wire::DirectoryPull>>;
+
+template <class Core, class... Entries>
+constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
+  std::int32_t number = 0;
+  ((std::is_same_v<Core, typename Entries::core_type> ? number = Entries::kNumber : 0), ...);
+  return number;
+}
+
+template <class Entry>
+bool ReadAs(std::int32_t number, compact_protocol& protocol, message& out, bool& ok) {
+  if (number != Entry::kNumber) return false;
+  typename Entry::wire_type w;
+  w.read(&protocol);
+  out = FromWire(w, ok);
+  return true;
+}
+
+template <class... Entries>
+bool ReadBody(std::int32_t number, compact_protocol& protocol, message& out, bool& ok,
+              wire_registry<Entries...>) {
+  return (ReadAs<Entries>(number, protocol, out, ok) || ...);
+}
+
+void AppendPrefix(std::size_t length, std::string& out) {
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    out.push_back(static_cast<char>((length >> shift) & 0xFF));
+  }
+}
+
+}  // namespace
+
+std::error_code EncodeFrame(const message& m, std::string& out) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  compact_protocol protocol(buffer);
+  std::visit(
+      [&](const auto& core) {
+        wire::FrameHeader header;
+        header.protocolVersion = Signed(kProtocolVersion);
+        header.messageType = NumberOf<std::decay_t<decltype(core)>>(registry{});
+        header.write(&protocol);
+        ToWire(core).write(&protocol);
+      },
+      m);
+  std::uint8_t* data = nullptr;
+  std::uint32_t length = 0;
+  buffer->getBuffer(&data, &length);
+  if (length > kMaxFrameBytes) return errc::kFrameTooLong;
+  AppendPrefix(length, out);
+  out.append(reinterpret_cast<const char*>(data), length);
+  return {};
+}
+
+std::error_code DecodeFrame(std::string_view body, message& out) {
+  // Thrift reports malformed input by exceptions; they end here.
+  try {
+    auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(body.data()));
+    auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(body.size()),
+                                                  TMemoryBuffer::OBSERVE);
+    compact_protocol protocol(buffer, static_cast<std::int32_t>(kMaxFrameBytes),
+                              static_cast<std::int32_t>(kMaxFrameBytes));
+    wire::FrameHeader header;
+    header.read(&protocol);
+    if (header.protocolVersion != Signed(kProtocolVersion)) return errc::kUnsupportedVersion;
+    bool ok = true;
+    if (!ReadBody(header.messageType, protocol, out, ok, registry{})) return errc::kFrameMalformed;
+    return ok ? std::error_code() : errc::kFrameMalformed;
+  } catch (const std::exception&) {
+    return errc::kFrameMalformed;
+  }
+}
+
+std::size_t FrameBodyLength(std::string_view bytes) {
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kFramePrefixBytes; ++i) {
+    length = (length << 8) | static_cast<unsigned char>(bytes[i]);
+  }
+  return length;
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/metric.cc
@@ -0,0 +1,22 @@
+#include "radishroute/metric.h"
+
+#include <array>
+
+namespace radishroute {
+
+std::string_view ToString(counter c) {
+  constexpr std::array<std::string_view, kCounterCount> kNames = {
+      "requests_received",    "answers_completed",    "answers_in_time",      "answers_aborted",
+      "callers_hung_up",      "stale_chunks_dropped", "duplicate_dispatches", "dispatches_sent",
+      "dispatches_cancelled", "links_opened",         "links_closed",         "frames_rejected",
+      "links_unauthorized",   "event_queue_full"};
+  return kNames[static_cast<std::size_t>(c)];
+}
+
+std::string_view ToString(latency_metric m) {
+  constexpr std::array<std::string_view, kLatencyMetricCount> kNames = {"first_byte", "answer",
+                                                                        "queue_wait"};
+  return kNames[static_cast<std::size_t>(m)];
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/reducer.cc
@@ -0,0 +1,60 @@
+#include "radishroute/reducer.h"
+
+#include <type_traits>
+#include <variant>
+
+#include "radishroute/policies.h"
+
+namespace radishroute {
+
+namespace {
+
+// Hands an event to a module if the module exists on this thread and handles that event type.
+template <class Module, class Event>
+void Offer(std::optional<Module>& module, const Event& e, reduce_context& ctx) {
+  if constexpr (requires(Module m) { m.Handle(e, ctx); }) {
+    if (module) module->Handle(e, ctx);
+  }
+}
+
+template <class Module, class Message>
+void OfferMessage(std::optional<Module>& module, link_id link, const Message& m,
+                  reduce_context& ctx) {
+  if constexpr (requires(Module mod) { mod.Handle(link, m, ctx); }) {
+    if (module) module->Handle(link, m, ctx);
+  }
+}
+
+template <class State, class Visitor>
+void ForEachModule(State& state, Visitor&& visit) {
+  visit(state.control.backends);
+  visit(state.control.announcements);
+  visit(state.traffic.requests);
+  visit(state.traffic.executions);
+}
+
+}  // namespace
+
+template <policy_set P>
+void Reduce(node_state<P>& state, const event& e, reduce_context& ctx) {
+  std::visit(
+      [&](const auto& specific) {
+        using event_type = std::decay_t<decltype(specific)>;
+        if constexpr (std::is_same_v<event_type, message_received>) {
+          std::visit(
+              [&](const auto& m) {
+                ForEachModule(state,
+                              [&](auto& module) { OfferMessage(module, specific.link, m, ctx); });
+              },
+              specific.body);
+        } else {
+          ForEachModule(state, [&](auto& module) { Offer(module, specific, ctx); });
+        }
+      },
+      e);
+}
+
+template void Reduce<baseline_policies>(node_state<baseline_policies>&, const event&,
+                                        reduce_context&);
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/settings.cc
@@ -0,0 +1,78 @@
+#include "radishroute/settings.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+#include "settings_reader.h"
+
+namespace radishroute {
+
+bool ParseEndpoint(std::string_view text, endpoint& out) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  std::string host(text.substr(0, colon));
+  std::string_view port_text = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  auto [end, error] = std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
+  if (error != std::errc() || end != port_text.data() + port_text.size() || port == 0) return false;
+  in_addr address{};
+  if (inet_pton(AF_INET, host.c_str(), &address) != 1) return false;
+  out = {host, port};
+  return true;
+}
+
+std::string SettingsRole(std::string_view text) {
+  nlohmann::json root = nlohmann::json::parse(text, nullptr, false);
+  if (!root.is_object() || !root.contains("role") || !root["role"].is_string()) return {};
+  return root["role"].get<std::string>();
+}
+
+entry_settings ParseEntrySettings(std::string_view text, std::vector<settings_error>& errors) {
+  entry_settings out;
+  settings_reader reader(ParseSettingsText(text, errors), "", errors);
+  ReadCommon(reader, out.common);
+  reader.Read("policy", out.common.policy, false);
+  reader.Read("admin_listen", out.admin_listen, true);
+  reader.Read("control_listen", out.control_listen, true);
+  reader.ReadNumber("threads", out.threads, 1, 64);
+  reader.Read("peers", out.peers, false);
+  reader.Read("controllers", out.controllers, false);
+  reader.Read("sheet", out.sheet, false);
+  settings_reader http = reader.Child("http");
+  http.Read("listen", out.http_listen, true);
+  http.Read("tls_certificate", out.tls_certificate, false);
+  http.Read("tls_key", out.tls_key, false);
+  http.ReadNumber("max_body_bytes", out.max_body_bytes, 1024, 3U << 20);
+  http.ReadNumber("max_requests", out.max_requests, 1, 1000000);
+  http.Finish();
+  if (out.tls_certificate.empty() != out.tls_key.empty()) {
+    errors.push_back({"http.tls_key", "both tls_certificate and tls_key, or neither"});
+  }
+  reader.Finish();
+  return out;
+}
+
+agent_settings ParseAgentSettings(std::string_view text, std::vector<settings_error>& errors) {
+  agent_settings out;
+  settings_reader reader(ParseSettingsText(text, errors), "", errors);
+  ReadCommon(reader, out.common);
+  reader.Read("policy", out.common.policy, false);
+  reader.Read("traffic_listen", out.traffic_listen, true);
+  reader.Read("admin_listen", out.admin_listen, true);
+  reader.Read("entries", out.entries, true);
+  reader.Read("controllers", out.controllers, false);
+  settings_reader backend = reader.Child("backend");
+  backend.Read("address", out.engine, true);
+  out.kind = static_cast<backend_kind>(backend.ReadChoice("kind", {"engine", "service"}, 0));
+  backend.Read("models", out.models, true);
+  backend.Read("adapters", out.adapters, false);
+  backend.Read("version", out.version, false);
+  backend.ReadNumber("concurrency", out.concurrency, 1, 100000);
+  backend.Read("checks_fencing", out.checks_fencing);
+  backend.Finish();
+  reader.Finish();
+  return out;
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,59 @@
+#include "io/wire.h"
+
+#include <catch2/catch.hpp>
+
+namespace radishroute {
+
+namespace {
+
+message RoundTrip(const message& in) {
+  std::string frame;
+  REQUIRE_FALSE(EncodeFrame(in, frame));
+  REQUIRE(FrameBodyLength(frame) == frame.size() - kFramePrefixBytes);
+  message out;
+  REQUIRE_FALSE(DecodeFrame(std::string_view(frame).substr(kFramePrefixBytes), out));
+  return out;
+}
+
+}  // namespace
+
+// Guards against a field that is lost or cast wrongly between message and Thrift struct.
+TEST_CASE("dispatch survives encoding") {
+  dispatch_request in;
+  in.id = {{0xFFFFFFFFFFFFFFF0ULL, 7}, 3};
+  in.agent_incarnation = 0x8000000000000001ULL;
+  in.member = "club-1";
+  in.cls = priority_class::kBatch;
+  in.time_left = std::chrono::milliseconds(250);
+  in.content = {42};
+  in.suspect = true;
+  in.repeatable = false;
+  in.body = std::string("a\0b", 3);
+  auto out = std::get<dispatch_request>(RoundTrip(in));
+  CHECK(out.id == in.id);
+  CHECK(out.agent_incarnation == in.agent_incarnation);
+  CHECK(out.member == in.member);
+  CHECK(out.cls == in.cls);
+  CHECK(out.time_left == in.time_left);
+  CHECK(out.content == in.content);
+  CHECK(out.suspect);
+  CHECK_FALSE(out.repeatable);
+  CHECK(out.body == in.body);
+}
+
+// Guards against accepting frames of another protocol version or garbage.
+TEST_CASE("malformed frames are typed errors") {
+  message out;
+  CHECK(DecodeFrame("", out) == errc::kFrameMalformed);
+  CHECK(DecodeFrame("\xff\xff\xff\xff\xff\xff", out) == errc::kFrameMalformed);
+  std::string frame;
+  REQUIRE_FALSE(EncodeFrame(heartbeat{1}, frame));
+  std::string body = frame.substr(kFramePrefixBytes);
+  body[1] = static_cast<char>(body[1] + 2);
+  CHECK(DecodeFrame(body, out) == errc::kUnsupportedVersion);
+  for (std::size_t cut = 0; cut < body.size(); ++cut) {
+    CHECK(DecodeFrame(std::string_view(body).substr(0, cut), out));
+  }
+}
+
+}  // namespace radishroute
