Define the commands of the replicated log

Cause: the log and the state machine that applies it are built at the same time and need one definition.

Change: typed commands for replica changes, configuration and idempotency records, and the log entry that carries them.

Measured: nothing yet; no code uses the header.

--- /dev/null
+++ b/include/radishroute/command.h
@@ -0,0 +1,99 @@
+#ifndef RADISHROUTE_COMMAND_H_
+#define RADISHROUTE_COMMAND_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "radishroute/clock.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// Identity of a voter, drawn at random when its data folder is created. A replica that lost its
+/// disk has a new one.
+struct voter_id {
+  std::uint64_t value = 0;
+  auto operator<=>(const voter_id&) const = default;
+};
+
+/// One replica of a log group.
+struct replica {
+  voter_id id;
+  std::string zone;
+  endpoint address;
+  /// A learner receives entries and does not vote.
+  bool voting = true;
+};
+
+/// First entry of a leader's term.
+struct no_operation {};
+
+/// Replaces the replica set; differs from the one in force by at most one voter.
+struct replica_change {
+  std::vector<replica> replicas;
+};
+
+/// Puts a configuration in force as version `base_version + 1`.
+struct config_change {
+  std::uint64_t base_version = 0;
+  /// Chosen by the operator; a resend carries the same one.
+  std::string change_id;
+  std::string author;
+  /// The sheet as CSV text.
+  std::string sheet;
+};
+
+/// Claims an idempotency key before its request is dispatched.
+struct record_claim {
+  std::string member;
+  std::string key;
+  std::uint64_t content_hash = 0;
+  dispatch_id dispatch;
+  std::string backend;
+  std::uint64_t backend_incarnation = 0;
+  /// Wall-clock time of the leader that appended the claim; replicas expire records by it.
+  wall_time at;
+};
+
+enum class record_status : std::uint8_t {
+  /// Claimed; the request may be running.
+  kClaimed,
+  /// Ran; the answer is stored if it is small enough.
+  kDone,
+  /// Certainly never ran; the key may be claimed again.
+  kNotRun,
+  /// Nobody can tell any more whether it ran.
+  kUnknown,
+};
+
+/// Stores the outcome of a claimed request.
+struct record_outcome {
+  std::string member;
+  std::string key;
+  dispatch_id dispatch;
+  record_status status = record_status::kDone;
+  std::uint32_t answer_status = 0;
+  std::string answer_type;
+  std::string answer;
+};
+
+/// A change of hard state, replicated through the log.
+using command = std::variant<  //
+    no_operation,              //
+    replica_change,            //
+    config_change,             //
+    record_claim,              //
+    record_outcome>;
+
+/// Position and content of one log entry.
+struct log_entry {
+  std::uint64_t term = 0;
+  std::uint64_t index = 0;
+  command body;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_COMMAND_H_
