--- /dev/null
+++ b/src/expert_map.cc
@@ -0,0 +1,173 @@
+#include "radishroute/expert_map.h"
+
+#include <algorithm>
+
+namespace radishroute {
+
+group_result group_record::Apply(const group_command& command) {
+  return std::visit([this](const auto& c) { return Handle(c); }, command);
+}
+
+group_result group_record::Handle(const create_group& c) {
+  if (!ranges_.empty()) return group_result::kConflict;
+  ranks_ = c.ranks;
+  ranges_ = {{1, 1, c.last_step}};
+  highest_map_ = 1;
+  return group_result::kApplied;
+}
+
+group_result group_record::Handle(const extend_steps& c) {
+  if (ranges_.empty()) return group_result::kConflict;
+  if (c.last_step <= ranges_.back().last) return group_result::kStale;
+  ranges_.back().last = c.last_step;
+  return group_result::kApplied;
+}
+
+group_result group_record::Handle(const propose_map& c) {
+  if (ranges_.empty() || proposed_) return group_result::kConflict;
+  if (c.map_version <= highest_map_) return group_result::kStale;
+  proposed_ = c.map_version;
+  highest_map_ = c.map_version;
+  return group_result::kApplied;
+}
+
+group_result group_record::Handle(const activate_map& c) {
+  if (proposed_ != c.map_version) return group_result::kStale;
+  // The new map starts above every step granted under the old one, whatever any rank has run.
+  std::uint64_t first = ranges_.back().last + 1;
+  ranges_.push_back({c.map_version, first, std::max(first, c.last_step)});
+  proposed_.reset();
+  return group_result::kApplied;
+}
+
+group_result group_record::Handle(const abandon_map& c) {
+  if (proposed_ != c.map_version) return group_result::kStale;
+  proposed_.reset();
+  return group_result::kApplied;
+}
+
+group_result group_record::Handle(const retire_map& c) {
+  if (ranges_.size() < 2 || ranges_.front().map_version != c.map_version) {
+    return group_result::kStale;
+  }
+  ranges_.erase(ranges_.begin());
+  return group_result::kApplied;
+}
+
+bool rank_map::Handle(const step_grant& grant) {
+  for (const step_range& range : grant.ranges) {
+    auto it = ranges_.find(range.map_version);
+    if (it == ranges_.end()) {
+      for (const auto& [version, known] : ranges_) {
+        if (range.first <= known.last && known.first <= range.last) return false;
+      }
+      ranges_[range.map_version] = range;
+      continue;
+    }
+    if (it->second.first != range.first) return false;
+    auto next = std::next(it);
+    if (next != ranges_.end() && range.last >= next->second.first) return false;
+    // A late grant may be shorter than one that is known already.
+    it->second.last = std::max(it->second.last, range.last);
+  }
+  wanted_ = std::max(wanted_, grant.load_map);
+  for (auto it = ranges_.begin(); it != ranges_.end();) {
+    bool droppable = it->first <= grant.droppable_through && std::next(it) != ranges_.end();
+    it = droppable ? ranges_.erase(it) : std::next(it);
+  }
+  std::erase_if(loaded_, [&](const auto& entry) {
+    return entry.first <= grant.droppable_through && !ranges_.contains(entry.first);
+  });
+  return true;
+}
+
+void rank_map::OnLoaded(std::uint64_t map_version) { loaded_[map_version] = true; }
+
+std::optional<std::uint64_t> rank_map::MapFor(std::uint64_t step) const {
+  for (const auto& [version, range] : ranges_) {
+    if (step < range.first || step > range.last) continue;
+    if (!loaded_.contains(version)) return std::nullopt;
+    return version;
+  }
+  return std::nullopt;
+}
+
+std::uint64_t rank_map::Granted() const {
+  return ranges_.empty() ? 0 : ranges_.rbegin()->second.last;
+}
+
+std::optional<std::uint64_t> rank_map::ToLoad() const {
+  // A restarted rank first needs the map that the group runs under now.
+  for (const auto& [version, range] : ranges_) {
+    if (!loaded_.contains(version)) return version;
+  }
+  if (wanted_ > 0 && !loaded_.contains(wanted_)) return wanted_;
+  return std::nullopt;
+}
+
+std::vector<std::uint64_t> rank_map::Loaded() const {
+  std::vector<std::uint64_t> versions;
+  for (const auto& [version, unused] : loaded_) versions.push_back(version);
+  return versions;
+}
+
+std::optional<group_command> map_coordinator::Change(const group_record& record,
+                                                     std::uint64_t map_version) const {
+  if (record.ProposedMap() || outstanding_) return std::nullopt;
+  return propose_map{map_version};
+}
+
+std::optional<std::uint64_t> map_coordinator::SlowestStep(const group_record& record) const {
+  if (ranks_.size() < record.Ranks()) return std::nullopt;
+  std::uint64_t slowest = UINT64_MAX;
+  for (const auto& [rank, report] : ranks_) slowest = std::min(slowest, report.step);
+  return slowest;
+}
+
+bool map_coordinator::AllLoaded(const group_record& record, std::uint64_t map_version) const {
+  if (ranks_.size() < record.Ranks()) return false;
+  return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto& entry) {
+    const auto& loaded = entry.second.loaded;
+    return std::find(loaded.begin(), loaded.end(), map_version) != loaded.end();
+  });
+}
+
+std::optional<group_command> map_coordinator::Next(const group_record& record) const {
+  std::optional<std::uint64_t> slowest = SlowestStep(record);
+  if (!slowest) return std::nullopt;
+  if (record.ProposedMap() && AllLoaded(record, *record.ProposedMap())) {
+    return activate_map{*record.ProposedMap(), record.LastStep() + settings_.steps};
+  }
+  if (record.Ranges().size() > 1 && *slowest > record.Ranges().front().last) {
+    return retire_map{record.Ranges().front().map_version};
+  }
+  if (*slowest + settings_.refill >= record.LastStep()) {
+    return extend_steps{*slowest + settings_.steps};
+  }
+  return std::nullopt;
+}
+
+std::optional<group_command> map_coordinator::Handle(const group_record& record,
+                                                     const rank_report& report) {
+  rank_report& known = ranks_[report.rank];
+  // A late report of an earlier life or an earlier step must not hide what is known.
+  bool newer = report.incarnation > known.incarnation ||
+               (report.incarnation == known.incarnation && report.step >= known.step);
+  if (newer) known = report;
+  if (outstanding_) return std::nullopt;
+  std::optional<group_command> next = Next(record);
+  outstanding_ = next.has_value();
+  return next;
+}
+
+step_grant map_coordinator::GrantFor(const group_record& record, const rank_report&) const {
+  step_grant grant;
+  grant.ranges = record.Ranges();
+  grant.load_map = record.ProposedMap().value_or(0);
+  if (!record.Ranges().empty()) {
+    grant.droppable_through = record.Ranges().front().map_version - 1;
+  }
+  return grant;
+}
+
+}  // namespace radishroute
