Make the engine stand-in faithful where decisions depend on it

The stand-in had batching only. Its model now has one reducer over batching with preemption between steps, a bounded prefix cache with late and incomplete cache events, fenced orders, KV cache export and import, a rate-limited weight store, a service that counts runs per Idempotency-Key in a file, and fault switches at the start and at run time.

--- a/src/engine/answer.cc
+++ b/src/engine/answer.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kBytesPerPromptToken = 4;
-
 std::string Hex(std::uint64_t value) {
   std::array<char, 17> text{};
   std::snprintf(text.data(), text.size(), "%08x", static_cast<unsigned>(value));
@@ -21,7 +19,6 @@
 }  // namespace
 
 engine_answer::engine_answer(std::string_view body) : seed_(StableHash(body)) {
-  prompt_tokens_ = static_cast<std::uint32_t>(body.size() / kBytesPerPromptToken);
   nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
   if (!parsed.is_object()) return;
   if (auto it = parsed.find("max_tokens"); it != parsed.end() && it->is_number_unsigned()) {
@@ -30,6 +27,17 @@
   if (auto it = parsed.find("stream"); it != parsed.end() && it->is_boolean()) {
     stream_ = it->get<bool>();
   }
+  if (auto it = parsed.find("model"); it != parsed.end() && it->is_string()) {
+    model_ = it->get<std::string>();
+  }
+  if (auto it = parsed.find("messages"); it != parsed.end() && it->is_array()) {
+    for (const auto& entry : *it) {
+      if (!entry.is_object()) continue;
+      auto content = entry.find("content");
+      if (content != entry.end() && content->is_string()) prompt_ += content->get<std::string>();
+    }
+  }
+  prompt_tokens_ = static_cast<std::uint32_t>(prompt_.size() / kBytesPerPromptToken);
 }
 
 const char* engine_answer::ContentType() const {
--- a/src/engine/answer.h
+++ b/src/engine/answer.h
@@ -1,12 +1,15 @@
 #ifndef RADISHROUTE_ENGINE_ANSWER_H_
 #define RADISHROUTE_ENGINE_ANSWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace radishroute {
 
+inline constexpr std::size_t kBytesPerPromptToken = 4;
+
 /// The answer that an engine stand-in gives to a request body, a function of the body alone, so
 /// that a load generator can check every byte.
 class engine_answer {
@@ -17,6 +20,9 @@
   std::uint32_t Tokens() const { return tokens_; }
   std::uint32_t PromptTokens() const { return prompt_tokens_; }
   bool Stream() const { return stream_; }
+  /// Text of all messages.
+  const std::string& Prompt() const { return prompt_; }
+  const std::string& Model() const { return model_; }
   const char* ContentType() const;
 
   /// Bytes that token `index` adds to a streamed answer.
@@ -35,6 +41,8 @@
   std::uint32_t tokens_ = 128;
   std::uint32_t prompt_tokens_ = 0;
   bool stream_ = false;
+  std::string prompt_;
+  std::string model_;
 };
 
 /// Answer of a plain service stand-in to a call with this body.
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -1,32 +1,61 @@
-#include <charconv>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <fstream>
 #include <iostream>
 #include <memory>
+#include <nlohmann/json.hpp>
 
 #include "cli/commands.h"
-#include "cli/options.h"
 #include "cli/process.h"
+#include "engine/http_api.h"
 #include "engine/model.h"
+#include "engine/options.h"
+#include "io/http_client.h"
 #include "io/http_server.h"
 
 namespace radishroute {
 
 namespace {
 
-/// Serves an engine stand-in over HTTP on one event loop.
+// Exit code of an injected crash, so that a test can tell it from other failures.
+constexpr int kExitCrash = 70;
+
+/// Serves a stand-in over HTTP on one event loop.
 class engine_process {
  public:
-  engine_process(engine_speed speed, bool service)
-      : model_(speed),
-        service_(service),
+  explicit engine_process(const engine_options& options)
+      : options_(options),
+        model_(options.settings),
         server_(loop_, http_server_settings({"x-priority", "x-resume-offset", "idempotency-key"}),
-                {[this](http_request&& request) { OnRequest(std::move(request)); },
-                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr}) {
-    loop_.SetTimerHandler([this] { Apply(engine_step_due{}); });
+                {[this](http_request&& request) { OnRequest(request); },
+                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr}),
+        client_(loop_, {[this](http_client::call_id call, unsigned status, const std::string&) {
+                          statuses_[call] = status;
+                        },
+                        [](http_client::call_id, std::string_view) {},
+                        [this](http_client::call_id call, http_call_result result) {
+                          OnWeights(call, result);
+                        }}) {
+    static const lws_protocols protocols[] = {http_client::Protocol(), {}};
+    loop_.CreateClientVhost(protocols);
+    loop_.SetTimerHandler([this] { Apply(engine_timer_expired{}); });
   }
 
-  int Run(const endpoint& listen) {
-    if (std::error_code error = server_.Start(listen)) {
-      std::cerr << ToString(listen) << ": " << error.message() << "\n";
+  ~engine_process() {
+    if (runs_file_ >= 0) close(runs_file_);
+  }
+  engine_process(const engine_process&) = delete;
+  engine_process& operator=(const engine_process&) = delete;
+
+  int Run() {
+    if (std::error_code error = OpenRuns()) {
+      std::cerr << options_.runs_file << ": " << error.message() << "\n";
+      return kExitFailed;
+    }
+    for (const fault_injected& fault : options_.faults) Apply(fault);
+    if (std::error_code error = server_.Start(options_.listen)) {
+      std::cerr << ToString(options_.listen) << ": " << error.message() << "\n";
       return kExitFailed;
     }
     std::thread thread([this] { loop_.Run(); });
@@ -37,30 +66,33 @@
   }
 
  private:
-  static std::uint64_t NumberHeader(const http_request& request, const char* name) {
-    auto it = request.headers.find(name);
-    std::uint64_t value = 0;
-    if (it != request.headers.end()) {
-      std::from_chars(it->second.data(), it->second.data() + it->second.size(), value);
-    }
-    return value;
+  std::error_code OpenRuns() {
+    if (options_.runs_file.empty()) return {};
+    std::ifstream earlier(options_.runs_file);
+    for (std::string key; std::getline(earlier, key);) model_.RestoreRun(key);
+    runs_file_ = open(options_.runs_file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+    if (runs_file_ < 0) return {errno, std::generic_category()};
+    return {};
   }
 
-  void OnRequest(http_request&& request) {
-    if (service_) {
-      server_.Respond(request.exchange, 200, "application/json", {}, ServiceAnswer(request.body));
-      return;
+  void OnRequest(const http_request& request) {
+    if (auto e = ParseEngineRequest(request, options_.kind)) {
+      Apply(*e);
+    } else {
+      server_.Respond(request.exchange, 400, "text/plain", {}, "no such path, or malformed body\n");
     }
-    engine_request_arrived arrived;
-    arrived.exchange = request.exchange;
-    arrived.priority = static_cast<std::uint32_t>(NumberHeader(request, "x-priority"));
-    arrived.resume_offset = NumberHeader(request, "x-resume-offset");
-    arrived.body = std::move(request.body);
-    Apply(arrived);
+  }
+
+  void OnWeights(http_client::call_id call, http_call_result result) {
+    bool loaded = result == http_call_result::kComplete && statuses_[call] == 200;
+    exchange_id exchange = fetches_[call];
+    statuses_.erase(call);
+    fetches_.erase(call);
+    Apply(weights_arrived{exchange, loaded});
   }
 
   void Apply(const engine_event& e) {
-    std::vector<engine_effect> effects;
+    engine_effects effects;
     model_.Reduce(e, clock_.Now(), effects);
     for (const engine_effect& effect : effects) {
       std::visit([this](const auto& specific) { Execute(specific); }, effect);
@@ -68,50 +100,57 @@
   }
 
   void Execute(const engine_begin& e) {
-    std::optional<std::size_t> length;
-    if (e.length > 0) length = e.length;
-    server_.Begin(e.exchange, 200, e.content_type, {}, length);
+    server_.Begin(e.exchange, 200, e.content_type, {}, e.length);
   }
   void Execute(const engine_bytes& e) { server_.Write(e.exchange, e.bytes); }
   void Execute(const engine_end& e) { server_.End(e.exchange); }
+  void Execute(const engine_abort& e) { server_.Abort(e.exchange); }
   void Execute(const engine_wakeup& e) { loop_.WakeAt(e.at); }
+  // Without destructors or flushing, as when the process is killed.
+  void Execute(const engine_crash&) { _exit(kExitCrash); }
+  void Execute(const append_run& e) {
+    if (runs_file_ < 0) return;
+    std::string line = e.idempotency_key + "\n";
+    // A run that is not recorded would make the check of the runs pass wrongly.
+    if (write(runs_file_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+      _exit(kExitFailed);
+    }
+  }
+  void Execute(const fetch_weights& e) {
+    if (options_.weight_store.port == 0) {
+      Apply(weights_arrived{e.exchange, true});
+      return;
+    }
+    std::string body = nlohmann::json{{"bytes", e.bytes}}.dump();
+    fetches_[client_.Start(options_.weight_store, "/v1/weights", {}, body)] = e.exchange;
+  }
+  template <class Response>
+  void Execute(const Response& e) {
+    stand_in_response r = Render(e);
+    server_.Respond(e.exchange, r.status, r.content_type, {}, r.body);
+  }
 
+  engine_options options_;
   system_clock_source clock_;
   io_loop loop_;
   engine_model model_;
-  bool service_;
+  int runs_file_ = -1;
+  std::unordered_map<http_client::call_id, exchange_id> fetches_;
+  std::unordered_map<http_client::call_id, unsigned> statuses_;
   http_server server_;
+  http_client client_;
 };
 
 }  // namespace
 
 int RunEngine(int argc, char** argv) {
-  cxxopts::Options options("radishroute engine", "Stand-in for a model engine or a plain service.");
-  options.add_options()("listen", "address", cxxopts::value<std::string>())(
-      "kind", "engine or service", cxxopts::value<std::string>()->default_value("engine"))(
-      "max-batch", "requests in a batch", cxxopts::value<unsigned>()->default_value("16"))(
-      "step-us", "duration of a step without requests, in microseconds",
-      cxxopts::value<unsigned>()->default_value("2000"))(
-      "step-per-request-us", "added duration per request in the batch, in microseconds",
-      cxxopts::value<unsigned>()->default_value("100"));
   int exit = kExitSuccess;
-  auto parsed = ParseOptions(options, argc, argv, exit);
-  if (!parsed) return exit;
-  endpoint listen;
-  if (parsed->count("listen") == 0 ||
-      !ParseEndpoint((*parsed)["listen"].as<std::string>(), listen)) {
-    std::cerr << "--listen must be an IPv4 address and port\n";
-    return kExitUsage;
-  }
-  engine_speed speed;
-  speed.max_batch = (*parsed)["max-batch"].as<unsigned>();
-  speed.step_base = std::chrono::microseconds((*parsed)["step-us"].as<unsigned>());
-  speed.step_per_request =
-      std::chrono::microseconds((*parsed)["step-per-request-us"].as<unsigned>());
+  auto options = ParseEngineOptions(argc, argv, exit);
+  if (!options) return exit;
   BlockStopSignals();
   QuietLibwebsockets();
-  engine_process process(speed, (*parsed)["kind"].as<std::string>() == "service");
-  return process.Run(listen);
+  engine_process process(*options);
+  return process.Run();
 }
 
 }  // namespace radishroute
--- a/src/engine/model.h
+++ b/src/engine/model.h
@@ -5,97 +5,90 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
-#include <unordered_map>
-#include <variant>
 #include <vector>
 
-#include "engine/answer.h"
-#include "radishroute/clock.h"
-#include "radishroute/types.h"
+#include "engine/batch.h"
+#include "engine/event.h"
+#include "engine/faults.h"
+#include "engine/orders.h"
+#include "engine/prefix_cache.h"
+#include "engine/service.h"
 
 namespace radishroute {
 
-/// Speed and limits of an engine stand-in.
-struct engine_speed {
-  std::uint32_t max_batch = 16;
-  /// Duration of a step that generates one token for each running request.
-  std::chrono::microseconds step_base{2000};
-  std::chrono::microseconds step_per_request{100};
-  std::chrono::microseconds prefill_per_token{10};
+struct engine_settings {
+  engine_speed speed;
+  prefix_cache_limits cache;
+  /// Age of the load that GET /v1/load reports.
+  std::chrono::milliseconds load_lag{0};
+  bool checks_fencing = true;
+  /// Models served at the start; empty for any.
+  std::set<std::string> models;
+  /// Duration of one call of a plain service.
+  std::chrono::microseconds service_time{0};
+  /// Rate of the weight store, shared by all transfers.
+  std::uint64_t weight_bytes_per_second = 1'000'000'000;
+  engine_faults faults;
 };
 
-struct engine_request_arrived {
-  exchange_id exchange;
-  std::uint32_t priority = 0;
-  std::uint64_t resume_offset = 0;
-  std::string body;
-};
-
-struct engine_caller_gone {
-  exchange_id exchange;
-};
-
-struct engine_step_due {};
-
-/// Everything that can happen to an engine stand-in.
-using engine_event = std::variant<engine_request_arrived, engine_caller_gone, engine_step_due>;
-
-struct engine_begin {
-  exchange_id exchange;
-  std::string content_type;
-  /// Length of a plain answer; 0 for a stream.
-  std::size_t length = 0;
-};
-
-struct engine_bytes {
-  exchange_id exchange;
-  std::string bytes;
-};
-
-struct engine_end {
-  exchange_id exchange;
-};
-
-struct engine_wakeup {
-  steady_time at;
-};
-
-using engine_effect = std::variant<engine_begin, engine_bytes, engine_end, engine_wakeup>;
-
-/// Continuous batching: waiting requests join the batch between steps, most urgent first.
+/// State of a stand-in and its only entry point.
 class engine_model {
  public:
-  explicit engine_model(engine_speed speed) : speed_(speed) {}
+  explicit engine_model(engine_settings settings)
+      : settings_(std::move(settings)),
+        batch_(settings_.speed),
+        cache_(settings_.cache),
+        orders_(settings_.checks_fencing, settings_.models),
+        faults_(settings_.faults) {}
 
-  void Reduce(const engine_event& e, steady_time now, std::vector<engine_effect>& effects);
+  void Reduce(const engine_event& e, steady_time now, engine_effects& effects);
 
- private:
-  struct running_request {
-    engine_answer answer;
-    std::uint32_t next_token = 0;
-    std::uint64_t skip_bytes = 0;
-  };
+  /// Adds a run that an earlier life of the process recorded.
+  void RestoreRun(const std::string& idempotency_key) { service_.Restore(idempotency_key); }
 
-  struct waiting_request {
-    exchange_id exchange;
-    std::uint64_t resume_offset = 0;
-    std::string body;
+ private:
+  struct dated_load {
+    steady_time at;
+    engine_load load;
   };
 
-  void Handle(const engine_request_arrived& e, steady_time now,
-              std::vector<engine_effect>& effects);
-  void Handle(const engine_caller_gone& e, steady_time now, std::vector<engine_effect>& effects);
-  void Handle(const engine_step_due& e, steady_time now, std::vector<engine_effect>& effects);
-  void EmitToken(exchange_id exchange, running_request& request,
-                 std::vector<engine_effect>& effects);
-  void StartStep(steady_time now, std::vector<engine_effect>& effects);
-
-  engine_speed speed_;
-  std::map<std::uint32_t, std::deque<waiting_request>> waiting_;
-  std::unordered_map<exchange_id, running_request> running_;
-  bool stepping_ = false;
-  steady_time step_ends_;
+  void Dispatch(const engine_event& e, steady_time now, engine_effects& effects);
+  void Handle(const engine_request_arrived& e, steady_time now, engine_effects& effects);
+  void Handle(const service_call_arrived& e, steady_time now, engine_effects& effects);
+  void Handle(const order_arrived& e, steady_time now, engine_effects& effects);
+  void Handle(const weights_arrived& e, steady_time now, engine_effects& effects);
+  void Handle(const weights_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const load_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const cache_events_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const kv_export_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const kv_import_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const runs_asked& e, steady_time now, engine_effects& effects);
+  void Handle(const fault_injected& e, steady_time now, engine_effects& effects);
+  void Handle(const engine_caller_gone& e, steady_time now, engine_effects& effects);
+  void Handle(const engine_timer_expired& e, steady_time now, engine_effects& effects);
+
+  /// False for a request on a connection that a fault has silenced.
+  bool Admit(const engine_event& e);
+  void EmitAt(steady_time at, engine_effect effect, engine_effects& effects);
+  void RunHeld(steady_time now, engine_effects& effects);
+  void RecordLoad(steady_time now);
+  void RemoveSilenced(engine_effects& effects) const;
+
+  engine_settings settings_;
+  batch batch_;
+  prefix_cache cache_;
+  order_book orders_;
+  service_runs service_;
+  engine_faults faults_;
+  engine_caller newest_;
+  /// Events that wait for the end of a stall.
+  std::vector<engine_event> held_;
+  std::multimap<steady_time, engine_effect> delayed_;
+  std::deque<dated_load> loads_;
+  steady_time weights_busy_until_;
+  steady_time service_busy_until_;
 };
 
 }  // namespace radishroute
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -158,6 +158,9 @@
   x->owner = this;
   x->wsi = wsi;
   x->request.exchange = {next_id_++};
+  auto [connection, is_new] = connections_.try_emplace(lws_get_network_wsi(wsi), next_connection_);
+  if (is_new) ++next_connection_;
+  x->request.connection = connection->second;
   char* raw_uri = nullptr;
   int raw_length = 0;
   int method = lws_http_get_uri_and_method(wsi, &raw_uri, &raw_length);
@@ -306,6 +309,11 @@
     case LWS_CALLBACK_CLOSED_HTTP:
       if (x != nullptr) x->owner->Drop(*x, true);
       return 0;
+    case LWS_CALLBACK_WSI_DESTROY: {
+      auto* server = static_cast<http_server*>(lws_get_vhost_user(lws_get_vhost(wsi)));
+      if (server != nullptr) server->connections_.erase(wsi);
+      return 0;
+    }
     default:
       return 0;
   }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -28,6 +28,8 @@
 /// A complete request with its body.
 struct http_request {
   exchange_id exchange;
+  /// Number of the connection; grows with each new connection that sends a request.
+  std::uint64_t connection = 0;
   std::string method;
   std::string path;
   /// Values of the headers named in `http_server_settings::headers`, in lower case, if present.
@@ -103,6 +105,8 @@
   lws_protocols protocols_[2] = {};
   lws_vhost* vhost_ = nullptr;
   std::uint64_t next_id_ = 1;
+  std::uint64_t next_connection_ = 1;
+  std::unordered_map<lws*, std::uint64_t> connections_;
   std::function<void()> on_idle_;
   std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
 };
