--- /dev/null
+++ b/src/load/runner.cc
@@ -0,0 +1,82 @@
+#include "load/runner.h"
+
+#include <utility>
+
+namespace radishroute {
+
+load_runner::load_runner(const load_plan& plan, std::vector<endpoint> targets,
+                         std::ostream* records)
+    : targets_(std::move(targets)),
+      records_(records),
+      wall_start_(clock_.WallNow()),
+      generator_(plan, targets_.size(), wall_start_),
+      result_(plan),
+      client_(loop_, {[this](http_client::call_id id, unsigned status, const std::string& type) {
+                        Apply(call_began{calls_.at(id), status, type});
+                      },
+                      [this](http_client::call_id id, std::string_view bytes) {
+                        Apply(call_bytes{calls_.at(id), std::string(bytes)});
+                      },
+                      [this](http_client::call_id id, http_call_result result) {
+                        std::uint64_t call = calls_.at(id);
+                        calls_.erase(id);
+                        clients_.erase(call);
+                        Apply(call_ended{call, result});
+                      }}) {
+  static const lws_protocols protocols[] = {http_client::Protocol(), {}};
+  loop_.CreateClientVhost(protocols);
+  loop_.SetTimerHandler([this] { Apply(load_timer_expired{}); });
+}
+
+std::error_code load_runner::ListenForMarks(const endpoint& listen) {
+  marks_ = std::make_unique<http_server>(
+      loop_, http_server_settings(),
+      http_server::handlers{[this](http_request&& request) { OnMark(request); }, nullptr, nullptr});
+  return marks_->Start(listen);
+}
+
+void load_runner::OnMark(const http_request& request) {
+  if (request.method != "POST" || request.path != "/v1/mark") {
+    marks_->Respond(request.exchange, 404, "text/plain", {}, "no such path\n");
+    return;
+  }
+  auto at = std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - started_);
+  result_.Mark({at, request.body});
+  marks_->Respond(request.exchange, 200, "text/plain", {}, "marked\n");
+}
+
+load_result load_runner::Run() {
+  started_ = clock_.Now();
+  Apply(load_started{});
+  loop_.Run();
+  return std::move(result_);
+}
+
+void load_runner::Apply(const load_event& e) {
+  load_effects effects;
+  generator_.Reduce(e, clock_.Now(), effects);
+  for (const load_effect& effect : effects) {
+    std::visit([this](const auto& specific) { Execute(specific); }, effect);
+  }
+}
+
+void load_runner::Execute(const start_call& e) {
+  http_client::call_id id = client_.Start(targets_[e.target], e.path, e.headers, e.body);
+  calls_[id] = e.call;
+  clients_[e.call] = id;
+}
+
+void load_runner::Execute(const cancel_call& e) {
+  auto it = clients_.find(e.call);
+  if (it == clients_.end()) return;
+  client_.Cancel(it->second);
+  calls_.erase(it->second);
+  clients_.erase(it);
+}
+
+void load_runner::Execute(const record_request& e) {
+  if (records_ != nullptr) WriteRecord(*records_, e.record);
+  result_.Add(e.record);
+}
+
+}  // namespace radishroute
