Keep and reuse connections of the HTTP client

Each call opened a connection. A client now keeps up to 32 per server for 10 s. libwebsockets reuses an idle connection of the same vhost but also queues calls behind busy ones, so each kept connection has a vhost of its own.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -22,7 +22,8 @@
   http_client* owner = nullptr;
   lws* wsi = nullptr;
   call_id id = 0;
-  std::string host;
+  lane* kept = nullptr;
+  std::string server;
   std::vector<http_header> headers;
   std::string body;
   std::size_t written = 0;
@@ -35,9 +36,14 @@
   std::string tail;
 };
 
-http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {}
+http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {
+  lane_protocols_[0] = Protocol();
+  lane_protocols_[0].callback = &http_client::OnLane;
+  release_timer_.owner = this;
+}
 
 http_client::~http_client() {
+  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
   for (auto& [id, c] : calls_) {
     if (c->wsi != nullptr) lws_set_opaque_user_data(c->wsi, nullptr);
   }
@@ -51,12 +57,44 @@
   return protocol;
 }
 
+http_client::lane* http_client::TakeLane(const std::string& server) {
+  auto& lanes = lanes_[server];
+  for (auto& candidate : lanes) {
+    if (candidate->busy) continue;
+    candidate->busy = true;
+    return candidate.get();
+  }
+  if (lanes.size() >= kMaxKeptPerServer) return nullptr;
+  lws_context_creation_info info{};
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.vhost_name = "client-lane";
+  info.protocols = lane_protocols_;
+  info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+  lws_vhost* vhost = lws_create_vhost(loop_.Context(), &info);
+  if (vhost == nullptr) return nullptr;
+  lanes.push_back(std::make_unique<lane>(lane{vhost, true}));
+  return lanes.back().get();
+}
+
+void http_client::Release(lane* used) {
+  if (used == nullptr) return;
+  // Only after the present callback has returned is the connection idle or closed.
+  released_.push_back(used);
+  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, &http_client::OnRelease, 1);
+}
+
+void http_client::OnRelease(lws_sorted_usec_list_t* sul) {
+  http_client* owner = lws_container_of(sul, release_timer, sul)->owner;
+  for (lane* used : owner->released_) used->busy = false;
+  owner->released_.clear();
+}
+
 http_client::call_id http_client::Start(const endpoint& server, const std::string& path,
                                         const std::vector<http_header>& headers, std::string body) {
   auto c = std::make_unique<call>();
   c->owner = this;
   c->id = next_id_++;
-  c->host = ToString(server);
+  c->server = ToString(server);
   c->headers = headers;
   c->body = std::string(LWS_PRE, '\0') + body;
   call* raw = c.get();
@@ -65,11 +103,17 @@
 
   lws_client_connect_info info{};
   info.context = loop_.Context();
-  info.vhost = loop_.ClientVhost();
+  raw->kept = TakeLane(raw->server);
+  info.vhost = raw->kept == nullptr ? loop_.ClientVhost() : raw->kept->vhost;
+  if (raw->kept != nullptr) {
+    info.ssl_connection = LCCSCF_PIPELINE;
+    info.keep_warm_secs = static_cast<std::uint16_t>(kIdleTime.count());
+  }
   info.address = server.host.c_str();
   info.port = server.port;
   info.path = path.c_str();
-  info.host = raw->host.c_str();
+  // Without the port: libwebsockets 4.1 reuses a connection only if this equals the address.
+  info.host = server.host.c_str();
   info.method = body.empty() ? "GET" : "POST";
   info.local_protocol_name = kProtocolName;
   info.opaque_user_data = raw;
@@ -91,6 +135,7 @@
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
   lws* wsi = it->second->wsi;
+  Release(it->second->kept);
   calls_.erase(it);
   if (wsi == nullptr) return;
   lws_set_opaque_user_data(wsi, nullptr);
@@ -120,7 +165,12 @@
 
 int http_client::OnWritable(call& c) {
   std::size_t pending = c.body.size() - LWS_PRE - c.written;
-  if (pending == 0) return 0;
+  if (pending == 0) {
+    // The request is sent. An answer may take longer than libwebsockets waits for one (10 s); the
+    // callers' deadlines bound the wait.
+    lws_set_timeout(c.wsi, NO_PENDING_TIMEOUT, 0);
+    return 0;
+  }
   std::size_t length = std::min(pending, kMaxWriteBytes);
   bool last = length == pending;
   auto* data = reinterpret_cast<unsigned char*>(c.body.data()) + LWS_PRE + c.written;
@@ -128,7 +178,7 @@
   if (last) lws_client_http_body_pending(c.wsi, 0);
   if (lws_write(c.wsi, data, length, how) < static_cast<int>(length)) return -1;
   c.written += length;
-  if (!last) lws_callback_on_writable(c.wsi);
+  lws_callback_on_writable(c.wsi);
   return 0;
 }
 
@@ -159,10 +209,17 @@
 void http_client::Finish(call& c, http_call_result result) {
   call_id id = c.id;
   if (c.wsi != nullptr) lws_set_opaque_user_data(c.wsi, nullptr);
+  Release(c.kept);
   calls_.erase(id);
   on_.on_end(id, result);
 }
 
+int http_client::OnLane(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len) {
+  // The loop's own vhosts run posted tasks; one of them is enough.
+  if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) return 0;
+  return OnHttp(wsi, reason, user, in, len);
+}
+
 int http_client::OnHttp(lws* wsi, lws_callback_reasons reason, void*, void* in, size_t len) {
   if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) {
     io_loop::OnCancelled(wsi);
@@ -199,8 +256,10 @@
       return 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP: {
       bool whole = c->event_stream ? c->tail == kStreamEnd : c->remaining <= 0;
+      // Without a length the server ends the answer by closing the connection.
+      bool reusable = whole && c->kept != nullptr && c->remaining == 0;
       c->owner->Finish(*c, whole ? http_call_result::kComplete : http_call_result::kBroken);
-      return -1;
+      return reusable ? 0 : -1;
     }
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       lws_set_opaque_user_data(wsi, nullptr);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -3,6 +3,8 @@
 
 #include <libwebsockets.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,11 +28,17 @@
   kBroken,
 };
 
-/// HTTP/1.1 client on one event loop; each call uses its own connection.
+/// HTTP/1.1 client on one event loop. Connections of ended calls are kept for a while and reused.
 class http_client {
  public:
   using call_id = std::uint64_t;
 
+  /// Connections to one server that may be kept; calls beyond them use a connection each.
+  static constexpr std::size_t kMaxKeptPerServer = 32;
+  /// An unused connection is closed after this time, well before servers do so (60 s), since a
+  /// call that meets the server's close has an unknown outcome.
+  static constexpr std::chrono::seconds kIdleTime{10};
+
   struct handlers {
     std::function<void(call_id, unsigned status, const std::string& content_type)> on_begin;
     std::function<void(call_id, std::string_view bytes)> on_bytes;
@@ -57,6 +65,22 @@
  private:
   struct call;
 
+  /// A vhost of its own for one connection at a time: libwebsockets reuses an idle connection of
+  /// the same vhost, but it would also queue a call behind a busy one.
+  struct lane {
+    lws_vhost* vhost = nullptr;
+    bool busy = false;
+  };
+
+  struct release_timer {
+    lws_sorted_usec_list_t sul{};
+    http_client* owner = nullptr;
+  };
+
+  static int OnLane(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
+  static void OnRelease(lws_sorted_usec_list_t* sul);
+  lane* TakeLane(const std::string& server);
+  void Release(lane* used);
   static int OnHttp(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
   int AppendHeaders(call& c, unsigned char** p, unsigned char* end);
   int OnWritable(call& c);
@@ -68,6 +92,10 @@
   handlers on_;
   call_id next_id_ = 1;
   std::unordered_map<call_id, std::unique_ptr<call>> calls_;
+  std::unordered_map<std::string, std::vector<std::unique_ptr<lane>>> lanes_;
+  std::vector<lane*> released_;
+  release_timer release_timer_;
+  lws_protocols lane_protocols_[2] = {};
 };
 
 }  // namespace radishroute
