--- /dev/null
+++ b/include/radishroute/announcer.h
@@ -0,0 +1,48 @@
+#ifndef RADISHROUTE_ANNOUNCER_H_
+#define RADISHROUTE_ANNOUNCER_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "radishroute/event.h"
+#include "radishroute/reduce_context.h"
+
+namespace radishroute {
+
+/// Announces this process's backend server to at most three of the entries that its settings name,
+/// chosen by rendezvous hashing among those that can be reached.
+class announcer {
+ public:
+  announcer(announcement self, const std::vector<endpoint>& entries);
+
+  void Handle(const process_started& started, reduce_context& ctx);
+  void Handle(const link_opened& opened, reduce_context& ctx);
+  void Handle(const link_closed& closed, reduce_context& ctx);
+  void Handle(const drain_requested& drain, reduce_context& ctx);
+  void Handle(const timer_expired& timer, reduce_context& ctx);
+  void Handle(const engine_status_changed& changed, reduce_context& ctx);
+  void Handle(const crash_report_shared& shared, reduce_context& ctx);
+
+ private:
+  struct home_entry {
+    endpoint address;
+    std::optional<link_id> link;
+    bool opening = false;
+    std::uint32_t failures = 0;
+    steady_time retry_at;
+  };
+
+  home_entry* Find(const endpoint& address);
+  void Announce(reduce_context& ctx);
+  void Maintain(reduce_context& ctx);
+  void Delay(home_entry& home, reduce_context& ctx) const;
+
+  announcement self_;
+  /// In the order of preference of this backend server.
+  std::vector<home_entry> ranked_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_ANNOUNCER_H_
--- a/include/radishroute/discovery_message.h
+++ b/include/radishroute/discovery_message.h
@@ -29,6 +29,8 @@
   std::uint32_t concurrency_limit = 0;
   /// False if the backend server ignores fencing numbers or the sender of an order.
   bool checks_fencing = false;
+  /// Node number of the entry that heard this version from the agent itself; set by that entry.
+  std::uint64_t home = 0;
 };
 
 /// New or changed announcements, sent to other entries.
@@ -40,10 +42,16 @@
 struct directory_digest {
   std::uint64_t record_count = 0;
   std::uint64_t hash = 0;
+  /// True if this answers a digest; it is then not answered by a digest again.
+  bool reply = false;
 };
 
 /// Asks a peer whose digest differs for its records.
-struct directory_pull {};
+struct directory_pull {
+  /// The sender's hash of each bucket of records; only buckets that differ are sent back.
+  /// Empty asks for everything.
+  std::vector<std::uint64_t> bucket_hashes;
+};
 
 }  // namespace radishroute
 
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -92,6 +92,27 @@
   std::shared_ptr<const routing_table> table;
 };
 
+/// Hands crashes or cleared fingerprints to the other threads of this process.
+struct share_crash_report {
+  crash_report report;
+};
+
+/// Tells the control thread of an agent whether its backend server answers.
+struct share_engine_status {
+  bool up = false;
+};
+
+/// Sends a light request to the backend server; ends in `engine_probe_done` with this number.
+/// A probe in progress is dropped without an event.
+struct probe_engine {
+  std::uint64_t number = 0;
+};
+
+/// An invariant does not hold: the process logs it and stops at once.
+struct report_violation {
+  const char* name = "";
+};
+
 struct write_log {
   log_event event;
 };
@@ -139,7 +160,11 @@
     count_refusal,            //
     count_retry,              //
     observe_latency,          //
-    stop_process>;
+    stop_process,             //
+    share_crash_report,       //
+    share_engine_status,      //
+    probe_engine,             //
+    report_violation>;
 
 using effect_list = std::vector<effect>;
 
--- /dev/null
+++ b/include/radishroute/failure_message.h
@@ -0,0 +1,43 @@
+#ifndef RADISHROUTE_FAILURE_MESSAGE_H_
+#define RADISHROUTE_FAILURE_MESSAGE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// One fingerprint that was in flight when a backend server crashed.
+struct crash_charge {
+  fingerprint content;
+  /// Hash of the backend server's name and its agent's incarnation, see CrashSource.
+  std::uint64_t source = 0;
+  /// Number of the crash in this life of the agent; 0 if the agent itself was lost.
+  std::uint32_t sequence = 0;
+  /// Time since the crash. An age, not a point in time, since the clocks of two VMs differ.
+  std::chrono::milliseconds age{};
+};
+
+/// Crashes and fingerprints that have completed since.
+struct crash_report {
+  std::vector<crash_charge> charges;
+  std::vector<fingerprint> cleared;
+};
+
+/// Newest sign of life of one entry, known to the sender.
+struct entry_beat {
+  std::uint64_t node = 0;
+  /// Grows with time and across restarts of the entry.
+  std::uint64_t value = 0;
+};
+
+/// Signs of life of entries, so that the records of a lost entry expire.
+struct entry_beats {
+  std::vector<entry_beat> beats;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_FAILURE_MESSAGE_H_
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "radishroute/discovery_message.h"
+#include "radishroute/failure_message.h"
 #include "radishroute/traffic_message.h"
 
 namespace radishroute {
@@ -41,7 +42,9 @@
     announcement,              //
     directory_delta,           //
     directory_digest,          //
-    directory_pull>;
+    directory_pull,            //
+    crash_report,              //
+    entry_beats>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -23,9 +23,26 @@
   kFramesRejected,
   kLinksUnauthorized,
   kEventQueueFull,
+  kLinksSilent,
+  kLinksReplaced,
+  kIdleLinksClosed,
+  kHeartbeatsSent,
+  kLinkBytesSent,
+  kLinkBytesReceived,
+  kAnswerGaps,
+  kAnswerBytesForgotten,
+  kEngineCrashes,
+  kEngineStalls,
+  kCrashCharges,
+  kSuspectsCleared,
+  kDirectoryDeltasSent,
+  kDirectoryPulls,
+  kDirectoryRecordsExpired,
+  kSlowCallersCut,
+  kSlowSendersCut,
 };
 
-inline constexpr std::size_t kCounterCount = 14;
+inline constexpr std::size_t kCounterCount = 31;
 
 std::string_view ToString(counter c);
 
--- /dev/null
+++ b/include/radishroute/quarantine.h
@@ -0,0 +1,73 @@
+#ifndef RADISHROUTE_QUARANTINE_H_
+#define RADISHROUTE_QUARANTINE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "radishroute/clock.h"
+#include "radishroute/failure_message.h"
+
+namespace radishroute {
+
+/// Identifies one life of a backend server's agent in crash charges.
+std::uint64_t CrashSource(std::string_view backend, std::uint64_t incarnation);
+
+enum class crash_standing : std::uint8_t { kClean, kSuspect, kQuarantined };
+
+struct quarantine_limits {
+  std::size_t max_fingerprints = 8192;
+  /// How long a suspicion or a quarantine lasts after its last crash.
+  std::chrono::minutes retention{10};
+};
+
+/// Fingerprints that were in flight when backend servers crashed. Merging is idempotent and does
+/// not depend on the order of reports, so reports may be repeated and travel by several paths.
+class quarantine {
+ public:
+  explicit quarantine(quarantine_limits limits = {}) : limits_(limits) {}
+
+  /// Merges a report; returns the part of it that was new, to be passed on.
+  crash_report Merge(const crash_report& report, steady_time now);
+
+  crash_standing Standing(fingerprint content, steady_time now) const;
+
+  /// Everything known, for a peer that starts without it.
+  crash_report Snapshot(steady_time now);
+
+  std::size_t Size() const { return suspects_.size(); }
+
+ private:
+  struct crash_key {
+    std::uint64_t source = 0;
+    std::uint32_t sequence = 0;
+  };
+
+  struct suspect {
+    std::vector<crash_key> crashes;
+    /// Crashes since the fingerprint was last cleared.
+    std::uint32_t open = 0;
+    steady_time expires;
+  };
+
+  bool Charge(const crash_charge& charge, steady_time now);
+  bool Clear(fingerprint content);
+  void Expire(steady_time now);
+
+  quarantine_limits limits_;
+  std::unordered_map<fingerprint, suspect> suspects_;
+  std::set<std::pair<steady_time, fingerprint>> expiry_;
+};
+
+inline bool Empty(const crash_report& report) {
+  return report.charges.empty() && report.cleared.empty();
+}
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_QUARANTINE_H_
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "radishroute/event.h"
+#include "radishroute/quarantine.h"
 #include "radishroute/reduce_context.h"
 
 namespace radishroute {
@@ -20,6 +22,10 @@
 struct request_limits {
   std::size_t max_requests = 20000;
   std::uint32_t max_attempts = 3;
+  /// A link to a backend server without requests in progress is closed after this time.
+  std::chrono::milliseconds idle_link_timeout{10000};
+  /// Longest time without new attempts after a link to a backend server could not be opened.
+  std::chrono::milliseconds unreachable_delay{600};
 };
 
 /// Life of callers' requests on one traffic shard of an entry.
@@ -35,14 +41,17 @@
   void Handle(const link_closed& closed, reduce_context& ctx);
   void Handle(const drain_requested& drain, reduce_context& ctx);
   void Handle(const timer_expired& timer, reduce_context& ctx);
+  void Handle(const crash_report_shared& shared, reduce_context& ctx);
 
   void Handle(link_id link, const answer_begin& begin, reduce_context& ctx);
   void Handle(link_id link, const answer_chunk& chunk, reduce_context& ctx);
   void Handle(link_id link, const answer_end& end, reduce_context& ctx);
   void Handle(link_id link, const dispatch_refused& refused, reduce_context& ctx);
   void Handle(link_id link, const dispatch_failed& failed, reduce_context& ctx);
+  void Handle(link_id link, const crash_report& report, reduce_context& ctx);
 
   std::size_t Size() const { return requests_.size(); }
+  std::size_t Links() const { return links_.size(); }
 
  private:
   enum class phase : std::uint8_t { kWaitingForLink, kDispatched, kAnswering };
@@ -62,17 +71,43 @@
     std::string backend_name;
     std::uint64_t backend_incarnation = 0;
     endpoint backend_address;
+    link_id link;
     std::uint64_t bytes_sent = 0;
+    /// Offset at which the agent was last asked to repeat what was missing.
+    std::optional<std::uint64_t> gap_at;
     bool response_begun = false;
+    std::uint32_t response_status = 0;
+    /// An earlier attempt may have run, so "not run" would be false.
+    bool may_have_run = false;
     std::vector<std::uint32_t> tried;
   };
 
   struct backend_link {
     std::optional<link_id> link;
-    std::vector<request_id> waiting;
+    std::uint64_t peer_incarnation = 0;
+    bool opening = false;
+    steady_time idle_since;
+    /// Requests that wait for the link or are dispatched on it.
+    std::set<request_id> users;
   };
 
-  entry_request* Find(const dispatch_id& id, reduce_context& ctx);
+  using link_map = std::map<endpoint, backend_link>;
+
+  /// The request that a message belongs to; null, and counted, if the message is late.
+  entry_request* Find(link_id link, const dispatch_id& id, reduce_context& ctx);
+  std::optional<std::uint32_t> Choose(entry_request& request, reduce_context& ctx);
+  void JoinLink(entry_request& request, reduce_context& ctx);
+  void LeaveLink(entry_request& request, reduce_context& ctx);
+  void Attach(entry_request& request, link_id link, reduce_context& ctx);
+  void RequestMissing(entry_request& request, reduce_context& ctx);
+  void LoseBackend(link_map::iterator found, reduce_context& ctx);
+  void LoseAttempt(entry_request& request, dispatch_failure failure, reduce_context& ctx);
+  void CloseIdleLinks(reduce_context& ctx);
+  void MergeCrashes(const crash_report& report, reduce_context& ctx);
+  void ClearSuspicion(const entry_request& request, reduce_context& ctx);
+  bool CanResume(const entry_request& request) const;
+  bool MayHaveRun(const entry_request& request) const;
+  void RestartPlainAnswer(entry_request& request) const;
   std::optional<refusal_reason> Validate(const caller_request& request, entry_request& out,
                                          const reduce_context& ctx) const;
   void Route(entry_request& request, reduce_context& ctx);
@@ -94,7 +129,10 @@
   std::unordered_map<request_id, entry_request> requests_;
   std::unordered_map<exchange_id, request_id> by_exchange_;
   std::set<std::pair<steady_time, request_id>> deadlines_;
-  std::unordered_map<std::string, backend_link> links_;
+  link_map links_;
+  /// Addresses that could not be reached, until they are tried again.
+  std::map<endpoint, steady_time> unreachable_;
+  quarantine crashes_;
   typename P::routing_type router_;
   typename P::retry_type retries_;
   std::optional<steady_time> drain_deadline_;
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -65,6 +65,8 @@
   std::vector<std::string> adapters;
   std::string version;
   std::uint32_t concurrency = 16;
+  /// Longest pause of a stream before its engine counts as stalled.
+  std::chrono::milliseconds progress_timeout{2000};
   bool checks_fencing = false;
 };
 
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -3,8 +3,10 @@
 
 #include <optional>
 
+#include "radishroute/announcer.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
+#include "radishroute/link_monitor.h"
 #include "radishroute/requests.h"
 
 namespace radishroute {
@@ -25,6 +27,7 @@
 /// State of one thread; a thread owns either the control part or a traffic part.
 template <policy_set P>
 struct node_state {
+  std::optional<link_monitor> links;
   control_state control;
   traffic_state<P> traffic;
 };
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -63,10 +63,17 @@
 
     node_hooks hooks;
     hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
+    hooks.on_crash_report = [this](const crash_report& r) {
+      control_->Post(crash_report_shared{r});
+    };
+    hooks.on_engine_status = [this](bool up) { control_->Post(engine_status_changed{up}); };
     traffic_ = std::make_unique<node_thread<P>>(self, hooks);
     execution_limits limits;
     limits.concurrency = settings_.concurrency;
-    traffic_->State().traffic.executions.emplace(self.process.incarnation, limits);
+    limits.progress_timeout = settings_.progress_timeout;
+    traffic_->State().traffic.executions.emplace(
+        self.process.incarnation, limits,
+        CrashSource(settings_.common.node, self.process.incarnation));
     traffic_->CallEngine(settings_.engine);
     return traffic_->Links().Listen(settings_.traffic_listen);
   }
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -70,8 +70,12 @@
     hooks.on_publish = [this](std::shared_ptr<const routing_table> table) {
       for (auto& thread : traffic_) thread->Post(routing_table_published{table});
     };
+    hooks.on_crash_report = [this](const crash_report& r) {
+      for (auto& thread : traffic_) thread->Post(crash_report_shared{r});
+    };
     control_ = std::make_unique<node_thread<P>>(self, hooks);
-    control_->State().control.backends.emplace(settings_.common.zone, sheet);
+    control_->State().control.backends.emplace(self.process, settings_.common.zone, sheet,
+                                               settings_.peers);
     if (auto error = control_->Links().Listen(settings_.control_listen)) return error;
     admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
@@ -81,6 +85,9 @@
     for (std::uint32_t i = 0; i < settings_.threads; ++i) {
       node_hooks traffic_hooks;
       traffic_hooks.on_stop = [this, i](bool finished) { latch_.Report(i, finished); };
+      traffic_hooks.on_crash_report = [this](const crash_report& r) {
+        control_->Post(crash_report_shared{r});
+      };
       auto thread = std::make_unique<node_thread<P>>(self, traffic_hooks);
       request_limits limits;
       limits.max_requests = settings_.max_requests / settings_.threads;
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -1,4 +1,5 @@
 #include <charconv>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 
@@ -15,9 +16,10 @@
 /// Serves an engine stand-in over HTTP on one event loop.
 class engine_process {
  public:
-  engine_process(engine_speed speed, bool service)
+  engine_process(engine_speed speed, bool service, std::string crash_on)
       : model_(speed),
         service_(service),
+        crash_on_(std::move(crash_on)),
         server_(loop_, http_server_settings({"x-priority", "x-resume-offset", "idempotency-key"}),
                 {[this](http_request&& request) { OnRequest(std::move(request)); },
                  [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr}) {
@@ -47,6 +49,12 @@
   }
 
   void OnRequest(http_request&& request) {
+    if (request.path == "/health") {
+      server_.Respond(request.exchange, 200, "application/json", {}, "{}");
+      return;
+    }
+    // Stands for an input that kills the process, such as one that trips a bug in a kernel.
+    if (!crash_on_.empty() && request.body.find(crash_on_) != std::string::npos) std::_Exit(1);
     if (service_) {
       server_.Respond(request.exchange, 200, "application/json", {}, ServiceAnswer(request.body));
       return;
@@ -80,6 +88,7 @@
   io_loop loop_;
   engine_model model_;
   bool service_;
+  std::string crash_on_;
   http_server server_;
 };
 
@@ -93,7 +102,9 @@
       "step-us", "duration of a step without requests, in microseconds",
       cxxopts::value<unsigned>()->default_value("2000"))(
       "step-per-request-us", "added duration per request in the batch, in microseconds",
-      cxxopts::value<unsigned>()->default_value("100"));
+      cxxopts::value<unsigned>()->default_value("100"))(
+      "crash-on", "exit when a request body contains this text",
+      cxxopts::value<std::string>()->default_value(""));
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
@@ -110,7 +121,8 @@
       std::chrono::microseconds((*parsed)["step-per-request-us"].as<unsigned>());
   BlockStopSignals();
   QuietLibwebsockets();
-  engine_process process(speed, (*parsed)["kind"].as<std::string>() == "service");
+  engine_process process(speed, (*parsed)["kind"].as<std::string>() == "service",
+                         (*parsed)["crash-on"].as<std::string>());
   return process.Run(listen);
 }
 
--- /dev/null
+++ b/src/engine_health.cc
@@ -0,0 +1,73 @@
+#include "radishroute/engine_health.h"
+
+#include <algorithm>
+
+namespace radishroute {
+
+void engine_health::Start(reduce_context& ctx) {
+  last_sign_ = ctx.now;
+  Probe(ctx);
+}
+
+void engine_health::Probe(reduce_context& ctx) {
+  probe_sent_ = ctx.now;
+  ctx.Emit(probe_engine{++probe_number_});
+  ScheduleNext(ctx);
+}
+
+void engine_health::OnTrouble(bool restart, reduce_context& ctx) {
+  if (restart || !probe_sent_) Probe(ctx);
+}
+
+std::optional<bool> engine_health::OnProbe(const engine_probe_done& done, reduce_context& ctx) {
+  if (!probe_sent_ || done.number != probe_number_) return std::nullopt;
+  probe_sent_.reset();
+  SetStatus(done.answered, ctx);
+  ScheduleNext(ctx);
+  return done.answered;
+}
+
+std::optional<bool> engine_health::OnTimer(reduce_context& ctx) {
+  std::optional<bool> result;
+  if (probe_sent_ && ctx.now - *probe_sent_ >= limits_.probe_timeout) {
+    probe_sent_.reset();
+    SetStatus(false, ctx);
+    result = false;
+  } else if (!probe_sent_ && ctx.now >= next_probe_) {
+    if (status_ == status::kUp && ctx.now - last_sign_ < limits_.idle_interval) {
+      next_probe_ = last_sign_ + limits_.idle_interval;
+    } else {
+      Probe(ctx);
+    }
+  }
+  ScheduleNext(ctx);
+  return result;
+}
+
+void engine_health::SetStatus(bool up, reduce_context& ctx) {
+  status next = up ? status::kUp : status::kDown;
+  if (up) {
+    failures_ = 0;
+    last_sign_ = ctx.now;
+    next_probe_ = ctx.now + limits_.idle_interval;
+  } else {
+    // Doubled after each failure, with jitter, so that many agents do not probe in step.
+    auto delay =
+        std::min(limits_.first_retry * (1U << std::min(failures_, 8U)), limits_.longest_retry);
+    ++failures_;
+    std::uniform_int_distribution<std::int64_t> jitter(delay.count() / 2, delay.count());
+    next_probe_ = ctx.now + std::chrono::milliseconds(jitter(ctx.random));
+  }
+  if (next == status_) return;
+  status_ = next;
+  ctx.Emit(write_log{{up ? event_code::kEngineUp : event_code::kEngineDown,
+                      up ? log_level::kInfo : log_level::kWarning,
+                      {}}});
+  ctx.Emit(share_engine_status{up});
+}
+
+void engine_health::ScheduleNext(reduce_context& ctx) const {
+  ctx.Emit(schedule_wakeup{probe_sent_ ? *probe_sent_ + limits_.probe_timeout : next_probe_});
+}
+
+}  // namespace radishroute
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 
+#include "executions_engine.h"
+#include "radishroute/invariant.h"
 #include "radishroute/policies.h"
 
 namespace radishroute {
 
 template <policy_set P>
-execution_table<P>::execution_table(std::uint64_t incarnation, execution_limits limits)
-    : incarnation_(incarnation), limits_(limits) {
+execution_table<P>::execution_table(std::uint64_t incarnation, execution_limits limits,
+                                    std::uint64_t source)
+    : incarnation_(incarnation), limits_(limits), source_(source) {
   queue_.SetConcurrency(limits_.concurrency);
 }
 
@@ -17,13 +20,26 @@
   load_report load;
   load.running = running_;
   load.limit = limits_.concurrency;
-  load.queued = static_cast<std::uint32_t>(queue_.Size());
+  load.queued = static_cast<std::uint32_t>(Queued());
   for (priority_class cls : kPriorityClasses) {
     load.expected_wait[ClassIndex(cls)] = queue_.ExpectedWait(cls);
   }
   return load;
 }
 
+template <policy_set P>
+std::optional<refusal_reason> execution_table<P>::CheckDispatch(
+    const dispatch_request& dispatch) const {
+  if (dispatch.agent_incarnation != incarnation_) return refusal_reason::kWrongIncarnation;
+  if (drain_deadline_) return refusal_reason::kDraining;
+  if (dispatch.time_left.count() <= 0) return refusal_reason::kDeadlinePassed;
+  if (health_.Down()) return refusal_reason::kNoBackend;
+  if (dispatch.suspect && suspects_.size() >= limits_.max_waiting_suspects) {
+    return refusal_reason::kSuspectAlreadyRunning;
+  }
+  return std::nullopt;
+}
+
 template <policy_set P>
 void execution_table<P>::Handle(link_id link, const dispatch_request& dispatch,
                                 reduce_context& ctx) {
@@ -31,27 +47,41 @@
     ctx.Emit(count{counter::kDuplicateDispatches});
     return;
   }
-  if (tombstones_.contains(dispatch.id)) {
+  if (auto buried = tombstones_.find(dispatch.id); buried != tombstones_.end()) {
     ctx.Emit(count{counter::kDuplicateDispatches});
-    Refuse(link, dispatch.id, refusal_reason::kTombstoned, ctx);
-    return;
-  }
-  if (dispatch.agent_incarnation != incarnation_) {
-    Refuse(link, dispatch.id, refusal_reason::kWrongIncarnation, ctx);
-    return;
-  }
-  if (drain_deadline_) {
-    Refuse(link, dispatch.id, refusal_reason::kDraining, ctx);
+    // Only a dispatch that never started may be refused, since a refusal says that it did not run.
+    if (buried->second.state == dispatch_state::kNeverStarted) {
+      Refuse(link, dispatch.id, refusal_reason::kTombstoned, ctx);
+    }
     return;
   }
-  if (dispatch.time_left.count() <= 0) {
-    Refuse(link, dispatch.id, refusal_reason::kDeadlinePassed, ctx);
+  if (auto reason = CheckDispatch(dispatch)) {
+    // A repeat that arrives after the reason has passed must not run either.
+    if (*reason != refusal_reason::kWrongIncarnation) {
+      Bury(dispatch.id, dispatch_state::kNeverStarted, ctx);
+    }
+    Refuse(link, dispatch.id, *reason, ctx);
     return;
   }
   execution run;
   run.request = dispatch;
   run.link = link;
-  run.deadline = ctx.now + dispatch.time_left;
+  run.arrival = ctx.now;
+  run.deadline = run.expires = ctx.now + dispatch.time_left;
+  run.kept_from = dispatch.resume_offset;
+  deadlines_.insert({run.expires, dispatch.id});
+  Enqueue(executions_.emplace(dispatch.id, std::move(run)).first->second, ctx);
+  Pump(ctx);
+  ScheduleNext(ctx);
+}
+
+template <policy_set P>
+void execution_table<P>::Enqueue(execution& run, reduce_context& ctx) {
+  const dispatch_request& dispatch = run.request;
+  if (dispatch.suspect) {
+    suspects_.push_back(dispatch.id);
+    return;
+  }
   queued_work work;
   work.id = dispatch.id;
   work.member = dispatch.member;
@@ -61,47 +91,82 @@
   work.deadline = run.deadline;
   work.cost = std::max(dispatch.max_tokens, 1U);
   work.content = dispatch.content;
-  work.suspect = dispatch.suspect;
-  deadlines_.insert({run.deadline, dispatch.id});
-  executions_.emplace(dispatch.id, std::move(run));
   std::vector<rejected_work> rejected;
   queue_.Push(std::move(work), ctx.now, rejected);
   RejectAll(rejected, ctx);
-  Pump(ctx);
-  ScheduleNext(ctx);
+}
+
+template <policy_set P>
+void execution_table<P>::Unqueue(const dispatch_id& id) {
+  auto it = std::find(suspects_.begin(), suspects_.end(), id);
+  if (it != suspects_.end()) {
+    suspects_.erase(it);
+  } else {
+    queue_.Erase(id);
+  }
 }
 
 template <policy_set P>
 void execution_table<P>::Pump(reduce_context& ctx) {
+  // While a crash is being decided or the engine is down, work started now would only be lost.
+  if (!crash_batch_.empty() || health_.Down()) return;
+  if (!running_suspect_ && !suspects_.empty() && running_ < limits_.concurrency) {
+    dispatch_id id = suspects_.front();
+    suspects_.pop_front();
+    running_suspect_ = id;
+    StartCall(id, executions_.at(id), ctx);
+  }
   std::vector<rejected_work> rejected;
   while (running_ < limits_.concurrency) {
     auto next = queue_.Pop(ctx.now, rejected);
     if (!next) break;
-    execution& run = executions_.at(next->id);
-    run.at = phase::kRunning;
-    run.started = ctx.now;
-    ++running_;
-    ctx.Emit(observe_latency{
-        latency_metric::kQueueWait, next->cls,
-        std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - next->arrival)});
-    ctx.Emit(start_engine_call{next->id, run.request.path, run.request.member,
-                               run.request.idempotency_key, run.request.cls,
-                               run.request.resume_offset, run.request.body});
+    StartCall(next->id, executions_.at(next->id), ctx);
   }
   RejectAll(rejected, ctx);
 }
 
+template <policy_set P>
+void execution_table<P>::StartCall(const dispatch_id& id, execution& run, reduce_context& ctx) {
+  CheckInvariant(run.at == phase::kQueued && !tombstones_.contains(id),
+                 "a dispatch starts at most once", ctx);
+  CheckInvariant(!run.request.suspect || running_suspect_ == id,
+                 "at most one suspect runs on an engine", ctx);
+  run.at = phase::kRunning;
+  run.started = ctx.now;
+  run.last_progress = ctx.now;
+  ++running_;
+  if (run.request.stream) progress_.insert({ctx.now + limits_.first_byte_timeout, id});
+  ctx.Emit(observe_latency{
+      latency_metric::kQueueWait, run.request.cls,
+      std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - run.arrival)});
+  // The body is not needed here any more; a dispatch runs at most once.
+  ctx.Emit(start_engine_call{id, run.request.path, run.request.member, run.request.idempotency_key,
+                             run.request.cls, run.request.resume_offset,
+                             std::move(run.request.body)});
+  run.request.body.clear();
+}
+
 template <policy_set P>
 void execution_table<P>::RejectAll(const std::vector<rejected_work>& rejected,
                                    reduce_context& ctx) {
   for (const rejected_work& work : rejected) {
     auto it = executions_.find(work.id);
     if (it == executions_.end()) continue;
-    if (it->second.link) Refuse(*it->second.link, work.id, work.reason, ctx);
+    std::optional<link_id> link = it->second.link;
     Bury(work.id, dispatch_state::kNeverStarted, ctx);
+    if (link) Refuse(*link, work.id, work.reason, ctx);
   }
 }
 
+template <policy_set P>
+void execution_table<P>::RefuseQueued(refusal_reason reason, reduce_context& ctx) {
+  std::vector<rejected_work> rejected;
+  while (auto next = queue_.Pop(ctx.now, rejected)) rejected.push_back({next->id, reason});
+  for (const dispatch_id& id : suspects_) rejected.push_back({id, reason});
+  suspects_.clear();
+  RejectAll(rejected, ctx);
+}
+
 template <policy_set P>
 void execution_table<P>::Refuse(link_id link, const dispatch_id& id, refusal_reason reason,
                                 reduce_context& ctx) {
@@ -110,72 +175,6 @@
   ctx.Emit(send_message{link, dispatch_refused{id, reason, std::chrono::microseconds(0), load}});
 }
 
-template <policy_set P>
-void execution_table<P>::Handle(const engine_answer_begin& begin, reduce_context& ctx) {
-  auto it = executions_.find(begin.id);
-  if (it == executions_.end()) return;
-  it->second.status = begin.status;
-  it->second.content_type = begin.content_type;
-  if (it->second.link) {
-    ctx.Emit(
-        send_message{*it->second.link, answer_begin{begin.id, begin.status, begin.content_type}});
-  }
-}
-
-template <policy_set P>
-void execution_table<P>::Handle(const engine_answer_bytes& bytes, reduce_context& ctx) {
-  auto it = executions_.find(bytes.id);
-  if (it == executions_.end()) return;
-  execution& run = it->second;
-  if (run.produced.size() + bytes.bytes.size() > limits_.max_answer_bytes) {
-    ctx.Emit(cancel_engine_call{bytes.id});
-    Fail(bytes.id, dispatch_failure::kAnswerTooLarge, ctx);
-    return;
-  }
-  std::uint64_t offset = run.request.resume_offset + run.produced.size();
-  run.produced += bytes.bytes;
-  if (run.link) ctx.Emit(send_message{*run.link, answer_chunk{bytes.id, offset, bytes.bytes}});
-}
-
-template <policy_set P>
-void execution_table<P>::Handle(const engine_answer_end& end, reduce_context& ctx) {
-  auto it = executions_.find(end.id);
-  if (it == executions_.end() || it->second.at != phase::kRunning) return;
-  Finish(end.id, ctx);
-}
-
-template <policy_set P>
-void execution_table<P>::Finish(const dispatch_id& id, reduce_context& ctx) {
-  execution& run = executions_.at(id);
-  run.at = phase::kFinished;
-  --running_;
-  finished_work finished;
-  finished.cls = run.request.cls;
-  finished.cost = std::max(run.request.max_tokens, 1U);
-  finished.service_time =
-      std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - run.started);
-  queue_.OnFinished(finished, ctx.now);
-  Pump(ctx);
-  if (run.link) {
-    ctx.Emit(send_message{*run.link,
-                          answer_end{id, run.request.resume_offset + run.produced.size(), Load()}});
-  }
-}
-
-template <policy_set P>
-void execution_table<P>::Handle(const engine_call_failed& failed, reduce_context& ctx) {
-  auto it = executions_.find(failed.id);
-  if (it == executions_.end() || it->second.at != phase::kRunning) return;
-  if (!failed.started && it->second.link) {
-    link_id link = *it->second.link;
-    Bury(failed.id, dispatch_state::kNeverStarted, ctx);
-    Refuse(link, failed.id, refusal_reason::kNoBackend, ctx);
-  } else {
-    Fail(failed.id, failed.reason, ctx);
-  }
-  Pump(ctx);
-}
-
 template <policy_set P>
 void execution_table<P>::Fail(const dispatch_id& id, dispatch_failure reason, reduce_context& ctx) {
   auto it = executions_.find(id);
@@ -194,7 +193,7 @@
     return;
   }
   bool queued = it->second.at == phase::kQueued;
-  if (queued) queue_.Erase(cancel.id);
+  if (queued) Unqueue(cancel.id);
   if (it->second.at == phase::kRunning) ctx.Emit(cancel_engine_call{cancel.id});
   Bury(cancel.id, queued ? dispatch_state::kNeverStarted : dispatch_state::kUnknown, ctx);
   Pump(ctx);
@@ -205,7 +204,12 @@
   auto it = executions_.find(attach.id);
   if (it == executions_.end()) {
     auto buried = tombstones_.find(attach.id);
-    if (buried != tombstones_.end() && buried->second.state == dispatch_state::kNeverStarted) {
+    if (buried == tombstones_.end()) {
+      // The dispatch was lost on the old link. An entry attaches only to the life of the agent
+      // that it sent the dispatch to, so this life has never started it.
+      Bury(attach.id, dispatch_state::kNeverStarted, ctx);
+      Refuse(link, attach.id, refusal_reason::kTombstoned, ctx);
+    } else if (buried->second.state == dispatch_state::kNeverStarted) {
       Refuse(link, attach.id, refusal_reason::kTombstoned, ctx);
     } else {
       ctx.Emit(send_message{link, dispatch_failed{attach.id, dispatch_failure::kLinkLost, Load()}});
@@ -213,18 +217,34 @@
     return;
   }
   execution& run = it->second;
+  if (run.link && link < *run.link) {
+    // A late message of a link that a newer one has replaced.
+    ctx.Emit(count{counter::kStaleChunksDropped});
+    return;
+  }
+  if (attach.offset < run.kept_from && run.kept_from > run.request.resume_offset) {
+    // The bytes were given up under the memory limit; the entry resumes on another server.
+    if (run.at == phase::kRunning) ctx.Emit(cancel_engine_call{attach.id});
+    run.link = link;
+    Fail(attach.id, dispatch_failure::kLinkLost, ctx);
+    Pump(ctx);
+    return;
+  }
   run.link = link;
+  SetExpiry(attach.id, run, run.deadline);
   if (run.status != 0) {
     ctx.Emit(send_message{link, answer_begin{attach.id, run.status, run.content_type}});
   }
-  std::uint64_t first = run.request.resume_offset;
-  std::uint64_t skip = attach.offset > first ? attach.offset - first : 0;
+  std::uint64_t skip = attach.offset > run.kept_from ? attach.offset - run.kept_from : 0;
   if (skip < run.produced.size()) {
-    ctx.Emit(send_message{link, answer_chunk{attach.id, first + skip, run.produced.substr(skip)}});
+    ctx.Emit(send_message{
+        link, answer_chunk{attach.id, run.kept_from + skip, run.produced.substr(skip)}});
   }
   if (run.at == phase::kFinished) {
-    ctx.Emit(send_message{link, answer_end{attach.id, first + run.produced.size(), Load()}});
+    ctx.Emit(
+        send_message{link, answer_end{attach.id, run.kept_from + run.produced.size(), Load()}});
   }
+  ScheduleNext(ctx);
 }
 
 template <policy_set P>
@@ -236,7 +256,7 @@
     state = dispatch_state::kRunning;
     if (it->second.at == phase::kFinished) state = dispatch_state::kFinished;
     if (it->second.at == phase::kQueued) {
-      queue_.Erase(resolve.id);
+      Unqueue(resolve.id);
       Bury(resolve.id, dispatch_state::kNeverStarted, ctx);
       state = dispatch_state::kNeverStarted;
     }
@@ -262,18 +282,22 @@
   for (auto& [id, run] : executions_) {
     if (run.link != closed.link) continue;
     run.link.reset();
-    run.detached = ctx.now;
-    deadlines_.erase({run.deadline, id});
-    run.deadline = std::min(run.deadline, ctx.now + limits_.detached_linger);
-    deadlines_.insert({run.deadline, id});
+    SetExpiry(id, run, std::min(run.deadline, ctx.now + limits_.detached_linger));
   }
   ScheduleNext(ctx);
 }
 
+template <policy_set P>
+void execution_table<P>::SetExpiry(const dispatch_id& id, execution& run, steady_time expires) {
+  deadlines_.erase({run.expires, id});
+  run.expires = expires;
+  deadlines_.insert({run.expires, id});
+}
+
 template <policy_set P>
 void execution_table<P>::Handle(const drain_requested& drain, reduce_context& ctx) {
+  if (!drain_deadline_) drain_started_ = ctx.now;
   drain_deadline_ = drain.deadline;
-  StopIfDrained(ctx);
   ScheduleNext(ctx);
 }
 
@@ -283,29 +307,44 @@
     dispatch_id id = deadlines_.begin()->second;
     execution& run = executions_.at(id);
     if (run.at == phase::kQueued) {
-      queue_.Erase(id);
-      if (run.link) Refuse(*run.link, id, refusal_reason::kDeadlinePassed, ctx);
+      Unqueue(id);
+      std::optional<link_id> link = run.link;
       Bury(id, dispatch_state::kNeverStarted, ctx);
+      if (link) Refuse(*link, id, refusal_reason::kDeadlinePassed, ctx);
     } else {
       if (run.at == phase::kRunning) ctx.Emit(cancel_engine_call{id});
       Fail(id, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
+  CheckProgress(ctx);
+  if (auto answers = health_.OnTimer(ctx)) DecideCrash(*answers, ctx);
   ExpireTombstones(ctx.now);
   Pump(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
     ctx.Emit(stop_process{executions_.empty()});
     return;
   }
+  StopIfDrained(ctx);
   ScheduleNext(ctx);
 }
 
+template <policy_set P>
+void execution_table<P>::StopRunning(const dispatch_id& id, execution& run, reduce_context& ctx) {
+  if (run.at != phase::kRunning && run.at != phase::kBroken) return;
+  CheckInvariant(running_ > 0, "the number of running dispatches is not negative", ctx);
+  --running_;
+  if (running_suspect_ == id) running_suspect_.reset();
+}
+
 template <policy_set P>
 void execution_table<P>::Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx) {
   auto it = executions_.find(id);
   if (it != executions_.end()) {
-    if (it->second.at == phase::kRunning) --running_;
-    deadlines_.erase({it->second.deadline, id});
+    StopRunning(id, it->second, ctx);
+    CheckInvariant(produced_total_ >= it->second.produced.size(),
+                   "kept answer bytes are counted once", ctx);
+    produced_total_ -= it->second.produced.size();
+    deadlines_.erase({it->second.expires, id});
     executions_.erase(it);
   }
   ExpireTombstones(ctx.now);
@@ -327,12 +366,21 @@
 template <policy_set P>
 void execution_table<P>::ScheduleNext(reduce_context& ctx) {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
-  if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
+  if (!progress_.empty()) ctx.Emit(schedule_wakeup{progress_.begin()->first});
+  if (drain_deadline_) {
+    ctx.Emit(schedule_wakeup{
+        std::min(*drain_deadline_, std::max(ctx.now, drain_started_ + limits_.drain_linger))});
+  }
+}
+
+template <policy_set P>
+bool execution_table<P>::Drained(steady_time now) const {
+  return drain_deadline_ && executions_.empty() && now >= drain_started_ + limits_.drain_linger;
 }
 
 template <policy_set P>
 void execution_table<P>::StopIfDrained(reduce_context& ctx) {
-  if (drain_deadline_ && executions_.empty()) ctx.Emit(stop_process{true});
+  if (Drained(ctx.now)) ctx.Emit(stop_process{true});
 }
 
 template class execution_table<baseline_policies>;
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -2787,6 +2787,11 @@
 void Announcement::__set_checksFencing(const bool val) {
   this->checksFencing = val;
 }
+
+void Announcement::__set_home(const int64_t val) {
+  this->home = val;
+__isset.home = true;
+}
 std::ostream& operator<<(std::ostream& out, const Announcement& obj)
 {
   obj.printTo(out);
@@ -2943,6 +2948,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->home);
+          this->__isset.home = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3028,6 +3041,11 @@
   xfer += oprot->writeBool(this->checksFencing);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.home) {
+    xfer += oprot->writeFieldBegin("home", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->home);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3048,6 +3066,7 @@
   swap(a.engineRole, b.engineRole);
   swap(a.concurrencyLimit, b.concurrencyLimit);
   swap(a.checksFencing, b.checksFencing);
+  swap(a.home, b.home);
   swap(a.__isset, b.__isset);
 }
 
@@ -3065,6 +3084,7 @@
   engineRole = other90.engineRole;
   concurrencyLimit = other90.concurrencyLimit;
   checksFencing = other90.checksFencing;
+  home = other90.home;
   __isset = other90.__isset;
 }
 Announcement::Announcement(Announcement&& other91) noexcept {
@@ -3081,6 +3101,7 @@
   engineRole = std::move(other91.engineRole);
   concurrencyLimit = other91.concurrencyLimit;
   checksFencing = other91.checksFencing;
+  home = other91.home;
   __isset = other91.__isset;
 }
 Announcement& Announcement::operator=(const Announcement& other92) {
@@ -3097,6 +3118,7 @@
   engineRole = other92.engineRole;
   concurrencyLimit = other92.concurrencyLimit;
   checksFencing = other92.checksFencing;
+  home = other92.home;
   __isset = other92.__isset;
   return *this;
 }
@@ -3114,6 +3136,7 @@
   engineRole = std::move(other93.engineRole);
   concurrencyLimit = other93.concurrencyLimit;
   checksFencing = other93.checksFencing;
+  home = other93.home;
   __isset = other93.__isset;
   return *this;
 }
@@ -3133,6 +3156,7 @@
   out << ", " << "engineRole=" << to_string(engineRole);
   out << ", " << "concurrencyLimit=" << to_string(concurrencyLimit);
   out << ", " << "checksFencing=" << to_string(checksFencing);
+  out << ", " << "home="; (__isset.home ? (out << to_string(home)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3269,6 +3293,11 @@
 void DirectoryDigest::__set_hash(const int64_t val) {
   this->hash = val;
 }
+
+void DirectoryDigest::__set_reply(const bool val) {
+  this->reply = val;
+__isset.reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const DirectoryDigest& obj)
 {
   obj.printTo(out);
@@ -3313,6 +3342,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reply);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3338,6 +3375,11 @@
   xfer += oprot->writeI64(this->hash);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reply) {
+    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->reply);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3347,28 +3389,33 @@
   using ::std::swap;
   swap(a.recordCount, b.recordCount);
   swap(a.hash, b.hash);
+  swap(a.reply, b.reply);
   swap(a.__isset, b.__isset);
 }
 
 DirectoryDigest::DirectoryDigest(const DirectoryDigest& other104) noexcept {
   recordCount = other104.recordCount;
   hash = other104.hash;
+  reply = other104.reply;
   __isset = other104.__isset;
 }
 DirectoryDigest::DirectoryDigest(DirectoryDigest&& other105) noexcept {
   recordCount = other105.recordCount;
   hash = other105.hash;
+  reply = other105.reply;
   __isset = other105.__isset;
 }
 DirectoryDigest& DirectoryDigest::operator=(const DirectoryDigest& other106) noexcept {
   recordCount = other106.recordCount;
   hash = other106.hash;
+  reply = other106.reply;
   __isset = other106.__isset;
   return *this;
 }
 DirectoryDigest& DirectoryDigest::operator=(DirectoryDigest&& other107) noexcept {
   recordCount = other107.recordCount;
   hash = other107.hash;
+  reply = other107.reply;
   __isset = other107.__isset;
   return *this;
 }
@@ -3377,6 +3424,7 @@
   out << "DirectoryDigest(";
   out << "recordCount=" << to_string(recordCount);
   out << ", " << "hash=" << to_string(hash);
+  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3384,6 +3432,11 @@
 DirectoryPull::~DirectoryPull() noexcept {
 }
 
+
+void DirectoryPull::__set_bucketHashes(const std::vector<int64_t> & val) {
+  this->bucketHashes = val;
+__isset.bucketHashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const DirectoryPull& obj)
 {
   obj.printTo(out);
@@ -3410,7 +3463,32 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    xfer += iprot->skip(ftype);
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->bucketHashes.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->bucketHashes.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readI64(this->bucketHashes[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.bucketHashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -3424,6 +3502,19 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("DirectoryPull");
 
+  if (this->__isset.bucketHashes) {
+    xfer += oprot->writeFieldBegin("bucketHashes", ::apache::thrift::protocol::T_LIST, 1);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->bucketHashes.size()));
+      std::vector<int64_t> ::const_iterator _iter113;
+      for (_iter113 = this->bucketHashes.begin(); _iter113 != this->bucketHashes.end(); ++_iter113)
+      {
+        xfer += oprot->writeI64((*_iter113));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3431,27 +3522,606 @@
 
 void swap(DirectoryPull &a, DirectoryPull &b) {
   using ::std::swap;
-  (void) a;
-  (void) b;
+  swap(a.bucketHashes, b.bucketHashes);
+  swap(a.__isset, b.__isset);
 }
 
-DirectoryPull::DirectoryPull(const DirectoryPull& other108) noexcept {
-  (void) other108;
+DirectoryPull::DirectoryPull(const DirectoryPull& other114) {
+  bucketHashes = other114.bucketHashes;
+  __isset = other114.__isset;
 }
-DirectoryPull::DirectoryPull(DirectoryPull&& other109) noexcept {
-  (void) other109;
+DirectoryPull::DirectoryPull(DirectoryPull&& other115) noexcept {
+  bucketHashes = std::move(other115.bucketHashes);
+  __isset = other115.__isset;
 }
-DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other110) noexcept {
-  (void) other110;
+DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other116) {
+  bucketHashes = other116.bucketHashes;
+  __isset = other116.__isset;
   return *this;
 }
-DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other111) noexcept {
-  (void) other111;
+DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other117) noexcept {
+  bucketHashes = std::move(other117.bucketHashes);
+  __isset = other117.__isset;
   return *this;
 }
 void DirectoryPull::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "DirectoryPull(";
+  out << "bucketHashes="; (__isset.bucketHashes ? (out << to_string(bucketHashes)) : (out << "<null>"));
+  out << ")";
+}
+
+
+CrashCharge::~CrashCharge() noexcept {
+}
+
+
+void CrashCharge::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void CrashCharge::__set_source(const int64_t val) {
+  this->source = val;
+}
+
+void CrashCharge::__set_sequence(const int32_t val) {
+  this->sequence = val;
+}
+
+void CrashCharge::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashCharge& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashCharge::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashCharge::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashCharge");
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashCharge &a, CrashCharge &b) {
+  using ::std::swap;
+  swap(a.content, b.content);
+  swap(a.source, b.source);
+  swap(a.sequence, b.sequence);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.__isset, b.__isset);
+}
+
+CrashCharge::CrashCharge(const CrashCharge& other118) noexcept {
+  content = other118.content;
+  source = other118.source;
+  sequence = other118.sequence;
+  ageMillis = other118.ageMillis;
+  __isset = other118.__isset;
+}
+CrashCharge::CrashCharge(CrashCharge&& other119) noexcept {
+  content = other119.content;
+  source = other119.source;
+  sequence = other119.sequence;
+  ageMillis = other119.ageMillis;
+  __isset = other119.__isset;
+}
+CrashCharge& CrashCharge::operator=(const CrashCharge& other120) noexcept {
+  content = other120.content;
+  source = other120.source;
+  sequence = other120.sequence;
+  ageMillis = other120.ageMillis;
+  __isset = other120.__isset;
+  return *this;
+}
+CrashCharge& CrashCharge::operator=(CrashCharge&& other121) noexcept {
+  content = other121.content;
+  source = other121.source;
+  sequence = other121.sequence;
+  ageMillis = other121.ageMillis;
+  __isset = other121.__isset;
+  return *this;
+}
+void CrashCharge::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashCharge(";
+  out << "content=" << to_string(content);
+  out << ", " << "source=" << to_string(source);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_charges(const std::vector<CrashCharge> & val) {
+  this->charges = val;
+}
+
+void CrashReport::__set_cleared(const std::vector<int64_t> & val) {
+  this->cleared = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->charges.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->charges.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += this->charges[_i126].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.charges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cleared.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->cleared.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += iprot->readI64(this->cleared[_i131]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("charges", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->charges.size()));
+    std::vector<CrashCharge> ::const_iterator _iter132;
+    for (_iter132 = this->charges.begin(); _iter132 != this->charges.end(); ++_iter132)
+    {
+      xfer += (*_iter132).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
+    std::vector<int64_t> ::const_iterator _iter133;
+    for (_iter133 = this->cleared.begin(); _iter133 != this->cleared.end(); ++_iter133)
+    {
+      xfer += oprot->writeI64((*_iter133));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.charges, b.charges);
+  swap(a.cleared, b.cleared);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other134) {
+  charges = other134.charges;
+  cleared = other134.cleared;
+  __isset = other134.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other135) noexcept {
+  charges = std::move(other135.charges);
+  cleared = std::move(other135.cleared);
+  __isset = other135.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other136) {
+  charges = other136.charges;
+  cleared = other136.cleared;
+  __isset = other136.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other137) noexcept {
+  charges = std::move(other137.charges);
+  cleared = std::move(other137.cleared);
+  __isset = other137.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "charges=" << to_string(charges);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ")";
+}
+
+
+EntryBeat::~EntryBeat() noexcept {
+}
+
+
+void EntryBeat::__set_node(const int64_t val) {
+  this->node = val;
+}
+
+void EntryBeat::__set_value(const int64_t val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryBeat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryBeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryBeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryBeat");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryBeat &a, EntryBeat &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+EntryBeat::EntryBeat(const EntryBeat& other138) noexcept {
+  node = other138.node;
+  value = other138.value;
+  __isset = other138.__isset;
+}
+EntryBeat::EntryBeat(EntryBeat&& other139) noexcept {
+  node = other139.node;
+  value = other139.value;
+  __isset = other139.__isset;
+}
+EntryBeat& EntryBeat::operator=(const EntryBeat& other140) noexcept {
+  node = other140.node;
+  value = other140.value;
+  __isset = other140.__isset;
+  return *this;
+}
+EntryBeat& EntryBeat::operator=(EntryBeat&& other141) noexcept {
+  node = other141.node;
+  value = other141.value;
+  __isset = other141.__isset;
+  return *this;
+}
+void EntryBeat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryBeat(";
+  out << "node=" << to_string(node);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+EntryBeats::~EntryBeats() noexcept {
+}
+
+
+void EntryBeats::__set_beats(const std::vector<EntryBeat> & val) {
+  this->beats = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryBeats& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryBeats::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->beats.clear();
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->beats.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
+            {
+              xfer += this->beats[_i146].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.beats = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryBeats::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryBeats");
+
+  xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
+    std::vector<EntryBeat> ::const_iterator _iter147;
+    for (_iter147 = this->beats.begin(); _iter147 != this->beats.end(); ++_iter147)
+    {
+      xfer += (*_iter147).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryBeats &a, EntryBeats &b) {
+  using ::std::swap;
+  swap(a.beats, b.beats);
+  swap(a.__isset, b.__isset);
+}
+
+EntryBeats::EntryBeats(const EntryBeats& other148) {
+  beats = other148.beats;
+  __isset = other148.__isset;
+}
+EntryBeats::EntryBeats(EntryBeats&& other149) noexcept {
+  beats = std::move(other149.beats);
+  __isset = other149.__isset;
+}
+EntryBeats& EntryBeats::operator=(const EntryBeats& other150) {
+  beats = other150.beats;
+  __isset = other150.__isset;
+  return *this;
+}
+EntryBeats& EntryBeats::operator=(EntryBeats&& other151) noexcept {
+  beats = std::move(other151.beats);
+  __isset = other151.__isset;
+  return *this;
+}
+void EntryBeats::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryBeats(";
+  out << "beats=" << to_string(beats);
   out << ")";
 }
 
@@ -3548,26 +4218,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other112) noexcept {
-  protocolVersion = other112.protocolVersion;
-  messageType = other112.messageType;
-  __isset = other112.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other152) noexcept {
+  protocolVersion = other152.protocolVersion;
+  messageType = other152.messageType;
+  __isset = other152.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other113) noexcept {
-  protocolVersion = other113.protocolVersion;
-  messageType = other113.messageType;
-  __isset = other113.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other153) noexcept {
+  protocolVersion = other153.protocolVersion;
+  messageType = other153.messageType;
+  __isset = other153.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other114) noexcept {
-  protocolVersion = other114.protocolVersion;
-  messageType = other114.messageType;
-  __isset = other114.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other154) noexcept {
+  protocolVersion = other154.protocolVersion;
+  messageType = other154.messageType;
+  __isset = other154.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other115) noexcept {
-  protocolVersion = other115.protocolVersion;
-  messageType = other115.messageType;
-  __isset = other115.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other155) noexcept {
+  protocolVersion = other155.protocolVersion;
+  messageType = other155.messageType;
+  __isset = other155.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -65,6 +65,14 @@
 
 class DirectoryPull;
 
+class CrashCharge;
+
+class CrashReport;
+
+class EntryBeat;
+
+class EntryBeats;
+
 class FrameHeader;
 
 typedef struct _ProcessId__isset {
@@ -1141,7 +1149,7 @@
 std::ostream& operator<<(std::ostream& out, const ResolveReply& obj);
 
 typedef struct _Announcement__isset {
-  _Announcement__isset() : backend(false), incarnation(false), sequence(false), status(false), kind(false), zone(false), trafficAddress(false), models(false), adapters(false), version(false), engineRole(false), concurrencyLimit(false), checksFencing(false) {}
+  _Announcement__isset() : backend(false), incarnation(false), sequence(false), status(false), kind(false), zone(false), trafficAddress(false), models(false), adapters(false), version(false), engineRole(false), concurrencyLimit(false), checksFencing(false), home(true) {}
   bool backend :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1155,6 +1163,7 @@
   bool engineRole :1;
   bool concurrencyLimit :1;
   bool checksFencing :1;
+  bool home :1;
 } _Announcement__isset;
 
 class Announcement : public virtual ::apache::thrift::TBase {
@@ -1174,7 +1183,8 @@
                  version(),
                  engineRole(),
                  concurrencyLimit(0),
-                 checksFencing(0) {
+                 checksFencing(0),
+                 home(0LL) {
   }
 
   virtual ~Announcement() noexcept;
@@ -1191,6 +1201,7 @@
   std::string engineRole;
   int32_t concurrencyLimit;
   bool checksFencing;
+  int64_t home;
 
   _Announcement__isset __isset;
 
@@ -1220,6 +1231,8 @@
 
   void __set_checksFencing(const bool val);
 
+  void __set_home(const int64_t val);
+
   bool operator == (const Announcement & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -1248,6 +1261,10 @@
       return false;
     if (!(checksFencing == rhs.checksFencing))
       return false;
+    if (__isset.home != rhs.__isset.home)
+      return false;
+    else if (__isset.home && !(home == rhs.home))
+      return false;
     return true;
   }
   bool operator != (const Announcement &rhs) const {
@@ -1311,9 +1328,10 @@
 std::ostream& operator<<(std::ostream& out, const DirectoryDelta& obj);
 
 typedef struct _DirectoryDigest__isset {
-  _DirectoryDigest__isset() : recordCount(false), hash(false) {}
+  _DirectoryDigest__isset() : recordCount(false), hash(false), reply(true) {}
   bool recordCount :1;
   bool hash :1;
+  bool reply :1;
 } _DirectoryDigest__isset;
 
 class DirectoryDigest : public virtual ::apache::thrift::TBase {
@@ -1325,12 +1343,14 @@
   DirectoryDigest& operator=(DirectoryDigest&&) noexcept;
   DirectoryDigest() noexcept
                   : recordCount(0),
-                    hash(0) {
+                    hash(0),
+                    reply(false) {
   }
 
   virtual ~DirectoryDigest() noexcept;
   int64_t recordCount;
   int64_t hash;
+  bool reply;
 
   _DirectoryDigest__isset __isset;
 
@@ -1338,12 +1358,18 @@
 
   void __set_hash(const int64_t val);
 
+  void __set_reply(const bool val);
+
   bool operator == (const DirectoryDigest & rhs) const
   {
     if (!(recordCount == rhs.recordCount))
       return false;
     if (!(hash == rhs.hash))
       return false;
+    if (__isset.reply != rhs.__isset.reply)
+      return false;
+    else if (__isset.reply && !(reply == rhs.reply))
+      return false;
     return true;
   }
   bool operator != (const DirectoryDigest &rhs) const {
@@ -1362,21 +1388,35 @@
 
 std::ostream& operator<<(std::ostream& out, const DirectoryDigest& obj);
 
+typedef struct _DirectoryPull__isset {
+  _DirectoryPull__isset() : bucketHashes(true) {}
+  bool bucketHashes :1;
+} _DirectoryPull__isset;
 
 class DirectoryPull : public virtual ::apache::thrift::TBase {
  public:
 
-  DirectoryPull(const DirectoryPull&) noexcept;
+  DirectoryPull(const DirectoryPull&);
   DirectoryPull(DirectoryPull&&) noexcept;
-  DirectoryPull& operator=(const DirectoryPull&) noexcept;
+  DirectoryPull& operator=(const DirectoryPull&);
   DirectoryPull& operator=(DirectoryPull&&) noexcept;
   DirectoryPull() noexcept {
+
   }
 
   virtual ~DirectoryPull() noexcept;
+  std::vector<int64_t>  bucketHashes;
+
+  _DirectoryPull__isset __isset;
+
+  void __set_bucketHashes(const std::vector<int64_t> & val);
 
-  bool operator == (const DirectoryPull & /* rhs */) const
+  bool operator == (const DirectoryPull & rhs) const
   {
+    if (__isset.bucketHashes != rhs.__isset.bucketHashes)
+      return false;
+    else if (__isset.bucketHashes && !(bucketHashes == rhs.bucketHashes))
+      return false;
     return true;
   }
   bool operator != (const DirectoryPull &rhs) const {
@@ -1395,6 +1435,218 @@
 
 std::ostream& operator<<(std::ostream& out, const DirectoryPull& obj);
 
+typedef struct _CrashCharge__isset {
+  _CrashCharge__isset() : content(false), source(false), sequence(false), ageMillis(false) {}
+  bool content :1;
+  bool source :1;
+  bool sequence :1;
+  bool ageMillis :1;
+} _CrashCharge__isset;
+
+class CrashCharge : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashCharge(const CrashCharge&) noexcept;
+  CrashCharge(CrashCharge&&) noexcept;
+  CrashCharge& operator=(const CrashCharge&) noexcept;
+  CrashCharge& operator=(CrashCharge&&) noexcept;
+  CrashCharge() noexcept
+              : content(0),
+                source(0),
+                sequence(0),
+                ageMillis(0) {
+  }
+
+  virtual ~CrashCharge() noexcept;
+  int64_t content;
+  int64_t source;
+  int32_t sequence;
+  int64_t ageMillis;
+
+  _CrashCharge__isset __isset;
+
+  void __set_content(const int64_t val);
+
+  void __set_source(const int64_t val);
+
+  void __set_sequence(const int32_t val);
+
+  void __set_ageMillis(const int64_t val);
+
+  bool operator == (const CrashCharge & rhs) const
+  {
+    if (!(content == rhs.content))
+      return false;
+    if (!(source == rhs.source))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashCharge &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashCharge & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashCharge &a, CrashCharge &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashCharge& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : charges(false), cleared(false) {}
+  bool charges :1;
+  bool cleared :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport(CrashReport&&) noexcept;
+  CrashReport& operator=(const CrashReport&);
+  CrashReport& operator=(CrashReport&&) noexcept;
+  CrashReport() noexcept {
+  }
+
+  virtual ~CrashReport() noexcept;
+  std::vector<CrashCharge>  charges;
+  std::vector<int64_t>  cleared;
+
+  _CrashReport__isset __isset;
+
+  void __set_charges(const std::vector<CrashCharge> & val);
+
+  void __set_cleared(const std::vector<int64_t> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(charges == rhs.charges))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _EntryBeat__isset {
+  _EntryBeat__isset() : node(false), value(false) {}
+  bool node :1;
+  bool value :1;
+} _EntryBeat__isset;
+
+class EntryBeat : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryBeat(const EntryBeat&) noexcept;
+  EntryBeat(EntryBeat&&) noexcept;
+  EntryBeat& operator=(const EntryBeat&) noexcept;
+  EntryBeat& operator=(EntryBeat&&) noexcept;
+  EntryBeat() noexcept
+            : node(0),
+              value(0) {
+  }
+
+  virtual ~EntryBeat() noexcept;
+  int64_t node;
+  int64_t value;
+
+  _EntryBeat__isset __isset;
+
+  void __set_node(const int64_t val);
+
+  void __set_value(const int64_t val);
+
+  bool operator == (const EntryBeat & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryBeat &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryBeat & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryBeat &a, EntryBeat &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryBeat& obj);
+
+typedef struct _EntryBeats__isset {
+  _EntryBeats__isset() : beats(false) {}
+  bool beats :1;
+} _EntryBeats__isset;
+
+class EntryBeats : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryBeats(const EntryBeats&);
+  EntryBeats(EntryBeats&&) noexcept;
+  EntryBeats& operator=(const EntryBeats&);
+  EntryBeats& operator=(EntryBeats&&) noexcept;
+  EntryBeats() noexcept {
+  }
+
+  virtual ~EntryBeats() noexcept;
+  std::vector<EntryBeat>  beats;
+
+  _EntryBeats__isset __isset;
+
+  void __set_beats(const std::vector<EntryBeat> & val);
+
+  bool operator == (const EntryBeats & rhs) const
+  {
+    if (!(beats == rhs.beats))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryBeats &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryBeats & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryBeats &a, EntryBeats &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryBeats& obj);
+
 typedef struct _FrameHeader__isset {
   _FrameHeader__isset() : protocolVersion(false), messageType(false) {}
   bool protocolVersion :1;
--- a/src/io/caller_api.cc
+++ b/src/io/caller_api.cc
@@ -214,6 +214,7 @@
 }
 
 void caller_api::Execute(const respond_problem& e) {
+  plain_.erase(e.exchange);
   bool refused = e.refusal != refusal_reason::kNone;
   unsigned status = refused ? RefusalStatus(e.refusal) : FailureStatus(e.failure);
   std::string_view type = refused ? ToString(e.refusal) : ToString(e.failure);
--- a/src/io/engine_api.cc
+++ b/src/io/engine_api.cc
@@ -4,18 +4,23 @@
 
 namespace radishroute {
 
+namespace {
+
+// Path at which engines answer health checks without doing any work.
+constexpr const char* kHealthPath = "/health";
+
+}  // namespace
+
 engine_api::engine_api(io_loop& loop, endpoint engine, event_sink sink)
     : engine_(std::move(engine)),
       sink_(std::move(sink)),
-      client_(loop, {[this](http_client::call_id call, unsigned status, const std::string& type) {
-                       sink_(engine_answer_begin{dispatches_.at(call), status, type});
-                     },
-                     [this](http_client::call_id call, std::string_view bytes) {
-                       sink_(engine_answer_bytes{dispatches_.at(call), std::string(bytes)});
-                     },
-                     [this](http_client::call_id call, http_call_result result) {
-                       OnEnd(call, result);
-                     }}) {}
+      client_(
+          loop,
+          {[this](http_client::call_id call, unsigned status, const std::string& type) {
+             OnBegin(call, status, type);
+           },
+           [this](http_client::call_id call, std::string_view bytes) { OnBytes(call, bytes); },
+           [this](http_client::call_id call, http_call_result result) { OnEnd(call, result); }}) {}
 
 void engine_api::Execute(const start_engine_call& e) {
   std::vector<http_header> headers = {
@@ -40,7 +45,35 @@
   calls_.erase(it);
 }
 
+void engine_api::Execute(const probe_engine& e) {
+  if (probe_call_ != 0) client_.Cancel(probe_call_);
+  probe_number_ = e.number;
+  probe_call_ = client_.Start(engine_, kHealthPath, {}, "");
+}
+
+void engine_api::OnBegin(http_client::call_id call, unsigned status, const std::string& type) {
+  if (call == probe_call_) {
+    // Any status shows that the server is alive; the rest of the response is not needed.
+    probe_call_ = 0;
+    client_.Cancel(call);
+    sink_(engine_probe_done{probe_number_, true});
+    return;
+  }
+  auto it = dispatches_.find(call);
+  if (it != dispatches_.end()) sink_(engine_answer_begin{it->second, status, type});
+}
+
+void engine_api::OnBytes(http_client::call_id call, std::string_view bytes) {
+  auto it = dispatches_.find(call);
+  if (it != dispatches_.end()) sink_(engine_answer_bytes{it->second, std::string(bytes)});
+}
+
 void engine_api::OnEnd(http_client::call_id call, http_call_result result) {
+  if (call == probe_call_) {
+    probe_call_ = 0;
+    sink_(engine_probe_done{probe_number_, result == http_call_result::kComplete});
+    return;
+  }
   auto it = dispatches_.find(call);
   if (it == dispatches_.end()) return;
   dispatch_id id = it->second;
--- a/src/io/engine_api.h
+++ b/src/io/engine_api.h
@@ -20,14 +20,21 @@
 
   void Execute(const start_engine_call& e);
   void Execute(const cancel_engine_call& e);
+  void Execute(const probe_engine& e);
 
  private:
   void OnEnd(http_client::call_id call, http_call_result result);
 
+  void OnBegin(http_client::call_id call, unsigned status, const std::string& type);
+  void OnBytes(http_client::call_id call, std::string_view bytes);
+
   endpoint engine_;
   event_sink sink_;
   std::unordered_map<http_client::call_id, dispatch_id> dispatches_;
   std::unordered_map<dispatch_id, http_client::call_id> calls_;
+  /// Probe in progress; 0 if there is none.
+  http_client::call_id probe_call_ = 0;
+  std::uint64_t probe_number_ = 0;
   http_client client_;
 };
 
--- a/src/io/link.cc
+++ b/src/io/link.cc
@@ -20,6 +20,9 @@
 // A peer that stops reading is cut off at this backlog instead of exhausting memory.
 constexpr std::size_t kMaxBacklogBytes = std::size_t{32} << 20;
 
+// Longest wait for the peer's hello on a new connection.
+constexpr std::chrono::microseconds kHelloTimeout{1000000};
+
 bool SecretsEqual(const std::string& a, const std::string& b) {
   return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -119,8 +122,10 @@
 void link_transport::Close(link_id link) {
   auto it = connections_.find(link.value);
   if (it == connections_.end()) return;
-  it->second->closing = true;
-  if (it->second->wsi != nullptr) lws_callback_on_writable(it->second->wsi);
+  connection& c = *it->second;
+  c.closing = true;
+  // Not by the next writable callback: a peer that does not read would never cause one.
+  if (c.wsi != nullptr) lws_set_timeout(c.wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
 }
 
 void link_transport::Reject(connection& c, event_code code, std::error_code reason) {
@@ -147,6 +152,7 @@
 }
 
 int link_transport::OnReceived(connection& c, std::string_view bytes) {
+  CountMetric(counter::kLinkBytesReceived, bytes.size());
   c.input.append(bytes);
   std::size_t used = 0;
   while (!c.closing && c.input.size() - used >= kFramePrefixBytes) {
@@ -180,6 +186,7 @@
     return -1;
   }
   c.peer_known = true;
+  lws_set_timer_usecs(c.wsi, LWS_SET_TIMER_USEC_CANCEL);
   CountMetric(counter::kLinksOpened);
   sink_(link_opened{c.id, *peer, c.dialed});
   return 0;
@@ -192,6 +199,7 @@
   // lws_write uses the LWS_PRE bytes before the data; they hold bytes that are already written.
   auto* data = reinterpret_cast<unsigned char*>(c.output.data()) + LWS_PRE + c.written;
   if (lws_write(c.wsi, data, length, LWS_WRITE_RAW) < static_cast<int>(length)) return -1;
+  CountMetric(counter::kLinkBytesSent, length);
   c.written += length;
   if (c.written == c.output.size() - LWS_PRE) {
     c.output.resize(LWS_PRE);
@@ -224,16 +232,24 @@
     case LWS_CALLBACK_RAW_ADOPT:
       if (c == nullptr) c = link_transport::Adopt(wsi);
       if (c == nullptr) return -1;
+      lws_set_timer_usecs(wsi, kHelloTimeout.count());
       c->owner->QueueFrame(*c, c->owner->self_);
       return 0;
     case LWS_CALLBACK_RAW_CONNECTED:
       if (c == nullptr) return -1;
       c->wsi = wsi;
+      // The system accepts connections for a stopped process too; only its hello shows that it
+      // runs.
+      lws_set_timer_usecs(wsi, kHelloTimeout.count());
       c->owner->QueueFrame(*c, c->owner->self_);
       return 0;
     case LWS_CALLBACK_RAW_RX:
       if (c == nullptr) return -1;
       return c->owner->OnReceived(*c, {static_cast<const char*>(in), len});
+    case LWS_CALLBACK_TIMER:
+      if (c == nullptr || c->peer_known) return 0;
+      c->close_reason = errc::kTimeout;
+      return -1;
     case LWS_CALLBACK_RAW_WRITEABLE:
       return c == nullptr ? -1 : c->owner->OnWritable(*c);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
--- a/src/io/loop.cc
+++ b/src/io/loop.cc
@@ -24,6 +24,8 @@
   // Each request in progress needs a header buffer only while its headers are parsed.
   info.max_http_header_pool = 4096;
   info.timeout_secs = 10;
+  // A host that is gone does not answer; work for it must move on well within its deadline.
+  info.connect_timeout_secs = 2;
   context_ = lws_create_context(&info);
   timer_.owner = this;
 }
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_IO_NODE_THREAD_H_
 #define RADISHROUTE_IO_NODE_THREAD_H_
 
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -22,6 +23,8 @@
 struct node_hooks {
   std::function<void(std::shared_ptr<const routing_table>)> on_publish;
   std::function<void(bool all_finished)> on_stop;
+  std::function<void(const crash_report&)> on_crash_report;
+  std::function<void(bool up)> on_engine_status;
 };
 
 /// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
@@ -37,6 +40,7 @@
         link_transport::Protocol(), http_client::Protocol(), {}};
     loop_.CreateClientVhost(protocols);
     loop_.SetTimerHandler([this] { Apply(timer_expired{}); });
+    state_.links.emplace();
   }
 
   io_loop& Loop() { return loop_; }
@@ -112,6 +116,16 @@
       hooks_.on_stop(finished);
     }
   }
+  void Execute(const share_crash_report& e) {
+    if (hooks_.on_crash_report) hooks_.on_crash_report(e.report);
+  }
+  void Execute(const share_engine_status& e) {
+    if (hooks_.on_engine_status) hooks_.on_engine_status(e.up);
+  }
+  void Execute(const report_violation& e) {
+    WriteLog({event_code::kInvariantViolated, log_level::kError, {{"invariant", e.name}}});
+    std::abort();
+  }
   void Execute(const write_log& e) { WriteLog(e.event); }
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -7,6 +7,7 @@
 
 #include "io/wire_basic.h"
 #include "io/wire_discovery.h"
+#include "io/wire_failure.h"
 #include "io/wire_traffic.h"
 
 namespace radishroute {
@@ -46,7 +47,9 @@
     wire_entry<14, announcement, wire::Announcement>,         //
     wire_entry<15, directory_delta, wire::DirectoryDelta>,    //
     wire_entry<16, directory_digest, wire::DirectoryDigest>,  //
-    wire_entry<17, directory_pull, wire::DirectoryPull>>;
+    wire_entry<17, directory_pull, wire::DirectoryPull>,      //
+    wire_entry<18, crash_report, wire::CrashReport>,          //
+    wire_entry<19, entry_beats, wire::EntryBeats>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/io/wire_discovery.h
+++ b/src/io/wire_discovery.h
@@ -20,6 +20,7 @@
   w.engineRole = m.engine_role;
   w.concurrencyLimit = Signed(m.concurrency_limit);
   w.checksFencing = m.checks_fencing;
+  w.__set_home(Signed(m.home));
   return w;
 }
 
@@ -38,6 +39,7 @@
   m.engine_role = w.engineRole;
   m.concurrency_limit = Unsigned(w.concurrencyLimit);
   m.checks_fencing = w.checksFencing;
+  m.home = Unsigned(w.home);
   return m;
 }
 
@@ -58,16 +60,27 @@
   wire::DirectoryDigest w;
   w.recordCount = Signed(m.record_count);
   w.hash = Signed(m.hash);
+  w.__set_reply(m.reply);
   return w;
 }
 
 inline directory_digest FromWire(const wire::DirectoryDigest& w, bool&) {
-  return {Unsigned(w.recordCount), Unsigned(w.hash)};
+  return {Unsigned(w.recordCount), Unsigned(w.hash), w.reply};
 }
 
-inline wire::DirectoryPull ToWire(const directory_pull&) { return {}; }
+inline wire::DirectoryPull ToWire(const directory_pull& m) {
+  wire::DirectoryPull w;
+  std::vector<std::int64_t> hashes;
+  for (std::uint64_t hash : m.bucket_hashes) hashes.push_back(Signed(hash));
+  w.__set_bucketHashes(std::move(hashes));
+  return w;
+}
 
-inline directory_pull FromWire(const wire::DirectoryPull&, bool&) { return {}; }
+inline directory_pull FromWire(const wire::DirectoryPull& w, bool&) {
+  directory_pull m;
+  for (std::int64_t hash : w.bucketHashes) m.bucket_hashes.push_back(Unsigned(hash));
+  return m;
+}
 
 }  // namespace radishroute
 
--- /dev/null
+++ b/src/io/wire_failure.h
@@ -0,0 +1,54 @@
+#ifndef RADISHROUTE_IO_WIRE_FAILURE_H_
+#define RADISHROUTE_IO_WIRE_FAILURE_H_
+
+#include "io/wire_basic.h"
+
+namespace radishroute {
+
+inline wire::CrashReport ToWire(const crash_report& m) {
+  wire::CrashReport w;
+  for (const crash_charge& charge : m.charges) {
+    wire::CrashCharge& c = w.charges.emplace_back();
+    c.content = Signed(charge.content.value);
+    c.source = Signed(charge.source);
+    c.sequence = Signed(charge.sequence);
+    c.ageMillis = charge.age.count();
+  }
+  for (fingerprint content : m.cleared) w.cleared.push_back(Signed(content.value));
+  return w;
+}
+
+inline crash_report FromWire(const wire::CrashReport& w, bool& ok) {
+  crash_report m;
+  for (const wire::CrashCharge& c : w.charges) {
+    if (c.ageMillis < 0) ok = false;
+    m.charges.push_back({{Unsigned(c.content)},
+                         Unsigned(c.source),
+                         Unsigned(c.sequence),
+                         std::chrono::milliseconds(c.ageMillis)});
+  }
+  for (std::int64_t content : w.cleared) m.cleared.push_back({Unsigned(content)});
+  return m;
+}
+
+inline wire::EntryBeats ToWire(const entry_beats& m) {
+  wire::EntryBeats w;
+  for (const entry_beat& beat : m.beats) {
+    wire::EntryBeat& b = w.beats.emplace_back();
+    b.node = Signed(beat.node);
+    b.value = Signed(beat.value);
+  }
+  return w;
+}
+
+inline entry_beats FromWire(const wire::EntryBeats& w, bool&) {
+  entry_beats m;
+  for (const wire::EntryBeat& b : w.beats) {
+    m.beats.push_back({Unsigned(b.node), Unsigned(b.value)});
+  }
+  return m;
+}
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_WIRE_FAILURE_H_
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -28,6 +28,26 @@
       return "backend-leaving";
     case event_code::kBackendDown:
       return "backend-down";
+    case event_code::kLinkSilent:
+      return "link-silent";
+    case event_code::kLinkReplaced:
+      return "link-replaced";
+    case event_code::kLinkReplacementFailed:
+      return "link-replacement-failed";
+    case event_code::kBackendLost:
+      return "backend-lost";
+    case event_code::kEngineDown:
+      return "engine-down";
+    case event_code::kEngineUp:
+      return "engine-up";
+    case event_code::kEngineCrashed:
+      return "engine-crashed";
+    case event_code::kEngineStalled:
+      return "engine-stalled";
+    case event_code::kFingerprintQuarantined:
+      return "fingerprint-quarantined";
+    case event_code::kDirectoryRecordExpired:
+      return "directory-record-expired";
     case event_code::kEngineCallFailed:
       return "engine-call-failed";
     case event_code::kInvariantViolated:
@@ -37,12 +57,30 @@
 }
 
 const std::vector<event_code>& AllEventCodes() {
-  static const std::vector<event_code> codes = {
-      event_code::kProcessStarted,      event_code::kProcessStopped,   event_code::kDrainStarted,
-      event_code::kDrainDeadlinePassed, event_code::kListening,        event_code::kLinkOpened,
-      event_code::kLinkClosed,          event_code::kLinkRejected,     event_code::kFrameRejected,
-      event_code::kBackendUp,           event_code::kBackendLeaving,   event_code::kBackendDown,
-      event_code::kEngineCallFailed,    event_code::kInvariantViolated};
+  static const std::vector<event_code> codes = {event_code::kProcessStarted,
+                                                event_code::kProcessStopped,
+                                                event_code::kDrainStarted,
+                                                event_code::kDrainDeadlinePassed,
+                                                event_code::kListening,
+                                                event_code::kLinkOpened,
+                                                event_code::kLinkClosed,
+                                                event_code::kLinkRejected,
+                                                event_code::kFrameRejected,
+                                                event_code::kBackendUp,
+                                                event_code::kBackendLeaving,
+                                                event_code::kBackendDown,
+                                                event_code::kEngineCallFailed,
+                                                event_code::kLinkSilent,
+                                                event_code::kLinkReplaced,
+                                                event_code::kLinkReplacementFailed,
+                                                event_code::kBackendLost,
+                                                event_code::kEngineDown,
+                                                event_code::kEngineUp,
+                                                event_code::kEngineCrashed,
+                                                event_code::kEngineStalled,
+                                                event_code::kFingerprintQuarantined,
+                                                event_code::kDirectoryRecordExpired,
+                                                event_code::kInvariantViolated};
   return codes;
 }
 
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -5,11 +5,37 @@
 namespace radishroute {
 
 std::string_view ToString(counter c) {
-  constexpr std::array<std::string_view, kCounterCount> kNames = {
-      "requests_received",    "answers_completed",    "answers_in_time",      "answers_aborted",
-      "callers_hung_up",      "stale_chunks_dropped", "duplicate_dispatches", "dispatches_sent",
-      "dispatches_cancelled", "links_opened",         "links_closed",         "frames_rejected",
-      "links_unauthorized",   "event_queue_full"};
+  constexpr std::array<std::string_view, kCounterCount> kNames = {"requests_received",
+                                                                  "answers_completed",
+                                                                  "answers_in_time",
+                                                                  "answers_aborted",
+                                                                  "callers_hung_up",
+                                                                  "stale_chunks_dropped",
+                                                                  "duplicate_dispatches",
+                                                                  "dispatches_sent",
+                                                                  "dispatches_cancelled",
+                                                                  "links_opened",
+                                                                  "links_closed",
+                                                                  "frames_rejected",
+                                                                  "links_unauthorized",
+                                                                  "event_queue_full",
+                                                                  "links_silent",
+                                                                  "links_replaced",
+                                                                  "idle_links_closed",
+                                                                  "heartbeats_sent",
+                                                                  "link_bytes_sent",
+                                                                  "link_bytes_received",
+                                                                  "answer_gaps",
+                                                                  "answer_bytes_forgotten",
+                                                                  "engine_crashes",
+                                                                  "engine_stalls",
+                                                                  "crash_charges",
+                                                                  "suspects_cleared",
+                                                                  "directory_deltas_sent",
+                                                                  "directory_pulls",
+                                                                  "directory_records_expired",
+                                                                  "slow_callers_cut",
+                                                                  "slow_senders_cut"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- /dev/null
+++ b/src/peer_links.cc
@@ -0,0 +1,94 @@
+#include "radishroute/peer_links.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace radishroute {
+
+namespace {
+
+// With 580 entries and one digest a second, an entry then holds about ten links and not 579.
+constexpr std::chrono::seconds kIdleTimeout{10};
+
+constexpr std::chrono::milliseconds kRetryDelay{1000};
+
+// Messages kept while a link is being opened. Digests repair what is dropped beyond this.
+constexpr std::size_t kMaxOutbox = 64;
+
+}  // namespace
+
+peer_links::peer_links(std::vector<endpoint> peers) {
+  for (endpoint& address : peers) peers_.emplace_back().address = std::move(address);
+}
+
+peer_links::peer* peer_links::Find(const endpoint& address) {
+  for (peer& p : peers_) {
+    if (p.address == address) return &p;
+  }
+  return nullptr;
+}
+
+void peer_links::Handle(const link_opened& opened, reduce_context& ctx) {
+  peer* p = Find(opened.dialed);
+  if (p == nullptr) return;
+  p->link = opened.link;
+  p->opening = false;
+  p->last_used = ctx.now;
+  for (message& m : p->outbox) ctx.Emit(send_message{opened.link, std::move(m)});
+  p->outbox.clear();
+  ctx.Emit(schedule_wakeup{ctx.now + kIdleTimeout});
+}
+
+bool peer_links::Handle(const link_closed& closed, reduce_context& ctx) {
+  peer* p = Find(closed.dialed);
+  if (p == nullptr) return false;
+  if (closed.link.value != 0) {
+    if (p->link == closed.link) p->link.reset();
+    return false;
+  }
+  if (p->link) return false;
+  p->opening = false;
+  p->outbox.clear();
+  std::uniform_int_distribution<std::int64_t> delay(kRetryDelay.count() / 2, kRetryDelay.count());
+  p->retry_at = ctx.now + std::chrono::milliseconds(delay(ctx.random));
+  return true;
+}
+
+void peer_links::Handle(const timer_expired&, reduce_context& ctx) {
+  for (peer& p : peers_) {
+    if (!p.link) continue;
+    if (ctx.now - p.last_used < kIdleTimeout) {
+      ctx.Emit(schedule_wakeup{p.last_used + kIdleTimeout});
+      continue;
+    }
+    ctx.Emit(count{counter::kIdleLinksClosed});
+    ctx.Emit(close_link{*p.link});
+    p.link.reset();
+  }
+}
+
+void peer_links::Send(peer& p, const message& m, reduce_context& ctx) {
+  p.last_used = ctx.now;
+  if (p.link) {
+    ctx.Emit(send_message{*p.link, m});
+    return;
+  }
+  if (p.outbox.size() < kMaxOutbox) p.outbox.push_back(m);
+  if (p.opening) return;
+  p.opening = true;
+  ctx.Emit(open_link{p.address});
+}
+
+void peer_links::Spread(const message& m, std::size_t fan_out, reduce_context& ctx) {
+  std::vector<peer*> candidates;
+  for (peer& p : peers_) {
+    if (p.retry_at <= ctx.now) candidates.push_back(&p);
+  }
+  std::vector<peer*> chosen;
+  std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen), fan_out,
+              ctx.random);
+  for (peer* p : chosen) Send(*p, m, ctx);
+}
+
+}  // namespace radishroute
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -31,6 +31,7 @@
   visit(state.control.announcements);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
+  visit(state.links);
 }
 
 }  // namespace
@@ -47,11 +48,13 @@
                               [&](auto& module) { OfferMessage(module, specific.link, m, ctx); });
               },
               specific.body);
+          Offer(state.links, specific, ctx);
         } else {
           ForEachModule(state, [&](auto& module) { Offer(module, specific, ctx); });
         }
       },
       e);
+  if (state.links) state.links->NoteSent(ctx);
 }
 
 template void Reduce<baseline_policies>(node_state<baseline_policies>&, const event&,
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "radishroute/invariant.h"
 #include "radishroute/policies.h"
+#include "requests_links.h"
 
 namespace radishroute {
 
@@ -23,6 +25,9 @@
   auto member = table_->members.find(request.member);
   if (member == table_->members.end()) return refusal_reason::kUnknownMember;
   if (!table_->pools.contains(request.model)) return refusal_reason::kUnknownModel;
+  if (crashes_.Standing(out.content, ctx.now) == crash_standing::kQuarantined) {
+    return refusal_reason::kQuarantined;
+  }
   out.cls = kind->second.cls;
   out.repeatable = kind->second.repeatable;
   out.weight = member->second.weight;
@@ -41,13 +46,13 @@
   entry_request request;
   request.id = {origin_, next_sequence_++};
   request.arrival = ctx.now;
+  request.content = {StableHash(input.body, StableHash(input.member))};
   if (auto reason = Validate(input, request, ctx)) {
     request.input.exchange = input.exchange;
     Refuse(request, *reason, std::chrono::microseconds(0), ctx);
     return;
   }
   request.input = input;
-  request.content = {StableHash(input.body, StableHash(input.member))};
   retries_.OnFirstAttempt(input.member, ctx.now);
   request_id id = request.id;
   by_exchange_[input.exchange] = id;
@@ -58,16 +63,39 @@
 }
 
 template <policy_set P>
-void request_table<P>::Route(entry_request& request, reduce_context& ctx) {
+std::optional<std::uint32_t> request_table<P>::Choose(entry_request& request, reduce_context& ctx) {
   route_query query;
   query.model = request.input.model;
   query.adapter = request.input.adapter;
   query.cls = request.cls;
   query.prefix_hash = request.input.prefix_hash;
-  query.excluded = request.tried;
+  std::vector<std::uint32_t> excluded = request.tried;
+  for (std::uint32_t i = 0; !unreachable_.empty() && i < table_->backends.size(); ++i) {
+    if (unreachable_.contains(table_->backends[i].traffic_address)) excluded.push_back(i);
+  }
+  query.excluded = excluded;
   auto backend = router_.Choose(*table_, query, ctx.now, ctx.random);
+  if (backend || request.tried.size() < 2) return backend;
+  // Every server was tried. All but the last may have changed since, for example by a restart.
+  request.tried.erase(request.tried.begin(), request.tried.end() - 1);
+  query.excluded = request.tried;
+  return router_.Choose(*table_, query, ctx.now, ctx.random);
+}
+
+template <policy_set P>
+void request_table<P>::Route(entry_request& request, reduce_context& ctx) {
+  request.at = phase::kWaitingForLink;
+  if (crashes_.Standing(request.content, ctx.now) == crash_standing::kQuarantined) {
+    if (MayHaveRun(request)) {
+      Fail(request, dispatch_failure::kEngineCrashed, ctx);
+    } else {
+      Refuse(request, refusal_reason::kQuarantined, std::chrono::microseconds(0), ctx);
+    }
+    return;
+  }
+  auto backend = Choose(request, ctx);
   if (!backend) {
-    if (request.response_begun) {
+    if (MayHaveRun(request)) {
       Fail(request, dispatch_failure::kEngineUnreachable, ctx);
     } else {
       Refuse(request, refusal_reason::kNoBackend, std::chrono::seconds(1), ctx);
@@ -81,19 +109,15 @@
   request.backend_address = chosen.traffic_address;
   request.tried.push_back(*backend);
   ++request.attempt;
-  request.at = phase::kWaitingForLink;
+  request.gap_at.reset();
   router_.OnSent(*backend);
-  backend_link& link = links_[ToString(chosen.traffic_address)];
-  if (link.link) {
-    Send(request, *link.link, ctx);
-    return;
-  }
-  if (link.waiting.empty()) ctx.Emit(open_link{chosen.traffic_address});
-  link.waiting.push_back(request.id);
+  JoinLink(request, ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Send(entry_request& request, link_id link, reduce_context& ctx) {
+  CheckInvariant(request.repeatable || !request.may_have_run,
+                 "a non-idempotent request runs at most once", ctx);
   dispatch_request dispatch;
   dispatch.id = {request.id, request.attempt};
   dispatch.agent_incarnation = request.backend_incarnation;
@@ -103,6 +127,7 @@
   dispatch.time_left =
       std::chrono::duration_cast<std::chrono::microseconds>(request.deadline - ctx.now);
   dispatch.content = request.content;
+  dispatch.suspect = crashes_.Standing(request.content, ctx.now) == crash_standing::kSuspect;
   dispatch.repeatable = request.repeatable;
   dispatch.stream = request.input.stream;
   dispatch.max_tokens = request.input.max_tokens;
@@ -111,6 +136,7 @@
   dispatch.idempotency_key = request.input.idempotency_key;
   dispatch.body = request.input.body;
   request.at = phase::kDispatched;
+  request.link = link;
   ctx.Emit(count{counter::kDispatchesSent});
   ctx.Emit(send_message{link, std::move(dispatch)});
 }
@@ -147,44 +173,6 @@
   ScheduleNext(ctx);
 }
 
-template <policy_set P>
-void request_table<P>::Handle(const link_opened& opened, reduce_context& ctx) {
-  if (opened.dialed.host.empty()) return;
-  backend_link& link = links_[ToString(opened.dialed)];
-  link.link = opened.link;
-  std::vector<request_id> waiting = std::move(link.waiting);
-  link.waiting.clear();
-  for (const request_id& id : waiting) {
-    auto it = requests_.find(id);
-    if (it == requests_.end() || it->second.at != phase::kWaitingForLink) continue;
-    if (it->second.backend_address != opened.dialed) continue;
-    Send(it->second, opened.link, ctx);
-  }
-}
-
-template <policy_set P>
-void request_table<P>::Handle(const link_closed& closed, reduce_context& ctx) {
-  auto found = links_.find(ToString(closed.dialed));
-  if (found == links_.end()) return;
-  links_.erase(found);
-  std::vector<request_id> affected;
-  for (const auto& [id, request] : requests_) {
-    if (request.backend_address == closed.dialed) affected.push_back(id);
-  }
-  for (const request_id& id : affected) {
-    auto it = requests_.find(id);
-    if (it == requests_.end()) continue;
-    entry_request& request = it->second;
-    if (request.at == phase::kWaitingForLink) {
-      Retry(request, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
-            dispatch_failure::kNone, ctx);
-    } else {
-      Retry(request, retry_reason::kLinkLost, refusal_reason::kNone, dispatch_failure::kLinkLost,
-            ctx);
-    }
-  }
-}
-
 template <policy_set P>
 void request_table<P>::Handle(const drain_requested& drain, reduce_context& ctx) {
   drain_deadline_ = drain.deadline;
@@ -197,12 +185,14 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= ctx.now) {
     entry_request& request = requests_.at(deadlines_.begin()->second);
     CancelAtBackend(request, ctx);
-    if (request.at == phase::kWaitingForLink && !request.response_begun) {
+    if (!MayHaveRun(request)) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
     } else {
       Fail(request, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
+  std::erase_if(unreachable_, [&](const auto& entry) { return entry.second <= ctx.now; });
+  CloseIdleLinks(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
     ctx.Emit(stop_process{requests_.empty()});
     return;
@@ -211,11 +201,13 @@
 }
 
 template <policy_set P>
-typename request_table<P>::entry_request* request_table<P>::Find(const dispatch_id& id,
+typename request_table<P>::entry_request* request_table<P>::Find(link_id link,
+                                                                 const dispatch_id& id,
                                                                  reduce_context& ctx) {
   auto it = requests_.find(id.request);
+  // Messages of the link that a new one replaced are late too: the agent repeats them.
   if (it != requests_.end() && it->second.attempt == id.attempt &&
-      it->second.at != phase::kWaitingForLink) {
+      it->second.at != phase::kWaitingForLink && it->second.link == link) {
     return &it->second;
   }
   ctx.Emit(count{counter::kStaleChunksDropped});
@@ -223,27 +215,35 @@
 }
 
 template <policy_set P>
-void request_table<P>::Handle(link_id, const answer_begin& begin, reduce_context& ctx) {
-  entry_request* request = Find(begin.id, ctx);
+void request_table<P>::Handle(link_id link, const answer_begin& begin, reduce_context& ctx) {
+  entry_request* request = Find(link, begin.id, ctx);
   if (request == nullptr) return;
   request->at = phase::kAnswering;
-  if (request->response_begun) return;
-  request->response_begun = true;
-  ctx.Emit(respond_begin{request->input.exchange, begin.status, begin.content_type,
-                         request->input.stream});
+  if (!request->response_begun) {
+    request->response_begun = true;
+    request->response_status = begin.status;
+    ctx.Emit(respond_begin{request->input.exchange, begin.status, begin.content_type,
+                           request->input.stream});
+  } else if (begin.status != request->response_status) {
+    // The body of another status, such as an error page, does not continue the answer.
+    CancelAtBackend(*request, ctx);
+    Fail(*request, dispatch_failure::kEngineError, ctx);
+  }
 }
 
 template <policy_set P>
-void request_table<P>::Handle(link_id, const answer_chunk& chunk, reduce_context& ctx) {
-  entry_request* request = Find(chunk.id, ctx);
+void request_table<P>::Handle(link_id link, const answer_chunk& chunk, reduce_context& ctx) {
+  entry_request* request = Find(link, chunk.id, ctx);
   if (request == nullptr) return;
-  if (chunk.offset > request->bytes_sent || !request->response_begun) {
-    CancelAtBackend(*request, ctx);
-    Fail(*request, dispatch_failure::kEngineError, ctx);
+  if (chunk.offset > request->bytes_sent || request->at != phase::kAnswering) {
+    RequestMissing(*request, ctx);
     return;
   }
   std::uint64_t overlap = request->bytes_sent - chunk.offset;
-  if (overlap >= chunk.bytes.size()) return;
+  if (overlap >= chunk.bytes.size()) {
+    ctx.Emit(count{counter::kStaleChunksDropped});
+    return;
+  }
   if (request->bytes_sent == 0) {
     ctx.Emit(observe_latency{
         latency_metric::kFirstByte, request->cls,
@@ -256,10 +256,14 @@
 
 template <policy_set P>
 void request_table<P>::Handle(link_id link, const answer_end& end, reduce_context& ctx) {
-  entry_request* request = Find(end.id, ctx);
+  entry_request* request = Find(link, end.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, end.load, ctx.now);
-  if (end.length != request->bytes_sent) {
+  if (end.length > request->bytes_sent || request->at != phase::kAnswering) {
+    RequestMissing(*request, ctx);
+    return;
+  }
+  if (end.length < request->bytes_sent) {
     Fail(*request, dispatch_failure::kEngineError, ctx);
     return;
   }
@@ -270,20 +274,21 @@
   ctx.Emit(observe_latency{
       latency_metric::kAnswer, request->cls,
       std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - request->arrival)});
+  ClearSuspicion(*request, ctx);
   Erase(request->id, ctx);
 }
 
 template <policy_set P>
-void request_table<P>::Handle(link_id, const dispatch_refused& refused, reduce_context& ctx) {
-  entry_request* request = Find(refused.id, ctx);
+void request_table<P>::Handle(link_id link, const dispatch_refused& refused, reduce_context& ctx) {
+  entry_request* request = Find(link, refused.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, refused.load, ctx.now);
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
 
 template <policy_set P>
-void request_table<P>::Handle(link_id, const dispatch_failed& failed, reduce_context& ctx) {
-  entry_request* request = Find(failed.id, ctx);
+void request_table<P>::Handle(link_id link, const dispatch_failed& failed, reduce_context& ctx) {
+  entry_request* request = Find(link, failed.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, failed.load, ctx.now);
   switch (failed.reason) {
@@ -293,6 +298,9 @@
     case dispatch_failure::kEngineStalled:
       Retry(*request, retry_reason::kEngineStalled, refusal_reason::kNone, failed.reason, ctx);
       return;
+    case dispatch_failure::kLinkLost:
+      Retry(*request, retry_reason::kLinkLost, refusal_reason::kNone, failed.reason, ctx);
+      return;
     case dispatch_failure::kEngineUnreachable:
       Retry(*request, retry_reason::kBackendUnreachable, refusal_reason::kNone, failed.reason, ctx);
       return;
@@ -306,28 +314,32 @@
 void request_table<P>::Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
                              dispatch_failure failure, reduce_context& ctx) {
   bool never_ran = refusal != refusal_reason::kNone;
-  bool allowed = (never_ran || request.repeatable) && request.attempt < limits_.max_attempts &&
-                 ctx.now < request.deadline && retries_.TakeRetry(request.input.member, ctx.now);
+  if (!never_ran) request.may_have_run = true;
+  LeaveLink(request, ctx);
+  request.at = phase::kWaitingForLink;
+  if (!never_ran) RestartPlainAnswer(request);
+  bool resumable = request.bytes_sent == 0 || CanResume(request);
+  bool allowed = (!request.may_have_run || request.repeatable) && resumable &&
+                 request.attempt < limits_.max_attempts && ctx.now < request.deadline &&
+                 retries_.TakeRetry(request.input.member, ctx.now);
   if (allowed) {
     router_.OnDone(request.backend);
     ctx.Emit(count_retry{reason});
     Route(request, ctx);
     return;
   }
-  if (never_ran && !request.response_begun && request.attempt == 1) {
+  if (!MayHaveRun(request)) {
     Refuse(request, refusal, std::chrono::seconds(1), ctx);
-  } else if (never_ran && !request.response_begun && !request.repeatable) {
-    // A non-idempotent request is retried only after refusals, so no attempt has run.
-    Refuse(request, refusal, std::chrono::seconds(1), ctx);
-  } else {
-    Fail(request,
-         failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure, ctx);
+    return;
   }
+  Fail(request, failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure,
+       ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Refuse(entry_request& request, refusal_reason reason,
                               std::chrono::microseconds retry_after, reduce_context& ctx) {
+  CheckInvariant(!MayHaveRun(request), "a request reported as not run did not run", ctx);
   ctx.Emit(count_refusal{reason});
   ctx.Emit(respond_problem{request.input.exchange, reason, dispatch_failure::kNone,
                            run_outcome::kNotRun, retry_after});
@@ -349,10 +361,8 @@
 template <policy_set P>
 void request_table<P>::CancelAtBackend(const entry_request& request, reduce_context& ctx) {
   if (request.at == phase::kWaitingForLink) return;
-  auto it = links_.find(ToString(request.backend_address));
-  if (it == links_.end() || !it->second.link) return;
   ctx.Emit(count{counter::kDispatchesCancelled});
-  ctx.Emit(send_message{*it->second.link, cancel_dispatch{{request.id, request.attempt}}});
+  ctx.Emit(send_message{request.link, cancel_dispatch{{request.id, request.attempt}}});
 }
 
 template <policy_set P>
@@ -360,9 +370,12 @@
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
   if (it->second.attempt > 0) router_.OnDone(it->second.backend);
+  LeaveLink(it->second, ctx);
   deadlines_.erase({it->second.deadline, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
+  CheckInvariant(by_exchange_.size() == requests_.size() && deadlines_.size() == requests_.size(),
+                 "every request has one exchange and one deadline", ctx);
   StopIfDrained(ctx);
 }
 
@@ -374,6 +387,12 @@
 template <policy_set P>
 void request_table<P>::ScheduleNext(reduce_context& ctx) {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
+  for (const auto& [address, until] : unreachable_) ctx.Emit(schedule_wakeup{until});
+  for (const auto& [address, link] : links_) {
+    if (link.users.empty()) {
+      ctx.Emit(schedule_wakeup{link.idle_since + limits_.idle_link_timeout});
+    }
+  }
   if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
 }
 
--- /dev/null
+++ b/src/requests_links.h
@@ -0,0 +1,233 @@
+#ifndef RADISHROUTE_REQUESTS_LINKS_H_
+#define RADISHROUTE_REQUESTS_LINKS_H_
+
+// Part of requests.cc: links to backend servers, lost backend servers and crash suspects.
+
+#include <random>
+
+#include "radishroute/requests.h"
+
+namespace radishroute {
+
+template <policy_set P>
+void request_table<P>::JoinLink(entry_request& request, reduce_context& ctx) {
+  backend_link& link = links_[request.backend_address];
+  link.users.insert(request.id);
+  if (link.link) {
+    Send(request, *link.link, ctx);
+  } else if (!link.opening) {
+    link.opening = true;
+    ctx.Emit(open_link{request.backend_address});
+  }
+}
+
+template <policy_set P>
+void request_table<P>::LeaveLink(entry_request& request, reduce_context& ctx) {
+  auto it = links_.find(request.backend_address);
+  if (it == links_.end() || it->second.users.erase(request.id) == 0) return;
+  if (!it->second.users.empty()) return;
+  it->second.idle_since = ctx.now;
+  ctx.Emit(schedule_wakeup{ctx.now + limits_.idle_link_timeout});
+}
+
+template <policy_set P>
+void request_table<P>::Attach(entry_request& request, link_id link, reduce_context& ctx) {
+  request.link = link;
+  request.gap_at.reset();
+  // What the new link repeats begins with the head of the answer.
+  request.at = phase::kDispatched;
+  ctx.Emit(send_message{link, attach_dispatch{{request.id, request.attempt}, request.bytes_sent}});
+}
+
+// Part of the answer is missing or came out of order. The agent keeps all of it and repeats it.
+template <policy_set P>
+void request_table<P>::RequestMissing(entry_request& request, reduce_context& ctx) {
+  ctx.Emit(count{counter::kStaleChunksDropped});
+  if (request.gap_at == request.bytes_sent) return;
+  request.gap_at = request.bytes_sent;
+  ctx.Emit(count{counter::kAnswerGaps});
+  ctx.Emit(send_message{request.link,
+                        attach_dispatch{{request.id, request.attempt}, request.bytes_sent}});
+}
+
+template <policy_set P>
+void request_table<P>::Handle(const link_opened& opened, reduce_context& ctx) {
+  if (opened.dialed.host.empty()) return;
+  auto found = links_.find(opened.dialed);
+  if (found == links_.end()) {
+    ctx.Emit(close_link{opened.link});
+    return;
+  }
+  backend_link& link = found->second;
+  link.link = opened.link;
+  link.peer_incarnation = opened.peer.process.incarnation;
+  link.opening = false;
+  unreachable_.erase(opened.dialed);
+  // A copy: a request that moves to another backend server leaves the set.
+  std::vector<request_id> users(link.users.begin(), link.users.end());
+  for (const request_id& id : users) {
+    auto it = requests_.find(id);
+    if (it == requests_.end() || it->second.backend_address != opened.dialed) continue;
+    entry_request& request = it->second;
+    if (request.at == phase::kWaitingForLink) {
+      Send(request, opened.link, ctx);
+    } else if (request.backend_incarnation == opened.peer.process.incarnation) {
+      Attach(request, opened.link, ctx);
+    } else {
+      // Another life of the agent knows nothing of the dispatch.
+      LoseAttempt(request, dispatch_failure::kAgentRestarted, ctx);
+    }
+  }
+}
+
+template <policy_set P>
+void request_table<P>::Handle(const link_closed& closed, reduce_context& ctx) {
+  auto found = links_.find(closed.dialed);
+  if (found == links_.end()) return;
+  backend_link& link = found->second;
+  if (closed.link.value == 0) {
+    LoseBackend(found, ctx);
+    return;
+  }
+  if (link.link != closed.link) return;
+  link.link.reset();
+  if (link.users.empty()) {
+    links_.erase(found);
+  } else if (!link.opening) {
+    // The agent may still be there: a new link then takes over the work in progress.
+    link.opening = true;
+    ctx.Emit(open_link{closed.dialed});
+  }
+}
+
+template <policy_set P>
+void request_table<P>::LoseBackend(link_map::iterator found, reduce_context& ctx) {
+  endpoint address = found->first;
+  std::set<request_id> users = std::move(found->second.users);
+  if (found->second.link) ctx.Emit(close_link{*found->second.link});
+  links_.erase(found);
+  // Jitter keeps entries that lost the server together from trying it again together.
+  std::uniform_int_distribution<std::int64_t> delay(limits_.unreachable_delay.count() / 2,
+                                                    limits_.unreachable_delay.count());
+  unreachable_[address] = ctx.now + std::chrono::milliseconds(delay(ctx.random));
+  ctx.Emit(schedule_wakeup{unreachable_[address]});
+  ctx.Emit(
+      write_log{{event_code::kBackendLost,
+                 log_level::kWarning,
+                 {{"address", ToString(address)}, {"requests", std::to_string(users.size())}}}});
+  for (const request_id& id : users) {
+    auto it = requests_.find(id);
+    if (it == requests_.end() || it->second.backend_address != address) continue;
+    if (it->second.at == phase::kWaitingForLink) {
+      Retry(it->second, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
+            dispatch_failure::kNone, ctx);
+    } else {
+      LoseAttempt(it->second, dispatch_failure::kLinkLost, ctx);
+    }
+  }
+}
+
+// The agent is lost with a dispatch in flight. Its engine may have crashed and taken the agent's
+// VM with it, so the fingerprint is charged as if the engine had crashed.
+template <policy_set P>
+void request_table<P>::LoseAttempt(entry_request& request, dispatch_failure failure,
+                                   reduce_context& ctx) {
+  crash_report report;
+  report.charges.push_back(
+      {request.content, CrashSource(request.backend_name, request.backend_incarnation), 0, {}});
+  crash_report fresh = crashes_.Merge(report, ctx.now);
+  if (!Empty(fresh)) {
+    ctx.Emit(count{counter::kCrashCharges});
+    ctx.Emit(share_crash_report{std::move(fresh)});
+  }
+  retry_reason reason = failure == dispatch_failure::kAgentRestarted ? retry_reason::kAgentRestarted
+                                                                     : retry_reason::kLinkLost;
+  Retry(request, reason, refusal_reason::kNone, failure, ctx);
+}
+
+template <policy_set P>
+void request_table<P>::CloseIdleLinks(reduce_context& ctx) {
+  std::erase_if(links_, [&](const auto& entry) {
+    const backend_link& link = entry.second;
+    if (!link.users.empty() || ctx.now - link.idle_since < limits_.idle_link_timeout) return false;
+    if (link.link) {
+      ctx.Emit(count{counter::kIdleLinksClosed});
+      ctx.Emit(close_link{*link.link});
+    }
+    return true;
+  });
+}
+
+template <policy_set P>
+void request_table<P>::Handle(link_id, const crash_report& report, reduce_context& ctx) {
+  crash_report fresh = crashes_.Merge(report, ctx.now);
+  if (Empty(fresh)) return;
+  ctx.Emit(count{counter::kCrashCharges, fresh.charges.size()});
+  MergeCrashes(fresh, ctx);
+  ctx.Emit(share_crash_report{std::move(fresh)});
+}
+
+template <policy_set P>
+void request_table<P>::Handle(const crash_report_shared& shared, reduce_context& ctx) {
+  MergeCrashes(crashes_.Merge(shared.report, ctx.now), ctx);
+}
+
+// A suspect may still wait in the queue of an agent when its second crash becomes known; it must
+// not run there.
+template <policy_set P>
+void request_table<P>::MergeCrashes(const crash_report& report, reduce_context& ctx) {
+  std::set<fingerprint> quarantined;
+  for (const crash_charge& charge : report.charges) {
+    if (crashes_.Standing(charge.content, ctx.now) == crash_standing::kQuarantined) {
+      quarantined.insert(charge.content);
+    }
+  }
+  if (quarantined.empty()) return;
+  std::vector<request_id> affected;
+  for (const auto& [id, request] : requests_) {
+    if (quarantined.contains(request.content)) affected.push_back(id);
+  }
+  for (const request_id& id : affected) {
+    entry_request& request = requests_.at(id);
+    CancelAtBackend(request, ctx);
+    if (MayHaveRun(request)) {
+      Fail(request, dispatch_failure::kEngineCrashed, ctx);
+    } else {
+      Refuse(request, refusal_reason::kQuarantined, std::chrono::microseconds(0), ctx);
+    }
+  }
+}
+
+template <policy_set P>
+void request_table<P>::ClearSuspicion(const entry_request& request, reduce_context& ctx) {
+  crash_report report;
+  report.cleared.push_back(request.content);
+  crash_report fresh = crashes_.Merge(report, ctx.now);
+  if (Empty(fresh)) return;
+  ctx.Emit(count{counter::kSuspectsCleared});
+  ctx.Emit(share_crash_report{std::move(fresh)});
+}
+
+template <policy_set P>
+bool request_table<P>::MayHaveRun(const entry_request& request) const {
+  return request.may_have_run || request.at != phase::kWaitingForLink;
+}
+
+// Only engines continue a stream at an offset.
+template <policy_set P>
+bool request_table<P>::CanResume(const entry_request& request) const {
+  return request.input.stream && request.backend < table_->backends.size() &&
+         table_->backends[request.backend].kind == backend_kind::kEngine;
+}
+
+// A plain answer has not reached the caller before its end, so another attempt may begin it anew.
+template <policy_set P>
+void request_table<P>::RestartPlainAnswer(entry_request& request) const {
+  if (request.input.stream) return;
+  request.bytes_sent = 0;
+  request.response_begun = false;
+}
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_REQUESTS_LINKS_H_
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -69,6 +69,8 @@
   backend.Read("adapters", out.adapters, false);
   backend.Read("version", out.version, false);
   backend.ReadNumber("concurrency", out.concurrency, 1, 100000);
+  backend.Read("progress_timeout_ms", out.progress_timeout, std::chrono::milliseconds(100),
+               std::chrono::minutes(10));
   backend.Read("checks_fencing", out.checks_fencing);
   backend.Finish();
   reader.Finish();
--- /dev/null
+++ b/tests/discovery_test.cc
@@ -0,0 +1,141 @@
+#include "radishroute/discovery.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_context.h"
+#include "radishroute/announcer.h"
+
+namespace radishroute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::vector<endpoint> kPeers = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+
+announcement Record(std::uint64_t incarnation, std::uint64_t sequence, backend_status status) {
+  announcement a;
+  a.backend = "engine-1";
+  a.incarnation = incarnation;
+  a.sequence = sequence;
+  a.status = status;
+  a.models = {"draft"};
+  a.home = 99;
+  return a;
+}
+
+struct directory_fixture {
+  fake_context fake;
+  directory entry{{1, 1000}, "a", {}, kPeers};
+
+  directory_fixture() {
+    fake.Do([&](auto& ctx) { entry.Handle(process_started{}, ctx); });
+  }
+  void Delta(const announcement& a) {
+    fake.Do([&](auto& ctx) { entry.Handle(link_id{50}, directory_delta{{a}}, ctx); });
+  }
+  void Tick(milliseconds by) {
+    fake.Advance(by);
+    fake.Do([&](auto& ctx) { entry.Handle(timer_expired{}, ctx); });
+  }
+  backend_status Status() const { return entry.Status("engine-1"); }
+};
+
+}  // namespace
+
+// Guards against new work for a leaving backend server because of a delayed older announcement.
+TEST_CASE("a leaving record is a tombstone for its incarnation") {
+  directory_fixture f;
+  f.Delta(Record(5, 3, backend_status::kLeaving));
+  f.Delta(Record(5, 2, backend_status::kUp));
+  f.Delta(Record(5, 9, backend_status::kUp));
+  CHECK(f.Status() == backend_status::kLeaving);
+  f.Delta(Record(6, 0, backend_status::kUp));
+  CHECK(f.Status() == backend_status::kUp);
+}
+
+// Guards against dropping a backend server that has announced itself to another entry.
+TEST_CASE("a lost link is a loss only if the agent announces nothing newer") {
+  directory_fixture f;
+  auto announce = [&](std::uint64_t link) {
+    f.fake.Do(
+        [&](auto& ctx) { f.entry.Handle(link_id{link}, Record(5, 1, backend_status::kUp), ctx); });
+  };
+  auto close = [&](std::uint64_t link) {
+    f.fake.Do([&](auto& ctx) { f.entry.Handle(link_closed{{link}, {}, {}}, ctx); });
+  };
+  announce(7);
+  close(7);
+  f.Delta(Record(5, 2, backend_status::kUp));
+  f.Tick(milliseconds(1100));
+  CHECK(f.Status() == backend_status::kUp);
+  f.fake.Do([&](auto& ctx) { f.entry.Handle(link_id{8}, Record(5, 3, backend_status::kUp), ctx); });
+  close(8);
+  CHECK(f.Status() == backend_status::kUp);
+  f.Tick(milliseconds(1100));
+  CHECK(f.Status() == backend_status::kDown);
+}
+
+// Guards against records of a lost zone that stay for ever, and against records that do not come
+// back when a partition heals.
+TEST_CASE("records expire with their entry and come back with it") {
+  directory_fixture f;
+  f.Delta(Record(5, 1, backend_status::kUp));
+  f.Tick(std::chrono::seconds(31));
+  CHECK(f.Status() == backend_status::kDown);
+  f.fake.Do([&](auto& ctx) { f.entry.Handle(link_id{50}, entry_beats{{{99, 7}}}, ctx); });
+  CHECK(f.Status() == backend_status::kUp);
+}
+
+// Guards against a change that gossip missed: a digest finds it and a pull brings only its bucket.
+TEST_CASE("digests repair missed changes") {
+  directory_fixture a;
+  directory_fixture b;
+  for (int i = 0; i < 300; ++i) {
+    announcement record = Record(5, 1, backend_status::kUp);
+    record.backend = "engine-" + std::to_string(i);
+    a.Delta(record);
+    if (i != 1) b.Delta(record);
+  }
+  a.Tick(milliseconds(2000));
+  b.Tick(milliseconds(2000));
+  directory_digest digest;
+  b.fake.Do([&](auto& ctx) {
+    a.fake.Do([&](auto& inner) { a.entry.Handle(link_id{1}, directory_digest{1, 1}, inner); });
+    digest = a.fake.Sent<directory_digest>().at(0).second;
+    b.entry.Handle(link_id{1}, digest, ctx);
+  });
+  REQUIRE(b.fake.Sent<directory_pull>().size() == 1);
+  directory_pull pull = b.fake.Sent<directory_pull>()[0].second;
+  a.fake.Do([&](auto& ctx) { a.entry.Handle(link_id{1}, pull, ctx); });
+  REQUIRE(a.fake.Sent<directory_delta>().size() == 1);
+  directory_delta delta = a.fake.Sent<directory_delta>()[0].second;
+  CHECK(delta.records.size() < 20);
+  b.fake.Do([&](auto& ctx) { b.entry.Handle(link_id{1}, delta, ctx); });
+  CHECK(b.Status() == backend_status::kUp);
+  b.fake.Do([&](auto& ctx) { b.entry.Handle(link_id{1}, digest, ctx); });
+  CHECK(b.fake.Sent<directory_pull>().empty());
+}
+
+// Guards against an agent that stays announced nowhere when its entries die one after another.
+TEST_CASE("an agent announces to three entries and moves when one dies") {
+  std::vector<endpoint> entries;
+  for (std::uint16_t i = 1; i <= 7; ++i) entries.push_back({"10.0.1.1", i});
+  fake_context fake;
+  announcer agent(Record(5, 0, backend_status::kUp), entries);
+  fake.Do([&](auto& ctx) { agent.Handle(process_started{}, ctx); });
+  auto opened = fake.All<open_link>();
+  REQUIRE(opened.size() == 3);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    fake.Do([&](auto& ctx) { agent.Handle(link_opened{{i + 1}, {}, opened[i].address}, ctx); });
+    CHECK(fake.All<open_link>().empty());
+  }
+  fake.Do([&](auto& ctx) { agent.Handle(link_closed{{1}, opened[0].address, {}}, ctx); });
+  REQUIRE(fake.All<open_link>().size() == 1);
+  CHECK(fake.All<open_link>()[0].address != opened[0].address);
+  // The remaining entries get a newer version, which refutes a claim that the server is gone.
+  REQUIRE(fake.Sent<announcement>().size() == 2);
+  CHECK(fake.Sent<announcement>()[0].second.sequence == 1);
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/tests/fake_traffic.h
@@ -0,0 +1,257 @@
+#ifndef RADISHROUTE_TESTS_FAKE_TRAFFIC_H_
+#define RADISHROUTE_TESTS_FAKE_TRAFFIC_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+#include "radishroute/policies.h"
+#include "radishroute/reducer.h"
+
+namespace radishroute {
+
+/// Probabilities, in percent, of what goes wrong in a fake_traffic run.
+struct fake_faults {
+  int drop_link = 0;
+  int repeat_message = 0;
+  int reorder_message = 0;
+  int refuse_open = 0;
+  int break_call = 0;
+  int stall_call = 0;
+};
+
+/// One entry shard and a few agents with fake engines, connected by one seeded queue of events.
+class fake_traffic {
+ public:
+  struct outcome {
+    std::string bytes;
+    bool ended = false;
+    bool aborted = false;
+    std::optional<run_outcome> problem;
+  };
+
+  fake_traffic(std::uint64_t seed, int agents, fake_faults faults) : faults_(faults) {
+    random_.seed(seed);
+    request_limits limits;
+    entry_.traffic.requests.emplace(7, 0, limits);
+    auto table = std::make_shared<routing_table>();
+    table->has_configuration = true;
+    table->kinds["quote"] = {"quote", priority_class::kInteractive, std::chrono::seconds(20), 1,
+                             true};
+    table->kinds["booking"] = {"booking", priority_class::kTransactional, std::chrono::seconds(20),
+                               1, false};
+    table->members["club"] = {"club", 1};
+    for (int i = 0; i < agents; ++i) {
+      auto number = static_cast<std::uint16_t>(i);
+      endpoint address{"agent", number};
+      announcement record;
+      record.backend = "agent-" + std::to_string(i);
+      record.incarnation = 100U + number;
+      record.traffic_address = address;
+      table->backends.push_back(record);
+      table->pools["draft"].local.push_back(number);
+      agents_[address].traffic.executions.emplace(100U + number, execution_limits{}, 100U + number);
+    }
+    Apply(entry_, routing_table_published{table});
+    for (auto& [address, agent] : agents_) Apply(agent, process_started{});
+  }
+
+  /// A request whose body names it; the answer is a function of the body.
+  void Submit(const std::string& body, const std::string& kind, bool stream) {
+    caller_request request;
+    request.exchange = {++exchanges_};
+    request.member = "club";
+    request.kind = kind;
+    request.model = "draft";
+    request.idempotency_key = "key";
+    request.stream = stream;
+    request.body = body;
+    bodies_[exchanges_] = body;
+    outcomes_[exchanges_] = {};
+    Apply(entry_, request);
+  }
+
+  /// Runs queued events for `time`.
+  void Run(std::chrono::milliseconds time) {
+    steady_time end = now_ + time;
+    while (!queue_.empty() && queue_.begin()->first <= end) {
+      auto next = queue_.extract(queue_.begin());
+      now_ = std::max(now_, next.key());
+      next.mapped()();
+    }
+    now_ = end;
+  }
+
+  static std::string Answer(const std::string& body) {
+    std::string text;
+    for (int i = 0; i < 40; ++i) text += body + ":" + std::to_string(i) + ";";
+    return text;
+  }
+
+  const std::map<std::uint64_t, outcome>& Outcomes() const { return outcomes_; }
+  const std::string& Body(std::uint64_t exchange) const { return bodies_.at(exchange); }
+  int Runs(const std::string& body) const {
+    auto it = runs_.find(body);
+    return it == runs_.end() ? 0 : it->second;
+  }
+
+ private:
+  using node = node_state<baseline_policies>;
+
+  struct fake_link {
+    endpoint address;
+    bool alive = true;
+  };
+
+  bool Chance(int percent) { return std::uniform_int_distribution<int>(0, 99)(random_) < percent; }
+
+  std::chrono::microseconds Delay(int longest_ms) {
+    return std::chrono::microseconds(
+        std::uniform_int_distribution<int>(100, longest_ms * 1000)(random_));
+  }
+
+  void At(steady_time at, std::function<void()> run) { queue_.emplace(at, std::move(run)); }
+
+  void Apply(node& n, const event& e) {
+    effect_list effects;
+    reduce_context ctx{now_, wall_time(), random_, effects};
+    Reduce(n, e, ctx);
+    for (effect& one : effects) {
+      std::visit([&](auto& specific) { Execute(n, specific); }, one);
+    }
+  }
+
+  node& Peer(const node& n, std::uint64_t link) {
+    return &n == &entry_ ? agents_.at(links_.at(link).address) : entry_;
+  }
+
+  void Drop(std::uint64_t link) {
+    if (!links_.at(link).alive) return;
+    links_.at(link).alive = false;
+    endpoint address = links_.at(link).address;
+    At(now_ + Delay(50), [=, this] { Apply(entry_, link_closed{{link}, address, {}}); });
+    At(now_ + Delay(50), [=, this] { Apply(agents_.at(address), link_closed{{link}, {}, {}}); });
+  }
+
+  void Execute(node& n, send_message& e) {
+    std::uint64_t link = e.link.value;
+    if (!links_.contains(link) || !links_.at(link).alive) return;
+    if (Chance(faults_.drop_link)) Drop(link);
+    // In order on a link, except for messages chosen to overtake others.
+    steady_time& last = last_delivery_[{link, &n}];
+    steady_time at = std::max(last, now_ + Delay(5));
+    if (Chance(faults_.reorder_message)) {
+      at += std::chrono::milliseconds(20);
+    } else {
+      last = at;
+    }
+    int copies = Chance(faults_.repeat_message) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      At(at + i * std::chrono::milliseconds(7), [this, &n, link, body = e.body] {
+        if (links_.at(link).alive || Chance(50))
+          Apply(Peer(n, link), message_received{{link}, body});
+      });
+    }
+  }
+
+  void Execute(node&, open_link& e) {
+    endpoint address = e.address;
+    if (Chance(faults_.refuse_open)) {
+      At(now_ + Delay(20), [=, this] { Apply(entry_, link_closed{{0}, address, {}}); });
+      return;
+    }
+    std::uint64_t link = ++next_link_;
+    links_[link] = {address, true};
+    At(now_ + Delay(20), [=, this] {
+      if (!links_.at(link).alive) return;
+      hello peer;
+      peer.process.incarnation = 100U + address.port;
+      Apply(agents_.at(address), link_opened{{link}, {}, {}});
+      Apply(entry_, link_opened{{link}, peer, address});
+    });
+  }
+
+  void Execute(node&, close_link& e) { Drop(e.link.value); }
+  void Execute(node& n, schedule_wakeup& e) {
+    if (!wakeups_.insert({&n, e.at}).second) return;
+    At(std::max(now_, e.at), [&n, at = e.at, this] {
+      wakeups_.erase({&n, at});
+      Apply(n, timer_expired{});
+    });
+  }
+
+  void Execute(node&, respond_begin& e) {
+    // A plain answer that begins anew has not reached the caller.
+    if (!e.stream) outcomes_.at(e.exchange.value).bytes.clear();
+  }
+  void Execute(node&, respond_bytes& e) { Open(e.exchange).bytes += e.bytes; }
+  void Execute(node&, respond_end& e) { Open(e.exchange).ended = true; }
+  void Execute(node&, respond_abort& e) { Open(e.exchange).aborted = true; }
+  void Execute(node&, respond_problem& e) { Open(e.exchange).problem = e.outcome; }
+
+  outcome& Open(exchange_id exchange) {
+    outcome& o = outcomes_.at(exchange.value);
+    if (o.ended || o.aborted || o.problem) throw std::runtime_error("answered twice");
+    return o;
+  }
+
+  void Execute(node& n, start_engine_call& e) {
+    ++runs_[e.body];
+    if (Chance(faults_.stall_call)) return;
+    steady_time at = now_ + Delay(30);
+    dispatch_id id = e.id;
+    At(at, [&n, id, this] { ToAgent(n, id, engine_answer_begin{id, 200, "text/plain"}); });
+    std::string rest = Answer(e.body).substr(e.resume_offset);
+    bool breaks = Chance(faults_.break_call);
+    for (std::size_t i = 0; i < rest.size(); i += 100) {
+      at += Delay(10);
+      At(at, [&n, id, part = rest.substr(i, 100), this] {
+        ToAgent(n, id, engine_answer_bytes{id, part});
+      });
+      if (breaks && i >= 200) break;
+    }
+    At(at + Delay(5), [&n, id, breaks, this] {
+      if (breaks) {
+        ToAgent(n, id, engine_call_failed{id, dispatch_failure::kEngineCrashed, true});
+      } else {
+        ToAgent(n, id, engine_answer_end{id});
+      }
+    });
+  }
+  void Execute(node&, cancel_engine_call& e) { cancelled_.insert(e.id); }
+  void ToAgent(node& n, const dispatch_id& id, const event& e) {
+    if (!cancelled_.contains(id)) Apply(n, e);
+  }
+  void Execute(node& n, probe_engine& e) {
+    At(now_ + Delay(5), [&n, number = e.number, this] {
+      Apply(n, engine_probe_done{number, true});
+    });
+  }
+  void Execute(node&, report_violation& e) { throw std::runtime_error(e.name); }
+  template <class Other>
+  void Execute(node&, Other&) {}
+
+  fake_faults faults_;
+  random_source random_;
+  steady_time now_ = steady_time(std::chrono::hours(1));
+  std::multimap<steady_time, std::function<void()>> queue_;
+  node entry_;
+  std::map<endpoint, node> agents_;
+  std::map<std::uint64_t, fake_link> links_;
+  std::map<std::pair<std::uint64_t, const node*>, steady_time> last_delivery_;
+  std::set<std::pair<const node*, steady_time>> wakeups_;
+  std::uint64_t next_link_ = 0;
+  std::uint64_t exchanges_ = 0;
+  std::map<std::uint64_t, std::string> bodies_;
+  std::map<std::uint64_t, outcome> outcomes_;
+  std::map<std::string, int> runs_;
+  std::set<dispatch_id> cancelled_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_TESTS_FAKE_TRAFFIC_H_
--- /dev/null
+++ b/tests/link_monitor_test.cc
@@ -0,0 +1,66 @@
+#include "radishroute/link_monitor.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_context.h"
+
+namespace radishroute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const endpoint kAgent{"10.0.0.1", 1};
+
+struct monitor_fixture {
+  fake_context fake;
+  link_monitor monitor;
+
+  void Open(std::uint64_t link) {
+    fake.Do([&](auto& ctx) { monitor.Handle(link_opened{{link}, {}, kAgent}, ctx); });
+  }
+  void Tick(milliseconds by) {
+    fake.Advance(by);
+    fake.Do([&](auto& ctx) { monitor.Handle(timer_expired{}, ctx); });
+  }
+};
+
+}  // namespace
+
+// Guards against a link that stays silent for good while new connections work.
+TEST_CASE("a silent link is replaced by a second link to the same address") {
+  monitor_fixture f;
+  f.Open(1);
+  f.Tick(milliseconds(500));
+  CHECK(f.fake.Sent<heartbeat>().size() == 1);
+  f.Tick(milliseconds(500));
+  CHECK(f.fake.All<open_link>().empty());
+  f.Tick(milliseconds(500));
+  REQUIRE(f.fake.All<open_link>().size() == 1);
+  CHECK(f.fake.All<open_link>()[0].address == kAgent);
+  f.Open(2);
+  REQUIRE(f.fake.All<close_link>().size() == 1);
+  CHECK(f.fake.All<close_link>()[0].link == link_id{1});
+}
+
+// Guards against keeping a dead link when the peer cannot be reached at all.
+TEST_CASE("the old link is closed when its replacement fails") {
+  monitor_fixture f;
+  f.Open(1);
+  f.Tick(milliseconds(500));
+  f.Tick(milliseconds(500));
+  f.Tick(milliseconds(500));
+  f.fake.Do([&](auto& ctx) { f.monitor.Handle(link_closed{{0}, kAgent, {}}, ctx); });
+  REQUIRE(f.fake.All<close_link>().size() == 1);
+  CHECK(f.monitor.Size() == 0);
+}
+
+// Guards against replacing every link after this process itself was paused.
+TEST_CASE("silence during an own pause is not counted") {
+  monitor_fixture f;
+  f.Open(1);
+  f.Tick(milliseconds(5000));
+  CHECK(f.fake.All<open_link>().empty());
+}
+
+}  // namespace radishroute
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -41,6 +41,20 @@
   CHECK(out.body == in.body);
 }
 
+// Guards against losing a part of crash reports, on which the limit of two crashes rests.
+TEST_CASE("crash reports, beats and pulls survive encoding") {
+  crash_report in{{{{7}, 0xFFFFFFFFFFFFFFFFULL, 3, std::chrono::milliseconds(5)}}, {{8}}};
+  auto out = std::get<crash_report>(RoundTrip(in));
+  REQUIRE(out.charges.size() == 1);
+  CHECK(out.charges[0].source == in.charges[0].source);
+  CHECK(out.charges[0].sequence == 3);
+  CHECK(out.charges[0].age == in.charges[0].age);
+  CHECK(out.cleared == in.cleared);
+  CHECK(std::get<entry_beats>(RoundTrip(entry_beats{{{1, 2}}})).beats[0].value == 2);
+  CHECK(std::get<directory_pull>(RoundTrip(directory_pull{{4, 5}})).bucket_hashes.size() == 2);
+  CHECK(std::get<directory_digest>(RoundTrip(directory_digest{1, 2, true})).reply);
+}
+
 // Guards against accepting frames of another protocol version or garbage.
 TEST_CASE("malformed frames are typed errors") {
   message out;
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -64,10 +64,16 @@
   11: string engineRole
   12: i32 concurrencyLimit
   13: bool checksFencing
+  14: optional i64 home = 0
 }
 struct DirectoryDelta { 1: list<Announcement> records }
-struct DirectoryDigest { 1: i64 recordCount; 2: i64 hash }
-struct DirectoryPull {}
+struct DirectoryDigest { 1: i64 recordCount; 2: i64 hash; 3: optional bool reply = false }
+struct DirectoryPull { 1: optional list<i64> bucketHashes = [] }
+
+struct CrashCharge { 1: i64 content; 2: i64 source; 3: i32 sequence; 4: i64 ageMillis }
+struct CrashReport { 1: list<CrashCharge> charges; 2: list<i64> cleared }
+struct EntryBeat { 1: i64 node; 2: i64 value }
+struct EntryBeats { 1: list<EntryBeat> beats }
 
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
 struct FrameHeader { 1: i32 protocolVersion; 2: i32 messageType }
