--- a/src/engine/http_api.cc
+++ b/src/engine/http_api.cc
@@ -70,7 +70,8 @@
 
 std::optional<engine_event> ParseGet(const http_request& request, const engine_caller& caller) {
   std::string_view path = request.path;
-  if (path == "/v1/load") return load_asked{caller};
+  // A health probe only needs some answer; the load report is one.
+  if (path == "/v1/load" || path == "/health") return load_asked{caller};
   if (path == "/v1/runs") return runs_asked{caller};
   if (path.starts_with(kCacheEventsPath)) {
     path.remove_prefix(kCacheEventsPath.size());
