--- a/include/radishroute/baseline.h
+++ b/include/radishroute/baseline.h
@@ -22,6 +22,7 @@
   bool Erase(const dispatch_id& id);
   void OnFinished(const finished_work& finished, steady_time now);
   void SetConcurrency(std::uint32_t running) { concurrency_ = running; }
+  void SetFloors(const class_shares&) {}
   std::size_t Size() const { return work_.size(); }
   std::chrono::microseconds ExpectedWait(priority_class cls) const;
 
@@ -52,10 +53,22 @@
   bool TakeRetry(std::string_view, steady_time) { return true; }
 };
 
+/// Sends every request to its backend server. Baseline for measurements.
+class no_admission {
+ public:
+  void OnRefused(const announcement&, std::string_view, priority_class, refusal_reason,
+                 std::chrono::microseconds, steady_time) {}
+  std::chrono::microseconds Check(const announcement&, std::string_view, priority_class,
+                                  steady_time) const {
+    return {};
+  }
+};
+
 struct baseline_policies {
   using queue_type = fifo_queue;
   using routing_type = round_robin_router;
   using retry_type = unlimited_retries;
+  using admission_type = no_admission;
 };
 
 static_assert(policy_set<baseline_policies>);
--- a/include/radishroute/executions.h
+++ b/include/radishroute/executions.h
@@ -66,7 +66,10 @@
   load_report Load() const;
   void Pump(reduce_context& ctx);
   void RejectAll(const std::vector<rejected_work>& rejected, reduce_context& ctx);
-  void Refuse(link_id link, const dispatch_id& id, refusal_reason reason, reduce_context& ctx);
+  void Refuse(link_id link, const dispatch_id& id, refusal_reason reason, reduce_context& ctx,
+              std::chrono::microseconds retry_after = {});
+  void AdoptShares(const dispatch_request& dispatch);
+  void Release(const dispatch_id& id, const execution& run, bool completed, reduce_context& ctx);
   void Fail(const dispatch_id& id, dispatch_failure reason, reduce_context& ctx);
   void Finish(const dispatch_id& id, reduce_context& ctx);
   void Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx);
@@ -82,6 +85,8 @@
   std::uint64_t incarnation_;
   execution_limits limits_;
   typename P::queue_type queue_;
+  /// Configuration version of the shares in the queue; empty before the first dispatch.
+  std::optional<std::uint64_t> shares_version_;
   std::uint32_t running_ = 0;
   std::unordered_map<dispatch_id, execution> executions_;
   std::set<std::pair<steady_time, dispatch_id>> deadlines_;
--- a/include/radishroute/policy.h
+++ b/include/radishroute/policy.h
@@ -40,10 +40,13 @@
 struct rejected_work {
   dispatch_id id;
   refusal_reason reason = refusal_reason::kNone;
+  std::chrono::microseconds retry_after{};
 };
 
-/// Measured run of a dispatch, from which a queue policy estimates waits.
+/// End of a dispatch that Pop handed out. Estimates of waits use only completed runs.
 struct finished_work {
+  dispatch_id id;
+  bool completed = true;
   priority_class cls = priority_class::kInteractive;
   std::uint32_t cost = 1;
   std::chrono::microseconds service_time{};
@@ -53,12 +56,14 @@
 template <class Q>
 concept queue_policy = std::default_initializable<Q> &&
     requires(Q queue, const Q& const_queue, queued_work work, finished_work finished,
-             std::vector<rejected_work>& rejected, steady_time now, std::uint32_t running) {
+             std::vector<rejected_work>& rejected, steady_time now, std::uint32_t running,
+             const class_shares& floors) {
   {queue.Push(std::move(work), now, rejected)};
   { queue.Pop(now, rejected) } -> std::same_as<std::optional<queued_work>>;
   { queue.Erase(dispatch_id{}) } -> std::same_as<bool>;
   {queue.OnFinished(finished, now)};
   {queue.SetConcurrency(running)};
+  {queue.SetFloors(floors)};
   { const_queue.Size() } -> std::same_as<std::size_t>;
   {
     const_queue.ExpectedWait(priority_class::kInteractive)
@@ -95,10 +100,22 @@
   { retries.TakeRetry(member, now) } -> std::same_as<bool>;
 };
 
+/// Refusals by an entry without asking the backend server. `Check` returns how long the backend
+/// server is expected to keep refusing this Member's work of this class, or zero.
+template <class A>
+concept admission_policy = std::default_initializable<A> &&
+    requires(A admission, const A& const_admission, const announcement& backend,
+             std::string_view member, priority_class cls, refusal_reason reason,
+             std::chrono::microseconds retry_after, steady_time now) {
+  {admission.OnRefused(backend, member, cls, reason, retry_after, now)};
+  { const_admission.Check(backend, member, cls, now) } -> std::same_as<std::chrono::microseconds>;
+};
+
 /// A complete selection of traffic policies.
 template <class P>
-concept policy_set = queue_policy<typename P::queue_type> &&
-    routing_policy<typename P::routing_type> && retry_policy<typename P::retry_type>;
+concept policy_set =
+    queue_policy<typename P::queue_type> && routing_policy<typename P::routing_type> &&
+    retry_policy<typename P::retry_type> && admission_policy<typename P::admission_type>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -59,12 +59,16 @@
     phase at = phase::kWaitingForLink;
     std::uint32_t attempt = 0;
     std::uint32_t backend = 0;
+    /// True while the router counts the request as in flight at `backend`.
+    bool counted = false;
     std::string backend_name;
     std::uint64_t backend_incarnation = 0;
     endpoint backend_address;
     std::uint64_t bytes_sent = 0;
     bool response_begun = false;
     std::vector<std::uint32_t> tried;
+    /// Advice of the last refusal.
+    std::chrono::microseconds retry_after{};
   };
 
   struct backend_link {
@@ -76,6 +80,9 @@
   std::optional<refusal_reason> Validate(const caller_request& request, entry_request& out,
                                          const reduce_context& ctx) const;
   void Route(entry_request& request, reduce_context& ctx);
+  /// Chooses a backend server that is not expected to refuse the request at once; null if the
+  /// request was ended instead.
+  const announcement* ChooseBackend(entry_request& request, reduce_context& ctx);
   void Send(entry_request& request, link_id link, reduce_context& ctx);
   void Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
              dispatch_failure failure, reduce_context& ctx);
@@ -97,6 +104,7 @@
   std::unordered_map<std::string, backend_link> links_;
   typename P::routing_type router_;
   typename P::retry_type retries_;
+  typename P::admission_type admission_;
   std::optional<steady_time> drain_deadline_;
 };
 
--- a/include/radishroute/routing_table.h
+++ b/include/radishroute/routing_table.h
@@ -40,9 +40,11 @@
   bool has_configuration = false;
   std::vector<announcement> backends;
   /// By model or service name; values index `backends`.
-  std::unordered_map<std::string, backend_pool> pools;
+  string_map<backend_pool> pools;
   std::unordered_map<std::string, work_kind> kinds;
   std::unordered_map<std::string, member_entry> members;
+  /// Guaranteed shares, sent to agents on each dispatch.
+  class_shares floor_percent{};
 };
 
 }  // namespace radishroute
--- a/include/radishroute/sheet.h
+++ b/include/radishroute/sheet.h
@@ -25,7 +25,7 @@
   std::vector<work_kind> kinds;
   std::vector<member_entry> members;
   /// Guaranteed share of each priority class, in percent of a backend server's capacity.
-  std::array<std::uint32_t, kPriorityClassCount> floor_percent{};
+  class_shares floor_percent{};
   std::vector<expected_work> work;
 };
 
--- a/include/radishroute/traffic_message.h
+++ b/include/radishroute/traffic_message.h
@@ -40,6 +40,9 @@
   std::uint64_t resume_offset = 0;
   std::string path;
   std::string idempotency_key;
+  /// The guaranteed shares under `config_version`; the agent uses those of the highest version.
+  std::uint64_t config_version = 0;
+  class_shares floor_percent{};
   std::string body;
 };
 
--- a/include/radishroute/types.h
+++ b/include/radishroute/types.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace radishroute {
 
@@ -23,6 +24,9 @@
 
 std::string_view ToString(priority_class c);
 
+/// One share per priority class, in percent of a backend server's capacity.
+using class_shares = std::array<std::uint32_t, kPriorityClassCount>;
+
 /// What a process does.
 enum class process_role : std::uint8_t { kEntry, kAgent, kController, kOperator };
 
@@ -81,6 +85,17 @@
 /// Stable 64-bit hash (XXH3), the same on every process.
 std::uint64_t StableHash(std::string_view bytes, std::uint64_t seed = 0);
 
+/// Hash that lets a map with string keys be searched by a string_view without allocation.
+struct string_hash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view text) const noexcept {
+    return std::hash<std::string_view>()(text);
+  }
+};
+
+template <class T>
+using string_map = std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
+
 }  // namespace radishroute
 
 template <>
--- a/src/baseline.cc
+++ b/src/baseline.cc
@@ -6,7 +6,7 @@
 
 void fifo_queue::Push(queued_work work, steady_time, std::vector<rejected_work>& rejected) {
   if (work_.size() >= kCapacity) {
-    rejected.push_back({work.id, refusal_reason::kQueueFull});
+    rejected.push_back({work.id, refusal_reason::kQueueFull, {}});
     return;
   }
   work_.push_back(std::move(work));
@@ -28,6 +28,7 @@
 }
 
 void fifo_queue::OnFinished(const finished_work& finished, steady_time) {
+  if (!finished.completed) return;
   // Exponential moving average over about eight requests.
   mean_service_ += (finished.service_time - mean_service_) / 8;
 }
@@ -39,7 +40,7 @@
 std::optional<std::uint32_t> round_robin_router::Choose(const routing_table& table,
                                                         const route_query& query, steady_time,
                                                         random_source&) {
-  auto it = table.pools.find(std::string(query.model));
+  auto it = table.pools.find(query.model);
   if (it == table.pools.end()) return std::nullopt;
   for (const auto* tier : {&it->second.local, &it->second.remote}) {
     for (std::size_t i = 0; i < tier->size(); ++i) {
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -109,8 +109,10 @@
   ConfigureLogging(settings.common.log.file, settings.common.log.level);
   BlockStopSignals();
   QuietLibwebsockets();
-  agent_process<baseline_policies> process(settings);
-  return process.Run();
+  return WithPolicySet(settings.common.policy, [&](auto policies) {
+    agent_process<typename decltype(policies)::type> process(settings);
+    return process.Run();
+  });
 }
 
 }  // namespace radishroute
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -147,8 +147,10 @@
   }
   BlockStopSignals();
   QuietLibwebsockets();
-  entry_process<baseline_policies> process(settings);
-  return process.Run(sheet);
+  return WithPolicySet(settings.common.policy, [&](auto policies) {
+    entry_process<typename decltype(policies)::type> process(settings);
+    return process.Run(sheet);
+  });
 }
 
 }  // namespace radishroute
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -79,6 +79,7 @@
   }
   for (const work_kind& kind : sheet_.kinds) table->kinds[kind.name] = kind;
   for (const member_entry& member : sheet_.members) table->members[member.name] = member;
+  table->floor_percent = sheet_.floor_percent;
   ctx.Emit(publish_routing_table{std::move(table)});
 }
 
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -48,6 +48,7 @@
     Refuse(link, dispatch.id, refusal_reason::kDeadlinePassed, ctx);
     return;
   }
+  AdoptShares(dispatch);
   execution run;
   run.request = dispatch;
   run.link = link;
@@ -71,6 +72,14 @@
   ScheduleNext(ctx);
 }
 
+template <policy_set P>
+void execution_table<P>::AdoptShares(const dispatch_request& dispatch) {
+  // An entry that lags behind must not bring back older shares.
+  if (shares_version_ && dispatch.config_version < *shares_version_) return;
+  shares_version_ = dispatch.config_version;
+  queue_.SetFloors(dispatch.floor_percent);
+}
+
 template <policy_set P>
 void execution_table<P>::Pump(reduce_context& ctx) {
   std::vector<rejected_work> rejected;
@@ -97,17 +106,17 @@
   for (const rejected_work& work : rejected) {
     auto it = executions_.find(work.id);
     if (it == executions_.end()) continue;
-    if (it->second.link) Refuse(*it->second.link, work.id, work.reason, ctx);
+    if (it->second.link) Refuse(*it->second.link, work.id, work.reason, ctx, work.retry_after);
     Bury(work.id, dispatch_state::kNeverStarted, ctx);
   }
 }
 
 template <policy_set P>
 void execution_table<P>::Refuse(link_id link, const dispatch_id& id, refusal_reason reason,
-                                reduce_context& ctx) {
+                                reduce_context& ctx, std::chrono::microseconds retry_after) {
   load_report load = Load();
   ctx.Emit(count_refusal{reason});
-  ctx.Emit(send_message{link, dispatch_refused{id, reason, std::chrono::microseconds(0), load}});
+  ctx.Emit(send_message{link, dispatch_refused{id, reason, retry_after, load}});
 }
 
 template <policy_set P>
@@ -148,18 +157,26 @@
 void execution_table<P>::Finish(const dispatch_id& id, reduce_context& ctx) {
   execution& run = executions_.at(id);
   run.at = phase::kFinished;
+  Release(id, run, true, ctx);
+  Pump(ctx);
+  if (run.link) {
+    ctx.Emit(send_message{*run.link,
+                          answer_end{id, run.request.resume_offset + run.produced.size(), Load()}});
+  }
+}
+
+template <policy_set P>
+void execution_table<P>::Release(const dispatch_id& id, const execution& run, bool completed,
+                                 reduce_context& ctx) {
   --running_;
   finished_work finished;
+  finished.id = id;
+  finished.completed = completed;
   finished.cls = run.request.cls;
   finished.cost = std::max(run.request.max_tokens, 1U);
   finished.service_time =
       std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - run.started);
   queue_.OnFinished(finished, ctx.now);
-  Pump(ctx);
-  if (run.link) {
-    ctx.Emit(send_message{*run.link,
-                          answer_end{id, run.request.resume_offset + run.produced.size(), Load()}});
-  }
 }
 
 template <policy_set P>
@@ -304,7 +321,7 @@
 void execution_table<P>::Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx) {
   auto it = executions_.find(id);
   if (it != executions_.end()) {
-    if (it->second.at == phase::kRunning) --running_;
+    if (it->second.at == phase::kRunning) Release(id, it->second, false, ctx);
     deadlines_.erase({it->second.deadline, id});
     executions_.erase(it);
   }
@@ -335,6 +352,8 @@
   if (drain_deadline_ && executions_.empty()) ctx.Emit(stop_process{true});
 }
 
-template class execution_table<baseline_policies>;
+#define RADISHROUTE_INSTANTIATE(P) template class execution_table<P>;
+RADISHROUTE_FOR_EACH_POLICY_SET(RADISHROUTE_INSTANTIATE)
+#undef RADISHROUTE_INSTANTIATE
 
 }  // namespace radishroute
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -1068,6 +1068,16 @@
 void DispatchRequest::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void DispatchRequest::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+__isset.configVersion = true;
+}
+
+void DispatchRequest::__set_floorPercent(const std::vector<int32_t> & val) {
+  this->floorPercent = val;
+__isset.floorPercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const DispatchRequest& obj)
 {
   obj.printTo(out);
@@ -1216,6 +1226,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->floorPercent.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->floorPercent.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI32(this->floorPercent[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.floorPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1293,6 +1331,24 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.configVersion) {
+    xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->configVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.floorPercent) {
+    xfer += oprot->writeFieldBegin("floorPercent", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->floorPercent.size()));
+      std::vector<int32_t> ::const_iterator _iter39;
+      for (_iter39 = this->floorPercent.begin(); _iter39 != this->floorPercent.end(); ++_iter39)
+      {
+        xfer += oprot->writeI32((*_iter39));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1315,81 +1371,91 @@
   swap(a.path, b.path);
   swap(a.idempotencyKey, b.idempotencyKey);
   swap(a.body, b.body);
+  swap(a.configVersion, b.configVersion);
+  swap(a.floorPercent, b.floorPercent);
   swap(a.__isset, b.__isset);
 }
 
-DispatchRequest::DispatchRequest(const DispatchRequest& other34) {
-  id = other34.id;
-  agentIncarnation = other34.agentIncarnation;
-  member = other34.member;
-  memberWeight = other34.memberWeight;
-  priorityClass = other34.priorityClass;
-  timeLeftMicros = other34.timeLeftMicros;
-  content = other34.content;
-  suspect = other34.suspect;
-  repeatable = other34.repeatable;
-  stream = other34.stream;
-  maxTokens = other34.maxTokens;
-  resumeOffset = other34.resumeOffset;
-  path = other34.path;
-  idempotencyKey = other34.idempotencyKey;
-  body = other34.body;
-  __isset = other34.__isset;
-}
-DispatchRequest::DispatchRequest(DispatchRequest&& other35) noexcept {
-  id = std::move(other35.id);
-  agentIncarnation = other35.agentIncarnation;
-  member = std::move(other35.member);
-  memberWeight = other35.memberWeight;
-  priorityClass = other35.priorityClass;
-  timeLeftMicros = other35.timeLeftMicros;
-  content = other35.content;
-  suspect = other35.suspect;
-  repeatable = other35.repeatable;
-  stream = other35.stream;
-  maxTokens = other35.maxTokens;
-  resumeOffset = other35.resumeOffset;
-  path = std::move(other35.path);
-  idempotencyKey = std::move(other35.idempotencyKey);
-  body = std::move(other35.body);
-  __isset = other35.__isset;
-}
-DispatchRequest& DispatchRequest::operator=(const DispatchRequest& other36) {
-  id = other36.id;
-  agentIncarnation = other36.agentIncarnation;
-  member = other36.member;
-  memberWeight = other36.memberWeight;
-  priorityClass = other36.priorityClass;
-  timeLeftMicros = other36.timeLeftMicros;
-  content = other36.content;
-  suspect = other36.suspect;
-  repeatable = other36.repeatable;
-  stream = other36.stream;
-  maxTokens = other36.maxTokens;
-  resumeOffset = other36.resumeOffset;
-  path = other36.path;
-  idempotencyKey = other36.idempotencyKey;
-  body = other36.body;
-  __isset = other36.__isset;
+DispatchRequest::DispatchRequest(const DispatchRequest& other40) {
+  id = other40.id;
+  agentIncarnation = other40.agentIncarnation;
+  member = other40.member;
+  memberWeight = other40.memberWeight;
+  priorityClass = other40.priorityClass;
+  timeLeftMicros = other40.timeLeftMicros;
+  content = other40.content;
+  suspect = other40.suspect;
+  repeatable = other40.repeatable;
+  stream = other40.stream;
+  maxTokens = other40.maxTokens;
+  resumeOffset = other40.resumeOffset;
+  path = other40.path;
+  idempotencyKey = other40.idempotencyKey;
+  body = other40.body;
+  configVersion = other40.configVersion;
+  floorPercent = other40.floorPercent;
+  __isset = other40.__isset;
+}
+DispatchRequest::DispatchRequest(DispatchRequest&& other41) noexcept {
+  id = std::move(other41.id);
+  agentIncarnation = other41.agentIncarnation;
+  member = std::move(other41.member);
+  memberWeight = other41.memberWeight;
+  priorityClass = other41.priorityClass;
+  timeLeftMicros = other41.timeLeftMicros;
+  content = other41.content;
+  suspect = other41.suspect;
+  repeatable = other41.repeatable;
+  stream = other41.stream;
+  maxTokens = other41.maxTokens;
+  resumeOffset = other41.resumeOffset;
+  path = std::move(other41.path);
+  idempotencyKey = std::move(other41.idempotencyKey);
+  body = std::move(other41.body);
+  configVersion = other41.configVersion;
+  floorPercent = std::move(other41.floorPercent);
+  __isset = other41.__isset;
+}
+DispatchRequest& DispatchRequest::operator=(const DispatchRequest& other42) {
+  id = other42.id;
+  agentIncarnation = other42.agentIncarnation;
+  member = other42.member;
+  memberWeight = other42.memberWeight;
+  priorityClass = other42.priorityClass;
+  timeLeftMicros = other42.timeLeftMicros;
+  content = other42.content;
+  suspect = other42.suspect;
+  repeatable = other42.repeatable;
+  stream = other42.stream;
+  maxTokens = other42.maxTokens;
+  resumeOffset = other42.resumeOffset;
+  path = other42.path;
+  idempotencyKey = other42.idempotencyKey;
+  body = other42.body;
+  configVersion = other42.configVersion;
+  floorPercent = other42.floorPercent;
+  __isset = other42.__isset;
   return *this;
 }
-DispatchRequest& DispatchRequest::operator=(DispatchRequest&& other37) noexcept {
-  id = std::move(other37.id);
-  agentIncarnation = other37.agentIncarnation;
-  member = std::move(other37.member);
-  memberWeight = other37.memberWeight;
-  priorityClass = other37.priorityClass;
-  timeLeftMicros = other37.timeLeftMicros;
-  content = other37.content;
-  suspect = other37.suspect;
-  repeatable = other37.repeatable;
-  stream = other37.stream;
-  maxTokens = other37.maxTokens;
-  resumeOffset = other37.resumeOffset;
-  path = std::move(other37.path);
-  idempotencyKey = std::move(other37.idempotencyKey);
-  body = std::move(other37.body);
-  __isset = other37.__isset;
+DispatchRequest& DispatchRequest::operator=(DispatchRequest&& other43) noexcept {
+  id = std::move(other43.id);
+  agentIncarnation = other43.agentIncarnation;
+  member = std::move(other43.member);
+  memberWeight = other43.memberWeight;
+  priorityClass = other43.priorityClass;
+  timeLeftMicros = other43.timeLeftMicros;
+  content = other43.content;
+  suspect = other43.suspect;
+  repeatable = other43.repeatable;
+  stream = other43.stream;
+  maxTokens = other43.maxTokens;
+  resumeOffset = other43.resumeOffset;
+  path = std::move(other43.path);
+  idempotencyKey = std::move(other43.idempotencyKey);
+  body = std::move(other43.body);
+  configVersion = other43.configVersion;
+  floorPercent = std::move(other43.floorPercent);
+  __isset = other43.__isset;
   return *this;
 }
 void DispatchRequest::printTo(std::ostream& out) const {
@@ -1410,6 +1476,8 @@
   out << ", " << "path=" << to_string(path);
   out << ", " << "idempotencyKey=" << to_string(idempotencyKey);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "configVersion="; (__isset.configVersion ? (out << to_string(configVersion)) : (out << "<null>"));
+  out << ", " << "floorPercent="; (__isset.floorPercent ? (out << to_string(floorPercent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1523,30 +1591,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerBegin::AnswerBegin(const AnswerBegin& other38) {
-  id = other38.id;
-  status = other38.status;
-  contentType = other38.contentType;
-  __isset = other38.__isset;
+AnswerBegin::AnswerBegin(const AnswerBegin& other44) {
+  id = other44.id;
+  status = other44.status;
+  contentType = other44.contentType;
+  __isset = other44.__isset;
 }
-AnswerBegin::AnswerBegin(AnswerBegin&& other39) noexcept {
-  id = std::move(other39.id);
-  status = other39.status;
-  contentType = std::move(other39.contentType);
-  __isset = other39.__isset;
+AnswerBegin::AnswerBegin(AnswerBegin&& other45) noexcept {
+  id = std::move(other45.id);
+  status = other45.status;
+  contentType = std::move(other45.contentType);
+  __isset = other45.__isset;
 }
-AnswerBegin& AnswerBegin::operator=(const AnswerBegin& other40) {
-  id = other40.id;
-  status = other40.status;
-  contentType = other40.contentType;
-  __isset = other40.__isset;
+AnswerBegin& AnswerBegin::operator=(const AnswerBegin& other46) {
+  id = other46.id;
+  status = other46.status;
+  contentType = other46.contentType;
+  __isset = other46.__isset;
   return *this;
 }
-AnswerBegin& AnswerBegin::operator=(AnswerBegin&& other41) noexcept {
-  id = std::move(other41.id);
-  status = other41.status;
-  contentType = std::move(other41.contentType);
-  __isset = other41.__isset;
+AnswerBegin& AnswerBegin::operator=(AnswerBegin&& other47) noexcept {
+  id = std::move(other47.id);
+  status = other47.status;
+  contentType = std::move(other47.contentType);
+  __isset = other47.__isset;
   return *this;
 }
 void AnswerBegin::printTo(std::ostream& out) const {
@@ -1668,30 +1736,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerChunk::AnswerChunk(const AnswerChunk& other42) {
-  id = other42.id;
-  offset = other42.offset;
-  bytes = other42.bytes;
-  __isset = other42.__isset;
+AnswerChunk::AnswerChunk(const AnswerChunk& other48) {
+  id = other48.id;
+  offset = other48.offset;
+  bytes = other48.bytes;
+  __isset = other48.__isset;
 }
-AnswerChunk::AnswerChunk(AnswerChunk&& other43) noexcept {
-  id = std::move(other43.id);
-  offset = other43.offset;
-  bytes = std::move(other43.bytes);
-  __isset = other43.__isset;
+AnswerChunk::AnswerChunk(AnswerChunk&& other49) noexcept {
+  id = std::move(other49.id);
+  offset = other49.offset;
+  bytes = std::move(other49.bytes);
+  __isset = other49.__isset;
 }
-AnswerChunk& AnswerChunk::operator=(const AnswerChunk& other44) {
-  id = other44.id;
-  offset = other44.offset;
-  bytes = other44.bytes;
-  __isset = other44.__isset;
+AnswerChunk& AnswerChunk::operator=(const AnswerChunk& other50) {
+  id = other50.id;
+  offset = other50.offset;
+  bytes = other50.bytes;
+  __isset = other50.__isset;
   return *this;
 }
-AnswerChunk& AnswerChunk::operator=(AnswerChunk&& other45) noexcept {
-  id = std::move(other45.id);
-  offset = other45.offset;
-  bytes = std::move(other45.bytes);
-  __isset = other45.__isset;
+AnswerChunk& AnswerChunk::operator=(AnswerChunk&& other51) noexcept {
+  id = std::move(other51.id);
+  offset = other51.offset;
+  bytes = std::move(other51.bytes);
+  __isset = other51.__isset;
   return *this;
 }
 void AnswerChunk::printTo(std::ostream& out) const {
@@ -1813,30 +1881,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other46) {
-  id = other46.id;
-  length = other46.length;
-  load = other46.load;
-  __isset = other46.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other52) {
+  id = other52.id;
+  length = other52.length;
+  load = other52.load;
+  __isset = other52.__isset;
 }
-AnswerEnd::AnswerEnd(AnswerEnd&& other47) noexcept {
-  id = std::move(other47.id);
-  length = other47.length;
-  load = std::move(other47.load);
-  __isset = other47.__isset;
+AnswerEnd::AnswerEnd(AnswerEnd&& other53) noexcept {
+  id = std::move(other53.id);
+  length = other53.length;
+  load = std::move(other53.load);
+  __isset = other53.__isset;
 }
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other48) {
-  id = other48.id;
-  length = other48.length;
-  load = other48.load;
-  __isset = other48.__isset;
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other54) {
+  id = other54.id;
+  length = other54.length;
+  load = other54.load;
+  __isset = other54.__isset;
   return *this;
 }
-AnswerEnd& AnswerEnd::operator=(AnswerEnd&& other49) noexcept {
-  id = std::move(other49.id);
-  length = other49.length;
-  load = std::move(other49.load);
-  __isset = other49.__isset;
+AnswerEnd& AnswerEnd::operator=(AnswerEnd&& other55) noexcept {
+  id = std::move(other55.id);
+  length = other55.length;
+  load = std::move(other55.load);
+  __isset = other55.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -1924,22 +1992,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerAck::AnswerAck(const AnswerAck& other50) noexcept {
-  id = other50.id;
-  __isset = other50.__isset;
+AnswerAck::AnswerAck(const AnswerAck& other56) noexcept {
+  id = other56.id;
+  __isset = other56.__isset;
 }
-AnswerAck::AnswerAck(AnswerAck&& other51) noexcept {
-  id = std::move(other51.id);
-  __isset = other51.__isset;
+AnswerAck::AnswerAck(AnswerAck&& other57) noexcept {
+  id = std::move(other57.id);
+  __isset = other57.__isset;
 }
-AnswerAck& AnswerAck::operator=(const AnswerAck& other52) noexcept {
-  id = other52.id;
-  __isset = other52.__isset;
+AnswerAck& AnswerAck::operator=(const AnswerAck& other58) noexcept {
+  id = other58.id;
+  __isset = other58.__isset;
   return *this;
 }
-AnswerAck& AnswerAck::operator=(AnswerAck&& other53) noexcept {
-  id = std::move(other53.id);
-  __isset = other53.__isset;
+AnswerAck& AnswerAck::operator=(AnswerAck&& other59) noexcept {
+  id = std::move(other59.id);
+  __isset = other59.__isset;
   return *this;
 }
 void AnswerAck::printTo(std::ostream& out) const {
@@ -2076,34 +2144,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DispatchRefused::DispatchRefused(const DispatchRefused& other54) {
-  id = other54.id;
-  reason = other54.reason;
-  retryAfterMicros = other54.retryAfterMicros;
-  load = other54.load;
-  __isset = other54.__isset;
+DispatchRefused::DispatchRefused(const DispatchRefused& other60) {
+  id = other60.id;
+  reason = other60.reason;
+  retryAfterMicros = other60.retryAfterMicros;
+  load = other60.load;
+  __isset = other60.__isset;
 }
-DispatchRefused::DispatchRefused(DispatchRefused&& other55) noexcept {
-  id = std::move(other55.id);
-  reason = other55.reason;
-  retryAfterMicros = other55.retryAfterMicros;
-  load = std::move(other55.load);
-  __isset = other55.__isset;
+DispatchRefused::DispatchRefused(DispatchRefused&& other61) noexcept {
+  id = std::move(other61.id);
+  reason = other61.reason;
+  retryAfterMicros = other61.retryAfterMicros;
+  load = std::move(other61.load);
+  __isset = other61.__isset;
 }
-DispatchRefused& DispatchRefused::operator=(const DispatchRefused& other56) {
-  id = other56.id;
-  reason = other56.reason;
-  retryAfterMicros = other56.retryAfterMicros;
-  load = other56.load;
-  __isset = other56.__isset;
+DispatchRefused& DispatchRefused::operator=(const DispatchRefused& other62) {
+  id = other62.id;
+  reason = other62.reason;
+  retryAfterMicros = other62.retryAfterMicros;
+  load = other62.load;
+  __isset = other62.__isset;
   return *this;
 }
-DispatchRefused& DispatchRefused::operator=(DispatchRefused&& other57) noexcept {
-  id = std::move(other57.id);
-  reason = other57.reason;
-  retryAfterMicros = other57.retryAfterMicros;
-  load = std::move(other57.load);
-  __isset = other57.__isset;
+DispatchRefused& DispatchRefused::operator=(DispatchRefused&& other63) noexcept {
+  id = std::move(other63.id);
+  reason = other63.reason;
+  retryAfterMicros = other63.retryAfterMicros;
+  load = std::move(other63.load);
+  __isset = other63.__isset;
   return *this;
 }
 void DispatchRefused::printTo(std::ostream& out) const {
@@ -2226,30 +2294,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DispatchFailed::DispatchFailed(const DispatchFailed& other58) {
-  id = other58.id;
-  reason = other58.reason;
-  load = other58.load;
-  __isset = other58.__isset;
+DispatchFailed::DispatchFailed(const DispatchFailed& other64) {
+  id = other64.id;
+  reason = other64.reason;
+  load = other64.load;
+  __isset = other64.__isset;
 }
-DispatchFailed::DispatchFailed(DispatchFailed&& other59) noexcept {
-  id = std::move(other59.id);
-  reason = other59.reason;
-  load = std::move(other59.load);
-  __isset = other59.__isset;
+DispatchFailed::DispatchFailed(DispatchFailed&& other65) noexcept {
+  id = std::move(other65.id);
+  reason = other65.reason;
+  load = std::move(other65.load);
+  __isset = other65.__isset;
 }
-DispatchFailed& DispatchFailed::operator=(const DispatchFailed& other60) {
-  id = other60.id;
-  reason = other60.reason;
-  load = other60.load;
-  __isset = other60.__isset;
+DispatchFailed& DispatchFailed::operator=(const DispatchFailed& other66) {
+  id = other66.id;
+  reason = other66.reason;
+  load = other66.load;
+  __isset = other66.__isset;
   return *this;
 }
-DispatchFailed& DispatchFailed::operator=(DispatchFailed&& other61) noexcept {
-  id = std::move(other61.id);
-  reason = other61.reason;
-  load = std::move(other61.load);
-  __isset = other61.__isset;
+DispatchFailed& DispatchFailed::operator=(DispatchFailed&& other67) noexcept {
+  id = std::move(other67.id);
+  reason = other67.reason;
+  load = std::move(other67.load);
+  __isset = other67.__isset;
   return *this;
 }
 void DispatchFailed::printTo(std::ostream& out) const {
@@ -2337,22 +2405,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelDispatch::CancelDispatch(const CancelDispatch& other62) noexcept {
-  id = other62.id;
-  __isset = other62.__isset;
+CancelDispatch::CancelDispatch(const CancelDispatch& other68) noexcept {
+  id = other68.id;
+  __isset = other68.__isset;
 }
-CancelDispatch::CancelDispatch(CancelDispatch&& other63) noexcept {
-  id = std::move(other63.id);
-  __isset = other63.__isset;
+CancelDispatch::CancelDispatch(CancelDispatch&& other69) noexcept {
+  id = std::move(other69.id);
+  __isset = other69.__isset;
 }
-CancelDispatch& CancelDispatch::operator=(const CancelDispatch& other64) noexcept {
-  id = other64.id;
-  __isset = other64.__isset;
+CancelDispatch& CancelDispatch::operator=(const CancelDispatch& other70) noexcept {
+  id = other70.id;
+  __isset = other70.__isset;
   return *this;
 }
-CancelDispatch& CancelDispatch::operator=(CancelDispatch&& other65) noexcept {
-  id = std::move(other65.id);
-  __isset = other65.__isset;
+CancelDispatch& CancelDispatch::operator=(CancelDispatch&& other71) noexcept {
+  id = std::move(other71.id);
+  __isset = other71.__isset;
   return *this;
 }
 void CancelDispatch::printTo(std::ostream& out) const {
@@ -2455,26 +2523,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AttachDispatch::AttachDispatch(const AttachDispatch& other66) noexcept {
-  id = other66.id;
-  offset = other66.offset;
-  __isset = other66.__isset;
+AttachDispatch::AttachDispatch(const AttachDispatch& other72) noexcept {
+  id = other72.id;
+  offset = other72.offset;
+  __isset = other72.__isset;
 }
-AttachDispatch::AttachDispatch(AttachDispatch&& other67) noexcept {
-  id = std::move(other67.id);
-  offset = other67.offset;
-  __isset = other67.__isset;
+AttachDispatch::AttachDispatch(AttachDispatch&& other73) noexcept {
+  id = std::move(other73.id);
+  offset = other73.offset;
+  __isset = other73.__isset;
 }
-AttachDispatch& AttachDispatch::operator=(const AttachDispatch& other68) noexcept {
-  id = other68.id;
-  offset = other68.offset;
-  __isset = other68.__isset;
+AttachDispatch& AttachDispatch::operator=(const AttachDispatch& other74) noexcept {
+  id = other74.id;
+  offset = other74.offset;
+  __isset = other74.__isset;
   return *this;
 }
-AttachDispatch& AttachDispatch::operator=(AttachDispatch&& other69) noexcept {
-  id = std::move(other69.id);
-  offset = other69.offset;
-  __isset = other69.__isset;
+AttachDispatch& AttachDispatch::operator=(AttachDispatch&& other75) noexcept {
+  id = std::move(other75.id);
+  offset = other75.offset;
+  __isset = other75.__isset;
   return *this;
 }
 void AttachDispatch::printTo(std::ostream& out) const {
@@ -2578,26 +2646,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolveDispatch::ResolveDispatch(const ResolveDispatch& other70) noexcept {
-  id = other70.id;
-  agentIncarnation = other70.agentIncarnation;
-  __isset = other70.__isset;
+ResolveDispatch::ResolveDispatch(const ResolveDispatch& other76) noexcept {
+  id = other76.id;
+  agentIncarnation = other76.agentIncarnation;
+  __isset = other76.__isset;
 }
-ResolveDispatch::ResolveDispatch(ResolveDispatch&& other71) noexcept {
-  id = std::move(other71.id);
-  agentIncarnation = other71.agentIncarnation;
-  __isset = other71.__isset;
+ResolveDispatch::ResolveDispatch(ResolveDispatch&& other77) noexcept {
+  id = std::move(other77.id);
+  agentIncarnation = other77.agentIncarnation;
+  __isset = other77.__isset;
 }
-ResolveDispatch& ResolveDispatch::operator=(const ResolveDispatch& other72) noexcept {
-  id = other72.id;
-  agentIncarnation = other72.agentIncarnation;
-  __isset = other72.__isset;
+ResolveDispatch& ResolveDispatch::operator=(const ResolveDispatch& other78) noexcept {
+  id = other78.id;
+  agentIncarnation = other78.agentIncarnation;
+  __isset = other78.__isset;
   return *this;
 }
-ResolveDispatch& ResolveDispatch::operator=(ResolveDispatch&& other73) noexcept {
-  id = std::move(other73.id);
-  agentIncarnation = other73.agentIncarnation;
-  __isset = other73.__isset;
+ResolveDispatch& ResolveDispatch::operator=(ResolveDispatch&& other79) noexcept {
+  id = std::move(other79.id);
+  agentIncarnation = other79.agentIncarnation;
+  __isset = other79.__isset;
   return *this;
 }
 void ResolveDispatch::printTo(std::ostream& out) const {
@@ -2701,26 +2769,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolveReply::ResolveReply(const ResolveReply& other74) noexcept {
-  id = other74.id;
-  state = other74.state;
-  __isset = other74.__isset;
+ResolveReply::ResolveReply(const ResolveReply& other80) noexcept {
+  id = other80.id;
+  state = other80.state;
+  __isset = other80.__isset;
 }
-ResolveReply::ResolveReply(ResolveReply&& other75) noexcept {
-  id = std::move(other75.id);
-  state = other75.state;
-  __isset = other75.__isset;
+ResolveReply::ResolveReply(ResolveReply&& other81) noexcept {
+  id = std::move(other81.id);
+  state = other81.state;
+  __isset = other81.__isset;
 }
-ResolveReply& ResolveReply::operator=(const ResolveReply& other76) noexcept {
-  id = other76.id;
-  state = other76.state;
-  __isset = other76.__isset;
+ResolveReply& ResolveReply::operator=(const ResolveReply& other82) noexcept {
+  id = other82.id;
+  state = other82.state;
+  __isset = other82.__isset;
   return *this;
 }
-ResolveReply& ResolveReply::operator=(ResolveReply&& other77) noexcept {
-  id = std::move(other77.id);
-  state = other77.state;
-  __isset = other77.__isset;
+ResolveReply& ResolveReply::operator=(ResolveReply&& other83) noexcept {
+  id = std::move(other83.id);
+  state = other83.state;
+  __isset = other83.__isset;
   return *this;
 }
 void ResolveReply::printTo(std::ostream& out) const {
@@ -2875,14 +2943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->models.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->models.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->models[_i82]);
+              xfer += iprot->readString(this->models[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2895,14 +2963,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->adapters.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->adapters.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += iprot->readString(this->adapters[_i87]);
+              xfer += iprot->readString(this->adapters[_i93]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2991,10 +3059,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter88;
-    for (_iter88 = this->models.begin(); _iter88 != this->models.end(); ++_iter88)
+    std::vector<std::string> ::const_iterator _iter94;
+    for (_iter94 = this->models.begin(); _iter94 != this->models.end(); ++_iter94)
     {
-      xfer += oprot->writeString((*_iter88));
+      xfer += oprot->writeString((*_iter94));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3003,10 +3071,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter89;
-    for (_iter89 = this->adapters.begin(); _iter89 != this->adapters.end(); ++_iter89)
+    std::vector<std::string> ::const_iterator _iter95;
+    for (_iter95 = this->adapters.begin(); _iter95 != this->adapters.end(); ++_iter95)
     {
-      xfer += oprot->writeString((*_iter89));
+      xfer += oprot->writeString((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3051,70 +3119,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Announcement::Announcement(const Announcement& other90) {
-  backend = other90.backend;
-  incarnation = other90.incarnation;
-  sequence = other90.sequence;
-  status = other90.status;
-  kind = other90.kind;
-  zone = other90.zone;
-  trafficAddress = other90.trafficAddress;
-  models = other90.models;
-  adapters = other90.adapters;
-  version = other90.version;
-  engineRole = other90.engineRole;
-  concurrencyLimit = other90.concurrencyLimit;
-  checksFencing = other90.checksFencing;
-  __isset = other90.__isset;
-}
-Announcement::Announcement(Announcement&& other91) noexcept {
-  backend = std::move(other91.backend);
-  incarnation = other91.incarnation;
-  sequence = other91.sequence;
-  status = other91.status;
-  kind = other91.kind;
-  zone = std::move(other91.zone);
-  trafficAddress = std::move(other91.trafficAddress);
-  models = std::move(other91.models);
-  adapters = std::move(other91.adapters);
-  version = std::move(other91.version);
-  engineRole = std::move(other91.engineRole);
-  concurrencyLimit = other91.concurrencyLimit;
-  checksFencing = other91.checksFencing;
-  __isset = other91.__isset;
-}
-Announcement& Announcement::operator=(const Announcement& other92) {
-  backend = other92.backend;
-  incarnation = other92.incarnation;
-  sequence = other92.sequence;
-  status = other92.status;
-  kind = other92.kind;
-  zone = other92.zone;
-  trafficAddress = other92.trafficAddress;
-  models = other92.models;
-  adapters = other92.adapters;
-  version = other92.version;
-  engineRole = other92.engineRole;
-  concurrencyLimit = other92.concurrencyLimit;
-  checksFencing = other92.checksFencing;
-  __isset = other92.__isset;
+Announcement::Announcement(const Announcement& other96) {
+  backend = other96.backend;
+  incarnation = other96.incarnation;
+  sequence = other96.sequence;
+  status = other96.status;
+  kind = other96.kind;
+  zone = other96.zone;
+  trafficAddress = other96.trafficAddress;
+  models = other96.models;
+  adapters = other96.adapters;
+  version = other96.version;
+  engineRole = other96.engineRole;
+  concurrencyLimit = other96.concurrencyLimit;
+  checksFencing = other96.checksFencing;
+  __isset = other96.__isset;
+}
+Announcement::Announcement(Announcement&& other97) noexcept {
+  backend = std::move(other97.backend);
+  incarnation = other97.incarnation;
+  sequence = other97.sequence;
+  status = other97.status;
+  kind = other97.kind;
+  zone = std::move(other97.zone);
+  trafficAddress = std::move(other97.trafficAddress);
+  models = std::move(other97.models);
+  adapters = std::move(other97.adapters);
+  version = std::move(other97.version);
+  engineRole = std::move(other97.engineRole);
+  concurrencyLimit = other97.concurrencyLimit;
+  checksFencing = other97.checksFencing;
+  __isset = other97.__isset;
+}
+Announcement& Announcement::operator=(const Announcement& other98) {
+  backend = other98.backend;
+  incarnation = other98.incarnation;
+  sequence = other98.sequence;
+  status = other98.status;
+  kind = other98.kind;
+  zone = other98.zone;
+  trafficAddress = other98.trafficAddress;
+  models = other98.models;
+  adapters = other98.adapters;
+  version = other98.version;
+  engineRole = other98.engineRole;
+  concurrencyLimit = other98.concurrencyLimit;
+  checksFencing = other98.checksFencing;
+  __isset = other98.__isset;
   return *this;
 }
-Announcement& Announcement::operator=(Announcement&& other93) noexcept {
-  backend = std::move(other93.backend);
-  incarnation = other93.incarnation;
-  sequence = other93.sequence;
-  status = other93.status;
-  kind = other93.kind;
-  zone = std::move(other93.zone);
-  trafficAddress = std::move(other93.trafficAddress);
-  models = std::move(other93.models);
-  adapters = std::move(other93.adapters);
-  version = std::move(other93.version);
-  engineRole = std::move(other93.engineRole);
-  concurrencyLimit = other93.concurrencyLimit;
-  checksFencing = other93.checksFencing;
-  __isset = other93.__isset;
+Announcement& Announcement::operator=(Announcement&& other99) noexcept {
+  backend = std::move(other99.backend);
+  incarnation = other99.incarnation;
+  sequence = other99.sequence;
+  status = other99.status;
+  kind = other99.kind;
+  zone = std::move(other99.zone);
+  trafficAddress = std::move(other99.trafficAddress);
+  models = std::move(other99.models);
+  adapters = std::move(other99.adapters);
+  version = std::move(other99.version);
+  engineRole = std::move(other99.engineRole);
+  concurrencyLimit = other99.concurrencyLimit;
+  checksFencing = other99.checksFencing;
+  __isset = other99.__isset;
   return *this;
 }
 void Announcement::printTo(std::ostream& out) const {
@@ -3176,14 +3244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->records.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->records.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->records[_i98].read(iprot);
+              xfer += this->records[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3212,10 +3280,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Announcement> ::const_iterator _iter99;
-    for (_iter99 = this->records.begin(); _iter99 != this->records.end(); ++_iter99)
+    std::vector<Announcement> ::const_iterator _iter105;
+    for (_iter105 = this->records.begin(); _iter105 != this->records.end(); ++_iter105)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3232,22 +3300,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryDelta::DirectoryDelta(const DirectoryDelta& other100) {
-  records = other100.records;
-  __isset = other100.__isset;
+DirectoryDelta::DirectoryDelta(const DirectoryDelta& other106) {
+  records = other106.records;
+  __isset = other106.__isset;
 }
-DirectoryDelta::DirectoryDelta(DirectoryDelta&& other101) noexcept {
-  records = std::move(other101.records);
-  __isset = other101.__isset;
+DirectoryDelta::DirectoryDelta(DirectoryDelta&& other107) noexcept {
+  records = std::move(other107.records);
+  __isset = other107.__isset;
 }
-DirectoryDelta& DirectoryDelta::operator=(const DirectoryDelta& other102) {
-  records = other102.records;
-  __isset = other102.__isset;
+DirectoryDelta& DirectoryDelta::operator=(const DirectoryDelta& other108) {
+  records = other108.records;
+  __isset = other108.__isset;
   return *this;
 }
-DirectoryDelta& DirectoryDelta::operator=(DirectoryDelta&& other103) noexcept {
-  records = std::move(other103.records);
-  __isset = other103.__isset;
+DirectoryDelta& DirectoryDelta::operator=(DirectoryDelta&& other109) noexcept {
+  records = std::move(other109.records);
+  __isset = other109.__isset;
   return *this;
 }
 void DirectoryDelta::printTo(std::ostream& out) const {
@@ -3350,26 +3418,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryDigest::DirectoryDigest(const DirectoryDigest& other104) noexcept {
-  recordCount = other104.recordCount;
-  hash = other104.hash;
-  __isset = other104.__isset;
+DirectoryDigest::DirectoryDigest(const DirectoryDigest& other110) noexcept {
+  recordCount = other110.recordCount;
+  hash = other110.hash;
+  __isset = other110.__isset;
 }
-DirectoryDigest::DirectoryDigest(DirectoryDigest&& other105) noexcept {
-  recordCount = other105.recordCount;
-  hash = other105.hash;
-  __isset = other105.__isset;
+DirectoryDigest::DirectoryDigest(DirectoryDigest&& other111) noexcept {
+  recordCount = other111.recordCount;
+  hash = other111.hash;
+  __isset = other111.__isset;
 }
-DirectoryDigest& DirectoryDigest::operator=(const DirectoryDigest& other106) noexcept {
-  recordCount = other106.recordCount;
-  hash = other106.hash;
-  __isset = other106.__isset;
+DirectoryDigest& DirectoryDigest::operator=(const DirectoryDigest& other112) noexcept {
+  recordCount = other112.recordCount;
+  hash = other112.hash;
+  __isset = other112.__isset;
   return *this;
 }
-DirectoryDigest& DirectoryDigest::operator=(DirectoryDigest&& other107) noexcept {
-  recordCount = other107.recordCount;
-  hash = other107.hash;
-  __isset = other107.__isset;
+DirectoryDigest& DirectoryDigest::operator=(DirectoryDigest&& other113) noexcept {
+  recordCount = other113.recordCount;
+  hash = other113.hash;
+  __isset = other113.__isset;
   return *this;
 }
 void DirectoryDigest::printTo(std::ostream& out) const {
@@ -3435,18 +3503,18 @@
   (void) b;
 }
 
-DirectoryPull::DirectoryPull(const DirectoryPull& other108) noexcept {
-  (void) other108;
+DirectoryPull::DirectoryPull(const DirectoryPull& other114) noexcept {
+  (void) other114;
 }
-DirectoryPull::DirectoryPull(DirectoryPull&& other109) noexcept {
-  (void) other109;
+DirectoryPull::DirectoryPull(DirectoryPull&& other115) noexcept {
+  (void) other115;
 }
-DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other110) noexcept {
-  (void) other110;
+DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other116) noexcept {
+  (void) other116;
   return *this;
 }
-DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other111) noexcept {
-  (void) other111;
+DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other117) noexcept {
+  (void) other117;
   return *this;
 }
 void DirectoryPull::printTo(std::ostream& out) const {
@@ -3548,26 +3616,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other112) noexcept {
-  protocolVersion = other112.protocolVersion;
-  messageType = other112.messageType;
-  __isset = other112.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other118) noexcept {
+  protocolVersion = other118.protocolVersion;
+  messageType = other118.messageType;
+  __isset = other118.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other113) noexcept {
-  protocolVersion = other113.protocolVersion;
-  messageType = other113.messageType;
-  __isset = other113.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other119) noexcept {
+  protocolVersion = other119.protocolVersion;
+  messageType = other119.messageType;
+  __isset = other119.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other114) noexcept {
-  protocolVersion = other114.protocolVersion;
-  messageType = other114.messageType;
-  __isset = other114.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other120) noexcept {
+  protocolVersion = other120.protocolVersion;
+  messageType = other120.messageType;
+  __isset = other120.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other115) noexcept {
-  protocolVersion = other115.protocolVersion;
-  messageType = other115.messageType;
-  __isset = other115.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other121) noexcept {
+  protocolVersion = other121.protocolVersion;
+  messageType = other121.messageType;
+  __isset = other121.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -464,7 +464,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
 typedef struct _DispatchRequest__isset {
-  _DispatchRequest__isset() : id(false), agentIncarnation(false), member(false), memberWeight(false), priorityClass(false), timeLeftMicros(false), content(false), suspect(false), repeatable(false), stream(false), maxTokens(false), resumeOffset(false), path(false), idempotencyKey(false), body(false) {}
+  _DispatchRequest__isset() : id(false), agentIncarnation(false), member(false), memberWeight(false), priorityClass(false), timeLeftMicros(false), content(false), suspect(false), repeatable(false), stream(false), maxTokens(false), resumeOffset(false), path(false), idempotencyKey(false), body(false), configVersion(false), floorPercent(false) {}
   bool id :1;
   bool agentIncarnation :1;
   bool member :1;
@@ -480,6 +480,8 @@
   bool path :1;
   bool idempotencyKey :1;
   bool body :1;
+  bool configVersion :1;
+  bool floorPercent :1;
 } _DispatchRequest__isset;
 
 class DispatchRequest : public virtual ::apache::thrift::TBase {
@@ -503,7 +505,8 @@
                     resumeOffset(0),
                     path(),
                     idempotencyKey(),
-                    body() {
+                    body(),
+                    configVersion(0) {
   }
 
   virtual ~DispatchRequest() noexcept;
@@ -522,6 +525,8 @@
   std::string path;
   std::string idempotencyKey;
   std::string body;
+  int64_t configVersion;
+  std::vector<int32_t>  floorPercent;
 
   _DispatchRequest__isset __isset;
 
@@ -555,6 +560,10 @@
 
   void __set_body(const std::string& val);
 
+  void __set_configVersion(const int64_t val);
+
+  void __set_floorPercent(const std::vector<int32_t> & val);
+
   bool operator == (const DispatchRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -587,6 +596,14 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (__isset.configVersion != rhs.__isset.configVersion)
+      return false;
+    else if (__isset.configVersion && !(configVersion == rhs.configVersion))
+      return false;
+    if (__isset.floorPercent != rhs.__isset.floorPercent)
+      return false;
+    else if (__isset.floorPercent && !(floorPercent == rhs.floorPercent))
+      return false;
     return true;
   }
   bool operator != (const DispatchRequest &rhs) const {
--- a/src/io/wire_traffic.h
+++ b/src/io/wire_traffic.h
@@ -59,6 +59,8 @@
   w.resumeOffset = Signed(m.resume_offset);
   w.path = m.path;
   w.idempotencyKey = m.idempotency_key;
+  w.__set_configVersion(Signed(m.config_version));
+  w.__set_floorPercent({m.floor_percent.begin(), m.floor_percent.end()});
   w.body = m.body;
   return w;
 }
@@ -79,6 +81,12 @@
   m.resume_offset = Unsigned(w.resumeOffset);
   m.path = w.path;
   m.idempotency_key = w.idempotencyKey;
+  m.config_version = Unsigned(w.configVersion);
+  if (w.__isset.floorPercent && w.floorPercent.size() != kPriorityClassCount) ok = false;
+  for (std::size_t i = 0; ok && i < w.floorPercent.size(); ++i) {
+    m.floor_percent[i] = Unsigned(w.floorPercent[i]);
+    ok = m.floor_percent[i] <= 100;
+  }
   m.body = w.body;
   return m;
 }
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -54,7 +54,9 @@
       e);
 }
 
-template void Reduce<baseline_policies>(node_state<baseline_policies>&, const event&,
-                                        reduce_context&);
+#define RADISHROUTE_INSTANTIATE(P) \
+  template void Reduce<P>(node_state<P>&, const event&, reduce_context&);
+RADISHROUTE_FOR_EACH_POLICY_SET(RADISHROUTE_INSTANTIATE)
+#undef RADISHROUTE_INSTANTIATE
 
 }  // namespace radishroute
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -58,31 +58,47 @@
 }
 
 template <policy_set P>
-void request_table<P>::Route(entry_request& request, reduce_context& ctx) {
+const announcement* request_table<P>::ChooseBackend(entry_request& request, reduce_context& ctx) {
   route_query query;
   query.model = request.input.model;
   query.adapter = request.input.adapter;
   query.cls = request.cls;
   query.prefix_hash = request.input.prefix_hash;
-  query.excluded = request.tried;
-  auto backend = router_.Choose(*table_, query, ctx.now, ctx.random);
-  if (!backend) {
-    if (request.response_begun) {
-      Fail(request, dispatch_failure::kEngineUnreachable, ctx);
-    } else {
-      Refuse(request, refusal_reason::kNoBackend, std::chrono::seconds(1), ctx);
-    }
-    return;
+  std::chrono::microseconds hinted{};
+  // Other servers queue the Member's work separately, so a hint of one server permits a second
+  // choice; a flood that is over its share everywhere ends here without a round trip.
+  for (int choice = 0; choice < 2; ++choice) {
+    query.excluded = request.tried;
+    auto backend = router_.Choose(*table_, query, ctx.now, ctx.random);
+    if (!backend) break;
+    const announcement& chosen = table_->backends[*backend];
+    hinted = admission_.Check(chosen, request.input.member, request.cls, ctx.now);
+    request.tried.push_back(*backend);
+    request.backend = *backend;
+    if (hinted.count() == 0) return &chosen;
+  }
+  if (request.response_begun) {
+    Fail(request, dispatch_failure::kEngineUnreachable, ctx);
+  } else if (hinted.count() > 0) {
+    Refuse(request, refusal_reason::kOverMemberShare, hinted, ctx);
+  } else {
+    Refuse(request, refusal_reason::kNoBackend, std::chrono::seconds(1), ctx);
   }
-  const announcement& chosen = table_->backends[*backend];
-  request.backend = *backend;
+  return nullptr;
+}
+
+template <policy_set P>
+void request_table<P>::Route(entry_request& request, reduce_context& ctx) {
+  const announcement* found = ChooseBackend(request, ctx);
+  if (found == nullptr) return;
+  const announcement& chosen = *found;
   request.backend_name = chosen.backend;
   request.backend_incarnation = chosen.incarnation;
   request.backend_address = chosen.traffic_address;
-  request.tried.push_back(*backend);
   ++request.attempt;
+  request.counted = true;
   request.at = phase::kWaitingForLink;
-  router_.OnSent(*backend);
+  router_.OnSent(request.backend);
   backend_link& link = links_[ToString(chosen.traffic_address)];
   if (link.link) {
     Send(request, *link.link, ctx);
@@ -109,6 +125,8 @@
   dispatch.resume_offset = request.bytes_sent;
   dispatch.path = request.input.path;
   dispatch.idempotency_key = request.input.idempotency_key;
+  dispatch.config_version = table_->config_version;
+  dispatch.floor_percent = table_->floor_percent;
   dispatch.body = request.input.body;
   request.at = phase::kDispatched;
   ctx.Emit(count{counter::kDispatchesSent});
@@ -278,6 +296,11 @@
   entry_request* request = Find(refused.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, refused.load, ctx.now);
+  if (request->backend < table_->backends.size()) {
+    admission_.OnRefused(table_->backends[request->backend], request->input.member, request->cls,
+                         refused.reason, refused.retry_after, ctx.now);
+  }
+  request->retry_after = refused.retry_after;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
 
@@ -306,19 +329,23 @@
 void request_table<P>::Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
                              dispatch_failure failure, reduce_context& ctx) {
   bool never_ran = refusal != refusal_reason::kNone;
+  auto retry_after = request.retry_after.count() > 0
+                         ? request.retry_after
+                         : std::chrono::microseconds(std::chrono::seconds(1));
   bool allowed = (never_ran || request.repeatable) && request.attempt < limits_.max_attempts &&
                  ctx.now < request.deadline && retries_.TakeRetry(request.input.member, ctx.now);
   if (allowed) {
     router_.OnDone(request.backend);
+    request.counted = false;
     ctx.Emit(count_retry{reason});
     Route(request, ctx);
     return;
   }
   if (never_ran && !request.response_begun && request.attempt == 1) {
-    Refuse(request, refusal, std::chrono::seconds(1), ctx);
+    Refuse(request, refusal, retry_after, ctx);
   } else if (never_ran && !request.response_begun && !request.repeatable) {
     // A non-idempotent request is retried only after refusals, so no attempt has run.
-    Refuse(request, refusal, std::chrono::seconds(1), ctx);
+    Refuse(request, refusal, retry_after, ctx);
   } else {
     Fail(request,
          failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure, ctx);
@@ -359,7 +386,7 @@
 void request_table<P>::Erase(const request_id& id, reduce_context& ctx) {
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
-  if (it->second.attempt > 0) router_.OnDone(it->second.backend);
+  if (it->second.counted) router_.OnDone(it->second.backend);
   deadlines_.erase({it->second.deadline, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
@@ -377,6 +404,8 @@
   if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
 }
 
-template class request_table<baseline_policies>;
+#define RADISHROUTE_INSTANTIATE(P) template class request_table<P>;
+RADISHROUTE_FOR_EACH_POLICY_SET(RADISHROUTE_INSTANTIATE)
+#undef RADISHROUTE_INSTANTIATE
 
 }  // namespace radishroute
--- /dev/null
+++ b/src/scheduler.cc
@@ -0,0 +1,306 @@
+#include "radishroute/scheduler.h"
+
+#include <algorithm>
+
+namespace radishroute {
+
+namespace {
+
+// Virtual time has 20 fractional bits, so that the largest weight (a million) still advances it.
+constexpr unsigned kVirtualTimeBits = 20;
+
+// Sums are halved after this many runs, so the estimate follows changes of an engine's speed.
+constexpr std::uint32_t kEstimateRuns = 64;
+constexpr std::uint32_t kReliableRuns = 8;
+
+// Used for shares of classes until the first run of any class is measured.
+constexpr double kUnmeasuredMicrosPerToken = 1000;
+
+// A class is owed at most this many of its own works, so that a long wait is not followed by a
+// burst that delays the more urgent classes.
+constexpr int kMaxOwedWorks = 4;
+
+constexpr std::chrono::milliseconds kMinRetryAfter{50};
+constexpr std::chrono::seconds kMaxRetryAfter{10};
+
+}  // namespace
+
+void service_estimate::Add(const finished_work& finished) {
+  sums& s = classes_[ClassIndex(finished.cls)];
+  s.micros += static_cast<double>(finished.service_time.count());
+  s.cost += finished.cost;
+  if (++s.runs < kEstimateRuns) return;
+  s.micros /= 2;
+  s.cost /= 2;
+  s.runs /= 2;
+}
+
+bool service_estimate::Reliable(priority_class cls) const {
+  return classes_[ClassIndex(cls)].runs >= kReliableRuns;
+}
+
+std::chrono::microseconds service_estimate::Of(priority_class cls, std::uint64_t cost) const {
+  const sums* s = &classes_[ClassIndex(cls)];
+  for (const sums& other : classes_) {
+    if (s->cost <= 0) s = &other;
+  }
+  double per_token = s->cost > 0 ? s->micros / s->cost : kUnmeasuredMicrosPerToken;
+  return std::chrono::microseconds(
+      static_cast<std::int64_t>(per_token * static_cast<double>(cost)));
+}
+
+std::uint64_t member_queue::Scaled(std::uint64_t cost, std::uint32_t weight) {
+  return (cost << kVirtualTimeBits) / std::max(weight, 1U);
+}
+
+void member_queue::Add(queued_work work) {
+  // Suspects wait in a flow of their own, so that one that must wait does not hold up the rest.
+  std::string key = (work.suspect ? "s/" : "m/") + work.member;
+  auto [it, fresh] = flows_.try_emplace(key);
+  flow& f = it->second;
+  if (fresh) {
+    f.key = key;
+    f.suspect = work.suspect;
+    f.tag = virtual_time_;
+  }
+  if (f.works.empty()) {
+    idle_.erase({f.tag, &f});
+    f.tag = std::max(f.tag, virtual_time_);
+    f.weight = std::max(work.weight, 1U);
+    waiting_weight_ += f.weight;
+    ReadyOrder(f).insert({f.tag, &f});
+  } else {
+    by_backlog_.erase({Scaled(f.backlog, f.weight), &f});
+  }
+  f.backlog += work.cost;
+  queued_cost_ += work.cost;
+  by_backlog_.insert({Scaled(f.backlog, f.weight), &f});
+  dispatch_id id = work.id;
+  f.works.push_back(std::move(work));
+  index_[id] = {&f, std::prev(f.works.end())};
+}
+
+queued_work member_queue::Remove(flow& owner, std::list<queued_work>::iterator at) {
+  queued_work work = std::move(*at);
+  owner.works.erase(at);
+  index_.erase(work.id);
+  by_backlog_.erase({Scaled(owner.backlog, owner.weight), &owner});
+  owner.backlog -= work.cost;
+  queued_cost_ -= work.cost;
+  if (!owner.works.empty()) {
+    by_backlog_.insert({Scaled(owner.backlog, owner.weight), &owner});
+    return work;
+  }
+  ReadyOrder(owner).erase({owner.tag, &owner});
+  waiting_weight_ -= owner.weight;
+  idle_.insert({owner.tag, &owner});
+  DropIdle();
+  return work;
+}
+
+void member_queue::DropIdle() {
+  while (!idle_.empty() && idle_.begin()->first <= virtual_time_) {
+    flow* f = idle_.begin()->second;
+    idle_.erase(idle_.begin());
+    flows_.erase(std::string(f->key));
+  }
+}
+
+bool member_queue::Ready(bool allow_suspect) const {
+  return !ready_.empty() || (allow_suspect && !suspects_.empty());
+}
+
+std::optional<queued_work> member_queue::Take(bool allow_suspect) {
+  if (!Ready(allow_suspect)) return std::nullopt;
+  bool suspect = ready_.empty() ||
+                 (allow_suspect && !suspects_.empty() && *suspects_.begin() < *ready_.begin());
+  flow_order& order = suspect ? suspects_ : ready_;
+  flow* f = order.begin()->second;
+  order.erase(order.begin());
+  virtual_time_ = std::max(virtual_time_, f->tag);
+  f->tag += Scaled(f->works.front().cost, f->weight);
+  order.insert({f->tag, f});
+  queued_work work = Remove(*f, f->works.begin());
+  DropIdle();
+  return work;
+}
+
+bool member_queue::Erase(const dispatch_id& id) {
+  auto it = index_.find(id);
+  if (it == index_.end()) return false;
+  position p = it->second;
+  Remove(*p.owner, p.at);
+  return true;
+}
+
+std::optional<dispatch_id> member_queue::EvictNewestOfLargest() {
+  if (by_backlog_.empty()) return std::nullopt;
+  flow* f = by_backlog_.rbegin()->second;
+  return Remove(*f, std::prev(f->works.end())).id;
+}
+
+std::uint64_t member_queue::CostAhead(const std::string& member, std::uint32_t weight,
+                                      std::uint32_t cost) const {
+  std::uint64_t own = 0;
+  std::uint64_t weights = waiting_weight_;
+  weight = std::max(weight, 1U);
+  auto it = flows_.find("m/" + member);
+  if (it != flows_.end()) own = it->second.backlog;
+  if (own == 0) weights += weight;
+  // Under fair queueing the others get at most their weights' part until the own work starts.
+  std::uint64_t others = (own + cost) * (weights - weight) / weight;
+  return own + std::min(queued_cost_ - own, others);
+}
+
+bool member_queue::OverShare(const std::string& member) const {
+  auto it = flows_.find("m/" + member);
+  if (it == flows_.end() || it->second.works.empty()) return false;
+  return it->second.backlog * waiting_weight_ > queued_cost_ * it->second.weight;
+}
+
+template <queue_rules kRules>
+void fair_queue<kRules>::Push(queued_work work, steady_time now,
+                              std::vector<rejected_work>& rejected) {
+  std::size_t cls = ClassIndex(work.cls);
+  member_queue& queue = classes_[cls];
+  // With nothing running, work is always taken: its run corrects an estimate that is too long.
+  if (running_ > 0 && estimate_.Reliable(work.cls)) {
+    micros wait = WaitFor(cls, queue.CostAhead(work.member, work.weight, work.cost));
+    if (now + wait + estimate_.Of(work.cls, work.cost) > work.deadline) {
+      bool over = queue.OverShare(work.member);
+      rejected.push_back(
+          {work.id, over ? refusal_reason::kOverMemberShare : refusal_reason::kDeadlineUnreachable,
+           RetryAfter(cls)});
+      return;
+    }
+  }
+  queue.Add(std::move(work));
+  if (queue.Size() <= kRules.class_capacity) return;
+  auto reason = queue.Members() > 1 ? refusal_reason::kOverMemberShare : refusal_reason::kQueueFull;
+  if (auto id = queue.EvictNewestOfLargest()) rejected.push_back({*id, reason, RetryAfter(cls)});
+}
+
+template <queue_rules kRules>
+std::uint32_t fair_queue<kRules>::FloorInForce(std::size_t cls) const {
+  bool pressure = false;
+  for (std::size_t c = 0; c < cls; ++c) pressure = pressure || classes_[c].Size() > 0;
+  return pressure ? floors_[cls] * kRules.floor_under_pressure / 100 : floors_[cls];
+}
+
+template <queue_rules kRules>
+std::optional<std::size_t> fair_queue<kRules>::NextClass(bool& by_floor) const {
+  bool allow_suspect = !suspect_running_;
+  std::optional<std::size_t> first;
+  std::optional<std::size_t> owed;
+  for (std::size_t c = 0; c < kPriorityClassCount; ++c) {
+    if (!classes_[c].Ready(allow_suspect)) continue;
+    if (!first) first = c;
+    if (owed_[c].count() > 0 && (!owed || owed_[c] > owed_[*owed])) owed = c;
+  }
+  by_floor = owed.has_value();
+  return owed ? owed : first;
+}
+
+template <queue_rules kRules>
+void fair_queue<kRules>::Charge(std::size_t cls, micros service, bool by_floor) {
+  for (std::size_t c = 0; c < kPriorityClassCount; ++c) {
+    if (classes_[c].Size() == 0 && c != cls) {
+      owed_[c] = std::min(owed_[c], micros(0));
+      continue;
+    }
+    owed_[c] += service * FloorInForce(c) / 100;
+    owed_[c] =
+        std::min(owed_[c], std::max(service, estimate_.Of(kPriorityClasses[c], 1)) * kMaxOwedWorks);
+  }
+  // Service beyond the floor leaves no debt: spare capacity is free.
+  if (by_floor) {
+    owed_[cls] -= service;
+  } else {
+    owed_[cls] = std::min(owed_[cls], std::max(owed_[cls] - service, micros(0)));
+  }
+}
+
+template <queue_rules kRules>
+std::optional<queued_work> fair_queue<kRules>::Pop(steady_time now,
+                                                   std::vector<rejected_work>& rejected) {
+  while (true) {
+    bool by_floor = false;
+    auto cls = NextClass(by_floor);
+    if (!cls) return std::nullopt;
+    auto work = classes_[*cls].Take(!suspect_running_);
+    if (!work) return std::nullopt;
+    if (work->deadline <= now) {
+      rejected.push_back({work->id, refusal_reason::kDeadlinePassed, RetryAfter(*cls)});
+      continue;
+    }
+    micros service = estimate_.Of(work->cls, work->cost);
+    if (running_ > 0 && estimate_.Reliable(work->cls) && now + service > work->deadline) {
+      rejected.push_back({work->id, refusal_reason::kDeadlineUnreachable, RetryAfter(*cls)});
+      continue;
+    }
+    Charge(*cls, service, by_floor);
+    ++running_;
+    if (work->suspect) suspect_running_ = work->id;
+    return work;
+  }
+}
+
+template <queue_rules kRules>
+bool fair_queue<kRules>::Erase(const dispatch_id& id) {
+  return std::any_of(classes_.begin(), classes_.end(),
+                     [&](member_queue& queue) { return queue.Erase(id); });
+}
+
+template <queue_rules kRules>
+void fair_queue<kRules>::OnFinished(const finished_work& finished, steady_time) {
+  if (running_ > 0) --running_;
+  if (suspect_running_ == finished.id) suspect_running_.reset();
+  if (finished.completed) estimate_.Add(finished);
+}
+
+template <queue_rules kRules>
+void fair_queue<kRules>::SetConcurrency(std::uint32_t running) {
+  concurrency_ = std::max(running, 1U);
+}
+
+template <queue_rules kRules>
+std::size_t fair_queue<kRules>::Size() const {
+  std::size_t size = 0;
+  for (const member_queue& queue : classes_) size += queue.Size();
+  return size;
+}
+
+template <queue_rules kRules>
+std::chrono::microseconds fair_queue<kRules>::WaitFor(std::size_t cls,
+                                                      std::uint64_t cost_ahead) const {
+  if (running_ < concurrency_ && Size() == 0) return micros(0);
+  micros own = estimate_.Of(kPriorityClasses[cls], cost_ahead);
+  micros urgent{};
+  for (std::size_t c = 0; c < cls; ++c) {
+    urgent += estimate_.Of(kPriorityClasses[c], classes_[c].QueuedCost());
+  }
+  std::uint32_t others = 0;
+  for (std::size_t c = 0; c < kPriorityClassCount; ++c) {
+    if (c != cls && classes_[c].Size() > 0) others += FloorInForce(c);
+  }
+  micros total = own + urgent;
+  if (cls == 0 && others < 100) total = own * 100 / (100 - others);
+  std::uint32_t floor = FloorInForce(cls);
+  if (floor > 0) total = std::min(total, own * 100 / floor);
+  return total / concurrency_;
+}
+
+template <queue_rules kRules>
+std::chrono::microseconds fair_queue<kRules>::ExpectedWait(priority_class cls) const {
+  return WaitFor(ClassIndex(cls), classes_[ClassIndex(cls)].QueuedCost());
+}
+
+template <queue_rules kRules>
+std::chrono::microseconds fair_queue<kRules>::RetryAfter(std::size_t cls) const {
+  return std::clamp<micros>(ExpectedWait(kPriorityClasses[cls]), kMinRetryAfter, kMaxRetryAfter);
+}
+
+template class fair_queue<kBalancedQueue>;
+template class fair_queue<kUrgentQueue>;
+
+}  // namespace radishroute
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -2,12 +2,27 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 
+#include "radishroute/policies.h"
 #include "settings_reader.h"
 
 namespace radishroute {
 
+namespace {
+
+void ReadPolicy(settings_reader& reader, std::string& policy, std::vector<settings_error>& errors) {
+  policy = kPolicyNames.front();
+  reader.Read("policy", policy, false);
+  if (std::find(kPolicyNames.begin(), kPolicyNames.end(), policy) != kPolicyNames.end()) return;
+  std::string expected = "one of:";
+  for (std::string_view name : kPolicyNames) expected.append(" ").append(name);
+  errors.push_back({"policy", expected});
+}
+
+}  // namespace
+
 bool ParseEndpoint(std::string_view text, endpoint& out) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
@@ -32,7 +47,7 @@
   entry_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
-  reader.Read("policy", out.common.policy, false);
+  ReadPolicy(reader, out.common.policy, errors);
   reader.Read("admin_listen", out.admin_listen, true);
   reader.Read("control_listen", out.control_listen, true);
   reader.ReadNumber("threads", out.threads, 1, 64);
@@ -57,7 +72,7 @@
   agent_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
-  reader.Read("policy", out.common.policy, false);
+  ReadPolicy(reader, out.common.policy, errors);
   reader.Read("traffic_listen", out.traffic_listen, true);
   reader.Read("admin_listen", out.admin_listen, true);
   reader.Read("entries", out.entries, true);
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -28,6 +28,8 @@
   in.content = {42};
   in.suspect = true;
   in.repeatable = false;
+  in.config_version = 9;
+  in.floor_percent = {0, 10, 20};
   in.body = std::string("a\0b", 3);
   auto out = std::get<dispatch_request>(RoundTrip(in));
   CHECK(out.id == in.id);
@@ -38,6 +40,8 @@
   CHECK(out.content == in.content);
   CHECK(out.suspect);
   CHECK_FALSE(out.repeatable);
+  CHECK(out.config_version == in.config_version);
+  CHECK(out.floor_percent == in.floor_percent);
   CHECK(out.body == in.body);
 }
 
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -38,6 +38,8 @@
   13: string path
   14: string idempotencyKey
   15: binary body
+  16: optional i64 configVersion
+  17: optional list<i32> floorPercent
 }
 struct AnswerBegin { 1: DispatchId id; 2: i32 status; 3: string contentType }
 struct AnswerChunk { 1: DispatchId id; 2: i64 offset; 3: binary bytes }
