--- a/include/radishroute/executions.h
+++ b/include/radishroute/executions.h
@@ -96,13 +96,15 @@
   void Enqueue(execution& run, reduce_context& ctx);
   void Unqueue(const dispatch_id& id);
   void SetExpiry(const dispatch_id& id, execution& run, steady_time expires);
-  void StopRunning(const dispatch_id& id, execution& run, reduce_context& ctx);
+  void StopRunning(const dispatch_id& id, execution& run, bool completed, reduce_context& ctx);
   void RefuseQueued(refusal_reason reason, reduce_context& ctx);
   void CheckProgress(reduce_context& ctx);
   void DecideCrash(bool engine_answers, reduce_context& ctx);
   void ReportCrash(const std::vector<dispatch_id>& lost, reduce_context& ctx);
   void RejectAll(const std::vector<rejected_work>& rejected, reduce_context& ctx);
-  void Refuse(link_id link, const dispatch_id& id, refusal_reason reason, reduce_context& ctx);
+  void Refuse(link_id link, const dispatch_id& id, refusal_reason reason, reduce_context& ctx,
+              std::chrono::microseconds retry_after = {});
+  void AdoptShares(const dispatch_request& dispatch);
   void Fail(const dispatch_id& id, dispatch_failure reason, reduce_context& ctx);
   void Finish(const dispatch_id& id, reduce_context& ctx);
   void Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx);
@@ -121,6 +123,8 @@
   std::uint64_t source_;
   engine_health health_;
   typename P::queue_type queue_;
+  /// Configuration version of the shares in the queue; empty before the first dispatch.
+  std::optional<std::uint64_t> shares_version_;
   std::uint32_t running_ = 0;
   std::unordered_map<dispatch_id, execution> executions_;
   std::set<std::pair<steady_time, dispatch_id>> deadlines_;
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -63,6 +63,7 @@
     Refuse(link, dispatch.id, *reason, ctx);
     return;
   }
+  AdoptShares(dispatch);
   execution run;
   run.request = dispatch;
   run.link = link;
@@ -106,6 +107,14 @@
   }
 }
 
+template <policy_set P>
+void execution_table<P>::AdoptShares(const dispatch_request& dispatch) {
+  // An entry that lags behind must not bring back older shares.
+  if (shares_version_ && dispatch.config_version < *shares_version_) return;
+  shares_version_ = dispatch.config_version;
+  queue_.SetFloors(dispatch.floor_percent);
+}
+
 template <policy_set P>
 void execution_table<P>::Pump(reduce_context& ctx) {
   // While a crash is being decided or the engine is down, work started now would only be lost.
@@ -154,7 +163,7 @@
     if (it == executions_.end()) continue;
     std::optional<link_id> link = it->second.link;
     Bury(work.id, dispatch_state::kNeverStarted, ctx);
-    if (link) Refuse(*link, work.id, work.reason, ctx);
+    if (link) Refuse(*link, work.id, work.reason, ctx, work.retry_after);
   }
 }
 
@@ -169,10 +178,10 @@
 
 template <policy_set P>
 void execution_table<P>::Refuse(link_id link, const dispatch_id& id, refusal_reason reason,
-                                reduce_context& ctx) {
+                                reduce_context& ctx, std::chrono::microseconds retry_after) {
   load_report load = Load();
   ctx.Emit(count_refusal{reason});
-  ctx.Emit(send_message{link, dispatch_refused{id, reason, std::chrono::microseconds(0), load}});
+  ctx.Emit(send_message{link, dispatch_refused{id, reason, retry_after, load}});
 }
 
 template <policy_set P>
@@ -329,18 +338,27 @@
 }
 
 template <policy_set P>
-void execution_table<P>::StopRunning(const dispatch_id& id, execution& run, reduce_context& ctx) {
+void execution_table<P>::StopRunning(const dispatch_id& id, execution& run, bool completed,
+                                     reduce_context& ctx) {
   if (run.at != phase::kRunning && run.at != phase::kBroken) return;
   CheckInvariant(running_ > 0, "the number of running dispatches is not negative", ctx);
   --running_;
   if (running_suspect_ == id) running_suspect_.reset();
+  finished_work finished;
+  finished.id = id;
+  finished.completed = completed;
+  finished.cls = run.request.cls;
+  finished.cost = std::max(run.request.max_tokens, 1U);
+  finished.service_time =
+      std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - run.started);
+  queue_.OnFinished(finished, ctx.now);
 }
 
 template <policy_set P>
 void execution_table<P>::Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx) {
   auto it = executions_.find(id);
   if (it != executions_.end()) {
-    StopRunning(id, it->second, ctx);
+    StopRunning(id, it->second, false, ctx);
     CheckInvariant(produced_total_ >= it->second.produced.size(),
                    "kept answer bytes are counted once", ctx);
     produced_total_ -= it->second.produced.size();
@@ -383,6 +401,8 @@
   if (Drained(ctx.now)) ctx.Emit(stop_process{true});
 }
 
-template class execution_table<baseline_policies>;
+#define RADISHROUTE_INSTANTIATE(P) template class execution_table<P>;
+RADISHROUTE_FOR_EACH_POLICY_SET(RADISHROUTE_INSTANTIATE)
+#undef RADISHROUTE_INSTANTIATE
 
 }  // namespace radishroute
--- a/src/executions_engine.h
+++ b/src/executions_engine.h
@@ -69,14 +69,8 @@
 template <policy_set P>
 void execution_table<P>::Finish(const dispatch_id& id, reduce_context& ctx) {
   execution& run = executions_.at(id);
-  StopRunning(id, run, ctx);
+  StopRunning(id, run, true, ctx);
   run.at = phase::kFinished;
-  finished_work finished;
-  finished.cls = run.request.cls;
-  finished.cost = std::max(run.request.max_tokens, 1U);
-  finished.service_time =
-      std::chrono::duration_cast<std::chrono::microseconds>(ctx.now - run.started);
-  queue_.OnFinished(finished, ctx.now);
   Pump(ctx);
   if (run.link) {
     ctx.Emit(send_message{*run.link, answer_end{id, run.kept_from + run.produced.size(), Load()}});
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -1068,6 +1068,16 @@
 void DispatchRequest::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void DispatchRequest::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+__isset.configVersion = true;
+}
+
+void DispatchRequest::__set_floorPercent(const std::vector<int32_t> & val) {
+  this->floorPercent = val;
+__isset.floorPercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const DispatchRequest& obj)
 {
   obj.printTo(out);
@@ -1216,6 +1226,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->floorPercent.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->floorPercent.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI32(this->floorPercent[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.floorPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1293,6 +1331,24 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.configVersion) {
+    xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->configVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.floorPercent) {
+    xfer += oprot->writeFieldBegin("floorPercent", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->floorPercent.size()));
+      std::vector<int32_t> ::const_iterator _iter39;
+      for (_iter39 = this->floorPercent.begin(); _iter39 != this->floorPercent.end(); ++_iter39)
+      {
+        xfer += oprot->writeI32((*_iter39));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1315,81 +1371,91 @@
   swap(a.path, b.path);
   swap(a.idempotencyKey, b.idempotencyKey);
   swap(a.body, b.body);
+  swap(a.configVersion, b.configVersion);
+  swap(a.floorPercent, b.floorPercent);
   swap(a.__isset, b.__isset);
 }
 
-DispatchRequest::DispatchRequest(const DispatchRequest& other34) {
-  id = other34.id;
-  agentIncarnation = other34.agentIncarnation;
-  member = other34.member;
-  memberWeight = other34.memberWeight;
-  priorityClass = other34.priorityClass;
-  timeLeftMicros = other34.timeLeftMicros;
-  content = other34.content;
-  suspect = other34.suspect;
-  repeatable = other34.repeatable;
-  stream = other34.stream;
-  maxTokens = other34.maxTokens;
-  resumeOffset = other34.resumeOffset;
-  path = other34.path;
-  idempotencyKey = other34.idempotencyKey;
-  body = other34.body;
-  __isset = other34.__isset;
-}
-DispatchRequest::DispatchRequest(DispatchRequest&& other35) noexcept {
-  id = std::move(other35.id);
-  agentIncarnation = other35.agentIncarnation;
-  member = std::move(other35.member);
-  memberWeight = other35.memberWeight;
-  priorityClass = other35.priorityClass;
-  timeLeftMicros = other35.timeLeftMicros;
-  content = other35.content;
-  suspect = other35.suspect;
-  repeatable = other35.repeatable;
-  stream = other35.stream;
-  maxTokens = other35.maxTokens;
-  resumeOffset = other35.resumeOffset;
-  path = std::move(other35.path);
-  idempotencyKey = std::move(other35.idempotencyKey);
-  body = std::move(other35.body);
-  __isset = other35.__isset;
-}
-DispatchRequest& DispatchRequest::operator=(const DispatchRequest& other36) {
-  id = other36.id;
-  agentIncarnation = other36.agentIncarnation;
-  member = other36.member;
-  memberWeight = other36.memberWeight;
-  priorityClass = other36.priorityClass;
-  timeLeftMicros = other36.timeLeftMicros;
-  content = other36.content;
-  suspect = other36.suspect;
-  repeatable = other36.repeatable;
-  stream = other36.stream;
-  maxTokens = other36.maxTokens;
-  resumeOffset = other36.resumeOffset;
-  path = other36.path;
-  idempotencyKey = other36.idempotencyKey;
-  body = other36.body;
-  __isset = other36.__isset;
+DispatchRequest::DispatchRequest(const DispatchRequest& other40) {
+  id = other40.id;
+  agentIncarnation = other40.agentIncarnation;
+  member = other40.member;
+  memberWeight = other40.memberWeight;
+  priorityClass = other40.priorityClass;
+  timeLeftMicros = other40.timeLeftMicros;
+  content = other40.content;
+  suspect = other40.suspect;
+  repeatable = other40.repeatable;
+  stream = other40.stream;
+  maxTokens = other40.maxTokens;
+  resumeOffset = other40.resumeOffset;
+  path = other40.path;
+  idempotencyKey = other40.idempotencyKey;
+  body = other40.body;
+  configVersion = other40.configVersion;
+  floorPercent = other40.floorPercent;
+  __isset = other40.__isset;
+}
+DispatchRequest::DispatchRequest(DispatchRequest&& other41) noexcept {
+  id = std::move(other41.id);
+  agentIncarnation = other41.agentIncarnation;
+  member = std::move(other41.member);
+  memberWeight = other41.memberWeight;
+  priorityClass = other41.priorityClass;
+  timeLeftMicros = other41.timeLeftMicros;
+  content = other41.content;
+  suspect = other41.suspect;
+  repeatable = other41.repeatable;
+  stream = other41.stream;
+  maxTokens = other41.maxTokens;
+  resumeOffset = other41.resumeOffset;
+  path = std::move(other41.path);
+  idempotencyKey = std::move(other41.idempotencyKey);
+  body = std::move(other41.body);
+  configVersion = other41.configVersion;
+  floorPercent = std::move(other41.floorPercent);
+  __isset = other41.__isset;
+}
+DispatchRequest& DispatchRequest::operator=(const DispatchRequest& other42) {
+  id = other42.id;
+  agentIncarnation = other42.agentIncarnation;
+  member = other42.member;
+  memberWeight = other42.memberWeight;
+  priorityClass = other42.priorityClass;
+  timeLeftMicros = other42.timeLeftMicros;
+  content = other42.content;
+  suspect = other42.suspect;
+  repeatable = other42.repeatable;
+  stream = other42.stream;
+  maxTokens = other42.maxTokens;
+  resumeOffset = other42.resumeOffset;
+  path = other42.path;
+  idempotencyKey = other42.idempotencyKey;
+  body = other42.body;
+  configVersion = other42.configVersion;
+  floorPercent = other42.floorPercent;
+  __isset = other42.__isset;
   return *this;
 }
-DispatchRequest& DispatchRequest::operator=(DispatchRequest&& other37) noexcept {
-  id = std::move(other37.id);
-  agentIncarnation = other37.agentIncarnation;
-  member = std::move(other37.member);
-  memberWeight = other37.memberWeight;
-  priorityClass = other37.priorityClass;
-  timeLeftMicros = other37.timeLeftMicros;
-  content = other37.content;
-  suspect = other37.suspect;
-  repeatable = other37.repeatable;
-  stream = other37.stream;
-  maxTokens = other37.maxTokens;
-  resumeOffset = other37.resumeOffset;
-  path = std::move(other37.path);
-  idempotencyKey = std::move(other37.idempotencyKey);
-  body = std::move(other37.body);
-  __isset = other37.__isset;
+DispatchRequest& DispatchRequest::operator=(DispatchRequest&& other43) noexcept {
+  id = std::move(other43.id);
+  agentIncarnation = other43.agentIncarnation;
+  member = std::move(other43.member);
+  memberWeight = other43.memberWeight;
+  priorityClass = other43.priorityClass;
+  timeLeftMicros = other43.timeLeftMicros;
+  content = other43.content;
+  suspect = other43.suspect;
+  repeatable = other43.repeatable;
+  stream = other43.stream;
+  maxTokens = other43.maxTokens;
+  resumeOffset = other43.resumeOffset;
+  path = std::move(other43.path);
+  idempotencyKey = std::move(other43.idempotencyKey);
+  body = std::move(other43.body);
+  configVersion = other43.configVersion;
+  floorPercent = std::move(other43.floorPercent);
+  __isset = other43.__isset;
   return *this;
 }
 void DispatchRequest::printTo(std::ostream& out) const {
@@ -1410,6 +1476,8 @@
   out << ", " << "path=" << to_string(path);
   out << ", " << "idempotencyKey=" << to_string(idempotencyKey);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "configVersion="; (__isset.configVersion ? (out << to_string(configVersion)) : (out << "<null>"));
+  out << ", " << "floorPercent="; (__isset.floorPercent ? (out << to_string(floorPercent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1523,30 +1591,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerBegin::AnswerBegin(const AnswerBegin& other38) {
-  id = other38.id;
-  status = other38.status;
-  contentType = other38.contentType;
-  __isset = other38.__isset;
+AnswerBegin::AnswerBegin(const AnswerBegin& other44) {
+  id = other44.id;
+  status = other44.status;
+  contentType = other44.contentType;
+  __isset = other44.__isset;
 }
-AnswerBegin::AnswerBegin(AnswerBegin&& other39) noexcept {
-  id = std::move(other39.id);
-  status = other39.status;
-  contentType = std::move(other39.contentType);
-  __isset = other39.__isset;
+AnswerBegin::AnswerBegin(AnswerBegin&& other45) noexcept {
+  id = std::move(other45.id);
+  status = other45.status;
+  contentType = std::move(other45.contentType);
+  __isset = other45.__isset;
 }
-AnswerBegin& AnswerBegin::operator=(const AnswerBegin& other40) {
-  id = other40.id;
-  status = other40.status;
-  contentType = other40.contentType;
-  __isset = other40.__isset;
+AnswerBegin& AnswerBegin::operator=(const AnswerBegin& other46) {
+  id = other46.id;
+  status = other46.status;
+  contentType = other46.contentType;
+  __isset = other46.__isset;
   return *this;
 }
-AnswerBegin& AnswerBegin::operator=(AnswerBegin&& other41) noexcept {
-  id = std::move(other41.id);
-  status = other41.status;
-  contentType = std::move(other41.contentType);
-  __isset = other41.__isset;
+AnswerBegin& AnswerBegin::operator=(AnswerBegin&& other47) noexcept {
+  id = std::move(other47.id);
+  status = other47.status;
+  contentType = std::move(other47.contentType);
+  __isset = other47.__isset;
   return *this;
 }
 void AnswerBegin::printTo(std::ostream& out) const {
@@ -1668,30 +1736,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerChunk::AnswerChunk(const AnswerChunk& other42) {
-  id = other42.id;
-  offset = other42.offset;
-  bytes = other42.bytes;
-  __isset = other42.__isset;
+AnswerChunk::AnswerChunk(const AnswerChunk& other48) {
+  id = other48.id;
+  offset = other48.offset;
+  bytes = other48.bytes;
+  __isset = other48.__isset;
 }
-AnswerChunk::AnswerChunk(AnswerChunk&& other43) noexcept {
-  id = std::move(other43.id);
-  offset = other43.offset;
-  bytes = std::move(other43.bytes);
-  __isset = other43.__isset;
+AnswerChunk::AnswerChunk(AnswerChunk&& other49) noexcept {
+  id = std::move(other49.id);
+  offset = other49.offset;
+  bytes = std::move(other49.bytes);
+  __isset = other49.__isset;
 }
-AnswerChunk& AnswerChunk::operator=(const AnswerChunk& other44) {
-  id = other44.id;
-  offset = other44.offset;
-  bytes = other44.bytes;
-  __isset = other44.__isset;
+AnswerChunk& AnswerChunk::operator=(const AnswerChunk& other50) {
+  id = other50.id;
+  offset = other50.offset;
+  bytes = other50.bytes;
+  __isset = other50.__isset;
   return *this;
 }
-AnswerChunk& AnswerChunk::operator=(AnswerChunk&& other45) noexcept {
-  id = std::move(other45.id);
-  offset = other45.offset;
-  bytes = std::move(other45.bytes);
-  __isset = other45.__isset;
+AnswerChunk& AnswerChunk::operator=(AnswerChunk&& other51) noexcept {
+  id = std::move(other51.id);
+  offset = other51.offset;
+  bytes = std::move(other51.bytes);
+  __isset = other51.__isset;
   return *this;
 }
 void AnswerChunk::printTo(std::ostream& out) const {
@@ -1813,30 +1881,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerEnd::AnswerEnd(const AnswerEnd& other46) {
-  id = other46.id;
-  length = other46.length;
-  load = other46.load;
-  __isset = other46.__isset;
+AnswerEnd::AnswerEnd(const AnswerEnd& other52) {
+  id = other52.id;
+  length = other52.length;
+  load = other52.load;
+  __isset = other52.__isset;
 }
-AnswerEnd::AnswerEnd(AnswerEnd&& other47) noexcept {
-  id = std::move(other47.id);
-  length = other47.length;
-  load = std::move(other47.load);
-  __isset = other47.__isset;
+AnswerEnd::AnswerEnd(AnswerEnd&& other53) noexcept {
+  id = std::move(other53.id);
+  length = other53.length;
+  load = std::move(other53.load);
+  __isset = other53.__isset;
 }
-AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other48) {
-  id = other48.id;
-  length = other48.length;
-  load = other48.load;
-  __isset = other48.__isset;
+AnswerEnd& AnswerEnd::operator=(const AnswerEnd& other54) {
+  id = other54.id;
+  length = other54.length;
+  load = other54.load;
+  __isset = other54.__isset;
   return *this;
 }
-AnswerEnd& AnswerEnd::operator=(AnswerEnd&& other49) noexcept {
-  id = std::move(other49.id);
-  length = other49.length;
-  load = std::move(other49.load);
-  __isset = other49.__isset;
+AnswerEnd& AnswerEnd::operator=(AnswerEnd&& other55) noexcept {
+  id = std::move(other55.id);
+  length = other55.length;
+  load = std::move(other55.load);
+  __isset = other55.__isset;
   return *this;
 }
 void AnswerEnd::printTo(std::ostream& out) const {
@@ -1924,22 +1992,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerAck::AnswerAck(const AnswerAck& other50) noexcept {
-  id = other50.id;
-  __isset = other50.__isset;
+AnswerAck::AnswerAck(const AnswerAck& other56) noexcept {
+  id = other56.id;
+  __isset = other56.__isset;
 }
-AnswerAck::AnswerAck(AnswerAck&& other51) noexcept {
-  id = std::move(other51.id);
-  __isset = other51.__isset;
+AnswerAck::AnswerAck(AnswerAck&& other57) noexcept {
+  id = std::move(other57.id);
+  __isset = other57.__isset;
 }
-AnswerAck& AnswerAck::operator=(const AnswerAck& other52) noexcept {
-  id = other52.id;
-  __isset = other52.__isset;
+AnswerAck& AnswerAck::operator=(const AnswerAck& other58) noexcept {
+  id = other58.id;
+  __isset = other58.__isset;
   return *this;
 }
-AnswerAck& AnswerAck::operator=(AnswerAck&& other53) noexcept {
-  id = std::move(other53.id);
-  __isset = other53.__isset;
+AnswerAck& AnswerAck::operator=(AnswerAck&& other59) noexcept {
+  id = std::move(other59.id);
+  __isset = other59.__isset;
   return *this;
 }
 void AnswerAck::printTo(std::ostream& out) const {
@@ -2076,34 +2144,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DispatchRefused::DispatchRefused(const DispatchRefused& other54) {
-  id = other54.id;
-  reason = other54.reason;
-  retryAfterMicros = other54.retryAfterMicros;
-  load = other54.load;
-  __isset = other54.__isset;
+DispatchRefused::DispatchRefused(const DispatchRefused& other60) {
+  id = other60.id;
+  reason = other60.reason;
+  retryAfterMicros = other60.retryAfterMicros;
+  load = other60.load;
+  __isset = other60.__isset;
 }
-DispatchRefused::DispatchRefused(DispatchRefused&& other55) noexcept {
-  id = std::move(other55.id);
-  reason = other55.reason;
-  retryAfterMicros = other55.retryAfterMicros;
-  load = std::move(other55.load);
-  __isset = other55.__isset;
+DispatchRefused::DispatchRefused(DispatchRefused&& other61) noexcept {
+  id = std::move(other61.id);
+  reason = other61.reason;
+  retryAfterMicros = other61.retryAfterMicros;
+  load = std::move(other61.load);
+  __isset = other61.__isset;
 }
-DispatchRefused& DispatchRefused::operator=(const DispatchRefused& other56) {
-  id = other56.id;
-  reason = other56.reason;
-  retryAfterMicros = other56.retryAfterMicros;
-  load = other56.load;
-  __isset = other56.__isset;
+DispatchRefused& DispatchRefused::operator=(const DispatchRefused& other62) {
+  id = other62.id;
+  reason = other62.reason;
+  retryAfterMicros = other62.retryAfterMicros;
+  load = other62.load;
+  __isset = other62.__isset;
   return *this;
 }
-DispatchRefused& DispatchRefused::operator=(DispatchRefused&& other57) noexcept {
-  id = std::move(other57.id);
-  reason = other57.reason;
-  retryAfterMicros = other57.retryAfterMicros;
-  load = std::move(other57.load);
-  __isset = other57.__isset;
+DispatchRefused& DispatchRefused::operator=(DispatchRefused&& other63) noexcept {
+  id = std::move(other63.id);
+  reason = other63.reason;
+  retryAfterMicros = other63.retryAfterMicros;
+  load = std::move(other63.load);
+  __isset = other63.__isset;
   return *this;
 }
 void DispatchRefused::printTo(std::ostream& out) const {
@@ -2226,30 +2294,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DispatchFailed::DispatchFailed(const DispatchFailed& other58) {
-  id = other58.id;
-  reason = other58.reason;
-  load = other58.load;
-  __isset = other58.__isset;
+DispatchFailed::DispatchFailed(const DispatchFailed& other64) {
+  id = other64.id;
+  reason = other64.reason;
+  load = other64.load;
+  __isset = other64.__isset;
 }
-DispatchFailed::DispatchFailed(DispatchFailed&& other59) noexcept {
-  id = std::move(other59.id);
-  reason = other59.reason;
-  load = std::move(other59.load);
-  __isset = other59.__isset;
+DispatchFailed::DispatchFailed(DispatchFailed&& other65) noexcept {
+  id = std::move(other65.id);
+  reason = other65.reason;
+  load = std::move(other65.load);
+  __isset = other65.__isset;
 }
-DispatchFailed& DispatchFailed::operator=(const DispatchFailed& other60) {
-  id = other60.id;
-  reason = other60.reason;
-  load = other60.load;
-  __isset = other60.__isset;
+DispatchFailed& DispatchFailed::operator=(const DispatchFailed& other66) {
+  id = other66.id;
+  reason = other66.reason;
+  load = other66.load;
+  __isset = other66.__isset;
   return *this;
 }
-DispatchFailed& DispatchFailed::operator=(DispatchFailed&& other61) noexcept {
-  id = std::move(other61.id);
-  reason = other61.reason;
-  load = std::move(other61.load);
-  __isset = other61.__isset;
+DispatchFailed& DispatchFailed::operator=(DispatchFailed&& other67) noexcept {
+  id = std::move(other67.id);
+  reason = other67.reason;
+  load = std::move(other67.load);
+  __isset = other67.__isset;
   return *this;
 }
 void DispatchFailed::printTo(std::ostream& out) const {
@@ -2337,22 +2405,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelDispatch::CancelDispatch(const CancelDispatch& other62) noexcept {
-  id = other62.id;
-  __isset = other62.__isset;
+CancelDispatch::CancelDispatch(const CancelDispatch& other68) noexcept {
+  id = other68.id;
+  __isset = other68.__isset;
 }
-CancelDispatch::CancelDispatch(CancelDispatch&& other63) noexcept {
-  id = std::move(other63.id);
-  __isset = other63.__isset;
+CancelDispatch::CancelDispatch(CancelDispatch&& other69) noexcept {
+  id = std::move(other69.id);
+  __isset = other69.__isset;
 }
-CancelDispatch& CancelDispatch::operator=(const CancelDispatch& other64) noexcept {
-  id = other64.id;
-  __isset = other64.__isset;
+CancelDispatch& CancelDispatch::operator=(const CancelDispatch& other70) noexcept {
+  id = other70.id;
+  __isset = other70.__isset;
   return *this;
 }
-CancelDispatch& CancelDispatch::operator=(CancelDispatch&& other65) noexcept {
-  id = std::move(other65.id);
-  __isset = other65.__isset;
+CancelDispatch& CancelDispatch::operator=(CancelDispatch&& other71) noexcept {
+  id = std::move(other71.id);
+  __isset = other71.__isset;
   return *this;
 }
 void CancelDispatch::printTo(std::ostream& out) const {
@@ -2455,26 +2523,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AttachDispatch::AttachDispatch(const AttachDispatch& other66) noexcept {
-  id = other66.id;
-  offset = other66.offset;
-  __isset = other66.__isset;
+AttachDispatch::AttachDispatch(const AttachDispatch& other72) noexcept {
+  id = other72.id;
+  offset = other72.offset;
+  __isset = other72.__isset;
 }
-AttachDispatch::AttachDispatch(AttachDispatch&& other67) noexcept {
-  id = std::move(other67.id);
-  offset = other67.offset;
-  __isset = other67.__isset;
+AttachDispatch::AttachDispatch(AttachDispatch&& other73) noexcept {
+  id = std::move(other73.id);
+  offset = other73.offset;
+  __isset = other73.__isset;
 }
-AttachDispatch& AttachDispatch::operator=(const AttachDispatch& other68) noexcept {
-  id = other68.id;
-  offset = other68.offset;
-  __isset = other68.__isset;
+AttachDispatch& AttachDispatch::operator=(const AttachDispatch& other74) noexcept {
+  id = other74.id;
+  offset = other74.offset;
+  __isset = other74.__isset;
   return *this;
 }
-AttachDispatch& AttachDispatch::operator=(AttachDispatch&& other69) noexcept {
-  id = std::move(other69.id);
-  offset = other69.offset;
-  __isset = other69.__isset;
+AttachDispatch& AttachDispatch::operator=(AttachDispatch&& other75) noexcept {
+  id = std::move(other75.id);
+  offset = other75.offset;
+  __isset = other75.__isset;
   return *this;
 }
 void AttachDispatch::printTo(std::ostream& out) const {
@@ -2578,26 +2646,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolveDispatch::ResolveDispatch(const ResolveDispatch& other70) noexcept {
-  id = other70.id;
-  agentIncarnation = other70.agentIncarnation;
-  __isset = other70.__isset;
+ResolveDispatch::ResolveDispatch(const ResolveDispatch& other76) noexcept {
+  id = other76.id;
+  agentIncarnation = other76.agentIncarnation;
+  __isset = other76.__isset;
 }
-ResolveDispatch::ResolveDispatch(ResolveDispatch&& other71) noexcept {
-  id = std::move(other71.id);
-  agentIncarnation = other71.agentIncarnation;
-  __isset = other71.__isset;
+ResolveDispatch::ResolveDispatch(ResolveDispatch&& other77) noexcept {
+  id = std::move(other77.id);
+  agentIncarnation = other77.agentIncarnation;
+  __isset = other77.__isset;
 }
-ResolveDispatch& ResolveDispatch::operator=(const ResolveDispatch& other72) noexcept {
-  id = other72.id;
-  agentIncarnation = other72.agentIncarnation;
-  __isset = other72.__isset;
+ResolveDispatch& ResolveDispatch::operator=(const ResolveDispatch& other78) noexcept {
+  id = other78.id;
+  agentIncarnation = other78.agentIncarnation;
+  __isset = other78.__isset;
   return *this;
 }
-ResolveDispatch& ResolveDispatch::operator=(ResolveDispatch&& other73) noexcept {
-  id = std::move(other73.id);
-  agentIncarnation = other73.agentIncarnation;
-  __isset = other73.__isset;
+ResolveDispatch& ResolveDispatch::operator=(ResolveDispatch&& other79) noexcept {
+  id = std::move(other79.id);
+  agentIncarnation = other79.agentIncarnation;
+  __isset = other79.__isset;
   return *this;
 }
 void ResolveDispatch::printTo(std::ostream& out) const {
@@ -2701,26 +2769,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolveReply::ResolveReply(const ResolveReply& other74) noexcept {
-  id = other74.id;
-  state = other74.state;
-  __isset = other74.__isset;
+ResolveReply::ResolveReply(const ResolveReply& other80) noexcept {
+  id = other80.id;
+  state = other80.state;
+  __isset = other80.__isset;
 }
-ResolveReply::ResolveReply(ResolveReply&& other75) noexcept {
-  id = std::move(other75.id);
-  state = other75.state;
-  __isset = other75.__isset;
+ResolveReply::ResolveReply(ResolveReply&& other81) noexcept {
+  id = std::move(other81.id);
+  state = other81.state;
+  __isset = other81.__isset;
 }
-ResolveReply& ResolveReply::operator=(const ResolveReply& other76) noexcept {
-  id = other76.id;
-  state = other76.state;
-  __isset = other76.__isset;
+ResolveReply& ResolveReply::operator=(const ResolveReply& other82) noexcept {
+  id = other82.id;
+  state = other82.state;
+  __isset = other82.__isset;
   return *this;
 }
-ResolveReply& ResolveReply::operator=(ResolveReply&& other77) noexcept {
-  id = std::move(other77.id);
-  state = other77.state;
-  __isset = other77.__isset;
+ResolveReply& ResolveReply::operator=(ResolveReply&& other83) noexcept {
+  id = std::move(other83.id);
+  state = other83.state;
+  __isset = other83.__isset;
   return *this;
 }
 void ResolveReply::printTo(std::ostream& out) const {
@@ -2880,14 +2948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->models.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->models.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->models[_i82]);
+              xfer += iprot->readString(this->models[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2900,14 +2968,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->adapters.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->adapters.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += iprot->readString(this->adapters[_i87]);
+              xfer += iprot->readString(this->adapters[_i93]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3004,10 +3072,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter88;
-    for (_iter88 = this->models.begin(); _iter88 != this->models.end(); ++_iter88)
+    std::vector<std::string> ::const_iterator _iter94;
+    for (_iter94 = this->models.begin(); _iter94 != this->models.end(); ++_iter94)
     {
-      xfer += oprot->writeString((*_iter88));
+      xfer += oprot->writeString((*_iter94));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3016,10 +3084,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter89;
-    for (_iter89 = this->adapters.begin(); _iter89 != this->adapters.end(); ++_iter89)
+    std::vector<std::string> ::const_iterator _iter95;
+    for (_iter95 = this->adapters.begin(); _iter95 != this->adapters.end(); ++_iter95)
     {
-      xfer += oprot->writeString((*_iter89));
+      xfer += oprot->writeString((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3070,74 +3138,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Announcement::Announcement(const Announcement& other90) {
-  backend = other90.backend;
-  incarnation = other90.incarnation;
-  sequence = other90.sequence;
-  status = other90.status;
-  kind = other90.kind;
-  zone = other90.zone;
-  trafficAddress = other90.trafficAddress;
-  models = other90.models;
-  adapters = other90.adapters;
-  version = other90.version;
-  engineRole = other90.engineRole;
-  concurrencyLimit = other90.concurrencyLimit;
-  checksFencing = other90.checksFencing;
-  home = other90.home;
-  __isset = other90.__isset;
-}
-Announcement::Announcement(Announcement&& other91) noexcept {
-  backend = std::move(other91.backend);
-  incarnation = other91.incarnation;
-  sequence = other91.sequence;
-  status = other91.status;
-  kind = other91.kind;
-  zone = std::move(other91.zone);
-  trafficAddress = std::move(other91.trafficAddress);
-  models = std::move(other91.models);
-  adapters = std::move(other91.adapters);
-  version = std::move(other91.version);
-  engineRole = std::move(other91.engineRole);
-  concurrencyLimit = other91.concurrencyLimit;
-  checksFencing = other91.checksFencing;
-  home = other91.home;
-  __isset = other91.__isset;
-}
-Announcement& Announcement::operator=(const Announcement& other92) {
-  backend = other92.backend;
-  incarnation = other92.incarnation;
-  sequence = other92.sequence;
-  status = other92.status;
-  kind = other92.kind;
-  zone = other92.zone;
-  trafficAddress = other92.trafficAddress;
-  models = other92.models;
-  adapters = other92.adapters;
-  version = other92.version;
-  engineRole = other92.engineRole;
-  concurrencyLimit = other92.concurrencyLimit;
-  checksFencing = other92.checksFencing;
-  home = other92.home;
-  __isset = other92.__isset;
+Announcement::Announcement(const Announcement& other96) {
+  backend = other96.backend;
+  incarnation = other96.incarnation;
+  sequence = other96.sequence;
+  status = other96.status;
+  kind = other96.kind;
+  zone = other96.zone;
+  trafficAddress = other96.trafficAddress;
+  models = other96.models;
+  adapters = other96.adapters;
+  version = other96.version;
+  engineRole = other96.engineRole;
+  concurrencyLimit = other96.concurrencyLimit;
+  checksFencing = other96.checksFencing;
+  home = other96.home;
+  __isset = other96.__isset;
+}
+Announcement::Announcement(Announcement&& other97) noexcept {
+  backend = std::move(other97.backend);
+  incarnation = other97.incarnation;
+  sequence = other97.sequence;
+  status = other97.status;
+  kind = other97.kind;
+  zone = std::move(other97.zone);
+  trafficAddress = std::move(other97.trafficAddress);
+  models = std::move(other97.models);
+  adapters = std::move(other97.adapters);
+  version = std::move(other97.version);
+  engineRole = std::move(other97.engineRole);
+  concurrencyLimit = other97.concurrencyLimit;
+  checksFencing = other97.checksFencing;
+  home = other97.home;
+  __isset = other97.__isset;
+}
+Announcement& Announcement::operator=(const Announcement& other98) {
+  backend = other98.backend;
+  incarnation = other98.incarnation;
+  sequence = other98.sequence;
+  status = other98.status;
+  kind = other98.kind;
+  zone = other98.zone;
+  trafficAddress = other98.trafficAddress;
+  models = other98.models;
+  adapters = other98.adapters;
+  version = other98.version;
+  engineRole = other98.engineRole;
+  concurrencyLimit = other98.concurrencyLimit;
+  checksFencing = other98.checksFencing;
+  home = other98.home;
+  __isset = other98.__isset;
   return *this;
 }
-Announcement& Announcement::operator=(Announcement&& other93) noexcept {
-  backend = std::move(other93.backend);
-  incarnation = other93.incarnation;
-  sequence = other93.sequence;
-  status = other93.status;
-  kind = other93.kind;
-  zone = std::move(other93.zone);
-  trafficAddress = std::move(other93.trafficAddress);
-  models = std::move(other93.models);
-  adapters = std::move(other93.adapters);
-  version = std::move(other93.version);
-  engineRole = std::move(other93.engineRole);
-  concurrencyLimit = other93.concurrencyLimit;
-  checksFencing = other93.checksFencing;
-  home = other93.home;
-  __isset = other93.__isset;
+Announcement& Announcement::operator=(Announcement&& other99) noexcept {
+  backend = std::move(other99.backend);
+  incarnation = other99.incarnation;
+  sequence = other99.sequence;
+  status = other99.status;
+  kind = other99.kind;
+  zone = std::move(other99.zone);
+  trafficAddress = std::move(other99.trafficAddress);
+  models = std::move(other99.models);
+  adapters = std::move(other99.adapters);
+  version = std::move(other99.version);
+  engineRole = std::move(other99.engineRole);
+  concurrencyLimit = other99.concurrencyLimit;
+  checksFencing = other99.checksFencing;
+  home = other99.home;
+  __isset = other99.__isset;
   return *this;
 }
 void Announcement::printTo(std::ostream& out) const {
@@ -3200,14 +3268,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->records.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->records.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->records[_i98].read(iprot);
+              xfer += this->records[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3236,10 +3304,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Announcement> ::const_iterator _iter99;
-    for (_iter99 = this->records.begin(); _iter99 != this->records.end(); ++_iter99)
+    std::vector<Announcement> ::const_iterator _iter105;
+    for (_iter105 = this->records.begin(); _iter105 != this->records.end(); ++_iter105)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3256,22 +3324,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryDelta::DirectoryDelta(const DirectoryDelta& other100) {
-  records = other100.records;
-  __isset = other100.__isset;
+DirectoryDelta::DirectoryDelta(const DirectoryDelta& other106) {
+  records = other106.records;
+  __isset = other106.__isset;
 }
-DirectoryDelta::DirectoryDelta(DirectoryDelta&& other101) noexcept {
-  records = std::move(other101.records);
-  __isset = other101.__isset;
+DirectoryDelta::DirectoryDelta(DirectoryDelta&& other107) noexcept {
+  records = std::move(other107.records);
+  __isset = other107.__isset;
 }
-DirectoryDelta& DirectoryDelta::operator=(const DirectoryDelta& other102) {
-  records = other102.records;
-  __isset = other102.__isset;
+DirectoryDelta& DirectoryDelta::operator=(const DirectoryDelta& other108) {
+  records = other108.records;
+  __isset = other108.__isset;
   return *this;
 }
-DirectoryDelta& DirectoryDelta::operator=(DirectoryDelta&& other103) noexcept {
-  records = std::move(other103.records);
-  __isset = other103.__isset;
+DirectoryDelta& DirectoryDelta::operator=(DirectoryDelta&& other109) noexcept {
+  records = std::move(other109.records);
+  __isset = other109.__isset;
   return *this;
 }
 void DirectoryDelta::printTo(std::ostream& out) const {
@@ -3393,30 +3461,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryDigest::DirectoryDigest(const DirectoryDigest& other104) noexcept {
-  recordCount = other104.recordCount;
-  hash = other104.hash;
-  reply = other104.reply;
-  __isset = other104.__isset;
+DirectoryDigest::DirectoryDigest(const DirectoryDigest& other110) noexcept {
+  recordCount = other110.recordCount;
+  hash = other110.hash;
+  reply = other110.reply;
+  __isset = other110.__isset;
 }
-DirectoryDigest::DirectoryDigest(DirectoryDigest&& other105) noexcept {
-  recordCount = other105.recordCount;
-  hash = other105.hash;
-  reply = other105.reply;
-  __isset = other105.__isset;
+DirectoryDigest::DirectoryDigest(DirectoryDigest&& other111) noexcept {
+  recordCount = other111.recordCount;
+  hash = other111.hash;
+  reply = other111.reply;
+  __isset = other111.__isset;
 }
-DirectoryDigest& DirectoryDigest::operator=(const DirectoryDigest& other106) noexcept {
-  recordCount = other106.recordCount;
-  hash = other106.hash;
-  reply = other106.reply;
-  __isset = other106.__isset;
+DirectoryDigest& DirectoryDigest::operator=(const DirectoryDigest& other112) noexcept {
+  recordCount = other112.recordCount;
+  hash = other112.hash;
+  reply = other112.reply;
+  __isset = other112.__isset;
   return *this;
 }
-DirectoryDigest& DirectoryDigest::operator=(DirectoryDigest&& other107) noexcept {
-  recordCount = other107.recordCount;
-  hash = other107.hash;
-  reply = other107.reply;
-  __isset = other107.__isset;
+DirectoryDigest& DirectoryDigest::operator=(DirectoryDigest&& other113) noexcept {
+  recordCount = other113.recordCount;
+  hash = other113.hash;
+  reply = other113.reply;
+  __isset = other113.__isset;
   return *this;
 }
 void DirectoryDigest::printTo(std::ostream& out) const {
@@ -3469,14 +3537,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucketHashes.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->bucketHashes.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->bucketHashes.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += iprot->readI64(this->bucketHashes[_i112]);
+              xfer += iprot->readI64(this->bucketHashes[_i118]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3506,10 +3574,10 @@
     xfer += oprot->writeFieldBegin("bucketHashes", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->bucketHashes.size()));
-      std::vector<int64_t> ::const_iterator _iter113;
-      for (_iter113 = this->bucketHashes.begin(); _iter113 != this->bucketHashes.end(); ++_iter113)
+      std::vector<int64_t> ::const_iterator _iter119;
+      for (_iter119 = this->bucketHashes.begin(); _iter119 != this->bucketHashes.end(); ++_iter119)
       {
-        xfer += oprot->writeI64((*_iter113));
+        xfer += oprot->writeI64((*_iter119));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3526,22 +3594,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryPull::DirectoryPull(const DirectoryPull& other114) {
-  bucketHashes = other114.bucketHashes;
-  __isset = other114.__isset;
+DirectoryPull::DirectoryPull(const DirectoryPull& other120) {
+  bucketHashes = other120.bucketHashes;
+  __isset = other120.__isset;
 }
-DirectoryPull::DirectoryPull(DirectoryPull&& other115) noexcept {
-  bucketHashes = std::move(other115.bucketHashes);
-  __isset = other115.__isset;
+DirectoryPull::DirectoryPull(DirectoryPull&& other121) noexcept {
+  bucketHashes = std::move(other121.bucketHashes);
+  __isset = other121.__isset;
 }
-DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other116) {
-  bucketHashes = other116.bucketHashes;
-  __isset = other116.__isset;
+DirectoryPull& DirectoryPull::operator=(const DirectoryPull& other122) {
+  bucketHashes = other122.bucketHashes;
+  __isset = other122.__isset;
   return *this;
 }
-DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other117) noexcept {
-  bucketHashes = std::move(other117.bucketHashes);
-  __isset = other117.__isset;
+DirectoryPull& DirectoryPull::operator=(DirectoryPull&& other123) noexcept {
+  bucketHashes = std::move(other123.bucketHashes);
+  __isset = other123.__isset;
   return *this;
 }
 void DirectoryPull::printTo(std::ostream& out) const {
@@ -3678,34 +3746,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashCharge::CrashCharge(const CrashCharge& other118) noexcept {
-  content = other118.content;
-  source = other118.source;
-  sequence = other118.sequence;
-  ageMillis = other118.ageMillis;
-  __isset = other118.__isset;
-}
-CrashCharge::CrashCharge(CrashCharge&& other119) noexcept {
-  content = other119.content;
-  source = other119.source;
-  sequence = other119.sequence;
-  ageMillis = other119.ageMillis;
-  __isset = other119.__isset;
-}
-CrashCharge& CrashCharge::operator=(const CrashCharge& other120) noexcept {
-  content = other120.content;
-  source = other120.source;
-  sequence = other120.sequence;
-  ageMillis = other120.ageMillis;
-  __isset = other120.__isset;
+CrashCharge::CrashCharge(const CrashCharge& other124) noexcept {
+  content = other124.content;
+  source = other124.source;
+  sequence = other124.sequence;
+  ageMillis = other124.ageMillis;
+  __isset = other124.__isset;
+}
+CrashCharge::CrashCharge(CrashCharge&& other125) noexcept {
+  content = other125.content;
+  source = other125.source;
+  sequence = other125.sequence;
+  ageMillis = other125.ageMillis;
+  __isset = other125.__isset;
+}
+CrashCharge& CrashCharge::operator=(const CrashCharge& other126) noexcept {
+  content = other126.content;
+  source = other126.source;
+  sequence = other126.sequence;
+  ageMillis = other126.ageMillis;
+  __isset = other126.__isset;
   return *this;
 }
-CrashCharge& CrashCharge::operator=(CrashCharge&& other121) noexcept {
-  content = other121.content;
-  source = other121.source;
-  sequence = other121.sequence;
-  ageMillis = other121.ageMillis;
-  __isset = other121.__isset;
+CrashCharge& CrashCharge::operator=(CrashCharge&& other127) noexcept {
+  content = other127.content;
+  source = other127.source;
+  sequence = other127.sequence;
+  ageMillis = other127.ageMillis;
+  __isset = other127.__isset;
   return *this;
 }
 void CrashCharge::printTo(std::ostream& out) const {
@@ -3762,14 +3830,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charges.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->charges.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->charges.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->charges[_i126].read(iprot);
+              xfer += this->charges[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3782,14 +3850,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cleared.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->cleared.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->cleared.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += iprot->readI64(this->cleared[_i131]);
+              xfer += iprot->readI64(this->cleared[_i137]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3818,10 +3886,10 @@
   xfer += oprot->writeFieldBegin("charges", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->charges.size()));
-    std::vector<CrashCharge> ::const_iterator _iter132;
-    for (_iter132 = this->charges.begin(); _iter132 != this->charges.end(); ++_iter132)
+    std::vector<CrashCharge> ::const_iterator _iter138;
+    for (_iter138 = this->charges.begin(); _iter138 != this->charges.end(); ++_iter138)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter138).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3830,10 +3898,10 @@
   xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
-    std::vector<int64_t> ::const_iterator _iter133;
-    for (_iter133 = this->cleared.begin(); _iter133 != this->cleared.end(); ++_iter133)
+    std::vector<int64_t> ::const_iterator _iter139;
+    for (_iter139 = this->cleared.begin(); _iter139 != this->cleared.end(); ++_iter139)
     {
-      xfer += oprot->writeI64((*_iter133));
+      xfer += oprot->writeI64((*_iter139));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3851,26 +3919,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other134) {
-  charges = other134.charges;
-  cleared = other134.cleared;
-  __isset = other134.__isset;
+CrashReport::CrashReport(const CrashReport& other140) {
+  charges = other140.charges;
+  cleared = other140.cleared;
+  __isset = other140.__isset;
 }
-CrashReport::CrashReport(CrashReport&& other135) noexcept {
-  charges = std::move(other135.charges);
-  cleared = std::move(other135.cleared);
-  __isset = other135.__isset;
+CrashReport::CrashReport(CrashReport&& other141) noexcept {
+  charges = std::move(other141.charges);
+  cleared = std::move(other141.cleared);
+  __isset = other141.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other136) {
-  charges = other136.charges;
-  cleared = other136.cleared;
-  __isset = other136.__isset;
+CrashReport& CrashReport::operator=(const CrashReport& other142) {
+  charges = other142.charges;
+  cleared = other142.cleared;
+  __isset = other142.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other137) noexcept {
-  charges = std::move(other137.charges);
-  cleared = std::move(other137.cleared);
-  __isset = other137.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other143) noexcept {
+  charges = std::move(other143.charges);
+  cleared = std::move(other143.cleared);
+  __isset = other143.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -3974,26 +4042,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryBeat::EntryBeat(const EntryBeat& other138) noexcept {
-  node = other138.node;
-  value = other138.value;
-  __isset = other138.__isset;
+EntryBeat::EntryBeat(const EntryBeat& other144) noexcept {
+  node = other144.node;
+  value = other144.value;
+  __isset = other144.__isset;
 }
-EntryBeat::EntryBeat(EntryBeat&& other139) noexcept {
-  node = other139.node;
-  value = other139.value;
-  __isset = other139.__isset;
+EntryBeat::EntryBeat(EntryBeat&& other145) noexcept {
+  node = other145.node;
+  value = other145.value;
+  __isset = other145.__isset;
 }
-EntryBeat& EntryBeat::operator=(const EntryBeat& other140) noexcept {
-  node = other140.node;
-  value = other140.value;
-  __isset = other140.__isset;
+EntryBeat& EntryBeat::operator=(const EntryBeat& other146) noexcept {
+  node = other146.node;
+  value = other146.value;
+  __isset = other146.__isset;
   return *this;
 }
-EntryBeat& EntryBeat::operator=(EntryBeat&& other141) noexcept {
-  node = other141.node;
-  value = other141.value;
-  __isset = other141.__isset;
+EntryBeat& EntryBeat::operator=(EntryBeat&& other147) noexcept {
+  node = other147.node;
+  value = other147.value;
+  __isset = other147.__isset;
   return *this;
 }
 void EntryBeat::printTo(std::ostream& out) const {
@@ -4044,14 +4112,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->beats.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->beats.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->beats.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->beats[_i146].read(iprot);
+              xfer += this->beats[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4080,10 +4148,10 @@
   xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
-    std::vector<EntryBeat> ::const_iterator _iter147;
-    for (_iter147 = this->beats.begin(); _iter147 != this->beats.end(); ++_iter147)
+    std::vector<EntryBeat> ::const_iterator _iter153;
+    for (_iter153 = this->beats.begin(); _iter153 != this->beats.end(); ++_iter153)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4100,22 +4168,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryBeats::EntryBeats(const EntryBeats& other148) {
-  beats = other148.beats;
-  __isset = other148.__isset;
+EntryBeats::EntryBeats(const EntryBeats& other154) {
+  beats = other154.beats;
+  __isset = other154.__isset;
 }
-EntryBeats::EntryBeats(EntryBeats&& other149) noexcept {
-  beats = std::move(other149.beats);
-  __isset = other149.__isset;
+EntryBeats::EntryBeats(EntryBeats&& other155) noexcept {
+  beats = std::move(other155.beats);
+  __isset = other155.__isset;
 }
-EntryBeats& EntryBeats::operator=(const EntryBeats& other150) {
-  beats = other150.beats;
-  __isset = other150.__isset;
+EntryBeats& EntryBeats::operator=(const EntryBeats& other156) {
+  beats = other156.beats;
+  __isset = other156.__isset;
   return *this;
 }
-EntryBeats& EntryBeats::operator=(EntryBeats&& other151) noexcept {
-  beats = std::move(other151.beats);
-  __isset = other151.__isset;
+EntryBeats& EntryBeats::operator=(EntryBeats&& other157) noexcept {
+  beats = std::move(other157.beats);
+  __isset = other157.__isset;
   return *this;
 }
 void EntryBeats::printTo(std::ostream& out) const {
@@ -4218,26 +4286,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other152) noexcept {
-  protocolVersion = other152.protocolVersion;
-  messageType = other152.messageType;
-  __isset = other152.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other158) noexcept {
+  protocolVersion = other158.protocolVersion;
+  messageType = other158.messageType;
+  __isset = other158.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other153) noexcept {
-  protocolVersion = other153.protocolVersion;
-  messageType = other153.messageType;
-  __isset = other153.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other159) noexcept {
+  protocolVersion = other159.protocolVersion;
+  messageType = other159.messageType;
+  __isset = other159.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other154) noexcept {
-  protocolVersion = other154.protocolVersion;
-  messageType = other154.messageType;
-  __isset = other154.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other160) noexcept {
+  protocolVersion = other160.protocolVersion;
+  messageType = other160.messageType;
+  __isset = other160.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other155) noexcept {
-  protocolVersion = other155.protocolVersion;
-  messageType = other155.messageType;
-  __isset = other155.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other161) noexcept {
+  protocolVersion = other161.protocolVersion;
+  messageType = other161.messageType;
+  __isset = other161.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -82,6 +82,30 @@
   return router_.Choose(*table_, query, ctx.now, ctx.random);
 }
 
+template <policy_set P>
+const announcement* request_table<P>::ChooseBackend(entry_request& request, reduce_context& ctx) {
+  std::chrono::microseconds hinted{};
+  // Other servers queue the Member's work separately, so a hint of one server permits a second
+  // choice; a flood that is over its share everywhere ends here without a round trip.
+  for (int choice = 0; choice < 2; ++choice) {
+    auto backend = Choose(request, ctx);
+    if (!backend) break;
+    const announcement& chosen = table_->backends[*backend];
+    hinted = admission_.Check(chosen, request.input.member, request.cls, ctx.now);
+    request.tried.push_back(*backend);
+    request.backend = *backend;
+    if (hinted.count() == 0) return &chosen;
+  }
+  if (MayHaveRun(request)) {
+    Fail(request, dispatch_failure::kEngineUnreachable, ctx);
+  } else if (hinted.count() > 0) {
+    Refuse(request, refusal_reason::kOverMemberShare, hinted, ctx);
+  } else {
+    Refuse(request, refusal_reason::kNoBackend, std::chrono::seconds(1), ctx);
+  }
+  return nullptr;
+}
+
 template <policy_set P>
 void request_table<P>::Route(entry_request& request, reduce_context& ctx) {
   request.at = phase::kWaitingForLink;
@@ -93,24 +117,15 @@
     }
     return;
   }
-  auto backend = Choose(request, ctx);
-  if (!backend) {
-    if (MayHaveRun(request)) {
-      Fail(request, dispatch_failure::kEngineUnreachable, ctx);
-    } else {
-      Refuse(request, refusal_reason::kNoBackend, std::chrono::seconds(1), ctx);
-    }
-    return;
-  }
-  const announcement& chosen = table_->backends[*backend];
-  request.backend = *backend;
-  request.backend_name = chosen.backend;
-  request.backend_incarnation = chosen.incarnation;
-  request.backend_address = chosen.traffic_address;
-  request.tried.push_back(*backend);
+  const announcement* chosen = ChooseBackend(request, ctx);
+  if (chosen == nullptr) return;
+  request.backend_name = chosen->backend;
+  request.backend_incarnation = chosen->incarnation;
+  request.backend_address = chosen->traffic_address;
   ++request.attempt;
   request.gap_at.reset();
-  router_.OnSent(*backend);
+  request.counted = true;
+  router_.OnSent(request.backend);
   JoinLink(request, ctx);
 }
 
@@ -134,6 +149,8 @@
   dispatch.resume_offset = request.bytes_sent;
   dispatch.path = request.input.path;
   dispatch.idempotency_key = request.input.idempotency_key;
+  dispatch.config_version = table_->config_version;
+  dispatch.floor_percent = table_->floor_percent;
   dispatch.body = request.input.body;
   request.at = phase::kDispatched;
   request.link = link;
@@ -283,6 +300,11 @@
   entry_request* request = Find(link, refused.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, refused.load, ctx.now);
+  if (request->backend < table_->backends.size()) {
+    admission_.OnRefused(table_->backends[request->backend], request->input.member, request->cls,
+                         refused.reason, refused.retry_after, ctx.now);
+  }
+  request->retry_after = refused.retry_after;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
 
@@ -322,14 +344,18 @@
   bool allowed = (!request.may_have_run || request.repeatable) && resumable &&
                  request.attempt < limits_.max_attempts && ctx.now < request.deadline &&
                  retries_.TakeRetry(request.input.member, ctx.now);
+  auto retry_after = request.retry_after.count() > 0
+                         ? request.retry_after
+                         : std::chrono::microseconds(std::chrono::seconds(1));
   if (allowed) {
     router_.OnDone(request.backend);
+    request.counted = false;
     ctx.Emit(count_retry{reason});
     Route(request, ctx);
     return;
   }
   if (!MayHaveRun(request)) {
-    Refuse(request, refusal, std::chrono::seconds(1), ctx);
+    Refuse(request, refusal, retry_after, ctx);
     return;
   }
   Fail(request, failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure,
@@ -369,7 +395,7 @@
 void request_table<P>::Erase(const request_id& id, reduce_context& ctx) {
   auto it = requests_.find(id);
   if (it == requests_.end()) return;
-  if (it->second.attempt > 0) router_.OnDone(it->second.backend);
+  if (it->second.counted) router_.OnDone(it->second.backend);
   LeaveLink(it->second, ctx);
   deadlines_.erase({it->second.deadline, id});
   by_exchange_.erase(it->second.input.exchange);
@@ -396,6 +422,8 @@
   if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
 }
 
-template class request_table<baseline_policies>;
+#define RADISHROUTE_INSTANTIATE(P) template class request_table<P>;
+RADISHROUTE_FOR_EACH_POLICY_SET(RADISHROUTE_INSTANTIATE)
+#undef RADISHROUTE_INSTANTIATE
 
 }  // namespace radishroute
