--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -25,6 +25,8 @@
   endpoint address;
   /// A learner receives entries and does not vote.
   bool voting = true;
+  /// Voter that a learner replaces once it has caught up; zero for none.
+  voter_id replaces;
 };
 
 /// First entry of a leader's term.
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -14,6 +14,7 @@
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
+#include "radishroute/raft_event.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
 
@@ -139,6 +140,8 @@
     count_refusal,            //
     count_retry,              //
     observe_latency,          //
+    store_log,                //
+    proposal_finished,        //
     stop_process>;
 
 using effect_list = std::vector<effect>;
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "radishroute/link_event.h"
+#include "radishroute/raft_event.h"
 #include "radishroute/traffic_event.h"
 
 namespace radishroute {
@@ -22,6 +23,9 @@
     engine_answer_bytes,     //
     engine_answer_end,       //
     engine_call_failed,      //
+    propose_command,         //
+    change_voters,           //
+    log_stored,              //
     routing_table_published>;
 
 }  // namespace radishroute
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -23,6 +23,16 @@
   kBackendLeaving = 301,
   kBackendDown = 302,
   kEngineCallFailed = 400,
+  kVoterStarted = 500,
+  kElectionStarted = 501,
+  kLeaderElected = 502,
+  kLeaderSteppedDown = 503,
+  kReplicasChanged = 504,
+  kSnapshotTaken = 505,
+  kSnapshotInstalled = 506,
+  kStorageFailed = 507,
+  kLogTailTruncated = 508,
+  kVoterCreated = 509,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "radishroute/discovery_message.h"
+#include "radishroute/raft_message.h"
 #include "radishroute/traffic_message.h"
 
 namespace radishroute {
@@ -41,6 +42,14 @@
     announcement,              //
     directory_delta,           //
     directory_digest,          //
+    append_request,            //
+    append_reply,              //
+    vote_request,              //
+    vote_reply,                //
+    snapshot_chunk,            //
+    snapshot_reply,            //
+    propose_request,           //
+    propose_reply,             //
     directory_pull>;
 
 }  // namespace radishroute
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -5,6 +5,7 @@
 
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
+#include "radishroute/raft.h"
 #include "radishroute/requests.h"
 
 namespace radishroute {
@@ -13,6 +14,7 @@
 struct control_state {
   std::optional<directory> backends;
   std::optional<announcer> announcements;
+  std::optional<replicated_log<null_state_machine>> log;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -3456,6 +3456,3375 @@
 }
 
 
+Replica::~Replica() noexcept {
+}
+
+
+void Replica::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void Replica::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Replica::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void Replica::__set_voting(const bool val) {
+  this->voting = val;
+}
+
+void Replica::__set_replaces(const int64_t val) {
+  this->replaces = val;
+}
+std::ostream& operator<<(std::ostream& out, const Replica& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Replica::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voting);
+          this->__isset.voting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replaces);
+          this->__isset.replaces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Replica::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Replica");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voting", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->voting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replaces", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->replaces);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Replica &a, Replica &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.zone, b.zone);
+  swap(a.address, b.address);
+  swap(a.voting, b.voting);
+  swap(a.replaces, b.replaces);
+  swap(a.__isset, b.__isset);
+}
+
+Replica::Replica(const Replica& other112) {
+  id = other112.id;
+  zone = other112.zone;
+  address = other112.address;
+  voting = other112.voting;
+  replaces = other112.replaces;
+  __isset = other112.__isset;
+}
+Replica::Replica(Replica&& other113) noexcept {
+  id = other113.id;
+  zone = std::move(other113.zone);
+  address = std::move(other113.address);
+  voting = other113.voting;
+  replaces = other113.replaces;
+  __isset = other113.__isset;
+}
+Replica& Replica::operator=(const Replica& other114) {
+  id = other114.id;
+  zone = other114.zone;
+  address = other114.address;
+  voting = other114.voting;
+  replaces = other114.replaces;
+  __isset = other114.__isset;
+  return *this;
+}
+Replica& Replica::operator=(Replica&& other115) noexcept {
+  id = other115.id;
+  zone = std::move(other115.zone);
+  address = std::move(other115.address);
+  voting = other115.voting;
+  replaces = other115.replaces;
+  __isset = other115.__isset;
+  return *this;
+}
+void Replica::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Replica(";
+  out << "id=" << to_string(id);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "voting=" << to_string(voting);
+  out << ", " << "replaces=" << to_string(replaces);
+  out << ")";
+}
+
+
+NoOperation::~NoOperation() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const NoOperation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NoOperation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NoOperation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NoOperation");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NoOperation &a, NoOperation &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+NoOperation::NoOperation(const NoOperation& other116) noexcept {
+  (void) other116;
+}
+NoOperation::NoOperation(NoOperation&& other117) noexcept {
+  (void) other117;
+}
+NoOperation& NoOperation::operator=(const NoOperation& other118) noexcept {
+  (void) other118;
+  return *this;
+}
+NoOperation& NoOperation::operator=(NoOperation&& other119) noexcept {
+  (void) other119;
+  return *this;
+}
+void NoOperation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NoOperation(";
+  out << ")";
+}
+
+
+ReplicaChange::~ReplicaChange() noexcept {
+}
+
+
+void ReplicaChange::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->replicas.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->replicas[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicaChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaChange");
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter125;
+    for (_iter125 = this->replicas.begin(); _iter125 != this->replicas.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaChange &a, ReplicaChange &b) {
+  using ::std::swap;
+  swap(a.replicas, b.replicas);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicaChange::ReplicaChange(const ReplicaChange& other126) {
+  replicas = other126.replicas;
+  __isset = other126.__isset;
+}
+ReplicaChange::ReplicaChange(ReplicaChange&& other127) noexcept {
+  replicas = std::move(other127.replicas);
+  __isset = other127.__isset;
+}
+ReplicaChange& ReplicaChange::operator=(const ReplicaChange& other128) {
+  replicas = other128.replicas;
+  __isset = other128.__isset;
+  return *this;
+}
+ReplicaChange& ReplicaChange::operator=(ReplicaChange&& other129) noexcept {
+  replicas = std::move(other129.replicas);
+  __isset = other129.__isset;
+  return *this;
+}
+void ReplicaChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaChange(";
+  out << "replicas=" << to_string(replicas);
+  out << ")";
+}
+
+
+ConfigChange::~ConfigChange() noexcept {
+}
+
+
+void ConfigChange::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void ConfigChange::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void ConfigChange::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigChange::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigChange");
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigChange &a, ConfigChange &b) {
+  using ::std::swap;
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.changeId, b.changeId);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigChange::ConfigChange(const ConfigChange& other130) {
+  baseVersion = other130.baseVersion;
+  changeId = other130.changeId;
+  author = other130.author;
+  sheet = other130.sheet;
+  __isset = other130.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other131) noexcept {
+  baseVersion = other131.baseVersion;
+  changeId = std::move(other131.changeId);
+  author = std::move(other131.author);
+  sheet = std::move(other131.sheet);
+  __isset = other131.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other132) {
+  baseVersion = other132.baseVersion;
+  changeId = other132.changeId;
+  author = other132.author;
+  sheet = other132.sheet;
+  __isset = other132.__isset;
+  return *this;
+}
+ConfigChange& ConfigChange::operator=(ConfigChange&& other133) noexcept {
+  baseVersion = other133.baseVersion;
+  changeId = std::move(other133.changeId);
+  author = std::move(other133.author);
+  sheet = std::move(other133.sheet);
+  __isset = other133.__isset;
+  return *this;
+}
+void ConfigChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigChange(";
+  out << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "changeId=" << to_string(changeId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+RecordClaim::~RecordClaim() noexcept {
+}
+
+
+void RecordClaim::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RecordClaim::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RecordClaim::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void RecordClaim::__set_dispatchId(const DispatchId& val) {
+  this->dispatchId = val;
+}
+
+void RecordClaim::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordClaim::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordClaim::__set_atMicros(const int64_t val) {
+  this->atMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordClaim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatchId.read(iprot);
+          this->__isset.dispatchId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMicros);
+          this->__isset.atMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordClaim");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatchId", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatchId.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->atMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordClaim &a, RecordClaim &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatchId, b.dispatchId);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.atMicros, b.atMicros);
+  swap(a.__isset, b.__isset);
+}
+
+RecordClaim::RecordClaim(const RecordClaim& other134) {
+  member = other134.member;
+  key = other134.key;
+  contentHash = other134.contentHash;
+  dispatchId = other134.dispatchId;
+  backend = other134.backend;
+  backendIncarnation = other134.backendIncarnation;
+  atMicros = other134.atMicros;
+  __isset = other134.__isset;
+}
+RecordClaim::RecordClaim(RecordClaim&& other135) noexcept {
+  member = std::move(other135.member);
+  key = std::move(other135.key);
+  contentHash = other135.contentHash;
+  dispatchId = std::move(other135.dispatchId);
+  backend = std::move(other135.backend);
+  backendIncarnation = other135.backendIncarnation;
+  atMicros = other135.atMicros;
+  __isset = other135.__isset;
+}
+RecordClaim& RecordClaim::operator=(const RecordClaim& other136) {
+  member = other136.member;
+  key = other136.key;
+  contentHash = other136.contentHash;
+  dispatchId = other136.dispatchId;
+  backend = other136.backend;
+  backendIncarnation = other136.backendIncarnation;
+  atMicros = other136.atMicros;
+  __isset = other136.__isset;
+  return *this;
+}
+RecordClaim& RecordClaim::operator=(RecordClaim&& other137) noexcept {
+  member = std::move(other137.member);
+  key = std::move(other137.key);
+  contentHash = other137.contentHash;
+  dispatchId = std::move(other137.dispatchId);
+  backend = std::move(other137.backend);
+  backendIncarnation = other137.backendIncarnation;
+  atMicros = other137.atMicros;
+  __isset = other137.__isset;
+  return *this;
+}
+void RecordClaim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordClaim(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatchId=" << to_string(dispatchId);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "atMicros=" << to_string(atMicros);
+  out << ")";
+}
+
+
+RecordOutcome::~RecordOutcome() noexcept {
+}
+
+
+void RecordOutcome::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RecordOutcome::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RecordOutcome::__set_dispatchId(const DispatchId& val) {
+  this->dispatchId = val;
+}
+
+void RecordOutcome::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void RecordOutcome::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordOutcome::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordOutcome::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordOutcome& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatchId.read(iprot);
+          this->__isset.dispatchId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordOutcome");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatchId", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->dispatchId.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordOutcome &a, RecordOutcome &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatchId, b.dispatchId);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordOutcome::RecordOutcome(const RecordOutcome& other138) {
+  member = other138.member;
+  key = other138.key;
+  dispatchId = other138.dispatchId;
+  status = other138.status;
+  answerStatus = other138.answerStatus;
+  answerType = other138.answerType;
+  answer = other138.answer;
+  __isset = other138.__isset;
+}
+RecordOutcome::RecordOutcome(RecordOutcome&& other139) noexcept {
+  member = std::move(other139.member);
+  key = std::move(other139.key);
+  dispatchId = std::move(other139.dispatchId);
+  status = other139.status;
+  answerStatus = other139.answerStatus;
+  answerType = std::move(other139.answerType);
+  answer = std::move(other139.answer);
+  __isset = other139.__isset;
+}
+RecordOutcome& RecordOutcome::operator=(const RecordOutcome& other140) {
+  member = other140.member;
+  key = other140.key;
+  dispatchId = other140.dispatchId;
+  status = other140.status;
+  answerStatus = other140.answerStatus;
+  answerType = other140.answerType;
+  answer = other140.answer;
+  __isset = other140.__isset;
+  return *this;
+}
+RecordOutcome& RecordOutcome::operator=(RecordOutcome&& other141) noexcept {
+  member = std::move(other141.member);
+  key = std::move(other141.key);
+  dispatchId = std::move(other141.dispatchId);
+  status = other141.status;
+  answerStatus = other141.answerStatus;
+  answerType = std::move(other141.answerType);
+  answer = std::move(other141.answer);
+  __isset = other141.__isset;
+  return *this;
+}
+void RecordOutcome::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordOutcome(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatchId=" << to_string(dispatchId);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+Command::~Command() noexcept {
+}
+
+
+void Command::__set_noOperation(const NoOperation& val) {
+  this->noOperation = val;
+__isset.noOperation = true;
+}
+
+void Command::__set_replicaChange(const ReplicaChange& val) {
+  this->replicaChange = val;
+__isset.replicaChange = true;
+}
+
+void Command::__set_configChange(const ConfigChange& val) {
+  this->configChange = val;
+__isset.configChange = true;
+}
+
+void Command::__set_recordClaim(const RecordClaim& val) {
+  this->recordClaim = val;
+__isset.recordClaim = true;
+}
+
+void Command::__set_recordOutcome(const RecordOutcome& val) {
+  this->recordOutcome = val;
+__isset.recordOutcome = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->noOperation.read(iprot);
+          this->__isset.noOperation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replicaChange.read(iprot);
+          this->__isset.replicaChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configChange.read(iprot);
+          this->__isset.configChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordClaim.read(iprot);
+          this->__isset.recordClaim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOutcome.read(iprot);
+          this->__isset.recordOutcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Command");
+
+  if (this->__isset.noOperation) {
+    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->noOperation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replicaChange) {
+    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->replicaChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configChange) {
+    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->configChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordClaim) {
+    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->recordClaim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordOutcome) {
+    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->recordOutcome.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Command &a, Command &b) {
+  using ::std::swap;
+  swap(a.noOperation, b.noOperation);
+  swap(a.replicaChange, b.replicaChange);
+  swap(a.configChange, b.configChange);
+  swap(a.recordClaim, b.recordClaim);
+  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.__isset, b.__isset);
+}
+
+Command::Command(const Command& other142) {
+  noOperation = other142.noOperation;
+  replicaChange = other142.replicaChange;
+  configChange = other142.configChange;
+  recordClaim = other142.recordClaim;
+  recordOutcome = other142.recordOutcome;
+  __isset = other142.__isset;
+}
+Command::Command(Command&& other143) noexcept {
+  noOperation = std::move(other143.noOperation);
+  replicaChange = std::move(other143.replicaChange);
+  configChange = std::move(other143.configChange);
+  recordClaim = std::move(other143.recordClaim);
+  recordOutcome = std::move(other143.recordOutcome);
+  __isset = other143.__isset;
+}
+Command& Command::operator=(const Command& other144) {
+  noOperation = other144.noOperation;
+  replicaChange = other144.replicaChange;
+  configChange = other144.configChange;
+  recordClaim = other144.recordClaim;
+  recordOutcome = other144.recordOutcome;
+  __isset = other144.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other145) noexcept {
+  noOperation = std::move(other145.noOperation);
+  replicaChange = std::move(other145.replicaChange);
+  configChange = std::move(other145.configChange);
+  recordClaim = std::move(other145.recordClaim);
+  recordOutcome = std::move(other145.recordOutcome);
+  __isset = other145.__isset;
+  return *this;
+}
+void Command::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Command(";
+  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
+  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
+  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
+  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
+  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << ")";
+}
+
+
+LogEntry::~LogEntry() noexcept {
+}
+
+
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void LogEntry::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogEntry");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogEntry &a, LogEntry &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+LogEntry::LogEntry(const LogEntry& other146) {
+  term = other146.term;
+  index = other146.index;
+  body = other146.body;
+  __isset = other146.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other147) noexcept {
+  term = other147.term;
+  index = other147.index;
+  body = std::move(other147.body);
+  __isset = other147.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other148) {
+  term = other148.term;
+  index = other148.index;
+  body = other148.body;
+  __isset = other148.__isset;
+  return *this;
+}
+LogEntry& LogEntry::operator=(LogEntry&& other149) noexcept {
+  term = other149.term;
+  index = other149.index;
+  body = std::move(other149.body);
+  __isset = other149.__isset;
+  return *this;
+}
+void LogEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogEntry(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+RaftHeader::~RaftHeader() noexcept {
+}
+
+
+void RaftHeader::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void RaftHeader::__set_sender(const int64_t val) {
+  this->sender = val;
+}
+
+void RaftHeader::__set_recipient(const int64_t val) {
+  this->recipient = val;
+}
+
+void RaftHeader::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RaftHeader");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RaftHeader &a, RaftHeader &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.sender, b.sender);
+  swap(a.recipient, b.recipient);
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+RaftHeader::RaftHeader(const RaftHeader& other150) noexcept {
+  logGroup = other150.logGroup;
+  sender = other150.sender;
+  recipient = other150.recipient;
+  term = other150.term;
+  __isset = other150.__isset;
+}
+RaftHeader::RaftHeader(RaftHeader&& other151) noexcept {
+  logGroup = other151.logGroup;
+  sender = other151.sender;
+  recipient = other151.recipient;
+  term = other151.term;
+  __isset = other151.__isset;
+}
+RaftHeader& RaftHeader::operator=(const RaftHeader& other152) noexcept {
+  logGroup = other152.logGroup;
+  sender = other152.sender;
+  recipient = other152.recipient;
+  term = other152.term;
+  __isset = other152.__isset;
+  return *this;
+}
+RaftHeader& RaftHeader::operator=(RaftHeader&& other153) noexcept {
+  logGroup = other153.logGroup;
+  sender = other153.sender;
+  recipient = other153.recipient;
+  term = other153.term;
+  __isset = other153.__isset;
+  return *this;
+}
+void RaftHeader::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RaftHeader(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "term=" << to_string(term);
+  out << ")";
+}
+
+
+AppendRequest::~AppendRequest() noexcept {
+}
+
+
+void AppendRequest::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
+}
+
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
+}
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->entries.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
+            {
+              xfer += this->entries[_i158].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendRequest");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter159;
+    for (_iter159 = this->entries.begin(); _iter159 != this->entries.end(); ++_iter159)
+    {
+      xfer += (*_iter159).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendRequest &a, AppendRequest &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.commit, b.commit);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+AppendRequest::AppendRequest(const AppendRequest& other160) {
+  header = other160.header;
+  prevIndex = other160.prevIndex;
+  prevTerm = other160.prevTerm;
+  commit = other160.commit;
+  sentNanos = other160.sentNanos;
+  entries = other160.entries;
+  __isset = other160.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other161) noexcept {
+  header = std::move(other161.header);
+  prevIndex = other161.prevIndex;
+  prevTerm = other161.prevTerm;
+  commit = other161.commit;
+  sentNanos = other161.sentNanos;
+  entries = std::move(other161.entries);
+  __isset = other161.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other162) {
+  header = other162.header;
+  prevIndex = other162.prevIndex;
+  prevTerm = other162.prevTerm;
+  commit = other162.commit;
+  sentNanos = other162.sentNanos;
+  entries = other162.entries;
+  __isset = other162.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other163) noexcept {
+  header = std::move(other163.header);
+  prevIndex = other163.prevIndex;
+  prevTerm = other163.prevTerm;
+  commit = other163.commit;
+  sentNanos = other163.sentNanos;
+  entries = std::move(other163.entries);
+  __isset = other163.__isset;
+  return *this;
+}
+void AppendRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendRequest(";
+  out << "header=" << to_string(header);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+AppendReply::~AppendReply() noexcept {
+}
+
+
+void AppendReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void AppendReply::__set_matched(const bool val) {
+  this->matched = val;
+}
+
+void AppendReply::__set_matchIndex(const int64_t val) {
+  this->matchIndex = val;
+}
+
+void AppendReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->matched);
+          this->__isset.matched = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->matchIndex);
+          this->__isset.matchIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->matched);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendReply &a, AppendReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.matched, b.matched);
+  swap(a.matchIndex, b.matchIndex);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+AppendReply::AppendReply(const AppendReply& other164) noexcept {
+  header = other164.header;
+  matched = other164.matched;
+  matchIndex = other164.matchIndex;
+  sentNanos = other164.sentNanos;
+  __isset = other164.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other165) noexcept {
+  header = std::move(other165.header);
+  matched = other165.matched;
+  matchIndex = other165.matchIndex;
+  sentNanos = other165.sentNanos;
+  __isset = other165.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other166) noexcept {
+  header = other166.header;
+  matched = other166.matched;
+  matchIndex = other166.matchIndex;
+  sentNanos = other166.sentNanos;
+  __isset = other166.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other167) noexcept {
+  header = std::move(other167.header);
+  matched = other167.matched;
+  matchIndex = other167.matchIndex;
+  sentNanos = other167.sentNanos;
+  __isset = other167.__isset;
+  return *this;
+}
+void AppendReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "matched=" << to_string(matched);
+  out << ", " << "matchIndex=" << to_string(matchIndex);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+VoteRequest::~VoteRequest() noexcept {
+}
+
+
+void VoteRequest::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
+}
+
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteRequest");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteRequest &a, VoteRequest &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRequest::VoteRequest(const VoteRequest& other168) noexcept {
+  header = other168.header;
+  preVote = other168.preVote;
+  lastIndex = other168.lastIndex;
+  lastTerm = other168.lastTerm;
+  __isset = other168.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other169) noexcept {
+  header = std::move(other169.header);
+  preVote = other169.preVote;
+  lastIndex = other169.lastIndex;
+  lastTerm = other169.lastTerm;
+  __isset = other169.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other170) noexcept {
+  header = other170.header;
+  preVote = other170.preVote;
+  lastIndex = other170.lastIndex;
+  lastTerm = other170.lastTerm;
+  __isset = other170.__isset;
+  return *this;
+}
+VoteRequest& VoteRequest::operator=(VoteRequest&& other171) noexcept {
+  header = std::move(other171.header);
+  preVote = other171.preVote;
+  lastIndex = other171.lastIndex;
+  lastTerm = other171.lastTerm;
+  __isset = other171.__isset;
+  return *this;
+}
+void VoteRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRequest(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ")";
+}
+
+
+VoteReply::~VoteReply() noexcept {
+}
+
+
+void VoteReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void VoteReply::__set_preVote(const bool val) {
+  this->preVote = val;
+}
+
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteReply &a, VoteReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
+  swap(a.__isset, b.__isset);
+}
+
+VoteReply::VoteReply(const VoteReply& other172) noexcept {
+  header = other172.header;
+  preVote = other172.preVote;
+  granted = other172.granted;
+  __isset = other172.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other173) noexcept {
+  header = std::move(other173.header);
+  preVote = other173.preVote;
+  granted = other173.granted;
+  __isset = other173.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other174) noexcept {
+  header = other174.header;
+  preVote = other174.preVote;
+  granted = other174.granted;
+  __isset = other174.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other175) noexcept {
+  header = std::move(other175.header);
+  preVote = other175.preVote;
+  granted = other175.granted;
+  __isset = other175.__isset;
+  return *this;
+}
+void VoteReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
+  out << ")";
+}
+
+
+SnapshotChunk::~SnapshotChunk() noexcept {
+}
+
+
+void SnapshotChunk::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void SnapshotChunk::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
+  this->snapshotTerm = val;
+}
+
+void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotChunk::__set_total(const int64_t val) {
+  this->total = val;
+}
+
+void SnapshotChunk::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void SnapshotChunk::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->snapshotTerm);
+          this->__isset.snapshotTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->replicas.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
+            {
+              xfer += this->replicas[_i180].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotChunk");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->snapshotTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter181;
+    for (_iter181 = this->replicas.begin(); _iter181 != this->replicas.end(); ++_iter181)
+    {
+      xfer += (*_iter181).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.snapshotTerm, b.snapshotTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.total, b.total);
+  swap(a.hash, b.hash);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other182) {
+  header = other182.header;
+  index = other182.index;
+  snapshotTerm = other182.snapshotTerm;
+  replicas = other182.replicas;
+  total = other182.total;
+  hash = other182.hash;
+  offset = other182.offset;
+  bytes = other182.bytes;
+  sentNanos = other182.sentNanos;
+  __isset = other182.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other183) noexcept {
+  header = std::move(other183.header);
+  index = other183.index;
+  snapshotTerm = other183.snapshotTerm;
+  replicas = std::move(other183.replicas);
+  total = other183.total;
+  hash = other183.hash;
+  offset = other183.offset;
+  bytes = std::move(other183.bytes);
+  sentNanos = other183.sentNanos;
+  __isset = other183.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other184) {
+  header = other184.header;
+  index = other184.index;
+  snapshotTerm = other184.snapshotTerm;
+  replicas = other184.replicas;
+  total = other184.total;
+  hash = other184.hash;
+  offset = other184.offset;
+  bytes = other184.bytes;
+  sentNanos = other184.sentNanos;
+  __isset = other184.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other185) noexcept {
+  header = std::move(other185.header);
+  index = other185.index;
+  snapshotTerm = other185.snapshotTerm;
+  replicas = std::move(other185.replicas);
+  total = other185.total;
+  hash = other185.hash;
+  offset = other185.offset;
+  bytes = std::move(other185.bytes);
+  sentNanos = other185.sentNanos;
+  __isset = other185.__isset;
+  return *this;
+}
+void SnapshotChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotChunk(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+SnapshotReply::~SnapshotReply() noexcept {
+}
+
+
+void SnapshotReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void SnapshotReply::__set_done(const bool val) {
+  this->done = val;
+}
+
+void SnapshotReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotReply &a, SnapshotReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.done, b.done);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotReply::SnapshotReply(const SnapshotReply& other186) noexcept {
+  header = other186.header;
+  index = other186.index;
+  nextOffset = other186.nextOffset;
+  done = other186.done;
+  sentNanos = other186.sentNanos;
+  __isset = other186.__isset;
+}
+SnapshotReply::SnapshotReply(SnapshotReply&& other187) noexcept {
+  header = std::move(other187.header);
+  index = other187.index;
+  nextOffset = other187.nextOffset;
+  done = other187.done;
+  sentNanos = other187.sentNanos;
+  __isset = other187.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other188) noexcept {
+  header = other188.header;
+  index = other188.index;
+  nextOffset = other188.nextOffset;
+  done = other188.done;
+  sentNanos = other188.sentNanos;
+  __isset = other188.__isset;
+  return *this;
+}
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other189) noexcept {
+  header = std::move(other189.header);
+  index = other189.index;
+  nextOffset = other189.nextOffset;
+  done = other189.done;
+  sentNanos = other189.sentNanos;
+  __isset = other189.__isset;
+  return *this;
+}
+void SnapshotReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+ProposeRequest::~ProposeRequest() noexcept {
+}
+
+
+void ProposeRequest::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeRequest::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeRequest");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeRequest &a, ProposeRequest &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeRequest::ProposeRequest(const ProposeRequest& other190) {
+  logGroup = other190.logGroup;
+  proposal = other190.proposal;
+  body = other190.body;
+  __isset = other190.__isset;
+}
+ProposeRequest::ProposeRequest(ProposeRequest&& other191) noexcept {
+  logGroup = other191.logGroup;
+  proposal = other191.proposal;
+  body = std::move(other191.body);
+  __isset = other191.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other192) {
+  logGroup = other192.logGroup;
+  proposal = other192.proposal;
+  body = other192.body;
+  __isset = other192.__isset;
+  return *this;
+}
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other193) noexcept {
+  logGroup = other193.logGroup;
+  proposal = other193.proposal;
+  body = std::move(other193.body);
+  __isset = other193.__isset;
+  return *this;
+}
+void ProposeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeRequest(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ProposeReply::~ProposeReply() noexcept {
+}
+
+
+void ProposeReply::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ProposeReply::__set_leader(const Endpoint& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeReply");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->leader.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeReply &a, ProposeReply &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.status, b.status);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeReply::ProposeReply(const ProposeReply& other194) {
+  logGroup = other194.logGroup;
+  proposal = other194.proposal;
+  status = other194.status;
+  index = other194.index;
+  leader = other194.leader;
+  __isset = other194.__isset;
+}
+ProposeReply::ProposeReply(ProposeReply&& other195) noexcept {
+  logGroup = other195.logGroup;
+  proposal = other195.proposal;
+  status = other195.status;
+  index = other195.index;
+  leader = std::move(other195.leader);
+  __isset = other195.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other196) {
+  logGroup = other196.logGroup;
+  proposal = other196.proposal;
+  status = other196.status;
+  index = other196.index;
+  leader = other196.leader;
+  __isset = other196.__isset;
+  return *this;
+}
+ProposeReply& ProposeReply::operator=(ProposeReply&& other197) noexcept {
+  logGroup = other197.logGroup;
+  proposal = other197.proposal;
+  status = other197.status;
+  index = other197.index;
+  leader = std::move(other197.leader);
+  __isset = other197.__isset;
+  return *this;
+}
+void ProposeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeReply(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
+  out << ")";
+}
+
+
+VoteRecord::~VoteRecord() noexcept {
+}
+
+
+void VoteRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void VoteRecord::__set_votedFor(const int64_t val) {
+  this->votedFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->votedFor);
+          this->__isset.votedFor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteRecord");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->votedFor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteRecord &a, VoteRecord &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.votedFor, b.votedFor);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRecord::VoteRecord(const VoteRecord& other198) noexcept {
+  term = other198.term;
+  votedFor = other198.votedFor;
+  __isset = other198.__isset;
+}
+VoteRecord::VoteRecord(VoteRecord&& other199) noexcept {
+  term = other199.term;
+  votedFor = other199.votedFor;
+  __isset = other199.__isset;
+}
+VoteRecord& VoteRecord::operator=(const VoteRecord& other200) noexcept {
+  term = other200.term;
+  votedFor = other200.votedFor;
+  __isset = other200.__isset;
+  return *this;
+}
+VoteRecord& VoteRecord::operator=(VoteRecord&& other201) noexcept {
+  term = other201.term;
+  votedFor = other201.votedFor;
+  __isset = other201.__isset;
+  return *this;
+}
+void VoteRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRecord(";
+  out << "term=" << to_string(term);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ")";
+}
+
+
+SnapshotRecord::~SnapshotRecord() noexcept {
+}
+
+
+void SnapshotRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotRecord::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->replicas.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
+            {
+              xfer += this->replicas[_i206].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotRecord");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter207;
+    for (_iter207 = this->replicas.begin(); _iter207 != this->replicas.end(); ++_iter207)
+    {
+      xfer += (*_iter207).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotRecord &a, SnapshotRecord &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.replicas, b.replicas);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other208) {
+  index = other208.index;
+  term = other208.term;
+  replicas = other208.replicas;
+  state = other208.state;
+  __isset = other208.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other209) noexcept {
+  index = other209.index;
+  term = other209.term;
+  replicas = std::move(other209.replicas);
+  state = std::move(other209.state);
+  __isset = other209.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other210) {
+  index = other210.index;
+  term = other210.term;
+  replicas = other210.replicas;
+  state = other210.state;
+  __isset = other210.__isset;
+  return *this;
+}
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other211) noexcept {
+  index = other211.index;
+  term = other211.term;
+  replicas = std::move(other211.replicas);
+  state = std::move(other211.state);
+  __isset = other211.__isset;
+  return *this;
+}
+void SnapshotRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
 FrameHeader::~FrameHeader() noexcept {
 }
 
@@ -3548,26 +6917,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other112) noexcept {
-  protocolVersion = other112.protocolVersion;
-  messageType = other112.messageType;
-  __isset = other112.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other212) noexcept {
+  protocolVersion = other212.protocolVersion;
+  messageType = other212.messageType;
+  __isset = other212.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other113) noexcept {
-  protocolVersion = other113.protocolVersion;
-  messageType = other113.messageType;
-  __isset = other113.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other213) noexcept {
+  protocolVersion = other213.protocolVersion;
+  messageType = other213.messageType;
+  __isset = other213.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other114) noexcept {
-  protocolVersion = other114.protocolVersion;
-  messageType = other114.messageType;
-  __isset = other114.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other214) noexcept {
+  protocolVersion = other214.protocolVersion;
+  messageType = other214.messageType;
+  __isset = other214.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other115) noexcept {
-  protocolVersion = other115.protocolVersion;
-  messageType = other115.messageType;
-  __isset = other115.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other215) noexcept {
+  protocolVersion = other215.protocolVersion;
+  messageType = other215.messageType;
+  __isset = other215.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -65,6 +65,44 @@
 
 class DirectoryPull;
 
+class Replica;
+
+class NoOperation;
+
+class ReplicaChange;
+
+class ConfigChange;
+
+class RecordClaim;
+
+class RecordOutcome;
+
+class Command;
+
+class LogEntry;
+
+class RaftHeader;
+
+class AppendRequest;
+
+class AppendReply;
+
+class VoteRequest;
+
+class VoteReply;
+
+class SnapshotChunk;
+
+class SnapshotReply;
+
+class ProposeRequest;
+
+class ProposeReply;
+
+class VoteRecord;
+
+class SnapshotRecord;
+
 class FrameHeader;
 
 typedef struct _ProcessId__isset {
@@ -1395,6 +1433,1279 @@
 
 std::ostream& operator<<(std::ostream& out, const DirectoryPull& obj);
 
+typedef struct _Replica__isset {
+  _Replica__isset() : id(false), zone(false), address(false), voting(false), replaces(false) {}
+  bool id :1;
+  bool zone :1;
+  bool address :1;
+  bool voting :1;
+  bool replaces :1;
+} _Replica__isset;
+
+class Replica : public virtual ::apache::thrift::TBase {
+ public:
+
+  Replica(const Replica&);
+  Replica(Replica&&) noexcept;
+  Replica& operator=(const Replica&);
+  Replica& operator=(Replica&&) noexcept;
+  Replica() noexcept
+          : id(0),
+            zone(),
+            voting(0),
+            replaces(0) {
+  }
+
+  virtual ~Replica() noexcept;
+  int64_t id;
+  std::string zone;
+  Endpoint address;
+  bool voting;
+  int64_t replaces;
+
+  _Replica__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_address(const Endpoint& val);
+
+  void __set_voting(const bool val);
+
+  void __set_replaces(const int64_t val);
+
+  bool operator == (const Replica & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(voting == rhs.voting))
+      return false;
+    if (!(replaces == rhs.replaces))
+      return false;
+    return true;
+  }
+  bool operator != (const Replica &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Replica & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Replica &a, Replica &b);
+
+std::ostream& operator<<(std::ostream& out, const Replica& obj);
+
+
+class NoOperation : public virtual ::apache::thrift::TBase {
+ public:
+
+  NoOperation(const NoOperation&) noexcept;
+  NoOperation(NoOperation&&) noexcept;
+  NoOperation& operator=(const NoOperation&) noexcept;
+  NoOperation& operator=(NoOperation&&) noexcept;
+  NoOperation() noexcept {
+  }
+
+  virtual ~NoOperation() noexcept;
+
+  bool operator == (const NoOperation & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const NoOperation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NoOperation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NoOperation &a, NoOperation &b);
+
+std::ostream& operator<<(std::ostream& out, const NoOperation& obj);
+
+typedef struct _ReplicaChange__isset {
+  _ReplicaChange__isset() : replicas(false) {}
+  bool replicas :1;
+} _ReplicaChange__isset;
+
+class ReplicaChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicaChange(const ReplicaChange&);
+  ReplicaChange(ReplicaChange&&) noexcept;
+  ReplicaChange& operator=(const ReplicaChange&);
+  ReplicaChange& operator=(ReplicaChange&&) noexcept;
+  ReplicaChange() noexcept {
+  }
+
+  virtual ~ReplicaChange() noexcept;
+  std::vector<Replica>  replicas;
+
+  _ReplicaChange__isset __isset;
+
+  void __set_replicas(const std::vector<Replica> & val);
+
+  bool operator == (const ReplicaChange & rhs) const
+  {
+    if (!(replicas == rhs.replicas))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicaChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicaChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplicaChange &a, ReplicaChange &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplicaChange& obj);
+
+typedef struct _ConfigChange__isset {
+  _ConfigChange__isset() : baseVersion(false), changeId(false), author(false), sheet(false) {}
+  bool baseVersion :1;
+  bool changeId :1;
+  bool author :1;
+  bool sheet :1;
+} _ConfigChange__isset;
+
+class ConfigChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigChange(const ConfigChange&);
+  ConfigChange(ConfigChange&&) noexcept;
+  ConfigChange& operator=(const ConfigChange&);
+  ConfigChange& operator=(ConfigChange&&) noexcept;
+  ConfigChange() noexcept
+               : baseVersion(0),
+                 changeId(),
+                 author(),
+                 sheet() {
+  }
+
+  virtual ~ConfigChange() noexcept;
+  int64_t baseVersion;
+  std::string changeId;
+  std::string author;
+  std::string sheet;
+
+  _ConfigChange__isset __isset;
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_changeId(const std::string& val);
+
+  void __set_author(const std::string& val);
+
+  void __set_sheet(const std::string& val);
+
+  bool operator == (const ConfigChange & rhs) const
+  {
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (!(sheet == rhs.sheet))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigChange &a, ConfigChange &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj);
+
+typedef struct _RecordClaim__isset {
+  _RecordClaim__isset() : member(false), key(false), contentHash(false), dispatchId(false), backend(false), backendIncarnation(false), atMicros(false) {}
+  bool member :1;
+  bool key :1;
+  bool contentHash :1;
+  bool dispatchId :1;
+  bool backend :1;
+  bool backendIncarnation :1;
+  bool atMicros :1;
+} _RecordClaim__isset;
+
+class RecordClaim : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordClaim(const RecordClaim&);
+  RecordClaim(RecordClaim&&) noexcept;
+  RecordClaim& operator=(const RecordClaim&);
+  RecordClaim& operator=(RecordClaim&&) noexcept;
+  RecordClaim() noexcept
+              : member(),
+                key(),
+                contentHash(0),
+                backend(),
+                backendIncarnation(0),
+                atMicros(0) {
+  }
+
+  virtual ~RecordClaim() noexcept;
+  std::string member;
+  std::string key;
+  int64_t contentHash;
+  DispatchId dispatchId;
+  std::string backend;
+  int64_t backendIncarnation;
+  int64_t atMicros;
+
+  _RecordClaim__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_contentHash(const int64_t val);
+
+  void __set_dispatchId(const DispatchId& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_backendIncarnation(const int64_t val);
+
+  void __set_atMicros(const int64_t val);
+
+  bool operator == (const RecordClaim & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
+    if (!(dispatchId == rhs.dispatchId))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(backendIncarnation == rhs.backendIncarnation))
+      return false;
+    if (!(atMicros == rhs.atMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordClaim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordClaim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordClaim &a, RecordClaim &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordClaim& obj);
+
+typedef struct _RecordOutcome__isset {
+  _RecordOutcome__isset() : member(false), key(false), dispatchId(false), status(false), answerStatus(false), answerType(false), answer(false) {}
+  bool member :1;
+  bool key :1;
+  bool dispatchId :1;
+  bool status :1;
+  bool answerStatus :1;
+  bool answerType :1;
+  bool answer :1;
+} _RecordOutcome__isset;
+
+class RecordOutcome : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordOutcome(const RecordOutcome&);
+  RecordOutcome(RecordOutcome&&) noexcept;
+  RecordOutcome& operator=(const RecordOutcome&);
+  RecordOutcome& operator=(RecordOutcome&&) noexcept;
+  RecordOutcome() noexcept
+                : member(),
+                  key(),
+                  status(0),
+                  answerStatus(0),
+                  answerType(),
+                  answer() {
+  }
+
+  virtual ~RecordOutcome() noexcept;
+  std::string member;
+  std::string key;
+  DispatchId dispatchId;
+  int32_t status;
+  int32_t answerStatus;
+  std::string answerType;
+  std::string answer;
+
+  _RecordOutcome__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_dispatchId(const DispatchId& val);
+
+  void __set_status(const int32_t val);
+
+  void __set_answerStatus(const int32_t val);
+
+  void __set_answerType(const std::string& val);
+
+  void __set_answer(const std::string& val);
+
+  bool operator == (const RecordOutcome & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(dispatchId == rhs.dispatchId))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(answerStatus == rhs.answerStatus))
+      return false;
+    if (!(answerType == rhs.answerType))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordOutcome &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordOutcome & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordOutcome &a, RecordOutcome &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordOutcome& obj);
+
+typedef struct _Command__isset {
+  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false) {}
+  bool noOperation :1;
+  bool replicaChange :1;
+  bool configChange :1;
+  bool recordClaim :1;
+  bool recordOutcome :1;
+} _Command__isset;
+
+class Command : public virtual ::apache::thrift::TBase {
+ public:
+
+  Command(const Command&);
+  Command(Command&&) noexcept;
+  Command& operator=(const Command&);
+  Command& operator=(Command&&) noexcept;
+  Command() noexcept {
+  }
+
+  virtual ~Command() noexcept;
+  NoOperation noOperation;
+  ReplicaChange replicaChange;
+  ConfigChange configChange;
+  RecordClaim recordClaim;
+  RecordOutcome recordOutcome;
+
+  _Command__isset __isset;
+
+  void __set_noOperation(const NoOperation& val);
+
+  void __set_replicaChange(const ReplicaChange& val);
+
+  void __set_configChange(const ConfigChange& val);
+
+  void __set_recordClaim(const RecordClaim& val);
+
+  void __set_recordOutcome(const RecordOutcome& val);
+
+  bool operator == (const Command & rhs) const
+  {
+    if (__isset.noOperation != rhs.__isset.noOperation)
+      return false;
+    else if (__isset.noOperation && !(noOperation == rhs.noOperation))
+      return false;
+    if (__isset.replicaChange != rhs.__isset.replicaChange)
+      return false;
+    else if (__isset.replicaChange && !(replicaChange == rhs.replicaChange))
+      return false;
+    if (__isset.configChange != rhs.__isset.configChange)
+      return false;
+    else if (__isset.configChange && !(configChange == rhs.configChange))
+      return false;
+    if (__isset.recordClaim != rhs.__isset.recordClaim)
+      return false;
+    else if (__isset.recordClaim && !(recordClaim == rhs.recordClaim))
+      return false;
+    if (__isset.recordOutcome != rhs.__isset.recordOutcome)
+      return false;
+    else if (__isset.recordOutcome && !(recordOutcome == rhs.recordOutcome))
+      return false;
+    return true;
+  }
+  bool operator != (const Command &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Command & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Command &a, Command &b);
+
+std::ostream& operator<<(std::ostream& out, const Command& obj);
+
+typedef struct _LogEntry__isset {
+  _LogEntry__isset() : term(false), index(false), body(false) {}
+  bool term :1;
+  bool index :1;
+  bool body :1;
+} _LogEntry__isset;
+
+class LogEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogEntry(const LogEntry&);
+  LogEntry(LogEntry&&) noexcept;
+  LogEntry& operator=(const LogEntry&);
+  LogEntry& operator=(LogEntry&&) noexcept;
+  LogEntry() noexcept
+           : term(0),
+             index(0) {
+  }
+
+  virtual ~LogEntry() noexcept;
+  int64_t term;
+  int64_t index;
+  Command body;
+
+  _LogEntry__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_index(const int64_t val);
+
+  void __set_body(const Command& val);
+
+  bool operator == (const LogEntry & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const LogEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogEntry &a, LogEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
+
+typedef struct _RaftHeader__isset {
+  _RaftHeader__isset() : logGroup(false), sender(false), recipient(false), term(false) {}
+  bool logGroup :1;
+  bool sender :1;
+  bool recipient :1;
+  bool term :1;
+} _RaftHeader__isset;
+
+class RaftHeader : public virtual ::apache::thrift::TBase {
+ public:
+
+  RaftHeader(const RaftHeader&) noexcept;
+  RaftHeader(RaftHeader&&) noexcept;
+  RaftHeader& operator=(const RaftHeader&) noexcept;
+  RaftHeader& operator=(RaftHeader&&) noexcept;
+  RaftHeader() noexcept
+             : logGroup(0),
+               sender(0),
+               recipient(0),
+               term(0) {
+  }
+
+  virtual ~RaftHeader() noexcept;
+  int32_t logGroup;
+  int64_t sender;
+  int64_t recipient;
+  int64_t term;
+
+  _RaftHeader__isset __isset;
+
+  void __set_logGroup(const int32_t val);
+
+  void __set_sender(const int64_t val);
+
+  void __set_recipient(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  bool operator == (const RaftHeader & rhs) const
+  {
+    if (!(logGroup == rhs.logGroup))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(recipient == rhs.recipient))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    return true;
+  }
+  bool operator != (const RaftHeader &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RaftHeader & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RaftHeader &a, RaftHeader &b);
+
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj);
+
+typedef struct _AppendRequest__isset {
+  _AppendRequest__isset() : header(false), prevIndex(false), prevTerm(false), commit(false), sentNanos(false), entries(false) {}
+  bool header :1;
+  bool prevIndex :1;
+  bool prevTerm :1;
+  bool commit :1;
+  bool sentNanos :1;
+  bool entries :1;
+} _AppendRequest__isset;
+
+class AppendRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  AppendRequest(const AppendRequest&);
+  AppendRequest(AppendRequest&&) noexcept;
+  AppendRequest& operator=(const AppendRequest&);
+  AppendRequest& operator=(AppendRequest&&) noexcept;
+  AppendRequest() noexcept
+                : prevIndex(0),
+                  prevTerm(0),
+                  commit(0),
+                  sentNanos(0) {
+  }
+
+  virtual ~AppendRequest() noexcept;
+  RaftHeader header;
+  int64_t prevIndex;
+  int64_t prevTerm;
+  int64_t commit;
+  int64_t sentNanos;
+  std::vector<LogEntry>  entries;
+
+  _AppendRequest__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_prevIndex(const int64_t val);
+
+  void __set_prevTerm(const int64_t val);
+
+  void __set_commit(const int64_t val);
+
+  void __set_sentNanos(const int64_t val);
+
+  void __set_entries(const std::vector<LogEntry> & val);
+
+  bool operator == (const AppendRequest & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(prevIndex == rhs.prevIndex))
+      return false;
+    if (!(prevTerm == rhs.prevTerm))
+      return false;
+    if (!(commit == rhs.commit))
+      return false;
+    if (!(sentNanos == rhs.sentNanos))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const AppendRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AppendRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AppendRequest &a, AppendRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
+
+typedef struct _AppendReply__isset {
+  _AppendReply__isset() : header(false), matched(false), matchIndex(false), sentNanos(false) {}
+  bool header :1;
+  bool matched :1;
+  bool matchIndex :1;
+  bool sentNanos :1;
+} _AppendReply__isset;
+
+class AppendReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  AppendReply(const AppendReply&) noexcept;
+  AppendReply(AppendReply&&) noexcept;
+  AppendReply& operator=(const AppendReply&) noexcept;
+  AppendReply& operator=(AppendReply&&) noexcept;
+  AppendReply() noexcept
+              : matched(0),
+                matchIndex(0),
+                sentNanos(0) {
+  }
+
+  virtual ~AppendReply() noexcept;
+  RaftHeader header;
+  bool matched;
+  int64_t matchIndex;
+  int64_t sentNanos;
+
+  _AppendReply__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_matched(const bool val);
+
+  void __set_matchIndex(const int64_t val);
+
+  void __set_sentNanos(const int64_t val);
+
+  bool operator == (const AppendReply & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(matched == rhs.matched))
+      return false;
+    if (!(matchIndex == rhs.matchIndex))
+      return false;
+    if (!(sentNanos == rhs.sentNanos))
+      return false;
+    return true;
+  }
+  bool operator != (const AppendReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AppendReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AppendReply &a, AppendReply &b);
+
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
+
+typedef struct _VoteRequest__isset {
+  _VoteRequest__isset() : header(false), preVote(false), lastIndex(false), lastTerm(false) {}
+  bool header :1;
+  bool preVote :1;
+  bool lastIndex :1;
+  bool lastTerm :1;
+} _VoteRequest__isset;
+
+class VoteRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoteRequest(const VoteRequest&) noexcept;
+  VoteRequest(VoteRequest&&) noexcept;
+  VoteRequest& operator=(const VoteRequest&) noexcept;
+  VoteRequest& operator=(VoteRequest&&) noexcept;
+  VoteRequest() noexcept
+              : preVote(0),
+                lastIndex(0),
+                lastTerm(0) {
+  }
+
+  virtual ~VoteRequest() noexcept;
+  RaftHeader header;
+  bool preVote;
+  int64_t lastIndex;
+  int64_t lastTerm;
+
+  _VoteRequest__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_preVote(const bool val);
+
+  void __set_lastIndex(const int64_t val);
+
+  void __set_lastTerm(const int64_t val);
+
+  bool operator == (const VoteRequest & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(preVote == rhs.preVote))
+      return false;
+    if (!(lastIndex == rhs.lastIndex))
+      return false;
+    if (!(lastTerm == rhs.lastTerm))
+      return false;
+    return true;
+  }
+  bool operator != (const VoteRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoteRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoteRequest &a, VoteRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj);
+
+typedef struct _VoteReply__isset {
+  _VoteReply__isset() : header(false), preVote(false), granted(false) {}
+  bool header :1;
+  bool preVote :1;
+  bool granted :1;
+} _VoteReply__isset;
+
+class VoteReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoteReply(const VoteReply&) noexcept;
+  VoteReply(VoteReply&&) noexcept;
+  VoteReply& operator=(const VoteReply&) noexcept;
+  VoteReply& operator=(VoteReply&&) noexcept;
+  VoteReply() noexcept
+            : preVote(0),
+              granted(0) {
+  }
+
+  virtual ~VoteReply() noexcept;
+  RaftHeader header;
+  bool preVote;
+  bool granted;
+
+  _VoteReply__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_preVote(const bool val);
+
+  void __set_granted(const bool val);
+
+  bool operator == (const VoteReply & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(preVote == rhs.preVote))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    return true;
+  }
+  bool operator != (const VoteReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoteReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoteReply &a, VoteReply &b);
+
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
+
+typedef struct _SnapshotChunk__isset {
+  _SnapshotChunk__isset() : header(false), index(false), snapshotTerm(false), replicas(false), total(false), hash(false), offset(false), bytes(false), sentNanos(false) {}
+  bool header :1;
+  bool index :1;
+  bool snapshotTerm :1;
+  bool replicas :1;
+  bool total :1;
+  bool hash :1;
+  bool offset :1;
+  bool bytes :1;
+  bool sentNanos :1;
+} _SnapshotChunk__isset;
+
+class SnapshotChunk : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotChunk(const SnapshotChunk&);
+  SnapshotChunk(SnapshotChunk&&) noexcept;
+  SnapshotChunk& operator=(const SnapshotChunk&);
+  SnapshotChunk& operator=(SnapshotChunk&&) noexcept;
+  SnapshotChunk() noexcept
+                : index(0),
+                  snapshotTerm(0),
+                  total(0),
+                  hash(0),
+                  offset(0),
+                  bytes(),
+                  sentNanos(0) {
+  }
+
+  virtual ~SnapshotChunk() noexcept;
+  RaftHeader header;
+  int64_t index;
+  int64_t snapshotTerm;
+  std::vector<Replica>  replicas;
+  int64_t total;
+  int64_t hash;
+  int64_t offset;
+  std::string bytes;
+  int64_t sentNanos;
+
+  _SnapshotChunk__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_index(const int64_t val);
+
+  void __set_snapshotTerm(const int64_t val);
+
+  void __set_replicas(const std::vector<Replica> & val);
+
+  void __set_total(const int64_t val);
+
+  void __set_hash(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  void __set_sentNanos(const int64_t val);
+
+  bool operator == (const SnapshotChunk & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(snapshotTerm == rhs.snapshotTerm))
+      return false;
+    if (!(replicas == rhs.replicas))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    if (!(hash == rhs.hash))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    if (!(sentNanos == rhs.sentNanos))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotChunk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotChunk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotChunk &a, SnapshotChunk &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj);
+
+typedef struct _SnapshotReply__isset {
+  _SnapshotReply__isset() : header(false), index(false), nextOffset(false), done(false), sentNanos(false) {}
+  bool header :1;
+  bool index :1;
+  bool nextOffset :1;
+  bool done :1;
+  bool sentNanos :1;
+} _SnapshotReply__isset;
+
+class SnapshotReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotReply(const SnapshotReply&) noexcept;
+  SnapshotReply(SnapshotReply&&) noexcept;
+  SnapshotReply& operator=(const SnapshotReply&) noexcept;
+  SnapshotReply& operator=(SnapshotReply&&) noexcept;
+  SnapshotReply() noexcept
+                : index(0),
+                  nextOffset(0),
+                  done(0),
+                  sentNanos(0) {
+  }
+
+  virtual ~SnapshotReply() noexcept;
+  RaftHeader header;
+  int64_t index;
+  int64_t nextOffset;
+  bool done;
+  int64_t sentNanos;
+
+  _SnapshotReply__isset __isset;
+
+  void __set_header(const RaftHeader& val);
+
+  void __set_index(const int64_t val);
+
+  void __set_nextOffset(const int64_t val);
+
+  void __set_done(const bool val);
+
+  void __set_sentNanos(const int64_t val);
+
+  bool operator == (const SnapshotReply & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(nextOffset == rhs.nextOffset))
+      return false;
+    if (!(done == rhs.done))
+      return false;
+    if (!(sentNanos == rhs.sentNanos))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotReply &a, SnapshotReply &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj);
+
+typedef struct _ProposeRequest__isset {
+  _ProposeRequest__isset() : logGroup(false), proposal(false), body(false) {}
+  bool logGroup :1;
+  bool proposal :1;
+  bool body :1;
+} _ProposeRequest__isset;
+
+class ProposeRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProposeRequest(const ProposeRequest&);
+  ProposeRequest(ProposeRequest&&) noexcept;
+  ProposeRequest& operator=(const ProposeRequest&);
+  ProposeRequest& operator=(ProposeRequest&&) noexcept;
+  ProposeRequest() noexcept
+                 : logGroup(0),
+                   proposal(0) {
+  }
+
+  virtual ~ProposeRequest() noexcept;
+  int32_t logGroup;
+  int64_t proposal;
+  Command body;
+
+  _ProposeRequest__isset __isset;
+
+  void __set_logGroup(const int32_t val);
+
+  void __set_proposal(const int64_t val);
+
+  void __set_body(const Command& val);
+
+  bool operator == (const ProposeRequest & rhs) const
+  {
+    if (!(logGroup == rhs.logGroup))
+      return false;
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const ProposeRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProposeRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProposeRequest &a, ProposeRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj);
+
+typedef struct _ProposeReply__isset {
+  _ProposeReply__isset() : logGroup(false), proposal(false), status(false), index(false), leader(false) {}
+  bool logGroup :1;
+  bool proposal :1;
+  bool status :1;
+  bool index :1;
+  bool leader :1;
+} _ProposeReply__isset;
+
+class ProposeReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProposeReply(const ProposeReply&);
+  ProposeReply(ProposeReply&&) noexcept;
+  ProposeReply& operator=(const ProposeReply&);
+  ProposeReply& operator=(ProposeReply&&) noexcept;
+  ProposeReply() noexcept
+               : logGroup(0),
+                 proposal(0),
+                 status(0),
+                 index(0) {
+  }
+
+  virtual ~ProposeReply() noexcept;
+  int32_t logGroup;
+  int64_t proposal;
+  int32_t status;
+  int64_t index;
+  Endpoint leader;
+
+  _ProposeReply__isset __isset;
+
+  void __set_logGroup(const int32_t val);
+
+  void __set_proposal(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_index(const int64_t val);
+
+  void __set_leader(const Endpoint& val);
+
+  bool operator == (const ProposeReply & rhs) const
+  {
+    if (!(logGroup == rhs.logGroup))
+      return false;
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
+    return true;
+  }
+  bool operator != (const ProposeReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProposeReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProposeReply &a, ProposeReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
+
+typedef struct _VoteRecord__isset {
+  _VoteRecord__isset() : term(false), votedFor(false) {}
+  bool term :1;
+  bool votedFor :1;
+} _VoteRecord__isset;
+
+class VoteRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoteRecord(const VoteRecord&) noexcept;
+  VoteRecord(VoteRecord&&) noexcept;
+  VoteRecord& operator=(const VoteRecord&) noexcept;
+  VoteRecord& operator=(VoteRecord&&) noexcept;
+  VoteRecord() noexcept
+             : term(0),
+               votedFor(0) {
+  }
+
+  virtual ~VoteRecord() noexcept;
+  int64_t term;
+  int64_t votedFor;
+
+  _VoteRecord__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_votedFor(const int64_t val);
+
+  bool operator == (const VoteRecord & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(votedFor == rhs.votedFor))
+      return false;
+    return true;
+  }
+  bool operator != (const VoteRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoteRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoteRecord &a, VoteRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj);
+
+typedef struct _SnapshotRecord__isset {
+  _SnapshotRecord__isset() : index(false), term(false), replicas(false), state(false) {}
+  bool index :1;
+  bool term :1;
+  bool replicas :1;
+  bool state :1;
+} _SnapshotRecord__isset;
+
+class SnapshotRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotRecord(const SnapshotRecord&);
+  SnapshotRecord(SnapshotRecord&&) noexcept;
+  SnapshotRecord& operator=(const SnapshotRecord&);
+  SnapshotRecord& operator=(SnapshotRecord&&) noexcept;
+  SnapshotRecord() noexcept
+                 : index(0),
+                   term(0),
+                   state() {
+  }
+
+  virtual ~SnapshotRecord() noexcept;
+  int64_t index;
+  int64_t term;
+  std::vector<Replica>  replicas;
+  std::string state;
+
+  _SnapshotRecord__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  void __set_replicas(const std::vector<Replica> & val);
+
+  void __set_state(const std::string& val);
+
+  bool operator == (const SnapshotRecord & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(replicas == rhs.replicas))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotRecord &a, SnapshotRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj);
+
 typedef struct _FrameHeader__isset {
   _FrameHeader__isset() : protocolVersion(false), messageType(false) {}
   bool protocolVersion :1;
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -22,6 +22,8 @@
 struct node_hooks {
   std::function<void(std::shared_ptr<const routing_table>)> on_publish;
   std::function<void(bool all_finished)> on_stop;
+  std::function<void(std::shared_ptr<const store_batch>)> on_store;
+  std::function<void(const proposal_finished&)> on_proposal;
 };
 
 /// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
@@ -112,6 +114,12 @@
       hooks_.on_stop(finished);
     }
   }
+  void Execute(const store_log& e) {
+    if (hooks_.on_store) hooks_.on_store(e.batch);
+  }
+  void Execute(const proposal_finished& e) {
+    if (hooks_.on_proposal) hooks_.on_proposal(e);
+  }
   void Execute(const write_log& e) { WriteLog(e.event); }
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -7,6 +7,7 @@
 
 #include "io/wire_basic.h"
 #include "io/wire_discovery.h"
+#include "io/wire_log.h"
 #include "io/wire_traffic.h"
 
 namespace radishroute {
@@ -46,7 +47,15 @@
     wire_entry<14, announcement, wire::Announcement>,         //
     wire_entry<15, directory_delta, wire::DirectoryDelta>,    //
     wire_entry<16, directory_digest, wire::DirectoryDigest>,  //
-    wire_entry<17, directory_pull, wire::DirectoryPull>>;
+    wire_entry<17, directory_pull, wire::DirectoryPull>,      //
+    wire_entry<30, append_request, wire::AppendRequest>,      //
+    wire_entry<31, append_reply, wire::AppendReply>,          //
+    wire_entry<32, vote_request, wire::VoteRequest>,          //
+    wire_entry<33, vote_reply, wire::VoteReply>,              //
+    wire_entry<34, snapshot_chunk, wire::SnapshotChunk>,      //
+    wire_entry<35, snapshot_reply, wire::SnapshotReply>,      //
+    wire_entry<36, propose_request, wire::ProposeRequest>,    //
+    wire_entry<37, propose_reply, wire::ProposeReply>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -30,6 +30,26 @@
       return "backend-down";
     case event_code::kEngineCallFailed:
       return "engine-call-failed";
+    case event_code::kVoterStarted:
+      return "voter-started";
+    case event_code::kElectionStarted:
+      return "election-started";
+    case event_code::kLeaderElected:
+      return "leader-elected";
+    case event_code::kLeaderSteppedDown:
+      return "leader-stepped-down";
+    case event_code::kReplicasChanged:
+      return "replicas-changed";
+    case event_code::kSnapshotTaken:
+      return "snapshot-taken";
+    case event_code::kSnapshotInstalled:
+      return "snapshot-installed";
+    case event_code::kStorageFailed:
+      return "storage-failed";
+    case event_code::kLogTailTruncated:
+      return "log-tail-truncated";
+    case event_code::kVoterCreated:
+      return "voter-created";
     case event_code::kInvariantViolated:
       return "invariant-violated";
   }
@@ -38,11 +58,18 @@
 
 const std::vector<event_code>& AllEventCodes() {
   static const std::vector<event_code> codes = {
-      event_code::kProcessStarted,      event_code::kProcessStopped,   event_code::kDrainStarted,
-      event_code::kDrainDeadlinePassed, event_code::kListening,        event_code::kLinkOpened,
-      event_code::kLinkClosed,          event_code::kLinkRejected,     event_code::kFrameRejected,
-      event_code::kBackendUp,           event_code::kBackendLeaving,   event_code::kBackendDown,
-      event_code::kEngineCallFailed,    event_code::kInvariantViolated};
+      event_code::kProcessStarted,    event_code::kProcessStopped,
+      event_code::kDrainStarted,      event_code::kDrainDeadlinePassed,
+      event_code::kListening,         event_code::kLinkOpened,
+      event_code::kLinkClosed,        event_code::kLinkRejected,
+      event_code::kFrameRejected,     event_code::kBackendUp,
+      event_code::kBackendLeaving,    event_code::kBackendDown,
+      event_code::kEngineCallFailed,  event_code::kVoterStarted,
+      event_code::kElectionStarted,   event_code::kLeaderElected,
+      event_code::kLeaderSteppedDown, event_code::kReplicasChanged,
+      event_code::kSnapshotTaken,     event_code::kSnapshotInstalled,
+      event_code::kStorageFailed,     event_code::kLogTailTruncated,
+      event_code::kVoterCreated,      event_code::kInvariantViolated};
   return codes;
 }
 
--- /dev/null
+++ b/src/raft.cc
@@ -0,0 +1,307 @@
+#include "radishroute/raft.h"
+
+#include <algorithm>
+#include <array>
+
+#include "radishroute/error.h"
+
+namespace radishroute {
+
+std::string_view ToString(raft_role role) {
+  constexpr std::array<std::string_view, 4> kNames = {"follower", "pre-candidate", "candidate",
+                                                      "leader"};
+  return kNames[static_cast<std::size_t>(role)];
+}
+
+std::error_code raft_core::Load(recovered_log recovered) {
+  self_ = recovered.self;
+  voted_for_ = recovered.voted_for;
+  std::error_code error = log_.Load(std::move(recovered.snapshot), std::move(recovered.entries));
+  if (error) return error;
+  term_ = recovered.term;
+  if (log_.LastTerm() > term_) {
+    // The vote file of an older term is written before entries of a newer one; this is the case
+    // of a data folder whose vote file was never written.
+    term_ = log_.LastTerm();
+    voted_for_ = {};
+  }
+  commit_ = applied_ = log_.SnapshotIndex();
+  stored_index_ = log_.LastIndex();
+  return {};
+}
+
+bool raft_core::Check(bool holds, std::string_view invariant, reduce_context& ctx) {
+  if (holds) return true;
+  failure_ = errc::kLogCorrupt;
+  role_ = raft_role::kFollower;
+  ctx.Emit(write_log{{event_code::kInvariantViolated,
+                      log_level::kError,
+                      {{"invariant", std::string(invariant)},
+                       {"log_group", std::to_string(log_group_)},
+                       {"voter", std::to_string(self_.value)},
+                       {"term", std::to_string(term_)},
+                       {"commit", std::to_string(commit_)},
+                       {"last", std::to_string(log_.LastIndex())}}}});
+  ctx.Emit(stop_process{false});
+  return false;
+}
+
+void raft_core::Fail(std::error_code error, reduce_context& ctx) {
+  if (failure_) return;
+  failure_ = error;
+  ctx.Emit(write_log{{event_code::kStorageFailed,
+                      log_level::kError,
+                      {{"log_group", std::to_string(log_group_)},
+                       {"voter", std::to_string(self_.value)},
+                       {"error", error.message()}}}});
+  // Messages that waited for the failed sync must never be sent.
+  deferred_.clear();
+  role_ = raft_role::kFollower;
+  leader_ = {};
+  FinishAllUnknown(ctx);
+}
+
+bool raft_core::Accepts(const raft_header& header) const {
+  return !failure_ && header.log_group == log_group_ && header.to == self_ && header.from != self_;
+}
+
+raft_header raft_core::HeaderTo(voter_id to) const { return {log_group_, self_, to, term_}; }
+
+void raft_core::Send(const replica& to, message m, reduce_context& ctx) {
+  auto it = links_.find(to.address);
+  if (it == links_.end() || it->second.link.value == 0) return;
+  if (!it->second.waiting) {
+    it->second.waiting = true;
+    it->second.waiting_since = ctx.now;
+  }
+  ctx.Emit(send_message{it->second.link, std::move(m)});
+}
+
+void raft_core::Defer(link_id link, message m, reduce_context& ctx) {
+  if (has_pending_) {
+    deferred_.emplace_back(next_sequence_, send_message{link, std::move(m)});
+  } else if (storing_ != 0) {
+    deferred_.emplace_back(storing_, send_message{link, std::move(m)});
+  } else {
+    ctx.Emit(send_message{link, std::move(m)});
+  }
+}
+
+void raft_core::SetVote(std::uint64_t term, voter_id vote, reduce_context& ctx) {
+  if (!Check(term >= term_, "the term never decreases", ctx)) return;
+  bool second_vote = term == term_ && voted_for_ != voter_id{} && vote != voted_for_;
+  if (!Check(!second_vote, "one vote in a term", ctx)) return;
+  if (term > term_) deferred_.clear();
+  term_ = term;
+  voted_for_ = vote;
+  pending_.write_vote = true;
+  pending_.term = term;
+  pending_.voted_for = vote;
+  has_pending_ = true;
+}
+
+void raft_core::AppendToLog(log_entry entry) {
+  pending_.entries.push_back(entry);
+  has_pending_ = true;
+  log_.Append(std::move(entry));
+}
+
+void raft_core::TruncateLog(std::uint64_t index, reduce_context& ctx) {
+  if (!Check(index > commit_, "committed entries are never removed", ctx)) return;
+  log_.TruncateFrom(index);
+  auto& entries = pending_.entries;
+  while (!entries.empty() && entries.back().index >= index) entries.pop_back();
+  if (entries.empty()) {
+    std::uint64_t earlier = pending_.truncate_from;
+    pending_.truncate_from = earlier == 0 ? index : std::min(earlier, index);
+  }
+  has_pending_ = true;
+  storing_last_ = std::min(storing_last_, index - 1);
+  stored_index_ = std::min(stored_index_, index - 1);
+}
+
+void raft_core::Flush(reduce_context& ctx) {
+  if (storing_ != 0 || !has_pending_ || failure_) return;
+  storing_ = next_sequence_++;
+  storing_last_ = log_.LastIndex();
+  auto batch = std::make_shared<store_batch>(std::move(pending_));
+  batch->log_group = log_group_;
+  batch->sequence = storing_;
+  pending_ = {};
+  has_pending_ = false;
+  ctx.Emit(store_log{std::move(batch)});
+}
+
+void raft_core::Handle(const log_stored& e, reduce_context& ctx) {
+  if (failure_ || e.log_group != log_group_ || e.sequence != storing_) return;
+  if (e.error) {
+    Fail(e.error, ctx);
+    return;
+  }
+  stored_index_ = std::max(stored_index_, storing_last_);
+  auto ready = std::stable_partition(deferred_.begin(), deferred_.end(), [&](const auto& waiting) {
+    return waiting.first <= storing_;
+  });
+  for (auto it = deferred_.begin(); it != ready; ++it) ctx.Emit(std::move(it->second));
+  deferred_.erase(deferred_.begin(), ready);
+  storing_ = 0;
+  // The vote for itself counts only once it cannot be forgotten.
+  bool vote_synced = !(has_pending_ && pending_.write_vote);
+  if (role_ == raft_role::kCandidate && vote_synced) {
+    if (votes_.empty()) RequestVotes(false, term_, ctx);
+    CountVote(self_, ctx);
+  }
+  if (role_ == raft_role::kLeader) AdvanceCommit(ctx);
+}
+
+void raft_core::Handle(const process_started&, reduce_context& ctx) {
+  // A vote given before the restart may still back a lease; none is given until it has expired.
+  no_votes_until_ = ctx.now + limits_.election_min;
+  ctx.Emit(write_log{{event_code::kVoterStarted,
+                      log_level::kInfo,
+                      {{"log_group", std::to_string(log_group_)},
+                       {"voter", std::to_string(self_.value)},
+                       {"term", std::to_string(term_)},
+                       {"last", std::to_string(log_.LastIndex())}}}});
+  ResetElectionTimer(ctx);
+  SyncLinks(ctx);
+  ScheduleNext(ctx);
+}
+
+void raft_core::Handle(const drain_requested&, reduce_context& ctx) {
+  ctx.Emit(stop_process{true});
+}
+
+void raft_core::Handle(const timer_expired&, reduce_context& ctx) {
+  if (failure_) return;
+  CheckLinks(ctx);
+  if (role_ == raft_role::kLeader) {
+    if (ctx.now >= heartbeat_at_) TickLeader(ctx);
+  } else if (ctx.now >= election_at_) {
+    ResetElectionTimer(ctx);
+    if (SelfVotes()) StartPreVote(ctx);
+  }
+  ScheduleNext(ctx);
+}
+
+void raft_core::ScheduleNext(reduce_context& ctx) {
+  steady_time at = role_ == raft_role::kLeader ? heartbeat_at_ : election_at_;
+  for (const auto& [address, peer] : links_) {
+    if (peer.link.value == 0 && !peer.opening) at = std::min(at, peer.redial_at);
+  }
+  ctx.Emit(schedule_wakeup{at});
+}
+
+void raft_core::SyncLinks(reduce_context& ctx) {
+  std::set<endpoint> wanted;
+  for (const replica& r : log_.Replicas()) {
+    if (r.id != self_) wanted.insert(r.address);
+  }
+  for (auto it = links_.begin(); it != links_.end();) {
+    if (wanted.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    if (it->second.link.value != 0) ctx.Emit(close_link{it->second.link});
+    it = links_.erase(it);
+  }
+  for (const endpoint& address : wanted) {
+    auto [it, added] = links_.try_emplace(address);
+    if (!added) continue;
+    it->second.opening = true;
+    ctx.Emit(open_link{address});
+  }
+}
+
+void raft_core::CheckLinks(reduce_context& ctx) {
+  for (auto& [address, peer] : links_) {
+    bool silent = peer.waiting && ctx.now - peer.waiting_since > limits_.silent_link;
+    if (peer.link.value != 0 && silent) {
+      ctx.Emit(close_link{peer.link});
+      peer = {};
+    }
+    if (peer.link.value == 0 && !peer.opening && ctx.now >= peer.redial_at) {
+      peer.opening = true;
+      ctx.Emit(open_link{address});
+    }
+  }
+}
+
+void raft_core::Handle(const link_opened& e, reduce_context& ctx) {
+  auto it = links_.find(e.dialed);
+  if (it == links_.end() || failure_) return;
+  it->second = {};
+  it->second.link = e.link;
+  if (role_ != raft_role::kLeader) return;
+  for (const replica& r : log_.Replicas()) {
+    if (r.address != e.dialed || r.id == self_) continue;
+    progress_[r.id].in_flight = false;
+    Replicate(r, progress_[r.id], true, ctx);
+  }
+}
+
+void raft_core::Handle(const link_closed& e, reduce_context& ctx) {
+  auto it = links_.find(e.dialed);
+  if (it == links_.end() || failure_) return;
+  peer_link& peer = it->second;
+  bool attempt_failed = e.link.value == 0 && peer.opening;
+  if (!attempt_failed && (e.link.value == 0 || e.link != peer.link)) return;
+  peer = {};
+  peer.redial_at = ctx.now + limits_.redial;
+  ctx.Emit(schedule_wakeup{peer.redial_at});
+}
+
+bool raft_core::SelfVotes() const {
+  const replica* self = FindReplica(log_.Replicas(), self_);
+  return self != nullptr && self->voting;
+}
+
+bool raft_core::IsMajority(std::size_t count) const {
+  return count > VoterCount(log_.Replicas()) / 2;
+}
+
+endpoint raft_core::LeaderAddress() const {
+  const replica* leader = FindReplica(log_.Replicas(), leader_);
+  return leader == nullptr ? endpoint{} : leader->address;
+}
+
+std::uint64_t raft_core::MatchIndex(voter_id id) const {
+  if (id == self_) return stored_index_;
+  auto it = progress_.find(id);
+  return it == progress_.end() ? 0 : it->second.match;
+}
+
+const log_entry* raft_core::NextToApply() const {
+  if (failure_ || applied_ >= commit_) return nullptr;
+  return &log_.At(applied_ + 1);
+}
+
+void raft_core::OnApplied(reduce_context& ctx) {
+  ++applied_;
+  auto it = proposals_.find(applied_);
+  if (it == proposals_.end()) return;
+  Finish(it->second, proposal_status::kCommitted, applied_, ctx);
+  proposals_.erase(it);
+}
+
+bool raft_core::SnapshotDue() const {
+  return !failure_ && applied_ >= log_.SnapshotIndex() + limits_.snapshot_every;
+}
+
+void raft_core::Compact(std::string state, reduce_context& ctx) {
+  auto snapshot = std::make_shared<log_snapshot>();
+  snapshot->index = applied_;
+  snapshot->term = log_.TermAt(applied_).value_or(0);
+  snapshot->replicas = log_.ReplicasAt(applied_);
+  snapshot->state = std::move(state);
+  ctx.Emit(write_log{{event_code::kSnapshotTaken,
+                      log_level::kInfo,
+                      {{"index", std::to_string(snapshot->index)},
+                       {"bytes", std::to_string(snapshot->state.size())}}}});
+  log_.Compact(snapshot, limits_.keep_entries);
+  pending_.snapshot = std::move(snapshot);
+  pending_.keep_from = log_.BaseIndex() + 1;
+  has_pending_ = true;
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/raft_proposals.cc
@@ -0,0 +1,145 @@
+#include <algorithm>
+
+#include "radishroute/error.h"
+#include "radishroute/raft.h"
+
+namespace radishroute {
+
+void raft_core::Handle(const propose_command& e, reduce_context& ctx) {
+  Propose({e.id, {}}, e.body, ctx);
+}
+
+void raft_core::Handle(link_id link, const propose_request& m, reduce_context& ctx) {
+  if (m.log_group != log_group_) return;
+  Propose({m.id, link}, m.body, ctx);
+}
+
+void raft_core::Propose(const proposal& p, command body, reduce_context& ctx) {
+  if (role_ != raft_role::kLeader || failure_) {
+    Finish(p, proposal_status::kNotLeader, 0, ctx);
+    return;
+  }
+  if (!LeaseHeld(ctx.now)) {
+    Finish(p, proposal_status::kNoQuorum, 0, ctx);
+    return;
+  }
+  if (ApproximateSize(body) > limits_.max_command_bytes) {
+    Finish(p, proposal_status::kTooLarge, 0, ctx);
+    return;
+  }
+  if (proposals_.size() >= limits_.max_proposals) {
+    Finish(p, proposal_status::kQueueFull, 0, ctx);
+    return;
+  }
+  const auto* change = std::get_if<replica_change>(&body);
+  if (change != nullptr && !ChangeAllowed(change->replicas, ctx)) {
+    Finish(p, proposal_status::kInvalidChange, 0, ctx);
+    return;
+  }
+  bool changes_replicas = change != nullptr;
+  std::uint64_t index = log_.LastIndex() + 1;
+  AppendToLog({term_, index, std::move(body)});
+  proposals_[index] = p;
+  if (changes_replicas) {
+    SyncLinks(ctx);
+    for (const replica& r : log_.Replicas()) progress_.try_emplace(r.id);
+  }
+  ReplicateAll(false, ctx);
+}
+
+void raft_core::Finish(const proposal& p, proposal_status status, std::uint64_t index,
+                       reduce_context& ctx) {
+  endpoint leader = LeaderAddress();
+  if (p.link.value != 0) {
+    ctx.Emit(send_message{p.link, propose_reply{log_group_, p.id, status, index, leader}});
+  } else if (p.id.value != 0) {
+    ctx.Emit(proposal_finished{p.id, status, index, leader});
+  }
+}
+
+void raft_core::FinishAllUnknown(reduce_context& ctx) {
+  for (const auto& [index, p] : proposals_) {
+    bool committed = index <= commit_;
+    Finish(p, committed ? proposal_status::kCommitted : proposal_status::kUnknown, index, ctx);
+  }
+  proposals_.clear();
+}
+
+bool raft_core::ChangeAllowed(const std::vector<replica>& to, reduce_context& ctx) const {
+  // The set in force and the term's first entry must be committed, or two majorities that do not
+  // overlap could exist (the fault of single-server changes that was reported in 2015).
+  if (log_.ReplicasIndex() > commit_ || commit_ < term_start_) return false;
+  if (!IsSingleVoterChange(log_.Replicas(), to)) return false;
+  if (VoterCount(to) >= VoterCount(log_.Replicas())) return true;
+  // Removing a voter that answers while others do not could leave no majority.
+  std::size_t answering = 0;
+  for (const replica& r : to) {
+    if (!r.voting) continue;
+    auto it = progress_.find(r.id);
+    bool heard = it != progress_.end() && ctx.now - it->second.acknowledged <= limits_.election_max;
+    if (r.id == self_ || heard) ++answering;
+  }
+  return answering > VoterCount(to) / 2;
+}
+
+void raft_core::Handle(const change_voters& e, reduce_context& ctx) {
+  proposal p{e.id, {}};
+  replica_change change{log_.Replicas()};
+  auto& replicas = change.replicas;
+  const replica* target = FindReplica(replicas, e.target.id);
+  bool valid = false;
+  if (e.operation == voter_operation::kRemove) {
+    valid = target != nullptr;
+    std::erase_if(replicas, [&](const replica& r) { return r.id == e.target.id; });
+  } else {
+    const replica* replaced = FindReplica(replicas, e.replaced);
+    bool replaces = e.operation == voter_operation::kReplace;
+    valid = target == nullptr && e.target.id != voter_id{} &&
+            (!replaces || (replaced != nullptr && replaced->voting));
+    replica learner = e.target;
+    learner.voting = false;
+    learner.replaces = replaces ? e.replaced : voter_id{};
+    replicas.push_back(std::move(learner));
+  }
+  if (!valid && role_ == raft_role::kLeader) {
+    Finish(p, proposal_status::kInvalidChange, 0, ctx);
+    return;
+  }
+  Propose(p, std::move(change), ctx);
+}
+
+void raft_core::AdvanceMembership(reduce_context& ctx) {
+  if (role_ != raft_role::kLeader || log_.ReplicasIndex() > commit_ || commit_ < term_start_) {
+    return;
+  }
+  if (!SelfVotes()) {
+    // Its own removal is committed.
+    BecomeFollower(term_, ctx);
+    return;
+  }
+  replica_change change{log_.Replicas()};
+  for (replica& r : change.replicas) {
+    auto it = progress_.find(r.id);
+    if (r.voting || it == progress_.end()) continue;
+    bool heard = ctx.now - it->second.acknowledged <= limits_.election_min;
+    if (!heard || it->second.match + limits_.caught_up < log_.LastIndex()) continue;
+    // The replaced voter leaves first: the majority is then smallest while both changes commit.
+    const replica* replaced = FindReplica(change.replicas, r.replaces);
+    if (replaced != nullptr) {
+      voter_id gone = r.replaces;
+      std::erase_if(change.replicas, [&](const replica& other) { return other.id == gone; });
+    } else {
+      r.voting = true;
+      r.replaces = {};
+    }
+    if (!LeaseHeld(ctx.now) || !ChangeAllowed(change.replicas, ctx)) return;
+    ctx.Emit(write_log{{event_code::kReplicasChanged,
+                        log_level::kInfo,
+                        {{"voters", std::to_string(VoterCount(change.replicas))},
+                         {"replicas", std::to_string(change.replicas.size())}}}});
+    Propose({}, std::move(change), ctx);
+    return;
+  }
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/tests/raft_cluster.cc
@@ -0,0 +1,258 @@
+#include "raft_cluster.h"
+
+#include <limits>
+#include <variant>
+
+namespace radishroute {
+
+void fake_machine::Apply(const log_entry& entry, reduce_context&) {
+  const auto* change = std::get_if<config_change>(&entry.body);
+  std::string text = std::to_string(entry.term) + ":" + (change ? change->change_id : "-");
+  if (change != nullptr) state_ += change->change_id + ",";
+  if (record_ == nullptr) return;
+  auto [it, added] = record_->entries.emplace(entry.index, text);
+  if (!added && it->second != text) {
+    record_->failure = "two entries applied at index " + std::to_string(entry.index);
+  }
+}
+
+raft_cluster::raft_cluster(std::uint64_t seed, std::size_t size, raft_limits limits)
+    : random_(seed), limits_(limits), nodes_(size) {
+  replica_change initial;
+  for (std::size_t i = 0; i < size; ++i) {
+    replica& self = nodes_[i].self;
+    self.id = {next_voter_++};
+    self.address = {"127.0.0.1", static_cast<std::uint16_t>(i + 1)};
+    initial.replicas.push_back(self);
+  }
+  for (member& n : nodes_) {
+    n.disk.self = n.self.id;
+    n.disk.term = 1;
+    n.disk.entries = {{1, 1, initial}};
+  }
+  for (std::size_t i = 0; i < size; ++i) Start(i);
+}
+
+void raft_cluster::Start(std::size_t i) {
+  member& n = nodes_[i];
+  ++n.life;
+  n.log.emplace(0, limits_, fake_machine(&applied_));
+  recovered_log recovered = n.disk;
+  DropSupersededEntries(recovered);
+  n.disk.entries = recovered.entries;
+  if (auto error = n.log->Load(std::move(recovered))) failure = "load: " + error.message();
+  Deliver(i, process_started{});
+}
+
+void raft_cluster::Crash(std::size_t i) {
+  member& n = nodes_[i];
+  ++n.life;
+  n.log.reset();
+  n.wake_at.reset();
+  n.paused = false;
+  n.held.clear();
+  if (n.storing) {
+    // Counts one step for the vote, the snapshot, the truncation and each entry.
+    std::uniform_int_distribution<std::size_t> steps(0, n.storing->entries.size() + 3);
+    Store(n, *n.storing, steps(random_));
+    n.storing.reset();
+  }
+  std::vector<link_id> lost;
+  for (const auto& [link, ends] : links_) {
+    if (ends.first == i || ends.second == i) lost.push_back({link});
+  }
+  for (link_id link : lost) CloseLink(link);
+}
+
+void raft_cluster::LoseDisk(std::size_t i) {
+  member& n = nodes_[i];
+  n.self.id = {next_voter_++};
+  n.disk = {};
+  n.disk.self = n.self.id;
+}
+
+void raft_cluster::SetPaused(std::size_t i, bool paused) {
+  member& n = nodes_[i];
+  n.paused = paused;
+  if (paused) return;
+  std::vector<event> held = std::exchange(n.held, {});
+  for (event& e : held) Deliver(i, std::move(e));
+}
+
+void raft_cluster::Store(member& n, const store_batch& batch, std::size_t steps) {
+  std::size_t done = 0;
+  auto next = [&] { return done++ < steps; };
+  if (next() && batch.write_vote) {
+    n.disk.term = batch.term;
+    n.disk.voted_for = batch.voted_for;
+  }
+  if (next() && batch.snapshot) n.disk.snapshot = batch.snapshot;
+  auto& entries = n.disk.entries;
+  if (next() && batch.truncate_from != 0) {
+    std::erase_if(entries, [&](const log_entry& e) { return e.index >= batch.truncate_from; });
+  }
+  for (const log_entry& entry : batch.entries) {
+    if (next()) entries.push_back(entry);
+  }
+  if (next()) std::erase_if(entries, [&](const log_entry& e) { return e.index < batch.keep_from; });
+}
+
+bool raft_cluster::Step() {
+  if (queue_.empty()) return false;
+  auto it = queue_.begin();
+  now_ = std::max(now_, it->first);
+  queued next = std::move(it->second);
+  queue_.erase(it);
+  if (nodes_[next.node].life == next.life) Deliver(next.node, std::move(next.what));
+  return true;
+}
+
+void raft_cluster::Run(std::chrono::milliseconds time) {
+  steady_time end = now_ + time;
+  while (failure.empty() && !queue_.empty() && queue_.begin()->first <= end) Step();
+  now_ = std::max(now_, end);
+}
+
+bool raft_cluster::Chance(int percent) {
+  return std::uniform_int_distribution<int>(0, 99)(random_) < percent;
+}
+
+std::chrono::microseconds raft_cluster::Delay() {
+  auto most = std::chrono::duration_cast<std::chrono::microseconds>(network.max_delay).count();
+  return std::chrono::microseconds(std::uniform_int_distribution<std::int64_t>(50, most)(random_));
+}
+
+void raft_cluster::Post(std::size_t i, event e, std::chrono::microseconds after) {
+  queue_.emplace(now_ + after, queued{i, nodes_[i].life, std::move(e)});
+}
+
+void raft_cluster::Deliver(std::size_t i, event e) {
+  member& n = nodes_[i];
+  if (!n.log) return;
+  if (n.paused) {
+    n.held.push_back(std::move(e));
+    return;
+  }
+  if (std::holds_alternative<timer_expired>(e)) n.wake_at.reset();
+  effect_list effects;
+  reduce_context ctx{now_, wall_time{}, random_, effects};
+  if (auto* stored = std::get_if<log_stored>(&e); stored != nullptr && n.storing) {
+    stored->error = std::exchange(n.sync_error, {});
+    if (!stored->error) Store(n, *n.storing, std::numeric_limits<std::size_t>::max());
+    n.storing.reset();
+  }
+  auto handle = [&](const auto&... arguments) {
+    if constexpr (requires { n.log->Handle(arguments..., ctx); }) n.log->Handle(arguments..., ctx);
+  };
+  if (auto* received = std::get_if<message_received>(&e)) {
+    std::visit([&](const auto& m) { handle(received->link, m); }, received->body);
+  } else {
+    std::visit(handle, e);
+  }
+  for (effect& one : effects) Execute(i, one);
+  std::size_t leases = 0;
+  for (const member& other : nodes_) {
+    if (other.log && other.log->Core().LeaseHeld(now_)) ++leases;
+  }
+  if (leases > 1) failure = "two leaders hold a lease";
+  if (!applied_.failure.empty()) failure = applied_.failure;
+}
+
+void raft_cluster::Execute(std::size_t i, effect& e) {
+  if (auto* send = std::get_if<send_message>(&e)) SendTo(i, *send);
+  if (auto* open = std::get_if<open_link>(&e)) OpenLink(i, open->address);
+  if (auto* close = std::get_if<close_link>(&e)) CloseLink(close->link);
+  if (auto* wake = std::get_if<schedule_wakeup>(&e)) {
+    std::optional<steady_time>& wake_at = nodes_[i].wake_at;
+    if (wake_at && *wake_at <= wake->at) return;
+    wake_at = wake->at;
+    auto after = std::max(wake->at - now_, steady_time::duration(1000));
+    Post(i, timer_expired{}, std::chrono::duration_cast<std::chrono::microseconds>(after));
+  }
+  if (auto* store = std::get_if<store_log>(&e)) {
+    if (nodes_[i].storing) failure = "two batches are stored at once";
+    nodes_[i].storing = store->batch;
+    ++stores;
+    Post(i, log_stored{0, store->batch->sequence, {}}, Delay());
+  }
+  if (auto* finished = std::get_if<proposal_finished>(&e)) results_[finished->id] = *finished;
+  if (auto* log = std::get_if<write_log>(&e)) Observe(i, log->event);
+}
+
+void raft_cluster::Observe(std::size_t, const log_event& e) {
+  if (e.code == event_code::kInvariantViolated) failure = "invariant: " + e.fields[0].value;
+  if (e.code == event_code::kSnapshotInstalled) ++snapshots_installed;
+  if (e.code != event_code::kLeaderElected) return;
+  auto [it, added] = leaders_.emplace(std::stoull(e.fields[0].value), e.fields[1].value);
+  if (!added && it->second != e.fields[1].value) failure = "two leaders in a term";
+}
+
+void raft_cluster::ObserveVote(std::size_t, const message& m) {
+  const auto* vote = std::get_if<vote_reply>(&m);
+  if (vote == nullptr || vote->pre_vote || !vote->granted) return;
+  auto key = std::pair(vote->header.from, vote->header.term);
+  auto [it, added] = votes_.emplace(key, vote->header.to);
+  if (!added && it->second != vote->header.to) failure = "a voter voted twice in a term";
+}
+
+void raft_cluster::SendTo(std::size_t i, const send_message& e) {
+  ObserveVote(i, e.body);
+  auto it = links_.find(e.link.value);
+  if (it == links_.end()) return;
+  std::size_t to = it->second.first == i ? it->second.second : it->second.first;
+  if (cut_.contains({i, to}) || Chance(network.drop_percent)) return;
+  int copies = Chance(network.repeat_percent) ? 2 : 1;
+  for (int k = 0; k < copies; ++k) Post(to, message_received{e.link, e.body}, Delay());
+}
+
+void raft_cluster::OpenLink(std::size_t i, const endpoint& address) {
+  std::size_t to = address.port - 1U;
+  if (!nodes_[to].log || cut_.contains({i, to}) || cut_.contains({to, i})) {
+    Post(i, link_closed{{}, address, {}}, Delay());
+    return;
+  }
+  link_id link{next_link_++};
+  links_[link.value] = {i, to};
+  Post(i, link_opened{link, {}, address}, Delay());
+  Post(to, link_opened{link, {}, {}}, Delay());
+}
+
+void raft_cluster::CloseLink(link_id link) {
+  auto it = links_.find(link.value);
+  if (it == links_.end()) return;
+  auto [from, to] = it->second;
+  links_.erase(it);
+  Post(from, link_closed{link, nodes_[to].self.address, {}}, Delay() + network.max_delay);
+  Post(to, link_closed{link, {}, {}}, Delay() + network.max_delay);
+}
+
+std::optional<std::size_t> raft_cluster::Leader() const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (Alive(i) && Core(i).LeaseHeld(now_)) return i;
+  }
+  return std::nullopt;
+}
+
+proposal_id raft_cluster::Propose(std::size_t i) {
+  proposal_id id{next_proposal_++};
+  Deliver(i, propose_command{id, config_change{0, std::to_string(id.value), "", ""}});
+  return id;
+}
+
+std::optional<proposal_finished> raft_cluster::Result(proposal_id id) const {
+  auto it = results_.find(id);
+  return it == results_.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool raft_cluster::CommitOne(std::chrono::milliseconds limit) {
+  steady_time end = now_ + limit;
+  while (now_ < end && failure.empty()) {
+    if (!RunUntil([&] { return Leader().has_value(); }, limit)) return false;
+    proposal_id id = Propose(*Leader());
+    RunUntil([&] { return Result(id).has_value(); }, std::chrono::milliseconds(1000));
+    if (Result(id) && Result(id)->status == proposal_status::kCommitted) return true;
+  }
+  return false;
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/tests/raft_test.cc
@@ -0,0 +1,234 @@
+#include "radishroute/raft.h"
+
+#include <catch2/catch.hpp>
+
+#include "raft_cluster.h"
+
+namespace radishroute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kElectionLimit{2000};
+
+std::size_t WaitForLeader(raft_cluster& cluster) {
+  REQUIRE(cluster.RunUntil([&] { return cluster.Leader().has_value(); }, milliseconds(5000)));
+  return *cluster.Leader();
+}
+
+bool IsVoter(const raft_cluster& cluster, voter_id id) {
+  auto leader = cluster.Leader();
+  if (!leader) return false;
+  const replica* found = FindReplica(cluster.Core(*leader).Log().Replicas(), id);
+  return found != nullptr && found->voting;
+}
+
+proposal_status ChangeVoters(raft_cluster& cluster, const change_voters& change) {
+  std::size_t leader = WaitForLeader(cluster);
+  cluster.Deliver(leader, change);
+  cluster.RunUntil([&] { return cluster.Result(change.id).has_value(); }, milliseconds(2000));
+  return cluster.Result(change.id).value_or(proposal_finished{}).status;
+}
+
+}  // namespace
+
+// Guards against an election that takes longer than the 2 s allowed after the loss of the leader,
+// whatever the leader was doing: idle, storing, replicating or about to commit.
+TEST_CASE("leader loss in each phase is repaired in time and loses no commit") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    // The delay covers the time from the proposal to its commit, about 12 ms here.
+    for (auto delay : {milliseconds(0), milliseconds(3), milliseconds(6), milliseconds(30)}) {
+      raft_cluster cluster(seed, 5);
+      std::size_t leader = WaitForLeader(cluster);
+      proposal_id id = cluster.Propose(leader);
+      cluster.Run(delay);
+      bool committed = cluster.Result(id).has_value();
+      cluster.Crash(leader);
+      INFO("seed " << seed << ", delay " << delay.count() << " ms");
+      REQUIRE(cluster.RunUntil([&] { return cluster.Leader().has_value(); }, kElectionLimit));
+      REQUIRE(cluster.CommitOne(milliseconds(1000)));
+      const std::string& state = cluster.Machine(*cluster.Leader()).State();
+      if (committed) CHECK(state.starts_with(std::to_string(id.value) + ","));
+      CHECK(cluster.failure.empty());
+    }
+  }
+}
+
+// Guards against one sync for each entry, which would bound commits a second by the disk.
+TEST_CASE("proposals that arrive during a sync share the next one") {
+  raft_cluster cluster(1, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  cluster.Run(milliseconds(200));
+  std::size_t before = cluster.stores;
+  proposal_id last;
+  for (int i = 0; i < 500; ++i) last = cluster.Propose(leader);
+  cluster.RunUntil([&] { return cluster.Result(last).has_value(); }, milliseconds(1000));
+  CHECK(cluster.Result(last)->status == proposal_status::kCommitted);
+  // Two batches on each of three replicas, and a third for a vote or a late message.
+  CHECK(cluster.stores - before <= 9);
+}
+
+// Guards against a commit that is reported before a majority has synced the entry.
+TEST_CASE("an entry is not committed while the followers' disks stand still") {
+  raft_cluster cluster(2, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  cluster.Run(milliseconds(200));
+  for (std::size_t i = 0; i < 3; ++i) {
+    if (i != leader) cluster.FailNextSync(i, errc::kSyncFailed);
+  }
+  proposal_id id = cluster.Propose(leader);
+  cluster.Run(milliseconds(300));
+  CHECK_FALSE(cluster.Result(id).has_value());
+  cluster.Run(milliseconds(3000));
+  CHECK(cluster.Result(id)->status == proposal_status::kUnknown);
+  CHECK_FALSE(cluster.Leader().has_value());
+}
+
+// Guards against a replica that votes or leads after a failed sync or on a full disk.
+TEST_CASE("a replica stops taking part after a storage failure") {
+  raft_cluster cluster(3, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  cluster.FailNextSync(leader, errc::kDiskFull);
+  cluster.Propose(leader);
+  REQUIRE(cluster.CommitOne(milliseconds(4000)));
+  CHECK(*cluster.Leader() != leader);
+  CHECK(cluster.Core(leader).Failure() == errc::kDiskFull);
+  CHECK(cluster.Core(leader).Role() == raft_role::kFollower);
+  cluster.Crash(*cluster.Leader());
+  CHECK_FALSE(cluster.CommitOne(milliseconds(3000)));
+}
+
+// Guards against a paused leader that still believes in its lease when it continues.
+TEST_CASE("a voter paused past its lease neither leads nor accepts proposals") {
+  raft_cluster cluster(4, 3);
+  std::size_t old = WaitForLeader(cluster);
+  cluster.SetPaused(old, true);
+  cluster.Run(milliseconds(2500));
+  REQUIRE(cluster.Leader().has_value());
+  CHECK(*cluster.Leader() != old);
+  CHECK_FALSE(cluster.Core(old).LeaseHeld(cluster.Now()));
+  cluster.SetPaused(old, false);
+  proposal_id id = cluster.Propose(old);
+  CHECK(cluster.Result(id)->status != proposal_status::kCommitted);
+  cluster.Run(milliseconds(1000));
+  CHECK(cluster.Core(old).Role() == raft_role::kFollower);
+  CHECK(cluster.failure.empty());
+}
+
+// Guards against a replica that cannot hear the others and deposes the leader again and again, and
+// against a leader that cannot be heard but keeps its place.
+TEST_CASE("a one-way cut neither disturbs a leader nor keeps a silent one") {
+  raft_cluster cluster(5, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  std::size_t deaf = (leader + 1) % 3;
+  cluster.Cut(leader, deaf);
+  std::uint64_t term = cluster.Core(leader).Term();
+  cluster.Run(milliseconds(10000));
+  CHECK(cluster.Leader() == leader);
+  CHECK(cluster.Core(leader).Term() == term);
+  cluster.Heal();
+  for (std::size_t i = 0; i < 3; ++i) {
+    if (i != leader) cluster.Cut(i, leader);
+  }
+  cluster.Run(milliseconds(1500));
+  CHECK(cluster.Core(leader).Role() != raft_role::kLeader);
+  CHECK(cluster.Propose(leader).value != 0);
+  cluster.Heal();
+  CHECK(cluster.CommitOne(milliseconds(4000)));
+  CHECK(cluster.failure.empty());
+}
+
+// Guards against a repair that leaves the group unable to lose another voter, and against entries
+// that only the lost voters held.
+TEST_CASE("a second voter is lost right after a repair") {
+  for (std::size_t size : {3U, 5U}) {
+    raft_cluster cluster(6, size);
+    std::size_t leader = WaitForLeader(cluster);
+    REQUIRE(cluster.CommitOne(milliseconds(1000)));
+    std::size_t lost = (leader + 1) % size;
+    voter_id old = cluster.Replica(lost).id;
+    cluster.Crash(lost);
+    cluster.LoseDisk(lost);
+    cluster.Start(lost);
+    CHECK(ChangeVoters(cluster, {{1000}, voter_operation::kReplace, cluster.Replica(lost), old}) ==
+          proposal_status::kCommitted);
+    voter_id repaired = cluster.Replica(lost).id;
+    REQUIRE(cluster.RunUntil([&] { return IsVoter(cluster, repaired); }, milliseconds(3000)));
+    CHECK_FALSE(IsVoter(cluster, old));
+    // The change must be committed before the next voter is lost; one heartbeat is ample.
+    cluster.Run(milliseconds(100));
+    cluster.Crash(*cluster.Leader());
+    INFO("size " << size);
+    CHECK(cluster.CommitOne(milliseconds(4000)));
+    CHECK(cluster.Machine(lost).State().starts_with("1,"));
+  }
+}
+
+// Guards against removing a voter that answers while the rest could not form a majority.
+TEST_CASE("a voter is not removed if the others could not commit") {
+  raft_cluster cluster(7, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  std::size_t dead = (leader + 1) % 3;
+  std::size_t healthy = (leader + 2) % 3;
+  cluster.Crash(dead);
+  cluster.Run(milliseconds(1200));
+  CHECK(ChangeVoters(cluster, {{1000}, voter_operation::kRemove, cluster.Replica(healthy), {}}) ==
+        proposal_status::kInvalidChange);
+  CHECK(ChangeVoters(cluster, {{1001}, voter_operation::kRemove, cluster.Replica(dead), {}}) ==
+        proposal_status::kCommitted);
+}
+
+// Guards against a replica that was away for long and never catches up through snapshot chunks.
+TEST_CASE("a replica far behind receives a snapshot in chunks") {
+  raft_limits limits;
+  limits.snapshot_every = 100;
+  limits.keep_entries = 10;
+  limits.chunk_bytes = 50;
+  raft_cluster cluster(8, 3, limits);
+  std::size_t leader = WaitForLeader(cluster);
+  std::size_t away = (leader + 1) % 3;
+  cluster.Crash(away);
+  for (int i = 0; i < 350; ++i) cluster.Propose(leader);
+  cluster.Run(milliseconds(500));
+  cluster.network.drop_percent = 10;
+  cluster.Start(away);
+  auto same = [&] { return cluster.Machine(away).State() == cluster.Machine(leader).State(); };
+  CHECK(cluster.RunUntil(same, milliseconds(60000)));
+  CHECK(cluster.snapshots_installed >= 1);
+  CHECK(cluster.Core(away).Log().BaseIndex() > 1);
+  // The snapshot is applied before it is synced.
+  cluster.Run(milliseconds(100));
+  // A restart replays only the entries after the snapshot.
+  cluster.Crash(away);
+  cluster.Start(away);
+  CHECK(cluster.Core(away).AppliedIndex() >= 300);
+}
+
+// Guards against a message of another log group or of a voter's former life being taken.
+TEST_CASE("messages for another group or voter id are ignored") {
+  raft_cluster cluster(9, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  voter_id self = cluster.Replica(leader).id;
+  std::uint64_t term = cluster.Core(leader).Term();
+  append_request m;
+  m.header = {7, {99}, self, term + 5};
+  cluster.Deliver(leader, message_received{{1}, m});
+  m.header = {0, {99}, {98}, term + 5};
+  cluster.Deliver(leader, message_received{{1}, m});
+  CHECK(cluster.Core(leader).Term() == term);
+  CHECK(cluster.Core(leader).Role() == raft_role::kLeader);
+}
+
+// Guards against a broken invariant that goes unnoticed: the module must report it and stop.
+TEST_CASE("a second leader in a term is reported and stops the replica") {
+  raft_cluster cluster(10, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  append_request m;
+  m.header = {0, {99}, cluster.Replica(leader).id, cluster.Core(leader).Term()};
+  cluster.Deliver(leader, message_received{{1}, m});
+  CHECK(cluster.failure == "invariant: one leader in a term");
+  CHECK(cluster.Core(leader).Failure());
+}
+
+}  // namespace radishroute
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -69,5 +69,66 @@
 struct DirectoryDigest { 1: i64 recordCount; 2: i64 hash }
 struct DirectoryPull {}
 
+// Replicated log. `messageType` numbers 30-49. The same structs are stored in segment and snapshot files.
+struct Replica { 1: i64 id; 2: string zone; 3: Endpoint address; 4: bool voting; 5: i64 replaces }
+struct NoOperation {}
+struct ReplicaChange { 1: list<Replica> replicas }
+struct ConfigChange { 1: i64 baseVersion; 2: string changeId; 3: string author; 4: string sheet }
+struct RecordClaim {
+  1: string member
+  2: string key
+  3: i64 contentHash
+  4: DispatchId dispatchId
+  5: string backend
+  6: i64 backendIncarnation
+  7: i64 atMicros
+}
+struct RecordOutcome {
+  1: string member
+  2: string key
+  3: DispatchId dispatchId
+  4: i32 status
+  5: i32 answerStatus
+  6: string answerType
+  7: binary answer
+}
+// Exactly one field is set.
+struct Command {
+  1: optional NoOperation noOperation
+  2: optional ReplicaChange replicaChange
+  3: optional ConfigChange configChange
+  4: optional RecordClaim recordClaim
+  5: optional RecordOutcome recordOutcome
+}
+struct LogEntry { 1: i64 term; 2: i64 index; 3: Command body }
+struct RaftHeader { 1: i32 logGroup; 2: i64 sender; 3: i64 recipient; 4: i64 term }
+struct AppendRequest {
+  1: RaftHeader header
+  2: i64 prevIndex
+  3: i64 prevTerm
+  4: i64 commit
+  5: i64 sentNanos
+  6: list<LogEntry> entries
+}
+struct AppendReply { 1: RaftHeader header; 2: bool matched; 3: i64 matchIndex; 4: i64 sentNanos }
+struct VoteRequest { 1: RaftHeader header; 2: bool preVote; 3: i64 lastIndex; 4: i64 lastTerm }
+struct VoteReply { 1: RaftHeader header; 2: bool preVote; 3: bool granted }
+struct SnapshotChunk {
+  1: RaftHeader header
+  2: i64 index
+  3: i64 snapshotTerm
+  4: list<Replica> replicas
+  5: i64 total
+  6: i64 hash
+  7: i64 offset
+  8: binary bytes
+  9: i64 sentNanos
+}
+struct SnapshotReply { 1: RaftHeader header; 2: i64 index; 3: i64 nextOffset; 4: bool done; 5: i64 sentNanos }
+struct ProposeRequest { 1: i32 logGroup; 2: i64 proposal; 3: Command body }
+struct ProposeReply { 1: i32 logGroup; 2: i64 proposal; 3: i32 status; 4: i64 index; 5: Endpoint leader }
+struct VoteRecord { 1: i64 term; 2: i64 votedFor }
+struct SnapshotRecord { 1: i64 index; 2: i64 term; 3: list<Replica> replicas; 4: binary state }
+
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
 struct FrameHeader { 1: i32 protocolVersion; 2: i32 messageType }
