--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -96,6 +96,8 @@
   kUnknownVoter,
   kListenFailed,
   kOutcomeUnknown,
+  kFolderInUse,
+  kFolderUnusable,
 };
 
 const std::error_category& RadishrouteCategory();
--- a/src/error.cc
+++ b/src/error.cc
@@ -96,6 +96,10 @@
         return "cannot listen on the address";
       case errc::kOutcomeUnknown:
         return "outcome is unknown";
+      case errc::kFolderInUse:
+        return "data folder is in use by another process";
+      case errc::kFolderUnusable:
+        return "data folder cannot be created or read";
     }
     return "unknown error";
   }
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -6515,6 +6515,250 @@
 }
 
 
+LogBatch::~LogBatch() noexcept {
+}
+
+
+void LogBatch::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
+}
+
+void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->entries.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
+            {
+              xfer += this->entries[_i202].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogBatch");
+
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter203;
+    for (_iter203 = this->entries.begin(); _iter203 != this->entries.end(); ++_iter203)
+    {
+      xfer += (*_iter203).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogBatch &a, LogBatch &b) {
+  using ::std::swap;
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogBatch::LogBatch(const LogBatch& other204) {
+  truncateFrom = other204.truncateFrom;
+  entries = other204.entries;
+  __isset = other204.__isset;
+}
+LogBatch::LogBatch(LogBatch&& other205) noexcept {
+  truncateFrom = other205.truncateFrom;
+  entries = std::move(other205.entries);
+  __isset = other205.__isset;
+}
+LogBatch& LogBatch::operator=(const LogBatch& other206) {
+  truncateFrom = other206.truncateFrom;
+  entries = other206.entries;
+  __isset = other206.__isset;
+  return *this;
+}
+LogBatch& LogBatch::operator=(LogBatch&& other207) noexcept {
+  truncateFrom = other207.truncateFrom;
+  entries = std::move(other207.entries);
+  __isset = other207.__isset;
+  return *this;
+}
+void LogBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogBatch(";
+  out << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+VoterRecord::~VoterRecord() noexcept {
+}
+
+
+void VoterRecord::__set_id(const int64_t val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoterRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoterRecord &a, VoterRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+VoterRecord::VoterRecord(const VoterRecord& other208) noexcept {
+  id = other208.id;
+  __isset = other208.__isset;
+}
+VoterRecord::VoterRecord(VoterRecord&& other209) noexcept {
+  id = other209.id;
+  __isset = other209.__isset;
+}
+VoterRecord& VoterRecord::operator=(const VoterRecord& other210) noexcept {
+  id = other210.id;
+  __isset = other210.__isset;
+  return *this;
+}
+VoterRecord& VoterRecord::operator=(VoterRecord&& other211) noexcept {
+  id = other211.id;
+  __isset = other211.__isset;
+  return *this;
+}
+void VoterRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoterRecord(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
 VoteRecord::~VoteRecord() noexcept {
 }
 
@@ -6607,26 +6851,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other198) noexcept {
-  term = other198.term;
-  votedFor = other198.votedFor;
-  __isset = other198.__isset;
+VoteRecord::VoteRecord(const VoteRecord& other212) noexcept {
+  term = other212.term;
+  votedFor = other212.votedFor;
+  __isset = other212.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other199) noexcept {
-  term = other199.term;
-  votedFor = other199.votedFor;
-  __isset = other199.__isset;
+VoteRecord::VoteRecord(VoteRecord&& other213) noexcept {
+  term = other213.term;
+  votedFor = other213.votedFor;
+  __isset = other213.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other200) noexcept {
-  term = other200.term;
-  votedFor = other200.votedFor;
-  __isset = other200.__isset;
+VoteRecord& VoteRecord::operator=(const VoteRecord& other214) noexcept {
+  term = other214.term;
+  votedFor = other214.votedFor;
+  __isset = other214.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other201) noexcept {
-  term = other201.term;
-  votedFor = other201.votedFor;
-  __isset = other201.__isset;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other215) noexcept {
+  term = other215.term;
+  votedFor = other215.votedFor;
+  __isset = other215.__isset;
   return *this;
 }
 void VoteRecord::printTo(std::ostream& out) const {
@@ -6705,14 +6949,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->replicas.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->replicas.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->replicas[_i206].read(iprot);
+              xfer += this->replicas[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6757,10 +7001,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter207;
-    for (_iter207 = this->replicas.begin(); _iter207 != this->replicas.end(); ++_iter207)
+    std::vector<Replica> ::const_iterator _iter221;
+    for (_iter221 = this->replicas.begin(); _iter221 != this->replicas.end(); ++_iter221)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6784,34 +7028,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other208) {
-  index = other208.index;
-  term = other208.term;
-  replicas = other208.replicas;
-  state = other208.state;
-  __isset = other208.__isset;
-}
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other209) noexcept {
-  index = other209.index;
-  term = other209.term;
-  replicas = std::move(other209.replicas);
-  state = std::move(other209.state);
-  __isset = other209.__isset;
-}
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other210) {
-  index = other210.index;
-  term = other210.term;
-  replicas = other210.replicas;
-  state = other210.state;
-  __isset = other210.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other222) {
+  index = other222.index;
+  term = other222.term;
+  replicas = other222.replicas;
+  state = other222.state;
+  __isset = other222.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other223) noexcept {
+  index = other223.index;
+  term = other223.term;
+  replicas = std::move(other223.replicas);
+  state = std::move(other223.state);
+  __isset = other223.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other224) {
+  index = other224.index;
+  term = other224.term;
+  replicas = other224.replicas;
+  state = other224.state;
+  __isset = other224.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other211) noexcept {
-  index = other211.index;
-  term = other211.term;
-  replicas = std::move(other211.replicas);
-  state = std::move(other211.state);
-  __isset = other211.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other225) noexcept {
+  index = other225.index;
+  term = other225.term;
+  replicas = std::move(other225.replicas);
+  state = std::move(other225.state);
+  __isset = other225.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -6917,26 +7161,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other212) noexcept {
-  protocolVersion = other212.protocolVersion;
-  messageType = other212.messageType;
-  __isset = other212.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other226) noexcept {
+  protocolVersion = other226.protocolVersion;
+  messageType = other226.messageType;
+  __isset = other226.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other213) noexcept {
-  protocolVersion = other213.protocolVersion;
-  messageType = other213.messageType;
-  __isset = other213.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other227) noexcept {
+  protocolVersion = other227.protocolVersion;
+  messageType = other227.messageType;
+  __isset = other227.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other214) noexcept {
-  protocolVersion = other214.protocolVersion;
-  messageType = other214.messageType;
-  __isset = other214.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other228) noexcept {
+  protocolVersion = other228.protocolVersion;
+  messageType = other228.messageType;
+  __isset = other228.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other215) noexcept {
-  protocolVersion = other215.protocolVersion;
-  messageType = other215.messageType;
-  __isset = other215.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other229) noexcept {
+  protocolVersion = other229.protocolVersion;
+  messageType = other229.messageType;
+  __isset = other229.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -99,6 +99,10 @@
 
 class ProposeReply;
 
+class LogBatch;
+
+class VoterRecord;
+
 class VoteRecord;
 
 class SnapshotRecord;
@@ -2589,6 +2593,102 @@
 
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
 
+typedef struct _LogBatch__isset {
+  _LogBatch__isset() : truncateFrom(false), entries(false) {}
+  bool truncateFrom :1;
+  bool entries :1;
+} _LogBatch__isset;
+
+class LogBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogBatch(const LogBatch&);
+  LogBatch(LogBatch&&) noexcept;
+  LogBatch& operator=(const LogBatch&);
+  LogBatch& operator=(LogBatch&&) noexcept;
+  LogBatch() noexcept
+           : truncateFrom(0) {
+  }
+
+  virtual ~LogBatch() noexcept;
+  int64_t truncateFrom;
+  std::vector<LogEntry>  entries;
+
+  _LogBatch__isset __isset;
+
+  void __set_truncateFrom(const int64_t val);
+
+  void __set_entries(const std::vector<LogEntry> & val);
+
+  bool operator == (const LogBatch & rhs) const
+  {
+    if (!(truncateFrom == rhs.truncateFrom))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const LogBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogBatch &a, LogBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj);
+
+typedef struct _VoterRecord__isset {
+  _VoterRecord__isset() : id(false) {}
+  bool id :1;
+} _VoterRecord__isset;
+
+class VoterRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoterRecord(const VoterRecord&) noexcept;
+  VoterRecord(VoterRecord&&) noexcept;
+  VoterRecord& operator=(const VoterRecord&) noexcept;
+  VoterRecord& operator=(VoterRecord&&) noexcept;
+  VoterRecord() noexcept
+              : id(0) {
+  }
+
+  virtual ~VoterRecord() noexcept;
+  int64_t id;
+
+  _VoterRecord__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  bool operator == (const VoterRecord & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const VoterRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoterRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoterRecord &a, VoterRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj);
+
 typedef struct _VoteRecord__isset {
   _VoteRecord__isset() : term(false), votedFor(false) {}
   bool term :1;
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -78,6 +78,13 @@
         for (node = 0; node < cluster_.Size(); ++node) cluster_.SetPaused(node, false);
         break;
       case 12:
+      case 13:
+        if (cluster_.Alive(node)) {
+          cluster_.Crash(node);
+          cluster_.Start(node);
+        }
+        break;
+      case 14:
         ReplaceDisk(node);
         break;
       default:
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -127,6 +127,9 @@
 struct SnapshotReply { 1: RaftHeader header; 2: i64 index; 3: i64 nextOffset; 4: bool done; 5: i64 sentNanos }
 struct ProposeRequest { 1: i32 logGroup; 2: i64 proposal; 3: Command body }
 struct ProposeReply { 1: i32 logGroup; 2: i64 proposal; 3: i32 status; 4: i64 index; 5: Endpoint leader }
+// One record of a segment file.
+struct LogBatch { 1: i64 truncateFrom; 2: list<LogEntry> entries }
+struct VoterRecord { 1: i64 id }
 struct VoteRecord { 1: i64 term; 2: i64 votedFor }
 struct SnapshotRecord { 1: i64 index; 2: i64 term; 3: list<Replica> replicas; 4: binary state }
 
