--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -68,10 +68,23 @@
   bool checks_fencing = false;
 };
 
+struct controller_settings {
+  common_settings common;
+  /// Address that the other replicas reach this one at.
+  endpoint control_listen;
+  endpoint admin_listen;
+  /// Token that operators' commands carry.
+  std::string admin_token;
+  /// Data folder.
+  std::string data;
+};
+
 /// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
 /// if there is none.
 entry_settings ParseEntrySettings(std::string_view text, std::vector<settings_error>& errors);
 agent_settings ParseAgentSettings(std::string_view text, std::vector<settings_error>& errors);
+controller_settings ParseControllerSettings(std::string_view text,
+                                            std::vector<settings_error>& errors);
 
 /// Value of the key "role"; empty if the text has none.
 std::string SettingsRole(std::string_view text);
--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -21,8 +21,10 @@
     ParseEntrySettings(*text, errors);
   } else if (role == "agent") {
     ParseAgentSettings(*text, errors);
+  } else if (role == "controller") {
+    ParseControllerSettings(*text, errors);
   } else {
-    errors.push_back({"role", "one of \"entry\" \"agent\""});
+    errors.push_back({"role", "one of \"entry\" \"agent\" \"controller\""});
   }
   return PrintErrors(file, errors) ? kExitUsage : kExitSuccess;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -9,6 +9,8 @@
 int RunCheck(int argc, char** argv);
 int RunEngine(int argc, char** argv);
 int RunLoad(int argc, char** argv);
+int RunController(int argc, char** argv);
+int RunVoter(int argc, char** argv);
 
 }  // namespace radishroute
 
--- /dev/null
+++ b/src/cli/controller.cc
@@ -0,0 +1,211 @@
+#include <openssl/crypto.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+
+#include "cli/admin.h"
+#include "cli/commands.h"
+#include "cli/options.h"
+#include "cli/process.h"
+#include "io/log_node.h"
+#include "radishroute/policies.h"
+
+namespace radishroute {
+
+namespace {
+
+constexpr const char* kJson = "application/json";
+constexpr std::string_view kBearer = "Bearer ";
+
+bool TokenMatches(const http_request& request, const std::string& token) {
+  auto it = request.headers.find("authorization");
+  if (it == request.headers.end() || !it->second.starts_with(kBearer)) return false;
+  std::string_view given = std::string_view(it->second).substr(kBearer.size());
+  return given.size() == token.size() &&
+         CRYPTO_memcmp(given.data(), token.data(), token.size()) == 0;
+}
+
+bool ReadVoterId(const nlohmann::json& body, const char* key, voter_id& out) {
+  if (!body.contains(key) || !body[key].is_string()) return false;
+  const auto& text = body[key].get_ref<const std::string&>();
+  out.value = std::strtoull(text.c_str(), nullptr, 10);
+  return out.value != 0 && std::to_string(out.value) == text;
+}
+
+bool ParseVoterChange(const std::string& text, change_voters& out) {
+  nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+  if (!body.is_object() || !ReadVoterId(body, "id", out.target.id)) return false;
+  std::string operation = body.value("operation", nlohmann::json()).dump();
+  if (operation == "\"remove\"") {
+    out.operation = voter_operation::kRemove;
+    return true;
+  }
+  if (operation == "\"replace\"") {
+    out.operation = voter_operation::kReplace;
+    if (!ReadVoterId(body, "replaced", out.replaced)) return false;
+  } else if (operation != "\"add\"") {
+    return false;
+  }
+  if (!body.contains("address") || !body["address"].is_string()) return false;
+  if (!body.contains("zone") || !body["zone"].is_string()) return false;
+  out.target.zone = body["zone"].get<std::string>();
+  return ParseEndpoint(body["address"].get_ref<const std::string&>(), out.target.address);
+}
+
+struct status_text {
+  proposal_status status;
+  unsigned http_status;
+  const char* name;
+};
+
+// 503 marks what a retry elsewhere or later may solve; 409 what it cannot.
+constexpr status_text kStatusTexts[] = {
+    {proposal_status::kCommitted, 200, "committed"},
+    {proposal_status::kNotLeader, 503, "not-leader"},
+    {proposal_status::kNoQuorum, 503, "no-quorum"},
+    {proposal_status::kUnknown, 500, "unknown"},
+    {proposal_status::kInvalidChange, 409, "invalid-change"},
+    {proposal_status::kTooLarge, 409, "too-large"},
+    {proposal_status::kQueueFull, 503, "queue-full"},
+};
+
+/// One replica of the log and its operators' interface.
+class controller_process {
+ public:
+  explicit controller_process(controller_settings settings)
+      : settings_(std::move(settings)),
+        latch_(1),
+        node_(MakeHello(settings_.common, process_role::kController),
+              {[this](const proposal_finished& e) { OnFinished(e); },
+               [this](bool finished) { OnStop(finished); }}),
+        admin_(node_.Thread().Loop(), [this](const http_request& request, http_server& server) {
+          return OnAdmin(request, server);
+        }) {}
+
+  int Run(bool bootstrap) {
+    replica self{{}, settings_.common.zone, settings_.control_listen, true, {}};
+    std::error_code error = node_.Open(settings_.data, self, bootstrap);
+    if (!error) error = admin_.Start(settings_.admin_listen);
+    if (error) {
+      std::cerr << settings_.data << ": " << error.message() << "\n";
+      return kExitFailed;
+    }
+    LogProcessEvent(event_code::kProcessStarted,
+                    {{"role", "controller"}, {"node", settings_.common.node}});
+    node_.Thread().Start();
+    LogProcessEvent(event_code::kListening, {{"address", ToString(settings_.admin_listen)}});
+    WaitForStopSignal();
+    node_.Thread().Post(drain_requested{std::chrono::steady_clock::now()});
+    bool finished = latch_.Wait();
+    LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    return finished ? kExitSuccess : kExitFailed;
+  }
+
+ private:
+  void OnStop(bool finished) {
+    latch_.Report(0, finished);
+    // The module stops by itself only after a broken invariant; the main thread waits for a signal.
+    if (!finished) kill(getpid(), SIGTERM);
+  }
+
+  bool OnAdmin(const http_request& request, http_server& server) {
+    if (request.path != "/voters") return false;
+    server_ = &server;
+    if (!TokenMatches(request, settings_.admin_token)) {
+      Reply(request.exchange, 401, {{"status", "unauthorized"}});
+    } else if (request.method == "POST") {
+      OnChange(request);
+    } else {
+      Reply(request.exchange, 200, ListVoters());
+    }
+    return true;
+  }
+
+  void OnChange(const http_request& request) {
+    change_voters change;
+    if (!ParseVoterChange(request.body, change)) {
+      Reply(request.exchange, 400, {{"status", "malformed-request"}});
+      return;
+    }
+    change.id = {next_proposal_++};
+    waiting_[change.id.value] = request.exchange;
+    node_.Thread().Apply(change);
+  }
+
+  void OnFinished(const proposal_finished& e) {
+    auto it = waiting_.find(e.id.value);
+    if (it == waiting_.end()) return;
+    const status_text& text = kStatusTexts[static_cast<std::size_t>(e.status)];
+    nlohmann::json body = {{"status", text.name}, {"index", e.index}};
+    if (!e.leader.host.empty()) body["leader"] = ToString(e.leader);
+    Reply(it->second, text.http_status, body);
+    waiting_.erase(it);
+  }
+
+  nlohmann::json ListVoters() {
+    const raft_core& core = node_.Core();
+    nlohmann::json body = {{"voter", std::to_string(core.Self().value)},
+                           {"zone", settings_.common.zone},
+                           {"address", ToString(settings_.control_listen)},
+                           {"role", ToString(core.Role())},
+                           {"term", core.Term()},
+                           {"commit", core.CommitIndex()},
+                           {"applied", core.AppliedIndex()},
+                           {"last", core.Log().LastIndex()},
+                           {"lease", core.LeaseHeld(std::chrono::steady_clock::now())}};
+    if (core.Failure()) body["failure"] = core.Failure().message();
+    if (!core.LeaderAddress().host.empty()) body["leader"] = ToString(core.LeaderAddress());
+    body["replicas"] = nlohmann::json::array();
+    for (const replica& r : core.Log().Replicas()) {
+      body["replicas"].push_back({{"id", std::to_string(r.id.value)},
+                                  {"zone", r.zone},
+                                  {"address", ToString(r.address)},
+                                  {"voting", r.voting},
+                                  {"match", core.MatchIndex(r.id)}});
+    }
+    return body;
+  }
+
+  void Reply(exchange_id exchange, unsigned status, const nlohmann::json& body) {
+    server_->Respond(exchange, status, kJson, {}, body.dump() + "\n");
+  }
+
+  controller_settings settings_;
+  stop_latch latch_;
+  log_node<baseline_policies> node_;
+  admin_api admin_;
+  http_server* server_ = nullptr;
+  std::uint64_t next_proposal_ = 1;
+  std::unordered_map<std::uint64_t, exchange_id> waiting_;
+};
+
+}  // namespace
+
+int RunController(int argc, char** argv) {
+  cxxopts::Options options("radishroute controller", "Runs one replica of the log.");
+  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
+      "bootstrap", "make an empty data folder the first voter of a new group");
+  int exit = kExitSuccess;
+  auto parsed = ParseOptions(options, argc, argv, exit);
+  if (!parsed) return exit;
+  if (parsed->count("settings") == 0) {
+    std::cerr << "--settings is required\n";
+    return kExitUsage;
+  }
+  std::string file = (*parsed)["settings"].as<std::string>();
+  auto text = ReadFile(file);
+  std::vector<settings_error> errors;
+  controller_settings settings = ParseControllerSettings(text.value_or(""), errors);
+  if (PrintErrors(file, errors)) return kExitUsage;
+  ConfigureLogging(settings.common.log.file, settings.common.log.level);
+  BlockStopSignals();
+  QuietLibwebsockets();
+  controller_process process(std::move(settings));
+  return process.Run(parsed->count("bootstrap") > 0);
+}
+
+}  // namespace radishroute
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -15,6 +15,8 @@
 constexpr subcommand kSubcommands[] = {
     {"entry", "accept callers' requests and route them", radishroute::RunEntry},
     {"agent", "run the work of one backend server", radishroute::RunAgent},
+    {"controller", "run one replica of the log", radishroute::RunController},
+    {"voter", "list or change the replicas of the log", radishroute::RunVoter},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
     {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
     {"load", "send requests and check every answer", radishroute::RunLoad},
--- /dev/null
+++ b/src/io/log_node.h
@@ -0,0 +1,103 @@
+#ifndef RADISHROUTE_IO_LOG_NODE_H_
+#define RADISHROUTE_IO_LOG_NODE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "io/node_thread.h"
+#include "io/storage.h"
+
+namespace radishroute {
+
+/// A replica of the log: the control thread with its links, and the storage thread.
+template <policy_set P>
+class log_node {
+ public:
+  struct handlers {
+    /// Both are called on the control thread.
+    std::function<void(const proposal_finished&)> on_proposal;
+    std::function<void(bool all_finished)> on_stop;
+  };
+
+  log_node(hello self, handlers on)
+      : on_(std::move(on)), thread_(std::make_unique<node_thread<P>>(std::move(self), Hooks())) {}
+
+  ~log_node() {
+    thread_->Join();
+    // Its completions would be posted to the loop, which must still exist.
+    storage_.reset();
+  }
+
+  /// Opens the data folder; with `bootstrap`, an empty one becomes a group of one voter.
+  std::error_code Open(const std::string& folder, const replica& self, bool bootstrap,
+                       raft_limits limits = {}) {
+    auto storage = std::make_unique<log_storage>(folder);
+    recovered_log recovered;
+    if (auto error = storage->Open(recovered)) return error;
+    LogOpened(*storage, recovered);
+    bool empty = recovered.term == 0 && recovered.entries.empty() && !recovered.snapshot;
+    if (bootstrap && !empty) return errc::kFolderInUse;
+    if (bootstrap) {
+      if (auto error = Bootstrap(*storage, self, recovered)) return error;
+    }
+    auto& log = thread_->State().control.log;
+    log.emplace(0, limits);
+    if (auto error = log->Load(std::move(recovered))) return error;
+    storage_ = std::make_unique<storage_thread>(std::move(storage),
+                                                [this](log_stored done) { thread_->Post(done); });
+    return thread_->Links().Listen(self.address);
+  }
+
+  node_thread<P>& Thread() { return *thread_; }
+  const raft_core& Core() { return thread_->State().control.log->Core(); }
+
+ private:
+  node_hooks Hooks() {
+    node_hooks hooks;
+    hooks.on_stop = [this](bool finished) {
+      if (on_.on_stop) on_.on_stop(finished);
+    };
+    hooks.on_proposal = [this](const proposal_finished& e) {
+      if (on_.on_proposal) on_.on_proposal(e);
+    };
+    hooks.on_store = [this](std::shared_ptr<const store_batch> batch) {
+      log_stored refused{batch->log_group, batch->sequence, errc::kSyncFailed};
+      if (!storage_->Post(std::move(batch))) thread_->Post(refused);
+    };
+    return hooks;
+  }
+
+  static std::error_code Bootstrap(log_storage& storage, replica self, recovered_log& recovered) {
+    self.id = recovered.self;
+    store_batch first;
+    first.write_vote = true;
+    first.term = 1;
+    first.entries = {{1, 1, replica_change{{self}}}};
+    if (auto error = storage.Write(first)) return error;
+    recovered.term = 1;
+    recovered.entries = first.entries;
+    return {};
+  }
+
+  static void LogOpened(const log_storage& storage, const recovered_log& recovered) {
+    std::string voter = std::to_string(recovered.self.value);
+    if (storage.Created()) {
+      WriteLog({event_code::kVoterCreated, log_level::kInfo, {{"voter", voter}}});
+    }
+    if (storage.TruncatedBytes() > 0) {
+      WriteLog({event_code::kLogTailTruncated,
+                log_level::kWarning,
+                {{"voter", voter}, {"bytes", std::to_string(storage.TruncatedBytes())}}});
+    }
+  }
+
+  handlers on_;
+  std::unique_ptr<node_thread<P>> thread_;
+  std::unique_ptr<storage_thread> storage_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_LOG_NODE_H_
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -75,4 +75,18 @@
   return out;
 }
 
+controller_settings ParseControllerSettings(std::string_view text,
+                                            std::vector<settings_error>& errors) {
+  controller_settings out;
+  settings_reader reader(ParseSettingsText(text, errors), "", errors);
+  ReadCommon(reader, out.common);
+  reader.Read("control_listen", out.control_listen, true);
+  reader.Read("admin_listen", out.admin_listen, true);
+  reader.Read("admin_token", out.admin_token, true);
+  if (out.admin_token.empty()) errors.push_back({"admin_token", "a string that is not empty"});
+  reader.Read("data", out.data, true);
+  reader.Finish();
+  return out;
+}
+
 }  // namespace radishroute
