--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -14,6 +14,7 @@
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
+#include "radishroute/raft_event.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
 
@@ -160,11 +161,13 @@
     count_refusal,            //
     count_retry,              //
     observe_latency,          //
-    stop_process,             //
-    share_crash_report,       //
-    share_engine_status,      //
-    probe_engine,             //
-    report_violation>;
+    stop_process,  //
+    share_crash_report,  //
+    share_engine_status,  //
+    probe_engine,  //
+    report_violation,  //
+    store_log,  //
+    proposal_finished>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -5,28 +5,32 @@
 
 #include "radishroute/failure_event.h"
 #include "radishroute/link_event.h"
+#include "radishroute/raft_event.h"
 #include "radishroute/traffic_event.h"
 
 namespace radishroute {
 
 /// Everything that can happen to a process. One reducer handles all of it.
 using event = std::variant<   //
-    process_started,          //
-    timer_expired,            //
-    drain_requested,          //
-    link_opened,              //
-    link_closed,              //
-    message_received,         //
-    caller_request,           //
-    caller_closed,            //
-    engine_answer_begin,      //
-    engine_answer_bytes,      //
-    engine_answer_end,        //
-    engine_call_failed,       //
+    process_started,  //
+    timer_expired,  //
+    drain_requested,  //
+    link_opened,  //
+    link_closed,  //
+    message_received,  //
+    caller_request,  //
+    caller_closed,  //
+    engine_answer_begin,  //
+    engine_answer_bytes,  //
+    engine_answer_end,  //
+    engine_call_failed,  //
     routing_table_published,  //
-    crash_report_shared,      //
-    engine_status_changed,    //
-    engine_probe_done>;
+    crash_report_shared,  //
+    engine_status_changed,  //
+    engine_probe_done,  //
+    propose_command,  //
+    change_voters,  //
+    log_stored>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -5,6 +5,7 @@
 
 #include "radishroute/discovery_message.h"
 #include "radishroute/failure_message.h"
+#include "radishroute/raft_message.h"
 #include "radishroute/traffic_message.h"
 
 namespace radishroute {
@@ -42,9 +43,17 @@
     announcement,              //
     directory_delta,           //
     directory_digest,          //
-    directory_pull,            //
-    crash_report,              //
-    entry_beats>;
+    directory_pull,  //
+    crash_report,  //
+    entry_beats,  //
+    append_request,  //
+    append_reply,  //
+    vote_request,  //
+    vote_reply,  //
+    snapshot_chunk,  //
+    snapshot_reply,  //
+    propose_request,  //
+    propose_reply>;
 
 }  // namespace radishroute
 
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -4194,6 +4194,3619 @@
 }
 
 
+Replica::~Replica() noexcept {
+}
+
+
+void Replica::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void Replica::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Replica::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void Replica::__set_voting(const bool val) {
+  this->voting = val;
+}
+
+void Replica::__set_replaces(const int64_t val) {
+  this->replaces = val;
+}
+std::ostream& operator<<(std::ostream& out, const Replica& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Replica::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voting);
+          this->__isset.voting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replaces);
+          this->__isset.replaces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Replica::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Replica");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voting", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->voting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replaces", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->replaces);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Replica &a, Replica &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.zone, b.zone);
+  swap(a.address, b.address);
+  swap(a.voting, b.voting);
+  swap(a.replaces, b.replaces);
+  swap(a.__isset, b.__isset);
+}
+
+Replica::Replica(const Replica& other158) {
+  id = other158.id;
+  zone = other158.zone;
+  address = other158.address;
+  voting = other158.voting;
+  replaces = other158.replaces;
+  __isset = other158.__isset;
+}
+Replica::Replica(Replica&& other159) noexcept {
+  id = other159.id;
+  zone = std::move(other159.zone);
+  address = std::move(other159.address);
+  voting = other159.voting;
+  replaces = other159.replaces;
+  __isset = other159.__isset;
+}
+Replica& Replica::operator=(const Replica& other160) {
+  id = other160.id;
+  zone = other160.zone;
+  address = other160.address;
+  voting = other160.voting;
+  replaces = other160.replaces;
+  __isset = other160.__isset;
+  return *this;
+}
+Replica& Replica::operator=(Replica&& other161) noexcept {
+  id = other161.id;
+  zone = std::move(other161.zone);
+  address = std::move(other161.address);
+  voting = other161.voting;
+  replaces = other161.replaces;
+  __isset = other161.__isset;
+  return *this;
+}
+void Replica::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Replica(";
+  out << "id=" << to_string(id);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "voting=" << to_string(voting);
+  out << ", " << "replaces=" << to_string(replaces);
+  out << ")";
+}
+
+
+NoOperation::~NoOperation() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const NoOperation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NoOperation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NoOperation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NoOperation");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NoOperation &a, NoOperation &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+NoOperation::NoOperation(const NoOperation& other162) noexcept {
+  (void) other162;
+}
+NoOperation::NoOperation(NoOperation&& other163) noexcept {
+  (void) other163;
+}
+NoOperation& NoOperation::operator=(const NoOperation& other164) noexcept {
+  (void) other164;
+  return *this;
+}
+NoOperation& NoOperation::operator=(NoOperation&& other165) noexcept {
+  (void) other165;
+  return *this;
+}
+void NoOperation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NoOperation(";
+  out << ")";
+}
+
+
+ReplicaChange::~ReplicaChange() noexcept {
+}
+
+
+void ReplicaChange::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->replicas.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->replicas[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicaChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaChange");
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter171;
+    for (_iter171 = this->replicas.begin(); _iter171 != this->replicas.end(); ++_iter171)
+    {
+      xfer += (*_iter171).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaChange &a, ReplicaChange &b) {
+  using ::std::swap;
+  swap(a.replicas, b.replicas);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicaChange::ReplicaChange(const ReplicaChange& other172) {
+  replicas = other172.replicas;
+  __isset = other172.__isset;
+}
+ReplicaChange::ReplicaChange(ReplicaChange&& other173) noexcept {
+  replicas = std::move(other173.replicas);
+  __isset = other173.__isset;
+}
+ReplicaChange& ReplicaChange::operator=(const ReplicaChange& other174) {
+  replicas = other174.replicas;
+  __isset = other174.__isset;
+  return *this;
+}
+ReplicaChange& ReplicaChange::operator=(ReplicaChange&& other175) noexcept {
+  replicas = std::move(other175.replicas);
+  __isset = other175.__isset;
+  return *this;
+}
+void ReplicaChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaChange(";
+  out << "replicas=" << to_string(replicas);
+  out << ")";
+}
+
+
+ConfigChange::~ConfigChange() noexcept {
+}
+
+
+void ConfigChange::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void ConfigChange::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void ConfigChange::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigChange::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigChange");
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigChange &a, ConfigChange &b) {
+  using ::std::swap;
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.changeId, b.changeId);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigChange::ConfigChange(const ConfigChange& other176) {
+  baseVersion = other176.baseVersion;
+  changeId = other176.changeId;
+  author = other176.author;
+  sheet = other176.sheet;
+  __isset = other176.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other177) noexcept {
+  baseVersion = other177.baseVersion;
+  changeId = std::move(other177.changeId);
+  author = std::move(other177.author);
+  sheet = std::move(other177.sheet);
+  __isset = other177.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other178) {
+  baseVersion = other178.baseVersion;
+  changeId = other178.changeId;
+  author = other178.author;
+  sheet = other178.sheet;
+  __isset = other178.__isset;
+  return *this;
+}
+ConfigChange& ConfigChange::operator=(ConfigChange&& other179) noexcept {
+  baseVersion = other179.baseVersion;
+  changeId = std::move(other179.changeId);
+  author = std::move(other179.author);
+  sheet = std::move(other179.sheet);
+  __isset = other179.__isset;
+  return *this;
+}
+void ConfigChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigChange(";
+  out << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "changeId=" << to_string(changeId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+RecordClaim::~RecordClaim() noexcept {
+}
+
+
+void RecordClaim::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RecordClaim::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RecordClaim::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void RecordClaim::__set_dispatchId(const DispatchId& val) {
+  this->dispatchId = val;
+}
+
+void RecordClaim::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordClaim::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordClaim::__set_atMicros(const int64_t val) {
+  this->atMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordClaim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatchId.read(iprot);
+          this->__isset.dispatchId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMicros);
+          this->__isset.atMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordClaim");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatchId", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatchId.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->atMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordClaim &a, RecordClaim &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatchId, b.dispatchId);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.atMicros, b.atMicros);
+  swap(a.__isset, b.__isset);
+}
+
+RecordClaim::RecordClaim(const RecordClaim& other180) {
+  member = other180.member;
+  key = other180.key;
+  contentHash = other180.contentHash;
+  dispatchId = other180.dispatchId;
+  backend = other180.backend;
+  backendIncarnation = other180.backendIncarnation;
+  atMicros = other180.atMicros;
+  __isset = other180.__isset;
+}
+RecordClaim::RecordClaim(RecordClaim&& other181) noexcept {
+  member = std::move(other181.member);
+  key = std::move(other181.key);
+  contentHash = other181.contentHash;
+  dispatchId = std::move(other181.dispatchId);
+  backend = std::move(other181.backend);
+  backendIncarnation = other181.backendIncarnation;
+  atMicros = other181.atMicros;
+  __isset = other181.__isset;
+}
+RecordClaim& RecordClaim::operator=(const RecordClaim& other182) {
+  member = other182.member;
+  key = other182.key;
+  contentHash = other182.contentHash;
+  dispatchId = other182.dispatchId;
+  backend = other182.backend;
+  backendIncarnation = other182.backendIncarnation;
+  atMicros = other182.atMicros;
+  __isset = other182.__isset;
+  return *this;
+}
+RecordClaim& RecordClaim::operator=(RecordClaim&& other183) noexcept {
+  member = std::move(other183.member);
+  key = std::move(other183.key);
+  contentHash = other183.contentHash;
+  dispatchId = std::move(other183.dispatchId);
+  backend = std::move(other183.backend);
+  backendIncarnation = other183.backendIncarnation;
+  atMicros = other183.atMicros;
+  __isset = other183.__isset;
+  return *this;
+}
+void RecordClaim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordClaim(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatchId=" << to_string(dispatchId);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "atMicros=" << to_string(atMicros);
+  out << ")";
+}
+
+
+RecordOutcome::~RecordOutcome() noexcept {
+}
+
+
+void RecordOutcome::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RecordOutcome::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RecordOutcome::__set_dispatchId(const DispatchId& val) {
+  this->dispatchId = val;
+}
+
+void RecordOutcome::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void RecordOutcome::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordOutcome::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordOutcome::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordOutcome& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatchId.read(iprot);
+          this->__isset.dispatchId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordOutcome");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatchId", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->dispatchId.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordOutcome &a, RecordOutcome &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatchId, b.dispatchId);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordOutcome::RecordOutcome(const RecordOutcome& other184) {
+  member = other184.member;
+  key = other184.key;
+  dispatchId = other184.dispatchId;
+  status = other184.status;
+  answerStatus = other184.answerStatus;
+  answerType = other184.answerType;
+  answer = other184.answer;
+  __isset = other184.__isset;
+}
+RecordOutcome::RecordOutcome(RecordOutcome&& other185) noexcept {
+  member = std::move(other185.member);
+  key = std::move(other185.key);
+  dispatchId = std::move(other185.dispatchId);
+  status = other185.status;
+  answerStatus = other185.answerStatus;
+  answerType = std::move(other185.answerType);
+  answer = std::move(other185.answer);
+  __isset = other185.__isset;
+}
+RecordOutcome& RecordOutcome::operator=(const RecordOutcome& other186) {
+  member = other186.member;
+  key = other186.key;
+  dispatchId = other186.dispatchId;
+  status = other186.status;
+  answerStatus = other186.answerStatus;
+  answerType = other186.answerType;
+  answer = other186.answer;
+  __isset = other186.__isset;
+  return *this;
+}
+RecordOutcome& RecordOutcome::operator=(RecordOutcome&& other187) noexcept {
+  member = std::move(other187.member);
+  key = std::move(other187.key);
+  dispatchId = std::move(other187.dispatchId);
+  status = other187.status;
+  answerStatus = other187.answerStatus;
+  answerType = std::move(other187.answerType);
+  answer = std::move(other187.answer);
+  __isset = other187.__isset;
+  return *this;
+}
+void RecordOutcome::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordOutcome(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatchId=" << to_string(dispatchId);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+Command::~Command() noexcept {
+}
+
+
+void Command::__set_noOperation(const NoOperation& val) {
+  this->noOperation = val;
+__isset.noOperation = true;
+}
+
+void Command::__set_replicaChange(const ReplicaChange& val) {
+  this->replicaChange = val;
+__isset.replicaChange = true;
+}
+
+void Command::__set_configChange(const ConfigChange& val) {
+  this->configChange = val;
+__isset.configChange = true;
+}
+
+void Command::__set_recordClaim(const RecordClaim& val) {
+  this->recordClaim = val;
+__isset.recordClaim = true;
+}
+
+void Command::__set_recordOutcome(const RecordOutcome& val) {
+  this->recordOutcome = val;
+__isset.recordOutcome = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->noOperation.read(iprot);
+          this->__isset.noOperation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replicaChange.read(iprot);
+          this->__isset.replicaChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configChange.read(iprot);
+          this->__isset.configChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordClaim.read(iprot);
+          this->__isset.recordClaim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOutcome.read(iprot);
+          this->__isset.recordOutcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Command");
+
+  if (this->__isset.noOperation) {
+    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->noOperation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replicaChange) {
+    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->replicaChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configChange) {
+    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->configChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordClaim) {
+    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->recordClaim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordOutcome) {
+    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->recordOutcome.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Command &a, Command &b) {
+  using ::std::swap;
+  swap(a.noOperation, b.noOperation);
+  swap(a.replicaChange, b.replicaChange);
+  swap(a.configChange, b.configChange);
+  swap(a.recordClaim, b.recordClaim);
+  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.__isset, b.__isset);
+}
+
+Command::Command(const Command& other188) {
+  noOperation = other188.noOperation;
+  replicaChange = other188.replicaChange;
+  configChange = other188.configChange;
+  recordClaim = other188.recordClaim;
+  recordOutcome = other188.recordOutcome;
+  __isset = other188.__isset;
+}
+Command::Command(Command&& other189) noexcept {
+  noOperation = std::move(other189.noOperation);
+  replicaChange = std::move(other189.replicaChange);
+  configChange = std::move(other189.configChange);
+  recordClaim = std::move(other189.recordClaim);
+  recordOutcome = std::move(other189.recordOutcome);
+  __isset = other189.__isset;
+}
+Command& Command::operator=(const Command& other190) {
+  noOperation = other190.noOperation;
+  replicaChange = other190.replicaChange;
+  configChange = other190.configChange;
+  recordClaim = other190.recordClaim;
+  recordOutcome = other190.recordOutcome;
+  __isset = other190.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other191) noexcept {
+  noOperation = std::move(other191.noOperation);
+  replicaChange = std::move(other191.replicaChange);
+  configChange = std::move(other191.configChange);
+  recordClaim = std::move(other191.recordClaim);
+  recordOutcome = std::move(other191.recordOutcome);
+  __isset = other191.__isset;
+  return *this;
+}
+void Command::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Command(";
+  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
+  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
+  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
+  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
+  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << ")";
+}
+
+
+LogEntry::~LogEntry() noexcept {
+}
+
+
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void LogEntry::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogEntry");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogEntry &a, LogEntry &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+LogEntry::LogEntry(const LogEntry& other192) {
+  term = other192.term;
+  index = other192.index;
+  body = other192.body;
+  __isset = other192.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other193) noexcept {
+  term = other193.term;
+  index = other193.index;
+  body = std::move(other193.body);
+  __isset = other193.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other194) {
+  term = other194.term;
+  index = other194.index;
+  body = other194.body;
+  __isset = other194.__isset;
+  return *this;
+}
+LogEntry& LogEntry::operator=(LogEntry&& other195) noexcept {
+  term = other195.term;
+  index = other195.index;
+  body = std::move(other195.body);
+  __isset = other195.__isset;
+  return *this;
+}
+void LogEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogEntry(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+RaftHeader::~RaftHeader() noexcept {
+}
+
+
+void RaftHeader::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void RaftHeader::__set_sender(const int64_t val) {
+  this->sender = val;
+}
+
+void RaftHeader::__set_recipient(const int64_t val) {
+  this->recipient = val;
+}
+
+void RaftHeader::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RaftHeader");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RaftHeader &a, RaftHeader &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.sender, b.sender);
+  swap(a.recipient, b.recipient);
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+RaftHeader::RaftHeader(const RaftHeader& other196) noexcept {
+  logGroup = other196.logGroup;
+  sender = other196.sender;
+  recipient = other196.recipient;
+  term = other196.term;
+  __isset = other196.__isset;
+}
+RaftHeader::RaftHeader(RaftHeader&& other197) noexcept {
+  logGroup = other197.logGroup;
+  sender = other197.sender;
+  recipient = other197.recipient;
+  term = other197.term;
+  __isset = other197.__isset;
+}
+RaftHeader& RaftHeader::operator=(const RaftHeader& other198) noexcept {
+  logGroup = other198.logGroup;
+  sender = other198.sender;
+  recipient = other198.recipient;
+  term = other198.term;
+  __isset = other198.__isset;
+  return *this;
+}
+RaftHeader& RaftHeader::operator=(RaftHeader&& other199) noexcept {
+  logGroup = other199.logGroup;
+  sender = other199.sender;
+  recipient = other199.recipient;
+  term = other199.term;
+  __isset = other199.__isset;
+  return *this;
+}
+void RaftHeader::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RaftHeader(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "term=" << to_string(term);
+  out << ")";
+}
+
+
+AppendRequest::~AppendRequest() noexcept {
+}
+
+
+void AppendRequest::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
+}
+
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
+}
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->entries.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
+            {
+              xfer += this->entries[_i204].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendRequest");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter205;
+    for (_iter205 = this->entries.begin(); _iter205 != this->entries.end(); ++_iter205)
+    {
+      xfer += (*_iter205).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendRequest &a, AppendRequest &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.commit, b.commit);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+AppendRequest::AppendRequest(const AppendRequest& other206) {
+  header = other206.header;
+  prevIndex = other206.prevIndex;
+  prevTerm = other206.prevTerm;
+  commit = other206.commit;
+  sentNanos = other206.sentNanos;
+  entries = other206.entries;
+  __isset = other206.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other207) noexcept {
+  header = std::move(other207.header);
+  prevIndex = other207.prevIndex;
+  prevTerm = other207.prevTerm;
+  commit = other207.commit;
+  sentNanos = other207.sentNanos;
+  entries = std::move(other207.entries);
+  __isset = other207.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other208) {
+  header = other208.header;
+  prevIndex = other208.prevIndex;
+  prevTerm = other208.prevTerm;
+  commit = other208.commit;
+  sentNanos = other208.sentNanos;
+  entries = other208.entries;
+  __isset = other208.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other209) noexcept {
+  header = std::move(other209.header);
+  prevIndex = other209.prevIndex;
+  prevTerm = other209.prevTerm;
+  commit = other209.commit;
+  sentNanos = other209.sentNanos;
+  entries = std::move(other209.entries);
+  __isset = other209.__isset;
+  return *this;
+}
+void AppendRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendRequest(";
+  out << "header=" << to_string(header);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+AppendReply::~AppendReply() noexcept {
+}
+
+
+void AppendReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void AppendReply::__set_matched(const bool val) {
+  this->matched = val;
+}
+
+void AppendReply::__set_matchIndex(const int64_t val) {
+  this->matchIndex = val;
+}
+
+void AppendReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->matched);
+          this->__isset.matched = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->matchIndex);
+          this->__isset.matchIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->matched);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendReply &a, AppendReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.matched, b.matched);
+  swap(a.matchIndex, b.matchIndex);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+AppendReply::AppendReply(const AppendReply& other210) noexcept {
+  header = other210.header;
+  matched = other210.matched;
+  matchIndex = other210.matchIndex;
+  sentNanos = other210.sentNanos;
+  __isset = other210.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other211) noexcept {
+  header = std::move(other211.header);
+  matched = other211.matched;
+  matchIndex = other211.matchIndex;
+  sentNanos = other211.sentNanos;
+  __isset = other211.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other212) noexcept {
+  header = other212.header;
+  matched = other212.matched;
+  matchIndex = other212.matchIndex;
+  sentNanos = other212.sentNanos;
+  __isset = other212.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other213) noexcept {
+  header = std::move(other213.header);
+  matched = other213.matched;
+  matchIndex = other213.matchIndex;
+  sentNanos = other213.sentNanos;
+  __isset = other213.__isset;
+  return *this;
+}
+void AppendReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "matched=" << to_string(matched);
+  out << ", " << "matchIndex=" << to_string(matchIndex);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+VoteRequest::~VoteRequest() noexcept {
+}
+
+
+void VoteRequest::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
+}
+
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteRequest");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteRequest &a, VoteRequest &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRequest::VoteRequest(const VoteRequest& other214) noexcept {
+  header = other214.header;
+  preVote = other214.preVote;
+  lastIndex = other214.lastIndex;
+  lastTerm = other214.lastTerm;
+  __isset = other214.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other215) noexcept {
+  header = std::move(other215.header);
+  preVote = other215.preVote;
+  lastIndex = other215.lastIndex;
+  lastTerm = other215.lastTerm;
+  __isset = other215.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other216) noexcept {
+  header = other216.header;
+  preVote = other216.preVote;
+  lastIndex = other216.lastIndex;
+  lastTerm = other216.lastTerm;
+  __isset = other216.__isset;
+  return *this;
+}
+VoteRequest& VoteRequest::operator=(VoteRequest&& other217) noexcept {
+  header = std::move(other217.header);
+  preVote = other217.preVote;
+  lastIndex = other217.lastIndex;
+  lastTerm = other217.lastTerm;
+  __isset = other217.__isset;
+  return *this;
+}
+void VoteRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRequest(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ")";
+}
+
+
+VoteReply::~VoteReply() noexcept {
+}
+
+
+void VoteReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void VoteReply::__set_preVote(const bool val) {
+  this->preVote = val;
+}
+
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteReply &a, VoteReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
+  swap(a.__isset, b.__isset);
+}
+
+VoteReply::VoteReply(const VoteReply& other218) noexcept {
+  header = other218.header;
+  preVote = other218.preVote;
+  granted = other218.granted;
+  __isset = other218.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other219) noexcept {
+  header = std::move(other219.header);
+  preVote = other219.preVote;
+  granted = other219.granted;
+  __isset = other219.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other220) noexcept {
+  header = other220.header;
+  preVote = other220.preVote;
+  granted = other220.granted;
+  __isset = other220.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other221) noexcept {
+  header = std::move(other221.header);
+  preVote = other221.preVote;
+  granted = other221.granted;
+  __isset = other221.__isset;
+  return *this;
+}
+void VoteReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
+  out << ")";
+}
+
+
+SnapshotChunk::~SnapshotChunk() noexcept {
+}
+
+
+void SnapshotChunk::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void SnapshotChunk::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
+  this->snapshotTerm = val;
+}
+
+void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotChunk::__set_total(const int64_t val) {
+  this->total = val;
+}
+
+void SnapshotChunk::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void SnapshotChunk::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->snapshotTerm);
+          this->__isset.snapshotTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->replicas.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->replicas[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotChunk");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->snapshotTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter227;
+    for (_iter227 = this->replicas.begin(); _iter227 != this->replicas.end(); ++_iter227)
+    {
+      xfer += (*_iter227).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.snapshotTerm, b.snapshotTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.total, b.total);
+  swap(a.hash, b.hash);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other228) {
+  header = other228.header;
+  index = other228.index;
+  snapshotTerm = other228.snapshotTerm;
+  replicas = other228.replicas;
+  total = other228.total;
+  hash = other228.hash;
+  offset = other228.offset;
+  bytes = other228.bytes;
+  sentNanos = other228.sentNanos;
+  __isset = other228.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other229) noexcept {
+  header = std::move(other229.header);
+  index = other229.index;
+  snapshotTerm = other229.snapshotTerm;
+  replicas = std::move(other229.replicas);
+  total = other229.total;
+  hash = other229.hash;
+  offset = other229.offset;
+  bytes = std::move(other229.bytes);
+  sentNanos = other229.sentNanos;
+  __isset = other229.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other230) {
+  header = other230.header;
+  index = other230.index;
+  snapshotTerm = other230.snapshotTerm;
+  replicas = other230.replicas;
+  total = other230.total;
+  hash = other230.hash;
+  offset = other230.offset;
+  bytes = other230.bytes;
+  sentNanos = other230.sentNanos;
+  __isset = other230.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other231) noexcept {
+  header = std::move(other231.header);
+  index = other231.index;
+  snapshotTerm = other231.snapshotTerm;
+  replicas = std::move(other231.replicas);
+  total = other231.total;
+  hash = other231.hash;
+  offset = other231.offset;
+  bytes = std::move(other231.bytes);
+  sentNanos = other231.sentNanos;
+  __isset = other231.__isset;
+  return *this;
+}
+void SnapshotChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotChunk(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+SnapshotReply::~SnapshotReply() noexcept {
+}
+
+
+void SnapshotReply::__set_header(const RaftHeader& val) {
+  this->header = val;
+}
+
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void SnapshotReply::__set_done(const bool val) {
+  this->done = val;
+}
+
+void SnapshotReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotReply");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotReply &a, SnapshotReply &b) {
+  using ::std::swap;
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.done, b.done);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotReply::SnapshotReply(const SnapshotReply& other232) noexcept {
+  header = other232.header;
+  index = other232.index;
+  nextOffset = other232.nextOffset;
+  done = other232.done;
+  sentNanos = other232.sentNanos;
+  __isset = other232.__isset;
+}
+SnapshotReply::SnapshotReply(SnapshotReply&& other233) noexcept {
+  header = std::move(other233.header);
+  index = other233.index;
+  nextOffset = other233.nextOffset;
+  done = other233.done;
+  sentNanos = other233.sentNanos;
+  __isset = other233.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other234) noexcept {
+  header = other234.header;
+  index = other234.index;
+  nextOffset = other234.nextOffset;
+  done = other234.done;
+  sentNanos = other234.sentNanos;
+  __isset = other234.__isset;
+  return *this;
+}
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other235) noexcept {
+  header = std::move(other235.header);
+  index = other235.index;
+  nextOffset = other235.nextOffset;
+  done = other235.done;
+  sentNanos = other235.sentNanos;
+  __isset = other235.__isset;
+  return *this;
+}
+void SnapshotReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ")";
+}
+
+
+ProposeRequest::~ProposeRequest() noexcept {
+}
+
+
+void ProposeRequest::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeRequest::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeRequest");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeRequest &a, ProposeRequest &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeRequest::ProposeRequest(const ProposeRequest& other236) {
+  logGroup = other236.logGroup;
+  proposal = other236.proposal;
+  body = other236.body;
+  __isset = other236.__isset;
+}
+ProposeRequest::ProposeRequest(ProposeRequest&& other237) noexcept {
+  logGroup = other237.logGroup;
+  proposal = other237.proposal;
+  body = std::move(other237.body);
+  __isset = other237.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other238) {
+  logGroup = other238.logGroup;
+  proposal = other238.proposal;
+  body = other238.body;
+  __isset = other238.__isset;
+  return *this;
+}
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other239) noexcept {
+  logGroup = other239.logGroup;
+  proposal = other239.proposal;
+  body = std::move(other239.body);
+  __isset = other239.__isset;
+  return *this;
+}
+void ProposeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeRequest(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ProposeReply::~ProposeReply() noexcept {
+}
+
+
+void ProposeReply::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
+}
+
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ProposeReply::__set_leader(const Endpoint& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeReply");
+
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->leader.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeReply &a, ProposeReply &b) {
+  using ::std::swap;
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.status, b.status);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeReply::ProposeReply(const ProposeReply& other240) {
+  logGroup = other240.logGroup;
+  proposal = other240.proposal;
+  status = other240.status;
+  index = other240.index;
+  leader = other240.leader;
+  __isset = other240.__isset;
+}
+ProposeReply::ProposeReply(ProposeReply&& other241) noexcept {
+  logGroup = other241.logGroup;
+  proposal = other241.proposal;
+  status = other241.status;
+  index = other241.index;
+  leader = std::move(other241.leader);
+  __isset = other241.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other242) {
+  logGroup = other242.logGroup;
+  proposal = other242.proposal;
+  status = other242.status;
+  index = other242.index;
+  leader = other242.leader;
+  __isset = other242.__isset;
+  return *this;
+}
+ProposeReply& ProposeReply::operator=(ProposeReply&& other243) noexcept {
+  logGroup = other243.logGroup;
+  proposal = other243.proposal;
+  status = other243.status;
+  index = other243.index;
+  leader = std::move(other243.leader);
+  __isset = other243.__isset;
+  return *this;
+}
+void ProposeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeReply(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
+  out << ")";
+}
+
+
+LogBatch::~LogBatch() noexcept {
+}
+
+
+void LogBatch::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
+}
+
+void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->entries.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
+            {
+              xfer += this->entries[_i248].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogBatch");
+
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter249;
+    for (_iter249 = this->entries.begin(); _iter249 != this->entries.end(); ++_iter249)
+    {
+      xfer += (*_iter249).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogBatch &a, LogBatch &b) {
+  using ::std::swap;
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogBatch::LogBatch(const LogBatch& other250) {
+  truncateFrom = other250.truncateFrom;
+  entries = other250.entries;
+  __isset = other250.__isset;
+}
+LogBatch::LogBatch(LogBatch&& other251) noexcept {
+  truncateFrom = other251.truncateFrom;
+  entries = std::move(other251.entries);
+  __isset = other251.__isset;
+}
+LogBatch& LogBatch::operator=(const LogBatch& other252) {
+  truncateFrom = other252.truncateFrom;
+  entries = other252.entries;
+  __isset = other252.__isset;
+  return *this;
+}
+LogBatch& LogBatch::operator=(LogBatch&& other253) noexcept {
+  truncateFrom = other253.truncateFrom;
+  entries = std::move(other253.entries);
+  __isset = other253.__isset;
+  return *this;
+}
+void LogBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogBatch(";
+  out << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+VoterRecord::~VoterRecord() noexcept {
+}
+
+
+void VoterRecord::__set_id(const int64_t val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoterRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoterRecord &a, VoterRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+VoterRecord::VoterRecord(const VoterRecord& other254) noexcept {
+  id = other254.id;
+  __isset = other254.__isset;
+}
+VoterRecord::VoterRecord(VoterRecord&& other255) noexcept {
+  id = other255.id;
+  __isset = other255.__isset;
+}
+VoterRecord& VoterRecord::operator=(const VoterRecord& other256) noexcept {
+  id = other256.id;
+  __isset = other256.__isset;
+  return *this;
+}
+VoterRecord& VoterRecord::operator=(VoterRecord&& other257) noexcept {
+  id = other257.id;
+  __isset = other257.__isset;
+  return *this;
+}
+void VoterRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoterRecord(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
+VoteRecord::~VoteRecord() noexcept {
+}
+
+
+void VoteRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void VoteRecord::__set_votedFor(const int64_t val) {
+  this->votedFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->votedFor);
+          this->__isset.votedFor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteRecord");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->votedFor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteRecord &a, VoteRecord &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.votedFor, b.votedFor);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRecord::VoteRecord(const VoteRecord& other258) noexcept {
+  term = other258.term;
+  votedFor = other258.votedFor;
+  __isset = other258.__isset;
+}
+VoteRecord::VoteRecord(VoteRecord&& other259) noexcept {
+  term = other259.term;
+  votedFor = other259.votedFor;
+  __isset = other259.__isset;
+}
+VoteRecord& VoteRecord::operator=(const VoteRecord& other260) noexcept {
+  term = other260.term;
+  votedFor = other260.votedFor;
+  __isset = other260.__isset;
+  return *this;
+}
+VoteRecord& VoteRecord::operator=(VoteRecord&& other261) noexcept {
+  term = other261.term;
+  votedFor = other261.votedFor;
+  __isset = other261.__isset;
+  return *this;
+}
+void VoteRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRecord(";
+  out << "term=" << to_string(term);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ")";
+}
+
+
+SnapshotRecord::~SnapshotRecord() noexcept {
+}
+
+
+void SnapshotRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotRecord::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->replicas.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
+            {
+              xfer += this->replicas[_i266].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotRecord");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter267;
+    for (_iter267 = this->replicas.begin(); _iter267 != this->replicas.end(); ++_iter267)
+    {
+      xfer += (*_iter267).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotRecord &a, SnapshotRecord &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.replicas, b.replicas);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other268) {
+  index = other268.index;
+  term = other268.term;
+  replicas = other268.replicas;
+  state = other268.state;
+  __isset = other268.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other269) noexcept {
+  index = other269.index;
+  term = other269.term;
+  replicas = std::move(other269.replicas);
+  state = std::move(other269.state);
+  __isset = other269.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other270) {
+  index = other270.index;
+  term = other270.term;
+  replicas = other270.replicas;
+  state = other270.state;
+  __isset = other270.__isset;
+  return *this;
+}
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other271) noexcept {
+  index = other271.index;
+  term = other271.term;
+  replicas = std::move(other271.replicas);
+  state = std::move(other271.state);
+  __isset = other271.__isset;
+  return *this;
+}
+void SnapshotRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
 FrameHeader::~FrameHeader() noexcept {
 }
 
@@ -4286,26 +7899,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other158) noexcept {
-  protocolVersion = other158.protocolVersion;
-  messageType = other158.messageType;
-  __isset = other158.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other272) noexcept {
+  protocolVersion = other272.protocolVersion;
+  messageType = other272.messageType;
+  __isset = other272.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other159) noexcept {
-  protocolVersion = other159.protocolVersion;
-  messageType = other159.messageType;
-  __isset = other159.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other273) noexcept {
+  protocolVersion = other273.protocolVersion;
+  messageType = other273.messageType;
+  __isset = other273.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other160) noexcept {
-  protocolVersion = other160.protocolVersion;
-  messageType = other160.messageType;
-  __isset = other160.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other274) noexcept {
+  protocolVersion = other274.protocolVersion;
+  messageType = other274.messageType;
+  __isset = other274.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other161) noexcept {
-  protocolVersion = other161.protocolVersion;
-  messageType = other161.messageType;
-  __isset = other161.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other275) noexcept {
+  protocolVersion = other275.protocolVersion;
+  messageType = other275.messageType;
+  __isset = other275.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -25,6 +25,8 @@
   std::function<void(bool all_finished)> on_stop;
   std::function<void(const crash_report&)> on_crash_report;
   std::function<void(bool up)> on_engine_status;
+  std::function<void(std::shared_ptr<const store_batch>)> on_store;
+  std::function<void(const proposal_finished&)> on_proposal;
 };
 
 /// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
@@ -126,6 +128,12 @@
     WriteLog({event_code::kInvariantViolated, log_level::kError, {{"invariant", e.name}}});
     std::abort();
   }
+  void Execute(const store_log& e) {
+    if (hooks_.on_store) hooks_.on_store(e.batch);
+  }
+  void Execute(const proposal_finished& e) {
+    if (hooks_.on_proposal) hooks_.on_proposal(e);
+  }
   void Execute(const write_log& e) { WriteLog(e.event); }
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -50,6 +50,26 @@
       return "directory-record-expired";
     case event_code::kEngineCallFailed:
       return "engine-call-failed";
+    case event_code::kVoterStarted:
+      return "voter-started";
+    case event_code::kElectionStarted:
+      return "election-started";
+    case event_code::kLeaderElected:
+      return "leader-elected";
+    case event_code::kLeaderSteppedDown:
+      return "leader-stepped-down";
+    case event_code::kReplicasChanged:
+      return "replicas-changed";
+    case event_code::kSnapshotTaken:
+      return "snapshot-taken";
+    case event_code::kSnapshotInstalled:
+      return "snapshot-installed";
+    case event_code::kStorageFailed:
+      return "storage-failed";
+    case event_code::kLogTailTruncated:
+      return "log-tail-truncated";
+    case event_code::kVoterCreated:
+      return "voter-created";
     case event_code::kInvariantViolated:
       return "invariant-violated";
   }
@@ -57,30 +77,14 @@
 }
 
 const std::vector<event_code>& AllEventCodes() {
-  static const std::vector<event_code> codes = {event_code::kProcessStarted,
-                                                event_code::kProcessStopped,
-                                                event_code::kDrainStarted,
-                                                event_code::kDrainDeadlinePassed,
-                                                event_code::kListening,
-                                                event_code::kLinkOpened,
-                                                event_code::kLinkClosed,
-                                                event_code::kLinkRejected,
-                                                event_code::kFrameRejected,
-                                                event_code::kBackendUp,
-                                                event_code::kBackendLeaving,
-                                                event_code::kBackendDown,
-                                                event_code::kEngineCallFailed,
-                                                event_code::kLinkSilent,
-                                                event_code::kLinkReplaced,
-                                                event_code::kLinkReplacementFailed,
-                                                event_code::kBackendLost,
-                                                event_code::kEngineDown,
-                                                event_code::kEngineUp,
-                                                event_code::kEngineCrashed,
-                                                event_code::kEngineStalled,
-                                                event_code::kFingerprintQuarantined,
-                                                event_code::kDirectoryRecordExpired,
-                                                event_code::kInvariantViolated};
+  static const std::vector<event_code> codes = [] {
+    std::vector<event_code> known;
+    for (std::uint16_t number = 0; number < 1000; ++number) {
+      auto code = static_cast<event_code>(number);
+      if (ToString(code) != "unknown") known.push_back(code);
+    }
+    return known;
+  }();
   return codes;
 }
 
