--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -23,6 +23,12 @@
   kBackendLeaving = 301,
   kBackendDown = 302,
   kEngineCallFailed = 400,
+  kConfigApplied = 600,
+  kConfigRejected = 601,
+  kRecordContradiction = 602,
+  kConfigLeaseLost = 603,
+  kConfigLeaseGained = 604,
+  kLeaderFound = 605,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -3,7 +3,9 @@
 
 #include <variant>
 
+#include "radishroute/config_message.h"
 #include "radishroute/discovery_message.h"
+#include "radishroute/record_message.h"
 #include "radishroute/traffic_message.h"
 
 namespace radishroute {
@@ -41,7 +43,16 @@
     announcement,              //
     directory_delta,           //
     directory_digest,          //
-    directory_pull>;
+    directory_pull,            //
+    claim_request,             //
+    outcome_request,           //
+    record_reply,              //
+    outcome_reply,             //
+    lease_renew,               //
+    lease_grant,               //
+    config_push,               //
+    version_query,             //
+    version_reply>;
 
 }  // namespace radishroute
 
--- /dev/null
+++ b/include/radishroute/state_machine.h
@@ -0,0 +1,98 @@
+#ifndef RADISHROUTE_STATE_MACHINE_H_
+#define RADISHROUTE_STATE_MACHINE_H_
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <variant>
+#include <vector>
+
+#include "radishroute/command.h"
+#include "radishroute/config.h"
+#include "radishroute/error.h"
+#include "radishroute/records.h"
+
+namespace radishroute {
+
+/// Whole contents of a state machine; what a snapshot holds.
+struct hard_state {
+  std::uint64_t last_index = 0;
+  std::uint64_t last_term = 0;
+  std::vector<replica> replicas;
+  config_image config;
+  records_image records;
+};
+
+/// Encodes and decodes snapshots. Decode returns kSnapshotCorrupt for any damage.
+template <class C>
+concept state_codec = requires(const hard_state& state, std::string_view bytes, hard_state& out) {
+  { C::Encode(state) } -> std::same_as<std::string>;
+  { C::Decode(bytes, out) } -> std::same_as<std::error_code>;
+};
+
+/// Result of one log entry; monostate for entries without one.
+using apply_result = std::variant<std::monostate, change_result, claim_result, outcome_verdict>;
+
+/// Applied hard state. The same entries give the same state and results on every replica.
+class state_machine {
+ public:
+  explicit state_machine(record_limits limits = {}) : records_(limits) {}
+
+  /// Entries must come in the order of their index without gaps; one that was applied already is
+  /// skipped.
+  apply_result Apply(const log_entry& entry, reduce_context& ctx);
+
+  const config_document& Config() const { return config_; }
+  const record_table& Records() const { return records_; }
+  const std::vector<replica>& Replicas() const { return replicas_; }
+  std::uint64_t LastIndex() const { return last_index_; }
+  std::uint64_t LastTerm() const { return last_term_; }
+
+  hard_state Save() const;
+  /// Error: kSnapshotCorrupt, and the state is then empty.
+  std::error_code Load(hard_state state);
+
+ private:
+  apply_result ApplyBody(const no_operation&, reduce_context&) { return {}; }
+  apply_result ApplyBody(const replica_change& change, reduce_context&) {
+    replicas_ = change.replicas;
+    return {};
+  }
+  apply_result ApplyBody(const config_change& change, reduce_context& ctx) {
+    return config_.Apply(change, ctx);
+  }
+  apply_result ApplyBody(const record_claim& claim, reduce_context& ctx) {
+    return records_.Apply(claim, ctx);
+  }
+  apply_result ApplyBody(const record_outcome& outcome, reduce_context& ctx) {
+    return records_.Apply(outcome, ctx);
+  }
+
+  std::uint64_t last_index_ = 0;
+  std::uint64_t last_term_ = 0;
+  std::vector<replica> replicas_;
+  config_document config_;
+  record_table records_;
+};
+
+/// A state machine with the interface that the log needs; the codec is chosen by the adapter.
+template <state_codec Codec>
+class replicated_state : public state_machine {
+ public:
+  using state_machine::state_machine;
+
+  std::string Snapshot() const { return Codec::Encode(Save()); }
+
+  /// Error: kSnapshotCorrupt.
+  std::error_code Restore(std::string_view bytes) {
+    hard_state state;
+    if (std::error_code error = Codec::Decode(bytes, state)) return error;
+    return Load(std::move(state));
+  }
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_STATE_MACHINE_H_
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -3456,6 +3456,2930 @@
 }
 
 
+ClaimRequest::~ClaimRequest() noexcept {
+}
+
+
+void ClaimRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ClaimRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void ClaimRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ClaimRequest::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void ClaimRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void ClaimRequest::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void ClaimRequest::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimRequest &a, ClaimRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRequest::ClaimRequest(const ClaimRequest& other112) {
+  proposal = other112.proposal;
+  member = other112.member;
+  key = other112.key;
+  contentHash = other112.contentHash;
+  dispatch = other112.dispatch;
+  backend = other112.backend;
+  backendIncarnation = other112.backendIncarnation;
+  __isset = other112.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other113) noexcept {
+  proposal = other113.proposal;
+  member = std::move(other113.member);
+  key = std::move(other113.key);
+  contentHash = other113.contentHash;
+  dispatch = std::move(other113.dispatch);
+  backend = std::move(other113.backend);
+  backendIncarnation = other113.backendIncarnation;
+  __isset = other113.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other114) {
+  proposal = other114.proposal;
+  member = other114.member;
+  key = other114.key;
+  contentHash = other114.contentHash;
+  dispatch = other114.dispatch;
+  backend = other114.backend;
+  backendIncarnation = other114.backendIncarnation;
+  __isset = other114.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other115) noexcept {
+  proposal = other115.proposal;
+  member = std::move(other115.member);
+  key = std::move(other115.key);
+  contentHash = other115.contentHash;
+  dispatch = std::move(other115.dispatch);
+  backend = std::move(other115.backend);
+  backendIncarnation = other115.backendIncarnation;
+  __isset = other115.__isset;
+  return *this;
+}
+void ClaimRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ")";
+}
+
+
+OutcomeRequest::~OutcomeRequest() noexcept {
+}
+
+
+void OutcomeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void OutcomeRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void OutcomeRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void OutcomeRequest::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void OutcomeRequest::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void OutcomeRequest::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void OutcomeRequest::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeRequest &a, OutcomeRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatch, b.dispatch);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other116) {
+  proposal = other116.proposal;
+  member = other116.member;
+  key = other116.key;
+  dispatch = other116.dispatch;
+  status = other116.status;
+  answerStatus = other116.answerStatus;
+  answerType = other116.answerType;
+  answer = other116.answer;
+  __isset = other116.__isset;
+}
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other117) noexcept {
+  proposal = other117.proposal;
+  member = std::move(other117.member);
+  key = std::move(other117.key);
+  dispatch = std::move(other117.dispatch);
+  status = other117.status;
+  answerStatus = other117.answerStatus;
+  answerType = std::move(other117.answerType);
+  answer = std::move(other117.answer);
+  __isset = other117.__isset;
+}
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other118) {
+  proposal = other118.proposal;
+  member = other118.member;
+  key = other118.key;
+  dispatch = other118.dispatch;
+  status = other118.status;
+  answerStatus = other118.answerStatus;
+  answerType = other118.answerType;
+  answer = other118.answer;
+  __isset = other118.__isset;
+  return *this;
+}
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other119) noexcept {
+  proposal = other119.proposal;
+  member = std::move(other119.member);
+  key = std::move(other119.key);
+  dispatch = std::move(other119.dispatch);
+  status = other119.status;
+  answerStatus = other119.answerStatus;
+  answerType = std::move(other119.answerType);
+  answer = std::move(other119.answer);
+  __isset = other119.__isset;
+  return *this;
+}
+void OutcomeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+RecordReply::~RecordReply() noexcept {
+}
+
+
+void RecordReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void RecordReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void RecordReply::__set_holder(const DispatchId& val) {
+  this->holder = val;
+}
+
+void RecordReply::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordReply::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordReply::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void RecordReply::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordReply::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordReply::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordReply &a, RecordReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.holder, b.holder);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordReply::RecordReply(const RecordReply& other120) {
+  proposal = other120.proposal;
+  verdict = other120.verdict;
+  holder = other120.holder;
+  backend = other120.backend;
+  backendIncarnation = other120.backendIncarnation;
+  answerStored = other120.answerStored;
+  answerStatus = other120.answerStatus;
+  answerType = other120.answerType;
+  answer = other120.answer;
+  __isset = other120.__isset;
+}
+RecordReply::RecordReply(RecordReply&& other121) noexcept {
+  proposal = other121.proposal;
+  verdict = other121.verdict;
+  holder = std::move(other121.holder);
+  backend = std::move(other121.backend);
+  backendIncarnation = other121.backendIncarnation;
+  answerStored = other121.answerStored;
+  answerStatus = other121.answerStatus;
+  answerType = std::move(other121.answerType);
+  answer = std::move(other121.answer);
+  __isset = other121.__isset;
+}
+RecordReply& RecordReply::operator=(const RecordReply& other122) {
+  proposal = other122.proposal;
+  verdict = other122.verdict;
+  holder = other122.holder;
+  backend = other122.backend;
+  backendIncarnation = other122.backendIncarnation;
+  answerStored = other122.answerStored;
+  answerStatus = other122.answerStatus;
+  answerType = other122.answerType;
+  answer = other122.answer;
+  __isset = other122.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other123) noexcept {
+  proposal = other123.proposal;
+  verdict = other123.verdict;
+  holder = std::move(other123.holder);
+  backend = std::move(other123.backend);
+  backendIncarnation = other123.backendIncarnation;
+  answerStored = other123.answerStored;
+  answerStatus = other123.answerStatus;
+  answerType = std::move(other123.answerType);
+  answer = std::move(other123.answer);
+  __isset = other123.__isset;
+  return *this;
+}
+void RecordReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+OutcomeReply::~OutcomeReply() noexcept {
+}
+
+
+void OutcomeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeReply &a, OutcomeReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeReply::OutcomeReply(const OutcomeReply& other124) noexcept {
+  proposal = other124.proposal;
+  verdict = other124.verdict;
+  __isset = other124.__isset;
+}
+OutcomeReply::OutcomeReply(OutcomeReply&& other125) noexcept {
+  proposal = other125.proposal;
+  verdict = other125.verdict;
+  __isset = other125.__isset;
+}
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other126) noexcept {
+  proposal = other126.proposal;
+  verdict = other126.verdict;
+  __isset = other126.__isset;
+  return *this;
+}
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other127) noexcept {
+  proposal = other127.proposal;
+  verdict = other127.verdict;
+  __isset = other127.__isset;
+  return *this;
+}
+void OutcomeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ")";
+}
+
+
+LeaseRenew::~LeaseRenew() noexcept {
+}
+
+
+void LeaseRenew::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseRenew::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void LeaseRenew::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void LeaseRenew::__set_appliedVersion(const int64_t val) {
+  this->appliedVersion = val;
+}
+
+void LeaseRenew::__set_heardVersion(const int64_t val) {
+  this->heardVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedVersion);
+          this->__isset.appliedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardVersion);
+          this->__isset.heardVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenew");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenew &a, LeaseRenew &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.appliedVersion, b.appliedVersion);
+  swap(a.heardVersion, b.heardVersion);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseRenew::LeaseRenew(const LeaseRenew& other128) {
+  sequence = other128.sequence;
+  node = other128.node;
+  zone = other128.zone;
+  appliedVersion = other128.appliedVersion;
+  heardVersion = other128.heardVersion;
+  __isset = other128.__isset;
+}
+LeaseRenew::LeaseRenew(LeaseRenew&& other129) noexcept {
+  sequence = other129.sequence;
+  node = std::move(other129.node);
+  zone = std::move(other129.zone);
+  appliedVersion = other129.appliedVersion;
+  heardVersion = other129.heardVersion;
+  __isset = other129.__isset;
+}
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other130) {
+  sequence = other130.sequence;
+  node = other130.node;
+  zone = other130.zone;
+  appliedVersion = other130.appliedVersion;
+  heardVersion = other130.heardVersion;
+  __isset = other130.__isset;
+  return *this;
+}
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other131) noexcept {
+  sequence = other131.sequence;
+  node = std::move(other131.node);
+  zone = std::move(other131.zone);
+  appliedVersion = other131.appliedVersion;
+  heardVersion = other131.heardVersion;
+  __isset = other131.__isset;
+  return *this;
+}
+void LeaseRenew::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenew(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "appliedVersion=" << to_string(appliedVersion);
+  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ")";
+}
+
+
+LeaseGrant::~LeaseGrant() noexcept {
+}
+
+
+void LeaseGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseGrant::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void LeaseGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void LeaseGrant::__set_durationMicros(const int64_t val) {
+  this->durationMicros = val;
+}
+
+void LeaseGrant::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMicros);
+          this->__isset.durationMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseGrant &a, LeaseGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.durationMicros, b.durationMicros);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseGrant::LeaseGrant(const LeaseGrant& other132) {
+  sequence = other132.sequence;
+  granted = other132.granted;
+  leaderHint = other132.leaderHint;
+  durationMicros = other132.durationMicros;
+  version = other132.version;
+  __isset = other132.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other133) noexcept {
+  sequence = other133.sequence;
+  granted = other133.granted;
+  leaderHint = std::move(other133.leaderHint);
+  durationMicros = other133.durationMicros;
+  version = other133.version;
+  __isset = other133.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other134) {
+  sequence = other134.sequence;
+  granted = other134.granted;
+  leaderHint = other134.leaderHint;
+  durationMicros = other134.durationMicros;
+  version = other134.version;
+  __isset = other134.__isset;
+  return *this;
+}
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other135) noexcept {
+  sequence = other135.sequence;
+  granted = other135.granted;
+  leaderHint = std::move(other135.leaderHint);
+  durationMicros = other135.durationMicros;
+  version = other135.version;
+  __isset = other135.__isset;
+  return *this;
+}
+void LeaseGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "durationMicros=" << to_string(durationMicros);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigPush::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigPush::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other136) {
+  version = other136.version;
+  author = other136.author;
+  sheet = other136.sheet;
+  __isset = other136.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other137) noexcept {
+  version = other137.version;
+  author = std::move(other137.author);
+  sheet = std::move(other137.sheet);
+  __isset = other137.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other138) {
+  version = other138.version;
+  author = other138.author;
+  sheet = other138.sheet;
+  __isset = other138.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other139) noexcept {
+  version = other139.version;
+  author = std::move(other139.author);
+  sheet = std::move(other139.sheet);
+  __isset = other139.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+VersionQuery::~VersionQuery() noexcept {
+}
+
+
+void VersionQuery::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionQuery");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionQuery &a, VersionQuery &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+VersionQuery::VersionQuery(const VersionQuery& other140) noexcept {
+  sequence = other140.sequence;
+  __isset = other140.__isset;
+}
+VersionQuery::VersionQuery(VersionQuery&& other141) noexcept {
+  sequence = other141.sequence;
+  __isset = other141.__isset;
+}
+VersionQuery& VersionQuery::operator=(const VersionQuery& other142) noexcept {
+  sequence = other142.sequence;
+  __isset = other142.__isset;
+  return *this;
+}
+VersionQuery& VersionQuery::operator=(VersionQuery&& other143) noexcept {
+  sequence = other143.sequence;
+  __isset = other143.__isset;
+  return *this;
+}
+void VersionQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionQuery(";
+  out << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+VersionReply::~VersionReply() noexcept {
+}
+
+
+void VersionReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void VersionReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void VersionReply::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void VersionReply::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionReply");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionReply &a, VersionReply &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.sheet, b.sheet);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+VersionReply::VersionReply(const VersionReply& other144) {
+  sequence = other144.sequence;
+  version = other144.version;
+  sheet = other144.sheet;
+  zone = other144.zone;
+  __isset = other144.__isset;
+}
+VersionReply::VersionReply(VersionReply&& other145) noexcept {
+  sequence = other145.sequence;
+  version = other145.version;
+  sheet = std::move(other145.sheet);
+  zone = std::move(other145.zone);
+  __isset = other145.__isset;
+}
+VersionReply& VersionReply::operator=(const VersionReply& other146) {
+  sequence = other146.sequence;
+  version = other146.version;
+  sheet = other146.sheet;
+  zone = other146.zone;
+  __isset = other146.__isset;
+  return *this;
+}
+VersionReply& VersionReply::operator=(VersionReply&& other147) noexcept {
+  sequence = other147.sequence;
+  version = other147.version;
+  sheet = std::move(other147.sheet);
+  zone = std::move(other147.zone);
+  __isset = other147.__isset;
+  return *this;
+}
+void VersionReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "zone=" << to_string(zone);
+  out << ")";
+}
+
+
+StateReplica::~StateReplica() noexcept {
+}
+
+
+void StateReplica::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void StateReplica::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void StateReplica::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void StateReplica::__set_voting(const bool val) {
+  this->voting = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateReplica& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateReplica::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voting);
+          this->__isset.voting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateReplica::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateReplica");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voting", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->voting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateReplica &a, StateReplica &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.zone, b.zone);
+  swap(a.address, b.address);
+  swap(a.voting, b.voting);
+  swap(a.__isset, b.__isset);
+}
+
+StateReplica::StateReplica(const StateReplica& other148) {
+  id = other148.id;
+  zone = other148.zone;
+  address = other148.address;
+  voting = other148.voting;
+  __isset = other148.__isset;
+}
+StateReplica::StateReplica(StateReplica&& other149) noexcept {
+  id = other149.id;
+  zone = std::move(other149.zone);
+  address = std::move(other149.address);
+  voting = other149.voting;
+  __isset = other149.__isset;
+}
+StateReplica& StateReplica::operator=(const StateReplica& other150) {
+  id = other150.id;
+  zone = other150.zone;
+  address = other150.address;
+  voting = other150.voting;
+  __isset = other150.__isset;
+  return *this;
+}
+StateReplica& StateReplica::operator=(StateReplica&& other151) noexcept {
+  id = other151.id;
+  zone = std::move(other151.zone);
+  address = std::move(other151.address);
+  voting = other151.voting;
+  __isset = other151.__isset;
+  return *this;
+}
+void StateReplica::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateReplica(";
+  out << "id=" << to_string(id);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "voting=" << to_string(voting);
+  out << ")";
+}
+
+
+StateVersion::~StateVersion() noexcept {
+}
+
+
+void StateVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StateVersion::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void StateVersion::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void StateVersion::__set_sheetHash(const int64_t val) {
+  this->sheetHash = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sheetHash);
+          this->__isset.sheetHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateVersion");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheetHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sheetHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateVersion &a, StateVersion &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.changeId, b.changeId);
+  swap(a.author, b.author);
+  swap(a.sheetHash, b.sheetHash);
+  swap(a.__isset, b.__isset);
+}
+
+StateVersion::StateVersion(const StateVersion& other152) {
+  version = other152.version;
+  changeId = other152.changeId;
+  author = other152.author;
+  sheetHash = other152.sheetHash;
+  __isset = other152.__isset;
+}
+StateVersion::StateVersion(StateVersion&& other153) noexcept {
+  version = other153.version;
+  changeId = std::move(other153.changeId);
+  author = std::move(other153.author);
+  sheetHash = other153.sheetHash;
+  __isset = other153.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other154) {
+  version = other154.version;
+  changeId = other154.changeId;
+  author = other154.author;
+  sheetHash = other154.sheetHash;
+  __isset = other154.__isset;
+  return *this;
+}
+StateVersion& StateVersion::operator=(StateVersion&& other155) noexcept {
+  version = other155.version;
+  changeId = std::move(other155.changeId);
+  author = std::move(other155.author);
+  sheetHash = other155.sheetHash;
+  __isset = other155.__isset;
+  return *this;
+}
+void StateVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateVersion(";
+  out << "version=" << to_string(version);
+  out << ", " << "changeId=" << to_string(changeId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheetHash=" << to_string(sheetHash);
+  out << ")";
+}
+
+
+StateChange::~StateChange() noexcept {
+}
+
+
+void StateChange::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void StateChange::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void StateChange::__set_sheetHash(const int64_t val) {
+  this->sheetHash = val;
+}
+
+void StateChange::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void StateChange::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StateChange::__set_winner(const StateVersion& val) {
+  this->winner = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sheetHash);
+          this->__isset.sheetHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->winner.read(iprot);
+          this->__isset.winner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateChange");
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheetHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sheetHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("winner", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->winner.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateChange &a, StateChange &b) {
+  using ::std::swap;
+  swap(a.changeId, b.changeId);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.sheetHash, b.sheetHash);
+  swap(a.verdict, b.verdict);
+  swap(a.version, b.version);
+  swap(a.winner, b.winner);
+  swap(a.__isset, b.__isset);
+}
+
+StateChange::StateChange(const StateChange& other156) {
+  changeId = other156.changeId;
+  baseVersion = other156.baseVersion;
+  sheetHash = other156.sheetHash;
+  verdict = other156.verdict;
+  version = other156.version;
+  winner = other156.winner;
+  __isset = other156.__isset;
+}
+StateChange::StateChange(StateChange&& other157) noexcept {
+  changeId = std::move(other157.changeId);
+  baseVersion = other157.baseVersion;
+  sheetHash = other157.sheetHash;
+  verdict = other157.verdict;
+  version = other157.version;
+  winner = std::move(other157.winner);
+  __isset = other157.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other158) {
+  changeId = other158.changeId;
+  baseVersion = other158.baseVersion;
+  sheetHash = other158.sheetHash;
+  verdict = other158.verdict;
+  version = other158.version;
+  winner = other158.winner;
+  __isset = other158.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other159) noexcept {
+  changeId = std::move(other159.changeId);
+  baseVersion = other159.baseVersion;
+  sheetHash = other159.sheetHash;
+  verdict = other159.verdict;
+  version = other159.version;
+  winner = std::move(other159.winner);
+  __isset = other159.__isset;
+  return *this;
+}
+void StateChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateChange(";
+  out << "changeId=" << to_string(changeId);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "sheetHash=" << to_string(sheetHash);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "winner=" << to_string(winner);
+  out << ")";
+}
+
+
+StateRecord::~StateRecord() noexcept {
+}
+
+
+void StateRecord::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void StateRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StateRecord::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void StateRecord::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void StateRecord::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void StateRecord::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void StateRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void StateRecord::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void StateRecord::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void StateRecord::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void StateRecord::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateRecord");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateRecord &a, StateRecord &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.status, b.status);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+StateRecord::StateRecord(const StateRecord& other160) {
+  member = other160.member;
+  key = other160.key;
+  contentHash = other160.contentHash;
+  dispatch = other160.dispatch;
+  backend = other160.backend;
+  backendIncarnation = other160.backendIncarnation;
+  status = other160.status;
+  answerStored = other160.answerStored;
+  answerStatus = other160.answerStatus;
+  answerType = other160.answerType;
+  answer = other160.answer;
+  __isset = other160.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other161) noexcept {
+  member = std::move(other161.member);
+  key = std::move(other161.key);
+  contentHash = other161.contentHash;
+  dispatch = std::move(other161.dispatch);
+  backend = std::move(other161.backend);
+  backendIncarnation = other161.backendIncarnation;
+  status = other161.status;
+  answerStored = other161.answerStored;
+  answerStatus = other161.answerStatus;
+  answerType = std::move(other161.answerType);
+  answer = std::move(other161.answer);
+  __isset = other161.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other162) {
+  member = other162.member;
+  key = other162.key;
+  contentHash = other162.contentHash;
+  dispatch = other162.dispatch;
+  backend = other162.backend;
+  backendIncarnation = other162.backendIncarnation;
+  status = other162.status;
+  answerStored = other162.answerStored;
+  answerStatus = other162.answerStatus;
+  answerType = other162.answerType;
+  answer = other162.answer;
+  __isset = other162.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other163) noexcept {
+  member = std::move(other163.member);
+  key = std::move(other163.key);
+  contentHash = other163.contentHash;
+  dispatch = std::move(other163.dispatch);
+  backend = std::move(other163.backend);
+  backendIncarnation = other163.backendIncarnation;
+  status = other163.status;
+  answerStored = other163.answerStored;
+  answerStatus = other163.answerStatus;
+  answerType = std::move(other163.answerType);
+  answer = std::move(other163.answer);
+  __isset = other163.__isset;
+  return *this;
+}
+void StateRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateRecord(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+StateSnapshot::~StateSnapshot() noexcept {
+}
+
+
+void StateSnapshot::__set_formatVersion(const int32_t val) {
+  this->formatVersion = val;
+}
+
+void StateSnapshot::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void StateSnapshot::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+
+void StateSnapshot::__set_replicas(const std::vector<StateReplica> & val) {
+  this->replicas = val;
+}
+
+void StateSnapshot::__set_current(const StateVersion& val) {
+  this->current = val;
+}
+
+void StateSnapshot::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void StateSnapshot::__set_versions(const std::vector<StateVersion> & val) {
+  this->versions = val;
+}
+
+void StateSnapshot::__set_changes(const std::vector<StateChange> & val) {
+  this->changes = val;
+}
+
+void StateSnapshot::__set_clockMicros(const int64_t val) {
+  this->clockMicros = val;
+}
+
+void StateSnapshot::__set_records(const std::vector<StateRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->formatVersion);
+          this->__isset.formatVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->replicas.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
+            {
+              xfer += this->replicas[_i168].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->current.read(iprot);
+          this->__isset.current = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->versions.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
+            {
+              xfer += this->versions[_i173].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->changes.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
+            {
+              xfer += this->changes[_i178].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMicros);
+          this->__isset.clockMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->records.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->records[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateSnapshot");
+
+  xfer += oprot->writeFieldBegin("formatVersion", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->formatVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<StateReplica> ::const_iterator _iter184;
+    for (_iter184 = this->replicas.begin(); _iter184 != this->replicas.end(); ++_iter184)
+    {
+      xfer += (*_iter184).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("current", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->current.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+    std::vector<StateVersion> ::const_iterator _iter185;
+    for (_iter185 = this->versions.begin(); _iter185 != this->versions.end(); ++_iter185)
+    {
+      xfer += (*_iter185).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<StateChange> ::const_iterator _iter186;
+    for (_iter186 = this->changes.begin(); _iter186 != this->changes.end(); ++_iter186)
+    {
+      xfer += (*_iter186).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clockMicros", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->clockMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<StateRecord> ::const_iterator _iter187;
+    for (_iter187 = this->records.begin(); _iter187 != this->records.end(); ++_iter187)
+    {
+      xfer += (*_iter187).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateSnapshot &a, StateSnapshot &b) {
+  using ::std::swap;
+  swap(a.formatVersion, b.formatVersion);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.current, b.current);
+  swap(a.sheet, b.sheet);
+  swap(a.versions, b.versions);
+  swap(a.changes, b.changes);
+  swap(a.clockMicros, b.clockMicros);
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+StateSnapshot::StateSnapshot(const StateSnapshot& other188) {
+  formatVersion = other188.formatVersion;
+  lastIndex = other188.lastIndex;
+  lastTerm = other188.lastTerm;
+  replicas = other188.replicas;
+  current = other188.current;
+  sheet = other188.sheet;
+  versions = other188.versions;
+  changes = other188.changes;
+  clockMicros = other188.clockMicros;
+  records = other188.records;
+  __isset = other188.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other189) noexcept {
+  formatVersion = other189.formatVersion;
+  lastIndex = other189.lastIndex;
+  lastTerm = other189.lastTerm;
+  replicas = std::move(other189.replicas);
+  current = std::move(other189.current);
+  sheet = std::move(other189.sheet);
+  versions = std::move(other189.versions);
+  changes = std::move(other189.changes);
+  clockMicros = other189.clockMicros;
+  records = std::move(other189.records);
+  __isset = other189.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other190) {
+  formatVersion = other190.formatVersion;
+  lastIndex = other190.lastIndex;
+  lastTerm = other190.lastTerm;
+  replicas = other190.replicas;
+  current = other190.current;
+  sheet = other190.sheet;
+  versions = other190.versions;
+  changes = other190.changes;
+  clockMicros = other190.clockMicros;
+  records = other190.records;
+  __isset = other190.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other191) noexcept {
+  formatVersion = other191.formatVersion;
+  lastIndex = other191.lastIndex;
+  lastTerm = other191.lastTerm;
+  replicas = std::move(other191.replicas);
+  current = std::move(other191.current);
+  sheet = std::move(other191.sheet);
+  versions = std::move(other191.versions);
+  changes = std::move(other191.changes);
+  clockMicros = other191.clockMicros;
+  records = std::move(other191.records);
+  __isset = other191.__isset;
+  return *this;
+}
+void StateSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateSnapshot(";
+  out << "formatVersion=" << to_string(formatVersion);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "current=" << to_string(current);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "versions=" << to_string(versions);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "clockMicros=" << to_string(clockMicros);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
+
 FrameHeader::~FrameHeader() noexcept {
 }
 
@@ -3548,26 +6472,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other112) noexcept {
-  protocolVersion = other112.protocolVersion;
-  messageType = other112.messageType;
-  __isset = other112.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other192) noexcept {
+  protocolVersion = other192.protocolVersion;
+  messageType = other192.messageType;
+  __isset = other192.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other113) noexcept {
-  protocolVersion = other113.protocolVersion;
-  messageType = other113.messageType;
-  __isset = other113.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other193) noexcept {
+  protocolVersion = other193.protocolVersion;
+  messageType = other193.messageType;
+  __isset = other193.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other114) noexcept {
-  protocolVersion = other114.protocolVersion;
-  messageType = other114.messageType;
-  __isset = other114.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other194) noexcept {
+  protocolVersion = other194.protocolVersion;
+  messageType = other194.messageType;
+  __isset = other194.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other115) noexcept {
-  protocolVersion = other115.protocolVersion;
-  messageType = other115.messageType;
-  __isset = other115.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other195) noexcept {
+  protocolVersion = other195.protocolVersion;
+  messageType = other195.messageType;
+  __isset = other195.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -65,6 +65,34 @@
 
 class DirectoryPull;
 
+class ClaimRequest;
+
+class OutcomeRequest;
+
+class RecordReply;
+
+class OutcomeReply;
+
+class LeaseRenew;
+
+class LeaseGrant;
+
+class ConfigPush;
+
+class VersionQuery;
+
+class VersionReply;
+
+class StateReplica;
+
+class StateVersion;
+
+class StateChange;
+
+class StateRecord;
+
+class StateSnapshot;
+
 class FrameHeader;
 
 typedef struct _ProcessId__isset {
@@ -1395,6 +1423,1079 @@
 
 std::ostream& operator<<(std::ostream& out, const DirectoryPull& obj);
 
+typedef struct _ClaimRequest__isset {
+  _ClaimRequest__isset() : proposal(false), member(false), key(false), contentHash(false), dispatch(false), backend(false), backendIncarnation(false) {}
+  bool proposal :1;
+  bool member :1;
+  bool key :1;
+  bool contentHash :1;
+  bool dispatch :1;
+  bool backend :1;
+  bool backendIncarnation :1;
+} _ClaimRequest__isset;
+
+class ClaimRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimRequest(const ClaimRequest&);
+  ClaimRequest(ClaimRequest&&) noexcept;
+  ClaimRequest& operator=(const ClaimRequest&);
+  ClaimRequest& operator=(ClaimRequest&&) noexcept;
+  ClaimRequest() noexcept
+               : proposal(0),
+                 member(),
+                 key(),
+                 contentHash(0),
+                 backend(),
+                 backendIncarnation(0) {
+  }
+
+  virtual ~ClaimRequest() noexcept;
+  int64_t proposal;
+  std::string member;
+  std::string key;
+  int64_t contentHash;
+  DispatchId dispatch;
+  std::string backend;
+  int64_t backendIncarnation;
+
+  _ClaimRequest__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_member(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_contentHash(const int64_t val);
+
+  void __set_dispatch(const DispatchId& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_backendIncarnation(const int64_t val);
+
+  bool operator == (const ClaimRequest & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
+    if (!(dispatch == rhs.dispatch))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(backendIncarnation == rhs.backendIncarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimRequest &a, ClaimRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj);
+
+typedef struct _OutcomeRequest__isset {
+  _OutcomeRequest__isset() : proposal(false), member(false), key(false), dispatch(false), status(false), answerStatus(false), answerType(false), answer(false) {}
+  bool proposal :1;
+  bool member :1;
+  bool key :1;
+  bool dispatch :1;
+  bool status :1;
+  bool answerStatus :1;
+  bool answerType :1;
+  bool answer :1;
+} _OutcomeRequest__isset;
+
+class OutcomeRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  OutcomeRequest(const OutcomeRequest&);
+  OutcomeRequest(OutcomeRequest&&) noexcept;
+  OutcomeRequest& operator=(const OutcomeRequest&);
+  OutcomeRequest& operator=(OutcomeRequest&&) noexcept;
+  OutcomeRequest() noexcept
+                 : proposal(0),
+                   member(),
+                   key(),
+                   status(0),
+                   answerStatus(0),
+                   answerType(),
+                   answer() {
+  }
+
+  virtual ~OutcomeRequest() noexcept;
+  int64_t proposal;
+  std::string member;
+  std::string key;
+  DispatchId dispatch;
+  int32_t status;
+  int32_t answerStatus;
+  std::string answerType;
+  std::string answer;
+
+  _OutcomeRequest__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_member(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_dispatch(const DispatchId& val);
+
+  void __set_status(const int32_t val);
+
+  void __set_answerStatus(const int32_t val);
+
+  void __set_answerType(const std::string& val);
+
+  void __set_answer(const std::string& val);
+
+  bool operator == (const OutcomeRequest & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(dispatch == rhs.dispatch))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(answerStatus == rhs.answerStatus))
+      return false;
+    if (!(answerType == rhs.answerType))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const OutcomeRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OutcomeRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OutcomeRequest &a, OutcomeRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj);
+
+typedef struct _RecordReply__isset {
+  _RecordReply__isset() : proposal(false), verdict(false), holder(false), backend(false), backendIncarnation(false), answerStored(false), answerStatus(false), answerType(false), answer(false) {}
+  bool proposal :1;
+  bool verdict :1;
+  bool holder :1;
+  bool backend :1;
+  bool backendIncarnation :1;
+  bool answerStored :1;
+  bool answerStatus :1;
+  bool answerType :1;
+  bool answer :1;
+} _RecordReply__isset;
+
+class RecordReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordReply(const RecordReply&);
+  RecordReply(RecordReply&&) noexcept;
+  RecordReply& operator=(const RecordReply&);
+  RecordReply& operator=(RecordReply&&) noexcept;
+  RecordReply() noexcept
+              : proposal(0),
+                verdict(0),
+                backend(),
+                backendIncarnation(0),
+                answerStored(0),
+                answerStatus(0),
+                answerType(),
+                answer() {
+  }
+
+  virtual ~RecordReply() noexcept;
+  int64_t proposal;
+  int32_t verdict;
+  DispatchId holder;
+  std::string backend;
+  int64_t backendIncarnation;
+  bool answerStored;
+  int32_t answerStatus;
+  std::string answerType;
+  std::string answer;
+
+  _RecordReply__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_holder(const DispatchId& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_backendIncarnation(const int64_t val);
+
+  void __set_answerStored(const bool val);
+
+  void __set_answerStatus(const int32_t val);
+
+  void __set_answerType(const std::string& val);
+
+  void __set_answer(const std::string& val);
+
+  bool operator == (const RecordReply & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(backendIncarnation == rhs.backendIncarnation))
+      return false;
+    if (!(answerStored == rhs.answerStored))
+      return false;
+    if (!(answerStatus == rhs.answerStatus))
+      return false;
+    if (!(answerType == rhs.answerType))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordReply &a, RecordReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordReply& obj);
+
+typedef struct _OutcomeReply__isset {
+  _OutcomeReply__isset() : proposal(false), verdict(false) {}
+  bool proposal :1;
+  bool verdict :1;
+} _OutcomeReply__isset;
+
+class OutcomeReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  OutcomeReply(const OutcomeReply&) noexcept;
+  OutcomeReply(OutcomeReply&&) noexcept;
+  OutcomeReply& operator=(const OutcomeReply&) noexcept;
+  OutcomeReply& operator=(OutcomeReply&&) noexcept;
+  OutcomeReply() noexcept
+               : proposal(0),
+                 verdict(0) {
+  }
+
+  virtual ~OutcomeReply() noexcept;
+  int64_t proposal;
+  int32_t verdict;
+
+  _OutcomeReply__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  bool operator == (const OutcomeReply & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    return true;
+  }
+  bool operator != (const OutcomeReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OutcomeReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OutcomeReply &a, OutcomeReply &b);
+
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
+
+typedef struct _LeaseRenew__isset {
+  _LeaseRenew__isset() : sequence(false), node(false), zone(false), appliedVersion(false), heardVersion(false) {}
+  bool sequence :1;
+  bool node :1;
+  bool zone :1;
+  bool appliedVersion :1;
+  bool heardVersion :1;
+} _LeaseRenew__isset;
+
+class LeaseRenew : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaseRenew(const LeaseRenew&);
+  LeaseRenew(LeaseRenew&&) noexcept;
+  LeaseRenew& operator=(const LeaseRenew&);
+  LeaseRenew& operator=(LeaseRenew&&) noexcept;
+  LeaseRenew() noexcept
+             : sequence(0),
+               node(),
+               zone(),
+               appliedVersion(0),
+               heardVersion(0) {
+  }
+
+  virtual ~LeaseRenew() noexcept;
+  int64_t sequence;
+  std::string node;
+  std::string zone;
+  int64_t appliedVersion;
+  int64_t heardVersion;
+
+  _LeaseRenew__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_node(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_appliedVersion(const int64_t val);
+
+  void __set_heardVersion(const int64_t val);
+
+  bool operator == (const LeaseRenew & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(node == rhs.node))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(appliedVersion == rhs.appliedVersion))
+      return false;
+    if (!(heardVersion == rhs.heardVersion))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaseRenew &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaseRenew & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaseRenew &a, LeaseRenew &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj);
+
+typedef struct _LeaseGrant__isset {
+  _LeaseGrant__isset() : sequence(false), granted(false), leaderHint(false), durationMicros(false), version(false) {}
+  bool sequence :1;
+  bool granted :1;
+  bool leaderHint :1;
+  bool durationMicros :1;
+  bool version :1;
+} _LeaseGrant__isset;
+
+class LeaseGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaseGrant(const LeaseGrant&);
+  LeaseGrant(LeaseGrant&&) noexcept;
+  LeaseGrant& operator=(const LeaseGrant&);
+  LeaseGrant& operator=(LeaseGrant&&) noexcept;
+  LeaseGrant() noexcept
+             : sequence(0),
+               granted(0),
+               durationMicros(0),
+               version(0) {
+  }
+
+  virtual ~LeaseGrant() noexcept;
+  int64_t sequence;
+  bool granted;
+  Endpoint leaderHint;
+  int64_t durationMicros;
+  int64_t version;
+
+  _LeaseGrant__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_granted(const bool val);
+
+  void __set_leaderHint(const Endpoint& val);
+
+  void __set_durationMicros(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const LeaseGrant & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(leaderHint == rhs.leaderHint))
+      return false;
+    if (!(durationMicros == rhs.durationMicros))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaseGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaseGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaseGrant &a, LeaseGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj);
+
+typedef struct _ConfigPush__isset {
+  _ConfigPush__isset() : version(false), author(false), sheet(false) {}
+  bool version :1;
+  bool author :1;
+  bool sheet :1;
+} _ConfigPush__isset;
+
+class ConfigPush : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPush(const ConfigPush&);
+  ConfigPush(ConfigPush&&) noexcept;
+  ConfigPush& operator=(const ConfigPush&);
+  ConfigPush& operator=(ConfigPush&&) noexcept;
+  ConfigPush() noexcept
+             : version(0),
+               author(),
+               sheet() {
+  }
+
+  virtual ~ConfigPush() noexcept;
+  int64_t version;
+  std::string author;
+  std::string sheet;
+
+  _ConfigPush__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_author(const std::string& val);
+
+  void __set_sheet(const std::string& val);
+
+  bool operator == (const ConfigPush & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (!(sheet == rhs.sheet))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPush &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPush & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPush &a, ConfigPush &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
+
+typedef struct _VersionQuery__isset {
+  _VersionQuery__isset() : sequence(false) {}
+  bool sequence :1;
+} _VersionQuery__isset;
+
+class VersionQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionQuery(const VersionQuery&) noexcept;
+  VersionQuery(VersionQuery&&) noexcept;
+  VersionQuery& operator=(const VersionQuery&) noexcept;
+  VersionQuery& operator=(VersionQuery&&) noexcept;
+  VersionQuery() noexcept
+               : sequence(0) {
+  }
+
+  virtual ~VersionQuery() noexcept;
+  int64_t sequence;
+
+  _VersionQuery__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const VersionQuery & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionQuery &a, VersionQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj);
+
+typedef struct _VersionReply__isset {
+  _VersionReply__isset() : sequence(false), version(false), sheet(false), zone(false) {}
+  bool sequence :1;
+  bool version :1;
+  bool sheet :1;
+  bool zone :1;
+} _VersionReply__isset;
+
+class VersionReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionReply(const VersionReply&);
+  VersionReply(VersionReply&&) noexcept;
+  VersionReply& operator=(const VersionReply&);
+  VersionReply& operator=(VersionReply&&) noexcept;
+  VersionReply() noexcept
+               : sequence(0),
+                 version(0),
+                 sheet(),
+                 zone() {
+  }
+
+  virtual ~VersionReply() noexcept;
+  int64_t sequence;
+  int64_t version;
+  std::string sheet;
+  std::string zone;
+
+  _VersionReply__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_sheet(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const VersionReply & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(sheet == rhs.sheet))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionReply &a, VersionReply &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj);
+
+typedef struct _StateReplica__isset {
+  _StateReplica__isset() : id(false), zone(false), address(false), voting(false) {}
+  bool id :1;
+  bool zone :1;
+  bool address :1;
+  bool voting :1;
+} _StateReplica__isset;
+
+class StateReplica : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateReplica(const StateReplica&);
+  StateReplica(StateReplica&&) noexcept;
+  StateReplica& operator=(const StateReplica&);
+  StateReplica& operator=(StateReplica&&) noexcept;
+  StateReplica() noexcept
+               : id(0),
+                 zone(),
+                 voting(0) {
+  }
+
+  virtual ~StateReplica() noexcept;
+  int64_t id;
+  std::string zone;
+  Endpoint address;
+  bool voting;
+
+  _StateReplica__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_address(const Endpoint& val);
+
+  void __set_voting(const bool val);
+
+  bool operator == (const StateReplica & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(voting == rhs.voting))
+      return false;
+    return true;
+  }
+  bool operator != (const StateReplica &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateReplica & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateReplica &a, StateReplica &b);
+
+std::ostream& operator<<(std::ostream& out, const StateReplica& obj);
+
+typedef struct _StateVersion__isset {
+  _StateVersion__isset() : version(false), changeId(false), author(false), sheetHash(false) {}
+  bool version :1;
+  bool changeId :1;
+  bool author :1;
+  bool sheetHash :1;
+} _StateVersion__isset;
+
+class StateVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateVersion(const StateVersion&);
+  StateVersion(StateVersion&&) noexcept;
+  StateVersion& operator=(const StateVersion&);
+  StateVersion& operator=(StateVersion&&) noexcept;
+  StateVersion() noexcept
+               : version(0),
+                 changeId(),
+                 author(),
+                 sheetHash(0) {
+  }
+
+  virtual ~StateVersion() noexcept;
+  int64_t version;
+  std::string changeId;
+  std::string author;
+  int64_t sheetHash;
+
+  _StateVersion__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_changeId(const std::string& val);
+
+  void __set_author(const std::string& val);
+
+  void __set_sheetHash(const int64_t val);
+
+  bool operator == (const StateVersion & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (!(sheetHash == rhs.sheetHash))
+      return false;
+    return true;
+  }
+  bool operator != (const StateVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateVersion &a, StateVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const StateVersion& obj);
+
+typedef struct _StateChange__isset {
+  _StateChange__isset() : changeId(false), baseVersion(false), sheetHash(false), verdict(false), version(false), winner(false) {}
+  bool changeId :1;
+  bool baseVersion :1;
+  bool sheetHash :1;
+  bool verdict :1;
+  bool version :1;
+  bool winner :1;
+} _StateChange__isset;
+
+class StateChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateChange(const StateChange&);
+  StateChange(StateChange&&) noexcept;
+  StateChange& operator=(const StateChange&);
+  StateChange& operator=(StateChange&&) noexcept;
+  StateChange() noexcept
+              : changeId(),
+                baseVersion(0),
+                sheetHash(0),
+                verdict(0),
+                version(0) {
+  }
+
+  virtual ~StateChange() noexcept;
+  std::string changeId;
+  int64_t baseVersion;
+  int64_t sheetHash;
+  int32_t verdict;
+  int64_t version;
+  StateVersion winner;
+
+  _StateChange__isset __isset;
+
+  void __set_changeId(const std::string& val);
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_sheetHash(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_winner(const StateVersion& val);
+
+  bool operator == (const StateChange & rhs) const
+  {
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(sheetHash == rhs.sheetHash))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(winner == rhs.winner))
+      return false;
+    return true;
+  }
+  bool operator != (const StateChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateChange &a, StateChange &b);
+
+std::ostream& operator<<(std::ostream& out, const StateChange& obj);
+
+typedef struct _StateRecord__isset {
+  _StateRecord__isset() : member(false), key(false), contentHash(false), dispatch(false), backend(false), backendIncarnation(false), status(false), answerStored(false), answerStatus(false), answerType(false), answer(false) {}
+  bool member :1;
+  bool key :1;
+  bool contentHash :1;
+  bool dispatch :1;
+  bool backend :1;
+  bool backendIncarnation :1;
+  bool status :1;
+  bool answerStored :1;
+  bool answerStatus :1;
+  bool answerType :1;
+  bool answer :1;
+} _StateRecord__isset;
+
+class StateRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateRecord(const StateRecord&);
+  StateRecord(StateRecord&&) noexcept;
+  StateRecord& operator=(const StateRecord&);
+  StateRecord& operator=(StateRecord&&) noexcept;
+  StateRecord() noexcept
+              : member(),
+                key(),
+                contentHash(0),
+                backend(),
+                backendIncarnation(0),
+                status(0),
+                answerStored(0),
+                answerStatus(0),
+                answerType(),
+                answer() {
+  }
+
+  virtual ~StateRecord() noexcept;
+  std::string member;
+  std::string key;
+  int64_t contentHash;
+  DispatchId dispatch;
+  std::string backend;
+  int64_t backendIncarnation;
+  int32_t status;
+  bool answerStored;
+  int32_t answerStatus;
+  std::string answerType;
+  std::string answer;
+
+  _StateRecord__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_contentHash(const int64_t val);
+
+  void __set_dispatch(const DispatchId& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_backendIncarnation(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_answerStored(const bool val);
+
+  void __set_answerStatus(const int32_t val);
+
+  void __set_answerType(const std::string& val);
+
+  void __set_answer(const std::string& val);
+
+  bool operator == (const StateRecord & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
+    if (!(dispatch == rhs.dispatch))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(backendIncarnation == rhs.backendIncarnation))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(answerStored == rhs.answerStored))
+      return false;
+    if (!(answerStatus == rhs.answerStatus))
+      return false;
+    if (!(answerType == rhs.answerType))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const StateRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateRecord &a, StateRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const StateRecord& obj);
+
+typedef struct _StateSnapshot__isset {
+  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false) {}
+  bool formatVersion :1;
+  bool lastIndex :1;
+  bool lastTerm :1;
+  bool replicas :1;
+  bool current :1;
+  bool sheet :1;
+  bool versions :1;
+  bool changes :1;
+  bool clockMicros :1;
+  bool records :1;
+} _StateSnapshot__isset;
+
+class StateSnapshot : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateSnapshot(const StateSnapshot&);
+  StateSnapshot(StateSnapshot&&) noexcept;
+  StateSnapshot& operator=(const StateSnapshot&);
+  StateSnapshot& operator=(StateSnapshot&&) noexcept;
+  StateSnapshot() noexcept
+                : formatVersion(0),
+                  lastIndex(0),
+                  lastTerm(0),
+                  sheet(),
+                  clockMicros(0) {
+  }
+
+  virtual ~StateSnapshot() noexcept;
+  int32_t formatVersion;
+  int64_t lastIndex;
+  int64_t lastTerm;
+  std::vector<StateReplica>  replicas;
+  StateVersion current;
+  std::string sheet;
+  std::vector<StateVersion>  versions;
+  std::vector<StateChange>  changes;
+  int64_t clockMicros;
+  std::vector<StateRecord>  records;
+
+  _StateSnapshot__isset __isset;
+
+  void __set_formatVersion(const int32_t val);
+
+  void __set_lastIndex(const int64_t val);
+
+  void __set_lastTerm(const int64_t val);
+
+  void __set_replicas(const std::vector<StateReplica> & val);
+
+  void __set_current(const StateVersion& val);
+
+  void __set_sheet(const std::string& val);
+
+  void __set_versions(const std::vector<StateVersion> & val);
+
+  void __set_changes(const std::vector<StateChange> & val);
+
+  void __set_clockMicros(const int64_t val);
+
+  void __set_records(const std::vector<StateRecord> & val);
+
+  bool operator == (const StateSnapshot & rhs) const
+  {
+    if (!(formatVersion == rhs.formatVersion))
+      return false;
+    if (!(lastIndex == rhs.lastIndex))
+      return false;
+    if (!(lastTerm == rhs.lastTerm))
+      return false;
+    if (!(replicas == rhs.replicas))
+      return false;
+    if (!(current == rhs.current))
+      return false;
+    if (!(sheet == rhs.sheet))
+      return false;
+    if (!(versions == rhs.versions))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(clockMicros == rhs.clockMicros))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const StateSnapshot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateSnapshot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateSnapshot &a, StateSnapshot &b);
+
+std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj);
+
 typedef struct _FrameHeader__isset {
   _FrameHeader__isset() : protocolVersion(false), messageType(false) {}
   bool protocolVersion :1;
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -7,6 +7,7 @@
 
 #include "io/wire_basic.h"
 #include "io/wire_discovery.h"
+#include "io/wire_records.h"
 #include "io/wire_traffic.h"
 
 namespace radishroute {
@@ -46,7 +47,16 @@
     wire_entry<14, announcement, wire::Announcement>,         //
     wire_entry<15, directory_delta, wire::DirectoryDelta>,    //
     wire_entry<16, directory_digest, wire::DirectoryDigest>,  //
-    wire_entry<17, directory_pull, wire::DirectoryPull>>;
+    wire_entry<17, directory_pull, wire::DirectoryPull>,      //
+    wire_entry<50, claim_request, wire::ClaimRequest>,        //
+    wire_entry<51, outcome_request, wire::OutcomeRequest>,    //
+    wire_entry<52, record_reply, wire::RecordReply>,          //
+    wire_entry<53, outcome_reply, wire::OutcomeReply>,        //
+    wire_entry<54, lease_renew, wire::LeaseRenew>,            //
+    wire_entry<55, lease_grant, wire::LeaseGrant>,            //
+    wire_entry<56, config_push, wire::ConfigPush>,            //
+    wire_entry<57, version_query, wire::VersionQuery>,        //
+    wire_entry<58, version_reply, wire::VersionReply>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- /dev/null
+++ b/src/io/wire_state.h
@@ -0,0 +1,23 @@
+#ifndef RADISHROUTE_IO_WIRE_STATE_H_
+#define RADISHROUTE_IO_WIRE_STATE_H_
+
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include "radishroute/state_machine.h"
+
+namespace radishroute {
+
+/// Snapshots as a checksummed Thrift compact struct.
+struct thrift_state_codec {
+  static std::string Encode(const hard_state& state);
+  /// Error: kSnapshotCorrupt.
+  static std::error_code Decode(std::string_view bytes, hard_state& out);
+};
+
+static_assert(state_codec<thrift_state_codec>);
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_WIRE_STATE_H_
--- /dev/null
+++ b/src/state_machine.cc
@@ -0,0 +1,35 @@
+#include "radishroute/state_machine.h"
+
+#include <utility>
+
+#include "radishroute/invariant.h"
+
+namespace radishroute {
+
+apply_result state_machine::Apply(const log_entry& entry, reduce_context& ctx) {
+  if (entry.index <= last_index_) return {};
+  bool in_order = entry.index == last_index_ + 1;
+  if (!CheckInvariant(in_order, "log entries are applied without gaps", ctx)) return {};
+  CheckInvariant(entry.term >= last_term_, "terms of applied entries never decrease", ctx);
+  last_index_ = entry.index;
+  last_term_ = entry.term;
+  return std::visit([&](const auto& body) { return ApplyBody(body, ctx); }, entry.body);
+}
+
+hard_state state_machine::Save() const {
+  return {last_index_, last_term_, replicas_, config_.Save(), records_.Save()};
+}
+
+std::error_code state_machine::Load(hard_state state) {
+  bool loaded = config_.Load(std::move(state.config)) && records_.Load(std::move(state.records));
+  if (!loaded) {
+    *this = state_machine(records_.Limits());
+    return errc::kSnapshotCorrupt;
+  }
+  last_index_ = state.last_index;
+  last_term_ = state.last_term;
+  replicas_ = std::move(state.replicas);
+  return {};
+}
+
+}  // namespace radishroute
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -69,5 +69,94 @@
 struct DirectoryDigest { 1: i64 recordCount; 2: i64 hash }
 struct DirectoryPull {}
 
+// Claims and outcomes of idempotency keys, entry to leader.
+struct ClaimRequest {
+  1: i64 proposal
+  2: string member
+  3: string key
+  4: i64 contentHash
+  5: DispatchId dispatch
+  6: string backend
+  7: i64 backendIncarnation
+}
+struct OutcomeRequest {
+  1: i64 proposal
+  2: string member
+  3: string key
+  4: DispatchId dispatch
+  5: i32 status
+  6: i32 answerStatus
+  7: string answerType
+  8: binary answer
+}
+struct RecordReply {
+  1: i64 proposal
+  2: i32 verdict
+  3: DispatchId holder
+  4: string backend
+  5: i64 backendIncarnation
+  6: bool answerStored
+  7: i32 answerStatus
+  8: string answerType
+  9: binary answer
+}
+struct OutcomeReply { 1: i64 proposal; 2: i32 verdict }
+
+// Configuration leases. A duration is in microseconds.
+struct LeaseRenew {
+  1: i64 sequence
+  2: string node
+  3: string zone
+  4: i64 appliedVersion
+  5: i64 heardVersion
+}
+struct LeaseGrant {
+  1: i64 sequence
+  2: bool granted
+  3: Endpoint leaderHint
+  4: i64 durationMicros
+  5: i64 version
+}
+struct ConfigPush { 1: i64 version; 2: string author; 3: binary sheet }
+struct VersionQuery { 1: i64 sequence }
+struct VersionReply { 1: i64 sequence; 2: i64 version; 3: binary sheet; 4: string zone }
+
+// Contents of a snapshot of the state machine.
+struct StateReplica { 1: i64 id; 2: string zone; 3: Endpoint address; 4: bool voting }
+struct StateVersion { 1: i64 version; 2: string changeId; 3: string author; 4: i64 sheetHash }
+struct StateChange {
+  1: string changeId
+  2: i64 baseVersion
+  3: i64 sheetHash
+  4: i32 verdict
+  5: i64 version
+  6: StateVersion winner
+}
+struct StateRecord {
+  1: string member
+  2: string key
+  3: i64 contentHash
+  4: DispatchId dispatch
+  5: string backend
+  6: i64 backendIncarnation
+  7: i32 status
+  8: bool answerStored
+  9: i32 answerStatus
+  10: string answerType
+  11: binary answer
+}
+struct StateSnapshot {
+  1: i32 formatVersion
+  2: i64 lastIndex
+  3: i64 lastTerm
+  4: list<StateReplica> replicas
+  5: StateVersion current
+  6: binary sheet
+  7: list<StateVersion> versions
+  8: list<StateChange> changes
+  9: i64 clockMicros
+  10: list<StateRecord> records
+}
+
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
 struct FrameHeader { 1: i32 protocolVersion; 2: i32 messageType }
