Run non-idempotent requests at most once

Cause: non-idempotent requests were dispatched without a record, so a resend through another entry ran them again. Change: an entry claims the key before the dispatch, stores the outcome when the answer is complete, and resolves a claim whose owner is gone at the agent named in the record. The control thread carries claims and outcomes to the leader, renews the configuration lease and applies configurations. The agent remembers non-idempotent dispatches for 25 h, longer than records are kept.

--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -29,17 +29,22 @@
   /// Sets the sheet in force under a configuration version.
   void SetWork(std::uint64_t version, work_sheet sheet, reduce_context& ctx);
 
+  /// Publishes the end of the configuration lease to the traffic threads.
+  void SetLease(steady_time until, reduce_context& ctx);
+
   std::size_t Size() const { return records_.size(); }
 
  private:
   bool Accept(const announcement& record, reduce_context& ctx);
-  void Publish(reduce_context& ctx) const;
+  void Publish(reduce_context& ctx);
 
   std::string zone_;
   std::map<std::string, announcement> records_;
   std::unordered_map<link_id, std::string> announced_on_;
   std::uint64_t config_version_ = 0;
   work_sheet sheet_;
+  steady_time lease_until_ = steady_time::max();
+  std::shared_ptr<const routing_table> published_;
 };
 
 /// Announces this process's backend server to the entries that its settings name.
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -14,6 +14,7 @@
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
+#include "radishroute/record_event.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
 
@@ -39,7 +40,7 @@
 };
 
 /// Whether a refused or failed request was run, as told to the caller.
-enum class run_outcome : std::uint8_t { kNotRun, kUnknown };
+enum class run_outcome : std::uint8_t { kNotRun, kUnknown, kDone };
 
 struct respond_begin {
   exchange_id exchange;
@@ -90,6 +91,24 @@
 /// Control thread only: hands a table to every traffic thread.
 struct publish_routing_table {
   std::shared_ptr<const routing_table> table;
+  /// End of the configuration lease; never reached without controllers.
+  steady_time config_lease_until = steady_time::max();
+};
+
+/// Traffic thread only: hands a claim or an outcome to the control thread.
+struct submit_claim {
+  claim_submitted event;
+};
+struct submit_outcome {
+  outcome_submitted event;
+};
+
+/// Control thread only: hands a verdict to the traffic thread that asked.
+struct deliver_claim_answer {
+  claim_answered event;
+};
+struct deliver_outcome_answer {
+  outcome_answered event;
 };
 
 struct write_log {
@@ -134,6 +153,10 @@
     start_engine_call,        //
     cancel_engine_call,       //
     publish_routing_table,    //
+    submit_claim,             //
+    submit_outcome,           //
+    deliver_claim_answer,     //
+    deliver_outcome_answer,   //
     write_log,                //
     count,                    //
     count_refusal,            //
--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -35,9 +35,12 @@
   kTooManyRequests,
   kTombstoned,
   kSuspectAlreadyRunning,
+  kIdempotencyKeyInFuture,
+  kClaimQueueFull,
+  kRecordTableFull,
 };
 
-inline constexpr std::size_t kRefusalReasonCount = 25;
+inline constexpr std::size_t kRefusalReasonCount = 28;
 
 /// Stable identifier of a refusal reason, used in problem types and counter labels.
 std::string_view ToString(refusal_reason reason);
@@ -54,9 +57,11 @@
   kCancelled,
   kDeadlinePassed,
   kAnswerTooLarge,
+  kEarlierOutcomeUnknown,
+  kAnswerNotStored,
 };
 
-inline constexpr std::size_t kDispatchFailureCount = 10;
+inline constexpr std::size_t kDispatchFailureCount = 12;
 
 std::string_view ToString(dispatch_failure failure);
 
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -4,25 +4,30 @@
 #include <variant>
 
 #include "radishroute/link_event.h"
+#include "radishroute/record_event.h"
 #include "radishroute/traffic_event.h"
 
 namespace radishroute {
 
 /// Everything that can happen to a process. One reducer handles all of it.
-using event = std::variant<  //
-    process_started,         //
-    timer_expired,           //
-    drain_requested,         //
-    link_opened,             //
-    link_closed,             //
-    message_received,        //
-    caller_request,          //
-    caller_closed,           //
-    engine_answer_begin,     //
-    engine_answer_bytes,     //
-    engine_answer_end,       //
-    engine_call_failed,      //
-    routing_table_published>;
+using event = std::variant<   //
+    process_started,          //
+    timer_expired,            //
+    drain_requested,          //
+    link_opened,              //
+    link_closed,              //
+    message_received,         //
+    caller_request,           //
+    caller_closed,            //
+    engine_answer_begin,      //
+    engine_answer_bytes,      //
+    engine_answer_end,        //
+    engine_call_failed,       //
+    routing_table_published,  //
+    claim_submitted,          //
+    outcome_submitted,        //
+    claim_answered,           //
+    outcome_answered>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/executions.h
+++ b/include/radishroute/executions.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds detached_linger{3000};
   /// How long the id of a finished dispatch is remembered, so that a repeat does not run.
   std::chrono::minutes tombstone_retention{10};
+  /// The same for non-idempotent dispatches: longer than idempotency records are kept (24 h), since
+  /// an agent that forgot a finished dispatch would report that it never started.
+  std::chrono::hours claimed_tombstone_retention{25};
 };
 
 /// Life of dispatches on one backend server. All work for the server passes through here.
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -23,9 +23,15 @@
   kFramesRejected,
   kLinksUnauthorized,
   kEventQueueFull,
+  kClaimsSubmitted,
+  kClaimsHeld,
+  kOutcomesStored,
+  kOutcomesNotStored,
+  kStoredAnswersServed,
+  kDispatchesResolved,
 };
 
-inline constexpr std::size_t kCounterCount = 14;
+inline constexpr std::size_t kCounterCount = 20;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -20,6 +20,15 @@
 struct request_limits {
   std::size_t max_requests = 20000;
   std::uint32_t max_attempts = 3;
+  /// Longest wait of an answer for the commit of its outcome.
+  std::chrono::milliseconds outcome_wait{1000};
+  /// How long a resend waits for the owner of a claim before it asks the agent itself, and between
+  /// two questions. The owner normally stores an outcome within a few milliseconds.
+  std::chrono::milliseconds resolve_delay{1000};
+  /// Claims of one request at most; each follows an outcome that freed the key.
+  std::uint32_t max_claims = 6;
+  /// Longer answers are not stored; not above record_limits::max_answer_bytes.
+  std::size_t max_stored_answer_bytes = std::size_t{64} << 10;
 };
 
 /// Life of callers' requests on one traffic shard of an entry.
@@ -35,17 +44,54 @@
   void Handle(const link_closed& closed, reduce_context& ctx);
   void Handle(const drain_requested& drain, reduce_context& ctx);
   void Handle(const timer_expired& timer, reduce_context& ctx);
+  void Handle(const claim_answered& answered, reduce_context& ctx);
+  void Handle(const outcome_answered& answered, reduce_context& ctx);
 
   void Handle(link_id link, const answer_begin& begin, reduce_context& ctx);
   void Handle(link_id link, const answer_chunk& chunk, reduce_context& ctx);
   void Handle(link_id link, const answer_end& end, reduce_context& ctx);
   void Handle(link_id link, const dispatch_refused& refused, reduce_context& ctx);
   void Handle(link_id link, const dispatch_failed& failed, reduce_context& ctx);
+  void Handle(link_id link, const resolve_reply& reply, reduce_context& ctx);
 
   std::size_t Size() const { return requests_.size(); }
 
  private:
-  enum class phase : std::uint8_t { kWaitingForLink, kDispatched, kAnswering };
+  enum class phase : std::uint8_t {
+    kWaitingForLink,
+    kDispatched,
+    kAnswering,
+    /// Waits for the verdict on its claim.
+    kClaiming,
+    /// Another dispatch holds the key; waits for its outcome.
+    kHeld,
+    /// Asks the agent of the holder whether its dispatch ran.
+    kResolving,
+    /// Waits for the commit of the holder's outcome, to claim again.
+    kSettling,
+    /// The answer is complete; waits for the commit of its outcome.
+    kStoring,
+    /// Its own dispatch was refused; waits for the commit of that.
+    kReleasing,
+  };
+
+  /// What a request that must not be repeated has beside the rest.
+  struct claim_state {
+    bool granted = false;
+    /// Its dispatch is recorded as never run, and no new claim has been submitted since.
+    bool released = false;
+    std::uint32_t claims = 0;
+    record_reply holder;
+    bool finished_seen = false;
+    steady_time step_at = steady_time::max();
+    link_id answer_link;
+    std::uint32_t status = 0;
+    std::string content_type;
+    std::string answer;
+    std::uint64_t answer_length = 0;
+    refusal_reason refusal = refusal_reason::kNone;
+    retry_reason retry = retry_reason::kRefusedByBackend;
+  };
 
   struct entry_request {
     request_id id;
@@ -64,11 +110,15 @@
     endpoint backend_address;
     std::uint64_t bytes_sent = 0;
     bool response_begun = false;
+    /// The caller closed its connection; the dispatch goes on, so that its outcome is stored.
+    bool abandoned = false;
+    claim_state claim;
     std::vector<std::uint32_t> tried;
   };
 
   struct backend_link {
     std::optional<link_id> link;
+    std::uint64_t peer_incarnation = 0;
     std::vector<request_id> waiting;
   };
 
@@ -76,6 +126,27 @@
   std::optional<refusal_reason> Validate(const caller_request& request, entry_request& out,
                                          const reduce_context& ctx) const;
   void Route(entry_request& request, reduce_context& ctx);
+  void Connect(entry_request& request, reduce_context& ctx);
+  void Claim(entry_request& request, reduce_context& ctx);
+  void ClaimAgain(entry_request& request, reduce_context& ctx);
+  void OnGranted(entry_request& request, reduce_context& ctx);
+  void WaitForHolder(entry_request& request, reduce_context& ctx);
+  void AskHolder(entry_request& request, reduce_context& ctx);
+  void SettleHolder(entry_request& request, record_status status, reduce_context& ctx);
+  void Release(entry_request& request, retry_reason retry, refusal_reason refusal,
+               reduce_context& ctx);
+  void OnReleased(entry_request& request, const outcome_answered& answered, reduce_context& ctx);
+  void StoreOutcome(const entry_request& request, record_status status, reduce_context& ctx);
+  void FinishStored(entry_request& request, reduce_context& ctx);
+  void AnswerFromRecord(entry_request& request, const record_reply& reply, reduce_context& ctx);
+  void CollectChunk(entry_request& request, const answer_chunk& chunk, reduce_context& ctx);
+  bool CloseClaimed(entry_request& request, reduce_context& ctx);
+  bool ExpireClaimed(entry_request& request, reduce_context& ctx);
+  bool OnLinkClosedClaimed(entry_request& request, reduce_context& ctx);
+  void RunSteps(reduce_context& ctx);
+  void SetStep(entry_request& request, steady_time at);
+  bool ReachesOtherLife(const entry_request& request) const;
+  static run_outcome RefusalOutcome(const entry_request& request, refusal_reason reason);
   void Send(entry_request& request, link_id link, reduce_context& ctx);
   void Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
              dispatch_failure failure, reduce_context& ctx);
@@ -98,6 +169,9 @@
   typename P::routing_type router_;
   typename P::retry_type retries_;
   std::optional<steady_time> drain_deadline_;
+  steady_time config_lease_until_ = steady_time::max();
+  /// Next step of requests that wait for a record.
+  std::set<std::pair<steady_time, request_id>> steps_;
 };
 
 }  // namespace radishroute
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "radishroute/config_client.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
 #include "radishroute/requests.h"
@@ -13,6 +14,7 @@
 struct control_state {
   std::optional<directory> backends;
   std::optional<announcer> announcements;
+  std::optional<config_client> config;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/include/radishroute/traffic_event.h
+++ b/include/radishroute/traffic_event.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "radishroute/clock.h"
 #include "radishroute/error.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
@@ -22,6 +23,8 @@
   std::string adapter;
   std::string path;
   std::string idempotency_key;
+  /// The caller states that it has not sent this key before.
+  bool first_submission = false;
   /// Zero if the caller gave none; the kind's deadline then applies.
   std::chrono::microseconds time_left{};
   bool stream = false;
@@ -62,6 +65,8 @@
 /// The control thread published a new table; readers keep it as long as they need.
 struct routing_table_published {
   std::shared_ptr<const routing_table> table;
+  /// End of the configuration lease; without one only idempotent work is accepted.
+  steady_time config_lease_until = steady_time::max();
 };
 
 }  // namespace radishroute
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -67,11 +67,20 @@
   std::error_code Build(const work_sheet& sheet) {
     hello self = MakeHello(settings_.common, process_role::kEntry);
     node_hooks hooks;
-    hooks.on_publish = [this](std::shared_ptr<const routing_table> table) {
-      for (auto& thread : traffic_) thread->Post(routing_table_published{table});
+    hooks.on_publish = [this](const publish_routing_table& p) {
+      for (auto& thread : traffic_) {
+        thread->Post(routing_table_published{p.table, p.config_lease_until});
+      }
+    };
+    hooks.on_deliver = [this](const request_id& id, event e) {
+      return traffic_[ShardOf(id)]->Post(std::move(e));
     };
     control_ = std::make_unique<node_thread<P>>(self, hooks);
-    control_->State().control.backends.emplace(settings_.common.zone, sheet);
+    control_state& control = control_->State().control;
+    control.backends.emplace(settings_.common.zone, work_sheet{});
+    control.config.emplace(config_client_settings{settings_.common.node, settings_.common.zone,
+                                                  settings_.controllers, settings_.peers, sheet},
+                           *control.backends);
     if (auto error = control_->Links().Listen(settings_.control_listen)) return error;
     admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
@@ -80,6 +89,7 @@
     std::uint64_t origin = (std::uint64_t{entropy()} << 32) | entropy();
     for (std::uint32_t i = 0; i < settings_.threads; ++i) {
       node_hooks traffic_hooks;
+      traffic_hooks.on_submit = [this](event e) { return control_->Post(std::move(e)); };
       traffic_hooks.on_stop = [this, i](bool finished) { latch_.Report(i, finished); };
       auto thread = std::make_unique<node_thread<P>>(self, traffic_hooks);
       request_limits limits;
--- /dev/null
+++ b/src/config_leases.cc
@@ -0,0 +1,78 @@
+#include "radishroute/config_leases.h"
+
+#include <algorithm>
+
+namespace radishroute {
+
+void config_leases::BecomeLeader(steady_time now) {
+  leader_since_ = now;
+  leases_.clear();
+}
+
+void config_leases::StepDown() {
+  leader_since_.reset();
+  leases_.clear();
+}
+
+void config_leases::Push(link_id link, const config_document& config, reduce_context& ctx) {
+  ctx.Emit(
+      send_message{link, config_push{config.Version(), config.Current().author, config.Sheet()}});
+}
+
+void config_leases::OnRenew(link_id link, const lease_renew& renew, const config_document& config,
+                            const endpoint& leader_hint, reduce_context& ctx) {
+  lease_grant grant;
+  grant.sequence = renew.sequence;
+  grant.leader_hint = leader_hint;
+  // A leader that has applied less than the entry has heard of has not caught up with its own log.
+  grant.granted = leader_since_.has_value() && renew.heard_version <= config.Version();
+  if (grant.granted) {
+    grant.duration = kLease;
+    grant.version = config.Version();
+    lease& held = leases_[renew.node];
+    held.zone = renew.zone;
+    held.link = link;
+    // Later than the entry's own end, which counts from the sending and subtracts the drift.
+    held.until = ctx.now + kLease;
+    held.applied = renew.applied_version;
+  }
+  bool lacks = grant.granted && renew.applied_version < config.Version();
+  ctx.Emit(send_message{link, std::move(grant)});
+  if (lacks) Push(link, config, ctx);
+}
+
+void config_leases::OnCommitted(const config_document& config, reduce_context& ctx) {
+  if (!leader_since_) return;
+  for (const auto& [node, held] : leases_) {
+    if (held.link.value != 0 && held.until > ctx.now) Push(held.link, config, ctx);
+  }
+}
+
+void config_leases::OnClosed(link_id link) {
+  for (auto& [node, held] : leases_) {
+    if (held.link == link) held.link = {};
+  }
+}
+
+in_force_report config_leases::Report(std::uint64_t version, steady_time now) const {
+  in_force_report report;
+  report.version = version;
+  if (!leader_since_) return report;
+  // Entries that a former leader granted a lease are unknown until that lease has ended.
+  report.known = now >= *leader_since_ + kLease;
+  std::map<std::string, zone_report> zones;
+  for (const auto& [node, held] : leases_) {
+    zone_report& zone = zones[held.zone];
+    if (held.until <= now) continue;
+    ++zone.entries;
+    if (held.applied >= version) ++zone.applied;
+  }
+  for (auto& [name, zone] : zones) {
+    zone.zone = name;
+    zone.in_force = report.known && zone.entries == zone.applied;
+    report.zones.push_back(zone);
+  }
+  return report;
+}
+
+}  // namespace radishroute
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -64,7 +64,13 @@
 
 void directory::Handle(const process_started&, reduce_context& ctx) { Publish(ctx); }
 
-void directory::Publish(reduce_context& ctx) const {
+void directory::SetLease(steady_time until, reduce_context& ctx) {
+  lease_until_ = until;
+  // The table itself has not changed, so a renewal costs no rebuild.
+  if (published_) ctx.Emit(publish_routing_table{published_, lease_until_});
+}
+
+void directory::Publish(reduce_context& ctx) {
   auto table = std::make_shared<routing_table>();
   table->config_version = config_version_;
   table->has_configuration = !sheet_.kinds.empty();
@@ -79,7 +85,8 @@
   }
   for (const work_kind& kind : sheet_.kinds) table->kinds[kind.name] = kind;
   for (const member_entry& member : sheet_.members) table->members[member.name] = member;
-  ctx.Emit(publish_routing_table{std::move(table)});
+  published_ = std::move(table);
+  ctx.Emit(publish_routing_table{published_, lease_until_});
 }
 
 announcer::announcer(announcement self, std::vector<endpoint> entries)
--- a/src/error.cc
+++ b/src/error.cc
@@ -30,14 +30,26 @@
                                                                         "retry-budget-exhausted",
                                                                         "too-many-requests",
                                                                         "tombstoned",
-                                                                        "suspect-already-running"};
+                                                                        "suspect-already-running",
+                                                                        "idempotency-key-in-future",
+                                                                        "claim-queue-full",
+                                                                        "record-table-full"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
 std::string_view ToString(dispatch_failure failure) {
-  constexpr std::array<std::string_view, kDispatchFailureCount> kNames = {
-      "none",      "engine-unreachable", "engine-crashed", "engine-stalled",  "engine-error",
-      "link-lost", "agent-restarted",    "cancelled",      "deadline-passed", "answer-too-large"};
+  constexpr std::array<std::string_view, kDispatchFailureCount> kNames = {"none",
+                                                                          "engine-unreachable",
+                                                                          "engine-crashed",
+                                                                          "engine-stalled",
+                                                                          "engine-error",
+                                                                          "link-lost",
+                                                                          "agent-restarted",
+                                                                          "cancelled",
+                                                                          "deadline-passed",
+                                                                          "answer-too-large",
+                                                                          "earlier-outcome-unknown",
+                                                                          "answer-not-stored"};
   return kNames[static_cast<std::size_t>(failure)];
 }
 
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -303,6 +303,7 @@
 template <policy_set P>
 void execution_table<P>::Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx) {
   auto it = executions_.find(id);
+  bool repeatable = it != executions_.end() && it->second.request.repeatable;
   if (it != executions_.end()) {
     if (it->second.at == phase::kRunning) --running_;
     deadlines_.erase({it->second.deadline, id});
@@ -310,6 +311,7 @@
   }
   ExpireTombstones(ctx.now);
   steady_time expires = ctx.now + limits_.tombstone_retention;
+  if (!repeatable) expires = ctx.now + limits_.claimed_tombstone_retention;
   if (tombstones_.emplace(id, tombstone{state, expires}).second) {
     tombstone_expiry_.insert({expires, id});
   }
--- a/src/invariant.cc
+++ b/src/invariant.cc
@@ -6,11 +6,11 @@
 
 bool CheckInvariant(bool holds, std::string_view what, reduce_context& ctx) {
   if (holds) return true;
-  log_event event;
-  event.code = event_code::kInvariantViolated;
-  event.level = log_level::kError;
-  event.fields = {{"invariant", std::string(what)}};
-  ctx.Emit(write_log{std::move(event)});
+  log_event entry;
+  entry.code = event_code::kInvariantViolated;
+  entry.level = log_level::kError;
+  entry.fields = {{"invariant", std::string(what)}};
+  ctx.Emit(write_log{std::move(entry)});
   return false;
 }
 
--- a/src/io/caller_api.cc
+++ b/src/io/caller_api.cc
@@ -73,12 +73,24 @@
   return true;
 }
 
+std::string_view OutcomeName(run_outcome outcome) {
+  switch (outcome) {
+    case run_outcome::kNotRun:
+      return "not-run";
+    case run_outcome::kDone:
+      return "done";
+    case run_outcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 std::string Problem(std::string_view type, unsigned status, run_outcome outcome) {
   nlohmann::json problem;
   problem["type"] = "urn:radishroute:problem:" + std::string(type);
   problem["title"] = type;
   problem["status"] = status;
-  problem["outcome"] = outcome == run_outcome::kNotRun ? "not-run" : "unknown";
+  problem["outcome"] = OutcomeName(outcome);
   return problem.dump();
 }
 
@@ -101,6 +113,7 @@
       return 404;
     case refusal_reason::kIdempotencyKeyConflict:
     case refusal_reason::kIdempotencyKeyExpired:
+    case refusal_reason::kIdempotencyKeyInFuture:
       return 409;
     case refusal_reason::kBodyTooLarge:
       return 413;
@@ -123,6 +136,7 @@
   out.member = Header(request, "x-member");
   out.kind = Header(request, "x-work-kind");
   out.idempotency_key = Header(request, "idempotency-key");
+  out.first_submission = Header(request, "x-first-submission") == "true";
   out.path = request.path;
   if (request.method != "POST") return refusal_reason::kMalformedRequest;
   if (!ParseDeadline(Header(request, "x-deadline-ms"), out.time_left)) {
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_IO_NODE_THREAD_H_
 #define RADISHROUTE_IO_NODE_THREAD_H_
 
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -20,7 +21,11 @@
 
 /// Actions that one thread cannot carry out alone.
 struct node_hooks {
-  std::function<void(std::shared_ptr<const routing_table>)> on_publish;
+  std::function<void(const publish_routing_table&)> on_publish;
+  /// Posts an event to the control thread, or from it to the traffic thread of a request; false if
+  /// the queue is full.
+  std::function<bool(event)> on_submit;
+  std::function<bool(const request_id&, event)> on_deliver;
   std::function<void(bool all_finished)> on_stop;
 };
 
@@ -100,7 +105,23 @@
   void Execute(const close_link& e) { links_.Close(e.link); }
   void Execute(const schedule_wakeup& e) { loop_.WakeAt(e.at); }
   void Execute(const publish_routing_table& e) {
-    if (hooks_.on_publish) hooks_.on_publish(e.table);
+    if (hooks_.on_publish) hooks_.on_publish(e);
+  }
+  void Execute(const submit_claim& e) {
+    if (hooks_.on_submit && hooks_.on_submit(e.event)) return;
+    claim_answered refused{e.event.claim.dispatch, {}};
+    refused.reply.verdict = claim_verdict::kQueueFull;
+    Apply(std::move(refused));
+  }
+  void Execute(const submit_outcome& e) {
+    if (hooks_.on_submit && hooks_.on_submit(e.event)) return;
+    Apply(outcome_answered{e.event.waiter, false, {}});
+  }
+  void Execute(const deliver_claim_answer& e) {
+    if (hooks_.on_deliver) hooks_.on_deliver(e.event.claimant.request, e.event);
+  }
+  void Execute(const deliver_outcome_answer& e) {
+    if (hooks_.on_deliver) hooks_.on_deliver(e.event.waiter.request, e.event);
   }
   void Execute(const stop_process& e) {
     if (!hooks_.on_stop) return;
@@ -112,7 +133,11 @@
       hooks_.on_stop(finished);
     }
   }
-  void Execute(const write_log& e) { WriteLog(e.event); }
+  void Execute(const write_log& e) {
+    WriteLog(e.event);
+    // State that breaks an invariant must not serve anyone.
+    if (e.event.code == event_code::kInvariantViolated) std::abort();
+  }
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
   void Execute(const count_retry& e) { CountRetry(e.reason); }
--- /dev/null
+++ b/src/leader_session.cc
@@ -0,0 +1,98 @@
+#include "radishroute/leader_session.h"
+
+#include <algorithm>
+
+namespace radishroute {
+
+namespace {
+
+// Five controllers are tried within the 2 s in which a new leader must be found.
+constexpr std::chrono::milliseconds kTryNext{200};
+
+// A controller that neither grants nor refuses for this long is cut off or has failed silently.
+constexpr std::chrono::milliseconds kSilence{1000};
+
+}  // namespace
+
+void leader_session::Start(reduce_context& ctx) {
+  if (!controllers_.empty()) Use(ctx.random() % controllers_.size(), ctx);
+}
+
+void leader_session::Use(std::size_t index, reduce_context& ctx) {
+  if (link_) ctx.Emit(close_link{*link_});
+  link_.reset();
+  current_ = index;
+  confirmed_ = false;
+  opening_ = true;
+  retry_at_.reset();
+  last_sign_ = ctx.now;
+  ctx.Emit(open_link{controllers_[index]});
+  ctx.Emit(schedule_wakeup{ctx.now + kSilence});
+}
+
+void leader_session::RetryLater(std::size_t index, reduce_context& ctx) {
+  current_ = index;
+  retry_at_ = ctx.now + kTryNext;
+  ctx.Emit(schedule_wakeup{*retry_at_});
+}
+
+bool leader_session::OnOpened(const link_opened& opened) {
+  if (!opening_ || opened.dialed != controllers_[current_]) return false;
+  opening_ = false;
+  link_ = opened.link;
+  return true;
+}
+
+bool leader_session::OnClosed(const link_closed& closed, reduce_context& ctx) {
+  bool current = link_ && closed.link == *link_;
+  bool failed = opening_ && closed.link.value == 0 && closed.dialed == controllers_[current_];
+  if (!current && !failed) return false;
+  link_.reset();
+  opening_ = false;
+  confirmed_ = false;
+  RetryLater((current_ + 1) % controllers_.size(), ctx);
+  return current;
+}
+
+bool leader_session::OnTimer(reduce_context& ctx) {
+  if (controllers_.empty()) return false;
+  if (retry_at_) {
+    if (*retry_at_ <= ctx.now) {
+      Use(current_, ctx);
+    } else {
+      ctx.Emit(schedule_wakeup{*retry_at_});
+    }
+    return false;
+  }
+  if (last_sign_ + kSilence > ctx.now) {
+    ctx.Emit(schedule_wakeup{last_sign_ + kSilence});
+    return false;
+  }
+  bool had_link = link_.has_value();
+  Use((current_ + 1) % controllers_.size(), ctx);
+  return had_link;
+}
+
+void leader_session::OnNotLeader(const endpoint& hint, reduce_context& ctx) {
+  confirmed_ = false;
+  last_sign_ = ctx.now;
+  auto it = std::find(controllers_.begin(), controllers_.end(), hint);
+  if (it != controllers_.end() && *it != controllers_[current_]) {
+    Use(static_cast<std::size_t>(it - controllers_.begin()), ctx);
+  } else {
+    RetryLater((current_ + 1) % controllers_.size(), ctx);
+  }
+}
+
+void leader_session::OnLeader(reduce_context& ctx) {
+  last_sign_ = ctx.now;
+  retry_at_.reset();
+  if (confirmed_) return;
+  confirmed_ = true;
+  log_event entry;
+  entry.code = event_code::kLeaderFound;
+  entry.fields = {{"address", ToString(controllers_[current_])}};
+  ctx.Emit(write_log{std::move(entry)});
+}
+
+}  // namespace radishroute
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -6,10 +6,13 @@
 
 std::string_view ToString(counter c) {
   constexpr std::array<std::string_view, kCounterCount> kNames = {
-      "requests_received",    "answers_completed",    "answers_in_time",      "answers_aborted",
-      "callers_hung_up",      "stale_chunks_dropped", "duplicate_dispatches", "dispatches_sent",
-      "dispatches_cancelled", "links_opened",         "links_closed",         "frames_rejected",
-      "links_unauthorized",   "event_queue_full"};
+      "requests_received",     "answers_completed",  "answers_in_time",
+      "answers_aborted",       "callers_hung_up",    "stale_chunks_dropped",
+      "duplicate_dispatches",  "dispatches_sent",    "dispatches_cancelled",
+      "links_opened",          "links_closed",       "frames_rejected",
+      "links_unauthorized",    "event_queue_full",   "claims_submitted",
+      "claims_held",           "outcomes_stored",    "outcomes_not_stored",
+      "stored_answers_served", "dispatches_resolved"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/records.cc
+++ b/src/records.cc
@@ -80,11 +80,11 @@
   if (ran_after_not_run || not_run_after_ran) {
     // Not a stop: a faulty sender must not stop every replica each time the log is replayed. The
     // sender stops when it receives this verdict.
-    log_event event;
-    event.code = event_code::kRecordContradiction;
-    event.level = log_level::kError;
-    event.fields = {{"member", outcome.member}, {"key", outcome.key}};
-    ctx.Emit(write_log{std::move(event)});
+    log_event entry;
+    entry.code = event_code::kRecordContradiction;
+    entry.level = log_level::kError;
+    entry.fields = {{"member", outcome.member}, {"key", outcome.key}};
+    ctx.Emit(write_log{std::move(entry)});
     return outcome_verdict::kContradiction;
   }
   bool adds_answer = record.status == record_status::kDone && !record.answer_stored &&
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -29,6 +29,7 @@
 void ForEachModule(State& state, Visitor&& visit) {
   visit(state.control.backends);
   visit(state.control.announcements);
+  visit(state.control.config);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
 }
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "radishroute/idempotency_key.h"
 #include "radishroute/policies.h"
 
 namespace radishroute {
@@ -26,8 +27,10 @@
   out.cls = kind->second.cls;
   out.repeatable = kind->second.repeatable;
   out.weight = member->second.weight;
-  if (!out.repeatable && request.idempotency_key.empty()) {
-    return refusal_reason::kMissingIdempotencyKey;
+  if (!out.repeatable) {
+    if (request.idempotency_key.empty()) return refusal_reason::kMissingIdempotencyKey;
+    if (!KeyTime(request.idempotency_key)) return refusal_reason::kMalformedIdempotencyKey;
+    if (ctx.now >= config_lease_until_) return refusal_reason::kConfigLeaseLost;
   }
   auto allowed = kind->second.deadline;
   if (request.time_left.count() > 0) allowed = std::min(allowed, request.time_left);
@@ -43,6 +46,11 @@
   request.arrival = ctx.now;
   if (auto reason = Validate(input, request, ctx)) {
     request.input.exchange = input.exchange;
+    request.input.first_submission = input.first_submission;
+    request.input.idempotency_key = input.idempotency_key;
+    auto kind = table_->kinds.find(input.kind);
+    request.repeatable =
+        kind == table_->kinds.end() ? input.idempotency_key.empty() : kind->second.repeatable;
     Refuse(request, *reason, std::chrono::microseconds(0), ctx);
     return;
   }
@@ -83,17 +91,31 @@
   ++request.attempt;
   request.at = phase::kWaitingForLink;
   router_.OnSent(*backend);
-  backend_link& link = links_[ToString(chosen.traffic_address)];
+  if (request.repeatable) {
+    Connect(request, ctx);
+  } else {
+    Claim(request, ctx);
+  }
+}
+
+template <policy_set P>
+void request_table<P>::Connect(entry_request& request, reduce_context& ctx) {
+  request.at = phase::kWaitingForLink;
+  backend_link& link = links_[ToString(request.backend_address)];
   if (link.link) {
     Send(request, *link.link, ctx);
     return;
   }
-  if (link.waiting.empty()) ctx.Emit(open_link{chosen.traffic_address});
+  if (link.waiting.empty()) ctx.Emit(open_link{request.backend_address});
   link.waiting.push_back(request.id);
 }
 
 template <policy_set P>
 void request_table<P>::Send(entry_request& request, link_id link, reduce_context& ctx) {
+  if (!request.repeatable && ReachesOtherLife(request)) {
+    Release(request, retry_reason::kRefusedByBackend, refusal_reason::kWrongIncarnation, ctx);
+    return;
+  }
   dispatch_request dispatch;
   dispatch.id = {request.id, request.attempt};
   dispatch.agent_incarnation = request.backend_incarnation;
@@ -121,12 +143,15 @@
   if (it == by_exchange_.end()) return;
   request_id id = it->second;
   ctx.Emit(count{counter::kCallersHungUp});
+  if (CloseClaimed(requests_.at(id), ctx)) return;
   CancelAtBackend(requests_.at(id), ctx);
   Erase(id, ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Handle(const routing_table_published& published, reduce_context& ctx) {
+  config_lease_until_ = published.config_lease_until;
+  if (published.table == table_) return;
   // Indexes change with the table, so those of requests in progress are looked up again by name.
   std::unordered_map<std::string_view, std::uint32_t> index;
   for (std::uint32_t i = 0; i < published.table->backends.size(); ++i) {
@@ -152,11 +177,14 @@
   if (opened.dialed.host.empty()) return;
   backend_link& link = links_[ToString(opened.dialed)];
   link.link = opened.link;
+  link.peer_incarnation = opened.peer.process.incarnation;
   std::vector<request_id> waiting = std::move(link.waiting);
   link.waiting.clear();
   for (const request_id& id : waiting) {
     auto it = requests_.find(id);
-    if (it == requests_.end() || it->second.at != phase::kWaitingForLink) continue;
+    if (it == requests_.end()) continue;
+    if (it->second.at == phase::kResolving) AskHolder(it->second, ctx);
+    if (it->second.at != phase::kWaitingForLink) continue;
     if (it->second.backend_address != opened.dialed) continue;
     Send(it->second, opened.link, ctx);
   }
@@ -175,6 +203,7 @@
     auto it = requests_.find(id);
     if (it == requests_.end()) continue;
     entry_request& request = it->second;
+    if (OnLinkClosedClaimed(request, ctx)) continue;
     if (request.at == phase::kWaitingForLink) {
       Retry(request, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
             dispatch_failure::kNone, ctx);
@@ -196,6 +225,7 @@
 void request_table<P>::Handle(const timer_expired&, reduce_context& ctx) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= ctx.now) {
     entry_request& request = requests_.at(deadlines_.begin()->second);
+    if (ExpireClaimed(request, ctx)) continue;
     CancelAtBackend(request, ctx);
     if (request.at == phase::kWaitingForLink && !request.response_begun) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
@@ -203,6 +233,7 @@
       Fail(request, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
+  RunSteps(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
     ctx.Emit(stop_process{requests_.empty()});
     return;
@@ -215,7 +246,7 @@
                                                                  reduce_context& ctx) {
   auto it = requests_.find(id.request);
   if (it != requests_.end() && it->second.attempt == id.attempt &&
-      it->second.at != phase::kWaitingForLink) {
+      (it->second.at == phase::kDispatched || it->second.at == phase::kAnswering)) {
     return &it->second;
   }
   ctx.Emit(count{counter::kStaleChunksDropped});
@@ -227,6 +258,11 @@
   entry_request* request = Find(begin.id, ctx);
   if (request == nullptr) return;
   request->at = phase::kAnswering;
+  if (!request->repeatable) {
+    request->claim.status = begin.status;
+    request->claim.content_type = begin.content_type;
+    return;
+  }
   if (request->response_begun) return;
   request->response_begun = true;
   ctx.Emit(respond_begin{request->input.exchange, begin.status, begin.content_type,
@@ -237,6 +273,10 @@
 void request_table<P>::Handle(link_id, const answer_chunk& chunk, reduce_context& ctx) {
   entry_request* request = Find(chunk.id, ctx);
   if (request == nullptr) return;
+  if (!request->repeatable) {
+    CollectChunk(*request, chunk, ctx);
+    return;
+  }
   if (chunk.offset > request->bytes_sent || !request->response_begun) {
     CancelAtBackend(*request, ctx);
     Fail(*request, dispatch_failure::kEngineError, ctx);
@@ -263,6 +303,14 @@
     Fail(*request, dispatch_failure::kEngineError, ctx);
     return;
   }
+  if (!request->repeatable) {
+    request->claim.answer_link = link;
+    request->at = phase::kStoring;
+    StoreOutcome(*request, record_status::kDone, ctx);
+    SetStep(*request, ctx.now + limits_.outcome_wait);
+    ScheduleNext(ctx);
+    return;
+  }
   ctx.Emit(send_message{link, answer_ack{end.id}});
   ctx.Emit(respond_end{request->input.exchange});
   ctx.Emit(count{counter::kAnswersCompleted});
@@ -306,6 +354,10 @@
 void request_table<P>::Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
                              dispatch_failure failure, reduce_context& ctx) {
   bool never_ran = refusal != refusal_reason::kNone;
+  if (never_ran && request.claim.granted) {
+    Release(request, reason, refusal, ctx);
+    return;
+  }
   bool allowed = (never_ran || request.repeatable) && request.attempt < limits_.max_attempts &&
                  ctx.now < request.deadline && retries_.TakeRetry(request.input.member, ctx.now);
   if (allowed) {
@@ -316,9 +368,6 @@
   }
   if (never_ran && !request.response_begun && request.attempt == 1) {
     Refuse(request, refusal, std::chrono::seconds(1), ctx);
-  } else if (never_ran && !request.response_begun && !request.repeatable) {
-    // A non-idempotent request is retried only after refusals, so no attempt has run.
-    Refuse(request, refusal, std::chrono::seconds(1), ctx);
   } else {
     Fail(request,
          failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure, ctx);
@@ -329,17 +378,22 @@
 void request_table<P>::Refuse(entry_request& request, refusal_reason reason,
                               std::chrono::microseconds retry_after, reduce_context& ctx) {
   ctx.Emit(count_refusal{reason});
-  ctx.Emit(respond_problem{request.input.exchange, reason, dispatch_failure::kNone,
-                           run_outcome::kNotRun, retry_after});
+  if (!request.abandoned) {
+    ctx.Emit(respond_problem{request.input.exchange, reason, dispatch_failure::kNone,
+                             RefusalOutcome(request, reason), retry_after});
+  }
   Erase(request.id, ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx) {
+  if (request.claim.granted && request.at != phase::kStoring) {
+    StoreOutcome(request, record_status::kUnknown, ctx);
+  }
   if (request.response_begun) {
     ctx.Emit(count{counter::kAnswersAborted});
     ctx.Emit(respond_abort{request.input.exchange, reason});
-  } else {
+  } else if (!request.abandoned) {
     ctx.Emit(respond_problem{request.input.exchange, refusal_reason::kNone, reason,
                              run_outcome::kUnknown, std::chrono::microseconds(0)});
   }
@@ -348,7 +402,7 @@
 
 template <policy_set P>
 void request_table<P>::CancelAtBackend(const entry_request& request, reduce_context& ctx) {
-  if (request.at == phase::kWaitingForLink) return;
+  if (request.at != phase::kDispatched && request.at != phase::kAnswering) return;
   auto it = links_.find(ToString(request.backend_address));
   if (it == links_.end() || !it->second.link) return;
   ctx.Emit(count{counter::kDispatchesCancelled});
@@ -361,6 +415,7 @@
   if (it == requests_.end()) return;
   if (it->second.attempt > 0) router_.OnDone(it->second.backend);
   deadlines_.erase({it->second.deadline, id});
+  steps_.erase({it->second.claim.step_at, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
   StopIfDrained(ctx);
@@ -374,6 +429,7 @@
 template <policy_set P>
 void request_table<P>::ScheduleNext(reduce_context& ctx) {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
+  if (!steps_.empty()) ctx.Emit(schedule_wakeup{steps_.begin()->first});
   if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
 }
 
