--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -105,11 +105,14 @@
     if (report.value("state", "") == "pending") {
       // A change that its leader lost is sent again; the id makes that harmless.
       auto sent = client.Call("/v1/config/changes", change.dump(), left());
-      if (!sent || sent->status != 202) return PrintFailure(sent);
+      // Without an answer, the change may have been proposed all the same.
+      if (!sent) break;
+      if (sent->status != 202) return PrintFailure(sent);
     }
     operator_client::Pause(kPollInterval);
     auto answer = client.Call(path, "", left());
-    if (!answer || answer->status != 200) return PrintFailure(answer);
+    if (!answer) break;
+    if (answer->status != 200) return PrintFailure(answer);
     json parsed = json::parse(answer->body, nullptr, false);
     if (!parsed.is_object()) return PrintFailure(answer);
     report = std::move(parsed);
