--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -57,6 +57,9 @@
   /// Sets the sheet in force under a configuration version.
   void SetWork(std::uint64_t version, work_sheet sheet, reduce_context& ctx);
 
+  /// Publishes the end of the configuration lease to the traffic threads.
+  void SetLease(steady_time until, reduce_context& ctx);
+
   std::size_t Size() const { return records_.size(); }
   /// Status as this entry routes by it; kDown if there is no record or its entry is lost.
   backend_status Status(const std::string& backend) const;
@@ -85,7 +88,7 @@
   void ExchangeDigest(reduce_context& ctx);
   directory_digest Digest(bool reply) const;
   entry_beats NewestBeats() const;
-  void Publish(reduce_context& ctx) const;
+  void Publish(reduce_context& ctx);
   void ScheduleNext(reduce_context& ctx) const;
 
   process_id self_;
@@ -105,6 +108,8 @@
   quarantine crashes_;
   std::uint64_t config_version_ = 0;
   work_sheet sheet_;
+  steady_time lease_until_ = steady_time::max();
+  std::shared_ptr<const routing_table> published_;
 };
 
 }  // namespace radishroute
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -6,6 +6,7 @@
 #include "radishroute/failure_event.h"
 #include "radishroute/link_event.h"
 #include "radishroute/raft_event.h"
+#include "radishroute/record_event.h"
 #include "radishroute/traffic_event.h"
 
 namespace radishroute {
@@ -30,7 +31,11 @@
     engine_probe_done,  //
     propose_command,  //
     change_voters,  //
-    log_stored>;
+    log_stored,  //
+    claim_submitted,  //
+    outcome_submitted,  //
+    claim_answered,  //
+    outcome_answered>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/invariant.h
+++ b/include/radishroute/invariant.h
@@ -1,15 +1,15 @@
 #ifndef RADISHROUTE_INVARIANT_H_
 #define RADISHROUTE_INVARIANT_H_
 
+#include <string_view>
+
 #include "radishroute/reduce_context.h"
 
 namespace radishroute {
 
-/// Checks an invariant in every build. If it does not hold, the process logs kInvariantViolated
-/// with `name` and stops: continuing could return a wrong answer.
-inline void CheckInvariant(bool holds, const char* name, reduce_context& ctx) {
-  if (!holds) ctx.Emit(report_violation{name});
-}
+/// Reports a violated invariant: writes kInvariantViolated, on which the event loop stops the
+/// process. Returns `holds`.
+bool CheckInvariant(bool holds, std::string_view what, reduce_context& ctx);
 
 }  // namespace radishroute
 
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -43,6 +43,12 @@
   kStorageFailed = 507,
   kLogTailTruncated = 508,
   kVoterCreated = 509,
+  kConfigApplied = 600,
+  kConfigRejected = 601,
+  kRecordContradiction = 602,
+  kConfigLeaseLost = 603,
+  kConfigLeaseGained = 604,
+  kLeaderFound = 605,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -3,9 +3,11 @@
 
 #include <variant>
 
+#include "radishroute/config_message.h"
 #include "radishroute/discovery_message.h"
 #include "radishroute/failure_message.h"
 #include "radishroute/raft_message.h"
+#include "radishroute/record_message.h"
 #include "radishroute/traffic_message.h"
 
 namespace radishroute {
@@ -53,7 +55,16 @@
     snapshot_chunk,  //
     snapshot_reply,  //
     propose_request,  //
-    propose_reply>;
+    propose_reply,  //
+    claim_request,  //
+    outcome_request,  //
+    record_reply,  //
+    outcome_reply,  //
+    lease_renew,  //
+    lease_grant,  //
+    config_push,  //
+    version_query,  //
+    version_reply>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -40,9 +40,15 @@
   kDirectoryRecordsExpired,
   kSlowCallersCut,
   kSlowSendersCut,
+  kClaimsSubmitted,
+  kClaimsHeld,
+  kOutcomesStored,
+  kOutcomesNotStored,
+  kStoredAnswersServed,
+  kDispatchesResolved,
 };
 
-inline constexpr std::size_t kCounterCount = 31;
+inline constexpr std::size_t kCounterCount = 37;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "radishroute/announcer.h"
+#include "radishroute/config_client.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
 #include "radishroute/link_monitor.h"
@@ -17,6 +18,7 @@
   std::optional<directory> backends;
   std::optional<announcer> announcements;
   std::optional<replicated_log<null_state_machine>> log;
+  std::optional<config_client> config;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -17,6 +17,8 @@
     {"agent", "run the work of one backend server", radishroute::RunAgent},
     {"controller", "run one replica of the log", radishroute::RunController},
     {"voter", "list or change the replicas of the log", radishroute::RunVoter},
+    {"apply", "put a sheet in force as a new configuration version", radishroute::RunApply},
+    {"status", "show the state of the controllers", radishroute::RunStatus},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
     {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
     {"load", "send requests and check every answer", radishroute::RunLoad},
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -357,6 +357,7 @@
 template <policy_set P>
 void execution_table<P>::Bury(const dispatch_id& id, dispatch_state state, reduce_context& ctx) {
   auto it = executions_.find(id);
+  bool repeatable = it != executions_.end() && it->second.request.repeatable;
   if (it != executions_.end()) {
     StopRunning(id, it->second, false, ctx);
     CheckInvariant(produced_total_ >= it->second.produced.size(),
@@ -367,6 +368,7 @@
   }
   ExpireTombstones(ctx.now);
   steady_time expires = ctx.now + limits_.tombstone_retention;
+  if (!repeatable) expires = ctx.now + limits_.claimed_tombstone_retention;
   if (tombstones_.emplace(id, tombstone{state, expires}).second) {
     tombstone_expiry_.insert({expires, id});
   }
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -7807,6 +7807,2763 @@
 }
 
 
+ClaimRequest::~ClaimRequest() noexcept {
+}
+
+
+void ClaimRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ClaimRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void ClaimRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ClaimRequest::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void ClaimRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void ClaimRequest::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void ClaimRequest::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimRequest &a, ClaimRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRequest::ClaimRequest(const ClaimRequest& other272) {
+  proposal = other272.proposal;
+  member = other272.member;
+  key = other272.key;
+  contentHash = other272.contentHash;
+  dispatch = other272.dispatch;
+  backend = other272.backend;
+  backendIncarnation = other272.backendIncarnation;
+  __isset = other272.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other273) noexcept {
+  proposal = other273.proposal;
+  member = std::move(other273.member);
+  key = std::move(other273.key);
+  contentHash = other273.contentHash;
+  dispatch = std::move(other273.dispatch);
+  backend = std::move(other273.backend);
+  backendIncarnation = other273.backendIncarnation;
+  __isset = other273.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other274) {
+  proposal = other274.proposal;
+  member = other274.member;
+  key = other274.key;
+  contentHash = other274.contentHash;
+  dispatch = other274.dispatch;
+  backend = other274.backend;
+  backendIncarnation = other274.backendIncarnation;
+  __isset = other274.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other275) noexcept {
+  proposal = other275.proposal;
+  member = std::move(other275.member);
+  key = std::move(other275.key);
+  contentHash = other275.contentHash;
+  dispatch = std::move(other275.dispatch);
+  backend = std::move(other275.backend);
+  backendIncarnation = other275.backendIncarnation;
+  __isset = other275.__isset;
+  return *this;
+}
+void ClaimRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ")";
+}
+
+
+OutcomeRequest::~OutcomeRequest() noexcept {
+}
+
+
+void OutcomeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void OutcomeRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void OutcomeRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void OutcomeRequest::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void OutcomeRequest::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void OutcomeRequest::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void OutcomeRequest::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeRequest &a, OutcomeRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatch, b.dispatch);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other276) {
+  proposal = other276.proposal;
+  member = other276.member;
+  key = other276.key;
+  dispatch = other276.dispatch;
+  status = other276.status;
+  answerStatus = other276.answerStatus;
+  answerType = other276.answerType;
+  answer = other276.answer;
+  __isset = other276.__isset;
+}
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other277) noexcept {
+  proposal = other277.proposal;
+  member = std::move(other277.member);
+  key = std::move(other277.key);
+  dispatch = std::move(other277.dispatch);
+  status = other277.status;
+  answerStatus = other277.answerStatus;
+  answerType = std::move(other277.answerType);
+  answer = std::move(other277.answer);
+  __isset = other277.__isset;
+}
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other278) {
+  proposal = other278.proposal;
+  member = other278.member;
+  key = other278.key;
+  dispatch = other278.dispatch;
+  status = other278.status;
+  answerStatus = other278.answerStatus;
+  answerType = other278.answerType;
+  answer = other278.answer;
+  __isset = other278.__isset;
+  return *this;
+}
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other279) noexcept {
+  proposal = other279.proposal;
+  member = std::move(other279.member);
+  key = std::move(other279.key);
+  dispatch = std::move(other279.dispatch);
+  status = other279.status;
+  answerStatus = other279.answerStatus;
+  answerType = std::move(other279.answerType);
+  answer = std::move(other279.answer);
+  __isset = other279.__isset;
+  return *this;
+}
+void OutcomeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+RecordReply::~RecordReply() noexcept {
+}
+
+
+void RecordReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void RecordReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void RecordReply::__set_holder(const DispatchId& val) {
+  this->holder = val;
+}
+
+void RecordReply::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordReply::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordReply::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void RecordReply::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordReply::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordReply::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordReply &a, RecordReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.holder, b.holder);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordReply::RecordReply(const RecordReply& other280) {
+  proposal = other280.proposal;
+  verdict = other280.verdict;
+  holder = other280.holder;
+  backend = other280.backend;
+  backendIncarnation = other280.backendIncarnation;
+  answerStored = other280.answerStored;
+  answerStatus = other280.answerStatus;
+  answerType = other280.answerType;
+  answer = other280.answer;
+  __isset = other280.__isset;
+}
+RecordReply::RecordReply(RecordReply&& other281) noexcept {
+  proposal = other281.proposal;
+  verdict = other281.verdict;
+  holder = std::move(other281.holder);
+  backend = std::move(other281.backend);
+  backendIncarnation = other281.backendIncarnation;
+  answerStored = other281.answerStored;
+  answerStatus = other281.answerStatus;
+  answerType = std::move(other281.answerType);
+  answer = std::move(other281.answer);
+  __isset = other281.__isset;
+}
+RecordReply& RecordReply::operator=(const RecordReply& other282) {
+  proposal = other282.proposal;
+  verdict = other282.verdict;
+  holder = other282.holder;
+  backend = other282.backend;
+  backendIncarnation = other282.backendIncarnation;
+  answerStored = other282.answerStored;
+  answerStatus = other282.answerStatus;
+  answerType = other282.answerType;
+  answer = other282.answer;
+  __isset = other282.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other283) noexcept {
+  proposal = other283.proposal;
+  verdict = other283.verdict;
+  holder = std::move(other283.holder);
+  backend = std::move(other283.backend);
+  backendIncarnation = other283.backendIncarnation;
+  answerStored = other283.answerStored;
+  answerStatus = other283.answerStatus;
+  answerType = std::move(other283.answerType);
+  answer = std::move(other283.answer);
+  __isset = other283.__isset;
+  return *this;
+}
+void RecordReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+OutcomeReply::~OutcomeReply() noexcept {
+}
+
+
+void OutcomeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeReply &a, OutcomeReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeReply::OutcomeReply(const OutcomeReply& other284) noexcept {
+  proposal = other284.proposal;
+  verdict = other284.verdict;
+  __isset = other284.__isset;
+}
+OutcomeReply::OutcomeReply(OutcomeReply&& other285) noexcept {
+  proposal = other285.proposal;
+  verdict = other285.verdict;
+  __isset = other285.__isset;
+}
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other286) noexcept {
+  proposal = other286.proposal;
+  verdict = other286.verdict;
+  __isset = other286.__isset;
+  return *this;
+}
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other287) noexcept {
+  proposal = other287.proposal;
+  verdict = other287.verdict;
+  __isset = other287.__isset;
+  return *this;
+}
+void OutcomeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ")";
+}
+
+
+LeaseRenew::~LeaseRenew() noexcept {
+}
+
+
+void LeaseRenew::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseRenew::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void LeaseRenew::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void LeaseRenew::__set_appliedVersion(const int64_t val) {
+  this->appliedVersion = val;
+}
+
+void LeaseRenew::__set_heardVersion(const int64_t val) {
+  this->heardVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedVersion);
+          this->__isset.appliedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardVersion);
+          this->__isset.heardVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenew");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenew &a, LeaseRenew &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.appliedVersion, b.appliedVersion);
+  swap(a.heardVersion, b.heardVersion);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseRenew::LeaseRenew(const LeaseRenew& other288) {
+  sequence = other288.sequence;
+  node = other288.node;
+  zone = other288.zone;
+  appliedVersion = other288.appliedVersion;
+  heardVersion = other288.heardVersion;
+  __isset = other288.__isset;
+}
+LeaseRenew::LeaseRenew(LeaseRenew&& other289) noexcept {
+  sequence = other289.sequence;
+  node = std::move(other289.node);
+  zone = std::move(other289.zone);
+  appliedVersion = other289.appliedVersion;
+  heardVersion = other289.heardVersion;
+  __isset = other289.__isset;
+}
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other290) {
+  sequence = other290.sequence;
+  node = other290.node;
+  zone = other290.zone;
+  appliedVersion = other290.appliedVersion;
+  heardVersion = other290.heardVersion;
+  __isset = other290.__isset;
+  return *this;
+}
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other291) noexcept {
+  sequence = other291.sequence;
+  node = std::move(other291.node);
+  zone = std::move(other291.zone);
+  appliedVersion = other291.appliedVersion;
+  heardVersion = other291.heardVersion;
+  __isset = other291.__isset;
+  return *this;
+}
+void LeaseRenew::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenew(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "appliedVersion=" << to_string(appliedVersion);
+  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ")";
+}
+
+
+LeaseGrant::~LeaseGrant() noexcept {
+}
+
+
+void LeaseGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseGrant::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void LeaseGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void LeaseGrant::__set_durationMicros(const int64_t val) {
+  this->durationMicros = val;
+}
+
+void LeaseGrant::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMicros);
+          this->__isset.durationMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseGrant &a, LeaseGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.durationMicros, b.durationMicros);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseGrant::LeaseGrant(const LeaseGrant& other292) {
+  sequence = other292.sequence;
+  granted = other292.granted;
+  leaderHint = other292.leaderHint;
+  durationMicros = other292.durationMicros;
+  version = other292.version;
+  __isset = other292.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other293) noexcept {
+  sequence = other293.sequence;
+  granted = other293.granted;
+  leaderHint = std::move(other293.leaderHint);
+  durationMicros = other293.durationMicros;
+  version = other293.version;
+  __isset = other293.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other294) {
+  sequence = other294.sequence;
+  granted = other294.granted;
+  leaderHint = other294.leaderHint;
+  durationMicros = other294.durationMicros;
+  version = other294.version;
+  __isset = other294.__isset;
+  return *this;
+}
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other295) noexcept {
+  sequence = other295.sequence;
+  granted = other295.granted;
+  leaderHint = std::move(other295.leaderHint);
+  durationMicros = other295.durationMicros;
+  version = other295.version;
+  __isset = other295.__isset;
+  return *this;
+}
+void LeaseGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "durationMicros=" << to_string(durationMicros);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigPush::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigPush::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other296) {
+  version = other296.version;
+  author = other296.author;
+  sheet = other296.sheet;
+  __isset = other296.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other297) noexcept {
+  version = other297.version;
+  author = std::move(other297.author);
+  sheet = std::move(other297.sheet);
+  __isset = other297.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other298) {
+  version = other298.version;
+  author = other298.author;
+  sheet = other298.sheet;
+  __isset = other298.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other299) noexcept {
+  version = other299.version;
+  author = std::move(other299.author);
+  sheet = std::move(other299.sheet);
+  __isset = other299.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+VersionQuery::~VersionQuery() noexcept {
+}
+
+
+void VersionQuery::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionQuery");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionQuery &a, VersionQuery &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+VersionQuery::VersionQuery(const VersionQuery& other300) noexcept {
+  sequence = other300.sequence;
+  __isset = other300.__isset;
+}
+VersionQuery::VersionQuery(VersionQuery&& other301) noexcept {
+  sequence = other301.sequence;
+  __isset = other301.__isset;
+}
+VersionQuery& VersionQuery::operator=(const VersionQuery& other302) noexcept {
+  sequence = other302.sequence;
+  __isset = other302.__isset;
+  return *this;
+}
+VersionQuery& VersionQuery::operator=(VersionQuery&& other303) noexcept {
+  sequence = other303.sequence;
+  __isset = other303.__isset;
+  return *this;
+}
+void VersionQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionQuery(";
+  out << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+VersionReply::~VersionReply() noexcept {
+}
+
+
+void VersionReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void VersionReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void VersionReply::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void VersionReply::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionReply");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionReply &a, VersionReply &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.sheet, b.sheet);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+VersionReply::VersionReply(const VersionReply& other304) {
+  sequence = other304.sequence;
+  version = other304.version;
+  sheet = other304.sheet;
+  zone = other304.zone;
+  __isset = other304.__isset;
+}
+VersionReply::VersionReply(VersionReply&& other305) noexcept {
+  sequence = other305.sequence;
+  version = other305.version;
+  sheet = std::move(other305.sheet);
+  zone = std::move(other305.zone);
+  __isset = other305.__isset;
+}
+VersionReply& VersionReply::operator=(const VersionReply& other306) {
+  sequence = other306.sequence;
+  version = other306.version;
+  sheet = other306.sheet;
+  zone = other306.zone;
+  __isset = other306.__isset;
+  return *this;
+}
+VersionReply& VersionReply::operator=(VersionReply&& other307) noexcept {
+  sequence = other307.sequence;
+  version = other307.version;
+  sheet = std::move(other307.sheet);
+  zone = std::move(other307.zone);
+  __isset = other307.__isset;
+  return *this;
+}
+void VersionReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "zone=" << to_string(zone);
+  out << ")";
+}
+
+
+StateVersion::~StateVersion() noexcept {
+}
+
+
+void StateVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StateVersion::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void StateVersion::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void StateVersion::__set_sheetHash(const int64_t val) {
+  this->sheetHash = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sheetHash);
+          this->__isset.sheetHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateVersion");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheetHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sheetHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateVersion &a, StateVersion &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.changeId, b.changeId);
+  swap(a.author, b.author);
+  swap(a.sheetHash, b.sheetHash);
+  swap(a.__isset, b.__isset);
+}
+
+StateVersion::StateVersion(const StateVersion& other308) {
+  version = other308.version;
+  changeId = other308.changeId;
+  author = other308.author;
+  sheetHash = other308.sheetHash;
+  __isset = other308.__isset;
+}
+StateVersion::StateVersion(StateVersion&& other309) noexcept {
+  version = other309.version;
+  changeId = std::move(other309.changeId);
+  author = std::move(other309.author);
+  sheetHash = other309.sheetHash;
+  __isset = other309.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other310) {
+  version = other310.version;
+  changeId = other310.changeId;
+  author = other310.author;
+  sheetHash = other310.sheetHash;
+  __isset = other310.__isset;
+  return *this;
+}
+StateVersion& StateVersion::operator=(StateVersion&& other311) noexcept {
+  version = other311.version;
+  changeId = std::move(other311.changeId);
+  author = std::move(other311.author);
+  sheetHash = other311.sheetHash;
+  __isset = other311.__isset;
+  return *this;
+}
+void StateVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateVersion(";
+  out << "version=" << to_string(version);
+  out << ", " << "changeId=" << to_string(changeId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheetHash=" << to_string(sheetHash);
+  out << ")";
+}
+
+
+StateChange::~StateChange() noexcept {
+}
+
+
+void StateChange::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void StateChange::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void StateChange::__set_sheetHash(const int64_t val) {
+  this->sheetHash = val;
+}
+
+void StateChange::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void StateChange::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StateChange::__set_winner(const StateVersion& val) {
+  this->winner = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sheetHash);
+          this->__isset.sheetHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->winner.read(iprot);
+          this->__isset.winner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateChange");
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheetHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sheetHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("winner", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->winner.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateChange &a, StateChange &b) {
+  using ::std::swap;
+  swap(a.changeId, b.changeId);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.sheetHash, b.sheetHash);
+  swap(a.verdict, b.verdict);
+  swap(a.version, b.version);
+  swap(a.winner, b.winner);
+  swap(a.__isset, b.__isset);
+}
+
+StateChange::StateChange(const StateChange& other312) {
+  changeId = other312.changeId;
+  baseVersion = other312.baseVersion;
+  sheetHash = other312.sheetHash;
+  verdict = other312.verdict;
+  version = other312.version;
+  winner = other312.winner;
+  __isset = other312.__isset;
+}
+StateChange::StateChange(StateChange&& other313) noexcept {
+  changeId = std::move(other313.changeId);
+  baseVersion = other313.baseVersion;
+  sheetHash = other313.sheetHash;
+  verdict = other313.verdict;
+  version = other313.version;
+  winner = std::move(other313.winner);
+  __isset = other313.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other314) {
+  changeId = other314.changeId;
+  baseVersion = other314.baseVersion;
+  sheetHash = other314.sheetHash;
+  verdict = other314.verdict;
+  version = other314.version;
+  winner = other314.winner;
+  __isset = other314.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other315) noexcept {
+  changeId = std::move(other315.changeId);
+  baseVersion = other315.baseVersion;
+  sheetHash = other315.sheetHash;
+  verdict = other315.verdict;
+  version = other315.version;
+  winner = std::move(other315.winner);
+  __isset = other315.__isset;
+  return *this;
+}
+void StateChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateChange(";
+  out << "changeId=" << to_string(changeId);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "sheetHash=" << to_string(sheetHash);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "winner=" << to_string(winner);
+  out << ")";
+}
+
+
+StateRecord::~StateRecord() noexcept {
+}
+
+
+void StateRecord::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void StateRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StateRecord::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void StateRecord::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void StateRecord::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void StateRecord::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void StateRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void StateRecord::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void StateRecord::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void StateRecord::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void StateRecord::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateRecord");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateRecord &a, StateRecord &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.status, b.status);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+StateRecord::StateRecord(const StateRecord& other316) {
+  member = other316.member;
+  key = other316.key;
+  contentHash = other316.contentHash;
+  dispatch = other316.dispatch;
+  backend = other316.backend;
+  backendIncarnation = other316.backendIncarnation;
+  status = other316.status;
+  answerStored = other316.answerStored;
+  answerStatus = other316.answerStatus;
+  answerType = other316.answerType;
+  answer = other316.answer;
+  __isset = other316.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other317) noexcept {
+  member = std::move(other317.member);
+  key = std::move(other317.key);
+  contentHash = other317.contentHash;
+  dispatch = std::move(other317.dispatch);
+  backend = std::move(other317.backend);
+  backendIncarnation = other317.backendIncarnation;
+  status = other317.status;
+  answerStored = other317.answerStored;
+  answerStatus = other317.answerStatus;
+  answerType = std::move(other317.answerType);
+  answer = std::move(other317.answer);
+  __isset = other317.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other318) {
+  member = other318.member;
+  key = other318.key;
+  contentHash = other318.contentHash;
+  dispatch = other318.dispatch;
+  backend = other318.backend;
+  backendIncarnation = other318.backendIncarnation;
+  status = other318.status;
+  answerStored = other318.answerStored;
+  answerStatus = other318.answerStatus;
+  answerType = other318.answerType;
+  answer = other318.answer;
+  __isset = other318.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other319) noexcept {
+  member = std::move(other319.member);
+  key = std::move(other319.key);
+  contentHash = other319.contentHash;
+  dispatch = std::move(other319.dispatch);
+  backend = std::move(other319.backend);
+  backendIncarnation = other319.backendIncarnation;
+  status = other319.status;
+  answerStored = other319.answerStored;
+  answerStatus = other319.answerStatus;
+  answerType = std::move(other319.answerType);
+  answer = std::move(other319.answer);
+  __isset = other319.__isset;
+  return *this;
+}
+void StateRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateRecord(";
+  out << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+StateSnapshot::~StateSnapshot() noexcept {
+}
+
+
+void StateSnapshot::__set_formatVersion(const int32_t val) {
+  this->formatVersion = val;
+}
+
+void StateSnapshot::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void StateSnapshot::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+
+void StateSnapshot::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void StateSnapshot::__set_current(const StateVersion& val) {
+  this->current = val;
+}
+
+void StateSnapshot::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void StateSnapshot::__set_versions(const std::vector<StateVersion> & val) {
+  this->versions = val;
+}
+
+void StateSnapshot::__set_changes(const std::vector<StateChange> & val) {
+  this->changes = val;
+}
+
+void StateSnapshot::__set_clockMicros(const int64_t val) {
+  this->clockMicros = val;
+}
+
+void StateSnapshot::__set_records(const std::vector<StateRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->formatVersion);
+          this->__isset.formatVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->replicas.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
+            {
+              xfer += this->replicas[_i324].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->current.read(iprot);
+          this->__isset.current = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->versions.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
+            {
+              xfer += this->versions[_i329].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->changes.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
+            {
+              xfer += this->changes[_i334].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMicros);
+          this->__isset.clockMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->records.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
+            {
+              xfer += this->records[_i339].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateSnapshot");
+
+  xfer += oprot->writeFieldBegin("formatVersion", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->formatVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter340;
+    for (_iter340 = this->replicas.begin(); _iter340 != this->replicas.end(); ++_iter340)
+    {
+      xfer += (*_iter340).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("current", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->current.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+    std::vector<StateVersion> ::const_iterator _iter341;
+    for (_iter341 = this->versions.begin(); _iter341 != this->versions.end(); ++_iter341)
+    {
+      xfer += (*_iter341).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<StateChange> ::const_iterator _iter342;
+    for (_iter342 = this->changes.begin(); _iter342 != this->changes.end(); ++_iter342)
+    {
+      xfer += (*_iter342).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clockMicros", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->clockMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<StateRecord> ::const_iterator _iter343;
+    for (_iter343 = this->records.begin(); _iter343 != this->records.end(); ++_iter343)
+    {
+      xfer += (*_iter343).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateSnapshot &a, StateSnapshot &b) {
+  using ::std::swap;
+  swap(a.formatVersion, b.formatVersion);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.current, b.current);
+  swap(a.sheet, b.sheet);
+  swap(a.versions, b.versions);
+  swap(a.changes, b.changes);
+  swap(a.clockMicros, b.clockMicros);
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+StateSnapshot::StateSnapshot(const StateSnapshot& other344) {
+  formatVersion = other344.formatVersion;
+  lastIndex = other344.lastIndex;
+  lastTerm = other344.lastTerm;
+  replicas = other344.replicas;
+  current = other344.current;
+  sheet = other344.sheet;
+  versions = other344.versions;
+  changes = other344.changes;
+  clockMicros = other344.clockMicros;
+  records = other344.records;
+  __isset = other344.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other345) noexcept {
+  formatVersion = other345.formatVersion;
+  lastIndex = other345.lastIndex;
+  lastTerm = other345.lastTerm;
+  replicas = std::move(other345.replicas);
+  current = std::move(other345.current);
+  sheet = std::move(other345.sheet);
+  versions = std::move(other345.versions);
+  changes = std::move(other345.changes);
+  clockMicros = other345.clockMicros;
+  records = std::move(other345.records);
+  __isset = other345.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other346) {
+  formatVersion = other346.formatVersion;
+  lastIndex = other346.lastIndex;
+  lastTerm = other346.lastTerm;
+  replicas = other346.replicas;
+  current = other346.current;
+  sheet = other346.sheet;
+  versions = other346.versions;
+  changes = other346.changes;
+  clockMicros = other346.clockMicros;
+  records = other346.records;
+  __isset = other346.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other347) noexcept {
+  formatVersion = other347.formatVersion;
+  lastIndex = other347.lastIndex;
+  lastTerm = other347.lastTerm;
+  replicas = std::move(other347.replicas);
+  current = std::move(other347.current);
+  sheet = std::move(other347.sheet);
+  versions = std::move(other347.versions);
+  changes = std::move(other347.changes);
+  clockMicros = other347.clockMicros;
+  records = std::move(other347.records);
+  __isset = other347.__isset;
+  return *this;
+}
+void StateSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateSnapshot(";
+  out << "formatVersion=" << to_string(formatVersion);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "current=" << to_string(current);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "versions=" << to_string(versions);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "clockMicros=" << to_string(clockMicros);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
+
 FrameHeader::~FrameHeader() noexcept {
 }
 
@@ -7899,26 +10656,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other272) noexcept {
-  protocolVersion = other272.protocolVersion;
-  messageType = other272.messageType;
-  __isset = other272.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other348) noexcept {
+  protocolVersion = other348.protocolVersion;
+  messageType = other348.messageType;
+  __isset = other348.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other273) noexcept {
-  protocolVersion = other273.protocolVersion;
-  messageType = other273.messageType;
-  __isset = other273.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other349) noexcept {
+  protocolVersion = other349.protocolVersion;
+  messageType = other349.messageType;
+  __isset = other349.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other274) noexcept {
-  protocolVersion = other274.protocolVersion;
-  messageType = other274.messageType;
-  __isset = other274.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other350) noexcept {
+  protocolVersion = other350.protocolVersion;
+  messageType = other350.messageType;
+  __isset = other350.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other275) noexcept {
-  protocolVersion = other275.protocolVersion;
-  messageType = other275.messageType;
-  __isset = other275.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other351) noexcept {
+  protocolVersion = other351.protocolVersion;
+  messageType = other351.messageType;
+  __isset = other351.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -9,6 +9,7 @@
 #include "io/wire_discovery.h"
 #include "io/wire_failure.h"
 #include "io/wire_log.h"
+#include "io/wire_records.h"
 #include "io/wire_traffic.h"
 
 namespace radishroute {
@@ -58,7 +59,16 @@
     wire_entry<34, snapshot_chunk, wire::SnapshotChunk>,  //
     wire_entry<35, snapshot_reply, wire::SnapshotReply>,  //
     wire_entry<36, propose_request, wire::ProposeRequest>,  //
-    wire_entry<37, propose_reply, wire::ProposeReply>>;
+    wire_entry<37, propose_reply, wire::ProposeReply>,  //
+    wire_entry<50, claim_request, wire::ClaimRequest>,  //
+    wire_entry<51, outcome_request, wire::OutcomeRequest>,  //
+    wire_entry<52, record_reply, wire::RecordReply>,  //
+    wire_entry<53, outcome_reply, wire::OutcomeReply>,  //
+    wire_entry<54, lease_renew, wire::LeaseRenew>,  //
+    wire_entry<55, lease_grant, wire::LeaseGrant>,  //
+    wire_entry<56, config_push, wire::ConfigPush>,  //
+    wire_entry<57, version_query, wire::VersionQuery>,  //
+    wire_entry<58, version_reply, wire::VersionReply>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -70,6 +70,18 @@
       return "log-tail-truncated";
     case event_code::kVoterCreated:
       return "voter-created";
+    case event_code::kConfigApplied:
+      return "config-applied";
+    case event_code::kConfigRejected:
+      return "config-rejected";
+    case event_code::kRecordContradiction:
+      return "record-contradiction";
+    case event_code::kConfigLeaseLost:
+      return "config-lease-lost";
+    case event_code::kConfigLeaseGained:
+      return "config-lease-gained";
+    case event_code::kLeaderFound:
+      return "leader-found";
     case event_code::kInvariantViolated:
       return "invariant-violated";
   }
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -35,7 +35,7 @@
                                                                   "directory_pulls",
                                                                   "directory_records_expired",
                                                                   "slow_callers_cut",
-                                                                  "slow_senders_cut"};
+                                                                  "slow_senders_cut", "claims_submitted", "claims_held", "outcomes_stored", "outcomes_not_stored", "stored_answers_served", "dispatches_resolved"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -30,6 +30,7 @@
   visit(state.control.backends);
   visit(state.control.announcements);
   visit(state.control.log);
+  visit(state.control.config);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
   visit(state.links);
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "radishroute/idempotency_key.h"
 #include "radishroute/invariant.h"
 #include "radishroute/policies.h"
 #include "requests_links.h"
@@ -31,8 +32,10 @@
   out.cls = kind->second.cls;
   out.repeatable = kind->second.repeatable;
   out.weight = member->second.weight;
-  if (!out.repeatable && request.idempotency_key.empty()) {
-    return refusal_reason::kMissingIdempotencyKey;
+  if (!out.repeatable) {
+    if (request.idempotency_key.empty()) return refusal_reason::kMissingIdempotencyKey;
+    if (!KeyTime(request.idempotency_key)) return refusal_reason::kMalformedIdempotencyKey;
+    if (ctx.now >= config_lease_until_) return refusal_reason::kConfigLeaseLost;
   }
   auto allowed = kind->second.deadline;
   if (request.time_left.count() > 0) allowed = std::min(allowed, request.time_left);
@@ -49,6 +52,11 @@
   request.content = {StableHash(input.body, StableHash(input.member))};
   if (auto reason = Validate(input, request, ctx)) {
     request.input.exchange = input.exchange;
+    request.input.first_submission = input.first_submission;
+    request.input.idempotency_key = input.idempotency_key;
+    auto kind = table_->kinds.find(input.kind);
+    request.repeatable =
+        kind == table_->kinds.end() ? input.idempotency_key.empty() : kind->second.repeatable;
     Refuse(request, *reason, std::chrono::microseconds(0), ctx);
     return;
   }
@@ -125,7 +133,18 @@
   ++request.attempt;
   request.gap_at.reset();
   request.counted = true;
+  request.at = phase::kWaitingForLink;
   router_.OnSent(request.backend);
+  if (request.repeatable) {
+    Connect(request, ctx);
+  } else {
+    Claim(request, ctx);
+  }
+}
+
+template <policy_set P>
+void request_table<P>::Connect(entry_request& request, reduce_context& ctx) {
+  request.at = phase::kWaitingForLink;
   JoinLink(request, ctx);
 }
 
@@ -133,6 +152,10 @@
 void request_table<P>::Send(entry_request& request, link_id link, reduce_context& ctx) {
   CheckInvariant(request.repeatable || !request.may_have_run,
                  "a non-idempotent request runs at most once", ctx);
+  if (!request.repeatable && ReachesOtherLife(request)) {
+    Release(request, retry_reason::kRefusedByBackend, refusal_reason::kWrongIncarnation, ctx);
+    return;
+  }
   dispatch_request dispatch;
   dispatch.id = {request.id, request.attempt};
   dispatch.agent_incarnation = request.backend_incarnation;
@@ -164,12 +187,15 @@
   if (it == by_exchange_.end()) return;
   request_id id = it->second;
   ctx.Emit(count{counter::kCallersHungUp});
+  if (CloseClaimed(requests_.at(id), ctx)) return;
   CancelAtBackend(requests_.at(id), ctx);
   Erase(id, ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Handle(const routing_table_published& published, reduce_context& ctx) {
+  config_lease_until_ = published.config_lease_until;
+  if (published.table == table_) return;
   // Indexes change with the table, so those of requests in progress are looked up again by name.
   std::unordered_map<std::string_view, std::uint32_t> index;
   for (std::uint32_t i = 0; i < published.table->backends.size(); ++i) {
@@ -201,6 +227,7 @@
 void request_table<P>::Handle(const timer_expired&, reduce_context& ctx) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= ctx.now) {
     entry_request& request = requests_.at(deadlines_.begin()->second);
+    if (ExpireClaimed(request, ctx)) continue;
     CancelAtBackend(request, ctx);
     if (!MayHaveRun(request)) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
@@ -210,6 +237,7 @@
   }
   std::erase_if(unreachable_, [&](const auto& entry) { return entry.second <= ctx.now; });
   CloseIdleLinks(ctx);
+  RunSteps(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
     ctx.Emit(stop_process{requests_.empty()});
     return;
@@ -224,7 +252,8 @@
   auto it = requests_.find(id.request);
   // Messages of the link that a new one replaced are late too: the agent repeats them.
   if (it != requests_.end() && it->second.attempt == id.attempt &&
-      it->second.at != phase::kWaitingForLink && it->second.link == link) {
+      (it->second.at == phase::kDispatched || it->second.at == phase::kAnswering) &&
+      it->second.link == link) {
     return &it->second;
   }
   ctx.Emit(count{counter::kStaleChunksDropped});
@@ -236,6 +265,11 @@
   entry_request* request = Find(link, begin.id, ctx);
   if (request == nullptr) return;
   request->at = phase::kAnswering;
+  if (!request->repeatable) {
+    request->claim.status = begin.status;
+    request->claim.content_type = begin.content_type;
+    return;
+  }
   if (!request->response_begun) {
     request->response_begun = true;
     request->response_status = begin.status;
@@ -256,6 +290,10 @@
     RequestMissing(*request, ctx);
     return;
   }
+  if (!request->repeatable) {
+    CollectChunk(*request, chunk, ctx);
+    return;
+  }
   std::uint64_t overlap = request->bytes_sent - chunk.offset;
   if (overlap >= chunk.bytes.size()) {
     ctx.Emit(count{counter::kStaleChunksDropped});
@@ -284,6 +322,15 @@
     Fail(*request, dispatch_failure::kEngineError, ctx);
     return;
   }
+  if (!request->repeatable) {
+    ClearSuspicion(*request, ctx);
+    request->claim.answer_link = link;
+    request->at = phase::kStoring;
+    StoreOutcome(*request, record_status::kDone, ctx);
+    SetStep(*request, ctx.now + limits_.outcome_wait);
+    ScheduleNext(ctx);
+    return;
+  }
   ctx.Emit(send_message{link, answer_ack{end.id}});
   ctx.Emit(respond_end{request->input.exchange});
   ctx.Emit(count{counter::kAnswersCompleted});
@@ -336,6 +383,10 @@
 void request_table<P>::Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
                              dispatch_failure failure, reduce_context& ctx) {
   bool never_ran = refusal != refusal_reason::kNone;
+  if (never_ran && request.claim.granted) {
+    Release(request, reason, refusal, ctx);
+    return;
+  }
   if (!never_ran) request.may_have_run = true;
   LeaveLink(request, ctx);
   request.at = phase::kWaitingForLink;
@@ -367,17 +418,22 @@
                               std::chrono::microseconds retry_after, reduce_context& ctx) {
   CheckInvariant(!MayHaveRun(request), "a request reported as not run did not run", ctx);
   ctx.Emit(count_refusal{reason});
-  ctx.Emit(respond_problem{request.input.exchange, reason, dispatch_failure::kNone,
-                           run_outcome::kNotRun, retry_after});
+  if (!request.abandoned) {
+    ctx.Emit(respond_problem{request.input.exchange, reason, dispatch_failure::kNone,
+                             RefusalOutcome(request, reason), retry_after});
+  }
   Erase(request.id, ctx);
 }
 
 template <policy_set P>
 void request_table<P>::Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx) {
+  if (request.claim.granted && request.at != phase::kStoring) {
+    StoreOutcome(request, record_status::kUnknown, ctx);
+  }
   if (request.response_begun) {
     ctx.Emit(count{counter::kAnswersAborted});
     ctx.Emit(respond_abort{request.input.exchange, reason});
-  } else {
+  } else if (!request.abandoned) {
     ctx.Emit(respond_problem{request.input.exchange, refusal_reason::kNone, reason,
                              run_outcome::kUnknown, std::chrono::microseconds(0)});
   }
@@ -386,7 +442,7 @@
 
 template <policy_set P>
 void request_table<P>::CancelAtBackend(const entry_request& request, reduce_context& ctx) {
-  if (request.at == phase::kWaitingForLink) return;
+  if (request.at != phase::kDispatched && request.at != phase::kAnswering) return;
   ctx.Emit(count{counter::kDispatchesCancelled});
   ctx.Emit(send_message{request.link, cancel_dispatch{{request.id, request.attempt}}});
 }
@@ -398,10 +454,11 @@
   if (it->second.counted) router_.OnDone(it->second.backend);
   LeaveLink(it->second, ctx);
   deadlines_.erase({it->second.deadline, id});
+  steps_.erase({it->second.claim.step_at, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
-  CheckInvariant(by_exchange_.size() == requests_.size() && deadlines_.size() == requests_.size(),
-                 "every request has one exchange and one deadline", ctx);
+  CheckInvariant(by_exchange_.size() <= requests_.size() && deadlines_.size() == requests_.size(),
+                 "every request has one deadline and at most one exchange", ctx);
   StopIfDrained(ctx);
 }
 
@@ -419,6 +476,7 @@
       ctx.Emit(schedule_wakeup{link.idle_since + limits_.idle_link_timeout});
     }
   }
+  if (!steps_.empty()) ctx.Emit(schedule_wakeup{steps_.begin()->first});
   if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
 }
 
--- a/src/requests_links.h
+++ b/src/requests_links.h
@@ -63,6 +63,12 @@
   link.peer_incarnation = opened.peer.process.incarnation;
   link.opening = false;
   unreachable_.erase(opened.dialed);
+  std::vector<request_id> resolving = std::move(link.resolving);
+  link.resolving.clear();
+  for (const request_id& id : resolving) {
+    auto it = requests_.find(id);
+    if (it != requests_.end() && it->second.at == phase::kResolving) AskHolder(it->second, ctx);
+  }
   // A copy: a request that moves to another backend server leaves the set.
   std::vector<request_id> users(link.users.begin(), link.users.end());
   for (const request_id& id : users) {
@@ -71,6 +77,9 @@
     entry_request& request = it->second;
     if (request.at == phase::kWaitingForLink) {
       Send(request, opened.link, ctx);
+    } else if (!InFlight(request)) {
+      // It has its whole answer, or waits for a record.
+      continue;
     } else if (request.backend_incarnation == opened.peer.process.incarnation) {
       Attach(request, opened.link, ctx);
     } else {
@@ -121,7 +130,7 @@
     if (it->second.at == phase::kWaitingForLink) {
       Retry(it->second, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
             dispatch_failure::kNone, ctx);
-    } else {
+    } else if (InFlight(it->second)) {
       LoseAttempt(it->second, dispatch_failure::kLinkLost, ctx);
     }
   }
@@ -140,6 +149,7 @@
     ctx.Emit(count{counter::kCrashCharges});
     ctx.Emit(share_crash_report{std::move(fresh)});
   }
+  if (FailClaimed(request, failure, ctx)) return;
   retry_reason reason = failure == dispatch_failure::kAgentRestarted ? retry_reason::kAgentRestarted
                                                                      : retry_reason::kLinkLost;
   Retry(request, reason, refusal_reason::kNone, failure, ctx);
@@ -185,7 +195,8 @@
   if (quarantined.empty()) return;
   std::vector<request_id> affected;
   for (const auto& [id, request] : requests_) {
-    if (quarantined.contains(request.content)) affected.push_back(id);
+    bool complete = request.at == phase::kStoring;
+    if (!complete && quarantined.contains(request.content)) affected.push_back(id);
   }
   for (const request_id& id : affected) {
     entry_request& request = requests_.at(id);
@@ -210,7 +221,12 @@
 
 template <policy_set P>
 bool request_table<P>::MayHaveRun(const entry_request& request) const {
-  return request.may_have_run || request.at != phase::kWaitingForLink;
+  return request.may_have_run || InFlight(request) || request.at == phase::kStoring;
+}
+
+template <policy_set P>
+bool request_table<P>::InFlight(const entry_request& request) const {
+  return request.at == phase::kDispatched || request.at == phase::kAnswering;
 }
 
 // Only engines continue a stream at an offset.
--- a/tests/fake_traffic.h
+++ b/tests/fake_traffic.h
@@ -231,7 +231,11 @@
       Apply(n, engine_probe_done{number, true});
     });
   }
-  void Execute(node&, report_violation& e) { throw std::runtime_error(e.name); }
+  void Execute(node&, write_log& e) {
+    if (e.event.code == event_code::kInvariantViolated) {
+      throw std::runtime_error(e.event.fields.front().value);
+    }
+  }
   template <class Other>
   void Execute(node&, Other&) {}
 
