--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -100,8 +100,9 @@
   void LeaveLink(entry_request& request, reduce_context& ctx);
   void Attach(entry_request& request, link_id link, reduce_context& ctx);
   void RequestMissing(entry_request& request, reduce_context& ctx);
-  void LoseBackend(link_map::iterator found, reduce_context& ctx);
-  void LoseAttempt(entry_request& request, dispatch_failure failure, reduce_context& ctx);
+  void LoseBackend(link_map::iterator found, bool died, reduce_context& ctx);
+  void LoseAttempt(entry_request& request, dispatch_failure failure, bool died,
+                   reduce_context& ctx);
   void CloseIdleLinks(reduce_context& ctx);
   void MergeCrashes(const crash_report& report, reduce_context& ctx);
   void ClearSuspicion(const entry_request& request, reduce_context& ctx);
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -56,6 +56,8 @@
 struct agent_settings {
   common_settings common;
   endpoint traffic_listen;
+  /// Address announced to entries if it differs from `traffic_listen`, for example behind NAT.
+  endpoint traffic_advertise;
   endpoint admin_listen;
   std::vector<endpoint> entries;
   std::vector<endpoint> controllers;
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -18,7 +18,7 @@
   a.incarnation = self.process.incarnation;
   a.kind = settings.kind;
   a.zone = settings.common.zone;
-  a.traffic_address = settings.traffic_listen;
+  a.traffic_address = settings.traffic_advertise;
   a.models = settings.models;
   a.adapters = settings.adapters;
   a.version = settings.version;
--- a/src/io/link.cc
+++ b/src/io/link.cc
@@ -23,6 +23,9 @@
 // Longest wait for the peer's hello on a new connection.
 constexpr std::chrono::microseconds kHelloTimeout{1000000};
 
+// A refused connection is known after one round trip.
+constexpr std::chrono::milliseconds kRefusalWithin{1000};
+
 bool SecretsEqual(const std::string& a, const std::string& b) {
   return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -34,6 +37,7 @@
   lws* wsi = nullptr;
   link_id id;
   endpoint dialed;
+  steady_time dialed_at;
   bool peer_known = false;
   bool closing = false;
   std::error_code close_reason;
@@ -83,6 +87,7 @@
   c->owner = this;
   c->id = {next_id_++};
   c->dialed = address;
+  c->dialed_at = std::chrono::steady_clock::now();
   connection* raw = c.get();
   connections_.emplace(raw->id.value, std::move(c));
 
@@ -254,7 +259,14 @@
       return c == nullptr ? -1 : c->owner->OnWritable(*c);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       lws_set_opaque_user_data(wsi, nullptr);
-      if (c != nullptr) c->owner->OnClosed(*c, errc::kConnectFailed);
+      if (c == nullptr) return 0;
+      // A refusal comes at once and shows that the peer's process is gone; a host that does not
+      // answer may only be cut off.
+      if (std::chrono::steady_clock::now() - c->dialed_at >= kRefusalWithin) {
+        c->owner->OnClosed(*c, errc::kTimeout);
+      } else {
+        c->owner->OnClosed(*c, errc::kConnectFailed);
+      }
       return 0;
     case LWS_CALLBACK_RAW_CLOSE:
       lws_set_opaque_user_data(wsi, nullptr);
--- a/src/requests_links.h
+++ b/src/requests_links.h
@@ -75,7 +75,7 @@
       Attach(request, opened.link, ctx);
     } else {
       // Another life of the agent knows nothing of the dispatch.
-      LoseAttempt(request, dispatch_failure::kAgentRestarted, ctx);
+      LoseAttempt(request, dispatch_failure::kAgentRestarted, true, ctx);
     }
   }
 }
@@ -86,7 +86,7 @@
   if (found == links_.end()) return;
   backend_link& link = found->second;
   if (closed.link.value == 0) {
-    LoseBackend(found, ctx);
+    LoseBackend(found, closed.reason == errc::kConnectFailed, ctx);
     return;
   }
   if (link.link != closed.link) return;
@@ -101,7 +101,7 @@
 }
 
 template <policy_set P>
-void request_table<P>::LoseBackend(link_map::iterator found, reduce_context& ctx) {
+void request_table<P>::LoseBackend(link_map::iterator found, bool died, reduce_context& ctx) {
   endpoint address = found->first;
   std::set<request_id> users = std::move(found->second.users);
   if (found->second.link) ctx.Emit(close_link{*found->second.link});
@@ -122,19 +122,23 @@
       Retry(it->second, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
             dispatch_failure::kNone, ctx);
     } else {
-      LoseAttempt(it->second, dispatch_failure::kLinkLost, ctx);
+      LoseAttempt(it->second, dispatch_failure::kLinkLost, died, ctx);
     }
   }
 }
 
-// The agent is lost with a dispatch in flight. Its engine may have crashed and taken the agent's
-// VM with it, so the fingerprint is charged as if the engine had crashed.
+// If the agent's process died, its engine may have crashed and taken the agent with it, so the
+// fingerprint is charged as if the engine had crashed. Silence is no sign of a crash: a partition
+// or a stopped agent would make a suspect of every request in flight, and a retry that meets the
+// same partition would be quarantined.
 template <policy_set P>
-void request_table<P>::LoseAttempt(entry_request& request, dispatch_failure failure,
+void request_table<P>::LoseAttempt(entry_request& request, dispatch_failure failure, bool died,
                                    reduce_context& ctx) {
   crash_report report;
-  report.charges.push_back(
-      {request.content, CrashSource(request.backend_name, request.backend_incarnation), 0, {}});
+  if (died) {
+    report.charges.push_back(
+        {request.content, CrashSource(request.backend_name, request.backend_incarnation), 0, {}});
+  }
   crash_report fresh = crashes_.Merge(report, ctx.now);
   if (!Empty(fresh)) {
     ctx.Emit(count{counter::kCrashCharges});
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -59,6 +59,8 @@
   ReadCommon(reader, out.common);
   reader.Read("policy", out.common.policy, false);
   reader.Read("traffic_listen", out.traffic_listen, true);
+  out.traffic_advertise = out.traffic_listen;
+  reader.Read("traffic_advertise", out.traffic_advertise, false);
   reader.Read("admin_listen", out.admin_listen, true);
   reader.Read("entries", out.entries, true);
   reader.Read("controllers", out.controllers, false);
--- a/tests/fake_traffic.h
+++ b/tests/fake_traffic.h
@@ -161,7 +161,9 @@
   void Execute(node&, open_link& e) {
     endpoint address = e.address;
     if (Chance(faults_.refuse_open)) {
-      At(now_ + Delay(20), [=, this] { Apply(entry_, link_closed{{0}, address, {}}); });
+      At(now_ + Delay(20), [=, this] {
+        Apply(entry_, link_closed{{0}, address, errc::kConnectFailed});
+      });
       return;
     }
     std::uint64_t link = ++next_link_;
