Bound slow callers and senders and retry dispatches lost on the way

Callers that send or read slowly are cut off after a timeout and counted. Requests on an engine that answers no probe are moved.

--- a/include/radishroute/engine_health.h
+++ b/include/radishroute/engine_health.h
@@ -37,8 +37,8 @@
   /// Returns the result if this is the newest probe.
   std::optional<bool> OnProbe(const engine_probe_done& done, reduce_context& ctx);
 
-  /// Returns false if a probe has just timed out.
-  std::optional<bool> OnTimer(reduce_context& ctx);
+  /// True if a probe has just timed out.
+  bool OnTimer(reduce_context& ctx);
 
   void ScheduleNext(reduce_context& ctx) const;
 
--- a/include/radishroute/executions.h
+++ b/include/radishroute/executions.h
@@ -89,6 +89,8 @@
     std::uint64_t kept_from = 0;
   };
 
+  enum class engine_verdict : std::uint8_t { kAnswers, kRefuses, kSilent };
+
   load_report Load() const;
   void Pump(reduce_context& ctx);
   void StartCall(const dispatch_id& id, execution& run, reduce_context& ctx);
@@ -99,7 +101,8 @@
   void StopRunning(const dispatch_id& id, execution& run, reduce_context& ctx);
   void RefuseQueued(refusal_reason reason, reduce_context& ctx);
   void CheckProgress(reduce_context& ctx);
-  void DecideCrash(bool engine_answers, reduce_context& ctx);
+  void DecideCrash(engine_verdict verdict, reduce_context& ctx);
+  void FailStalled(reduce_context& ctx);
   void ReportCrash(const std::vector<dispatch_id>& lost, reduce_context& ctx);
   void RejectAll(const std::vector<rejected_work>& rejected, reduce_context& ctx);
   void Refuse(link_id link, const dispatch_id& id, refusal_reason reason, reduce_context& ctx);
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -22,6 +22,8 @@
 struct request_limits {
   std::size_t max_requests = 20000;
   std::uint32_t max_attempts = 3;
+  /// Attempts beyond that for dispatches that were lost on the way and cost no server anything.
+  std::uint32_t max_lost_dispatches = 3;
   /// A link to a backend server without requests in progress is closed after this time.
   std::chrono::milliseconds idle_link_timeout{10000};
   /// Longest time without new attempts after a link to a backend server could not be opened.
@@ -79,6 +81,8 @@
     std::uint32_t response_status = 0;
     /// An earlier attempt may have run, so "not run" would be false.
     bool may_have_run = false;
+    /// Dispatches that a broken link lost before the agent read them.
+    std::uint32_t lost_dispatches = 0;
     std::vector<std::uint32_t> tried;
   };
 
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -47,6 +47,11 @@
   std::uint32_t threads = 2;
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::size_t max_requests = 20000;
+  /// Bytes that may wait for one slow caller; more than the longest answer.
+  std::size_t max_buffered_bytes = std::size_t{6} << 20;
+  /// Time for a caller to send its whole body, and to take any part of an answer.
+  std::chrono::milliseconds body_timeout{10000};
+  std::chrono::milliseconds write_timeout{10000};
   std::vector<endpoint> peers;
   std::vector<endpoint> controllers;
   /// Sheet used until a controller provides a configuration; empty for none.
--- a/src/cli/admin.cc
+++ b/src/cli/admin.cc
@@ -9,7 +9,8 @@
 admin_api::admin_api(io_loop& loop, handler extra)
     : extra_(std::move(extra)),
       server_(loop, http_server_settings({std::string("authorization")}),
-              {[this](http_request&& request) { OnRequest(request); }, nullptr, nullptr}) {}
+              {[this](http_request&& request) { OnRequest(request); }, nullptr, nullptr, nullptr}) {
+}
 
 void admin_api::OnRequest(const http_request& request) {
   if (request.method == "GET" && request.path == "/metrics") {
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -94,6 +94,9 @@
       thread->State().traffic.requests.emplace(origin, i, limits);
       http_server_settings http;
       http.max_body_bytes = settings_.max_body_bytes;
+      http.max_buffered_bytes = settings_.max_buffered_bytes;
+      http.body_timeout = settings_.body_timeout;
+      http.write_timeout = settings_.write_timeout;
       http.tls_certificate = settings_.tls_certificate;
       http.tls_key = settings_.tls_key;
       thread->ServeCallers(http);
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -22,7 +22,7 @@
         crash_on_(std::move(crash_on)),
         server_(loop_, http_server_settings({"x-priority", "x-resume-offset", "idempotency-key"}),
                 {[this](http_request&& request) { OnRequest(std::move(request)); },
-                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr}) {
+                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr, nullptr}) {
     loop_.SetTimerHandler([this] { Apply(engine_step_due{}); });
   }
 
--- a/src/engine_health.cc
+++ b/src/engine_health.cc
@@ -27,12 +27,12 @@
   return done.answered;
 }
 
-std::optional<bool> engine_health::OnTimer(reduce_context& ctx) {
-  std::optional<bool> result;
+bool engine_health::OnTimer(reduce_context& ctx) {
+  bool timed_out = false;
   if (probe_sent_ && ctx.now - *probe_sent_ >= limits_.probe_timeout) {
     probe_sent_.reset();
     SetStatus(false, ctx);
-    result = false;
+    timed_out = true;
   } else if (!probe_sent_ && ctx.now >= next_probe_) {
     if (status_ == status::kUp && ctx.now - last_sign_ < limits_.idle_interval) {
       next_probe_ = last_sign_ + limits_.idle_interval;
@@ -41,7 +41,7 @@
     }
   }
   ScheduleNext(ctx);
-  return result;
+  return timed_out;
 }
 
 void engine_health::SetStatus(bool up, reduce_context& ctx) {
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -317,7 +317,7 @@
     }
   }
   CheckProgress(ctx);
-  if (auto answers = health_.OnTimer(ctx)) DecideCrash(*answers, ctx);
+  if (health_.OnTimer(ctx)) DecideCrash(engine_verdict::kSilent, ctx);
   ExpireTombstones(ctx.now);
   Pump(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
--- a/src/executions_engine.h
+++ b/src/executions_engine.h
@@ -112,7 +112,9 @@
 
 template <policy_set P>
 void execution_table<P>::Handle(const engine_probe_done& done, reduce_context& ctx) {
-  if (auto answers = health_.OnProbe(done, ctx)) DecideCrash(*answers, ctx);
+  if (auto answers = health_.OnProbe(done, ctx)) {
+    DecideCrash(*answers ? engine_verdict::kAnswers : engine_verdict::kRefuses, ctx);
+  }
   Pump(ctx);
   ScheduleNext(ctx);
 }
@@ -120,8 +122,16 @@
 // A crash is certain if the engine does not answer. If it answers, it may have been restarted in
 // between: then none of the calls that ran when the first one broke is left.
 template <policy_set P>
-void execution_table<P>::DecideCrash(bool engine_answers, reduce_context& ctx) {
+void execution_table<P>::DecideCrash(engine_verdict verdict, reduce_context& ctx) {
+  bool engine_answers = verdict == engine_verdict::kAnswers;
   if (!engine_answers) RefuseQueued(refusal_reason::kNoBackend, ctx);
+  if (crash_batch_.empty() && verdict == engine_verdict::kSilent) FailStalled(ctx);
+  if (crash_batch_.empty() && verdict == engine_verdict::kRefuses) {
+    // The engine died before the first of its connections was seen to break.
+    for (const auto& [id, run] : executions_) {
+      if (run.at == phase::kRunning) crash_batch_.push_back(id);
+    }
+  }
   if (crash_batch_.empty()) return;
   std::vector<dispatch_id> broken;
   std::vector<dispatch_id> survivors;
@@ -142,6 +152,21 @@
   for (const dispatch_id& id : broken) Fail(id, dispatch_failure::kEngineCrashed, ctx);
 }
 
+// A plain answer shows no progress before its end, so only the probe tells that its engine hangs.
+// A non-idempotent call is left to finish or to meet its deadline: failing it gains nothing.
+template <policy_set P>
+void execution_table<P>::FailStalled(reduce_context& ctx) {
+  std::vector<dispatch_id> stalled;
+  for (const auto& [id, run] : executions_) {
+    if (run.at == phase::kRunning && run.request.repeatable) stalled.push_back(id);
+  }
+  for (const dispatch_id& id : stalled) {
+    ctx.Emit(count{counter::kEngineStalls});
+    ctx.Emit(cancel_engine_call{id});
+    Fail(id, dispatch_failure::kEngineStalled, ctx);
+  }
+}
+
 template <policy_set P>
 void execution_table<P>::ReportCrash(const std::vector<dispatch_id>& lost, reduce_context& ctx) {
   if (lost.empty()) return;
--- a/src/io/acceptor.cc
+++ b/src/io/acceptor.cc
@@ -13,6 +13,10 @@
 
 namespace {
 
+// The system would grow the buffer of a caller that reads slowly to 4 MB, which 20,000 callers
+// could exhaust the memory of a small VM with. Tokens need far less.
+constexpr int kSendBufferBytes = 256 * 1024;
+
 constexpr int kBacklog = 4096;
 
 }  // namespace
@@ -42,6 +46,7 @@
     if (accepted >= 0) {
       int on = 1;
       setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+      setsockopt(accepted, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof(kSendBufferBytes));
       on_accept_(accepted);
       if (stopping_) fcntl(socket_, F_SETFL, O_NONBLOCK);
       continue;
--- a/src/io/caller_api.cc
+++ b/src/io/caller_api.cc
@@ -154,7 +154,10 @@
                  plain_.erase(id);
                  sink_(caller_closed{id});
                },
-               [] { CountRefusal(refusal_reason::kBodyTooLarge); }}) {}
+               [] { CountRefusal(refusal_reason::kBodyTooLarge); },
+               [](bool sending) {
+                 CountMetric(sending ? counter::kSlowSendersCut : counter::kSlowCallersCut);
+               }}) {}
 
 void caller_api::OnRequest(http_request&& request) {
   caller_request parsed;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -14,6 +14,10 @@
 constexpr std::size_t kHeaderBufferBytes = 4096;
 constexpr std::size_t kMaxHeaderValueBytes = 512;
 
+lws_usec_t Micros(std::chrono::milliseconds time) {
+  return std::chrono::microseconds(time).count();
+}
+
 const char* MethodName(int method) {
   switch (method) {
     case LWSHUMETH_GET:
@@ -128,7 +132,14 @@
 void http_server::Write(exchange_id id, std::string_view bytes) {
   exchange* x = Find(id);
   if (x == nullptr || x->ended) return;
+  bool idle = x->output.size() == LWS_PRE;
   x->output.append(bytes);
+  if (x->output.size() - LWS_PRE - x->written > settings_.max_buffered_bytes) {
+    if (on_.on_slow_client) on_.on_slow_client(false);
+    lws_set_timeout(x->wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    return;
+  }
+  if (idle) lws_set_timer_usecs(x->wsi, Micros(settings_.write_timeout));
   lws_callback_on_writable(x->wsi);
 }
 
@@ -182,18 +193,28 @@
   exchange* raw = x.get();
   lws_set_opaque_user_data(wsi, raw);
   exchanges_.emplace(raw->request.exchange.value, std::move(x));
-  return has_body ? 0 : OnComplete(*raw);
+  if (!has_body) return OnComplete(*raw);
+  lws_set_timer_usecs(wsi, Micros(settings_.body_timeout));
+  return 0;
 }
 
 int http_server::OnComplete(exchange& x) {
   if (x.delivered) return 0;
   x.delivered = true;
+  lws_set_timer_usecs(x.wsi, LWS_SET_TIMER_USEC_CANCEL);
   http_request request = std::move(x.request);
   x.request.exchange = request.exchange;
   on_.on_request(std::move(request));
   return 0;
 }
 
+int http_server::OnTimer(exchange& x) {
+  bool sending = !x.delivered;
+  if (!sending && x.output.size() == LWS_PRE) return 0;
+  if (on_.on_slow_client) on_.on_slow_client(sending);
+  return -1;
+}
+
 int http_server::WriteHeaders(exchange& x) {
   std::array<unsigned char, LWS_PRE + kHeaderBufferBytes> buffer{};
   unsigned char* start = buffer.data() + LWS_PRE;
@@ -225,6 +246,8 @@
   auto how = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
   if (lws_write(x.wsi, data, length, how) < static_cast<int>(length)) return -1;
   x.written += length;
+  bool drained = length == pending;
+  lws_set_timer_usecs(x.wsi, drained ? LWS_SET_TIMER_USEC_CANCEL : Micros(settings_.write_timeout));
   if (x.written == x.output.size() - LWS_PRE) {
     x.output.resize(LWS_PRE);
     x.written = 0;
@@ -301,6 +324,8 @@
       return 0;
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
       return x == nullptr ? 0 : x->owner->OnComplete(*x);
+    case LWS_CALLBACK_TIMER:
+      return x == nullptr ? 0 : x->owner->OnTimer(*x);
     case LWS_CALLBACK_HTTP_WRITEABLE:
       return x == nullptr ? 0 : x->owner->OnWritable(*x);
     case LWS_CALLBACK_CLOSED_HTTP:
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -3,6 +3,7 @@
 
 #include <libwebsockets.h>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,10 @@
   /// Lower-case names of the request headers to read.
   std::vector<std::string> headers;
   std::size_t max_body_bytes = std::size_t{1} << 20;
+  /// Limits of one exchange with a client that sends or reads slowly; such a client is cut off.
+  std::size_t max_buffered_bytes = std::size_t{6} << 20;
+  std::chrono::milliseconds body_timeout{10000};
+  std::chrono::milliseconds write_timeout{10000};
   std::string tls_certificate;
   std::string tls_key;
 };
@@ -55,6 +60,8 @@
     std::function<void(exchange_id)> on_closed;
     /// The request body exceeds the limit; the server has answered 413.
     std::function<void()> on_body_too_large;
+    /// A client was cut off because it sent its request or read its response too slowly.
+    std::function<void(bool sending)> on_slow_client;
   };
 
   http_server(io_loop& loop, http_server_settings settings, handlers on);
@@ -90,6 +97,7 @@
   static int OnHttp(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
   int OnHeaders(lws* wsi, std::string_view uri);
   int OnComplete(exchange& x);
+  int OnTimer(exchange& x);
   int OnWritable(exchange& x);
   int WriteHeaders(exchange& x);
   int WriteBody(exchange& x);
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -283,6 +283,7 @@
   entry_request* request = Find(link, refused.id, ctx);
   if (request == nullptr) return;
   router_.OnLoad(request->backend, refused.load, ctx.now);
+  if (refused.reason == refusal_reason::kTombstoned) ++request->lost_dispatches;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
 
@@ -318,9 +319,11 @@
   LeaveLink(request, ctx);
   request.at = phase::kWaitingForLink;
   if (!never_ran) RestartPlainAnswer(request);
+  std::uint32_t max_attempts =
+      limits_.max_attempts + std::min(request.lost_dispatches, limits_.max_lost_dispatches);
   bool resumable = request.bytes_sent == 0 || CanResume(request);
   bool allowed = (!request.may_have_run || request.repeatable) && resumable &&
-                 request.attempt < limits_.max_attempts && ctx.now < request.deadline &&
+                 request.attempt < max_attempts && ctx.now < request.deadline &&
                  retries_.TakeRetry(request.input.member, ctx.now);
   if (allowed) {
     router_.OnDone(request.backend);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -45,6 +45,11 @@
   http.Read("tls_key", out.tls_key, false);
   http.ReadNumber("max_body_bytes", out.max_body_bytes, 1024, 3U << 20);
   http.ReadNumber("max_requests", out.max_requests, 1, 1000000);
+  http.ReadNumber("max_buffered_bytes", out.max_buffered_bytes, 64U << 10, 64U << 20);
+  http.Read("body_timeout_ms", out.body_timeout, std::chrono::milliseconds(100),
+            std::chrono::minutes(10));
+  http.Read("write_timeout_ms", out.write_timeout, std::chrono::milliseconds(100),
+            std::chrono::minutes(10));
   http.Finish();
   if (out.tls_certificate.empty() != out.tls_key.empty()) {
     errors.push_back({"http.tls_key", "both tls_certificate and tls_key, or neither"});
--- a/tests/e2e/failures_test.py
+++ b/tests/e2e/failures_test.py
@@ -113,9 +113,8 @@
     counts = cluster.during_load(
         lambda: cluster.send("agent-1-engine", signal.SIGSTOP), seconds=2)
     cluster.send("agent-1-engine", signal.SIGCONT)
-    # Streams move on; a plain answer shows no progress and ends at its deadline.
-    assert counts["wrong"] == counts["broken"] == 0, counts
-    assert counts["whole"] >= counts["total"] * 0.8, counts
+    # Streams move on when they make no progress, plain answers when a probe gets no response.
+    expect_all_whole(counts)
     assert cluster.metrics(cluster.agents["agent-1"])["radishroute_engine_stalls_total"] > 0
 
 
