--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -104,9 +104,10 @@
   void LeaveLink(entry_request& request, reduce_context& ctx);
   void Attach(entry_request& request, link_id link, reduce_context& ctx);
   void RequestMissing(entry_request& request, reduce_context& ctx);
-  void LoseBackend(link_map::iterator found, bool died, reduce_context& ctx);
+  void LoseBackend(typename link_map::iterator found, bool died, reduce_context& ctx);
   void LoseAttempt(entry_request& request, dispatch_failure failure, bool died,
                    reduce_context& ctx);
+  void IndexUnreachable();
   void CloseIdleLinks(reduce_context& ctx);
   void MergeCrashes(const crash_report& report, reduce_context& ctx);
   void ClearSuspicion(const entry_request& request, reduce_context& ctx);
@@ -137,6 +138,8 @@
   link_map links_;
   /// Addresses that could not be reached, until they are tried again.
   std::map<endpoint, steady_time> unreachable_;
+  /// Indexes of backend servers at these addresses, so that routing does not search for them.
+  std::vector<std::uint32_t> unreachable_backends_;
   quarantine crashes_;
   typename P::routing_type router_;
   typename P::retry_type retries_;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -70,9 +70,7 @@
   query.cls = request.cls;
   query.prefix_hash = request.input.prefix_hash;
   std::vector<std::uint32_t> excluded = request.tried;
-  for (std::uint32_t i = 0; !unreachable_.empty() && i < table_->backends.size(); ++i) {
-    if (unreachable_.contains(table_->backends[i].traffic_address)) excluded.push_back(i);
-  }
+  excluded.insert(excluded.end(), unreachable_backends_.begin(), unreachable_backends_.end());
   query.excluded = excluded;
   auto backend = router_.Choose(*table_, query, ctx.now, ctx.random);
   if (backend || request.tried.size() < 2) return backend;
@@ -169,6 +167,7 @@
     request.backend = it != index.end() ? it->second : UINT32_MAX;
   }
   table_ = published.table;
+  IndexUnreachable();
   router_.OnTable(*table_);
   ScheduleNext(ctx);
 }
@@ -191,7 +190,9 @@
       Fail(request, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
-  std::erase_if(unreachable_, [&](const auto& entry) { return entry.second <= ctx.now; });
+  if (std::erase_if(unreachable_, [&](const auto& e) { return e.second <= ctx.now; }) > 0) {
+    IndexUnreachable();
+  }
   CloseIdleLinks(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
     ctx.Emit(stop_process{requests_.empty()});
--- a/src/requests_links.h
+++ b/src/requests_links.h
@@ -62,7 +62,7 @@
   link.link = opened.link;
   link.peer_incarnation = opened.peer.process.incarnation;
   link.opening = false;
-  unreachable_.erase(opened.dialed);
+  if (unreachable_.erase(opened.dialed) > 0) IndexUnreachable();
   // A copy: a request that moves to another backend server leaves the set.
   std::vector<request_id> users(link.users.begin(), link.users.end());
   for (const request_id& id : users) {
@@ -86,7 +86,9 @@
   if (found == links_.end()) return;
   backend_link& link = found->second;
   if (closed.link.value == 0) {
-    LoseBackend(found, closed.reason == errc::kConnectFailed, ctx);
+    // A refused connection, or one that is closed before its hello, shows a process that has died
+    // or is just dying; a host that is cut off answers nothing.
+    LoseBackend(found, closed.reason != errc::kTimeout, ctx);
     return;
   }
   if (link.link != closed.link) return;
@@ -101,7 +103,8 @@
 }
 
 template <policy_set P>
-void request_table<P>::LoseBackend(link_map::iterator found, bool died, reduce_context& ctx) {
+void request_table<P>::LoseBackend(typename link_map::iterator found, bool died,
+                                   reduce_context& ctx) {
   endpoint address = found->first;
   std::set<request_id> users = std::move(found->second.users);
   if (found->second.link) ctx.Emit(close_link{*found->second.link});
@@ -110,6 +113,7 @@
   std::uniform_int_distribution<std::int64_t> delay(limits_.unreachable_delay.count() / 2,
                                                     limits_.unreachable_delay.count());
   unreachable_[address] = ctx.now + std::chrono::milliseconds(delay(ctx.random));
+  IndexUnreachable();
   ctx.Emit(schedule_wakeup{unreachable_[address]});
   ctx.Emit(
       write_log{{event_code::kBackendLost,
@@ -149,6 +153,17 @@
   Retry(request, reason, refusal_reason::kNone, failure, ctx);
 }
 
+template <policy_set P>
+void request_table<P>::IndexUnreachable() {
+  unreachable_backends_.clear();
+  if (unreachable_.empty()) return;
+  for (std::uint32_t i = 0; i < table_->backends.size(); ++i) {
+    if (unreachable_.contains(table_->backends[i].traffic_address)) {
+      unreachable_backends_.push_back(i);
+    }
+  }
+}
+
 template <policy_set P>
 void request_table<P>::CloseIdleLinks(reduce_context& ctx) {
   std::erase_if(links_, [&](const auto& entry) {
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-const std::vector<endpoint> kPeers = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
+const std::vector<endpoint> peer_addresses = {{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
 
 announcement Record(std::uint64_t incarnation, std::uint64_t sequence, backend_status status) {
   announcement a;
@@ -26,7 +26,7 @@
 
 struct directory_fixture {
   fake_context fake;
-  directory entry{{1, 1000}, "a", {}, kPeers};
+  directory entry{{1, 1000}, "a", {}, peer_addresses};
 
   directory_fixture() {
     fake.Do([&](auto& ctx) { entry.Handle(process_started{}, ctx); });
--- a/tests/e2e/failures_test.py
+++ b/tests/e2e/failures_test.py
@@ -173,6 +173,35 @@
         cluster.start_engine(name.removesuffix("-engine"))
 
 
+def crash_takes_agent(cluster):
+    """The agent dies with its engine, so only the entries can tell of the crash."""
+    done = threading.Event()
+    dead = []
+
+    def kill_with_engine():
+        while not done.is_set():
+            for name in cluster.agents:
+                if name not in dead and cluster.processes[name + "-engine"].poll() is not None:
+                    cluster.send(name, signal.SIGKILL)
+                    dead.append(name)
+            time.sleep(0.001)
+    watcher = threading.Thread(target=kill_with_engine)
+    watcher.start()
+    statuses = []
+    for entry in ("entry-0", "entry-1", "entry-2", "entry-0"):
+        connection, response = cluster.call(entry, "second " + MARKER)
+        statuses.append((response.status, json.loads(response.read())["title"]))
+        connection.close()
+    done.set()
+    watcher.join()
+    print("  ", statuses, dead)
+    assert len(dead) == 2, dead
+    assert all(s == (422, "quarantined") for s in statuses[1:]), statuses
+    for name in dead:
+        cluster.start_engine(name)
+        cluster.start_agent(name)
+
+
 def cut_links(cluster):
     """First the open links of one agent fall silent while new ones work; then all are cut."""
     before = cluster.total("radishroute_links_replaced_total")
@@ -189,7 +218,8 @@
         cluster.build()
         started = time.monotonic()
         for scenario in (cut_links, silent_agent, killed_engine, stopped_engine, killed_agent,
-                         caller_hangs_up, crashing_request, agents_restarted, entries_restarted):
+                         caller_hangs_up, crashing_request,
+                         crash_takes_agent, agents_restarted, entries_restarted):
             print(scenario.__name__, f"{time.monotonic() - started:.1f} s", flush=True)
             scenario(cluster)
             time.sleep(1)
--- a/tests/link_monitor_test.cc
+++ b/tests/link_monitor_test.cc
@@ -10,14 +10,14 @@
 
 using std::chrono::milliseconds;
 
-const endpoint kAgent{"10.0.0.1", 1};
+const endpoint agent_address{"10.0.0.1", 1};
 
 struct monitor_fixture {
   fake_context fake;
   link_monitor monitor;
 
   void Open(std::uint64_t link) {
-    fake.Do([&](auto& ctx) { monitor.Handle(link_opened{{link}, {}, kAgent}, ctx); });
+    fake.Do([&](auto& ctx) { monitor.Handle(link_opened{{link}, {}, agent_address}, ctx); });
   }
   void Tick(milliseconds by) {
     fake.Advance(by);
@@ -37,7 +37,7 @@
   CHECK(f.fake.All<open_link>().empty());
   f.Tick(milliseconds(500));
   REQUIRE(f.fake.All<open_link>().size() == 1);
-  CHECK(f.fake.All<open_link>()[0].address == kAgent);
+  CHECK(f.fake.All<open_link>()[0].address == agent_address);
   f.Open(2);
   REQUIRE(f.fake.All<close_link>().size() == 1);
   CHECK(f.fake.All<close_link>()[0].link == link_id{1});
@@ -50,7 +50,7 @@
   f.Tick(milliseconds(500));
   f.Tick(milliseconds(500));
   f.Tick(milliseconds(500));
-  f.fake.Do([&](auto& ctx) { f.monitor.Handle(link_closed{{0}, kAgent, {}}, ctx); });
+  f.fake.Do([&](auto& ctx) { f.monitor.Handle(link_closed{{0}, agent_address, {}}, ctx); });
   REQUIRE(f.fake.All<close_link>().size() == 1);
   CHECK(f.monitor.Size() == 0);
 }
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-const fingerprint kContent{42};
-const steady_time kNow{std::chrono::hours(1)};
+constexpr fingerprint kContent{42};
+constexpr steady_time kNow{std::chrono::hours(1)};
 
 crash_report Charge(std::uint64_t source, std::uint32_t sequence) {
   return {{{kContent, source, sequence, {}}}, {}};
