Delay the answer of a quarantined request until other entries know of it

A caller that resent a crashing request at once reached another entry before the second crash did, and a third engine crashed.

--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -24,6 +24,9 @@
   std::uint32_t max_attempts = 3;
   /// Attempts beyond that for dispatches that were lost on the way and cost no server anything.
   std::uint32_t max_lost_dispatches = 3;
+  /// A request that was quarantined while it ran is answered after this time, so that the other
+  /// entries know of its crashes before its caller can resend it there.
+  std::chrono::milliseconds quarantine_spread{200};
   /// A link to a backend server without requests in progress is closed after this time.
   std::chrono::milliseconds idle_link_timeout{10000};
   /// Longest time without new attempts after a link to a backend server could not be opened.
@@ -83,6 +86,8 @@
     bool may_have_run = false;
     /// Dispatches that a broken link lost before the agent read them.
     std::uint32_t lost_dispatches = 0;
+    std::optional<steady_time> fail_at;
+    dispatch_failure fail_reason = dispatch_failure::kNone;
     std::vector<std::uint32_t> tried;
   };
 
@@ -123,6 +128,7 @@
   void Refuse(entry_request& request, refusal_reason reason, std::chrono::microseconds retry_after,
               reduce_context& ctx);
   void Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx);
+  void FailNow(entry_request& request, dispatch_failure reason, reduce_context& ctx);
   void CancelAtBackend(const entry_request& request, reduce_context& ctx);
   void Erase(const request_id& id, reduce_context& ctx);
   void StopIfDrained(reduce_context& ctx);
@@ -135,6 +141,7 @@
   std::unordered_map<request_id, entry_request> requests_;
   std::unordered_map<exchange_id, request_id> by_exchange_;
   std::set<std::pair<steady_time, request_id>> deadlines_;
+  std::set<std::pair<steady_time, request_id>> delayed_failures_;
   link_map links_;
   /// Addresses that could not be reached, until they are tried again.
   std::map<endpoint, steady_time> unreachable_;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -187,9 +187,13 @@
     if (!MayHaveRun(request)) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
     } else {
-      Fail(request, dispatch_failure::kDeadlinePassed, ctx);
+      FailNow(request, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
+  while (!delayed_failures_.empty() && delayed_failures_.begin()->first <= ctx.now) {
+    entry_request& request = requests_.at(delayed_failures_.begin()->second);
+    FailNow(request, request.fail_reason, ctx);
+  }
   if (std::erase_if(unreachable_, [&](const auto& e) { return e.second <= ctx.now; }) > 0) {
     IndexUnreachable();
   }
@@ -352,6 +356,23 @@
 
 template <policy_set P>
 void request_table<P>::Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx) {
+  if (request.fail_at) return;
+  if (crashes_.Standing(request.content, ctx.now) != crash_standing::kQuarantined) {
+    FailNow(request, reason, ctx);
+    return;
+  }
+  LeaveLink(request, ctx);
+  request.at = phase::kWaitingForLink;
+  request.may_have_run = true;
+  request.fail_at = ctx.now + limits_.quarantine_spread;
+  request.fail_reason = reason;
+  delayed_failures_.insert({*request.fail_at, request.id});
+  ctx.Emit(schedule_wakeup{*request.fail_at});
+}
+
+template <policy_set P>
+void request_table<P>::FailNow(entry_request& request, dispatch_failure reason,
+                               reduce_context& ctx) {
   if (request.response_begun) {
     ctx.Emit(count{counter::kAnswersAborted});
     ctx.Emit(respond_abort{request.input.exchange, reason});
@@ -376,6 +397,7 @@
   if (it->second.attempt > 0) router_.OnDone(it->second.backend);
   LeaveLink(it->second, ctx);
   deadlines_.erase({it->second.deadline, id});
+  if (it->second.fail_at) delayed_failures_.erase({*it->second.fail_at, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
   CheckInvariant(by_exchange_.size() == requests_.size() && deadlines_.size() == requests_.size(),
@@ -391,6 +413,9 @@
 template <policy_set P>
 void request_table<P>::ScheduleNext(reduce_context& ctx) {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
+  if (!delayed_failures_.empty()) {
+    ctx.Emit(schedule_wakeup{delayed_failures_.begin()->first});
+  }
   for (const auto& [address, until] : unreachable_) ctx.Emit(schedule_wakeup{until});
   for (const auto& [address, link] : links_) {
     if (link.users.empty()) {
