--- a/benchmark/failures.py
+++ b/benchmark/failures.py
@@ -80,7 +80,7 @@
 
 
 def times(program):
-    gaps, moves, leaving = [], [], []
+    gaps, leaving = [], []
     with Measured(program) as cluster:
         cluster.add_entries(1)
         listen = free_address()
@@ -109,6 +109,28 @@
                     time.sleep(0.002)
             leaving.append(time.time() - stopped)
     print("leaving server known on all 7 entries, s:", describe(leaving))
+    print("directory of a restarted entry complete, s:", describe(restarts(program)))
+
+
+def restarts(program):
+    """Times from the start of an entry until it knows all 12 backend servers."""
+    found = []
+    with Measured(program) as cluster:
+        cluster.add_entries(5)
+        engine = cluster.add_engine()
+        for i in range(12):
+            cluster.add_agent(f"agent-{i}", engine)
+        cluster.wait_for_backends(12)
+        for name in cluster.entries:
+            cluster.stop(name)
+            before, started = len(cluster.log_text(name)), time.time()
+            cluster.start(name, ["entry", "--settings", f"{cluster.dir}/{name}.json"])
+            while len(set(re.findall(r"backend-up.*?backend=(\S+)",
+                                     cluster.log_text(name)[before:]))) < 12:
+                assert time.time() - started < 20
+                time.sleep(0.002)
+            found.append(time.time() - started)
+    return found
 
 
 def describe(values):
