--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -22,6 +22,11 @@
 struct request_limits {
   std::size_t max_requests = 20000;
   std::uint32_t max_attempts = 3;
+  /// Attempts beyond that for dispatches that were lost on the way and cost no server anything.
+  std::uint32_t max_lost_dispatches = 3;
+  /// A request that was quarantined while it ran is answered after this time, so that the other
+  /// entries know of its crashes before its caller can resend it there.
+  std::chrono::milliseconds quarantine_spread{200};
   /// A link to a backend server without requests in progress is closed after this time.
   std::chrono::milliseconds idle_link_timeout{10000};
   /// Longest time without new attempts after a link to a backend server could not be opened.
@@ -130,6 +135,10 @@
     /// The caller closed its connection; the dispatch goes on, so that its outcome is stored.
     bool abandoned = false;
     claim_state claim;
+    /// Dispatches that a broken link lost before the agent read them.
+    std::uint32_t lost_dispatches = 0;
+    std::optional<steady_time> fail_at;
+    dispatch_failure fail_reason = dispatch_failure::kNone;
     std::vector<std::uint32_t> tried;
     /// Advice of the last refusal.
     std::chrono::microseconds retry_after{};
@@ -155,8 +164,10 @@
   void LeaveLink(entry_request& request, reduce_context& ctx);
   void Attach(entry_request& request, link_id link, reduce_context& ctx);
   void RequestMissing(entry_request& request, reduce_context& ctx);
-  void LoseBackend(link_map::iterator found, reduce_context& ctx);
-  void LoseAttempt(entry_request& request, dispatch_failure failure, reduce_context& ctx);
+  void LoseBackend(typename link_map::iterator found, bool died, reduce_context& ctx);
+  void LoseAttempt(entry_request& request, dispatch_failure failure, bool died,
+                   reduce_context& ctx);
+  void IndexUnreachable();
   void CloseIdleLinks(reduce_context& ctx);
   void MergeCrashes(const crash_report& report, reduce_context& ctx);
   void ClearSuspicion(const entry_request& request, reduce_context& ctx);
@@ -197,6 +208,7 @@
   void Refuse(entry_request& request, refusal_reason reason, std::chrono::microseconds retry_after,
               reduce_context& ctx);
   void Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx);
+  void FailNow(entry_request& request, dispatch_failure reason, reduce_context& ctx);
   void CancelAtBackend(const entry_request& request, reduce_context& ctx);
   void Erase(const request_id& id, reduce_context& ctx);
   void StopIfDrained(reduce_context& ctx);
@@ -209,9 +221,12 @@
   std::unordered_map<request_id, entry_request> requests_;
   std::unordered_map<exchange_id, request_id> by_exchange_;
   std::set<std::pair<steady_time, request_id>> deadlines_;
+  std::set<std::pair<steady_time, request_id>> delayed_failures_;
   link_map links_;
   /// Addresses that could not be reached, until they are tried again.
   std::map<endpoint, steady_time> unreachable_;
+  /// Indexes of backend servers at these addresses, so that routing does not search for them.
+  std::vector<std::uint32_t> unreachable_backends_;
   quarantine crashes_;
   typename P::routing_type router_;
   typename P::retry_type retries_;
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -29,7 +29,7 @@
         model_(options.settings),
         server_(loop_, http_server_settings({"x-priority", "x-resume-offset", "idempotency-key"}),
                 {[this](http_request&& request) { OnRequest(request); },
-                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr}),
+                 [this](exchange_id id) { Apply(engine_caller_gone{id}); }, nullptr, nullptr}),
         client_(loop_, {[this](http_client::call_id call, unsigned status, const std::string&) {
                           statuses_[call] = status;
                         },
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <utility>
 
+#include "io/wire_log.h"
 #include "io/wire_traffic.h"
 
 namespace radishroute {
@@ -18,6 +19,10 @@
 using apache::thrift::transport::TMemoryBuffer;
 using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
 
+// The overloads below would hide those of the other wire headers.
+using radishroute::FromWire;
+using radishroute::ToWire;
+
 constexpr std::int32_t kFormatVersion = 1;
 constexpr std::size_t kChecksumBytes = 8;
 constexpr std::int32_t kNoLimit = std::numeric_limits<std::int32_t>::max();
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -78,9 +78,7 @@
   query.cls = request.cls;
   query.prefix_hash = request.input.prefix_hash;
   std::vector<std::uint32_t> excluded = request.tried;
-  for (std::uint32_t i = 0; !unreachable_.empty() && i < table_->backends.size(); ++i) {
-    if (unreachable_.contains(table_->backends[i].traffic_address)) excluded.push_back(i);
-  }
+  excluded.insert(excluded.end(), unreachable_backends_.begin(), unreachable_backends_.end());
   query.excluded = excluded;
   auto backend = router_.Choose(*table_, query, ctx.now, ctx.random);
   if (backend || request.tried.size() < 2) return backend;
@@ -212,6 +210,7 @@
     request.backend = it != index.end() ? it->second : UINT32_MAX;
   }
   table_ = published.table;
+  IndexUnreachable();
   router_.OnTable(*table_);
   ScheduleNext(ctx);
 }
@@ -232,10 +231,16 @@
     if (!MayHaveRun(request)) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
     } else {
-      Fail(request, dispatch_failure::kDeadlinePassed, ctx);
+      FailNow(request, dispatch_failure::kDeadlinePassed, ctx);
     }
   }
-  std::erase_if(unreachable_, [&](const auto& entry) { return entry.second <= ctx.now; });
+  while (!delayed_failures_.empty() && delayed_failures_.begin()->first <= ctx.now) {
+    entry_request& request = requests_.at(delayed_failures_.begin()->second);
+    FailNow(request, request.fail_reason, ctx);
+  }
+  if (std::erase_if(unreachable_, [&](const auto& e) { return e.second <= ctx.now; }) > 0) {
+    IndexUnreachable();
+  }
   CloseIdleLinks(ctx);
   RunSteps(ctx);
   if (drain_deadline_ && *drain_deadline_ <= ctx.now) {
@@ -352,6 +357,7 @@
                          refused.reason, refused.retry_after, ctx.now);
   }
   request->retry_after = refused.retry_after;
+  if (refused.reason == refusal_reason::kTombstoned) ++request->lost_dispatches;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
 
@@ -391,9 +397,11 @@
   LeaveLink(request, ctx);
   request.at = phase::kWaitingForLink;
   if (!never_ran) RestartPlainAnswer(request);
+  std::uint32_t max_attempts =
+      limits_.max_attempts + std::min(request.lost_dispatches, limits_.max_lost_dispatches);
   bool resumable = request.bytes_sent == 0 || CanResume(request);
   bool allowed = (!request.may_have_run || request.repeatable) && resumable &&
-                 request.attempt < limits_.max_attempts && ctx.now < request.deadline &&
+                 request.attempt < max_attempts && ctx.now < request.deadline &&
                  retries_.TakeRetry(request.input.member, ctx.now);
   auto retry_after = request.retry_after.count() > 0
                          ? request.retry_after
@@ -427,9 +435,23 @@
 
 template <policy_set P>
 void request_table<P>::Fail(entry_request& request, dispatch_failure reason, reduce_context& ctx) {
-  if (request.claim.granted && request.at != phase::kStoring) {
-    StoreOutcome(request, record_status::kUnknown, ctx);
+  if (request.fail_at) return;
+  if (crashes_.Standing(request.content, ctx.now) != crash_standing::kQuarantined) {
+    FailNow(request, reason, ctx);
+    return;
   }
+  LeaveLink(request, ctx);
+  request.at = phase::kWaitingForLink;
+  request.may_have_run = true;
+  request.fail_at = ctx.now + limits_.quarantine_spread;
+  request.fail_reason = reason;
+  delayed_failures_.insert({*request.fail_at, request.id});
+  ctx.Emit(schedule_wakeup{*request.fail_at});
+}
+
+template <policy_set P>
+void request_table<P>::FailNow(entry_request& request, dispatch_failure reason,
+                               reduce_context& ctx) {
   if (request.response_begun) {
     ctx.Emit(count{counter::kAnswersAborted});
     ctx.Emit(respond_abort{request.input.exchange, reason});
@@ -455,6 +477,7 @@
   LeaveLink(it->second, ctx);
   deadlines_.erase({it->second.deadline, id});
   steps_.erase({it->second.claim.step_at, id});
+  if (it->second.fail_at) delayed_failures_.erase({*it->second.fail_at, id});
   by_exchange_.erase(it->second.input.exchange);
   requests_.erase(it);
   CheckInvariant(by_exchange_.size() <= requests_.size() && deadlines_.size() == requests_.size(),
@@ -470,6 +493,9 @@
 template <policy_set P>
 void request_table<P>::ScheduleNext(reduce_context& ctx) {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
+  if (!delayed_failures_.empty()) {
+    ctx.Emit(schedule_wakeup{delayed_failures_.begin()->first});
+  }
   for (const auto& [address, until] : unreachable_) ctx.Emit(schedule_wakeup{until});
   for (const auto& [address, link] : links_) {
     if (link.users.empty()) {
--- a/src/requests_links.h
+++ b/src/requests_links.h
@@ -62,7 +62,7 @@
   link.link = opened.link;
   link.peer_incarnation = opened.peer.process.incarnation;
   link.opening = false;
-  unreachable_.erase(opened.dialed);
+  if (unreachable_.erase(opened.dialed) > 0) IndexUnreachable();
   std::vector<request_id> resolving = std::move(link.resolving);
   link.resolving.clear();
   for (const request_id& id : resolving) {
@@ -84,7 +84,7 @@
       Attach(request, opened.link, ctx);
     } else {
       // Another life of the agent knows nothing of the dispatch.
-      LoseAttempt(request, dispatch_failure::kAgentRestarted, ctx);
+      LoseAttempt(request, dispatch_failure::kAgentRestarted, true, ctx);
     }
   }
 }
@@ -95,7 +95,9 @@
   if (found == links_.end()) return;
   backend_link& link = found->second;
   if (closed.link.value == 0) {
-    LoseBackend(found, ctx);
+    // A refused connection, or one that is closed before its hello, shows a process that has died
+    // or is just dying; a host that is cut off answers nothing.
+    LoseBackend(found, closed.reason != errc::kTimeout, ctx);
     return;
   }
   if (link.link != closed.link) return;
@@ -110,7 +112,8 @@
 }
 
 template <policy_set P>
-void request_table<P>::LoseBackend(link_map::iterator found, reduce_context& ctx) {
+void request_table<P>::LoseBackend(typename link_map::iterator found, bool died,
+                                   reduce_context& ctx) {
   endpoint address = found->first;
   std::set<request_id> users = std::move(found->second.users);
   if (found->second.link) ctx.Emit(close_link{*found->second.link});
@@ -119,6 +122,7 @@
   std::uniform_int_distribution<std::int64_t> delay(limits_.unreachable_delay.count() / 2,
                                                     limits_.unreachable_delay.count());
   unreachable_[address] = ctx.now + std::chrono::milliseconds(delay(ctx.random));
+  IndexUnreachable();
   ctx.Emit(schedule_wakeup{unreachable_[address]});
   ctx.Emit(
       write_log{{event_code::kBackendLost,
@@ -131,19 +135,23 @@
       Retry(it->second, retry_reason::kBackendUnreachable, refusal_reason::kNoBackend,
             dispatch_failure::kNone, ctx);
     } else if (InFlight(it->second)) {
-      LoseAttempt(it->second, dispatch_failure::kLinkLost, ctx);
+      LoseAttempt(it->second, dispatch_failure::kLinkLost, died, ctx);
     }
   }
 }
 
-// The agent is lost with a dispatch in flight. Its engine may have crashed and taken the agent's
-// VM with it, so the fingerprint is charged as if the engine had crashed.
+// If the agent's process died, its engine may have crashed and taken the agent with it, so the
+// fingerprint is charged as if the engine had crashed. Silence is no sign of a crash: a partition
+// or a stopped agent would make a suspect of every request in flight, and a retry that meets the
+// same partition would be quarantined.
 template <policy_set P>
-void request_table<P>::LoseAttempt(entry_request& request, dispatch_failure failure,
+void request_table<P>::LoseAttempt(entry_request& request, dispatch_failure failure, bool died,
                                    reduce_context& ctx) {
   crash_report report;
-  report.charges.push_back(
-      {request.content, CrashSource(request.backend_name, request.backend_incarnation), 0, {}});
+  if (died) {
+    report.charges.push_back(
+        {request.content, CrashSource(request.backend_name, request.backend_incarnation), 0, {}});
+  }
   crash_report fresh = crashes_.Merge(report, ctx.now);
   if (!Empty(fresh)) {
     ctx.Emit(count{counter::kCrashCharges});
@@ -155,6 +163,17 @@
   Retry(request, reason, refusal_reason::kNone, failure, ctx);
 }
 
+template <policy_set P>
+void request_table<P>::IndexUnreachable() {
+  unreachable_backends_.clear();
+  if (unreachable_.empty()) return;
+  for (std::uint32_t i = 0; i < table_->backends.size(); ++i) {
+    if (unreachable_.contains(table_->backends[i].traffic_address)) {
+      unreachable_backends_.push_back(i);
+    }
+  }
+}
+
 template <policy_set P>
 void request_table<P>::CloseIdleLinks(reduce_context& ctx) {
   std::erase_if(links_, [&](const auto& entry) {
