--- a/include/radishroute/record_server.h
+++ b/include/radishroute/record_server.h
@@ -23,7 +23,7 @@
 };
 
 /// The part of the replicated log that proposals need. Propose returns nothing if this process is
-/// not the leader.
+/// not the leader, and applies nothing before it returns, also in a group of one voter.
 template <class L>
 concept proposal_log = requires(L log, command c, reduce_context& ctx) {
   { log.Propose(std::move(c), ctx) } -> std::same_as<std::optional<log_position>>;
--- a/src/config_admin.cc
+++ b/src/config_admin.cc
@@ -1,9 +1,21 @@
 #include "radishroute/config_admin.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace radishroute {
 
+namespace {
+
+// A change id is part of a URL path.
+bool IsChangeId(const std::string& id) {
+  constexpr std::string_view kAllowed =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+  return !id.empty() && id.size() <= 64 && id.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+}  // namespace
+
 bool change_report::InForceEverywhere() const {
   return state == change_state::kCommitted && in_force.known && !in_force.zones.empty() &&
          std::all_of(in_force.zones.begin(), in_force.zones.end(),
@@ -12,7 +24,9 @@
 
 std::vector<sheet_error> CheckChange(const config_change& change) {
   std::vector<sheet_error> errors;
-  if (change.change_id.empty()) errors.push_back({0, "change_id", "a change id"});
+  if (!IsChangeId(change.change_id)) {
+    errors.push_back({0, "change_id", "1 to 64 letters, digits, '.', '_' or '-'"});
+  }
   ParseSheet(change.sheet, errors);
   return errors;
 }
--- a/src/leader_session.cc
+++ b/src/leader_session.cc
@@ -10,7 +10,9 @@
 constexpr std::chrono::milliseconds kTryNext{200};
 
 // A controller that neither grants nor refuses for this long is cut off or has failed silently.
-constexpr std::chrono::milliseconds kSilence{1000};
+// Renewals go out each second, so a leader's silence must be longer than that.
+constexpr std::chrono::milliseconds kLeaderSilence{1500};
+constexpr std::chrono::milliseconds kCandidateSilence{500};
 
 }  // namespace
 
@@ -27,7 +29,7 @@
   retry_at_.reset();
   last_sign_ = ctx.now;
   ctx.Emit(open_link{controllers_[index]});
-  ctx.Emit(schedule_wakeup{ctx.now + kSilence});
+  ctx.Emit(schedule_wakeup{ctx.now + kCandidateSilence});
 }
 
 void leader_session::RetryLater(std::size_t index, reduce_context& ctx) {
@@ -64,8 +66,9 @@
     }
     return false;
   }
-  if (last_sign_ + kSilence > ctx.now) {
-    ctx.Emit(schedule_wakeup{last_sign_ + kSilence});
+  steady_time silent_at = last_sign_ + (confirmed_ ? kLeaderSilence : kCandidateSilence);
+  if (silent_at > ctx.now) {
+    ctx.Emit(schedule_wakeup{silent_at});
     return false;
   }
   bool had_link = link_.has_value();
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const std::string kKey = MakeKey(kTestEpoch);
+const std::string test_key = MakeKey(kTestEpoch);
 
 template <class M>
 bool Is(const message& m) {
@@ -22,15 +22,15 @@
 // Guards against losing or repeating a request when nothing fails.
 TEST_CASE("a booking runs once and its resend on another entry gets the stored answer") {
   record_world w(1);
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(seconds(1));
   CHECK(w.answers[first].outcome == "done");
-  CHECK(w.answers[first].body == "ran " + kKey);
-  auto resend = w.Submit(1, kKey, false);
+  CHECK(w.answers[first].body == "ran " + test_key);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(1));
-  CHECK(w.answers[resend].body == "ran " + kKey);
-  CHECK(w.Runs(kKey) == 1);
-  auto other = w.Submit(1, kKey, false, "other contents");
+  CHECK(w.answers[resend].body == "ran " + test_key);
+  CHECK(w.Runs(test_key) == 1);
+  auto other = w.Submit(1, test_key, false, "other contents");
   w.Run(seconds(1));
   CHECK(w.answers[other].refusal == refusal_reason::kIdempotencyKeyConflict);
   CHECK(w.violation.empty());
@@ -46,15 +46,15 @@
     if (!late) return std::nullopt;
     return seconds(9);
   };
-  w.Submit(0, kKey, true);
+  w.Submit(0, test_key, true);
   w.Run(milliseconds(20));
-  REQUIRE(w.Records().Find("club-1", kKey)->status == record_status::kClaimed);
+  REQUIRE(w.Records().Find("club-1", test_key)->status == record_status::kClaimed);
   w.KillEntry(0);
   w.route = nullptr;
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(30));
   CHECK(w.answers[resend].outcome == "done");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against a second run if the owner dies with an answer that it has not stored yet.
@@ -64,16 +64,16 @@
     if (Is<outcome_request>(m)) return std::nullopt;
     return milliseconds(1);
   };
-  w.Submit(0, kKey, true);
+  w.Submit(0, test_key, true);
   w.Run(milliseconds(100));
-  REQUIRE(w.Runs(kKey) == 1);
+  REQUIRE(w.Runs(test_key) == 1);
   w.KillEntry(0);
   w.route = nullptr;
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(9));
   CHECK(w.answers[resend].outcome == "done");
   CHECK(w.answers[resend].failure == dispatch_failure::kAnswerNotStored);
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against "not run" for a submission whose key runs under a resend on another entry.
@@ -84,23 +84,23 @@
     bool slow = Is<dispatch_request>(m) && std::exchange(delayed, false);
     return slow ? seconds(4) : milliseconds(1);
   };
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(milliseconds(100));
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(8));
   CHECK(w.answers[resend].outcome == "done");
   CHECK(w.answers[first].outcome == "unknown");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against running both copies of a repeated message.
 TEST_CASE("every message arrives twice") {
   record_world w(1);
   w.copies = [](const message&) { return 2; };
-  auto first = w.Submit(0, kKey, true);
-  auto second = w.Submit(1, kKey, false);
+  auto first = w.Submit(0, test_key, true);
+  auto second = w.Submit(1, test_key, false);
   w.Run(seconds(5));
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
   CHECK(w.answers[first].outcome == "done");
   CHECK(w.answers[second].outcome == "done");
   CHECK(w.violation.empty());
@@ -110,69 +110,69 @@
 TEST_CASE("agent restarts while a dispatch runs") {
   record_world w(1);
   w.engine_time = seconds(2);
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(milliseconds(100));
-  REQUIRE(w.Runs(kKey) == 1);
+  REQUIRE(w.Runs(test_key) == 1);
   w.RestartAgent(0);
   w.Run(seconds(1));
   CHECK(w.answers[first].outcome == "unknown");
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(9));
   CHECK(w.answers[resend].outcome == "unknown");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against a retry after the engine died during the run.
 TEST_CASE("engine restarts while a dispatch runs") {
   record_world w(1, 2, 2);
   w.engine_time = seconds(2);
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(milliseconds(100));
   w.CrashEngine(0);
   w.CrashEngine(1);
   w.Run(seconds(1));
   CHECK(w.answers[first].outcome == "unknown");
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(9));
   CHECK(w.answers[resend].outcome == "unknown");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against telling "unknown" when every attempt was refused, and against a stuck key.
 TEST_CASE("engine refuses before it starts") {
   record_world w(1);
   w.engine_refuses = true;
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(seconds(1));
   CHECK(w.answers[first].outcome == "not-run");
   w.engine_refuses = false;
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(1));
   CHECK(w.answers[resend].outcome == "done");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against running without a claim, and against "not run" for a key that may have run.
 TEST_CASE("no quorum") {
   record_world w(1);
   w.CutLeader(true);
-  auto first = w.Submit(0, kKey, true);
-  auto resend = w.Submit(1, kKey, false);
+  auto first = w.Submit(0, test_key, true);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(4));
   CHECK(w.answers[first].outcome == "not-run");
   CHECK(w.answers[first].refusal == refusal_reason::kNoQuorum);
   CHECK(w.answers[resend].outcome == "unknown");
-  CHECK(w.Runs(kKey) == 0);
+  CHECK(w.Runs(test_key) == 0);
   // The leases have ended by now.
-  auto later = w.Submit(0, kKey, true);
+  auto later = w.Submit(0, test_key, true);
   w.Run(milliseconds(1));
   CHECK(w.answers[later].refusal == refusal_reason::kConfigLeaseLost);
   w.CutLeader(false);
   w.Run(seconds(2));
-  auto last = w.Submit(0, kKey, false);
+  auto last = w.Submit(0, test_key, false);
   w.Run(seconds(1));
   CHECK(w.answers[last].outcome == "done");
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 // Guards against a wait without end for the commit of an outcome.
@@ -182,7 +182,7 @@
     if (Is<outcome_request>(m)) return std::nullopt;
     return milliseconds(1);
   };
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(milliseconds(900));
   CHECK(w.answers[first].outcome.empty());
   w.Run(milliseconds(300));
@@ -214,15 +214,15 @@
 // Guards against cancelling a booking half-way, after which nobody knows its outcome.
 TEST_CASE("the caller hangs up and asks again") {
   record_world w(1);
-  auto first = w.Submit(0, kKey, true);
+  auto first = w.Submit(0, test_key, true);
   w.Run(milliseconds(15));
   w.HangUp(0, first);
   w.Run(seconds(1));
-  auto resend = w.Submit(1, kKey, false);
+  auto resend = w.Submit(1, test_key, false);
   w.Run(seconds(1));
-  CHECK(w.answers[resend].body == "ran " + kKey);
+  CHECK(w.answers[resend].body == "ran " + test_key);
   CHECK(w.answers.count(first) == 0);
-  CHECK(w.Runs(kKey) == 1);
+  CHECK(w.Runs(test_key) == 1);
 }
 
 }  // namespace radishroute
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -127,6 +127,27 @@
   CHECK(f.Last<close_link>()->link == link_id{1});
 }
 
+// Guards against leaving a healthy leader between two renewals: an earlier bound on its silence
+// equalled the interval of renewals.
+TEST_CASE("an entry keeps a leader that answers slowly") {
+  client_fixture f;
+  f.Opened({1}, kFirst);
+  for (int second = 0; second < 20; ++second) {
+    const auto* renew = f.Sent<lease_renew>();
+    REQUIRE(renew != nullptr);
+    std::uint64_t sequence = renew->sequence;
+    f.Tick(milliseconds(200));
+    CHECK(f.Last<open_link>() == nullptr);
+    f.Grant(sequence, 0);
+    f.Tick(milliseconds(800));
+    CHECK(f.Last<open_link>() == nullptr);
+  }
+  CHECK(f.client.LeaseValid(f.clock.Now()));
+  // A silent leader is left after 1.5 s.
+  f.Tick(milliseconds(1500));
+  CHECK(f.Last<open_link>() != nullptr);
+}
+
 // Guards against an entry that restarts without a disk and serves under an older configuration
 // than the processes of its zone.
 TEST_CASE("a restarted entry that is cut off takes the highest version of its zone") {
@@ -230,6 +251,7 @@
   const std::string path = "/v1/config/changes";
   CHECK(ask("POST", path, change("a", "ayse", 100), "Bearer tokem").status == 401);
   CHECK(ask("POST", path, change("a", "ayse", 0)).status == 422);
+  CHECK(ask("POST", path, change("a/b", "ayse", 100)).status == 422);
   CHECK(ask("POST", path, "{}").status == 400);
   CHECK(s.machine.Config().Version() == 0);
   CHECK(ask("POST", path, change("a", "ayse", 100)).status == 202);
