--- a/include/radishroute/scheduler.h
+++ b/include/radishroute/scheduler.h
@@ -35,12 +35,16 @@
   /// False until enough runs of the class were measured to refuse work by the estimate.
   bool Reliable(priority_class cls) const;
   std::chrono::microseconds Of(priority_class cls, std::uint64_t cost) const;
+  /// Time within which nearly all works of this cost end.
+  std::chrono::microseconds Upper(priority_class cls, std::uint64_t cost) const;
 
  private:
   struct sums {
     double micros = 0;
     double cost = 0;
     std::uint32_t runs = 0;
+    /// Mean deviation of a run from its estimate, as a part of the estimate.
+    double deviation = 0;
   };
   std::array<sums, kPriorityClassCount> classes_{};
 };
--- a/src/scheduler.cc
+++ b/src/scheduler.cc
@@ -1,6 +1,7 @@
 #include "radishroute/scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace radishroute {
 
@@ -13,6 +14,13 @@
 constexpr std::uint32_t kEstimateRuns = 64;
 constexpr std::uint32_t kReliableRuns = 8;
 
+// In an overload, work is handed out just before its deadline. With the mean service time as the
+// limit, half of that work would run in vain; two mean deviations cover evenly spread lengths.
+constexpr double kUpperDeviations = 2;
+constexpr double kDeviationGain = 1.0 / 16;
+// One stalled run must not make the class refuse everything.
+constexpr double kLargestDeviation = 1;
+
 // Used for shares of classes until the first run of any class is measured.
 constexpr double kUnmeasuredMicrosPerToken = 1000;
 
@@ -27,6 +35,12 @@
 
 void service_estimate::Add(const finished_work& finished) {
   sums& s = classes_[ClassIndex(finished.cls)];
+  if (s.runs > 0) {
+    auto expected = static_cast<double>(Of(finished.cls, finished.cost).count());
+    auto measured = static_cast<double>(finished.service_time.count());
+    double off = std::abs(measured - expected) / std::max(expected, 1.0);
+    s.deviation += (std::min(off, kLargestDeviation) - s.deviation) * kDeviationGain;
+  }
   s.micros += static_cast<double>(finished.service_time.count());
   s.cost += finished.cost;
   if (++s.runs < kEstimateRuns) return;
@@ -49,6 +63,12 @@
       static_cast<std::int64_t>(per_token * static_cast<double>(cost)));
 }
 
+std::chrono::microseconds service_estimate::Upper(priority_class cls, std::uint64_t cost) const {
+  double factor = 1 + kUpperDeviations * classes_[ClassIndex(cls)].deviation;
+  return std::chrono::microseconds(
+      static_cast<std::int64_t>(factor * static_cast<double>(Of(cls, cost).count())));
+}
+
 std::uint64_t member_queue::Scaled(std::uint64_t cost, std::uint32_t weight) {
   return (cost << kVirtualTimeBits) / std::max(weight, 1U);
 }
@@ -166,7 +186,7 @@
   // With nothing running, work is always taken: its run corrects an estimate that is too long.
   if (running_ > 0 && estimate_.Reliable(work.cls)) {
     micros wait = WaitFor(cls, queue.CostAhead(work.member, work.weight, work.cost));
-    if (now + wait + estimate_.Of(work.cls, work.cost) > work.deadline) {
+    if (now + wait + estimate_.Upper(work.cls, work.cost) > work.deadline) {
       bool over = queue.OverShare(work.member);
       rejected.push_back(
           {work.id, over ? refusal_reason::kOverMemberShare : refusal_reason::kDeadlineUnreachable,
@@ -234,7 +254,8 @@
       continue;
     }
     micros service = estimate_.Of(work->cls, work->cost);
-    if (running_ > 0 && estimate_.Reliable(work->cls) && now + service > work->deadline) {
+    if (running_ > 0 && estimate_.Reliable(work->cls) &&
+        now + estimate_.Upper(work->cls, work->cost) > work->deadline) {
       rejected.push_back({work->id, refusal_reason::kDeadlineUnreachable, RetryAfter(*cls)});
       continue;
     }
