Count retries over budget and keep refusals apart from failures

A repeatable request that was refused by every server it was sent to was reported as failed with an unknown outcome, and one that had failed on a server and then found no other one was reported as not run.

The entry now remembers whether any attempt may have run: the caller gets the last refusal with its retry-after only if none has, and a failure otherwise. Retries that the budget denies are counted as retries_over_budget.

Also adds tests of refusal hints, retry budgets and guaranteed shares through the reducer, with the test in the place of the agents or entries.

--- a/benchmark/overload_benchmark.cc
+++ b/benchmark/overload_benchmark.cc
@@ -29,7 +29,7 @@
   micros lag{};
 };
 
-const std::vector<scenario> kScenarios = {
+constexpr scenario kScenarios[] = {
     {"mix 0.5", {0.3, 0.05, 0.15}},
     {"mix 0.9", {0.54, 0.09, 0.27}},
     {"mix 2", {1.2, 0.2, 0.6}},
@@ -143,12 +143,7 @@
   }
 }
 
-}  // namespace
-
-}  // namespace radishroute
-
-int main(int argc, char** argv) {
-  using namespace radishroute;
+void Main(int argc, char** argv) {
   std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
   std::vector<std::string> policies(argv + std::min(argc, 2), argv + argc);
   if (policies.empty()) policies = {"baseline", "balanced", "urgent"};
@@ -159,3 +154,9 @@
                   [&](auto set) { Report<typename decltype(set)::type>(name.c_str(), seed); });
   }
 }
+
+}  // namespace
+
+}  // namespace radishroute
+
+int main(int argc, char** argv) { radishroute::Main(argc, argv); }
--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -98,7 +98,7 @@
     queue.Push(std::move(work), now, rejected);
     ++i;
   };
-  while (i < 300) push();
+  for (int filled = 0; filled < 300; ++filled) push();
   finished_work finished;
   finished.service_time = 100ms;
   std::uint64_t before = allocations;
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -23,9 +23,10 @@
   kFramesRejected,
   kLinksUnauthorized,
   kEventQueueFull,
+  kRetriesOverBudget,
 };
 
-inline constexpr std::size_t kCounterCount = 14;
+inline constexpr std::size_t kCounterCount = 15;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -61,12 +61,15 @@
     std::uint32_t backend = 0;
     /// True while the router counts the request as in flight at `backend`.
     bool counted = false;
+    /// True once an attempt ended in any way other than a refusal.
+    bool may_have_run = false;
     std::string backend_name;
     std::uint64_t backend_incarnation = 0;
     endpoint backend_address;
     std::uint64_t bytes_sent = 0;
     bool response_begun = false;
     std::vector<std::uint32_t> tried;
+    refusal_reason last_refusal = refusal_reason::kNone;
     /// Advice of the last refusal.
     std::chrono::microseconds retry_after{};
   };
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -9,7 +9,7 @@
       "requests_received",    "answers_completed",    "answers_in_time",      "answers_aborted",
       "callers_hung_up",      "stale_chunks_dropped", "duplicate_dispatches", "dispatches_sent",
       "dispatches_cancelled", "links_opened",         "links_closed",         "frames_rejected",
-      "links_unauthorized",   "event_queue_full"};
+      "links_unauthorized",   "event_queue_full",     "retries_over_budget"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -77,8 +77,10 @@
     request.backend = *backend;
     if (hinted.count() == 0) return &chosen;
   }
-  if (request.response_begun) {
+  if (request.response_begun || request.may_have_run) {
     Fail(request, dispatch_failure::kEngineUnreachable, ctx);
+  } else if (request.last_refusal != refusal_reason::kNone) {
+    Refuse(request, request.last_refusal, request.retry_after, ctx);
   } else if (hinted.count() > 0) {
     Refuse(request, refusal_reason::kOverMemberShare, hinted, ctx);
   } else {
@@ -215,7 +217,7 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= ctx.now) {
     entry_request& request = requests_.at(deadlines_.begin()->second);
     CancelAtBackend(request, ctx);
-    if (request.at == phase::kWaitingForLink && !request.response_begun) {
+    if (request.at == phase::kWaitingForLink && !request.response_begun && !request.may_have_run) {
       Refuse(request, refusal_reason::kDeadlinePassed, std::chrono::microseconds(0), ctx);
     } else {
       Fail(request, dispatch_failure::kDeadlinePassed, ctx);
@@ -300,6 +302,7 @@
     admission_.OnRefused(table_->backends[request->backend], request->input.member, request->cls,
                          refused.reason, refused.retry_after, ctx.now);
   }
+  request->last_refusal = refused.reason;
   request->retry_after = refused.retry_after;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
 }
@@ -329,23 +332,21 @@
 void request_table<P>::Retry(entry_request& request, retry_reason reason, refusal_reason refusal,
                              dispatch_failure failure, reduce_context& ctx) {
   bool never_ran = refusal != refusal_reason::kNone;
-  auto retry_after = request.retry_after.count() > 0
-                         ? request.retry_after
-                         : std::chrono::microseconds(std::chrono::seconds(1));
-  bool allowed = (never_ran || request.repeatable) && request.attempt < limits_.max_attempts &&
-                 ctx.now < request.deadline && retries_.TakeRetry(request.input.member, ctx.now);
-  if (allowed) {
+  request.may_have_run = request.may_have_run || !never_ran;
+  bool useful = (never_ran || request.repeatable) && request.attempt < limits_.max_attempts &&
+                ctx.now < request.deadline;
+  if (useful && retries_.TakeRetry(request.input.member, ctx.now)) {
     router_.OnDone(request.backend);
     request.counted = false;
     ctx.Emit(count_retry{reason});
     Route(request, ctx);
     return;
   }
-  if (never_ran && !request.response_begun && request.attempt == 1) {
-    Refuse(request, refusal, retry_after, ctx);
-  } else if (never_ran && !request.response_begun && !request.repeatable) {
-    // A non-idempotent request is retried only after refusals, so no attempt has run.
-    Refuse(request, refusal, retry_after, ctx);
+  if (useful) ctx.Emit(count{counter::kRetriesOverBudget});
+  if (!request.may_have_run && !request.response_begun) {
+    constexpr std::chrono::microseconds kDefaultRetryAfter = std::chrono::seconds(1);
+    Refuse(request, refusal,
+           request.retry_after.count() > 0 ? request.retry_after : kDefaultRetryAfter, ctx);
   } else {
     Fail(request,
          failure == dispatch_failure::kNone ? dispatch_failure::kEngineUnreachable : failure, ctx);
--- /dev/null
+++ b/tests/admission_test.cc
@@ -0,0 +1,173 @@
+#include <catch2/catch.hpp>
+
+#include "radishroute/policies.h"
+#include "radishroute/reducer.h"
+
+namespace radishroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// An entry's shard with two linked agents, which the test plays.
+struct entry_fixture {
+  entry_fixture() {
+    state.traffic.requests.emplace(1, 0, request_limits{});
+    auto table = std::make_shared<routing_table>();
+    table->has_configuration = true;
+    table->kinds["quote"] = {"quote", priority_class::kInteractive, 5s, 1, true};
+    for (const char* name : {"flood", "small"}) table->members[name] = {name, 1};
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+      announcement record;
+      record.backend = "b" + std::to_string(port);
+      record.traffic_address = {"host", port};
+      record.concurrency_limit = 8;
+      table->backends.push_back(record);
+      table->pools["m"].local.push_back(port - 1U);
+    }
+    Apply(routing_table_published{table});
+    for (const announcement& record : table->backends) {
+      Apply(link_opened{{record.traffic_address.port}, {}, record.traffic_address});
+    }
+  }
+
+  void Apply(const event& e) {
+    effects.clear();
+    reduce_context ctx{clock.Now(), clock.WallNow(), random, effects};
+    Reduce(state, e, ctx);
+  }
+
+  /// Submits a request; the dispatch, if one was sent.
+  std::optional<dispatch_request> Submit(const std::string& member) {
+    caller_request request;
+    request.exchange = {next++};
+    request.member = member;
+    request.kind = "quote";
+    request.model = "m";
+    Apply(request);
+    return Sent();
+  }
+
+  std::optional<dispatch_request> Sent() const {
+    for (const effect& e : effects) {
+      if (const auto* send = std::get_if<send_message>(&e)) {
+        if (const auto* d = std::get_if<dispatch_request>(&send->body)) return *d;
+      }
+    }
+    return std::nullopt;
+  }
+
+  const respond_problem* Problem() const {
+    for (const effect& e : effects) {
+      if (const auto* problem = std::get_if<respond_problem>(&e)) return problem;
+    }
+    return nullptr;
+  }
+
+  void Refuse(const dispatch_request& dispatch, refusal_reason reason) {
+    Apply(message_received{{1}, dispatch_refused{dispatch.id, reason, 150ms, {}}});
+  }
+
+  manual_clock clock;
+  random_source random{3};
+  effect_list effects;
+  node_state<balanced_policies> state;
+  std::uint64_t next = 1;
+};
+
+dispatch_request MakeDispatch(std::uint64_t sequence, priority_class cls, std::uint64_t version,
+                              std::uint32_t batch_floor) {
+  dispatch_request dispatch;
+  dispatch.id = {{1, sequence}, 1};
+  dispatch.cls = cls;
+  dispatch.time_left = 1h;
+  dispatch.config_version = version;
+  dispatch.floor_percent = {0, 0, batch_floor};
+  return dispatch;
+}
+
+}  // namespace
+
+// Guards against a round trip for every request of a flood, and against refusing the others.
+TEST_CASE("a Member over its share everywhere is refused at the entry") {
+  entry_fixture f;
+  auto first = f.Submit("flood");
+  f.Refuse(*first, refusal_reason::kOverMemberShare);
+  auto again = f.Sent();
+  REQUIRE(again);
+  f.Refuse(*again, refusal_reason::kOverMemberShare);
+  REQUIRE(f.Problem() != nullptr);
+  CHECK(f.Problem()->outcome == run_outcome::kNotRun);
+  CHECK(f.Problem()->retry_after == 150ms);
+  CHECK_FALSE(f.Submit("flood"));
+  CHECK(f.Problem()->refusal == refusal_reason::kOverMemberShare);
+  CHECK(f.Submit("small"));
+  f.clock.Advance(refusal_hints::kLongest);
+  CHECK(f.Submit("flood"));
+}
+
+// Guards against a retry storm on refusals for overload.
+TEST_CASE("refusals for overload are tried elsewhere only while the budget allows") {
+  entry_fixture f;
+  int retries = 0;
+  for (int i = 0; i < 200; ++i) {
+    auto dispatch = f.Submit("flood");
+    REQUIRE(dispatch);
+    f.Refuse(*dispatch, refusal_reason::kQueueFull);
+    auto again = f.Sent();
+    if (!again) continue;
+    ++retries;
+    f.Refuse(*again, refusal_reason::kQueueFull);
+    REQUIRE(f.Problem() != nullptr);
+    CHECK(f.Problem()->refusal != refusal_reason::kNone);
+  }
+  CHECK(retries <= 25);
+  CHECK(retries >= 20);
+}
+
+// Guards against "not run" for a request that an earlier attempt may have run.
+TEST_CASE("a refusal after a crash is not reported as not run") {
+  entry_fixture f;
+  auto first = f.Submit("small");
+  f.Apply(message_received{{1}, dispatch_failed{first->id, dispatch_failure::kEngineCrashed, {}}});
+  auto again = f.Sent();
+  REQUIRE(again);
+  f.Refuse(*again, refusal_reason::kQueueFull);
+  REQUIRE(f.Problem() != nullptr);
+  CHECK(f.Problem()->outcome == run_outcome::kUnknown);
+}
+
+// Guards against an entry that lags behind and brings back older shares.
+TEST_CASE("an agent keeps the shares of the highest configuration version") {
+  node_state<balanced_policies> state;
+  execution_limits limits;
+  limits.concurrency = 1;
+  state.traffic.executions.emplace(0, limits);
+  manual_clock clock;
+  random_source random(1);
+  int batch = 0;
+  std::optional<dispatch_id> running;
+  auto apply = [&](const event& e) {
+    effect_list effects;
+    reduce_context ctx{clock.Now(), clock.WallNow(), random, effects};
+    Reduce(state, e, ctx);
+    for (const effect& one : effects) {
+      if (const auto* start = std::get_if<start_engine_call>(&one)) {
+        running = start->id;
+        batch += start->cls == priority_class::kBatch ? 1 : 0;
+      }
+    }
+  };
+  for (std::uint64_t i = 0; i < 200; ++i) {
+    bool first = i % 2 == 0;
+    priority_class cls = first ? priority_class::kInteractive : priority_class::kBatch;
+    apply(message_received{{1}, MakeDispatch(i, cls, first ? 5 : 4, first ? 50 : 0)});
+  }
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(10ms);
+    apply(engine_answer_end{*running});
+  }
+  CHECK(batch == Approx(50).margin(2));
+}
+
+}  // namespace radishroute
