--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -46,9 +46,10 @@
   kOutcomesNotStored,
   kStoredAnswersServed,
   kDispatchesResolved,
+  kRetriesOverBudget,
 };
 
-inline constexpr std::size_t kCounterCount = 37;
+inline constexpr std::size_t kCounterCount = 38;
 
 std::string_view ToString(counter c);
 
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -104,6 +104,8 @@
   }
   if (MayHaveRun(request)) {
     Fail(request, dispatch_failure::kEngineUnreachable, ctx);
+  } else if (request.last_refusal != refusal_reason::kNone) {
+    Refuse(request, request.last_refusal, request.retry_after, ctx);
   } else if (hinted.count() > 0) {
     Refuse(request, refusal_reason::kOverMemberShare, hinted, ctx);
   } else {
@@ -356,6 +358,7 @@
     admission_.OnRefused(table_->backends[request->backend], request->input.member, request->cls,
                          refused.reason, refused.retry_after, ctx.now);
   }
+  request->last_refusal = refused.reason;
   request->retry_after = refused.retry_after;
   if (refused.reason == refusal_reason::kTombstoned) ++request->lost_dispatches;
   Retry(*request, retry_reason::kRefusedByBackend, refused.reason, dispatch_failure::kNone, ctx);
@@ -400,19 +403,19 @@
   std::uint32_t max_attempts =
       limits_.max_attempts + std::min(request.lost_dispatches, limits_.max_lost_dispatches);
   bool resumable = request.bytes_sent == 0 || CanResume(request);
-  bool allowed = (!request.may_have_run || request.repeatable) && resumable &&
-                 request.attempt < max_attempts && ctx.now < request.deadline &&
-                 retries_.TakeRetry(request.input.member, ctx.now);
+  bool useful = (!request.may_have_run || request.repeatable) && resumable &&
+                request.attempt < max_attempts && ctx.now < request.deadline;
   auto retry_after = request.retry_after.count() > 0
                          ? request.retry_after
                          : std::chrono::microseconds(std::chrono::seconds(1));
-  if (allowed) {
+  if (useful && retries_.TakeRetry(request.input.member, ctx.now)) {
     router_.OnDone(request.backend);
     request.counted = false;
     ctx.Emit(count_retry{reason});
     Route(request, ctx);
     return;
   }
+  if (useful) ctx.Emit(count{counter::kRetriesOverBudget});
   if (!MayHaveRun(request)) {
     Refuse(request, refusal, retry_after, ctx);
     return;
