--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -41,6 +41,36 @@
   CHECK(out.body == in.body);
 }
 
+// Guards against a command that differs between the leader and the replicas it is sent to.
+TEST_CASE("log entries survive encoding") {
+  append_request in;
+  in.header = {3, {~0ULL}, {2}, 9};
+  in.prev_index = 4;
+  in.sent = steady_time(std::chrono::nanoseconds(123456789));
+  wall_time at{std::chrono::microseconds(1700000000000001)};
+  replica learner{{5}, "zone-b", {"10.0.0.1", 9000}, false, {6}};
+  in.entries = {
+      {9, 5, record_claim{"club-1", "key", 7, {{1, 2}, 3}, "desk", 8, at}},
+      {9, 6, replica_change{{learner}}},
+      {9, 7, record_outcome{"club-1", "key", {}, record_status::kUnknown, 503, "t", "a"}}};
+  auto out = std::get<append_request>(RoundTrip(in));
+  CHECK(out.header.from == in.header.from);
+  CHECK(out.sent == in.sent);
+  REQUIRE(out.entries.size() == 3);
+  auto claim = std::get<record_claim>(out.entries[0].body);
+  CHECK(claim.dispatch == dispatch_id{{1, 2}, 3});
+  CHECK(claim.at == at);
+  CHECK(claim.backend_incarnation == 8);
+  auto change = std::get<replica_change>(out.entries[1].body).replicas.at(0);
+  CHECK(change.address == learner.address);
+  CHECK_FALSE(change.voting);
+  CHECK(change.replaces == voter_id{6});
+  auto outcome = std::get<record_outcome>(out.entries[2].body);
+  CHECK(outcome.status == record_status::kUnknown);
+  CHECK(outcome.answer_status == 503);
+  CHECK(outcome.answer == "a");
+}
+
 // Guards against accepting frames of another protocol version or garbage.
 TEST_CASE("malformed frames are typed errors") {
   message out;
