--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -54,7 +54,7 @@
   stream.put(byte);
 }
 
-const std::string kFirstSegment = "segment-000000000001";
+constexpr const char* kFirstSegment = "segment-000000000001";
 
 }  // namespace
 
