--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -39,11 +39,11 @@
 http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {
   lane_protocols_[0] = Protocol();
   lane_protocols_[0].callback = &http_client::OnLane;
-  release_timer_.owner = this;
+  deferred_timer_.owner = this;
 }
 
 http_client::~http_client() {
-  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
   for (auto& [id, c] : calls_) {
     if (c->wsi != nullptr) lws_set_opaque_user_data(c->wsi, nullptr);
   }
@@ -80,13 +80,26 @@
   if (used == nullptr) return;
   // Only after the present callback has returned is the connection idle or closed.
   released_.push_back(used);
-  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, &http_client::OnRelease, 1);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, &http_client::OnDeferred, 1);
 }
 
-void http_client::OnRelease(lws_sorted_usec_list_t* sul) {
-  http_client* owner = lws_container_of(sul, release_timer, sul)->owner;
+void http_client::OnDeferred(lws_sorted_usec_list_t* sul) {
+  http_client* owner = lws_container_of(sul, deferred_timer, sul)->owner;
   for (lane* used : owner->released_) used->busy = false;
   owner->released_.clear();
+  for (call_id id : owner->awaiting_) {
+    auto it = owner->calls_.find(id);
+    if (it == owner->calls_.end() || it->second->wsi == nullptr) continue;
+    lws_set_timeout(it->second->wsi, NO_PENDING_TIMEOUT, 0);
+  }
+  owner->awaiting_.clear();
+}
+
+void http_client::AwaitAnswer(call& c) {
+  // libwebsockets closes a call that has no answer after 10 s, but queued batch work may take
+  // hours; callers' deadlines bound the wait. It sets its timeout after the present callback.
+  awaiting_.push_back(c.id);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, &http_client::OnDeferred, 1);
 }
 
 http_client::call_id http_client::Start(const endpoint& server, const std::string& path,
@@ -158,6 +171,8 @@
     if (add("content-length", std::to_string(length)) != 0) return -1;
     lws_client_http_body_pending(c.wsi, 1);
     lws_callback_on_writable(c.wsi);
+  } else {
+    AwaitAnswer(c);
   }
   c.sent = true;
   return 0;
@@ -165,12 +180,7 @@
 
 int http_client::OnWritable(call& c) {
   std::size_t pending = c.body.size() - LWS_PRE - c.written;
-  if (pending == 0) {
-    // The request is sent. An answer may take longer than libwebsockets waits for one (10 s); the
-    // callers' deadlines bound the wait.
-    lws_set_timeout(c.wsi, NO_PENDING_TIMEOUT, 0);
-    return 0;
-  }
+  if (pending == 0) return 0;
   std::size_t length = std::min(pending, kMaxWriteBytes);
   bool last = length == pending;
   auto* data = reinterpret_cast<unsigned char*>(c.body.data()) + LWS_PRE + c.written;
@@ -178,7 +188,11 @@
   if (last) lws_client_http_body_pending(c.wsi, 0);
   if (lws_write(c.wsi, data, length, how) < static_cast<int>(length)) return -1;
   c.written += length;
-  lws_callback_on_writable(c.wsi);
+  if (last) {
+    AwaitAnswer(c);
+  } else {
+    lws_callback_on_writable(c.wsi);
+  }
   return 0;
 }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -72,15 +72,16 @@
     bool busy = false;
   };
 
-  struct release_timer {
+  struct deferred_timer {
     lws_sorted_usec_list_t sul{};
     http_client* owner = nullptr;
   };
 
   static int OnLane(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
-  static void OnRelease(lws_sorted_usec_list_t* sul);
+  static void OnDeferred(lws_sorted_usec_list_t* sul);
   lane* TakeLane(const std::string& server);
   void Release(lane* used);
+  void AwaitAnswer(call& c);
   static int OnHttp(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
   int AppendHeaders(call& c, unsigned char** p, unsigned char* end);
   int OnWritable(call& c);
@@ -94,7 +95,8 @@
   std::unordered_map<call_id, std::unique_ptr<call>> calls_;
   std::unordered_map<std::string, std::vector<std::unique_ptr<lane>>> lanes_;
   std::vector<lane*> released_;
-  release_timer release_timer_;
+  std::vector<call_id> awaiting_;
+  deferred_timer deferred_timer_;
   lws_protocols lane_protocols_[2] = {};
 };
 
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -34,14 +34,16 @@
 class Cluster:
     """Processes of one deployment; use as a context manager, so that none outlives the test."""
 
-    def __init__(self, program):
-        self.program = program
+    def __init__(self, program, sheet=SHEET):
+        self.program = os.path.abspath(program)
         self.dir = tempfile.mkdtemp(prefix="radishroute-")
         self.processes = {}
         self.entries = {}
+        self.engines = {}
+        self.runs_files = []
         self.sheet = os.path.join(self.dir, "sheet.csv")
         with open(self.sheet, "w") as file:
-            file.write(SHEET)
+            file.write(sheet)
 
     def __enter__(self):
         return self
@@ -74,9 +76,63 @@
         self.start_with_settings("entry", settings)
         return settings
 
+    def add_engine(self, name, arguments=()):
+        """Starts a stand-in without an agent and returns its address."""
+        address = free_address()
+        self.start(name, ["engine", "--listen", address, *arguments])
+        self.engines[name] = address
+        return address
+
+    def add_service(self, name, zone, model, arguments=()):
+        """Starts a plain service with its agent; its runs are checked by `check`."""
+        runs = os.path.join(self.dir, name + ".runs")
+        self.runs_files.append(runs)
+        return self.add_backend(
+            name, zone, ["--kind", "service", "--runs-file", runs, *arguments],
+            kind="service", models=[model])
+
+    def add_deployment(self, description):
+        """Starts entries, engines and services of every zone; see examples/*/deployment.json."""
+        zones = description["zones"]
+        for zone, counts in zones.items():
+            for i in range(counts["entries"]):
+                self.add_entry(f"entry-{zone}{i}", zone)
+        for zone, counts in zones.items():
+            for i in range(counts["engines"]):
+                self.add_backend(f"agent-{zone}{i}", zone, models=[description["model"]],
+                                 concurrency=description["concurrency"])
+            for i in range(counts["services"]):
+                self.add_service(f"service-{zone}{i}", zone, description["service"])
+
+    def fault(self, engine, fault, value=0):
+        body = json.dumps({"fault": fault, "value": value}).encode()
+        request = urllib.request.Request(
+            f"http://{self.engines[engine]}/v1/fault", data=body, method="POST")
+        urllib.request.urlopen(request, timeout=5).read()
+
+    def run_plan(self, plan, targets=None, timeout=120, name="load"):
+        """Runs a plan and returns the finished process, its result and its records file."""
+        path, out, records = (os.path.join(self.dir, name + end)
+                              for end in (".plan", ".json", ".records"))
+        with open(path, "w") as file:
+            json.dump(plan, file)
+        targets = targets or [e["http"]["listen"] for e in self.entries.values()]
+        arguments = [a for target in targets for a in ("--target", target)]
+        done = subprocess.run(
+            [self.program, "load", *arguments, "--plan", path, "--sheet", self.sheet,
+             "--out", out, "--records", records], capture_output=True, text=True, timeout=timeout)
+        with open(out) as file:
+            return done, json.load(file), records
+
+    def check(self, records, runs_files=None):
+        """Runs `load check` and returns the finished process."""
+        files = self.runs_files if runs_files is None else runs_files
+        arguments = [a for f in files for a in ("--runs-file", f)]
+        return subprocess.run([self.program, "load", "check", "--records", records, *arguments],
+                              capture_output=True, text=True, timeout=60)
+
     def add_backend(self, name, zone="a", engine_arguments=(), **backend):
-        engine = free_address()
-        self.start(name + "-engine", ["engine", "--listen", engine, *engine_arguments])
+        engine = self.add_engine(name + "-engine", engine_arguments)
         settings = {
             "node": name, "zone": zone, "traffic_listen": free_address(),
             "admin_listen": free_address(),
