Name HTTP client calls by id, so that no connection outlives its call's memory

libwebsockets can report a failed start for a connection that it keeps until a header buffer is free. Its later callbacks used the memory of the ended call, and the request was sent although it had been reported as not sent, which would have made a 'not run' false. Connections now carry the call's id; one whose call has ended is closed before it sends anything.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -43,9 +43,11 @@
   lane_protocols_[0] = Protocol();
   lane_protocols_[0].callback = &http_client::OnLane;
   deferred_timer_.owner = this;
+  loop_.SetHttpClient(this);
 }
 
 http_client::~http_client() {
+  loop_.SetHttpClient(nullptr);
   lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
   for (auto& [id, c] : calls_) {
     if (c->wsi != nullptr) lws_set_opaque_user_data(c->wsi, nullptr);
@@ -132,7 +134,9 @@
   info.host = server.host.c_str();
   info.method = body.empty() ? "GET" : "POST";
   info.local_protocol_name = kProtocolName;
-  info.opaque_user_data = raw;
+  // The id, not the call: libwebsockets may keep a connection that waits for a header buffer
+  // although it has reported a failure, and call back after the call's end.
+  info.opaque_user_data = reinterpret_cast<void*>(id);
   lws* wsi = lws_client_connect_via_info(&info);
   raw->starting = false;
   // A call that waits for a free header buffer has had no callback that names its connection.
@@ -251,10 +255,17 @@
     return 0;
   }
   if (wsi == nullptr) return 0;
-  auto* c = static_cast<call*>(lws_get_opaque_user_data(wsi));
+  auto id = reinterpret_cast<call_id>(lws_get_opaque_user_data(wsi));
+  auto* owner = static_cast<http_client*>(io_loop::HttpClientOf(wsi));
+  call* c = nullptr;
+  if (id != 0 && owner != nullptr) {
+    auto it = owner->calls_.find(id);
+    if (it != owner->calls_.end()) c = it->second.get();
+  }
   if (c == nullptr) {
     // Cancelled: the connection is closed at the next callback that can close it.
     return reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE ||
+                   reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER ||
                    reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
                ? -1
                : 0;
