Make widening of constants explicit, as clang-tidy asks

clang-tidy over src/engine, src/load, src/io/http_client.cc and benchmark/bare_server.cc reported only these.

--- a/src/engine/http_api.cc
+++ b/src/engine/http_api.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Bytes of KV cache per token, of the order of a large model's; reported, not transferred.
-constexpr std::uint64_t kKvBytesPerToken = 160 * 1024;
+constexpr std::uint64_t kKvBytesPerToken = std::uint64_t{160} * 1024;
 
 constexpr std::string_view kCacheEventsPath = "/v1/cache-events";
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr const char* kProtocolName = "http-client";
-constexpr std::size_t kMaxWriteBytes = 16 * 1024;
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
+constexpr std::size_t kMaxWriteBytes = std::size_t{16} * 1024;
+constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
 
 // Last bytes of a complete server-sent event stream in the chat completions interface. A stream
 // without a length is complete only if it ends so.
