--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -179,11 +179,11 @@
     count_refusal,            //
     count_retry,              //
     observe_latency,          //
-    stop_process,  //
-    share_crash_report,  //
-    share_engine_status,  //
-    probe_engine,  //
-    store_log,  //
+    stop_process,             //
+    share_crash_report,       //
+    share_engine_status,      //
+    probe_engine,             //
+    store_log,                //
     proposal_finished>;
 
 using effect_list = std::vector<effect>;
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -45,25 +45,25 @@
     announcement,              //
     directory_delta,           //
     directory_digest,          //
-    directory_pull,  //
-    crash_report,  //
-    entry_beats,  //
-    append_request,  //
-    append_reply,  //
-    vote_request,  //
-    vote_reply,  //
-    snapshot_chunk,  //
-    snapshot_reply,  //
-    propose_request,  //
-    propose_reply,  //
-    claim_request,  //
-    outcome_request,  //
-    record_reply,  //
-    outcome_reply,  //
-    lease_renew,  //
-    lease_grant,  //
-    config_push,  //
-    version_query,  //
+    directory_pull,            //
+    crash_report,              //
+    entry_beats,               //
+    append_request,            //
+    append_reply,              //
+    vote_request,              //
+    vote_reply,                //
+    snapshot_chunk,            //
+    snapshot_reply,            //
+    propose_request,           //
+    propose_reply,             //
+    claim_request,             //
+    outcome_request,           //
+    record_reply,              //
+    outcome_reply,             //
+    lease_renew,               //
+    lease_grant,               //
+    config_push,               //
+    version_query,             //
     version_reply>;
 
 }  // namespace radishroute
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -154,8 +154,8 @@
     steady_time idle_since;
     /// Requests that wait for the link or are dispatched on it.
     std::set<request_id> users;
-  /// Requests that wait to ask the agent about another dispatch.
-  std::vector<request_id> resolving;
+    /// Requests that wait to ask the agent about another dispatch.
+    std::vector<request_id> resolving;
   };
 
   using link_map = std::map<endpoint, backend_link>;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 namespace radishroute {
@@ -9,8 +10,8 @@
 namespace {
 
 constexpr const char* kProtocolName = "http-client";
-constexpr std::size_t kMaxWriteBytes = 16 * 1024;
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
+constexpr std::size_t kMaxWriteBytes = std::size_t{16} * 1024;
+constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
 
 // Last bytes of a complete server-sent event stream in the chat completions interface. A stream
 // without a length is complete only if it ends so.
@@ -28,6 +29,8 @@
   std::string body;
   std::size_t written = 0;
   bool starting = true;
+  /// Set if the call ended while Start was still running.
+  std::optional<http_call_result> ended_early;
   bool sent = false;
   bool established = false;
   bool finished = false;
@@ -39,11 +42,13 @@
 http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {
   lane_protocols_[0] = Protocol();
   lane_protocols_[0].callback = &http_client::OnLane;
-  release_timer_.owner = this;
+  deferred_timer_.owner = this;
+  loop_.SetHttpClient(this);
 }
 
 http_client::~http_client() {
-  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
+  loop_.SetHttpClient(nullptr);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, nullptr, LWS_SET_TIMER_USEC_CANCEL);
   for (auto& [id, c] : calls_) {
     if (c->wsi != nullptr) lws_set_opaque_user_data(c->wsi, nullptr);
   }
@@ -80,13 +85,26 @@
   if (used == nullptr) return;
   // Only after the present callback has returned is the connection idle or closed.
   released_.push_back(used);
-  lws_sul_schedule(loop_.Context(), 0, &release_timer_.sul, &http_client::OnRelease, 1);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, &http_client::OnDeferred, 1);
 }
 
-void http_client::OnRelease(lws_sorted_usec_list_t* sul) {
-  http_client* owner = lws_container_of(sul, release_timer, sul)->owner;
+void http_client::OnDeferred(lws_sorted_usec_list_t* sul) {
+  http_client* owner = lws_container_of(sul, deferred_timer, sul)->owner;
   for (lane* used : owner->released_) used->busy = false;
   owner->released_.clear();
+  for (call_id id : owner->awaiting_) {
+    auto it = owner->calls_.find(id);
+    if (it == owner->calls_.end() || it->second->wsi == nullptr) continue;
+    lws_set_timeout(it->second->wsi, NO_PENDING_TIMEOUT, 0);
+  }
+  owner->awaiting_.clear();
+}
+
+void http_client::AwaitAnswer(call& c) {
+  // libwebsockets closes a call that has no answer after 10 s, but queued batch work may take
+  // hours; callers' deadlines bound the wait. It sets its timeout after the present callback.
+  awaiting_.push_back(c.id);
+  lws_sul_schedule(loop_.Context(), 0, &deferred_timer_.sul, &http_client::OnDeferred, 1);
 }
 
 http_client::call_id http_client::Start(const endpoint& server, const std::string& path,
@@ -116,17 +134,22 @@
   info.host = server.host.c_str();
   info.method = body.empty() ? "GET" : "POST";
   info.local_protocol_name = kProtocolName;
-  info.opaque_user_data = raw;
-  info.pwsi = &raw->wsi;
-  bool connecting = lws_client_connect_via_info(&info) != nullptr;
+  // The id, not the call: libwebsockets may keep a connection that waits for a header buffer
+  // although it has reported a failure, and call back after the call's end.
+  info.opaque_user_data = reinterpret_cast<void*>(id);
+  lws* wsi = lws_client_connect_via_info(&info);
   raw->starting = false;
-  if (!connecting) {
+  // A call that waits for a free header buffer has had no callback that names its connection.
+  if (wsi != nullptr && !raw->ended_early) raw->wsi = wsi;
+  if (wsi == nullptr && !raw->ended_early) raw->ended_early = http_call_result::kNotSent;
+  if (raw->ended_early) {
     // Reported later, so that the caller has the id before the event.
-    bool posted = loop_.Post([this, id] {
+    http_call_result result = *raw->ended_early;
+    bool posted = loop_.Post([this, id, result] {
       auto it = calls_.find(id);
-      if (it != calls_.end()) Finish(*it->second, http_call_result::kNotSent);
+      if (it != calls_.end()) Finish(*it->second, result);
     });
-    if (!posted) Finish(*raw, http_call_result::kNotSent);
+    if (!posted) Finish(*raw, result);
   }
   return id;
 }
@@ -158,6 +181,8 @@
     if (add("content-length", std::to_string(length)) != 0) return -1;
     lws_client_http_body_pending(c.wsi, 1);
     lws_callback_on_writable(c.wsi);
+  } else {
+    AwaitAnswer(c);
   }
   c.sent = true;
   return 0;
@@ -165,12 +190,7 @@
 
 int http_client::OnWritable(call& c) {
   std::size_t pending = c.body.size() - LWS_PRE - c.written;
-  if (pending == 0) {
-    // The request is sent. An answer may take longer than libwebsockets waits for one (10 s); the
-    // callers' deadlines bound the wait.
-    lws_set_timeout(c.wsi, NO_PENDING_TIMEOUT, 0);
-    return 0;
-  }
+  if (pending == 0) return 0;
   std::size_t length = std::min(pending, kMaxWriteBytes);
   bool last = length == pending;
   auto* data = reinterpret_cast<unsigned char*>(c.body.data()) + LWS_PRE + c.written;
@@ -178,7 +198,11 @@
   if (last) lws_client_http_body_pending(c.wsi, 0);
   if (lws_write(c.wsi, data, length, how) < static_cast<int>(length)) return -1;
   c.written += length;
-  lws_callback_on_writable(c.wsi);
+  if (last) {
+    AwaitAnswer(c);
+  } else {
+    lws_callback_on_writable(c.wsi);
+  }
   return 0;
 }
 
@@ -209,6 +233,11 @@
 void http_client::Finish(call& c, http_call_result result) {
   call_id id = c.id;
   if (c.wsi != nullptr) lws_set_opaque_user_data(c.wsi, nullptr);
+  if (c.starting) {
+    c.wsi = nullptr;
+    c.ended_early = result;
+    return;
+  }
   Release(c.kept);
   calls_.erase(id);
   on_.on_end(id, result);
@@ -226,10 +255,17 @@
     return 0;
   }
   if (wsi == nullptr) return 0;
-  auto* c = static_cast<call*>(lws_get_opaque_user_data(wsi));
+  auto id = reinterpret_cast<call_id>(lws_get_opaque_user_data(wsi));
+  auto* owner = static_cast<http_client*>(io_loop::HttpClientOf(wsi));
+  call* c = nullptr;
+  if (id != 0 && owner != nullptr) {
+    auto it = owner->calls_.find(id);
+    if (it != owner->calls_.end()) c = it->second.get();
+  }
   if (c == nullptr) {
     // Cancelled: the connection is closed at the next callback that can close it.
     return reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE ||
+                   reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER ||
                    reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
                ? -1
                : 0;
@@ -264,8 +300,6 @@
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       lws_set_opaque_user_data(wsi, nullptr);
       c->wsi = nullptr;
-      // Start reports the failure itself once its caller knows the call's id.
-      if (c->starting) return 0;
       c->owner->Finish(*c, c->sent ? http_call_result::kBroken : http_call_result::kNotSent);
       return 0;
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP: {
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -50,24 +50,24 @@
     wire_entry<15, directory_delta, wire::DirectoryDelta>,    //
     wire_entry<16, directory_digest, wire::DirectoryDigest>,  //
     wire_entry<17, directory_pull, wire::DirectoryPull>,      //
-    wire_entry<18, crash_report, wire::CrashReport>,  //
-    wire_entry<19, entry_beats, wire::EntryBeats>,  //
-    wire_entry<30, append_request, wire::AppendRequest>,  //
-    wire_entry<31, append_reply, wire::AppendReply>,  //
-    wire_entry<32, vote_request, wire::VoteRequest>,  //
-    wire_entry<33, vote_reply, wire::VoteReply>,  //
-    wire_entry<34, snapshot_chunk, wire::SnapshotChunk>,  //
-    wire_entry<35, snapshot_reply, wire::SnapshotReply>,  //
-    wire_entry<36, propose_request, wire::ProposeRequest>,  //
-    wire_entry<37, propose_reply, wire::ProposeReply>,  //
-    wire_entry<50, claim_request, wire::ClaimRequest>,  //
-    wire_entry<51, outcome_request, wire::OutcomeRequest>,  //
-    wire_entry<52, record_reply, wire::RecordReply>,  //
-    wire_entry<53, outcome_reply, wire::OutcomeReply>,  //
-    wire_entry<54, lease_renew, wire::LeaseRenew>,  //
-    wire_entry<55, lease_grant, wire::LeaseGrant>,  //
-    wire_entry<56, config_push, wire::ConfigPush>,  //
-    wire_entry<57, version_query, wire::VersionQuery>,  //
+    wire_entry<18, crash_report, wire::CrashReport>,          //
+    wire_entry<19, entry_beats, wire::EntryBeats>,            //
+    wire_entry<30, append_request, wire::AppendRequest>,      //
+    wire_entry<31, append_reply, wire::AppendReply>,          //
+    wire_entry<32, vote_request, wire::VoteRequest>,          //
+    wire_entry<33, vote_reply, wire::VoteReply>,              //
+    wire_entry<34, snapshot_chunk, wire::SnapshotChunk>,      //
+    wire_entry<35, snapshot_reply, wire::SnapshotReply>,      //
+    wire_entry<36, propose_request, wire::ProposeRequest>,    //
+    wire_entry<37, propose_reply, wire::ProposeReply>,        //
+    wire_entry<50, claim_request, wire::ClaimRequest>,        //
+    wire_entry<51, outcome_request, wire::OutcomeRequest>,    //
+    wire_entry<52, record_reply, wire::RecordReply>,          //
+    wire_entry<53, outcome_reply, wire::OutcomeReply>,        //
+    wire_entry<54, lease_renew, wire::LeaseRenew>,            //
+    wire_entry<55, lease_grant, wire::LeaseGrant>,            //
+    wire_entry<56, config_push, wire::ConfigPush>,            //
+    wire_entry<57, version_query, wire::VersionQuery>,        //
     wire_entry<58, version_reply, wire::VersionReply>>;
 
 template <class Core, class... Entries>
