--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -39,6 +39,7 @@
         self.dir = tempfile.mkdtemp(prefix="radishroute-")
         self.processes = {}
         self.entries = {}
+        self.controllers = {}
         self.engines = {}
         self.runs_files = []
         self.sheet = os.path.join(self.dir, "sheet.csv")
@@ -92,11 +93,18 @@
             kind="service", models=[model])
 
     def add_deployment(self, description):
-        """Starts entries, engines and services of every zone; see examples/*/deployment.json."""
+        """Starts controllers, entries, engines and services of every zone and puts the sheet in
+        force; see examples/*/deployment.json."""
         zones = description["zones"]
-        for zone, counts in zones.items():
-            for i in range(counts["entries"]):
-                self.add_entry(f"entry-{zone}{i}", zone)
+        self.add_controllers(description["controllers"])
+        listens = {f"entry-{zone}{i}": free_address()
+                   for zone, counts in zones.items() for i in range(counts["entries"])}
+        for name, listen in listens.items():
+            peers = [address for other, address in listens.items() if other != name]
+            self.add_entry(name, name[len("entry-")], control_listen=listen, peers=peers,
+                           controllers=self.control_addresses())
+        applied = self.apply_sheet()
+        assert applied.returncode == 0, applied.stdout + applied.stderr
         for zone, counts in zones.items():
             for i in range(counts["engines"]):
                 self.add_backend(f"agent-{zone}{i}", zone, models=[description["model"]],
@@ -104,6 +112,64 @@
             for i in range(counts["services"]):
                 self.add_service(f"service-{zone}{i}", zone, description["service"])
 
+    def add_controller(self, name, *arguments, zone="a"):
+        if name not in self.controllers:
+            self.controllers[name] = {
+                "node": name, "zone": zone, "control_listen": free_address(),
+                "admin_listen": free_address(), "admin_token": "token",
+                "data": os.path.join(self.dir, name + "-data")}
+        path = os.path.join(self.dir, name + ".json")
+        with open(path, "w") as file:
+            json.dump({"role": "controller", "secret": "test", **self.controllers[name]}, file)
+        self.start(name, ["controller", "--settings", path, *arguments])
+        wait_until(lambda: self.voter(name, "list")[0] == 0, what=f"{name} answers")
+
+    def voter(self, name, *arguments):
+        result = subprocess.run(
+            [self.program, "voter", *arguments, "--settings",
+             os.path.join(self.dir, name + ".json")], capture_output=True, text=True, timeout=20)
+        return result.returncode, json.loads(result.stdout) if result.stdout else {}
+
+    def leader(self):
+        for name in self.controllers:
+            if self.processes[name].poll() is not None:
+                continue
+            code, state = self.voter(name, "list")
+            if code == 0 and state.get("lease"):
+                return name
+        return None
+
+    def voters(self):
+        _, state = self.voter(self.leader(), "list")
+        return [r["id"] for r in state.get("replicas", []) if r["voting"]]
+
+    def add_controllers(self, zones):
+        """Starts a group of controllers, one for each entry of `zones`, and waits for all votes."""
+        for i, zone in enumerate(zones):
+            name = f"controller-{i}"
+            self.add_controller(name, *([] if i else ["--bootstrap"]), zone=zone)
+            wait_until(lambda: self.leader() is not None, what="a leader")
+            if i:
+                code, reply = self.voter(
+                    self.leader(), "add", "--new", self.controllers[name]["admin_listen"])
+                assert code == 0 and reply["status"] == "committed", reply
+            wait_until(lambda: len(self.voters()) == i + 1, what=f"{i + 1} voters")
+
+    def control_addresses(self):
+        return [c["control_listen"] for c in self.controllers.values()]
+
+    def apply_sheet(self, base_version=0, *arguments):
+        """Puts the cluster's sheet in force and returns the finished process."""
+        token = os.path.join(self.dir, "token")
+        with open(token, "w") as file:
+            file.write("token")
+        targets = [a for c in self.controllers.values()
+                   for a in ("--controller", c["admin_listen"])]
+        return subprocess.run(
+            [self.program, "apply", *targets, "--token-file", token, "--sheet", self.sheet,
+             "--base-version", str(base_version), *arguments],
+            capture_output=True, text=True, timeout=30)
+
     def fault(self, engine, fault, value=0):
         body = json.dumps({"fault": fault, "value": value}).encode()
         request = urllib.request.Request(
@@ -154,6 +220,10 @@
              "--kind", "quote", *arguments],
             capture_output=True, text=True, timeout=timeout)
 
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait(timeout=10)
+
     def stop(self, name, timeout=20):
         """Asks a process to stop gracefully and returns its exit code."""
         self.processes[name].send_signal(signal.SIGTERM)
--- a/tests/e2e/log_test.py
+++ b/tests/e2e/log_test.py
@@ -8,52 +8,11 @@
 import sys
 import time
 
-from cluster import Cluster, free_address, wait_until
-
-
-class LogCluster(Cluster):
-    def __init__(self, program):
-        super().__init__(program)
-        self.controllers = {}
-
-    def add_controller(self, name, *arguments):
-        if name not in self.controllers:
-            self.controllers[name] = {
-                "node": name, "zone": "a", "control_listen": free_address(),
-                "admin_listen": free_address(), "admin_token": "token",
-                "data": os.path.join(self.dir, name + "-data")}
-        path = os.path.join(self.dir, name + ".json")
-        with open(path, "w") as file:
-            json.dump({"role": "controller", "secret": "test", **self.controllers[name]}, file)
-        self.start(name, ["controller", "--settings", path, *arguments])
-        wait_until(lambda: self.voter(name, "list")[0] == 0, what=f"{name} answers")
-
-    def voter(self, name, *arguments):
-        result = subprocess.run(
-            [self.program, "voter", *arguments, "--settings",
-             os.path.join(self.dir, name + ".json")], capture_output=True, text=True, timeout=20)
-        return result.returncode, json.loads(result.stdout) if result.stdout else {}
-
-    def leader(self):
-        for name in self.controllers:
-            if self.processes[name].poll() is not None:
-                continue
-            code, state = self.voter(name, "list")
-            if code == 0 and state.get("lease"):
-                return name
-        return None
-
-    def voters(self):
-        _, state = self.voter(self.leader(), "list")
-        return [r["id"] for r in state.get("replicas", []) if r["voting"]]
-
-    def kill(self, name):
-        self.processes[name].kill()
-        self.processes[name].wait(timeout=10)
+from cluster import Cluster, wait_until
 
 
 def main(program):
-    with LogCluster(program) as cluster:
+    with Cluster(program) as cluster:
         cluster.add_controller("c1", "--bootstrap")
         wait_until(lambda: cluster.leader() == "c1", what="first leader")
         for count, name in enumerate(("c2", "c3"), start=2):
