--- a/benchmark/state_benchmark.cc
+++ b/benchmark/state_benchmark.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const wall_time kStart{std::chrono::hours(24 * 365 * 56)};
+constexpr wall_time kStart{std::chrono::hours(24 * 365 * 56)};
 
 std::string KeyAt(std::uint64_t number) {
   // One key a millisecond, so that records expire in the order of their claims.
