--- a/src/placement.cc
+++ b/src/placement.cc
@@ -201,14 +201,14 @@
     ratio_after += after[i].Ratio();
   }
   if (shape.layers == 0 || ratio_before <= 0) return value;
-  double saved =
-      static_cast<double>(step_time.count()) * (ratio_before - ratio_after) / ratio_before;
-  value.saved_per_step = std::chrono::nanoseconds(static_cast<std::int64_t>(saved));
-  double copy_seconds =
-      static_cast<double>(value.bytes) / static_cast<double>(cost.bytes_per_second);
-  double lost = copy_seconds * 1e9 * cost.slowdown;
-  value.steps_to_pay_back = saved > 0 ? static_cast<std::uint64_t>(std::ceil(lost / saved))
-                                      : std::numeric_limits<std::uint64_t>::max();
+  using real_seconds = std::chrono::duration<double>;
+  real_seconds saved = step_time * ((ratio_before - ratio_after) / ratio_before);
+  value.saved_per_step = std::chrono::duration_cast<std::chrono::nanoseconds>(saved);
+  real_seconds copying(static_cast<double>(value.bytes) /
+                       static_cast<double>(cost.bytes_per_second));
+  real_seconds lost = copying * cost.slowdown;
+  value.steps_to_pay_back = saved.count() > 0 ? static_cast<std::uint64_t>(std::ceil(lost / saved))
+                                              : std::numeric_limits<std::uint64_t>::max();
   return value;
 }
 
