--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -3,6 +3,7 @@
 
 #include "cli/admin.h"
 #include "cli/commands.h"
+#include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
 #include "io/node_thread.h"
@@ -100,24 +101,14 @@
 
 int RunAgent(int argc, char** argv) {
   cxxopts::Options options("radishroute agent", "Runs the work of one backend server.");
-  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
+  AddSettingsOption(options);
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
-  if (parsed->count("settings") == 0) {
-    std::cerr << "--settings is required\n";
-    return kExitUsage;
-  }
-  std::string file = (*parsed)["settings"].as<std::string>();
-  auto text = ReadFile(file);
-  std::vector<settings_error> errors;
-  agent_settings settings = ParseAgentSettings(text.value_or(""), errors);
-  if (PrintErrors(file, errors)) return kExitUsage;
-  ConfigureLogging(settings.common.log.file, settings.common.log.level);
-  BlockStopSignals();
-  QuietLibwebsockets();
-  return WithPolicySet(settings.common.policy, [&](auto policies) {
-    agent_process<typename decltype(policies)::type> process(settings);
+  auto settings = LoadSettings(*parsed, ParseAgentSettings);
+  if (!settings) return kExitUsage;
+  return WithPolicySet(settings->common.policy, [&](auto policies) {
+    agent_process<typename decltype(policies)::type> process(*settings);
     return process.Run();
   });
 }
--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -29,20 +29,7 @@
   return PrintErrors(file, errors) ? kExitUsage : kExitSuccess;
 }
 
-int CheckSheet(const std::string& file) {
-  auto text = ReadFile(file);
-  if (!text) {
-    std::cerr << file << ": " << make_error_code(errc::kFileUnreadable).message() << "\n";
-    return kExitUsage;
-  }
-  std::vector<sheet_error> errors;
-  ParseSheet(*text, errors);
-  for (const sheet_error& error : errors) {
-    std::cerr << file << ": row " << error.row << ", column " << error.column << ": expected "
-              << error.expected << "\n";
-  }
-  return errors.empty() ? kExitSuccess : kExitUsage;
-}
+int CheckSheet(const std::string& file) { return LoadSheet(file) ? kExitSuccess : kExitUsage; }
 
 }  // namespace
 
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -10,6 +10,7 @@
 #include "cli/admin.h"
 #include "cli/commands.h"
 #include "cli/config_http.h"
+#include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
 #include "io/log_node.h"
@@ -207,24 +208,14 @@
 
 int RunController(int argc, char** argv) {
   cxxopts::Options options("radishroute controller", "Runs one replica of the log.");
-  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
-      "bootstrap", "make an empty data folder the first voter of a new group");
+  AddSettingsOption(options);
+  options.add_options()("bootstrap", "make an empty data folder the first voter of a new group");
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
-  if (parsed->count("settings") == 0) {
-    std::cerr << "--settings is required\n";
-    return kExitUsage;
-  }
-  std::string file = (*parsed)["settings"].as<std::string>();
-  auto text = ReadFile(file);
-  std::vector<settings_error> errors;
-  controller_settings settings = ParseControllerSettings(text.value_or(""), errors);
-  if (PrintErrors(file, errors)) return kExitUsage;
-  ConfigureLogging(settings.common.log.file, settings.common.log.level);
-  BlockStopSignals();
-  QuietLibwebsockets();
-  controller_process process(std::move(settings));
+  auto settings = LoadSettings(*parsed, ParseControllerSettings);
+  if (!settings) return kExitUsage;
+  controller_process process(std::move(*settings));
   return process.Run(parsed->count("bootstrap") > 0);
 }
 
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -5,6 +5,7 @@
 
 #include "cli/admin.h"
 #include "cli/commands.h"
+#include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
 #include "io/acceptor.h"
@@ -16,22 +17,6 @@
 
 namespace {
 
-std::optional<work_sheet> LoadSheet(const std::string& path) {
-  auto text = ReadFile(path);
-  if (!text) {
-    std::cerr << path << ": " << make_error_code(errc::kFileUnreadable).message() << "\n";
-    return std::nullopt;
-  }
-  std::vector<sheet_error> errors;
-  work_sheet sheet = ParseSheet(*text, errors);
-  for (const sheet_error& error : errors) {
-    std::cerr << path << ": row " << error.row << ", column " << error.column << ": expected "
-              << error.expected << "\n";
-  }
-  if (!errors.empty()) return std::nullopt;
-  return sheet;
-}
-
 /// All threads of an entry process.
 template <policy_set P>
 class entry_process {
@@ -144,30 +129,20 @@
 
 int RunEntry(int argc, char** argv) {
   cxxopts::Options options("radishroute entry", "Accepts callers' requests and routes them.");
-  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
+  AddSettingsOption(options);
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
-  if (parsed->count("settings") == 0) {
-    std::cerr << "--settings is required\n";
-    return kExitUsage;
-  }
-  std::string file = (*parsed)["settings"].as<std::string>();
-  auto text = ReadFile(file);
-  std::vector<settings_error> errors;
-  entry_settings settings = ParseEntrySettings(text.value_or(""), errors);
-  if (PrintErrors(file, errors)) return kExitUsage;
-  ConfigureLogging(settings.common.log.file, settings.common.log.level);
+  auto settings = LoadSettings(*parsed, ParseEntrySettings);
+  if (!settings) return kExitUsage;
   work_sheet sheet;
-  if (!settings.sheet.empty()) {
-    auto loaded = LoadSheet(settings.sheet);
+  if (!settings->sheet.empty()) {
+    auto loaded = LoadSheet(settings->sheet);
     if (!loaded) return kExitUsage;
     sheet = *loaded;
   }
-  BlockStopSignals();
-  QuietLibwebsockets();
-  return WithPolicySet(settings.common.policy, [&](auto policies) {
-    entry_process<typename decltype(policies)::type> process(settings);
+  return WithPolicySet(settings->common.policy, [&](auto policies) {
+    entry_process<typename decltype(policies)::type> process(*settings);
     return process.Run(sheet);
   });
 }
--- /dev/null
+++ b/src/cli/load_settings.h
@@ -0,0 +1,45 @@
+#ifndef RADISHROUTE_CLI_LOAD_SETTINGS_H_
+#define RADISHROUTE_CLI_LOAD_SETTINGS_H_
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cli/process.h"
+#include "io/loop.h"
+#include "io/metrics.h"
+#include "radishroute/settings.h"
+
+namespace radishroute {
+
+/// Adds the option that LoadSettings reads.
+inline void AddSettingsOption(cxxopts::Options& options) {
+  options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
+}
+
+/// Reads the settings of a daemon and prepares the process for it: logging, signals, libwebsockets.
+/// Prints every fault and returns nothing if there is one.
+template <class Settings>
+std::optional<Settings> LoadSettings(const cxxopts::ParseResult& parsed,
+                                     Settings (*parse)(std::string_view,
+                                                       std::vector<settings_error>&)) {
+  if (parsed.count("settings") == 0) {
+    std::cerr << "--settings is required\n";
+    return std::nullopt;
+  }
+  std::string file = parsed["settings"].as<std::string>();
+  std::vector<settings_error> errors;
+  Settings settings = parse(ReadFile(file).value_or(""), errors);
+  if (PrintErrors(file, errors)) return std::nullopt;
+  ConfigureLogging(settings.common.log.file, settings.common.log.level);
+  BlockStopSignals();
+  QuietLibwebsockets();
+  return settings;
+}
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_CLI_LOAD_SETTINGS_H_
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -58,6 +58,22 @@
   return text.str();
 }
 
+std::optional<work_sheet> LoadSheet(const std::string& file) {
+  auto text = ReadFile(file);
+  if (!text) {
+    std::cerr << file << ": " << make_error_code(errc::kFileUnreadable).message() << "\n";
+    return std::nullopt;
+  }
+  std::vector<sheet_error> errors;
+  work_sheet sheet = ParseSheet(*text, errors);
+  for (const sheet_error& error : errors) {
+    std::cerr << file << ": row " << error.row << ", column " << error.column << ": expected "
+              << error.expected << "\n";
+  }
+  if (!errors.empty()) return std::nullopt;
+  return sheet;
+}
+
 hello MakeHello(const common_settings& settings, process_role role) {
   hello self;
   self.process.node = StableHash(settings.node);
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -8,6 +8,7 @@
 
 #include "radishroute/message.h"
 #include "radishroute/settings.h"
+#include "radishroute/sheet.h"
 
 namespace radishroute {
 
@@ -49,6 +50,9 @@
 /// Reads a whole file; empty if it cannot be read.
 std::optional<std::string> ReadFile(const std::string& path);
 
+/// Reads a sheet; prints every fault to standard error and returns nothing if there is one.
+std::optional<work_sheet> LoadSheet(const std::string& file);
+
 /// Identity of this process for `hello`, with a new incarnation.
 hello MakeHello(const common_settings& settings, process_role role);
 
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -87,7 +87,8 @@
                                   expert_load load) const {
   std::vector<std::uint32_t> replicas = ReplicaCounts(shape, load);
   std::vector<std::uint16_t> order;
-  for (std::uint16_t expert = 0; expert < shape.experts; ++expert) {
+  for (std::uint32_t number = 0; number < shape.experts; ++number) {
+    auto expert = static_cast<std::uint16_t>(number);
     order.insert(order.end(), replicas[expert], expert);
   }
   std::stable_sort(order.begin(), order.end(), [&](std::uint16_t a, std::uint16_t b) {
--- a/src/placement_layer.cc
+++ b/src/placement_layer.cc
@@ -11,12 +11,17 @@
 // Ranks tried as targets of a change. All 64 gain under 0.1% of skew and take five times as long.
 constexpr std::size_t kTargetRanks = 12;
 
+// Expert numbers have 16 bits; kNoExpert is the only one that cannot be used.
+std::uint16_t ExpertCount(const group_shape& shape) {
+  return static_cast<std::uint16_t>(shape.experts);
+}
+
 }  // namespace
 
 std::vector<std::uint32_t> ReplicaCounts(const group_shape& shape, expert_load load) {
   std::vector<std::uint32_t> replicas(shape.experts, 1);
   std::priority_queue<std::pair<double, std::uint16_t>> hottest;
-  for (std::uint16_t expert = 0; expert < shape.experts; ++expert) {
+  for (std::uint16_t expert = 0; expert < ExpertCount(shape); ++expert) {
     hottest.emplace(load[expert], expert);
   }
   for (std::uint32_t spare = shape.Slots() - shape.experts; spare > 0 && !hottest.empty();) {
@@ -202,7 +207,7 @@
 
 std::vector<std::uint32_t> layer_state::FreeSurplus(const std::vector<std::uint32_t>& wanted) {
   std::vector<std::uint32_t> freed;
-  for (std::uint16_t expert = 0; expert < shape_.experts; ++expert) {
+  for (std::uint16_t expert = 0; expert < ExpertCount(shape_); ++expert) {
     while (replicas_[expert] > wanted[expert]) {
       auto hottest = std::max_element(holders_[expert].begin(), holders_[expert].end(),
                                       [&](std::uint32_t a, std::uint32_t b) {
@@ -220,7 +225,7 @@
   layer_placement before = placement;
   std::vector<std::uint32_t> freed = FreeSurplus(wanted);
   std::vector<std::uint16_t> missing;
-  for (std::uint16_t expert = 0; expert < shape_.experts; ++expert) {
+  for (std::uint16_t expert = 0; expert < ExpertCount(shape_); ++expert) {
     for (std::uint32_t n = replicas_[expert]; n < wanted[expert]; ++n) missing.push_back(expert);
   }
   std::stable_sort(missing.begin(), missing.end(), [&](std::uint16_t a, std::uint16_t b) {
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -11,9 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const endpoint kFirst{"10.0.0.1", 1};
-const endpoint kSecond{"10.0.0.2", 1};
-const endpoint kPeer{"10.0.1.1", 1};
+const endpoint first_controller{"10.0.0.1", 1};
+const endpoint second_controller{"10.0.0.2", 1};
+const endpoint peer_entry{"10.0.1.1", 1};
 
 std::string Sheet(int deadline) {
   return "table,name,class,deadline_ms,worth,repeat,weight,floor_percent,hour,requests\n"
@@ -29,8 +29,8 @@
   directory backends{{1, 1}, "zone-1", {}};
   config_client client;
 
-  explicit client_fixture(std::vector<endpoint> controllers = {kFirst},
-                          std::vector<endpoint> peers = {kPeer})
+  explicit client_fixture(std::vector<endpoint> controllers = {first_controller},
+                          std::vector<endpoint> peers = {peer_entry})
       : client({"entry-1", "zone-1", std::move(controllers), std::move(peers), {}}, backends) {
     Do([&](reduce_context& ctx) { client.Handle(process_started{}, ctx); });
   }
@@ -83,7 +83,7 @@
 // from the sending of the renewal and loses 1% for the drift of the clocks.
 TEST_CASE("a lease ends 2.97 s after its renewal was sent") {
   client_fixture f;
-  f.Opened({1}, kFirst);
+  f.Opened({1}, first_controller);
   std::uint64_t sequence = f.Sent<lease_renew>()->sequence;
   f.clock.Advance(milliseconds(500));
   f.Grant(sequence, 3);
@@ -106,7 +106,7 @@
 // Guards against a delayed push that reverts the configuration.
 TEST_CASE("an entry never applies a version below one it has heard of") {
   client_fixture f;
-  f.Opened({1}, kFirst);
+  f.Opened({1}, first_controller);
   f.Grant(f.Sent<lease_renew>()->sequence, 5);
   f.Receive({1}, config_push{4, "ayse", Sheet(100)});
   CHECK(f.client.AppliedVersion() == 0);
@@ -118,9 +118,9 @@
 
 // Guards against staying with a controller that is not the leader.
 TEST_CASE("an entry follows the hint to the leader") {
-  client_fixture f({kFirst, kSecond});
+  client_fixture f({first_controller, second_controller});
   endpoint first = f.Last<open_link>()->address;
-  endpoint other = first == kFirst ? kSecond : kFirst;
+  endpoint other = first == first_controller ? second_controller : first_controller;
   f.Opened({1}, first);
   f.Receive({1}, lease_grant{f.Sent<lease_renew>()->sequence, false, other, {}, 0});
   CHECK(f.Last<open_link>()->address == other);
@@ -131,7 +131,7 @@
 // equalled the interval of renewals.
 TEST_CASE("an entry keeps a leader that answers slowly") {
   client_fixture f;
-  f.Opened({1}, kFirst);
+  f.Opened({1}, first_controller);
   for (int second = 0; second < 20; ++second) {
     const auto* renew = f.Sent<lease_renew>();
     REQUIRE(renew != nullptr);
@@ -154,10 +154,10 @@
   client_fixture f;
   for (int i = 0; i < 3; ++i) f.Tick(milliseconds(1000));
   CHECK_FALSE(f.client.Ready());
-  REQUIRE(f.Last<open_link>()->address == kPeer);
-  f.Opened({7}, kPeer, "zone-2");
+  REQUIRE(f.Last<open_link>()->address == peer_entry);
+  f.Opened({7}, peer_entry, "zone-2");
   CHECK(f.Sent<version_query>() == nullptr);
-  f.Opened({8}, kPeer);
+  f.Opened({8}, peer_entry);
   REQUIRE(f.Sent<version_query>() != nullptr);
   f.Receive({9}, version_reply{1, 4, Sheet(100), "zone-1"});
   f.Receive({8}, version_reply{1, 6, Sheet(200), "zone-1"});
@@ -167,7 +167,7 @@
   CHECK(f.client.AppliedVersion() == 6);
   CHECK_FALSE(f.client.LeaseValid(f.clock.Now()));
   // The leader knows better once it is reached.
-  f.Opened({1}, kFirst);
+  f.Opened({1}, first_controller);
   f.Grant(f.Sent<lease_renew>()->sequence, 7);
   f.Receive({1}, config_push{7, "ayse", Sheet(100)});
   CHECK(f.client.AppliedVersion() == 7);
--- a/tests/config_random_test.cc
+++ b/tests/config_random_test.cc
@@ -100,6 +100,7 @@
     e.wake.reset();
     std::vector<endpoint> controllers;
     std::vector<endpoint> peers;
+    controllers.reserve(kControllers);
     for (int c = 0; c < kControllers; ++c) controllers.push_back(ControllerAddress(c));
     for (int p = 0; p < kEntries; ++p) {
       if (p != i) peers.push_back(EntryAddress(p));
