Name a test constant as the linter asks

Cause: the linter's run over the rest of the tests had one finding.

Change: leader_address in the fake of entries, agents and a leader.

--- a/tests/record_world.cc
+++ b/tests/record_world.cc
@@ -8,7 +8,7 @@
 
 using std::chrono::milliseconds;
 
-const endpoint kLeaderAddress{"10.9.0.1", 1};
+const endpoint leader_address{"10.9.0.1", 1};
 constexpr const char* kSheet =
     "table,name,class,deadline_ms,worth,repeat,weight,floor_percent,hour,requests\n"
     "kind,booking,transactional,10000,100,no,,,,\n"
@@ -73,7 +73,7 @@
   control.backends.emplace(process_id{static_cast<std::uint64_t>(entry) + 1, p.life}, "zone-1",
                            work_sheet{});
   control.config.emplace(
-      config_client_settings{"entry-" + std::to_string(entry), "zone-1", {kLeaderAddress}, {}, {}},
+      config_client_settings{"entry-" + std::to_string(entry), "zone-1", {leader_address}, {}, {}},
       *control.backends);
   p.traffic->traffic.requests.emplace(random(), 0, request_limits{});
   Deliver({entry, thread_kind::kTraffic, p.life}, process_started{});
@@ -173,7 +173,7 @@
     server_.OnOutcome(link, *outcome, log_, ctx);
   }
   if (const auto* renew = std::get_if<lease_renew>(&m)) {
-    leases_.OnRenew(link, *renew, state_.machine.Config(), kLeaderAddress, ctx);
+    leases_.OnRenew(link, *renew, state_.machine.Config(), leader_address, ctx);
   }
   effect_list effects = std::move(leader_effects_);
   leader_effects_.clear();
@@ -182,7 +182,7 @@
 
 void record_world::Open(const place& from, const endpoint& address) {
   place to{kLeader, thread_kind::kControl, leader_life_};
-  bool reachable = address == kLeaderAddress && !leader_cut_;
+  bool reachable = address == leader_address && !leader_cut_;
   for (const auto& p : processes_) {
     if (p->address != address || !p->alive) continue;
     reachable = true;
