Compare secrets in one place

Cause: three copies of a constant-time comparison had grown apart: the controller's voter interface had its own check of the bearer token beside that of the configuration interface, without the refusal of an empty token.

Change: io/secret.h holds the comparison; both admin interfaces call Authorized, which refuses an empty token.

--- a/src/cli/config_http.cc
+++ b/src/cli/config_http.cc
@@ -1,11 +1,11 @@
 #include "cli/config_http.h"
 
-#include <openssl/crypto.h>
-
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "io/secret.h"
+
 namespace radishroute {
 
 namespace {
@@ -15,13 +15,6 @@
 constexpr std::string_view kChanges = "/v1/config/changes";
 constexpr std::string_view kStatus = "/v1/status";
 
-bool Authorized(const http_request& request, const std::string& token) {
-  auto it = request.headers.find("authorization");
-  std::string expected = "Bearer " + token;
-  return !token.empty() && it != request.headers.end() && it->second.size() == expected.size() &&
-         CRYPTO_memcmp(it->second.data(), expected.data(), expected.size()) == 0;
-}
-
 json ToJson(const config_version& v) {
   return {{"version", v.version}, {"change_id", v.change_id}, {"author", v.author}};
 }
@@ -90,6 +83,12 @@
 
 }  // namespace
 
+bool Authorized(const http_request& request, const std::string& token) {
+  auto it = request.headers.find("authorization");
+  return !token.empty() && it != request.headers.end() &&
+         SecretsEqual(it->second, "Bearer " + token);
+}
+
 std::optional<http_answer> HandleConfigHttp(const http_request& request,
                                             const config_http_backend& backend, steady_time now) {
   bool change = request.path.starts_with(kChanges);
--- a/src/cli/config_http.h
+++ b/src/cli/config_http.h
@@ -26,6 +26,9 @@
   std::string body;
 };
 
+/// Whether a request carries the operators' bearer token; never with an empty token.
+bool Authorized(const http_request& request, const std::string& token);
+
 /// Answers POST /v1/config/changes, GET /v1/config/changes/ID and GET /v1/status; nothing for
 /// other paths. A change is proposed and its result read by its id, so both may be repeated.
 std::optional<http_answer> HandleConfigHttp(const http_request& request,
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -1,4 +1,3 @@
-#include <openssl/crypto.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -21,15 +20,6 @@
 namespace {
 
 constexpr const char* kJson = "application/json";
-constexpr std::string_view kBearer = "Bearer ";
-
-bool TokenMatches(const http_request& request, const std::string& token) {
-  auto it = request.headers.find("authorization");
-  if (it == request.headers.end() || !it->second.starts_with(kBearer)) return false;
-  std::string_view given = std::string_view(it->second).substr(kBearer.size());
-  return given.size() == token.size() &&
-         CRYPTO_memcmp(given.data(), token.data(), token.size()) == 0;
-}
 
 bool ReadVoterId(const nlohmann::json& body, const char* key, voter_id& out) {
   if (!body.contains(key) || !body[key].is_string()) return false;
@@ -117,7 +107,7 @@
   bool OnAdmin(const http_request& request, http_server& server) {
     if (request.path != "/voters") return OnConfig(request, server);
     server_ = &server;
-    if (!TokenMatches(request, settings_.admin_token)) {
+    if (!Authorized(request, settings_.admin_token)) {
       Reply(request.exchange, 401, {{"status", "unauthorized"}});
     } else if (request.method == "POST") {
       OnChange(request);
--- a/src/io/link.cc
+++ b/src/io/link.cc
@@ -1,11 +1,10 @@
 #include "io/link.h"
 
-#include <openssl/crypto.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "io/metrics.h"
+#include "io/secret.h"
 #include "io/wire.h"
 
 namespace radishroute {
@@ -26,10 +25,6 @@
 // A refused connection is known after one round trip.
 constexpr std::chrono::milliseconds kRefusalWithin{1000};
 
-bool SecretsEqual(const std::string& a, const std::string& b) {
-  return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-}
-
 }  // namespace
 
 struct link_transport::connection {
