Probe an engine that has work and sends nothing every second

Cause: e2e_failures_test (stopped_engine) failed once on a busy machine: 13 of 120 plain answers passed their 5 s deadline on a stopped engine. A plain answer shows no progress, so only a probe finds the stop. Probes came after trouble, which needs a stream in flight, or after 5 s without activity plus 1 s for the probe, which is later than the deadline.

Change: while work runs, an engine that has sent nothing for 1 s is probed. Engines that send answers are not probed more often.

Conclusion: a stopped engine is found within 2 s whatever kind of work it has.

--- a/include/radishroute/engine_health.h
+++ b/include/radishroute/engine_health.h
@@ -14,6 +14,8 @@
 struct engine_health_limits {
   /// A server that sends nothing is probed this often.
   std::chrono::milliseconds idle_interval{5000};
+  /// A server that has work and sends nothing is probed this often.
+  std::chrono::milliseconds busy_interval{1000};
   /// A probe without an answer counts as failed after this time.
   std::chrono::milliseconds probe_timeout{1000};
   std::chrono::milliseconds first_retry{100};
@@ -31,6 +33,10 @@
   /// The server sent something.
   void OnActivity(steady_time now) { last_sign_ = now; }
 
+  /// The first work was handed to an idle server, or the last one ended.
+  void OnBusy(reduce_context& ctx);
+  void OnIdle() { busy_since_.reset(); }
+
   /// A call failed; a probe follows at once. A probe in progress is kept unless `restart`.
   void OnTrouble(bool restart, reduce_context& ctx);
 
@@ -49,12 +55,14 @@
   enum class status : std::uint8_t { kUnknown, kUp, kDown };
 
   void Probe(reduce_context& ctx);
+  steady_time NextProbe() const;
   void SetStatus(bool up, reduce_context& ctx);
 
   engine_health_limits limits_;
   status status_ = status::kUnknown;
   steady_time last_sign_;
   steady_time next_probe_;
+  std::optional<steady_time> busy_since_;
   std::optional<steady_time> probe_sent_;
   std::uint64_t probe_number_ = 0;
   std::uint32_t failures_ = 0;
--- a/src/engine_health.cc
+++ b/src/engine_health.cc
@@ -15,6 +15,19 @@
   ScheduleNext(ctx);
 }
 
+void engine_health::OnBusy(reduce_context& ctx) {
+  busy_since_ = ctx.now;
+  ScheduleNext(ctx);
+}
+
+// A plain answer shows no progress before its end. With the idle interval alone, a server that
+// stopped was found after up to 6 s, when requests with a deadline of 5 s had failed already.
+steady_time engine_health::NextProbe() const {
+  if (status_ != status::kUp) return next_probe_;
+  if (!busy_since_) return std::max(next_probe_, last_sign_ + limits_.idle_interval);
+  return std::max(last_sign_, *busy_since_) + limits_.busy_interval;
+}
+
 void engine_health::OnTrouble(bool restart, reduce_context& ctx) {
   if (restart || !probe_sent_) Probe(ctx);
 }
@@ -33,12 +46,8 @@
     probe_sent_.reset();
     SetStatus(false, ctx);
     timed_out = true;
-  } else if (!probe_sent_ && ctx.now >= next_probe_) {
-    if (status_ == status::kUp && ctx.now - last_sign_ < limits_.idle_interval) {
-      next_probe_ = last_sign_ + limits_.idle_interval;
-    } else {
-      Probe(ctx);
-    }
+  } else if (!probe_sent_ && ctx.now >= NextProbe()) {
+    Probe(ctx);
   }
   ScheduleNext(ctx);
   return timed_out;
@@ -67,7 +76,7 @@
 }
 
 void engine_health::ScheduleNext(reduce_context& ctx) const {
-  ctx.Emit(schedule_wakeup{probe_sent_ ? *probe_sent_ + limits_.probe_timeout : next_probe_});
+  ctx.Emit(schedule_wakeup{probe_sent_ ? *probe_sent_ + limits_.probe_timeout : NextProbe()});
 }
 
 }  // namespace radishroute
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -143,7 +143,7 @@
   run.at = phase::kRunning;
   run.started = ctx.now;
   run.last_progress = ctx.now;
-  ++running_;
+  if (++running_ == 1) health_.OnBusy(ctx);
   if (run.request.stream) progress_.insert({ctx.now + limits_.first_byte_timeout, id});
   ctx.Emit(observe_latency{
       latency_metric::kQueueWait, run.request.cls,
@@ -342,7 +342,7 @@
                                      reduce_context& ctx) {
   if (run.at != phase::kRunning && run.at != phase::kBroken) return;
   CheckInvariant(running_ > 0, "the number of running dispatches is not negative", ctx);
-  --running_;
+  if (--running_ == 0) health_.OnIdle();
   if (running_suspect_ == id) running_suspect_.reset();
   finished_work finished;
   finished.id = id;
