Answer the engine probes in the overload experiment

Cause: since agents probe their engines, the experiment's agents took their engine, which answered no probe, for down, and every row showed 0% answered.

Change: the experiment's engine answers probes at once.

--- a/benchmark/fleet.h
+++ b/benchmark/fleet.h
@@ -216,6 +216,10 @@
     cancelled_.insert({e.id, true});
   }
 
+  void Execute(std::uint32_t at, probe_engine& e) {
+    Post(clock_.Now(), at, engine_probe_done{e.number, true});
+  }
+
   void Execute(std::uint32_t, respond_end& e) {
     outcomes_[e.exchange.value].answered = clock_.Now();
   }
