Restart entries and agents under load without a missing answer

Cause: a draining entry exited as soon as no request was in progress. A request that a caller had just sent on a kept connection was reset with the process (`connection_lost`, once in failures_test.py entries_restarted). Three more faults appeared in the longer test: a restarted entry refused requests until it knew the configuration and the backend servers (`unknown-model`); an agent that closed the link to a substitute entry was reported as gone by that entry, so each restart of an entry took backend servers out of service; and a draining agent's wake-up lay in the past, which made its thread spin until its last answer ended.

Change: a draining entry answers new requests `draining` with `Connection: close`, accepts connections for `http.drain_notice_ms` longer, serves kept connections for 500 ms more, and closes each unused one at a moment when no request waits on it. GET /v1/health tells a balancer. An entry listens once it has a configuration, its lease and a peer's directory. An agent announces itself anew after it has closed a substitute. The HTTP client takes no connection that its server has closed. The load tool sends on to the next target what a target certainly did not run, as a balancer does, and counts it as `moved`.

--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -151,6 +151,9 @@
   std::chrono::microseconds value{};
 };
 
+/// Callers' connections are closed after their next answer, which announces it.
+struct drain_connections {};
+
 /// The process has nothing left to do after a drain request.
 struct stop_process {
   bool all_finished = true;
@@ -179,6 +182,7 @@
     count_refusal,            //
     count_retry,              //
     observe_latency,          //
+    drain_connections,        //
     stop_process,             //
     share_crash_report,       //
     share_engine_status,      //
--- a/include/radishroute/requests.h
+++ b/include/radishroute/requests.h
@@ -38,6 +38,9 @@
   std::chrono::milliseconds resolve_delay{1000};
   /// Claims of one request at most; each follows an outcome that freed the key.
   std::uint32_t max_claims = 6;
+  /// After a drain request the shard refuses new requests for at least this long before it stops,
+  /// so that callers on kept connections learn of it from an answer.
+  std::chrono::milliseconds drain_linger{1000};
   /// Longer answers are not stored; not above record_limits::max_answer_bytes.
   std::size_t max_stored_answer_bytes = std::size_t{64} << 10;
 };
@@ -236,6 +239,7 @@
   typename P::retry_type retries_;
   typename P::admission_type admission_;
   std::optional<steady_time> drain_deadline_;
+  steady_time drain_started_;
   steady_time config_lease_until_ = steady_time::max();
   /// Next step of requests that wait for a record.
   std::set<std::pair<steady_time, request_id>> steps_;
--- a/include/radishroute/routing_table.h
+++ b/include/radishroute/routing_table.h
@@ -38,6 +38,8 @@
 struct routing_table {
   std::uint64_t config_version = 0;
   bool has_configuration = false;
+  /// False while an entry that has just started waits for the directory of another one.
+  bool directory_known = false;
   std::vector<announcement> backends;
   /// By model or service name; values index `backends`.
   string_map<backend_pool> pools;
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -52,6 +52,9 @@
   /// Time for a caller to send its whole body, and to take any part of an answer.
   std::chrono::milliseconds body_timeout{10000};
   std::chrono::milliseconds write_timeout{10000};
+  /// Time for which a draining entry still accepts connections, to refuse their requests, so that
+  /// the balancer before it learns of the drain from answers and not from lost connections.
+  std::chrono::milliseconds drain_notice{500};
   std::vector<endpoint> peers;
   std::vector<endpoint> controllers;
   /// Sheet used until a controller provides a configuration; empty for none.
--- a/src/announcer.cc
+++ b/src/announcer.cc
@@ -50,10 +50,13 @@
 void announcer::Maintain(reduce_context& ctx) {
   std::size_t linked = 0;
   std::size_t opening = 0;
+  bool closed = false;
   for (home_entry& home : ranked_) {
     if (linked >= kHomes) {
-      if (home.link) ctx.Emit(close_link{*home.link});
+      if (!home.link) continue;
+      ctx.Emit(close_link{*home.link});
       home.link.reset();
+      closed = true;
       continue;
     }
     if (home.link) {
@@ -70,6 +73,8 @@
       }
     }
   }
+  // The substitute takes the closed link for a loss, and would report this backend server as gone.
+  if (closed) Announce(ctx);
 }
 
 void announcer::Handle(const link_opened& opened, reduce_context& ctx) {
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -17,6 +17,14 @@
 
 namespace {
 
+// A drained entry serves kept connections for this long after it has closed its listener, since a
+// balancer may take a moment to leave them.
+constexpr std::chrono::milliseconds kServedAfterListening{500};
+
+// An entry without a leader takes its configuration from a peer after 3 s; one that has none by
+// this time listens all the same, and refuses requests with the reason.
+constexpr std::chrono::milliseconds kLongestStart{5000};
+
 /// All threads of an entry process.
 template <policy_set P>
 class entry_process {
@@ -33,6 +41,8 @@
                     {{"role", "entry"}, {"node", settings_.common.node}});
     control_->Start();
     for (auto& thread : traffic_) thread->Start();
+    // Until it can route, the balancer before it should see a closed port instead of refusals.
+    ready_.WaitFor(kLongestStart);
     if (std::error_code error = acceptor_.Start(settings_.http_listen)) {
       std::cerr << ToString(settings_.http_listen) << ": " << error.message() << "\n";
       return kExitFailed;
@@ -53,6 +63,8 @@
     hello self = MakeHello(settings_.common, process_role::kEntry);
     node_hooks hooks;
     hooks.on_publish = [this](const publish_routing_table& p) {
+      bool leased = p.config_lease_until > std::chrono::steady_clock::now();
+      if (p.table->has_configuration && p.table->directory_known && leased) ready_.Report(0, true);
       for (auto& thread : traffic_) {
         thread->Post(routing_table_published{p.table, p.config_lease_until});
       }
@@ -85,6 +97,7 @@
       auto thread = std::make_unique<node_thread<P>>(self, traffic_hooks);
       request_limits limits;
       limits.max_requests = settings_.max_requests / settings_.threads;
+      limits.drain_linger = settings_.drain_notice + kServedAfterListening;
       thread->State().traffic.requests.emplace(origin, i, limits);
       http_server_settings http;
       http.max_body_bytes = settings_.max_body_bytes;
@@ -107,9 +120,10 @@
 
   int Drain() {
     LogProcessEvent(event_code::kDrainStarted, {});
-    acceptor_.Stop();
     steady_time deadline = std::chrono::steady_clock::now() + settings_.common.drain_timeout;
     for (auto& thread : traffic_) thread->Post(drain_requested{deadline});
+    latch_.WaitFor(settings_.drain_notice);
+    acceptor_.Stop();
     bool finished = latch_.Wait();
     if (!finished) LogProcessEvent(event_code::kDrainDeadlinePassed, {});
     LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
@@ -118,6 +132,7 @@
 
   entry_settings settings_;
   stop_latch latch_;
+  stop_latch ready_{1};
   std::unique_ptr<node_thread<P>> control_;
   std::unique_ptr<admin_api> admin_;
   std::vector<std::unique_ptr<node_thread<P>>> traffic_;
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -50,6 +50,11 @@
   return all_finished_;
 }
 
+bool stop_latch::WaitFor(std::chrono::milliseconds longest) {
+  std::unique_lock lock(mutex_);
+  return changed_.wait_for(lock, longest, [this] { return remaining_ == 0; });
+}
+
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) return std::nullopt;
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_CLI_PROCESS_H_
 #define RADISHROUTE_CLI_PROCESS_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -39,6 +40,9 @@
   /// Waits for every thread; true if all requests were finished.
   bool Wait();
 
+  /// Waits for every thread, at most for `longest`; true if all have reported.
+  bool WaitFor(std::chrono::milliseconds longest);
+
  private:
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -184,13 +184,13 @@
 }
 
 void directory::Handle(link_id, const directory_delta& delta, reduce_context& ctx) {
-  pull_pending_ = false;
+  bool first = std::exchange(pull_pending_, false);
   directory_delta fresh;
   for (const announcement& record : delta.records) {
     if (Accept(record, ctx)) fresh.records.push_back(record);
   }
+  if (first || !fresh.records.empty()) Publish(ctx);
   if (fresh.records.empty()) return;
-  Publish(ctx);
   // A large delta answers a pull; its records have spread already.
   if (fresh.records.size() < kRecordsPerDelta / 10) SpreadRecords(std::move(fresh), ctx);
 }
@@ -355,6 +355,7 @@
   auto table = std::make_shared<routing_table>();
   table->config_version = config_version_;
   table->has_configuration = !sheet_.kinds.empty();
+  table->directory_known = !pull_pending_;
   for (const auto& [name, record] : records_) {
     auto index = static_cast<std::uint32_t>(table->backends.size());
     table->backends.push_back(record);
--- a/src/executions.cc
+++ b/src/executions.cc
@@ -388,8 +388,10 @@
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
   if (!progress_.empty()) ctx.Emit(schedule_wakeup{progress_.begin()->first});
   if (drain_deadline_) {
-    ctx.Emit(schedule_wakeup{
-        std::min(*drain_deadline_, std::max(ctx.now, drain_started_ + limits_.drain_linger))});
+    // A time that has passed would wake the thread again and again until the last answer ends.
+    steady_time lingers = drain_started_ + limits_.drain_linger;
+    ctx.Emit(schedule_wakeup{lingers > ctx.now ? std::min(*drain_deadline_, lingers)
+                                               : *drain_deadline_});
   }
 }
 
--- a/src/io/caller_api.cc
+++ b/src/io/caller_api.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view kServicePrefix = "/v1/services/";
+// For the balancer before the entries.
+constexpr std::string_view kHealthPath = "/v1/health";
 constexpr const char* kProblemType = "application/problem+json";
 
 // Requests that share this much of the prompt's beginning are sent to the same backend server if
@@ -174,6 +176,11 @@
                }}) {}
 
 void caller_api::OnRequest(http_request&& request) {
+  if (request.method == "GET" && request.path == kHealthPath) {
+    server_.Respond(request.exchange, draining_ ? 503 : 200, "text/plain", {},
+                    draining_ ? "draining\n" : "serving\n");
+    return;
+  }
   caller_request parsed;
   refusal_reason reason = ParseCallerRequest(request, parsed);
   if (reason != refusal_reason::kNone) {
@@ -188,6 +195,11 @@
   Execute(respond_problem{exchange, reason, dispatch_failure::kNone, run_outcome::kNotRun, {}});
 }
 
+void caller_api::Execute(const drain_connections&) {
+  draining_ = true;
+  server_.Drain();
+}
+
 void caller_api::Execute(const respond_begin& e) {
   if (e.stream) {
     server_.Begin(e.exchange, e.status, e.content_type, {}, std::nullopt);
--- a/src/io/caller_api.h
+++ b/src/io/caller_api.h
@@ -23,6 +23,7 @@
   void Adopt(int socket) { server_.Adopt(socket); }
   void WhenIdle(std::function<void()> on_idle) { server_.WhenIdle(std::move(on_idle)); }
 
+  void Execute(const drain_connections& e);
   void Execute(const respond_begin& e);
   void Execute(const respond_bytes& e);
   void Execute(const respond_end& e);
@@ -40,6 +41,7 @@
   void Refuse(exchange_id exchange, refusal_reason reason);
 
   event_sink sink_;
+  bool draining_ = false;
   /// Responses that are not streamed are collected, so that they carry a length.
   std::unordered_map<exchange_id, plain_response> plain_;
   http_server server_;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -1,5 +1,7 @@
 #include "io/http_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <optional>
@@ -17,6 +19,17 @@
 // without a length is complete only if it ends so.
 constexpr std::string_view kStreamEnd = "data: [DONE]\n\n";
 
+bool ClosedByPeer(lws* wsi) {
+  char byte = 0;
+  return wsi != nullptr && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+bool AnnouncesClose(lws* wsi) {
+  std::array<char, 32> value{};
+  lws_hdr_copy(wsi, value.data(), static_cast<int>(value.size()), WSI_TOKEN_CONNECTION);
+  return std::string_view(value.data()) == "close";
+}
+
 }  // namespace
 
 struct http_client::call {
@@ -35,11 +48,14 @@
   bool established = false;
   bool finished = false;
   bool event_stream = false;
+  /// The server closes the connection after this response.
+  bool closing = false;
   std::int64_t remaining = -1;
   std::string tail;
 };
 
-http_client::http_client(io_loop& loop, handlers on) : loop_(loop), on_(std::move(on)) {
+http_client::http_client(io_loop& loop, handlers on, std::size_t max_kept_per_server)
+    : loop_(loop), on_(std::move(on)), max_kept_per_server_(max_kept_per_server) {
   lane_protocols_[0] = Protocol();
   lane_protocols_[0].callback = &http_client::OnLane;
   deferred_timer_.owner = this;
@@ -65,19 +81,24 @@
 http_client::lane* http_client::TakeLane(const std::string& server) {
   auto& lanes = lanes_[server];
   for (auto& candidate : lanes) {
-    if (candidate->busy) continue;
+    // A server may close a kept connection at any time; a request sent on it after that would have
+    // an unknown outcome. The event loop closes this side soon.
+    if (candidate->busy || ClosedByPeer(candidate->wsi)) continue;
     candidate->busy = true;
     return candidate.get();
   }
-  if (lanes.size() >= kMaxKeptPerServer) return nullptr;
+  if (lanes.size() >= max_kept_per_server_) return nullptr;
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.vhost_name = "client-lane";
   info.protocols = lane_protocols_;
   info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-  lws_vhost* vhost = lws_create_vhost(loop_.Context(), &info);
-  if (vhost == nullptr) return nullptr;
-  lanes.push_back(std::make_unique<lane>(lane{vhost, true}));
+  auto added = std::make_unique<lane>();
+  info.user = added.get();
+  added->vhost = lws_create_vhost(loop_.Context(), &info);
+  if (added->vhost == nullptr) return nullptr;
+  added->busy = true;
+  lanes.push_back(std::move(added));
   return lanes.back().get();
 }
 
@@ -158,11 +179,13 @@
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
   lws* wsi = it->second->wsi;
+  if (wsi != nullptr) {
+    lws_set_opaque_user_data(wsi, nullptr);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+  }
+  // After the order to close: a call on the lane must not be queued behind the closing one.
   Release(it->second->kept);
   calls_.erase(it);
-  if (wsi == nullptr) return;
-  lws_set_opaque_user_data(wsi, nullptr);
-  lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
 }
 
 int http_client::AppendHeaders(call& c, unsigned char** p, unsigned char* end) {
@@ -215,6 +238,7 @@
                    WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0) {
     c.remaining = std::strtoll(length.data(), nullptr, 10);
   }
+  c.closing = AnnouncesClose(c.wsi);
   std::string content_type(type.data());
   c.event_stream = content_type.starts_with("text/event-stream");
   unsigned status = lws_http_client_http_response(c.wsi);
@@ -246,6 +270,12 @@
 int http_client::OnLane(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len) {
   // The loop's own vhosts run posted tasks; one of them is enough.
   if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) return 0;
+  // Without a client its lanes are gone too.
+  if (reason == LWS_CALLBACK_WSI_DESTROY && wsi != nullptr &&
+      io_loop::HttpClientOf(wsi) != nullptr) {
+    auto* used = static_cast<lane*>(lws_get_vhost_user(lws_get_vhost(wsi)));
+    if (used->wsi == wsi) used->wsi = nullptr;
+  }
   return OnHttp(wsi, reason, user, in, len);
 }
 
@@ -271,6 +301,7 @@
                : 0;
   }
   c->wsi = wsi;
+  if (c->kept != nullptr) c->kept->wsi = wsi;
   switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
       auto** p = static_cast<unsigned char**>(in);
@@ -293,7 +324,7 @@
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP: {
       bool whole = c->event_stream ? c->tail == kStreamEnd : c->remaining <= 0;
       // Without a length the server ends the answer by closing the connection.
-      bool reusable = whole && c->kept != nullptr && c->remaining == 0;
+      bool reusable = whole && c->kept != nullptr && c->remaining == 0 && !c->closing;
       c->owner->Finish(*c, whole ? http_call_result::kComplete : http_call_result::kBroken);
       return reusable ? 0 : -1;
     }
@@ -304,7 +335,8 @@
       return 0;
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP: {
       bool whole = c->established && (c->event_stream ? c->tail == kStreamEnd : c->remaining == 0);
-      c->owner->Finish(*c, whole ? http_call_result::kComplete : http_call_result::kBroken);
+      auto lost = c->sent ? http_call_result::kBroken : http_call_result::kNotSent;
+      c->owner->Finish(*c, whole ? http_call_result::kComplete : lost);
       return 0;
     }
     default:
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -45,7 +45,7 @@
     std::function<void(call_id, http_call_result)> on_end;
   };
 
-  http_client(io_loop& loop, handlers on);
+  http_client(io_loop& loop, handlers on, std::size_t max_kept_per_server = kMaxKeptPerServer);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -69,6 +69,8 @@
   /// the same vhost, but it would also queue a call behind a busy one.
   struct lane {
     lws_vhost* vhost = nullptr;
+    /// The connection that the last call used, until it is closed.
+    lws* wsi = nullptr;
     bool busy = false;
   };
 
@@ -91,6 +93,7 @@
 
   io_loop& loop_;
   handlers on_;
+  std::size_t max_kept_per_server_;
   call_id next_id_ = 1;
   std::unordered_map<call_id, std::unique_ptr<call>> calls_;
   std::unordered_map<std::string, std::vector<std::unique_ptr<lane>>> lanes_;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -14,6 +14,10 @@
 constexpr std::size_t kHeaderBufferBytes = 4096;
 constexpr std::size_t kMaxHeaderValueBytes = 512;
 
+// Turns of the event loop for requests that arrive while kept connections are being closed; one is
+// enough for a request that has arrived whole.
+constexpr int kClosingRounds = 16;
+
 lws_usec_t Micros(std::chrono::milliseconds time) {
   return std::chrono::microseconds(time).count();
 }
@@ -70,6 +74,8 @@
   bool ended = false;
   bool aborted = false;
   bool flushing = false;
+  /// The response has announced that the connection is closed after it.
+  bool closing = false;
   unsigned status = 0;
   std::string content_type;
   std::vector<http_header> headers;
@@ -235,6 +241,16 @@
       return -1;
     }
   }
+  // HTTP/2 has no such header.
+  if (draining_ && lws_get_network_wsi(x.wsi) == x.wsi) {
+    constexpr std::string_view kClose = "close";
+    if (lws_add_http_header_by_token(x.wsi, WSI_TOKEN_CONNECTION,
+                                     reinterpret_cast<const unsigned char*>(kClose.data()),
+                                     static_cast<int>(kClose.size()), &p, end)) {
+      return -1;
+    }
+    x.closing = true;
+  }
   if (lws_finalize_write_http_header(x.wsi, start, &p, end)) return -1;
   x.headers_written = true;
   return 0;
@@ -269,7 +285,7 @@
 }
 
 int http_server::Complete(exchange& x) {
-  bool reusable = x.length.has_value();
+  bool reusable = x.length.has_value() && !x.closing;
   lws* wsi = x.wsi;
   Drop(x, false);
   if (lws_http_transaction_completed(wsi) != 0) return -1;
@@ -278,7 +294,34 @@
 
 void http_server::WhenIdle(std::function<void()> on_idle) {
   on_idle_ = std::move(on_idle);
-  if (exchanges_.empty()) on_idle_();
+  if (exchanges_.empty()) BecomeIdle(kClosingRounds);
+}
+
+void http_server::BecomeIdle(int rounds_left) {
+  if (!exchanges_.empty()) return;
+  if (CloseUnused() || rounds_left == 0) {
+    on_idle_();
+    return;
+  }
+  bool posted = loop_.Post([this, rounds_left] { BecomeIdle(rounds_left - 1); });
+  if (!posted) on_idle_();
+}
+
+// A client may send its next request at any time. One that has arrived is answered first; after the
+// end of the stream has been sent, a client that looks at its connection sends no more.
+bool http_server::CloseUnused() {
+  bool all = true;
+  for (const auto& [wsi, number] : connections_) {
+    char byte = 0;
+    lws_sockfd_type socket = lws_get_socket_fd(wsi);
+    if (recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+      all = false;
+      continue;
+    }
+    shutdown(socket, SHUT_WR);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+  }
+  return all;
 }
 
 int http_server::OnWritable(exchange& x) {
@@ -302,7 +345,7 @@
   lws_set_opaque_user_data(x.wsi, nullptr);
   exchanges_.erase(id.value);
   if (notify && !complete && on_.on_closed) on_.on_closed(id);
-  if (exchanges_.empty() && on_idle_) on_idle_();
+  if (exchanges_.empty() && on_idle_) BecomeIdle(kClosingRounds);
 }
 
 int http_server::OnHttp(lws* wsi, lws_callback_reasons reason, void*, void* in, size_t len) {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -86,7 +86,11 @@
   /// Closes the connection without completing the response.
   void Abort(exchange_id id);
 
-  /// Calls `on_idle` once no exchange is in progress and every response has been sent.
+  /// From now on each response on HTTP/1 announces that its connection is closed after it.
+  void Drain() { draining_ = true; }
+
+  /// Calls `on_idle` once no exchange is in progress, every response has been sent and kept
+  /// connections are closed, each at a moment when no request waits on it.
   void WhenIdle(std::function<void()> on_idle);
 
   /// Sends a complete response.
@@ -105,6 +109,8 @@
   int WriteBody(exchange& x);
   int Complete(exchange& x);
   void Drop(exchange& x, bool notify);
+  void BecomeIdle(int rounds_left);
+  bool CloseUnused();
   exchange* Find(exchange_id id);
 
   io_loop& loop_;
@@ -115,6 +121,7 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t next_connection_ = 1;
   std::unordered_map<lws*, std::uint64_t> connections_;
+  bool draining_ = false;
   std::function<void()> on_idle_;
   std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
 };
--- a/src/load/generator.cc
+++ b/src/load/generator.cc
@@ -1,12 +1,15 @@
 #include "load/generator.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace radishroute {
 
 namespace {
 
+constexpr std::string_view kDrainingReason = "draining";
+
 std::chrono::microseconds Micros(steady_time::duration d) {
   return std::chrono::duration_cast<std::chrono::microseconds>(d);
 }
@@ -76,18 +79,22 @@
 }
 
 void load_generator::Submit(flight& f, steady_time now, load_effects& effects) {
-  const load_kind& kind = KindOf(f);
+  ++f.record.attempts;
+  f.targets_left = targets_ - 1;
+  f.resends = KindOf(f).service.empty() ? f.gives_up : now + KindOf(f).resend_after;
+  Send(f, effects);
+}
+
+void load_generator::Send(flight& f, load_effects& effects) {
   std::vector<http_header> headers = {{"x-member", f.record.member},
                                       {"x-work-kind", f.record.kind}};
   if (!f.record.idempotency_key.empty()) {
     headers.push_back({"idempotency-key", f.record.idempotency_key});
-    if (f.record.attempts == 0) headers.push_back({"x-first-submission", "true"});
+    if (f.record.attempts == 1) headers.push_back({"x-first-submission", "true"});
   }
-  ++f.record.attempts;
   f.waiting = false;
   f.answer = {};
   f.call = next_call_++;
-  f.resends = kind.service.empty() ? f.gives_up : now + kind.resend_after;
   std::uint64_t call = f.call;
   effects.emplace_back(start_call{call, f.target, f.content.path, headers, f.content.body});
   SetTimer(f);
@@ -169,11 +176,24 @@
   return !kind.service.empty() && f.record.attempts <= kind.resends && now < f.gives_up;
 }
 
+bool load_generator::MoveOn(flight& f, const judgement& verdict, steady_time now,
+                            load_effects& effects) {
+  bool draining = verdict.outcome == load_outcome::kNotRun && verdict.reason == kDrainingReason;
+  if (!draining && verdict.outcome != load_outcome::kUnreachable) return false;
+  if (f.targets_left == 0 || now >= f.gives_up) return false;
+  --f.targets_left;
+  ++(draining ? f.record.moved_draining : f.record.moved_unreachable);
+  f.target = (f.target + 1) % targets_;
+  Send(f, effects);
+  return true;
+}
+
 void load_generator::EndAttempt(std::uint64_t call, const judgement& verdict, steady_time now,
                                 load_effects& effects) {
   auto node = flights_.extract(call);
   flight& f = node.mapped();
   RemoveTimer(f);
+  if (MoveOn(f, verdict, now, effects)) return;
   f.record.claimed_not_run |= verdict.outcome == load_outcome::kNotRun;
   bool lost =
       verdict.outcome == load_outcome::kUnknown || verdict.outcome == load_outcome::kUnreachable;
--- a/src/load/generator.h
+++ b/src/load/generator.h
@@ -67,6 +67,8 @@
 using load_effects = std::vector<load_effect>;
 
 /// Open-loop load: requests start at their planned times whether or not earlier ones have ended.
+/// Like the balancer before the entries, it sends a request that a target has certainly not run,
+/// because it refuses connections or drains, to the next target at once.
 class load_generator {
  public:
   /// `wall_start` dates the Idempotency-Keys.
@@ -85,6 +87,8 @@
     std::string expected;
     std::size_t target = 0;
     std::uint64_t call = 0;
+    /// Other targets that this attempt may still be sent to.
+    std::size_t targets_left = 0;
     /// True between an attempt that was lost and the next one.
     bool waiting = false;
     received_answer answer;
@@ -102,6 +106,8 @@
   void StartDue(steady_time now, load_effects& effects);
   void StartRequest(const planned_request& plan, steady_time now, load_effects& effects);
   void Submit(flight& f, steady_time now, load_effects& effects);
+  void Send(flight& f, load_effects& effects);
+  bool MoveOn(flight& f, const judgement& verdict, steady_time now, load_effects& effects);
   void Wait(flight& f, steady_time now);
   bool MayResend(const flight& f, steady_time now) const;
   void EndAttempt(std::uint64_t call, const judgement& verdict, steady_time now,
--- a/src/load/record.cc
+++ b/src/load/record.cc
@@ -17,6 +17,8 @@
                          {"outcome", ToString(record.outcome)},
                          {"reason", record.reason},
                          {"attempts", record.attempts},
+                         {"moved_unreachable", record.moved_unreachable},
+                         {"moved_draining", record.moved_draining},
                          {"claimed_not_run", record.claimed_not_run}};
   out << line.dump() << "\n";
 }
--- a/src/load/record.h
+++ b/src/load/record.h
@@ -27,7 +27,10 @@
   load_outcome outcome = load_outcome::kUnknown;
   std::string reason;
   std::uint32_t attempts = 0;
-  /// True if any attempt's response said "not run".
+  /// How often an attempt was sent on to the next target, by reason.
+  std::uint32_t moved_unreachable = 0;
+  std::uint32_t moved_draining = 0;
+  /// True if any attempt's last response said "not run".
   bool claimed_not_run = false;
 };
 
--- a/src/load/result.cc
+++ b/src/load/result.cc
@@ -67,6 +67,8 @@
   second_counts& second = Second(c.seconds, record.planned);
   ++c.outcomes[Index(record.outcome)];
   ++second.outcomes[Index(record.outcome)];
+  c.moved_unreachable += record.moved_unreachable;
+  c.moved_draining += record.moved_draining;
   if (!record.reason.empty()) {
     ++c.reasons[std::string(ToString(record.outcome)) + ":" + record.reason];
   }
@@ -91,6 +93,12 @@
   return count;
 }
 
+std::uint64_t load_result::Moved() const {
+  std::uint64_t moved = 0;
+  for (const class_counts& c : classes_) moved += c.moved_unreachable + c.moved_draining;
+  return moved;
+}
+
 json load_result::ClassJson(class_counts& c) const {
   json series = json::array();
   for (std::size_t i = 0; i < c.seconds.size(); ++i) {
@@ -99,10 +107,13 @@
     point["latency_ms"] = Percentiles(c.seconds[i].latencies);
     series.push_back(std::move(point));
   }
-  return {
-      {"outcomes", Outcomes(c.outcomes)},          {"reasons", c.reasons},
-      {"latency_ms", Percentiles(c.latencies)},    {"first_byte_ms", Percentiles(c.first_bytes)},
-      {"token_gap_ms", Percentiles(c.token_gaps)}, {"series", std::move(series)}};
+  return {{"outcomes", Outcomes(c.outcomes)},
+          {"reasons", c.reasons},
+          {"moved", {{"unreachable", c.moved_unreachable}, {"draining", c.moved_draining}}},
+          {"latency_ms", Percentiles(c.latencies)},
+          {"first_byte_ms", Percentiles(c.first_bytes)},
+          {"token_gap_ms", Percentiles(c.token_gaps)},
+          {"series", std::move(series)}};
 }
 
 json load_result::MembersJson() const {
@@ -150,7 +161,7 @@
   out << "whole " << count(load_outcome::kInTime) + count(load_outcome::kLate) << ", wrong "
       << count(load_outcome::kWrong) << ", refused " << count(load_outcome::kNotRun) << ", failed "
       << count(load_outcome::kUnknown) << ", broken " << count(load_outcome::kCut)
-      << ", unreachable " << count(load_outcome::kUnreachable) << "\n";
+      << ", unreachable " << count(load_outcome::kUnreachable) << ", moved " << Moved() << "\n";
   for (priority_class cls : kPriorityClasses) {
     class_counts& c = classes_[ClassIndex(cls)];
     if (c.seconds.empty()) continue;
--- a/src/load/result.h
+++ b/src/load/result.h
@@ -37,6 +37,9 @@
 
   std::uint64_t Count(load_outcome outcome) const;
 
+  /// How often a request was sent on to the next target.
+  std::uint64_t Moved() const;
+
   /// Sorts the samples; the format is described in docs/load.md.
   nlohmann::json ToJson();
 
@@ -54,6 +57,8 @@
   struct class_counts {
     std::array<std::uint64_t, kLoadOutcomeCount> outcomes{};
     std::map<std::string, std::uint64_t> reasons;
+    std::uint64_t moved_unreachable = 0;
+    std::uint64_t moved_draining = 0;
     samples latencies;
     samples first_bytes;
     samples token_gaps;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -229,7 +229,9 @@
 
 template <policy_set P>
 void request_table<P>::Handle(const drain_requested& drain, reduce_context& ctx) {
+  if (!drain_deadline_) drain_started_ = ctx.now;
   drain_deadline_ = drain.deadline;
+  ctx.Emit(drain_connections{});
   ScheduleNext(ctx);
   StopIfDrained(ctx);
 }
@@ -259,6 +261,7 @@
     ctx.Emit(stop_process{requests_.empty()});
     return;
   }
+  StopIfDrained(ctx);
   ScheduleNext(ctx);
 }
 
@@ -503,7 +506,8 @@
 
 template <policy_set P>
 void request_table<P>::StopIfDrained(reduce_context& ctx) {
-  if (drain_deadline_ && requests_.empty()) ctx.Emit(stop_process{true});
+  if (!drain_deadline_ || !requests_.empty()) return;
+  if (ctx.now >= drain_started_ + limits_.drain_linger) ctx.Emit(stop_process{true});
 }
 
 template <policy_set P>
@@ -519,7 +523,11 @@
     }
   }
   if (!steps_.empty()) ctx.Emit(schedule_wakeup{steps_.begin()->first});
-  if (drain_deadline_) ctx.Emit(schedule_wakeup{*drain_deadline_});
+  if (drain_deadline_) {
+    steady_time lingers = drain_started_ + limits_.drain_linger;
+    ctx.Emit(schedule_wakeup{lingers > ctx.now ? std::min(*drain_deadline_, lingers)
+                                               : *drain_deadline_});
+  }
 }
 
 #define RADISHROUTE_INSTANTIATE(P) template class request_table<P>;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -65,6 +65,8 @@
             std::chrono::minutes(10));
   http.Read("write_timeout_ms", out.write_timeout, std::chrono::milliseconds(100),
             std::chrono::minutes(10));
+  http.Read("drain_notice_ms", out.drain_notice, std::chrono::milliseconds(0),
+            std::chrono::minutes(10));
   http.Finish();
   if (out.tls_certificate.empty() != out.tls_key.empty()) {
     errors.push_back({"http.tls_key", "both tls_certificate and tls_key, or neither"});
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -138,4 +138,51 @@
   CHECK(fake.Sent<announcement>()[0].second.sequence == 1);
 }
 
+TEST_CASE("a substitute that is closed does not make its agent look lost") {
+  // Guards against a restarted entry that takes backend servers out of service: the substitute for
+  // it reports an agent whose link it lost as gone, unless a newer announcement refutes that.
+  std::vector<endpoint> entries = {{"e", 1}, {"e", 2}, {"e", 3}, {"e", 4}};
+  announcer agent(Record(5, 0, backend_status::kUp), entries);
+  fake_context context;
+  std::map<std::uint16_t, std::uint64_t> links;
+  std::uint64_t next_link = 1;
+  auto open_all = [&] {
+    for (bool more = true; more;) {
+      auto opens = context.All<open_link>();
+      more = !opens.empty();
+      for (const open_link& open : opens) {
+        links[open.address.port] = next_link;
+        context.Do([&](auto& ctx) {
+          agent.Handle(link_opened{{next_link++}, {}, open.address}, ctx);
+        });
+        if (!context.All<close_link>().empty()) return;
+      }
+      if (!more) break;
+      context.Do([&](auto& ctx) { agent.Handle(timer_expired{}, ctx); });
+    }
+  };
+  context.Do([&](auto& ctx) { agent.Handle(process_started{}, ctx); });
+  open_all();
+  REQUIRE(links.size() == 3);
+  std::uint16_t restarted = links.begin()->first;
+  endpoint address{"e", restarted};
+  context.Do([&](auto& ctx) {
+    agent.Handle(link_closed{{links.at(restarted)}, address, {}}, ctx);
+  });
+  auto refuted = context.Sent<announcement>();
+  REQUIRE(refuted.size() == 2);
+  std::uint64_t before = refuted[0].second.sequence;
+  open_all();
+  REQUIRE(links.size() == 4);
+  context.Advance(std::chrono::milliseconds(600));
+  context.Do([&](auto& ctx) { agent.Handle(timer_expired{}, ctx); });
+  open_all();
+  REQUIRE(context.All<close_link>().size() == 1);
+  std::size_t newer = 0;
+  for (const auto& [link, record] : context.Sent<announcement>()) {
+    if (record.sequence > before) ++newer;
+  }
+  CHECK(newer == 3);
+}
+
 }  // namespace radishroute
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -224,6 +224,12 @@
         self.processes[name].kill()
         self.processes[name].wait(timeout=10)
 
+    def restart(self, name, role):
+        """Stops a process gracefully, starts it again and returns its exit code."""
+        code = self.stop(name)
+        self.start(name, [role, "--settings", os.path.join(self.dir, name + ".json")])
+        return code
+
     def stop(self, name, timeout=20):
         """Asks a process to stop gracefully and returns its exit code."""
         self.processes[name].send_signal(signal.SIGTERM)
--- a/tests/e2e/failures_test.py
+++ b/tests/e2e/failures_test.py
@@ -137,9 +137,11 @@
             assert cluster.stop(name) == 0, name
             cluster.start_entry(name)
             time.sleep(0.5)
-    counts = cluster.during_load(restart, seconds=5)
-    # The load tool has no load balancer before it: calls to a stopped entry are not accepted.
+    counts = cluster.during_load(restart, seconds=8)
     assert counts["wrong"] == counts["broken"] == counts["failed"] == 0, counts
+    # Like a balancer, the load tool sends what a stopping entry did not run to the next entry.
+    assert counts["moved"] > 0, counts
+    expect_all_whole(counts)
 
 
 def caller_hangs_up(cluster):
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -77,6 +77,9 @@
   return "";
 }
 
+constexpr const char* kDrainingProblem =
+    R"({"type":"urn:radishroute:problem:draining","outcome":"not-run"})";
+
 constexpr const char* kNotRunProblem =
     R"({"type":"urn:radishroute:problem:queue_full","outcome":"not-run"})";
 
@@ -189,6 +192,32 @@
   CHECK(entries.records[0].reason == "queue_full");
 }
 
+TEST_CASE("a request that a target certainly did not run goes to the next one at once", "[load]") {
+  // Guards against a rolling restart that callers notice, and against endless moves.
+  fake_entries entries(OneBooking());
+  entries.Answer(entries.started[0], 503, kDrainingProblem);
+  REQUIRE(entries.started.size() == 2);
+  const start_call second = entries.started[1];
+  CHECK(second.target != entries.started[0].target);
+  // The balancer forwards the same request, so it is still the first submission.
+  CHECK(HeaderOf(second, "x-first-submission") == "true");
+  entries.Answer(second, 200, ServiceAnswer(second.body));
+  REQUIRE(entries.records.size() == 1);
+  CHECK(entries.records[0].outcome == load_outcome::kInTime);
+  CHECK(entries.records[0].attempts == 1);
+  CHECK(entries.records[0].moved_draining == 1);
+  CHECK_FALSE(entries.records[0].claimed_not_run);
+
+  fake_entries none(OneBooking());
+  none.Apply(call_ended{none.started[0].call, http_call_result::kNotSent});
+  REQUIRE(none.started.size() == 2);
+  none.Answer(none.started[1], 503, kDrainingProblem);
+  REQUIRE(none.records.size() == 1);
+  CHECK(none.started.size() == 2);
+  CHECK(none.records[0].moved_unreachable == 1);
+  CHECK(none.records[0].outcome == load_outcome::kNotRun);
+}
+
 TEST_CASE("the check finds each kind of violation", "[load]") {
   // Guards against a check that passes whatever the services ran.
   load_record done;
