Add the operators' command radishroute drain

The process takes the order only with the `admin_token` of its settings; without one it refuses all orders. Failures are typed: not authorized, connection failed, no process that takes the command, outcome unknown. Exit codes 0, 1 and 2.

--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -103,6 +103,7 @@
   kOutcomeUnknown,
   kFolderInUse,
   kFolderUnusable,
+  kNotDrainable,
 };
 
 const std::error_category& RadishrouteCategory();
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -41,6 +41,8 @@
   common_settings common;
   endpoint http_listen;
   endpoint admin_listen;
+  /// Token that operators' commands carry; empty refuses them all.
+  std::string admin_token;
   endpoint control_listen;
   std::string tls_certificate;
   std::string tls_key;
@@ -67,6 +69,8 @@
   /// Address announced to entries if it differs from `traffic_listen`, for example behind NAT.
   endpoint traffic_advertise;
   endpoint admin_listen;
+  /// Token that operators' commands carry; empty refuses them all.
+  std::string admin_token;
   std::vector<endpoint> entries;
   std::vector<endpoint> controllers;
   endpoint engine;
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -3,6 +3,7 @@
 
 #include "cli/admin.h"
 #include "cli/commands.h"
+#include "cli/drain_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
@@ -59,7 +60,7 @@
     control_ = std::make_unique<node_thread<P>>(self, node_hooks{});
     control_->State().control.announcements.emplace(MakeAnnouncement(settings_, self),
                                                     settings_.entries);
-    admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
+    admin_ = std::make_unique<admin_api>(control_->Loop(), DrainHttpHandler(settings_.admin_token));
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
 
     node_hooks hooks;
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -31,12 +31,11 @@
   }
   // The token comes from a file, since arguments are visible to every user of the VM.
   std::string file = parsed.count("token-file") > 0 ? parsed["token-file"].as<std::string>() : "";
-  auto token = ReadFile(file);
+  auto token = ReadToken(file);
   if (controllers.empty() || !token) {
     std::cerr << "--controller and a readable --token-file are required\n";
     return std::nullopt;
   }
-  token->erase(token->find_last_not_of(" \r\n\t") + 1);
   return operator_client(std::move(controllers), *token);
 }
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,6 +12,7 @@
 int RunEngine(int argc, char** argv);
 int RunLoad(int argc, char** argv);
 int RunController(int argc, char** argv);
+int RunDrain(int argc, char** argv);
 int RunVoter(int argc, char** argv);
 
 }  // namespace radishroute
--- a/src/cli/entry.cc
+++ b/src/cli/entry.cc
@@ -5,6 +5,7 @@
 
 #include "cli/admin.h"
 #include "cli/commands.h"
+#include "cli/drain_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
@@ -82,7 +83,7 @@
                                                   settings_.controllers, settings_.peers, sheet},
                            *control.backends);
     if (auto error = control_->Links().Listen(settings_.control_listen)) return error;
-    admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
+    admin_ = std::make_unique<admin_api>(control_->Loop(), DrainHttpHandler(settings_.admin_token));
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
 
     std::random_device entropy;
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "io/http_client.h"
+#include "cli/process.h"
 
 namespace radishroute {
 
@@ -27,29 +27,33 @@
   loop.Run();
 }
 
-std::optional<http_answer> operator_client::CallOne(const endpoint& controller,
-                                                    const std::string& path,
-                                                    const std::string& body,
-                                                    std::chrono::milliseconds timeout) {
+operator_reply CallProcess(const endpoint& process, const std::string& token,
+                           const std::string& path, const std::string& body,
+                           std::chrono::milliseconds timeout) {
   io_loop loop;
   static const lws_protocols protocols[] = {http_client::Protocol(), {}};
   loop.CreateClientVhost(protocols);
-  http_answer answer;
-  bool complete = false;
+  operator_reply reply;
   http_client client(
-      loop,
-      {[&](http_client::call_id, unsigned status, const std::string&) { answer.status = status; },
-       [&](http_client::call_id, std::string_view bytes) { answer.body += bytes; },
-       [&](http_client::call_id, http_call_result result) {
-         complete = result == http_call_result::kComplete;
-         loop.Stop();
-       }});
+      loop, {[&](http_client::call_id, unsigned status, const std::string&) {
+               reply.answer.status = status;
+             },
+             [&](http_client::call_id, std::string_view bytes) { reply.answer.body += bytes; },
+             [&](http_client::call_id, http_call_result result) {
+               reply.result = result;
+               loop.Stop();
+             }});
   loop.SetTimerHandler([&loop] { loop.Stop(); });
   loop.WakeAt(std::chrono::steady_clock::now() + timeout);
-  client.Start(controller, path, {{"authorization", "Bearer " + token_}}, body);
+  client.Start(process, path, {{"authorization", "Bearer " + token}}, body);
   loop.Run();
-  if (!complete) return std::nullopt;
-  return answer;
+  return reply;
+}
+
+std::optional<std::string> ReadToken(const std::string& file) {
+  auto token = ReadFile(file);
+  if (token) token->erase(token->find_last_not_of(" \r\n\t") + 1);
+  return token;
 }
 
 std::optional<http_answer> operator_client::Call(const std::string& path, const std::string& body,
@@ -58,10 +62,12 @@
   while (true) {
     for (std::size_t i = 0; i < controllers_.size(); ++i) {
       std::size_t index = (leader_ + i) % controllers_.size();
-      auto answer = CallOne(controllers_[index], path, body, std::min(timeout, kOneController));
-      if (!answer || answer->status == kMisdirected) continue;
+      auto reply =
+          CallProcess(controllers_[index], token_, path, body, std::min(timeout, kOneController));
+      bool complete = reply.result == http_call_result::kComplete;
+      if (!complete || reply.answer.status == kMisdirected) continue;
       leader_ = index;
-      return answer;
+      return reply.answer;
     }
     if (std::chrono::steady_clock::now() >= end) return std::nullopt;
     Pause(kBetweenRounds);
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -7,9 +7,24 @@
 #include <vector>
 
 #include "cli/config_http.h"
+#include "io/http_client.h"
 
 namespace radishroute {
 
+/// What came of one call; `result` is empty if the time was over.
+struct operator_reply {
+  std::optional<http_call_result> result;
+  http_answer answer;
+};
+
+/// Calls one process's admin address; an empty body makes a GET.
+operator_reply CallProcess(const endpoint& process, const std::string& token,
+                           const std::string& path, const std::string& body,
+                           std::chrono::milliseconds timeout);
+
+/// Reads a bearer token without the white space at its end; nothing if the file cannot be read.
+std::optional<std::string> ReadToken(const std::string& file);
+
 /// Operators' calls to the controllers' admin addresses.
 class operator_client {
  public:
@@ -25,9 +40,6 @@
   static void Pause(std::chrono::milliseconds duration);
 
  private:
-  std::optional<http_answer> CallOne(const endpoint& controller, const std::string& path,
-                                     const std::string& body, std::chrono::milliseconds timeout);
-
   std::vector<endpoint> controllers_;
   std::string token_;
   std::size_t leader_ = 0;
--- a/src/error.cc
+++ b/src/error.cc
@@ -112,6 +112,8 @@
         return "data folder is in use by another process";
       case errc::kFolderUnusable:
         return "data folder cannot be created or read";
+      case errc::kNotDrainable:
+        return "process does not take this command";
     }
     return "unknown error";
   }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -49,6 +49,7 @@
   ReadCommon(reader, out.common);
   ReadPolicy(reader, out.common.policy, errors);
   reader.Read("admin_listen", out.admin_listen, true);
+  reader.Read("admin_token", out.admin_token, false);
   reader.Read("control_listen", out.control_listen, true);
   reader.ReadNumber("threads", out.threads, 1, 64);
   reader.Read("peers", out.peers, false);
@@ -84,6 +85,7 @@
   out.traffic_advertise = out.traffic_listen;
   reader.Read("traffic_advertise", out.traffic_advertise, false);
   reader.Read("admin_listen", out.admin_listen, true);
+  reader.Read("admin_token", out.admin_token, false);
   reader.Read("entries", out.entries, true);
   reader.Read("controllers", out.controllers, false);
   settings_reader backend = reader.Child("backend");
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -176,16 +176,16 @@
             f"http://{self.engines[engine]}/v1/fault", data=body, method="POST")
         urllib.request.urlopen(request, timeout=5).read()
 
-    def run_plan(self, plan, targets=None, timeout=120, name="load"):
+    def run_plan(self, plan, targets=None, timeout=120, name="load", arguments=()):
         """Runs a plan and returns the finished process, its result and its records file."""
         path, out, records = (os.path.join(self.dir, name + end)
                               for end in (".plan", ".json", ".records"))
         with open(path, "w") as file:
             json.dump(plan, file)
         targets = targets or [e["http"]["listen"] for e in self.entries.values()]
-        arguments = [a for target in targets for a in ("--target", target)]
+        addresses = [a for target in targets for a in ("--target", target)]
         done = subprocess.run(
-            [self.program, "load", *arguments, "--plan", path, "--sheet", self.sheet,
+            [self.program, "load", *addresses, *arguments, "--plan", path, "--sheet", self.sheet,
              "--out", out, "--records", records], capture_output=True, text=True, timeout=timeout)
         with open(out) as file:
             return done, json.load(file), records
@@ -197,11 +197,11 @@
         return subprocess.run([self.program, "load", "check", "--records", records, *arguments],
                               capture_output=True, text=True, timeout=60)
 
-    def add_backend(self, name, zone="a", engine_arguments=(), **backend):
+    def add_backend(self, name, zone="a", engine_arguments=(), admin_token="", **backend):
         engine = self.add_engine(name + "-engine", engine_arguments)
         settings = {
             "node": name, "zone": zone, "traffic_listen": free_address(),
-            "admin_listen": free_address(),
+            "admin_listen": free_address(), "admin_token": admin_token,
             "entries": [e["control_listen"] for e in self.entries.values()],
             "backend": {"address": engine, "models": ["draft"], **backend}}
         self.start_with_settings("agent", settings)
