Bound the load tool's connections to each target

Cause: the tool opened a connection for every call beyond 32. Past the 4096 header buffers of libwebsockets, further calls wait in its sorted list, which is walked for each of them: at 18000/s from three tools through one entry, two of two trials had not ended after 40 s, each tool running with 4102 descriptors; perf shows 32% of its time in lws_dll2_add_sorted. The entry had no request that never ended: it was back at 15 descriptors and no processor time 6 s after the start of a bounded trial. At 6000/s none of two unbounded trials hung on this machine today.

Change: `--connections` (512) limits the calls in progress to each target. Others wait in a queue, oldest first; the wait counts as latency, and a call given up there is `unreachable` (`no_connection`).

--- a/src/load/generator.cc
+++ b/src/load/generator.cc
@@ -16,9 +16,12 @@
 
 }  // namespace
 
-load_generator::load_generator(load_plan plan, std::size_t targets, wall_time wall_start)
+load_generator::load_generator(load_plan plan, std::size_t targets, wall_time wall_start,
+                               std::size_t connections)
     : plan_(std::move(plan)),
       targets_(targets),
+      connections_(connections),
+      calls_(targets),
       wall_start_(wall_start),
       schedule_(MakeSchedule(plan_)) {}
 
@@ -86,19 +89,42 @@
 }
 
 void load_generator::Send(flight& f, load_effects& effects) {
+  f.waiting = false;
+  f.answer = {};
+  f.call = next_call_++;
+  target_calls& calls = calls_[f.target];
+  f.queued = calls.in_progress >= connections_;
+  if (f.queued) {
+    calls.queue.push_back(f.call);
+  } else {
+    Start(f, effects);
+  }
+  SetTimer(f);
+  std::uint64_t call = f.call;
+  flights_.emplace(call, std::move(f));
+}
+
+void load_generator::Start(flight& f, load_effects& effects) {
   std::vector<http_header> headers = {{"x-member", f.record.member},
                                       {"x-work-kind", f.record.kind}};
   if (!f.record.idempotency_key.empty()) {
     headers.push_back({"idempotency-key", f.record.idempotency_key});
     if (f.record.attempts == 1) headers.push_back({"x-first-submission", "true"});
   }
-  f.waiting = false;
-  f.answer = {};
-  f.call = next_call_++;
-  std::uint64_t call = f.call;
-  effects.emplace_back(start_call{call, f.target, f.content.path, headers, f.content.body});
-  SetTimer(f);
-  flights_.emplace(call, std::move(f));
+  f.queued = false;
+  ++calls_[f.target].in_progress;
+  effects.emplace_back(start_call{f.call, f.target, f.content.path, headers, f.content.body});
+}
+
+void load_generator::FreeConnection(std::size_t target, steady_time now, load_effects& effects) {
+  target_calls& calls = calls_[target];
+  --calls.in_progress;
+  while (!calls.queue.empty() && calls.in_progress < connections_) {
+    auto it = flights_.find(calls.queue.front());
+    calls.queue.pop_front();
+    // A call whose time is over by now is given up without being sent.
+    if (it != flights_.end() && TimerOf(it->second) > now) Start(it->second, effects);
+  }
 }
 
 void load_generator::Wait(flight& f, steady_time now) {
@@ -135,6 +161,10 @@
       Submit(node.mapped(), now, effects);
       continue;
     }
+    if (flights_.at(call).queued) {
+      EndAttempt(call, {load_outcome::kUnreachable, "no_connection"}, now, effects);
+      continue;
+    }
     effects.emplace_back(cancel_call{call});
     EndAttempt(call, {load_outcome::kUnknown, "timeout"}, now, effects);
   }
@@ -193,6 +223,7 @@
   auto node = flights_.extract(call);
   flight& f = node.mapped();
   RemoveTimer(f);
+  if (!f.queued) FreeConnection(f.target, now, effects);
   if (MoveOn(f, verdict, now, effects)) return;
   f.record.claimed_not_run |= verdict.outcome == load_outcome::kNotRun;
   bool lost =
--- a/src/load/generator.h
+++ b/src/load/generator.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -68,11 +69,17 @@
 
 /// Open-loop load: requests start at their planned times whether or not earlier ones have ended.
 /// Like the balancer before the entries, it sends a request that a target has certainly not run,
-/// because it refuses connections or drains, to the next target at once.
+/// because it refuses connections or drains, to the next target at once. Calls beyond the limit of
+/// connections to a target wait in a queue, and their wait counts as latency.
 class load_generator {
  public:
+  /// Connections to one target at most, unless the command line says otherwise: far above what the
+  /// examples' plans keep in progress, and few enough that polling them costs little.
+  static constexpr std::size_t kDefaultConnections = 512;
+
   /// `wall_start` dates the Idempotency-Keys.
-  load_generator(load_plan plan, std::size_t targets, wall_time wall_start);
+  load_generator(load_plan plan, std::size_t targets, wall_time wall_start,
+                 std::size_t connections = kDefaultConnections);
 
   void Reduce(const load_event& e, steady_time now, load_effects& effects);
 
@@ -91,6 +98,8 @@
     std::size_t targets_left = 0;
     /// True between an attempt that was lost and the next one.
     bool waiting = false;
+    /// True while the call waits for a free connection to its target.
+    bool queued = false;
     received_answer answer;
     steady_time last_bytes;
     steady_time gives_up;
@@ -108,6 +117,8 @@
   void Submit(flight& f, steady_time now, load_effects& effects);
   void Send(flight& f, load_effects& effects);
   bool MoveOn(flight& f, const judgement& verdict, steady_time now, load_effects& effects);
+  void Start(flight& f, load_effects& effects);
+  void FreeConnection(std::size_t target, steady_time now, load_effects& effects);
   void Wait(flight& f, steady_time now);
   bool MayResend(const flight& f, steady_time now) const;
   void EndAttempt(std::uint64_t call, const judgement& verdict, steady_time now,
@@ -120,7 +131,16 @@
   const load_kind& KindOf(const flight& f) const { return plan_.kinds[f.plan.kind]; }
 
   load_plan plan_;
+  /// Calls to one target.
+  struct target_calls {
+    std::size_t in_progress = 0;
+    /// Calls that wait for a connection, oldest first; some may have ended meanwhile.
+    std::deque<std::uint64_t> queue;
+  };
+
   std::size_t targets_;
+  std::size_t connections_;
+  std::vector<target_calls> calls_;
   wall_time wall_start_;
   std::vector<planned_request> schedule_;
   std::size_t next_ = 0;
--- a/src/load/load.cc
+++ b/src/load/load.cc
@@ -34,6 +34,9 @@
       "kind", "without a plan: kind of work, may be repeated", cxxopts::value<text_list>())(
       "max-tokens", "without a plan: tokens per answer",
       cxxopts::value<unsigned>()->default_value("16"))(
+      "connections", "connections to each target at most",
+      cxxopts::value<std::size_t>()->default_value(
+          std::to_string(load_generator::kDefaultConnections)))(
       "seed", "random seed; goes before the plan's", cxxopts::value<std::uint64_t>());
   return options;
 }
@@ -105,7 +108,8 @@
         const std::vector<endpoint>& targets) {
   std::ofstream records;
   if (parsed.count("records") > 0) records.open(parsed["records"].as<std::string>());
-  load_runner runner(plan, targets, parsed.count("records") > 0 ? &records : nullptr);
+  load_runner runner(plan, targets, parsed["connections"].as<std::size_t>(),
+                     parsed.count("records") > 0 ? &records : nullptr);
   if (parsed.count("control") > 0) {
     endpoint control;
     if (!ParseEndpoint(parsed["control"].as<std::string>(), control)) {
@@ -160,6 +164,10 @@
   }
   auto plan = MakePlan(*parsed);
   if (!plan) return kExitUsage;
+  if ((*parsed)["connections"].as<std::size_t>() == 0) {
+    std::cerr << "--connections must be 1 or more\n";
+    return kExitUsage;
+  }
   QuietLibwebsockets();
   return Run(*parsed, *plan, targets);
 }
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -1,28 +1,38 @@
 #include "load/runner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace radishroute {
 
+namespace {
+
+// Each kept connection has a vhost of its own, so thousands would cost more than they save.
+constexpr std::size_t kMaxKeptConnections = 512;
+
+}  // namespace
+
 load_runner::load_runner(const load_plan& plan, std::vector<endpoint> targets,
-                         std::ostream* records)
+                         std::size_t connections, std::ostream* records)
     : targets_(std::move(targets)),
       records_(records),
       wall_start_(clock_.WallNow()),
-      generator_(plan, targets_.size(), wall_start_),
+      generator_(plan, targets_.size(), wall_start_, connections),
       result_(plan),
-      client_(loop_, {[this](http_client::call_id id, unsigned status, const std::string& type) {
-                        Apply(call_began{calls_.at(id), status, type});
-                      },
-                      [this](http_client::call_id id, std::string_view bytes) {
-                        Apply(call_bytes{calls_.at(id), std::string(bytes)});
-                      },
-                      [this](http_client::call_id id, http_call_result result) {
-                        std::uint64_t call = calls_.at(id);
-                        calls_.erase(id);
-                        clients_.erase(call);
-                        Apply(call_ended{call, result});
-                      }}) {
+      client_(loop_,
+              {[this](http_client::call_id id, unsigned status, const std::string& type) {
+                 Apply(call_began{calls_.at(id), status, type});
+               },
+               [this](http_client::call_id id, std::string_view bytes) {
+                 Apply(call_bytes{calls_.at(id), std::string(bytes)});
+               },
+               [this](http_client::call_id id, http_call_result result) {
+                 std::uint64_t call = calls_.at(id);
+                 calls_.erase(id);
+                 clients_.erase(call);
+                 Apply(call_ended{call, result});
+               }},
+              std::min(connections, kMaxKeptConnections)) {
   static const lws_protocols protocols[] = {http_client::Protocol(), {}};
   loop_.CreateClientVhost(protocols);
   loop_.SetTimerHandler([this] { Apply(load_timer_expired{}); });
--- a/src/load/runner.h
+++ b/src/load/runner.h
@@ -18,8 +18,10 @@
 /// Carries out the load generator's effects over HTTP on one event loop.
 class load_runner {
  public:
-  /// `records` receives one line per request if it is not null.
-  load_runner(const load_plan& plan, std::vector<endpoint> targets, std::ostream* records);
+  /// `connections` is the limit for each target; `records` receives one line per request if it is
+  /// not null.
+  load_runner(const load_plan& plan, std::vector<endpoint> targets, std::size_t connections,
+              std::ostream* records);
 
   /// Listens for POST /v1/mark, whose body is the text of an event. Error: kListenFailed.
   std::error_code ListenForMarks(const endpoint& listen);
--- a/tests/e2e/load_test.py
+++ b/tests/e2e/load_test.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import threading
 import time
 import urllib.request
 
@@ -40,6 +41,41 @@
     return result, cluster.check(records, [runs]), records
 
 
+def established(address):
+    """Connections to a loopback address, as their clients see them."""
+    port = int(address.split(":")[1])
+    with open("/proc/net/tcp") as file:
+        fields = [line.split() for line in file.readlines()[1:]]
+    return sum(f[3] == "01" and int(f[2].split(":")[1], 16) == port for f in fields)
+
+
+def bounded_connections(cluster, plan):
+    """Guards against connections without bound when answers stall: they made latencies that the
+    tool reports its own, and runs of it end late."""
+    address = cluster.engines["engine"]
+    cluster.fault("engine", "none")
+    cluster.fault("engine", "stall", 20000)
+    counts, done = [], threading.Event()
+
+    def watch():
+        while not done.wait(0.1):
+            counts.append(established(address))
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    started = time.monotonic()
+    _, result, _ = cluster.run_plan(plan, [address], name="bounded",
+                                    arguments=("--connections", "16"))
+    took = time.monotonic() - started
+    done.set()
+    watcher.join()
+    print(f"at most {max(counts)} connections, {took:.1f} s")
+    assert sum(outcomes(result, "interactive").values()) == 8000, result
+    # Some that were given up may not be closed yet.
+    assert 16 <= max(counts) <= 64, counts
+    # Two seconds of requests, of which the last is given up after 1.5 s.
+    assert took < 10, took
+
+
 def main(program):
     with Cluster(program) as cluster:
         address = cluster.add_engine("engine")
@@ -79,9 +115,11 @@
         cluster.fault("engine", "stall", 20000)
         plan = {"seconds": 2, "arrivals": "fixed", "kinds": [
             {"name": "quote", "model": "draft", "rate": 4000, "timeout_ms": 1500}]}
-        done, result, _ = cluster.run_plan(plan, [cluster.engines["engine"]], name="flood")
+        done, result, _ = cluster.run_plan(plan, [cluster.engines["engine"]], name="flood",
+                                           arguments=("--connections", "10000"))
         assert done.returncode == 1, done.returncode
         assert sum(outcomes(result, "interactive").values()) == 8000, done.stdout
+        bounded_connections(cluster, plan)
         print("every check fails when it should")
 
 
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -36,8 +36,9 @@
 
 /// Runs the generator against hand-written answers.
 struct fake_entries {
-  explicit fake_entries(const load_plan& plan)
-      : generator(plan, 2, wall_time(std::chrono::hours(1))) {
+  explicit fake_entries(const load_plan& plan, std::size_t targets = 2,
+                        std::size_t connections = load_generator::kDefaultConnections)
+      : generator(plan, targets, wall_time(std::chrono::hours(1)), connections) {
     Apply(load_started{});
   }
 
@@ -218,6 +219,29 @@
   CHECK(none.records[0].outcome == load_outcome::kNotRun);
 }
 
+TEST_CASE("calls beyond the connections wait and their wait is latency", "[load]") {
+  // Guards against connections without bound under overload, a latency without the wait, a queued
+  // call that is lost when another one ends or is given up, and a run that does not end.
+  load_plan plan = Plan(R"({"seconds": 0.5, "arrivals": "fixed", "members": [{"name": "m"}],
+    "kinds": [{"name": "quote", "model": "draft", "rate": 10, "timeout_ms": 2000}]})");
+  fake_entries entries(plan, 1, 2);
+  for (int i = 0; i < 5; ++i) entries.Wait(std::chrono::milliseconds(100));
+  REQUIRE(entries.started.size() == 2);
+  entries.Answer(entries.started[0], 200, ExpectedAnswer(plan.kinds[0], entries.started[0].body));
+  REQUIRE(entries.started.size() == 3);
+  CHECK(entries.records[0].latency == std::chrono::milliseconds(500));
+  entries.Wait(std::chrono::milliseconds(1000));
+  const start_call third = entries.started[2];
+  entries.Answer(third, 200, ExpectedAnswer(plan.kinds[0], third.body));
+  // Planned at 200 ms and answered at 1500 ms.
+  CHECK(entries.records[1].latency == std::chrono::milliseconds(1300));
+  REQUIRE(entries.started.size() == 4);
+  entries.Wait(std::chrono::milliseconds(1000));
+  REQUIRE(entries.records.size() == 5);
+  CHECK(entries.records[4].reason == "no_connection");
+  CHECK(entries.finished);
+}
+
 TEST_CASE("the check finds each kind of violation", "[load]") {
   // Guards against a check that passes whatever the services ran.
   load_record done;
