Offer HTTP/1.1 only over TLS, since headers are lost on HTTP/2

Cause: libwebsockets 4.1 drops headers that it does not know on HTTP/2. Every call of a client that negotiated it, as curl does by default, was refused as `unknown-kind`; no test spoke HTTP/2.

Change: ALPN offers http/1.1 alone, and the pages say so. Clients that can do both fall back to it.

--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -108,7 +108,9 @@
     info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     info.ssl_cert_filepath = settings_.tls_certificate.c_str();
     info.ssl_private_key_filepath = settings_.tls_key.c_str();
-    info.alpn = "h2,http/1.1";
+    // Without HTTP/2: libwebsockets 4.1 drops headers that it does not know there, so neither the
+    // Member nor the kind of work would arrive. Callers that can do both use HTTP/1.1.
+    info.alpn = "http/1.1";
   }
   vhost_ = lws_create_vhost(loop_.Context(), &info);
   if (vhost_ == nullptr) return errc::kListenFailed;
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -53,7 +53,7 @@
   std::string tls_key;
 };
 
-/// HTTP/1.1 and HTTP/2 server on one event loop.
+/// HTTP/1.1 server on one event loop, with or without TLS.
 class http_server {
  public:
   struct handlers {
--- a/tests/e2e/caller_test.py
+++ b/tests/e2e/caller_test.py
@@ -11,6 +11,9 @@
 
 from cluster import Cluster, wait_until
 
+# Twice the limit that the event loop sets.
+LONGEST_HEADERS = 20
+
 HEADERS = {"x-member": "club-1", "x-work-kind": "quote"}
 
 
@@ -72,6 +75,32 @@
     assert cluster.metrics(entry)["radishroute_slow_senders_cut_total"] == 1
 
 
+def unfinished_headers(entry):
+    """Guards against connections that are held for ever by headers that never end, whether the
+    caller falls silent or sends a byte now and then."""
+    head = b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-member: "
+    with open_raw(entry) as silent, open_raw(entry) as trickling:
+        started = time.monotonic()
+        waiting = {silent: None, trickling: None}
+        for connection in waiting:
+            connection.sendall(head)
+            connection.settimeout(0.25)
+        while None in waiting.values() and time.monotonic() - started < LONGEST_HEADERS + 5:
+            for connection in [c for c, at in waiting.items() if at is None]:
+                try:
+                    if connection is trickling:
+                        connection.sendall(b"x")
+                    if connection.recv(1) == b"":
+                        waiting[connection] = time.monotonic() - started
+                except TimeoutError:
+                    pass
+                except OSError:
+                    waiting[connection] = time.monotonic() - started
+        print("headers cut off after", [waiting[c] for c in (silent, trickling)])
+        for cut in waiting.values():
+            assert cut is not None and cut < LONGEST_HEADERS, cut
+
+
 def slow_caller(cluster, entry):
     """A caller that reads nothing is cut off and its work is cancelled at the engine."""
     content = body(tokens=50000, stream=True).encode()
@@ -101,6 +130,7 @@
                                                  context=context)
         return post(connection, body(stream=True))[1].endswith(b"data: [DONE]\n\n")
     wait_until(answered, what="answer over TLS")
+    offers_http2(cluster, entry, certificate)
     # A caller without TLS gets no answer from this listener.
     try:
         status, _ = post(connect(entry), body())
@@ -109,6 +139,40 @@
         pass
 
 
+def offers_http2(cluster, entry, certificate):
+    """Guards callers that offer HTTP/2 over TLS, as most clients do, against a protocol on which
+    their headers do not arrive: several calls at once, streamed and plain, each with its own
+    complete answer, the same as without TLS."""
+    url = f"https://{entry['http']['listen']}/v1/chat/completions"
+    calls = []
+    for i in range(8):
+        content = body(tokens=20 + i, stream=i % 2 == 0)
+        calls.append((content, os.path.join(cluster.dir, f"h2-{i}")))
+    arguments = ["curl", "--silent", "--show-error", "--no-buffer", "--parallel", "--max-time", "20"]
+    for i, (content, out) in enumerate(calls):
+        arguments += ["--next"] if i else []
+        arguments += ["--http2", "--cacert", certificate, "--output", out, "--data", content,
+                      "--header", "x-member: club-1", "--header", "x-work-kind: quote",
+                      "--write-out", "%{http_version} %{http_code} %{num_connects}\n", url]
+    done = subprocess.run(arguments, capture_output=True, text=True, timeout=40)
+    assert done.returncode == 0, done
+    lines = [line.split() for line in done.stdout.splitlines()]
+    assert [line[:2] for line in lines] == [["1.1", "200"]] * len(calls), done.stdout
+    for content, out in calls:
+        with open(out, "rb") as file:
+            assert file.read() == post(connect(cluster.entries["entry-0"]), content)[1], content
+    # An answer of many TLS records, and a refusal.
+    long = body(tokens=20000)
+    arguments = ["curl", "--silent", "--http2", "--cacert", certificate, "--max-time", "30",
+                 "--header", "x-work-kind: quote", "--data", "@-", url]
+    whole = subprocess.run([*arguments, "--header", "x-member: club-1"], input=long.encode(),
+                           capture_output=True, timeout=40)
+    assert whole.stdout == post(connect(cluster.entries["entry-0"]), long)[1], len(whole.stdout)
+    refused = subprocess.run([*arguments, "--header", "x-member: nobody"], input=long.encode(),
+                             capture_output=True, timeout=40)
+    assert json.loads(refused.stdout)["title"] == "unknown-member", refused
+
+
 def free_tls_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -125,6 +189,7 @@
         wait_until(lambda: post(connect(entry), body())[0] == 200, what="first answer")
         malformed_input(cluster, entry)
         slow_sender(cluster, entry)
+        unfinished_headers(entry)
         slow_caller(cluster, entry)
         tls(cluster)
 
