--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -41,6 +41,8 @@
   common_settings common;
   endpoint http_listen;
   endpoint admin_listen;
+  /// Token that operators' commands carry; empty refuses them all.
+  std::string admin_token;
   endpoint control_listen;
   std::string tls_certificate;
   std::string tls_key;
@@ -52,6 +54,9 @@
   /// Time for a caller to send its whole body, and to take any part of an answer.
   std::chrono::milliseconds body_timeout{10000};
   std::chrono::milliseconds write_timeout{10000};
+  /// Time for which a draining entry still accepts connections, to refuse their requests, so that
+  /// the balancer before it learns of the drain from answers and not from lost connections.
+  std::chrono::milliseconds drain_notice{500};
   std::vector<endpoint> peers;
   std::vector<endpoint> controllers;
   /// Sheet used until a controller provides a configuration; empty for none.
@@ -64,6 +69,8 @@
   /// Address announced to entries if it differs from `traffic_listen`, for example behind NAT.
   endpoint traffic_advertise;
   endpoint admin_listen;
+  /// Token that operators' commands carry; empty refuses them all.
+  std::string admin_token;
   std::vector<endpoint> entries;
   std::vector<endpoint> controllers;
   endpoint engine;
