Cut zones end to end and name a cut zone in the report of a change

Tests could cut single agents only. tests/e2e/zone_network.py places a relay before each address that processes of several zones dial; it learns the dialling zone from the hello and holds back the bytes of blocked directions. Cluster uses it when it gets a network.

A controller gets the setting control_advertise, since its address in the log was the one it listens on.

The report now names the zones of the controllers too, and apply prints a zone without leases as cut off. A change without any leased entry still does not count as in force.

zone_test cuts the leader's zone, in both directions, outwards only and inwards only.

--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -79,8 +79,9 @@
 
 struct controller_settings {
   common_settings common;
-  /// Address that the other replicas reach this one at.
   endpoint control_listen;
+  /// Address that replicas and entries reach this one at if it differs from `control_listen`.
+  endpoint control_advertise;
   endpoint admin_listen;
   /// Token that operators' commands carry.
   std::string admin_token;
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -59,6 +59,11 @@
     out << "in force: not known yet, a new leader waits one lease\n";
   }
   for (const json& zone : in_force.value("zones", json::array())) {
+    if (zone.value("entries", 0) == 0) {
+      // Such a zone counts as in force, since its entries refuse non-idempotent work.
+      out << "zone " << zone.value("zone", "") << ": cut off, no entry holds a lease\n";
+      continue;
+    }
     out << "zone " << zone.value("zone", "") << ": " << zone.value("applied", 0) << " of "
         << zone.value("entries", 0) << " entries, "
         << (zone.value("in_force", false) ? "in force" : "not in force") << "\n";
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -79,8 +79,8 @@
         }) {}
 
   int Run(bool bootstrap) {
-    replica self{{}, settings_.common.zone, settings_.control_listen, true, {}};
-    std::error_code error = node_.Open(settings_.data, self, bootstrap);
+    replica self{{}, settings_.common.zone, settings_.control_advertise, true, {}};
+    std::error_code error = node_.Open(settings_.data, self, settings_.control_listen, bootstrap);
     if (!error) error = admin_.Start(settings_.admin_listen);
     if (error) {
       std::cerr << settings_.data << ": " << error.message() << "\n";
@@ -161,7 +161,7 @@
     const raft_core& core = node_.Core();
     nlohmann::json body = {{"voter", std::to_string(core.Self().value)},
                            {"zone", settings_.common.zone},
-                           {"address", ToString(settings_.control_listen)},
+                           {"address", ToString(settings_.control_advertise)},
                            {"role", ToString(core.Role())},
                            {"term", core.Term()},
                            {"commit", core.CommitIndex()},
--- a/src/config_admin.cc
+++ b/src/config_admin.cc
@@ -14,10 +14,25 @@
   return !id.empty() && id.size() <= 64 && id.find_first_not_of(kAllowed) == std::string::npos;
 }
 
+// The leases of a new leader name no zone that it cannot reach; the replicas name it all the same,
+// so that an operator sees a zone that is cut off.
+in_force_report ReportInForce(const state_machine& state, const config_leases& leases,
+                              std::uint64_t version, steady_time now) {
+  in_force_report report = leases.Report(version, now);
+  for (const replica& r : state.Replicas()) {
+    bool named = std::any_of(report.zones.begin(), report.zones.end(),
+                             [&](const zone_report& zone) { return zone.zone == r.zone; });
+    if (!named) report.zones.push_back({r.zone, 0, 0, report.known});
+  }
+  return report;
+}
+
 }  // namespace
 
 bool change_report::InForceEverywhere() const {
-  return state == change_state::kCommitted && in_force.known && !in_force.zones.empty() &&
+  bool any_entry = std::any_of(in_force.zones.begin(), in_force.zones.end(),
+                               [](const zone_report& zone) { return zone.entries > 0; });
+  return state == change_state::kCommitted && in_force.known && any_entry &&
          std::all_of(in_force.zones.begin(), in_force.zones.end(),
                      [](const zone_report& zone) { return zone.in_force; });
 }
@@ -42,7 +57,7 @@
   switch (result->verdict) {
     case change_verdict::kCommitted:
       report.state = change_state::kCommitted;
-      report.in_force = leases.Report(result->version, now);
+      report.in_force = ReportInForce(state, leases, result->version, now);
       break;
     case change_verdict::kVersionConflict:
       report.state = change_state::kConflict;
@@ -57,8 +72,8 @@
 
 status_report ReportStatus(const state_machine& state, const config_leases& leases,
                            steady_time now) {
-  return {state.Config().Current(), leases.Report(state.Config().Version(), now), state.LastIndex(),
-          state.Records().Size(), state.Replicas()};
+  return {state.Config().Current(), ReportInForce(state, leases, state.Config().Version(), now),
+          state.LastIndex(), state.Records().Size(), state.Replicas()};
 }
 
 }  // namespace radishroute
--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -31,8 +31,8 @@
   }
 
   /// Opens the data folder; with `bootstrap`, an empty one becomes a group of one voter.
-  std::error_code Open(const std::string& folder, const replica& self, bool bootstrap,
-                       raft_limits limits = {}) {
+  std::error_code Open(const std::string& folder, const replica& self, const endpoint& listen,
+                       bool bootstrap, raft_limits limits = {}) {
     auto storage = std::make_unique<log_storage>(folder);
     recovered_log recovered;
     if (auto error = storage->Open(recovered)) return error;
@@ -47,7 +47,7 @@
     if (auto error = log->Load(std::move(recovered))) return error;
     storage_ = std::make_unique<storage_thread>(std::move(storage),
                                                 [this](log_stored done) { thread_->Post(done); });
-    return thread_->Links().Listen(self.address);
+    return thread_->Links().Listen(listen);
   }
 
   node_thread<P>& Thread() { return *thread_; }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -105,6 +105,8 @@
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
   reader.Read("control_listen", out.control_listen, true);
+  out.control_advertise = out.control_listen;
+  reader.Read("control_advertise", out.control_advertise, false);
   reader.Read("admin_listen", out.admin_listen, true);
   reader.Read("admin_token", out.admin_token, true);
   if (out.admin_token.empty()) errors.push_back({"admin_token", "a string that is not empty"});
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "cli/config_http.h"
+#include "radishroute/config_admin.h"
 #include "radishroute/config_client.h"
 #include "state_fixture.h"
 
@@ -220,6 +221,31 @@
   CHECK(leases.Report(1, clock.Now()).zones[0].in_force);
 }
 
+// Guards against a report that leaves out a zone that is cut off: a new leader has no leases of it.
+// A report without any entry must not count as in force everywhere.
+TEST_CASE("a zone without leases is named in the report") {
+  state_fixture s;
+  s.Apply(replica_change{{{{1}, "z1", {}, true, {}}, {{2}, "z2", {}, true, {}}}});
+  s.Change(0, "a", Sheet(100));
+  config_leases leases;
+  manual_clock clock;
+  random_source random(1);
+  effect_list effects;
+  leases.BecomeLeader(clock.Now());
+  clock.Advance(config_leases::kLease);
+  auto report = ReportChange(s.machine, leases, "a", clock.Now());
+  REQUIRE(report.in_force.zones.size() == 2);
+  CHECK_FALSE(report.InForceEverywhere());
+  reduce_context ctx{clock.Now(), clock.WallNow(), random, effects};
+  leases.OnRenew({1}, {1, "e1", "z1", 1, 1}, s.machine.Config(), {}, ctx);
+  report = ReportChange(s.machine, leases, "a", clock.Now());
+  REQUIRE(report.in_force.zones.size() == 2);
+  CHECK(report.in_force.zones[0].entries == 1);
+  CHECK(report.in_force.zones[1].zone == "z2");
+  CHECK(report.in_force.zones[1].entries == 0);
+  CHECK(report.InForceEverywhere());
+}
+
 // Guards against unauthorized changes, invalid sheets in the log, and untyped conflicts.
 TEST_CASE("operators' requests over HTTP") {
   state_fixture s;
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -34,13 +34,19 @@
 class Cluster:
     """Processes of one deployment; use as a context manager, so that none outlives the test."""
 
-    def __init__(self, program, sheet=SHEET):
+    def __init__(self, program, sheet=SHEET, network=None):
+        """With a `ZoneNetwork`, links between processes pass through its relays and the zones of a
+        deployment are named as the network expects."""
+        self.network = network
         self.program = os.path.abspath(program)
         self.dir = tempfile.mkdtemp(prefix="radishroute-")
         self.processes = {}
+        self.arguments = {}
         self.entries = {}
+        self.entry_addresses = {}
         self.controllers = {}
         self.engines = {}
+        self.agents = {}
         self.runs_files = []
         self.sheet = os.path.join(self.dir, "sheet.csv")
         with open(self.sheet, "w") as file:
@@ -56,7 +62,11 @@
         for process in self.processes.values():
             process.wait(timeout=10)
 
+    def relayed(self, zone, address):
+        return self.network.relay(zone, address) if self.network else address
+
     def start(self, name, arguments):
+        self.arguments[name] = [a for a in arguments if a != "--bootstrap"]
         log = open(os.path.join(self.dir, name + ".log"), "a")
         self.processes[name] = subprocess.Popen(
             [self.program, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
@@ -95,27 +105,33 @@
     def add_deployment(self, description):
         """Starts controllers, entries, engines and services of every zone and puts the sheet in
         force; see examples/*/deployment.json."""
+        prefix = "zone-" if self.network else ""
         zones = description["zones"]
-        self.add_controllers(description["controllers"])
+        self.add_controllers([prefix + zone for zone in description["controllers"]])
         listens = {f"entry-{zone}{i}": free_address()
                    for zone, counts in zones.items() for i in range(counts["entries"])}
         for name, listen in listens.items():
-            peers = [address for other, address in listens.items() if other != name]
-            self.add_entry(name, name[len("entry-")], control_listen=listen, peers=peers,
+            zone = prefix + name[len("entry-")]
+            self.entry_addresses[name] = self.relayed(zone, listen)
+        for name, listen in listens.items():
+            peers = [a for other, a in self.entry_addresses.items() if other != name]
+            self.add_entry(name, prefix + name[len("entry-")], control_listen=listen, peers=peers,
                            controllers=self.control_addresses())
         applied = self.apply_sheet()
         assert applied.returncode == 0, applied.stdout + applied.stderr
         for zone, counts in zones.items():
             for i in range(counts["engines"]):
-                self.add_backend(f"agent-{zone}{i}", zone, models=[description["model"]],
+                self.add_backend(f"agent-{zone}{i}", prefix + zone, models=[description["model"]],
                                  concurrency=description["concurrency"])
             for i in range(counts["services"]):
-                self.add_service(f"service-{zone}{i}", zone, description["service"])
+                self.add_service(f"service-{zone}{i}", prefix + zone, description["service"])
 
     def add_controller(self, name, *arguments, zone="a"):
         if name not in self.controllers:
+            listen = free_address()
             self.controllers[name] = {
-                "node": name, "zone": zone, "control_listen": free_address(),
+                "node": name, "zone": zone, "control_listen": listen,
+                "control_advertise": self.relayed(zone, listen),
                 "admin_listen": free_address(), "admin_token": "token",
                 "data": os.path.join(self.dir, name + "-data")}
         path = os.path.join(self.dir, name + ".json")
@@ -156,20 +172,29 @@
             wait_until(lambda: len(self.voters()) == i + 1, what=f"{i + 1} voters")
 
     def control_addresses(self):
-        return [c["control_listen"] for c in self.controllers.values()]
+        return [c["control_advertise"] for c in self.controllers.values()]
 
-    def apply_sheet(self, base_version=0, *arguments):
-        """Puts the cluster's sheet in force and returns the finished process."""
-        token = os.path.join(self.dir, "token")
-        with open(token, "w") as file:
-            file.write("token")
-        targets = [a for c in self.controllers.values()
-                   for a in ("--controller", c["admin_listen"])]
+    def apply_sheet(self, base_version=0, *arguments, sheet=None):
+        """Puts a sheet, or the cluster's own, in force and returns the finished process."""
         return subprocess.run(
-            [self.program, "apply", *targets, "--token-file", token, "--sheet", self.sheet,
+            [self.program, "apply", *self.operator_arguments(), "--sheet", sheet or self.sheet,
              "--base-version", str(base_version), *arguments],
             capture_output=True, text=True, timeout=30)
 
+    def operator_arguments(self):
+        token = os.path.join(self.dir, "token")
+        if not os.path.exists(token):
+            with open(token, "w") as file:
+                file.write("token")
+        return ["--token-file", token, *(a for c in self.controllers.values()
+                                         for a in ("--controller", c["admin_listen"]))]
+
+    def version_in_force(self):
+        """Version that the leader reports; None without a leader."""
+        done = subprocess.run([self.program, "status", *self.operator_arguments(), "--json"],
+                              capture_output=True, text=True, timeout=30)
+        return json.loads(done.stdout)["config"]["version"] if done.returncode == 0 else None
+
     def fault(self, engine, fault, value=0):
         body = json.dumps({"fault": fault, "value": value}).encode()
         request = urllib.request.Request(
@@ -199,14 +224,22 @@
 
     def add_backend(self, name, zone="a", engine_arguments=(), **backend):
         engine = self.add_engine(name + "-engine", engine_arguments)
+        listen = free_address()
         settings = {
-            "node": name, "zone": zone, "traffic_listen": free_address(),
-            "admin_listen": free_address(),
-            "entries": [e["control_listen"] for e in self.entries.values()],
+            "node": name, "zone": zone, "traffic_listen": listen,
+            "traffic_advertise": self.relayed(zone, listen), "admin_listen": free_address(),
+            "entries": self.addresses_of_entries(zone),
             "backend": {"address": engine, "models": ["draft"], **backend}}
         self.start_with_settings("agent", settings)
+        self.agents[name] = settings
         return settings
 
+    def addresses_of_entries(self, zone):
+        """An agent announces to the entries of its zone; without relays, tests let it use all."""
+        return [self.entry_addresses.get(name, entry["control_listen"])
+                for name, entry in self.entries.items()
+                if not self.network or entry["zone"] == zone]
+
     def metrics(self, settings):
         text = urllib.request.urlopen(
             f"http://{settings['admin_listen']}/metrics", timeout=5).read().decode()
@@ -224,6 +257,10 @@
         self.processes[name].kill()
         self.processes[name].wait(timeout=10)
 
+    def restart(self, name):
+        """Starts a process that has ended with the arguments that it had."""
+        return self.start(name, self.arguments[name])
+
     def stop(self, name, timeout=20):
         """Asks a process to stop gracefully and returns its exit code."""
         self.processes[name].send_signal(signal.SIGTERM)
