Aim faults at the leader and show how long drains were watched

Random kills of one controller in five hardly met the leader: the 35 s runs lost none. kill_leader and pause_leader take the leader, and half of the cut zones are the leader's. A draining agent's engine is slowed down by 150 instead of 20, so that it still lives when late work could reach it: before, none of the drains of a run was watched for longer than 2 s. The figures now say how many were.

--- a/tests/e2e/fault_actions.py
+++ b/tests/e2e/fault_actions.py
@@ -10,6 +10,8 @@
 # A request that another fault touched may still be in progress this long after it.
 AFTERMATH_S = 5
 STOP_TIMEOUT_S = 40
+# An answer of 40 ms takes 6 s, so that a draining agent still lives when late work may reach it.
+SLOWDOWN = 150
 
 Fault = namedtuple("Fault", "name action voters")
 
@@ -41,6 +43,15 @@
             self.busy.add(name)
             return name
 
+    def pick_leader(self):
+        """The leader, or any controller while there is none or another fault has it."""
+        name = self.cluster.leader()
+        with self.lock:
+            if name and name not in self.busy:
+                self.busy.add(name)
+                return name
+        return self.pick("controller-")
+
     def begin(self, faults, hold):
         """Runs faults at once and waits for their end."""
         threads = [threading.Thread(target=self.run, args=(f, hold), daemon=True) for f in faults]
@@ -135,9 +146,9 @@
         context.outages.append((name, first, time.time()))
 
 
-def kill(*roles):
+def kill(pick):
     def action(context, hold):
-        name = context.pick(*roles) if roles else context.pick_engine()
+        name = pick(context)
         first = time.time()
         context.kill(name)
         if name.startswith("entry-"):
@@ -149,9 +160,9 @@
     return action
 
 
-def pause(*roles):
+def pause(pick):
     def action(context, hold):
-        name = context.pick(*roles) if roles else context.pick_engine()
+        name = pick(context)
         first = time.time()
         context.cluster.processes[name].send_signal(signal.SIGSTOP)
         time.sleep(hold)
@@ -162,7 +173,10 @@
 
 
 def cut_zone(context, hold):
-    zone = context.rng.choice(sorted(context.network.zones))
+    leader = context.cluster.leader()
+    zones = sorted(context.network.zones)
+    zone = context.rng.choice(zones + [context.cluster.controllers[leader]["zone"]] * len(zones)
+                              if leader else zones)
     outwards, inwards = context.rng.choice([(True, True), (True, False), (False, True)])
     first = time.time()
     context.network.cut(zone, outwards=outwards, inwards=inwards)
@@ -198,10 +212,10 @@
         except OSError:
             pass
     try:
-        context.cluster.fault(engine, "slow", 20)
+        context.cluster.fault(engine, "slow", SLOWDOWN)
     except OSError:
         pass  # Another fault has the engine; the drain alone is worth its while.
-    time.sleep(0.5)
+    time.sleep(1)
     at = context.stop(name, sample)
     context.drains.append({"backend": name, "at": at, "received": samples})
     try:
@@ -229,11 +243,18 @@
         time.sleep(0.5)
 
 
+def any_of(*roles):
+    return lambda context: context.pick(*roles)
+
+
+ENTRY, AGENT, CONTROLLER = any_of("entry-"), any_of("agent-", "service-"), any_of("controller-")
+ENGINE, LEADER = FaultContext.pick_engine, FaultContext.pick_leader
+
 FAULTS = [
-    Fault("kill_entry", kill("entry-"), 0), Fault("kill_agent", kill("agent-", "service-"), 0),
-    Fault("kill_engine", kill(), 0), Fault("kill_controller", kill("controller-"), 1),
-    Fault("pause_entry", pause("entry-"), 0), Fault("pause_agent", pause("agent-", "service-"), 0),
-    Fault("pause_engine", pause(), 0), Fault("pause_controller", pause("controller-"), 1),
-    Fault("cut_zone", cut_zone, 2), Fault("silence", silence, 0),
-    Fault("drain_agent", drain_agent, 0), Fault("drain_entry", drain_entry, 0),
-    Fault("rolling_restart", rolling_restart, 0)]
+    Fault("kill_entry", kill(ENTRY), 0), Fault("kill_agent", kill(AGENT), 0),
+    Fault("kill_engine", kill(ENGINE), 0), Fault("kill_controller", kill(CONTROLLER), 1),
+    Fault("kill_leader", kill(LEADER), 1), Fault("pause_entry", pause(ENTRY), 0),
+    Fault("pause_agent", pause(AGENT), 0), Fault("pause_engine", pause(ENGINE), 0),
+    Fault("pause_leader", pause(LEADER), 1), Fault("cut_zone", cut_zone, 2),
+    Fault("silence", silence, 0), Fault("drain_agent", drain_agent, 0),
+    Fault("drain_entry", drain_entry, 0), Fault("rolling_restart", rolling_restart, 0)]
--- a/tests/e2e/fault_run.py
+++ b/tests/e2e/fault_run.py
@@ -91,7 +91,7 @@
 
 
 class FaultCluster(Cluster):
-    def write_variants(self, sheet, members):
+    def write_variants(self, sheet):
         """Two sheets that differ, for changes that race."""
         self.variants = []
         for i in range(2):
@@ -106,7 +106,7 @@
         return result["classes"]["interactive"]["outcomes"]["in_time"] == 14
 
 
-def choose(rng, context):
+def choose(rng):
     """One fault, or two at once that do not take the majority of the controllers together."""
     first = rng.choice(FAULTS)
     if rng.random() < 0.5:
@@ -116,7 +116,7 @@
 
 def inject(context, rng, end):
     while time.time() < end:
-        chosen = choose(rng, context)
+        chosen = choose(rng)
         hold = rng.uniform(1, 5)
         context.begin(chosen, hold)
         time.sleep(rng.uniform(1, 4))
@@ -175,7 +175,7 @@
 def report(found, result, options):
     violations = [f"invariant {name}: {text}" for name, list_ in found.items() for text in list_]
     print(f"seed {options.seed}, load average {os.getloadavg()[0]:.1f}")
-    print(json.dumps(result["changes"]))
+    print(json.dumps({k: result[k] for k in ("changes", "in_force", "leaving", "graceful_stops")}))
     for name, row in result["faults"].items():
         print(f"{name}: {json.dumps(row)}")
     for text in violations[:40]:
@@ -196,7 +196,7 @@
     plan = stretch({**plan, "flooders": rng.sample(members, 1)}, options.seconds, rng)
     network = ZoneNetwork()
     with FaultCluster(options.program, sheet, network) as cluster:
-        cluster.write_variants(sheet, members)
+        cluster.write_variants(sheet)
         cluster.add_deployment(description)
         kind = plan["kinds"][0]["name"]
         wait_until(lambda: cluster.serves(description, kind), 60, "answers from all entries")
@@ -224,6 +224,10 @@
         result = {"deployment": options.deployment, "seconds": options.seconds,
                   "requests": len(records), "load_average": os.getloadavg()[0],
                   "changes": changes.results, "directory": cluster.dir,
+                  "leaving": {"drains": len(context.drains),
+                              "seen_after_2_s": len([d for d in context.drains if d["received"] and
+                                                     d["received"][-1][0] > d["at"] + 2])},
+                  "graceful_stops": len(context.stops),
                   "in_force": {"p50": percentile(delays, 0.5), "p99": percentile(delays, 0.99)},
                   "faults": figures(context, changes, delays, records, started)}
     network.close()
--- a/tests/e2e/zone_network.py
+++ b/tests/e2e/zone_network.py
@@ -66,7 +66,10 @@
 
     async def _listen(self, zone, target):
         async def accept(reader, writer):
-            await self._serve(zone, target, reader, writer)
+            try:
+                await self._serve(zone, target, reader, writer)
+            except asyncio.CancelledError:
+                writer.close()
         server = await asyncio.start_server(accept, "127.0.0.1", 0)
         return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
