--- a/src/requests.cc
+++ b/src/requests.cc
@@ -370,7 +370,8 @@
   }
   request->last_refusal = refused.reason;
   request->retry_after = refused.retry_after;
-  // The agent has never seen the dispatch: its link lost it, and the refusal is no sign of overload.
+  // The agent has never seen the dispatch: its link lost it, and the refusal is no sign of
+  // overload.
   bool lost = refused.reason == refusal_reason::kTombstoned;
   if (lost) ++request->lost_dispatches;
   Retry(*request, lost ? retry_reason::kLinkLost : retry_reason::kRefusedByBackend, refused.reason,
--- a/tests/e2e/fault_run.py
+++ b/tests/e2e/fault_run.py
@@ -83,7 +83,9 @@
         if len(won) > 1:
             self.faults.append(f"two changes won version {self.version + 1}: {won}")
         if won:
-            self.accepted.append({"version": won[0][1], "accepted": started})
+            in_force = codes[won[0][0]][0] == 0
+            self.accepted.append({"version": won[0][1], "accepted": started,
+                                  "reported": time.time() if in_force else None})
             self.version = won[0][1]
         else:
             # An unknown outcome may have been committed; the status names the version in force.
@@ -133,7 +135,11 @@
                        and fields["backend"] == drain["backend"] and at >= drain["at"] - 0.1),
                       default=None)
             for name, log in logs.items() if not context.excused_at(name, drain)}
-    slow, delays = inv.find_slow_changes(changes.accepted, applied, context.excused(cluster))
+    excused = context.excused(cluster)
+    slow, delays = inv.find_slow_changes(changes.accepted, applied, excused)
+    slow += inv.find_false_reports(
+        changes.accepted, applied,
+        {name: inv.lease_periods(log) for name, log in logs.items()}, excused)
     found = {
         "2 whole and own answers": inv.find_wrong_answers(records, started, context.interruptions),
         "3 true not run": inv.find_false_not_run(records, runs),
--- a/tests/e2e/invariants.py
+++ b/tests/e2e/invariants.py
@@ -123,6 +123,29 @@
             for earlier, later in zip(applied, applied[1:]) if later < earlier]
 
 
+def lease_periods(events):
+    """The (first, last) times at which an entry held a configuration lease, from its log."""
+    periods, since = [], None
+    for at, name, _ in events:
+        if name == "config-lease-gained":
+            since = at
+        elif name in ("config-lease-lost", "process-started") and since is not None:
+            periods.append((since, at))
+            since = None
+    return periods + ([(since, float("inf"))] if since is not None else [])
+
+
+def find_false_reports(changes, applied, leases, excused):
+    """Invariant 7. A change that was `reported` as in force everywhere must have been applied by each
+    entry that held a lease then, unless the entry was down or cut off."""
+    return [f"{entry}: version {change['version']} reported as in force before it was"
+            for change in changes if change["reported"] for entry, history in applied.items()
+            if any(first <= change["reported"] <= last for first, last in leases.get(entry, ()))
+            and not any(first <= change["reported"] <= last for first, last in excused.get(entry, ()))
+            and not any(at <= change["reported"] and version >= change["version"]
+                        for at, version in history)]
+
+
 def find_slow_changes(changes, applied, excused):
     """Invariant 7. A change has `version` and `accepted`; `applied` has for each entry the (time,
     version) of what it applied, and `excused` the (first, last) times at which the entry was down or
--- a/tests/e2e/invariants_test.py
+++ b/tests/e2e/invariants_test.py
@@ -21,7 +21,8 @@
          "received": [(START, 5), (START + 1, 9), (START + 2.1, 9), (START + 4, 9)],
          "known": {"entry-a0": START + 0.1}}
 STOP = {"process": "entry-a0", "begin": START + 4, "end": START + 6, "code": 0, "alone": True}
-CHANGES = [{"version": 2, "accepted": START}]
+CHANGES = [{"version": 2, "accepted": START, "reported": START + 2}]
+LEASES = {"entry-a0": [(START - 9, START + 40)], "entry-b0": [(START + 30, START + 40)]}
 APPLIED = {"entry-a0": [(START - 9, 1), (START + 1, 2)], "entry-b0": [(START - 9, 1), (START + 30, 2)]}
 EXCUSED = {"entry-b0": [(START - 1, START + 25)]}
 
@@ -82,6 +83,14 @@
     assert inv.find_slow_changes(CHANGES, never, EXCUSED)[0]
     late = {**APPLIED, "entry-a0": [(START + 8.5, 2)]}
     assert inv.find_slow_changes(CHANGES, late, EXCUSED)[0]
+    assert not inv.find_false_reports(CHANGES, APPLIED, LEASES, {})
+    assert inv.find_false_reports(CHANGES, late, LEASES, {})
+    assert not inv.find_false_reports(CHANGES, late, LEASES, {"entry-a0": [(START, START + 3)]})
+    held = {**LEASES, "entry-b0": [(START, START + 40)]}
+    assert inv.find_false_reports(CHANGES, APPLIED, held, {})
+    events = [(1, "config-lease-gained", {}), (3, "process-started", {}),
+              (4, "config-lease-gained", {}), (6, "config-lease-lost", {})]
+    assert inv.lease_periods(events) == [(1, 3), (4, 6)]
 
 
 if __name__ == "__main__":
