--- a/include/radishroute/announcer.h
+++ b/include/radishroute/announcer.h
@@ -23,6 +23,7 @@
   void Handle(const timer_expired& timer, reduce_context& ctx);
   void Handle(const engine_status_changed& changed, reduce_context& ctx);
   void Handle(const crash_report_shared& shared, reduce_context& ctx);
+  void Handle(const engine_order_finished& finished, reduce_context& ctx);
 
  private:
   struct home_entry {
--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/order_types.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -88,7 +89,9 @@
     replica_change,            //
     config_change,             //
     record_claim,              //
-    record_outcome>;
+    record_outcome,            //
+    order_submission,          //
+    order_completion>;
 
 /// Position and content of one log entry.
 struct log_entry {
--- a/include/radishroute/config_admin.h
+++ b/include/radishroute/config_admin.h
@@ -39,6 +39,9 @@
   std::vector<replica> replicas;
 };
 
+/// Whether a text is usable as a change id: 1 to 64 letters, digits, '.', '_' or '-'.
+bool IsChangeId(const std::string& id);
+
 /// Faults that keep a change from being proposed; empty if there are none.
 std::vector<sheet_error> CheckChange(const config_change& change);
 
--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "radishroute/config_leases.h"
+#include "radishroute/order_server.h"
 #include "radishroute/raft.h"
 #include "radishroute/record_server.h"
 #include "radishroute/state_machine.h"
@@ -24,6 +25,7 @@
     std::uint64_t version = state_.Config().Version();
     apply_result result = state_.Apply(entry, ctx);
     records_.OnApplied(entry, result, state_.Records(), ctx);
+    orders_.OnApplied(entry, state_.Orders(), ctx);
     if (state_.Config().Version() != version) leases_.OnCommitted(state_.Config(), ctx);
   }
 
@@ -32,12 +34,14 @@
 
   const state_machine& State() const { return state_; }
   record_server& Records() { return records_; }
+  order_server& Orders() { return orders_; }
   config_leases& Leases() { return leases_; }
   const config_leases& Leases() const { return leases_; }
 
  private:
   replicated_state<Codec> state_;
   record_server records_;
+  order_server orders_;
   config_leases leases_;
 };
 
@@ -59,6 +63,7 @@
     log_.Handle(e, ctx);
     if constexpr (std::is_same_v<Event, link_closed>) {
       log_.Machine().Records().OnClosed(e.link);
+      log_.Machine().Orders().OnClosed(e.link);
       log_.Machine().Leases().OnClosed(e.link);
     }
     FollowRole(ctx);
@@ -94,6 +99,23 @@
     log_.Machine().Leases().OnRenew(link, m, State().Config(), Core().LeaderAddress(), ctx);
   }
 
+  void Handle(link_id link, const fence_query& m, reduce_context& ctx) {
+    // Without the lease, orders that another leader has sent would be missing.
+    if (!serving_ || !Core().IsCurrent(ctx.now)) {
+      fence_reply refused;
+      refused.sequence = m.sequence;
+      refused.agent_incarnation = m.agent_incarnation;
+      refused.leader_hint = Core().LeaderAddress();
+      ctx.Emit(send_message{link, std::move(refused)});
+      return;
+    }
+    log_.Machine().Orders().OnQuery(link, m, State().Orders(), State().LastIndex(), ctx);
+  }
+
+  void Handle(link_id, const order_reply& m, reduce_context& ctx) {
+    if (serving_) log_.Machine().Orders().OnReply(m, State().Orders(), log_, ctx);
+  }
+
   const raft_core& Core() const { return log_.Core(); }
   const state_machine& State() const { return log_.Machine().State(); }
   const config_leases& Leases() const { return log_.Machine().Leases(); }
@@ -103,6 +125,7 @@
     bool leads = Core().Role() == raft_role::kLeader && !Core().Failure();
     if (serving_ && (!leads || Core().Term() != term_)) {
       log_.Machine().Records().StepDown();
+      log_.Machine().Orders().StepDown();
       log_.Machine().Leases().StepDown();
       serving_ = false;
     }
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -14,6 +14,7 @@
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
+#include "radishroute/order_event.h"
 #include "radishroute/raft_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/routing_table.h"
@@ -184,7 +185,9 @@
     share_engine_status,      //
     probe_engine,             //
     store_log,                //
-    proposal_finished>;
+    proposal_finished,        //
+    start_engine_order,       //
+    cancel_engine_order>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -5,6 +5,7 @@
 
 #include "radishroute/failure_event.h"
 #include "radishroute/link_event.h"
+#include "radishroute/order_event.h"
 #include "radishroute/raft_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/traffic_event.h"
@@ -35,7 +36,8 @@
     claim_submitted,          //
     outcome_submitted,        //
     claim_answered,           //
-    outcome_answered>;
+    outcome_answered,         //
+    engine_order_finished>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -49,6 +49,12 @@
   kConfigLeaseLost = 603,
   kConfigLeaseGained = 604,
   kLeaderFound = 605,
+  kOrderCommitted = 700,
+  kOrderEnded = 701,
+  kOrderFenceLearned = 702,
+  kOrderRefusedStale = 703,
+  kOrderRetried = 704,
+  kEngineOrderFinished = 705,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -47,9 +47,14 @@
   kStoredAnswersServed,
   kDispatchesResolved,
   kRetriesOverBudget,
+  kOrdersSent,
+  kOrdersDone,
+  kOrdersFailed,
+  kOrdersRetried,
+  kOrdersRefusedStale,
 };
 
-inline constexpr std::size_t kCounterCount = 38;
+inline constexpr std::size_t kCounterCount = 43;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -75,6 +75,11 @@
   /// Longest pause of a stream before its engine counts as stalled.
   std::chrono::milliseconds progress_timeout{2000};
   bool checks_fencing = false;
+  /// An order without a response for this time is sent again.
+  std::chrono::milliseconds order_timeout{120000};
+  /// Longest time in which the engine may still carry out an order whose connection is gone; no
+  /// order is sent in it unless the engine checks fencing tokens.
+  std::chrono::milliseconds order_settle{30000};
 };
 
 struct controller_settings {
--- a/include/radishroute/state_machine.h
+++ b/include/radishroute/state_machine.h
@@ -12,6 +12,7 @@
 #include "radishroute/command.h"
 #include "radishroute/config.h"
 #include "radishroute/error.h"
+#include "radishroute/order_table.h"
 #include "radishroute/records.h"
 
 namespace radishroute {
@@ -23,6 +24,7 @@
   std::vector<replica> replicas;
   config_image config;
   records_image records;
+  std::vector<order_record> orders;
 };
 
 /// Encodes and decodes snapshots. Decode returns kSnapshotCorrupt for any damage.
@@ -46,6 +48,7 @@
 
   const config_document& Config() const { return config_; }
   const record_table& Records() const { return records_; }
+  const order_table& Orders() const { return orders_; }
   const std::vector<replica>& Replicas() const { return replicas_; }
   std::uint64_t LastIndex() const { return last_index_; }
   std::uint64_t LastTerm() const { return last_term_; }
@@ -69,12 +72,21 @@
   apply_result ApplyBody(const record_outcome& outcome, reduce_context& ctx) {
     return records_.Apply(outcome, ctx);
   }
+  apply_result ApplyBody(const order_submission& submission, reduce_context& ctx) {
+    orders_.Apply(submission, last_index_, ctx);
+    return {};
+  }
+  apply_result ApplyBody(const order_completion& completion, reduce_context& ctx) {
+    orders_.Apply(completion, ctx);
+    return {};
+  }
 
   std::uint64_t last_index_ = 0;
   std::uint64_t last_term_ = 0;
   std::vector<replica> replicas_;
   config_document config_;
   record_table records_;
+  order_table orders_;
 };
 
 /// A state machine with the interface that the log needs; the codec is chosen by the adapter.
--- a/src/announcer.cc
+++ b/src/announcer.cc
@@ -124,6 +124,30 @@
   }
 }
 
+void announcer::Handle(const engine_order_finished& finished, reduce_context& ctx) {
+  if (finished.status != order_status::kDone) return;
+  auto add = [&](std::vector<std::string>& names) {
+    if (std::find(names.begin(), names.end(), finished.order.name) == names.end()) {
+      names.push_back(finished.order.name);
+    }
+  };
+  switch (finished.order.kind) {
+    case order_kind::kLoadModel:
+      add(self_.models);
+      break;
+    case order_kind::kLoadAdapter:
+      add(self_.adapters);
+      break;
+    case order_kind::kSetVersion:
+      self_.version = finished.order.name;
+      break;
+    case order_kind::kChangeRole:
+      self_.engine_role = finished.order.name;
+      break;
+  }
+  Announce(ctx);
+}
+
 void announcer::Handle(const timer_expired&, reduce_context& ctx) { Maintain(ctx); }
 
 }  // namespace radishroute
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -59,6 +59,16 @@
     control_ = std::make_unique<node_thread<P>>(self, node_hooks{});
     control_->State().control.announcements.emplace(MakeAnnouncement(settings_, self),
                                                     settings_.entries);
+    if (!settings_.controllers.empty()) {
+      order_client_settings orders;
+      orders.backend = settings_.common.node;
+      orders.incarnation = self.process.incarnation;
+      orders.timeout = settings_.order_timeout;
+      orders.settle = settings_.order_settle;
+      orders.engine_checks_fencing = settings_.checks_fencing;
+      control_->State().control.orders.emplace(std::move(orders), settings_.controllers);
+      control_->SendOrders(settings_.engine);
+    }
     admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
 
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -1,13 +1,10 @@
 #include <algorithm>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <random>
 
 #include "cli/commands.h"
-#include "cli/operator_client.h"
-#include "cli/options.h"
+#include "cli/operator_options.h"
 #include "cli/process.h"
-#include "radishroute/settings.h"
 
 namespace radishroute {
 
@@ -17,43 +14,6 @@
 
 constexpr std::chrono::milliseconds kPollInterval{100};
 
-std::optional<operator_client> MakeClient(const cxxopts::ParseResult& parsed) {
-  std::vector<endpoint> controllers;
-  if (parsed.count("controller") > 0) {
-    for (const auto& text : parsed["controller"].as<std::vector<std::string>>()) {
-      endpoint address;
-      if (!ParseEndpoint(text, address)) {
-        std::cerr << "--controller " << text << ": expected an IPv4 address and port\n";
-        return std::nullopt;
-      }
-      controllers.push_back(address);
-    }
-  }
-  // The token comes from a file, since arguments are visible to every user of the VM.
-  std::string file = parsed.count("token-file") > 0 ? parsed["token-file"].as<std::string>() : "";
-  auto token = ReadFile(file);
-  if (controllers.empty() || !token) {
-    std::cerr << "--controller and a readable --token-file are required\n";
-    return std::nullopt;
-  }
-  token->erase(token->find_last_not_of(" \r\n\t") + 1);
-  return operator_client(std::move(controllers), *token);
-}
-
-void AddCommonOptions(cxxopts::Options& options) {
-  options.add_options()("controller", "admin address of a controller; may be repeated",
-                        cxxopts::value<std::vector<std::string>>())(
-      "token-file", "file with the bearer token", cxxopts::value<std::string>())(
-      "json", "print JSON")("timeout-ms", "longest wait",
-                            cxxopts::value<std::uint32_t>()->default_value("8000"));
-}
-
-std::string RandomChangeId() {
-  std::random_device entropy;
-  std::uint64_t value = (std::uint64_t{entropy()} << 32) | entropy();
-  return "change-" + std::to_string(value);
-}
-
 void PrintZones(const json& in_force, std::ostream& out) {
   if (!in_force.value("known", false)) {
     out << "in force: not known yet, a new leader waits one lease\n";
@@ -65,15 +25,6 @@
   }
 }
 
-int PrintFailure(const std::optional<http_answer>& answer) {
-  if (!answer) {
-    std::cerr << make_error_code(errc::kNoQuorum).message() << "\n";
-    return kExitFailed;
-  }
-  std::cerr << "HTTP " << answer->status << ": " << answer->body << "\n";
-  return answer->status == 400 || answer->status == 422 ? kExitUsage : kExitFailed;
-}
-
 int PrintChange(const json& report, bool as_json) {
   std::string state = report.value("state", "");
   json winner = report.value("winner", json::object());
@@ -107,14 +58,14 @@
       auto sent = client.Call("/v1/config/changes", change.dump(), left());
       // Without an answer, the change may have been proposed all the same.
       if (!sent) break;
-      if (sent->status != 202) return PrintFailure(sent);
+      if (sent->status != 202) return PrintCallFailure(sent);
     }
     operator_client::Pause(kPollInterval);
     auto answer = client.Call(path, "", left());
     if (!answer) break;
-    if (answer->status != 200) return PrintFailure(answer);
+    if (answer->status != 200) return PrintCallFailure(answer);
     json parsed = json::parse(answer->body, nullptr, false);
-    if (!parsed.is_object()) return PrintFailure(answer);
+    if (!parsed.is_object()) return PrintCallFailure(answer);
     report = std::move(parsed);
     std::string state = report.value("state", "");
     bool over = state == "conflict" || state == "change-id-reused" ||
@@ -129,6 +80,20 @@
   return PrintChange(report, as_json);
 }
 
+// Orders of all backend servers, in the order of their names and tokens.
+void AddOrders(operator_client& client, std::chrono::milliseconds timeout, json& status) {
+  auto answer = client.Call("/v1/orders", "", timeout);
+  // A controller of an older version does not know the path.
+  if (!answer || answer->status != 200) return;
+  json body = json::parse(answer->body, nullptr, false);
+  if (!body.is_object() || !body.contains("orders")) return;
+  json orders = body["orders"];
+  std::stable_sort(orders.begin(), orders.end(), [](const json& a, const json& b) {
+    return a.value("backend", "") < b.value("backend", "");
+  });
+  status["orders"] = std::move(orders);
+}
+
 void PrintStatus(const json& status) {
   json config = status.value("config", json::object());
   std::cout << "configuration version " << config.value("version", 0) << " by "
@@ -140,13 +105,19 @@
     std::cout << (r.value("voting", false) ? "voter " : "learner ") << r.value("id", "") << " zone "
               << r.value("zone", "") << " " << r.value("address", "") << "\n";
   }
+  for (const json& o : status.value("orders", json::array())) {
+    std::cout << "order " << o.value("backend", "") << ": " << o.value("order", "") << " "
+              << o.value("name", "") << " token " << o.value("token", 0) << " "
+              << o.value("state", "") << " (" << o.value("change_id", "") << " by "
+              << o.value("author", "") << ")\n";
+  }
 }
 
 }  // namespace
 
 int RunApply(int argc, char** argv) {
   cxxopts::Options options("radishroute apply", "Puts a sheet in force as a new version.");
-  AddCommonOptions(options);
+  AddOperatorOptions(options);
   options.add_options()("sheet", "CSV sheet", cxxopts::value<std::string>())(
       "base-version", "version that the sheet replaces", cxxopts::value<std::uint64_t>())(
       "change-id", "the same one in a resend; random if omitted", cxxopts::value<std::string>())(
@@ -158,7 +129,7 @@
     std::cerr << "--sheet and --base-version are required\n";
     return kExitUsage;
   }
-  auto client = MakeClient(*parsed);
+  auto client = MakeOperatorClient(*parsed);
   if (!client) return kExitUsage;
   std::string file = (*parsed)["sheet"].as<std::string>();
   auto sheet = ReadFile(file);
@@ -180,18 +151,19 @@
 
 int RunStatus(int argc, char** argv) {
   cxxopts::Options options("radishroute status", "Shows the state of the controllers.");
-  AddCommonOptions(options);
+  AddOperatorOptions(options);
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
-  auto client = MakeClient(*parsed);
+  auto client = MakeOperatorClient(*parsed);
   if (!client) return kExitUsage;
   QuietLibwebsockets();
   auto timeout = std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>());
   auto answer = client->Call("/v1/status", "", timeout);
-  if (!answer || answer->status != 200) return PrintFailure(answer);
+  if (!answer || answer->status != 200) return PrintCallFailure(answer);
   json status = json::parse(answer->body, nullptr, false);
-  if (!status.is_object()) return PrintFailure(answer);
+  if (!status.is_object()) return PrintCallFailure(answer);
+  AddOrders(*client, timeout, status);
   if (parsed->count("json") > 0) {
     std::cout << status.dump(2) << "\n";
   } else {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -9,6 +9,7 @@
 int RunCheck(int argc, char** argv);
 int RunApply(int argc, char** argv);
 int RunStatus(int argc, char** argv);
+int RunOrder(int argc, char** argv);
 int RunEngine(int argc, char** argv);
 int RunLoad(int argc, char** argv);
 int RunController(int argc, char** argv);
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -11,6 +11,7 @@
 #include "cli/config_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
+#include "cli/order_http.h"
 #include "cli/process.h"
 #include "io/log_node.h"
 #include "radishroute/policies.h"
@@ -131,6 +132,21 @@
     backend.is_leader = [this, now] { return node_.Core().IsCurrent(now); };
     backend.token = settings_.admin_token;
     auto answer = HandleConfigHttp(request, backend, now);
+    if (!answer) return OnOrders(request, server);
+    server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
+    return true;
+  }
+
+  bool OnOrders(const http_request& request, http_server& server) {
+    order_http_backend backend;
+    backend.orders = &node_.Thread().State().control.log->State().Orders();
+    backend.is_leader = [this] { return node_.Core().IsCurrent(std::chrono::steady_clock::now()); };
+    backend.propose = [this](order_submission submission) {
+      node_.Thread().Apply(propose_command{{}, std::move(submission)});
+      return true;
+    };
+    backend.token = settings_.admin_token;
+    auto answer = HandleOrderHttp(request, backend);
     if (!answer) return false;
     server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
     return true;
--- a/src/config_admin.cc
+++ b/src/config_admin.cc
@@ -5,8 +5,6 @@
 
 namespace radishroute {
 
-namespace {
-
 // A change id is part of a URL path.
 bool IsChangeId(const std::string& id) {
   constexpr std::string_view kAllowed =
@@ -14,8 +12,6 @@
   return !id.empty() && id.size() <= 64 && id.find_first_not_of(kAllowed) == std::string::npos;
 }
 
-}  // namespace
-
 bool change_report::InForceEverywhere() const {
   return state == change_state::kCommitted && in_force.known && !in_force.zones.empty() &&
          std::all_of(in_force.zones.begin(), in_force.zones.end(),
--- a/src/engine/event.h
+++ b/src/engine/event.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/order_types.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -32,8 +33,6 @@
   std::string body;
 };
 
-enum class order_kind : std::uint8_t { kLoadModel, kLoadAdapter, kSetVersion, kChangeRole };
-
 struct engine_order {
   std::uint64_t fencing_token = 0;
   order_kind kind = order_kind::kLoadModel;
--- a/src/engine/http_api.cc
+++ b/src/engine/http_api.cc
@@ -29,13 +29,6 @@
     {"deny-run", engine_fault::kDenyRun},
 }};
 
-constexpr std::array<std::pair<std::string_view, order_kind>, 4> kOrders = {{
-    {"load_model", order_kind::kLoadModel},
-    {"load_adapter", order_kind::kLoadAdapter},
-    {"set_version", order_kind::kSetVersion},
-    {"change_role", order_kind::kChangeRole},
-}};
-
 template <class Table, class Value>
 bool Lookup(const Table& table, std::string_view name, Value& out) {
   for (const auto& [known, value] : table) {
@@ -83,7 +76,7 @@
 
 std::optional<engine_event> ParseOrder(const nlohmann::json& body, const engine_caller& caller) {
   order_arrived arrived{caller, {}};
-  if (!Lookup(kOrders, Field<std::string>(body, "order", ""), arrived.order.kind)) {
+  if (!ParseOrderKind(Field<std::string>(body, "order", ""), arrived.order.kind)) {
     return std::nullopt;
   }
   arrived.order.fencing_token = Field<std::uint64_t>(body, "token", 0);
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -5212,42 +5212,41 @@
 }
 
 
-Command::~Command() noexcept {
+OrderSubmission::~OrderSubmission() noexcept {
 }
 
 
-void Command::__set_noOperation(const NoOperation& val) {
-  this->noOperation = val;
-__isset.noOperation = true;
+void OrderSubmission::__set_changeId(const std::string& val) {
+  this->changeId = val;
 }
 
-void Command::__set_replicaChange(const ReplicaChange& val) {
-  this->replicaChange = val;
-__isset.replicaChange = true;
+void OrderSubmission::__set_author(const std::string& val) {
+  this->author = val;
 }
 
-void Command::__set_configChange(const ConfigChange& val) {
-  this->configChange = val;
-__isset.configChange = true;
+void OrderSubmission::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void Command::__set_recordClaim(const RecordClaim& val) {
-  this->recordClaim = val;
-__isset.recordClaim = true;
+void OrderSubmission::__set_kind(const int32_t val) {
+  this->kind = val;
 }
 
-void Command::__set_recordOutcome(const RecordOutcome& val) {
-  this->recordOutcome = val;
-__isset.recordOutcome = true;
+void OrderSubmission::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+
+void OrderSubmission::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderSubmission& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OrderSubmission::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5269,41 +5268,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->noOperation.read(iprot);
-          this->__isset.noOperation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->replicaChange.read(iprot);
-          this->__isset.replicaChange = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configChange.read(iprot);
-          this->__isset.configChange = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordClaim.read(iprot);
-          this->__isset.recordClaim = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordOutcome.read(iprot);
-          this->__isset.recordOutcome = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5320,120 +5327,121 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrderSubmission::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("OrderSubmission");
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->bytes);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.noOperation) {
-    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->noOperation.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.replicaChange) {
-    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->replicaChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.configChange) {
-    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->configChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordClaim) {
-    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->recordClaim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordOutcome) {
-    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->recordOutcome.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(OrderSubmission &a, OrderSubmission &b) {
   using ::std::swap;
-  swap(a.noOperation, b.noOperation);
-  swap(a.replicaChange, b.replicaChange);
-  swap(a.configChange, b.configChange);
-  swap(a.recordClaim, b.recordClaim);
-  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.changeId, b.changeId);
+  swap(a.author, b.author);
+  swap(a.backend, b.backend);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other188) {
-  noOperation = other188.noOperation;
-  replicaChange = other188.replicaChange;
-  configChange = other188.configChange;
-  recordClaim = other188.recordClaim;
-  recordOutcome = other188.recordOutcome;
+OrderSubmission::OrderSubmission(const OrderSubmission& other188) {
+  changeId = other188.changeId;
+  author = other188.author;
+  backend = other188.backend;
+  kind = other188.kind;
+  name = other188.name;
+  bytes = other188.bytes;
   __isset = other188.__isset;
 }
-Command::Command(Command&& other189) noexcept {
-  noOperation = std::move(other189.noOperation);
-  replicaChange = std::move(other189.replicaChange);
-  configChange = std::move(other189.configChange);
-  recordClaim = std::move(other189.recordClaim);
-  recordOutcome = std::move(other189.recordOutcome);
+OrderSubmission::OrderSubmission(OrderSubmission&& other189) noexcept {
+  changeId = std::move(other189.changeId);
+  author = std::move(other189.author);
+  backend = std::move(other189.backend);
+  kind = other189.kind;
+  name = std::move(other189.name);
+  bytes = other189.bytes;
   __isset = other189.__isset;
 }
-Command& Command::operator=(const Command& other190) {
-  noOperation = other190.noOperation;
-  replicaChange = other190.replicaChange;
-  configChange = other190.configChange;
-  recordClaim = other190.recordClaim;
-  recordOutcome = other190.recordOutcome;
+OrderSubmission& OrderSubmission::operator=(const OrderSubmission& other190) {
+  changeId = other190.changeId;
+  author = other190.author;
+  backend = other190.backend;
+  kind = other190.kind;
+  name = other190.name;
+  bytes = other190.bytes;
   __isset = other190.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other191) noexcept {
-  noOperation = std::move(other191.noOperation);
-  replicaChange = std::move(other191.replicaChange);
-  configChange = std::move(other191.configChange);
-  recordClaim = std::move(other191.recordClaim);
-  recordOutcome = std::move(other191.recordOutcome);
+OrderSubmission& OrderSubmission::operator=(OrderSubmission&& other191) noexcept {
+  changeId = std::move(other191.changeId);
+  author = std::move(other191.author);
+  backend = std::move(other191.backend);
+  kind = other191.kind;
+  name = std::move(other191.name);
+  bytes = other191.bytes;
   __isset = other191.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+void OrderSubmission::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
-  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
-  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
-  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
-  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << "OrderSubmission(";
+  out << "changeId=" << to_string(changeId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-LogEntry::~LogEntry() noexcept {
+OrderCompletion::~OrderCompletion() noexcept {
 }
 
 
-void LogEntry::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void LogEntry::__set_index(const int64_t val) {
-  this->index = val;
+void OrderCompletion::__set_token(const int64_t val) {
+  this->token = val;
 }
 
-void LogEntry::__set_body(const Command& val) {
-  this->body = val;
+void OrderCompletion::__set_status(const int32_t val) {
+  this->status = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+std::ostream& operator<<(std::ostream& out, const OrderCompletion& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OrderCompletion::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5456,24 +5464,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5490,21 +5490,17 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrderCompletion::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("OrderCompletion");
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5512,77 +5508,90 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(OrderCompletion &a, OrderCompletion &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.index, b.index);
-  swap(a.body, b.body);
+  swap(a.token, b.token);
+  swap(a.status, b.status);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other192) {
-  term = other192.term;
-  index = other192.index;
-  body = other192.body;
+OrderCompletion::OrderCompletion(const OrderCompletion& other192) noexcept {
+  token = other192.token;
+  status = other192.status;
   __isset = other192.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other193) noexcept {
-  term = other193.term;
-  index = other193.index;
-  body = std::move(other193.body);
+OrderCompletion::OrderCompletion(OrderCompletion&& other193) noexcept {
+  token = other193.token;
+  status = other193.status;
   __isset = other193.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other194) {
-  term = other194.term;
-  index = other194.index;
-  body = other194.body;
+OrderCompletion& OrderCompletion::operator=(const OrderCompletion& other194) noexcept {
+  token = other194.token;
+  status = other194.status;
   __isset = other194.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other195) noexcept {
-  term = other195.term;
-  index = other195.index;
-  body = std::move(other195.body);
+OrderCompletion& OrderCompletion::operator=(OrderCompletion&& other195) noexcept {
+  token = other195.token;
+  status = other195.status;
   __isset = other195.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void OrderCompletion::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
-  out << "term=" << to_string(term);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "body=" << to_string(body);
+  out << "OrderCompletion(";
+  out << "token=" << to_string(token);
+  out << ", " << "status=" << to_string(status);
   out << ")";
 }
 
 
-RaftHeader::~RaftHeader() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void RaftHeader::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void Command::__set_noOperation(const NoOperation& val) {
+  this->noOperation = val;
+__isset.noOperation = true;
 }
 
-void RaftHeader::__set_sender(const int64_t val) {
-  this->sender = val;
+void Command::__set_replicaChange(const ReplicaChange& val) {
+  this->replicaChange = val;
+__isset.replicaChange = true;
 }
 
-void RaftHeader::__set_recipient(const int64_t val) {
-  this->recipient = val;
+void Command::__set_configChange(const ConfigChange& val) {
+  this->configChange = val;
+__isset.configChange = true;
 }
 
-void RaftHeader::__set_term(const int64_t val) {
-  this->term = val;
+void Command::__set_recordClaim(const RecordClaim& val) {
+  this->recordClaim = val;
+__isset.recordClaim = true;
 }
-std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
+
+void Command::__set_recordOutcome(const RecordOutcome& val) {
+  this->recordOutcome = val;
+__isset.recordOutcome = true;
+}
+
+void Command::__set_orderSubmission(const OrderSubmission& val) {
+  this->orderSubmission = val;
+__isset.orderSubmission = true;
+}
+
+void Command::__set_orderCompletion(const OrderCompletion& val) {
+  this->orderCompletion = val;
+__isset.orderCompletion = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5604,160 +5613,209 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->noOperation.read(iprot);
+          this->__isset.noOperation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sender);
-          this->__isset.sender = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replicaChange.read(iprot);
+          this->__isset.replicaChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->recipient);
-          this->__isset.recipient = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configChange.read(iprot);
+          this->__isset.configChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordClaim.read(iprot);
+          this->__isset.recordClaim = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOutcome.read(iprot);
+          this->__isset.recordOutcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RaftHeader");
-
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
-  xfer += oprot->writeFieldEnd();
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderSubmission.read(iprot);
+          this->__isset.orderSubmission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderCompletion.read(iprot);
+          this->__isset.orderCompletion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
 
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->sender);
-  xfer += oprot->writeFieldEnd();
+  xfer += iprot->readStructEnd();
 
-  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->recipient);
-  xfer += oprot->writeFieldEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Command");
 
+  if (this->__isset.noOperation) {
+    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->noOperation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replicaChange) {
+    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->replicaChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configChange) {
+    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->configChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordClaim) {
+    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->recordClaim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordOutcome) {
+    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->recordOutcome.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.orderSubmission) {
+    xfer += oprot->writeFieldBegin("orderSubmission", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->orderSubmission.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.orderCompletion) {
+    xfer += oprot->writeFieldBegin("orderCompletion", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->orderCompletion.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RaftHeader &a, RaftHeader &b) {
+void swap(Command &a, Command &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.sender, b.sender);
-  swap(a.recipient, b.recipient);
-  swap(a.term, b.term);
+  swap(a.noOperation, b.noOperation);
+  swap(a.replicaChange, b.replicaChange);
+  swap(a.configChange, b.configChange);
+  swap(a.recordClaim, b.recordClaim);
+  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.orderSubmission, b.orderSubmission);
+  swap(a.orderCompletion, b.orderCompletion);
   swap(a.__isset, b.__isset);
 }
 
-RaftHeader::RaftHeader(const RaftHeader& other196) noexcept {
-  logGroup = other196.logGroup;
-  sender = other196.sender;
-  recipient = other196.recipient;
-  term = other196.term;
+Command::Command(const Command& other196) {
+  noOperation = other196.noOperation;
+  replicaChange = other196.replicaChange;
+  configChange = other196.configChange;
+  recordClaim = other196.recordClaim;
+  recordOutcome = other196.recordOutcome;
+  orderSubmission = other196.orderSubmission;
+  orderCompletion = other196.orderCompletion;
   __isset = other196.__isset;
 }
-RaftHeader::RaftHeader(RaftHeader&& other197) noexcept {
-  logGroup = other197.logGroup;
-  sender = other197.sender;
-  recipient = other197.recipient;
-  term = other197.term;
+Command::Command(Command&& other197) noexcept {
+  noOperation = std::move(other197.noOperation);
+  replicaChange = std::move(other197.replicaChange);
+  configChange = std::move(other197.configChange);
+  recordClaim = std::move(other197.recordClaim);
+  recordOutcome = std::move(other197.recordOutcome);
+  orderSubmission = std::move(other197.orderSubmission);
+  orderCompletion = std::move(other197.orderCompletion);
   __isset = other197.__isset;
 }
-RaftHeader& RaftHeader::operator=(const RaftHeader& other198) noexcept {
-  logGroup = other198.logGroup;
-  sender = other198.sender;
-  recipient = other198.recipient;
-  term = other198.term;
+Command& Command::operator=(const Command& other198) {
+  noOperation = other198.noOperation;
+  replicaChange = other198.replicaChange;
+  configChange = other198.configChange;
+  recordClaim = other198.recordClaim;
+  recordOutcome = other198.recordOutcome;
+  orderSubmission = other198.orderSubmission;
+  orderCompletion = other198.orderCompletion;
   __isset = other198.__isset;
   return *this;
 }
-RaftHeader& RaftHeader::operator=(RaftHeader&& other199) noexcept {
-  logGroup = other199.logGroup;
-  sender = other199.sender;
-  recipient = other199.recipient;
-  term = other199.term;
+Command& Command::operator=(Command&& other199) noexcept {
+  noOperation = std::move(other199.noOperation);
+  replicaChange = std::move(other199.replicaChange);
+  configChange = std::move(other199.configChange);
+  recordClaim = std::move(other199.recordClaim);
+  recordOutcome = std::move(other199.recordOutcome);
+  orderSubmission = std::move(other199.orderSubmission);
+  orderCompletion = std::move(other199.orderCompletion);
   __isset = other199.__isset;
   return *this;
 }
-void RaftHeader::printTo(std::ostream& out) const {
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RaftHeader(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "recipient=" << to_string(recipient);
-  out << ", " << "term=" << to_string(term);
+  out << "Command(";
+  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
+  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
+  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
+  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
+  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << ", " << "orderSubmission="; (__isset.orderSubmission ? (out << to_string(orderSubmission)) : (out << "<null>"));
+  out << ", " << "orderCompletion="; (__isset.orderCompletion ? (out << to_string(orderCompletion)) : (out << "<null>"));
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
-}
-
-
-void AppendRequest::__set_header(const RaftHeader& val) {
-  this->header = val;
-}
-
-void AppendRequest::__set_prevIndex(const int64_t val) {
-  this->prevIndex = val;
+LogEntry::~LogEntry() noexcept {
 }
 
-void AppendRequest::__set_prevTerm(const int64_t val) {
-  this->prevTerm = val;
-}
 
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void AppendRequest::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void LogEntry::__set_body(const Command& val) {
+  this->body = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5779,61 +5837,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevIndex);
-          this->__isset.prevIndex = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevTerm);
-          this->__isset.prevTerm = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->entries.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
-            {
-              xfer += this->entries[_i204].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5850,41 +5872,21 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prevIndex);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prevTerm);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogEntry");
 
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter205;
-    for (_iter205 = this->entries.begin(); _iter205 != this->entries.end(); ++_iter205)
-    {
-      xfer += (*_iter205).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5892,95 +5894,77 @@
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(LogEntry &a, LogEntry &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.prevIndex, b.prevIndex);
-  swap(a.prevTerm, b.prevTerm);
-  swap(a.commit, b.commit);
-  swap(a.sentNanos, b.sentNanos);
-  swap(a.entries, b.entries);
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other206) {
-  header = other206.header;
-  prevIndex = other206.prevIndex;
-  prevTerm = other206.prevTerm;
-  commit = other206.commit;
-  sentNanos = other206.sentNanos;
-  entries = other206.entries;
-  __isset = other206.__isset;
+LogEntry::LogEntry(const LogEntry& other200) {
+  term = other200.term;
+  index = other200.index;
+  body = other200.body;
+  __isset = other200.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other207) noexcept {
-  header = std::move(other207.header);
-  prevIndex = other207.prevIndex;
-  prevTerm = other207.prevTerm;
-  commit = other207.commit;
-  sentNanos = other207.sentNanos;
-  entries = std::move(other207.entries);
-  __isset = other207.__isset;
+LogEntry::LogEntry(LogEntry&& other201) noexcept {
+  term = other201.term;
+  index = other201.index;
+  body = std::move(other201.body);
+  __isset = other201.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other208) {
-  header = other208.header;
-  prevIndex = other208.prevIndex;
-  prevTerm = other208.prevTerm;
-  commit = other208.commit;
-  sentNanos = other208.sentNanos;
-  entries = other208.entries;
-  __isset = other208.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other202) {
+  term = other202.term;
+  index = other202.index;
+  body = other202.body;
+  __isset = other202.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other209) noexcept {
-  header = std::move(other209.header);
-  prevIndex = other209.prevIndex;
-  prevTerm = other209.prevTerm;
-  commit = other209.commit;
-  sentNanos = other209.sentNanos;
-  entries = std::move(other209.entries);
-  __isset = other209.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other203) noexcept {
+  term = other203.term;
+  index = other203.index;
+  body = std::move(other203.body);
+  __isset = other203.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
-  out << "header=" << to_string(header);
-  out << ", " << "prevIndex=" << to_string(prevIndex);
-  out << ", " << "prevTerm=" << to_string(prevTerm);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
-  out << ", " << "entries=" << to_string(entries);
+  out << "LogEntry(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-AppendReply::~AppendReply() noexcept {
+RaftHeader::~RaftHeader() noexcept {
 }
 
 
-void AppendReply::__set_header(const RaftHeader& val) {
-  this->header = val;
+void RaftHeader::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void AppendReply::__set_matched(const bool val) {
-  this->matched = val;
+void RaftHeader::__set_sender(const int64_t val) {
+  this->sender = val;
 }
 
-void AppendReply::__set_matchIndex(const int64_t val) {
-  this->matchIndex = val;
+void RaftHeader::__set_recipient(const int64_t val) {
+  this->recipient = val;
 }
 
-void AppendReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void RaftHeader::__set_term(const int64_t val) {
+  this->term = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6002,33 +5986,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
-        } else {
-          xfer += iprot->skip(ftype);
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->matched);
-          this->__isset.matched = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->matchIndex);
-          this->__isset.matchIndex = true;
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6045,25 +6029,25 @@
   return xfer;
 }
 
-uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendReply");
+  xfer += oprot->writeStructBegin("RaftHeader");
 
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->matched);
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sender);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recipient);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6071,83 +6055,91 @@
   return xfer;
 }
 
-void swap(AppendReply &a, AppendReply &b) {
+void swap(RaftHeader &a, RaftHeader &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.matched, b.matched);
-  swap(a.matchIndex, b.matchIndex);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.logGroup, b.logGroup);
+  swap(a.sender, b.sender);
+  swap(a.recipient, b.recipient);
+  swap(a.term, b.term);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other210) noexcept {
-  header = other210.header;
-  matched = other210.matched;
-  matchIndex = other210.matchIndex;
-  sentNanos = other210.sentNanos;
-  __isset = other210.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other211) noexcept {
-  header = std::move(other211.header);
-  matched = other211.matched;
-  matchIndex = other211.matchIndex;
-  sentNanos = other211.sentNanos;
-  __isset = other211.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other212) noexcept {
-  header = other212.header;
-  matched = other212.matched;
-  matchIndex = other212.matchIndex;
-  sentNanos = other212.sentNanos;
-  __isset = other212.__isset;
+RaftHeader::RaftHeader(const RaftHeader& other204) noexcept {
+  logGroup = other204.logGroup;
+  sender = other204.sender;
+  recipient = other204.recipient;
+  term = other204.term;
+  __isset = other204.__isset;
+}
+RaftHeader::RaftHeader(RaftHeader&& other205) noexcept {
+  logGroup = other205.logGroup;
+  sender = other205.sender;
+  recipient = other205.recipient;
+  term = other205.term;
+  __isset = other205.__isset;
+}
+RaftHeader& RaftHeader::operator=(const RaftHeader& other206) noexcept {
+  logGroup = other206.logGroup;
+  sender = other206.sender;
+  recipient = other206.recipient;
+  term = other206.term;
+  __isset = other206.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other213) noexcept {
-  header = std::move(other213.header);
-  matched = other213.matched;
-  matchIndex = other213.matchIndex;
-  sentNanos = other213.sentNanos;
-  __isset = other213.__isset;
+RaftHeader& RaftHeader::operator=(RaftHeader&& other207) noexcept {
+  logGroup = other207.logGroup;
+  sender = other207.sender;
+  recipient = other207.recipient;
+  term = other207.term;
+  __isset = other207.__isset;
   return *this;
 }
-void AppendReply::printTo(std::ostream& out) const {
+void RaftHeader::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendReply(";
-  out << "header=" << to_string(header);
-  out << ", " << "matched=" << to_string(matched);
-  out << ", " << "matchIndex=" << to_string(matchIndex);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << "RaftHeader(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "term=" << to_string(term);
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void VoteRequest::__set_header(const RaftHeader& val) {
+void AppendRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void VoteRequest::__set_preVote(const bool val) {
-  this->preVote = val;
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
 }
 
-void VoteRequest::__set_lastIndex(const int64_t val) {
-  this->lastIndex = val;
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
 }
 
-void VoteRequest::__set_lastTerm(const int64_t val) {
-  this->lastTerm = val;
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+
+void AppendRequest::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6177,25 +6169,53 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastIndex);
-          this->__isset.lastIndex = true;
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastTerm);
-          this->__isset.lastTerm = true;
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->entries.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
+            {
+              xfer += this->entries[_i212].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6212,25 +6232,41 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
+  xfer += oprot->writeStructBegin("AppendRequest");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter213;
+    for (_iter213 = this->entries.begin(); _iter213 != this->entries.end(); ++_iter213)
+    {
+      xfer += (*_iter213).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6238,79 +6274,95 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.lastIndex, b.lastIndex);
-  swap(a.lastTerm, b.lastTerm);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.commit, b.commit);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other214) noexcept {
+AppendRequest::AppendRequest(const AppendRequest& other214) {
   header = other214.header;
-  preVote = other214.preVote;
-  lastIndex = other214.lastIndex;
-  lastTerm = other214.lastTerm;
+  prevIndex = other214.prevIndex;
+  prevTerm = other214.prevTerm;
+  commit = other214.commit;
+  sentNanos = other214.sentNanos;
+  entries = other214.entries;
   __isset = other214.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other215) noexcept {
+AppendRequest::AppendRequest(AppendRequest&& other215) noexcept {
   header = std::move(other215.header);
-  preVote = other215.preVote;
-  lastIndex = other215.lastIndex;
-  lastTerm = other215.lastTerm;
+  prevIndex = other215.prevIndex;
+  prevTerm = other215.prevTerm;
+  commit = other215.commit;
+  sentNanos = other215.sentNanos;
+  entries = std::move(other215.entries);
   __isset = other215.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other216) noexcept {
+AppendRequest& AppendRequest::operator=(const AppendRequest& other216) {
   header = other216.header;
-  preVote = other216.preVote;
-  lastIndex = other216.lastIndex;
-  lastTerm = other216.lastTerm;
+  prevIndex = other216.prevIndex;
+  prevTerm = other216.prevTerm;
+  commit = other216.commit;
+  sentNanos = other216.sentNanos;
+  entries = other216.entries;
   __isset = other216.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other217) noexcept {
+AppendRequest& AppendRequest::operator=(AppendRequest&& other217) noexcept {
   header = std::move(other217.header);
-  preVote = other217.preVote;
-  lastIndex = other217.lastIndex;
-  lastTerm = other217.lastTerm;
+  prevIndex = other217.prevIndex;
+  prevTerm = other217.prevTerm;
+  commit = other217.commit;
+  sentNanos = other217.sentNanos;
+  entries = std::move(other217.entries);
   __isset = other217.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
+  out << "AppendRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "lastIndex=" << to_string(lastIndex);
-  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-VoteReply::~VoteReply() noexcept {
+AppendReply::~AppendReply() noexcept {
 }
 
 
-void VoteReply::__set_header(const RaftHeader& val) {
+void AppendReply::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void VoteReply::__set_preVote(const bool val) {
-  this->preVote = val;
+void AppendReply::__set_matched(const bool val) {
+  this->matched = val;
 }
 
-void VoteReply::__set_granted(const bool val) {
-  this->granted = val;
+void AppendReply::__set_matchIndex(const int64_t val) {
+  this->matchIndex = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+
+void AppendReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6341,16 +6393,24 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+          xfer += iprot->readBool(this->matched);
+          this->__isset.matched = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->matchIndex);
+          this->__isset.matchIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6367,21 +6427,25 @@
   return xfer;
 }
 
-uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteReply");
+  xfer += oprot->writeStructBegin("AppendReply");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->matched);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6389,97 +6453,83 @@
   return xfer;
 }
 
-void swap(VoteReply &a, VoteReply &b) {
+void swap(AppendReply &a, AppendReply &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.granted, b.granted);
+  swap(a.matched, b.matched);
+  swap(a.matchIndex, b.matchIndex);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other218) noexcept {
+AppendReply::AppendReply(const AppendReply& other218) noexcept {
   header = other218.header;
-  preVote = other218.preVote;
-  granted = other218.granted;
+  matched = other218.matched;
+  matchIndex = other218.matchIndex;
+  sentNanos = other218.sentNanos;
   __isset = other218.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other219) noexcept {
+AppendReply::AppendReply(AppendReply&& other219) noexcept {
   header = std::move(other219.header);
-  preVote = other219.preVote;
-  granted = other219.granted;
+  matched = other219.matched;
+  matchIndex = other219.matchIndex;
+  sentNanos = other219.sentNanos;
   __isset = other219.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other220) noexcept {
+AppendReply& AppendReply::operator=(const AppendReply& other220) noexcept {
   header = other220.header;
-  preVote = other220.preVote;
-  granted = other220.granted;
+  matched = other220.matched;
+  matchIndex = other220.matchIndex;
+  sentNanos = other220.sentNanos;
   __isset = other220.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other221) noexcept {
+AppendReply& AppendReply::operator=(AppendReply&& other221) noexcept {
   header = std::move(other221.header);
-  preVote = other221.preVote;
-  granted = other221.granted;
+  matched = other221.matched;
+  matchIndex = other221.matchIndex;
+  sentNanos = other221.sentNanos;
   __isset = other221.__isset;
   return *this;
 }
-void VoteReply::printTo(std::ostream& out) const {
+void AppendReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteReply(";
+  out << "AppendReply(";
   out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "matched=" << to_string(matched);
+  out << ", " << "matchIndex=" << to_string(matchIndex);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-SnapshotChunk::~SnapshotChunk() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void SnapshotChunk::__set_header(const RaftHeader& val) {
+void VoteRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotChunk::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
-  this->snapshotTerm = val;
-}
-
-void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
-  this->replicas = val;
-}
-
-void SnapshotChunk::__set_total(const int64_t val) {
-  this->total = val;
-}
-
-void SnapshotChunk::__set_hash(const int64_t val) {
-  this->hash = val;
-}
-
-void SnapshotChunk::__set_offset(const int64_t val) {
-  this->offset = val;
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void SnapshotChunk::__set_bytes(const std::string& val) {
-  this->bytes = val;
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
 }
 
-void SnapshotChunk::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6509,77 +6559,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->snapshotTerm);
-          this->__isset.snapshotTerm = true;
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->replicas.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->replicas.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
-            {
-              xfer += this->replicas[_i226].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.replicas = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->total);
-          this->__isset.total = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offset);
-          this->__isset.offset = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->bytes);
-          this->__isset.bytes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6596,53 +6594,25 @@
   return xfer;
 }
 
-uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotChunk");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->snapshotTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter227;
-    for (_iter227 = this->replicas.begin(); _iter227 != this->replicas.end(); ++_iter227)
-    {
-      xfer += (*_iter227).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->total);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->hash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6650,117 +6620,79 @@
   return xfer;
 }
 
-void swap(SnapshotChunk &a, SnapshotChunk &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.snapshotTerm, b.snapshotTerm);
-  swap(a.replicas, b.replicas);
-  swap(a.total, b.total);
-  swap(a.hash, b.hash);
-  swap(a.offset, b.offset);
-  swap(a.bytes, b.bytes);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other228) {
-  header = other228.header;
-  index = other228.index;
-  snapshotTerm = other228.snapshotTerm;
-  replicas = other228.replicas;
-  total = other228.total;
-  hash = other228.hash;
-  offset = other228.offset;
-  bytes = other228.bytes;
-  sentNanos = other228.sentNanos;
-  __isset = other228.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other229) noexcept {
-  header = std::move(other229.header);
-  index = other229.index;
-  snapshotTerm = other229.snapshotTerm;
-  replicas = std::move(other229.replicas);
-  total = other229.total;
-  hash = other229.hash;
-  offset = other229.offset;
-  bytes = std::move(other229.bytes);
-  sentNanos = other229.sentNanos;
-  __isset = other229.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other222) noexcept {
+  header = other222.header;
+  preVote = other222.preVote;
+  lastIndex = other222.lastIndex;
+  lastTerm = other222.lastTerm;
+  __isset = other222.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other223) noexcept {
+  header = std::move(other223.header);
+  preVote = other223.preVote;
+  lastIndex = other223.lastIndex;
+  lastTerm = other223.lastTerm;
+  __isset = other223.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other224) noexcept {
+  header = other224.header;
+  preVote = other224.preVote;
+  lastIndex = other224.lastIndex;
+  lastTerm = other224.lastTerm;
+  __isset = other224.__isset;
+  return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other230) {
-  header = other230.header;
-  index = other230.index;
-  snapshotTerm = other230.snapshotTerm;
-  replicas = other230.replicas;
-  total = other230.total;
-  hash = other230.hash;
-  offset = other230.offset;
-  bytes = other230.bytes;
-  sentNanos = other230.sentNanos;
-  __isset = other230.__isset;
-  return *this;
-}
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other231) noexcept {
-  header = std::move(other231.header);
-  index = other231.index;
-  snapshotTerm = other231.snapshotTerm;
-  replicas = std::move(other231.replicas);
-  total = other231.total;
-  hash = other231.hash;
-  offset = other231.offset;
-  bytes = std::move(other231.bytes);
-  sentNanos = other231.sentNanos;
-  __isset = other231.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other225) noexcept {
+  header = std::move(other225.header);
+  preVote = other225.preVote;
+  lastIndex = other225.lastIndex;
+  lastTerm = other225.lastTerm;
+  __isset = other225.__isset;
   return *this;
 }
-void SnapshotChunk::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotChunk(";
+  out << "VoteRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "total=" << to_string(total);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "offset=" << to_string(offset);
-  out << ", " << "bytes=" << to_string(bytes);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ")";
 }
 
 
-SnapshotReply::~SnapshotReply() noexcept {
+VoteReply::~VoteReply() noexcept {
 }
 
 
-void SnapshotReply::__set_header(const RaftHeader& val) {
+void VoteReply::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotReply::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotReply::__set_nextOffset(const int64_t val) {
-  this->nextOffset = val;
-}
-
-void SnapshotReply::__set_done(const bool val) {
-  this->done = val;
+void VoteReply::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void SnapshotReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6790,33 +6722,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->nextOffset);
-          this->__isset.nextOffset = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->done);
-          this->__isset.done = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6833,29 +6749,21 @@
   return xfer;
 }
 
-uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotReply");
+  xfer += oprot->writeStructBegin("VoteReply");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->nextOffset);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6863,85 +6771,97 @@
   return xfer;
 }
 
-void swap(SnapshotReply &a, SnapshotReply &b) {
+void swap(VoteReply &a, VoteReply &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.nextOffset, b.nextOffset);
-  swap(a.done, b.done);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other232) noexcept {
-  header = other232.header;
-  index = other232.index;
-  nextOffset = other232.nextOffset;
-  done = other232.done;
-  sentNanos = other232.sentNanos;
-  __isset = other232.__isset;
-}
-SnapshotReply::SnapshotReply(SnapshotReply&& other233) noexcept {
-  header = std::move(other233.header);
-  index = other233.index;
-  nextOffset = other233.nextOffset;
-  done = other233.done;
-  sentNanos = other233.sentNanos;
-  __isset = other233.__isset;
-}
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other234) noexcept {
-  header = other234.header;
-  index = other234.index;
-  nextOffset = other234.nextOffset;
-  done = other234.done;
-  sentNanos = other234.sentNanos;
-  __isset = other234.__isset;
-  return *this;
-}
-SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other235) noexcept {
-  header = std::move(other235.header);
-  index = other235.index;
-  nextOffset = other235.nextOffset;
-  done = other235.done;
-  sentNanos = other235.sentNanos;
-  __isset = other235.__isset;
+VoteReply::VoteReply(const VoteReply& other226) noexcept {
+  header = other226.header;
+  preVote = other226.preVote;
+  granted = other226.granted;
+  __isset = other226.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other227) noexcept {
+  header = std::move(other227.header);
+  preVote = other227.preVote;
+  granted = other227.granted;
+  __isset = other227.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other228) noexcept {
+  header = other228.header;
+  preVote = other228.preVote;
+  granted = other228.granted;
+  __isset = other228.__isset;
   return *this;
 }
-void SnapshotReply::printTo(std::ostream& out) const {
+VoteReply& VoteReply::operator=(VoteReply&& other229) noexcept {
+  header = std::move(other229.header);
+  preVote = other229.preVote;
+  granted = other229.granted;
+  __isset = other229.__isset;
+  return *this;
+}
+void VoteReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotReply(";
+  out << "VoteReply(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "nextOffset=" << to_string(nextOffset);
-  out << ", " << "done=" << to_string(done);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
   out << ")";
 }
 
 
-ProposeRequest::~ProposeRequest() noexcept {
+SnapshotChunk::~SnapshotChunk() noexcept {
 }
 
 
-void ProposeRequest::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void SnapshotChunk::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void SnapshotChunk::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void ProposeRequest::__set_body(const Command& val) {
-  this->body = val;
+void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
+  this->snapshotTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+
+void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotChunk::__set_total(const int64_t val) {
+  this->total = val;
+}
+
+void SnapshotChunk::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void SnapshotChunk::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6963,25 +6883,85 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->snapshotTerm);
+          this->__isset.snapshotTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->replicas.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
+            {
+              xfer += this->replicas[_i234].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6998,21 +6978,53 @@
   return xfer;
 }
 
-uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeRequest");
+  xfer += oprot->writeStructBegin("SnapshotChunk");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->snapshotTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter235;
+    for (_iter235 = this->replicas.begin(); _iter235 != this->replicas.end(); ++_iter235)
+    {
+      xfer += (*_iter235).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7020,81 +7032,117 @@
   return xfer;
 }
 
-void swap(ProposeRequest &a, ProposeRequest &b) {
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.body, b.body);
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.snapshotTerm, b.snapshotTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.total, b.total);
+  swap(a.hash, b.hash);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other236) {
-  logGroup = other236.logGroup;
-  proposal = other236.proposal;
-  body = other236.body;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other236) {
+  header = other236.header;
+  index = other236.index;
+  snapshotTerm = other236.snapshotTerm;
+  replicas = other236.replicas;
+  total = other236.total;
+  hash = other236.hash;
+  offset = other236.offset;
+  bytes = other236.bytes;
+  sentNanos = other236.sentNanos;
   __isset = other236.__isset;
 }
-ProposeRequest::ProposeRequest(ProposeRequest&& other237) noexcept {
-  logGroup = other237.logGroup;
-  proposal = other237.proposal;
-  body = std::move(other237.body);
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other237) noexcept {
+  header = std::move(other237.header);
+  index = other237.index;
+  snapshotTerm = other237.snapshotTerm;
+  replicas = std::move(other237.replicas);
+  total = other237.total;
+  hash = other237.hash;
+  offset = other237.offset;
+  bytes = std::move(other237.bytes);
+  sentNanos = other237.sentNanos;
   __isset = other237.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other238) {
-  logGroup = other238.logGroup;
-  proposal = other238.proposal;
-  body = other238.body;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other238) {
+  header = other238.header;
+  index = other238.index;
+  snapshotTerm = other238.snapshotTerm;
+  replicas = other238.replicas;
+  total = other238.total;
+  hash = other238.hash;
+  offset = other238.offset;
+  bytes = other238.bytes;
+  sentNanos = other238.sentNanos;
   __isset = other238.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other239) noexcept {
-  logGroup = other239.logGroup;
-  proposal = other239.proposal;
-  body = std::move(other239.body);
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other239) noexcept {
+  header = std::move(other239.header);
+  index = other239.index;
+  snapshotTerm = other239.snapshotTerm;
+  replicas = std::move(other239.replicas);
+  total = other239.total;
+  hash = other239.hash;
+  offset = other239.offset;
+  bytes = std::move(other239.bytes);
+  sentNanos = other239.sentNanos;
   __isset = other239.__isset;
   return *this;
 }
-void ProposeRequest::printTo(std::ostream& out) const {
+void SnapshotChunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeRequest(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "body=" << to_string(body);
+  out << "SnapshotChunk(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
+SnapshotReply::~SnapshotReply() noexcept {
 }
 
 
-void ProposeReply::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void SnapshotReply::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void ProposeReply::__set_status(const int32_t val) {
-  this->status = val;
+void SnapshotReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
 }
 
-void ProposeReply::__set_index(const int64_t val) {
-  this->index = val;
+void SnapshotReply::__set_done(const bool val) {
+  this->done = val;
 }
 
-void ProposeReply::__set_leader(const Endpoint& val) {
-  this->leader = val;
+void SnapshotReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7116,41 +7164,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leader.read(iprot);
-          this->__isset.leader = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7167,29 +7215,29 @@
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("SnapshotReply");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->done);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->leader.write(oprot);
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7197,81 +7245,85 @@
   return xfer;
 }
 
-void swap(ProposeReply &a, ProposeReply &b) {
+void swap(SnapshotReply &a, SnapshotReply &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.status, b.status);
+  swap(a.header, b.header);
   swap(a.index, b.index);
-  swap(a.leader, b.leader);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.done, b.done);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other240) {
-  logGroup = other240.logGroup;
-  proposal = other240.proposal;
-  status = other240.status;
+SnapshotReply::SnapshotReply(const SnapshotReply& other240) noexcept {
+  header = other240.header;
   index = other240.index;
-  leader = other240.leader;
+  nextOffset = other240.nextOffset;
+  done = other240.done;
+  sentNanos = other240.sentNanos;
   __isset = other240.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other241) noexcept {
-  logGroup = other241.logGroup;
-  proposal = other241.proposal;
-  status = other241.status;
+SnapshotReply::SnapshotReply(SnapshotReply&& other241) noexcept {
+  header = std::move(other241.header);
   index = other241.index;
-  leader = std::move(other241.leader);
+  nextOffset = other241.nextOffset;
+  done = other241.done;
+  sentNanos = other241.sentNanos;
   __isset = other241.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other242) {
-  logGroup = other242.logGroup;
-  proposal = other242.proposal;
-  status = other242.status;
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other242) noexcept {
+  header = other242.header;
   index = other242.index;
-  leader = other242.leader;
+  nextOffset = other242.nextOffset;
+  done = other242.done;
+  sentNanos = other242.sentNanos;
   __isset = other242.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other243) noexcept {
-  logGroup = other243.logGroup;
-  proposal = other243.proposal;
-  status = other243.status;
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other243) noexcept {
+  header = std::move(other243.header);
   index = other243.index;
-  leader = std::move(other243.leader);
+  nextOffset = other243.nextOffset;
+  done = other243.done;
+  sentNanos = other243.sentNanos;
   __isset = other243.__isset;
   return *this;
 }
-void ProposeReply::printTo(std::ostream& out) const {
+void SnapshotReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeReply(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "status=" << to_string(status);
+  out << "SnapshotReply(";
+  out << "header=" << to_string(header);
   out << ", " << "index=" << to_string(index);
-  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-LogBatch::~LogBatch() noexcept {
+ProposeRequest::~ProposeRequest() noexcept {
 }
 
 
-void LogBatch::__set_truncateFrom(const int64_t val) {
-  this->truncateFrom = val;
+void ProposeRequest::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
+
+void ProposeRequest::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7293,29 +7345,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->truncateFrom);
-          this->__isset.truncateFrom = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size244;
-            ::apache::thrift::protocol::TType _etype247;
-            xfer += iprot->readListBegin(_etype247, _size244);
-            this->entries.resize(_size244);
-            uint32_t _i248;
-            for (_i248 = 0; _i248 < _size244; ++_i248)
-            {
-              xfer += this->entries[_i248].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7332,25 +7380,21 @@
   return xfer;
 }
 
-uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogBatch");
+  xfer += oprot->writeStructBegin("ProposeRequest");
 
-  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter249;
-    for (_iter249 = this->entries.begin(); _iter249 != this->entries.end(); ++_iter249)
-    {
-      xfer += (*_iter249).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7358,59 +7402,81 @@
   return xfer;
 }
 
-void swap(LogBatch &a, LogBatch &b) {
+void swap(ProposeRequest &a, ProposeRequest &b) {
   using ::std::swap;
-  swap(a.truncateFrom, b.truncateFrom);
-  swap(a.entries, b.entries);
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other250) {
-  truncateFrom = other250.truncateFrom;
-  entries = other250.entries;
-  __isset = other250.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other244) {
+  logGroup = other244.logGroup;
+  proposal = other244.proposal;
+  body = other244.body;
+  __isset = other244.__isset;
 }
-LogBatch::LogBatch(LogBatch&& other251) noexcept {
-  truncateFrom = other251.truncateFrom;
-  entries = std::move(other251.entries);
-  __isset = other251.__isset;
+ProposeRequest::ProposeRequest(ProposeRequest&& other245) noexcept {
+  logGroup = other245.logGroup;
+  proposal = other245.proposal;
+  body = std::move(other245.body);
+  __isset = other245.__isset;
 }
-LogBatch& LogBatch::operator=(const LogBatch& other252) {
-  truncateFrom = other252.truncateFrom;
-  entries = other252.entries;
-  __isset = other252.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other246) {
+  logGroup = other246.logGroup;
+  proposal = other246.proposal;
+  body = other246.body;
+  __isset = other246.__isset;
   return *this;
 }
-LogBatch& LogBatch::operator=(LogBatch&& other253) noexcept {
-  truncateFrom = other253.truncateFrom;
-  entries = std::move(other253.entries);
-  __isset = other253.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other247) noexcept {
+  logGroup = other247.logGroup;
+  proposal = other247.proposal;
+  body = std::move(other247.body);
+  __isset = other247.__isset;
   return *this;
 }
-void LogBatch::printTo(std::ostream& out) const {
+void ProposeRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogBatch(";
-  out << "truncateFrom=" << to_string(truncateFrom);
-  out << ", " << "entries=" << to_string(entries);
+  out << "ProposeRequest(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-VoterRecord::~VoterRecord() noexcept {
+ProposeReply::~ProposeReply() noexcept {
 }
 
 
-void VoterRecord::__set_id(const int64_t val) {
-  this->id = val;
+void ProposeReply::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ProposeReply::__set_leader(const Endpoint& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7432,9 +7498,41 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7451,13 +7549,29 @@
   return xfer;
 }
 
-uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoterRecord");
+  xfer += oprot->writeStructBegin("ProposeReply");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->leader.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7465,57 +7579,81 @@
   return xfer;
 }
 
-void swap(VoterRecord &a, VoterRecord &b) {
+void swap(ProposeReply &a, ProposeReply &b) {
   using ::std::swap;
-  swap(a.id, b.id);
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.status, b.status);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other254) noexcept {
-  id = other254.id;
-  __isset = other254.__isset;
-}
-VoterRecord::VoterRecord(VoterRecord&& other255) noexcept {
-  id = other255.id;
-  __isset = other255.__isset;
-}
-VoterRecord& VoterRecord::operator=(const VoterRecord& other256) noexcept {
-  id = other256.id;
-  __isset = other256.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other248) {
+  logGroup = other248.logGroup;
+  proposal = other248.proposal;
+  status = other248.status;
+  index = other248.index;
+  leader = other248.leader;
+  __isset = other248.__isset;
+}
+ProposeReply::ProposeReply(ProposeReply&& other249) noexcept {
+  logGroup = other249.logGroup;
+  proposal = other249.proposal;
+  status = other249.status;
+  index = other249.index;
+  leader = std::move(other249.leader);
+  __isset = other249.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other250) {
+  logGroup = other250.logGroup;
+  proposal = other250.proposal;
+  status = other250.status;
+  index = other250.index;
+  leader = other250.leader;
+  __isset = other250.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other257) noexcept {
-  id = other257.id;
-  __isset = other257.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other251) noexcept {
+  logGroup = other251.logGroup;
+  proposal = other251.proposal;
+  status = other251.status;
+  index = other251.index;
+  leader = std::move(other251.leader);
+  __isset = other251.__isset;
   return *this;
 }
-void VoterRecord::printTo(std::ostream& out) const {
+void ProposeReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoterRecord(";
-  out << "id=" << to_string(id);
+  out << "ProposeReply(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
 
-VoteRecord::~VoteRecord() noexcept {
+LogBatch::~LogBatch() noexcept {
 }
 
 
-void VoteRecord::__set_term(const int64_t val) {
-  this->term = val;
+void LogBatch::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
 }
 
-void VoteRecord::__set_votedFor(const int64_t val) {
-  this->votedFor = val;
+void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7538,16 +7676,260 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->votedFor);
-          this->__isset.votedFor = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->entries.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
+            {
+              xfer += this->entries[_i256].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogBatch");
+
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter257;
+    for (_iter257 = this->entries.begin(); _iter257 != this->entries.end(); ++_iter257)
+    {
+      xfer += (*_iter257).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogBatch &a, LogBatch &b) {
+  using ::std::swap;
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogBatch::LogBatch(const LogBatch& other258) {
+  truncateFrom = other258.truncateFrom;
+  entries = other258.entries;
+  __isset = other258.__isset;
+}
+LogBatch::LogBatch(LogBatch&& other259) noexcept {
+  truncateFrom = other259.truncateFrom;
+  entries = std::move(other259.entries);
+  __isset = other259.__isset;
+}
+LogBatch& LogBatch::operator=(const LogBatch& other260) {
+  truncateFrom = other260.truncateFrom;
+  entries = other260.entries;
+  __isset = other260.__isset;
+  return *this;
+}
+LogBatch& LogBatch::operator=(LogBatch&& other261) noexcept {
+  truncateFrom = other261.truncateFrom;
+  entries = std::move(other261.entries);
+  __isset = other261.__isset;
+  return *this;
+}
+void LogBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogBatch(";
+  out << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+VoterRecord::~VoterRecord() noexcept {
+}
+
+
+void VoterRecord::__set_id(const int64_t val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoterRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoterRecord &a, VoterRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+VoterRecord::VoterRecord(const VoterRecord& other262) noexcept {
+  id = other262.id;
+  __isset = other262.__isset;
+}
+VoterRecord::VoterRecord(VoterRecord&& other263) noexcept {
+  id = other263.id;
+  __isset = other263.__isset;
+}
+VoterRecord& VoterRecord::operator=(const VoterRecord& other264) noexcept {
+  id = other264.id;
+  __isset = other264.__isset;
+  return *this;
+}
+VoterRecord& VoterRecord::operator=(VoterRecord&& other265) noexcept {
+  id = other265.id;
+  __isset = other265.__isset;
+  return *this;
+}
+void VoterRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoterRecord(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
+VoteRecord::~VoteRecord() noexcept {
+}
+
+
+void VoteRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void VoteRecord::__set_votedFor(const int64_t val) {
+  this->votedFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->votedFor);
+          this->__isset.votedFor = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7589,26 +7971,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other258) noexcept {
-  term = other258.term;
-  votedFor = other258.votedFor;
-  __isset = other258.__isset;
+VoteRecord::VoteRecord(const VoteRecord& other266) noexcept {
+  term = other266.term;
+  votedFor = other266.votedFor;
+  __isset = other266.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other259) noexcept {
-  term = other259.term;
-  votedFor = other259.votedFor;
-  __isset = other259.__isset;
+VoteRecord::VoteRecord(VoteRecord&& other267) noexcept {
+  term = other267.term;
+  votedFor = other267.votedFor;
+  __isset = other267.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other260) noexcept {
-  term = other260.term;
-  votedFor = other260.votedFor;
-  __isset = other260.__isset;
+VoteRecord& VoteRecord::operator=(const VoteRecord& other268) noexcept {
+  term = other268.term;
+  votedFor = other268.votedFor;
+  __isset = other268.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other261) noexcept {
-  term = other261.term;
-  votedFor = other261.votedFor;
-  __isset = other261.__isset;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other269) noexcept {
+  term = other269.term;
+  votedFor = other269.votedFor;
+  __isset = other269.__isset;
   return *this;
 }
 void VoteRecord::printTo(std::ostream& out) const {
@@ -7687,14 +8069,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->replicas.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->replicas.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
             {
-              xfer += this->replicas[_i266].read(iprot);
+              xfer += this->replicas[_i274].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7739,10 +8121,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter267;
-    for (_iter267 = this->replicas.begin(); _iter267 != this->replicas.end(); ++_iter267)
+    std::vector<Replica> ::const_iterator _iter275;
+    for (_iter275 = this->replicas.begin(); _iter275 != this->replicas.end(); ++_iter275)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter275).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7766,34 +8148,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other268) {
-  index = other268.index;
-  term = other268.term;
-  replicas = other268.replicas;
-  state = other268.state;
-  __isset = other268.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other276) {
+  index = other276.index;
+  term = other276.term;
+  replicas = other276.replicas;
+  state = other276.state;
+  __isset = other276.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other269) noexcept {
-  index = other269.index;
-  term = other269.term;
-  replicas = std::move(other269.replicas);
-  state = std::move(other269.state);
-  __isset = other269.__isset;
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other277) noexcept {
+  index = other277.index;
+  term = other277.term;
+  replicas = std::move(other277.replicas);
+  state = std::move(other277.state);
+  __isset = other277.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other270) {
-  index = other270.index;
-  term = other270.term;
-  replicas = other270.replicas;
-  state = other270.state;
-  __isset = other270.__isset;
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other278) {
+  index = other278.index;
+  term = other278.term;
+  replicas = other278.replicas;
+  state = other278.state;
+  __isset = other278.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other271) noexcept {
-  index = other271.index;
-  term = other271.term;
-  replicas = std::move(other271.replicas);
-  state = std::move(other271.state);
-  __isset = other271.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other279) noexcept {
+  index = other279.index;
+  term = other279.term;
+  replicas = std::move(other279.replicas);
+  state = std::move(other279.state);
+  __isset = other279.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -7984,46 +8366,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other272) {
-  proposal = other272.proposal;
-  member = other272.member;
-  key = other272.key;
-  contentHash = other272.contentHash;
-  dispatch = other272.dispatch;
-  backend = other272.backend;
-  backendIncarnation = other272.backendIncarnation;
-  __isset = other272.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other273) noexcept {
-  proposal = other273.proposal;
-  member = std::move(other273.member);
-  key = std::move(other273.key);
-  contentHash = other273.contentHash;
-  dispatch = std::move(other273.dispatch);
-  backend = std::move(other273.backend);
-  backendIncarnation = other273.backendIncarnation;
-  __isset = other273.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other274) {
-  proposal = other274.proposal;
-  member = other274.member;
-  key = other274.key;
-  contentHash = other274.contentHash;
-  dispatch = other274.dispatch;
-  backend = other274.backend;
-  backendIncarnation = other274.backendIncarnation;
-  __isset = other274.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other275) noexcept {
-  proposal = other275.proposal;
-  member = std::move(other275.member);
-  key = std::move(other275.key);
-  contentHash = other275.contentHash;
-  dispatch = std::move(other275.dispatch);
-  backend = std::move(other275.backend);
-  backendIncarnation = other275.backendIncarnation;
-  __isset = other275.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other280) {
+  proposal = other280.proposal;
+  member = other280.member;
+  key = other280.key;
+  contentHash = other280.contentHash;
+  dispatch = other280.dispatch;
+  backend = other280.backend;
+  backendIncarnation = other280.backendIncarnation;
+  __isset = other280.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other281) noexcept {
+  proposal = other281.proposal;
+  member = std::move(other281.member);
+  key = std::move(other281.key);
+  contentHash = other281.contentHash;
+  dispatch = std::move(other281.dispatch);
+  backend = std::move(other281.backend);
+  backendIncarnation = other281.backendIncarnation;
+  __isset = other281.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other282) {
+  proposal = other282.proposal;
+  member = other282.member;
+  key = other282.key;
+  contentHash = other282.contentHash;
+  dispatch = other282.dispatch;
+  backend = other282.backend;
+  backendIncarnation = other282.backendIncarnation;
+  __isset = other282.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other283) noexcept {
+  proposal = other283.proposal;
+  member = std::move(other283.member);
+  key = std::move(other283.key);
+  contentHash = other283.contentHash;
+  dispatch = std::move(other283.dispatch);
+  backend = std::move(other283.backend);
+  backendIncarnation = other283.backendIncarnation;
+  __isset = other283.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -8234,50 +8616,50 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other276) {
-  proposal = other276.proposal;
-  member = other276.member;
-  key = other276.key;
-  dispatch = other276.dispatch;
-  status = other276.status;
-  answerStatus = other276.answerStatus;
-  answerType = other276.answerType;
-  answer = other276.answer;
-  __isset = other276.__isset;
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other284) {
+  proposal = other284.proposal;
+  member = other284.member;
+  key = other284.key;
+  dispatch = other284.dispatch;
+  status = other284.status;
+  answerStatus = other284.answerStatus;
+  answerType = other284.answerType;
+  answer = other284.answer;
+  __isset = other284.__isset;
 }
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other277) noexcept {
-  proposal = other277.proposal;
-  member = std::move(other277.member);
-  key = std::move(other277.key);
-  dispatch = std::move(other277.dispatch);
-  status = other277.status;
-  answerStatus = other277.answerStatus;
-  answerType = std::move(other277.answerType);
-  answer = std::move(other277.answer);
-  __isset = other277.__isset;
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other285) noexcept {
+  proposal = other285.proposal;
+  member = std::move(other285.member);
+  key = std::move(other285.key);
+  dispatch = std::move(other285.dispatch);
+  status = other285.status;
+  answerStatus = other285.answerStatus;
+  answerType = std::move(other285.answerType);
+  answer = std::move(other285.answer);
+  __isset = other285.__isset;
 }
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other278) {
-  proposal = other278.proposal;
-  member = other278.member;
-  key = other278.key;
-  dispatch = other278.dispatch;
-  status = other278.status;
-  answerStatus = other278.answerStatus;
-  answerType = other278.answerType;
-  answer = other278.answer;
-  __isset = other278.__isset;
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other286) {
+  proposal = other286.proposal;
+  member = other286.member;
+  key = other286.key;
+  dispatch = other286.dispatch;
+  status = other286.status;
+  answerStatus = other286.answerStatus;
+  answerType = other286.answerType;
+  answer = other286.answer;
+  __isset = other286.__isset;
   return *this;
 }
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other279) noexcept {
-  proposal = other279.proposal;
-  member = std::move(other279.member);
-  key = std::move(other279.key);
-  dispatch = std::move(other279.dispatch);
-  status = other279.status;
-  answerStatus = other279.answerStatus;
-  answerType = std::move(other279.answerType);
-  answer = std::move(other279.answer);
-  __isset = other279.__isset;
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other287) noexcept {
+  proposal = other287.proposal;
+  member = std::move(other287.member);
+  key = std::move(other287.key);
+  dispatch = std::move(other287.dispatch);
+  status = other287.status;
+  answerStatus = other287.answerStatus;
+  answerType = std::move(other287.answerType);
+  answer = std::move(other287.answer);
+  __isset = other287.__isset;
   return *this;
 }
 void OutcomeRequest::printTo(std::ostream& out) const {
@@ -8418,18 +8800,724 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordReply &a, RecordReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.holder, b.holder);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordReply::RecordReply(const RecordReply& other288) {
+  proposal = other288.proposal;
+  verdict = other288.verdict;
+  holder = other288.holder;
+  backend = other288.backend;
+  backendIncarnation = other288.backendIncarnation;
+  answerStored = other288.answerStored;
+  answerStatus = other288.answerStatus;
+  answerType = other288.answerType;
+  answer = other288.answer;
+  __isset = other288.__isset;
+}
+RecordReply::RecordReply(RecordReply&& other289) noexcept {
+  proposal = other289.proposal;
+  verdict = other289.verdict;
+  holder = std::move(other289.holder);
+  backend = std::move(other289.backend);
+  backendIncarnation = other289.backendIncarnation;
+  answerStored = other289.answerStored;
+  answerStatus = other289.answerStatus;
+  answerType = std::move(other289.answerType);
+  answer = std::move(other289.answer);
+  __isset = other289.__isset;
+}
+RecordReply& RecordReply::operator=(const RecordReply& other290) {
+  proposal = other290.proposal;
+  verdict = other290.verdict;
+  holder = other290.holder;
+  backend = other290.backend;
+  backendIncarnation = other290.backendIncarnation;
+  answerStored = other290.answerStored;
+  answerStatus = other290.answerStatus;
+  answerType = other290.answerType;
+  answer = other290.answer;
+  __isset = other290.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other291) noexcept {
+  proposal = other291.proposal;
+  verdict = other291.verdict;
+  holder = std::move(other291.holder);
+  backend = std::move(other291.backend);
+  backendIncarnation = other291.backendIncarnation;
+  answerStored = other291.answerStored;
+  answerStatus = other291.answerStatus;
+  answerType = std::move(other291.answerType);
+  answer = std::move(other291.answer);
+  __isset = other291.__isset;
+  return *this;
+}
+void RecordReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+OutcomeReply::~OutcomeReply() noexcept {
+}
+
+
+void OutcomeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeReply &a, OutcomeReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeReply::OutcomeReply(const OutcomeReply& other292) noexcept {
+  proposal = other292.proposal;
+  verdict = other292.verdict;
+  __isset = other292.__isset;
+}
+OutcomeReply::OutcomeReply(OutcomeReply&& other293) noexcept {
+  proposal = other293.proposal;
+  verdict = other293.verdict;
+  __isset = other293.__isset;
+}
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other294) noexcept {
+  proposal = other294.proposal;
+  verdict = other294.verdict;
+  __isset = other294.__isset;
+  return *this;
+}
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other295) noexcept {
+  proposal = other295.proposal;
+  verdict = other295.verdict;
+  __isset = other295.__isset;
+  return *this;
+}
+void OutcomeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ")";
+}
+
+
+LeaseRenew::~LeaseRenew() noexcept {
+}
+
+
+void LeaseRenew::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseRenew::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void LeaseRenew::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void LeaseRenew::__set_appliedVersion(const int64_t val) {
+  this->appliedVersion = val;
+}
+
+void LeaseRenew::__set_heardVersion(const int64_t val) {
+  this->heardVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedVersion);
+          this->__isset.appliedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardVersion);
+          this->__isset.heardVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenew");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenew &a, LeaseRenew &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.appliedVersion, b.appliedVersion);
+  swap(a.heardVersion, b.heardVersion);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseRenew::LeaseRenew(const LeaseRenew& other296) {
+  sequence = other296.sequence;
+  node = other296.node;
+  zone = other296.zone;
+  appliedVersion = other296.appliedVersion;
+  heardVersion = other296.heardVersion;
+  __isset = other296.__isset;
+}
+LeaseRenew::LeaseRenew(LeaseRenew&& other297) noexcept {
+  sequence = other297.sequence;
+  node = std::move(other297.node);
+  zone = std::move(other297.zone);
+  appliedVersion = other297.appliedVersion;
+  heardVersion = other297.heardVersion;
+  __isset = other297.__isset;
+}
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other298) {
+  sequence = other298.sequence;
+  node = other298.node;
+  zone = other298.zone;
+  appliedVersion = other298.appliedVersion;
+  heardVersion = other298.heardVersion;
+  __isset = other298.__isset;
+  return *this;
+}
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other299) noexcept {
+  sequence = other299.sequence;
+  node = std::move(other299.node);
+  zone = std::move(other299.zone);
+  appliedVersion = other299.appliedVersion;
+  heardVersion = other299.heardVersion;
+  __isset = other299.__isset;
+  return *this;
+}
+void LeaseRenew::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenew(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "appliedVersion=" << to_string(appliedVersion);
+  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ")";
+}
+
+
+LeaseGrant::~LeaseGrant() noexcept {
+}
+
+
+void LeaseGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseGrant::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void LeaseGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void LeaseGrant::__set_durationMicros(const int64_t val) {
+  this->durationMicros = val;
+}
+
+void LeaseGrant::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMicros);
+          this->__isset.durationMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseGrant &a, LeaseGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.durationMicros, b.durationMicros);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseGrant::LeaseGrant(const LeaseGrant& other300) {
+  sequence = other300.sequence;
+  granted = other300.granted;
+  leaderHint = other300.leaderHint;
+  durationMicros = other300.durationMicros;
+  version = other300.version;
+  __isset = other300.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other301) noexcept {
+  sequence = other301.sequence;
+  granted = other301.granted;
+  leaderHint = std::move(other301.leaderHint);
+  durationMicros = other301.durationMicros;
+  version = other301.version;
+  __isset = other301.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other302) {
+  sequence = other302.sequence;
+  granted = other302.granted;
+  leaderHint = other302.leaderHint;
+  durationMicros = other302.durationMicros;
+  version = other302.version;
+  __isset = other302.__isset;
+  return *this;
+}
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other303) noexcept {
+  sequence = other303.sequence;
+  granted = other303.granted;
+  leaderHint = std::move(other303.leaderHint);
+  durationMicros = other303.durationMicros;
+  version = other303.version;
+  __isset = other303.__isset;
+  return *this;
+}
+void LeaseGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "durationMicros=" << to_string(durationMicros);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigPush::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigPush::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->answerType);
-          this->__isset.answerType = true;
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8446,45 +9534,21 @@
   return xfer;
 }
 
-uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordReply");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->holder.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->backend);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->backendIncarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->answerStored);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ConfigPush");
 
-  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8492,105 +9556,65 @@
   return xfer;
 }
 
-void swap(RecordReply &a, RecordReply &b) {
+void swap(ConfigPush &a, ConfigPush &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
-  swap(a.holder, b.holder);
-  swap(a.backend, b.backend);
-  swap(a.backendIncarnation, b.backendIncarnation);
-  swap(a.answerStored, b.answerStored);
-  swap(a.answerStatus, b.answerStatus);
-  swap(a.answerType, b.answerType);
-  swap(a.answer, b.answer);
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other280) {
-  proposal = other280.proposal;
-  verdict = other280.verdict;
-  holder = other280.holder;
-  backend = other280.backend;
-  backendIncarnation = other280.backendIncarnation;
-  answerStored = other280.answerStored;
-  answerStatus = other280.answerStatus;
-  answerType = other280.answerType;
-  answer = other280.answer;
-  __isset = other280.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other304) {
+  version = other304.version;
+  author = other304.author;
+  sheet = other304.sheet;
+  __isset = other304.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other281) noexcept {
-  proposal = other281.proposal;
-  verdict = other281.verdict;
-  holder = std::move(other281.holder);
-  backend = std::move(other281.backend);
-  backendIncarnation = other281.backendIncarnation;
-  answerStored = other281.answerStored;
-  answerStatus = other281.answerStatus;
-  answerType = std::move(other281.answerType);
-  answer = std::move(other281.answer);
-  __isset = other281.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other305) noexcept {
+  version = other305.version;
+  author = std::move(other305.author);
+  sheet = std::move(other305.sheet);
+  __isset = other305.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other282) {
-  proposal = other282.proposal;
-  verdict = other282.verdict;
-  holder = other282.holder;
-  backend = other282.backend;
-  backendIncarnation = other282.backendIncarnation;
-  answerStored = other282.answerStored;
-  answerStatus = other282.answerStatus;
-  answerType = other282.answerType;
-  answer = other282.answer;
-  __isset = other282.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other306) {
+  version = other306.version;
+  author = other306.author;
+  sheet = other306.sheet;
+  __isset = other306.__isset;
   return *this;
 }
-RecordReply& RecordReply::operator=(RecordReply&& other283) noexcept {
-  proposal = other283.proposal;
-  verdict = other283.verdict;
-  holder = std::move(other283.holder);
-  backend = std::move(other283.backend);
-  backendIncarnation = other283.backendIncarnation;
-  answerStored = other283.answerStored;
-  answerStatus = other283.answerStatus;
-  answerType = std::move(other283.answerType);
-  answer = std::move(other283.answer);
-  __isset = other283.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other307) noexcept {
+  version = other307.version;
+  author = std::move(other307.author);
+  sheet = std::move(other307.sheet);
+  __isset = other307.__isset;
   return *this;
 }
-void RecordReply::printTo(std::ostream& out) const {
+void ConfigPush::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RecordReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
-  out << ", " << "holder=" << to_string(holder);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
-  out << ", " << "answerStored=" << to_string(answerStored);
-  out << ", " << "answerStatus=" << to_string(answerStatus);
-  out << ", " << "answerType=" << to_string(answerType);
-  out << ", " << "answer=" << to_string(answer);
+  out << "ConfigPush(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
   out << ")";
 }
 
 
-OutcomeReply::~OutcomeReply() noexcept {
+VersionQuery::~VersionQuery() noexcept {
 }
 
 
-void OutcomeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
-
-void OutcomeReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
+void VersionQuery::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8613,16 +9637,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8639,17 +9655,13 @@
   return xfer;
 }
 
-uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OutcomeReply");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VersionQuery");
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8657,75 +9669,65 @@
   return xfer;
 }
 
-void swap(OutcomeReply &a, OutcomeReply &b) {
+void swap(VersionQuery &a, VersionQuery &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other284) noexcept {
-  proposal = other284.proposal;
-  verdict = other284.verdict;
-  __isset = other284.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other308) noexcept {
+  sequence = other308.sequence;
+  __isset = other308.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other285) noexcept {
-  proposal = other285.proposal;
-  verdict = other285.verdict;
-  __isset = other285.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other309) noexcept {
+  sequence = other309.sequence;
+  __isset = other309.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other286) noexcept {
-  proposal = other286.proposal;
-  verdict = other286.verdict;
-  __isset = other286.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other310) noexcept {
+  sequence = other310.sequence;
+  __isset = other310.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other287) noexcept {
-  proposal = other287.proposal;
-  verdict = other287.verdict;
-  __isset = other287.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other311) noexcept {
+  sequence = other311.sequence;
+  __isset = other311.__isset;
   return *this;
 }
-void OutcomeReply::printTo(std::ostream& out) const {
+void VersionQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "OutcomeReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
+  out << "VersionQuery(";
+  out << "sequence=" << to_string(sequence);
   out << ")";
 }
 
 
-LeaseRenew::~LeaseRenew() noexcept {
+VersionReply::~VersionReply() noexcept {
 }
 
 
-void LeaseRenew::__set_sequence(const int64_t val) {
+void VersionReply::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void LeaseRenew::__set_node(const std::string& val) {
-  this->node = val;
-}
-
-void LeaseRenew::__set_zone(const std::string& val) {
-  this->zone = val;
+void VersionReply::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void LeaseRenew::__set_appliedVersion(const int64_t val) {
-  this->appliedVersion = val;
+void VersionReply::__set_sheet(const std::string& val) {
+  this->sheet = val;
 }
 
-void LeaseRenew::__set_heardVersion(const int64_t val) {
-  this->heardVersion = val;
+void VersionReply::__set_zone(const std::string& val) {
+  this->zone = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8755,33 +9757,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->appliedVersion);
-          this->__isset.appliedVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->heardVersion);
-          this->__isset.heardVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8798,29 +9792,25 @@
   return xfer;
 }
 
-uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseRenew");
+  xfer += oprot->writeStructBegin("VersionReply");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8828,93 +9818,79 @@
   return xfer;
 }
 
-void swap(LeaseRenew &a, LeaseRenew &b) {
+void swap(VersionReply &a, VersionReply &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
-  swap(a.node, b.node);
+  swap(a.version, b.version);
+  swap(a.sheet, b.sheet);
   swap(a.zone, b.zone);
-  swap(a.appliedVersion, b.appliedVersion);
-  swap(a.heardVersion, b.heardVersion);
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other288) {
-  sequence = other288.sequence;
-  node = other288.node;
-  zone = other288.zone;
-  appliedVersion = other288.appliedVersion;
-  heardVersion = other288.heardVersion;
-  __isset = other288.__isset;
+VersionReply::VersionReply(const VersionReply& other312) {
+  sequence = other312.sequence;
+  version = other312.version;
+  sheet = other312.sheet;
+  zone = other312.zone;
+  __isset = other312.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other289) noexcept {
-  sequence = other289.sequence;
-  node = std::move(other289.node);
-  zone = std::move(other289.zone);
-  appliedVersion = other289.appliedVersion;
-  heardVersion = other289.heardVersion;
-  __isset = other289.__isset;
+VersionReply::VersionReply(VersionReply&& other313) noexcept {
+  sequence = other313.sequence;
+  version = other313.version;
+  sheet = std::move(other313.sheet);
+  zone = std::move(other313.zone);
+  __isset = other313.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other290) {
-  sequence = other290.sequence;
-  node = other290.node;
-  zone = other290.zone;
-  appliedVersion = other290.appliedVersion;
-  heardVersion = other290.heardVersion;
-  __isset = other290.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other314) {
+  sequence = other314.sequence;
+  version = other314.version;
+  sheet = other314.sheet;
+  zone = other314.zone;
+  __isset = other314.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other291) noexcept {
-  sequence = other291.sequence;
-  node = std::move(other291.node);
-  zone = std::move(other291.zone);
-  appliedVersion = other291.appliedVersion;
-  heardVersion = other291.heardVersion;
-  __isset = other291.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other315) noexcept {
+  sequence = other315.sequence;
+  version = other315.version;
+  sheet = std::move(other315.sheet);
+  zone = std::move(other315.zone);
+  __isset = other315.__isset;
   return *this;
 }
-void LeaseRenew::printTo(std::ostream& out) const {
+void VersionReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseRenew(";
+  out << "VersionReply(";
   out << "sequence=" << to_string(sequence);
-  out << ", " << "node=" << to_string(node);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sheet=" << to_string(sheet);
   out << ", " << "zone=" << to_string(zone);
-  out << ", " << "appliedVersion=" << to_string(appliedVersion);
-  out << ", " << "heardVersion=" << to_string(heardVersion);
   out << ")";
 }
 
 
-LeaseGrant::~LeaseGrant() noexcept {
+FenceQuery::~FenceQuery() noexcept {
 }
 
 
-void LeaseGrant::__set_sequence(const int64_t val) {
+void FenceQuery::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void LeaseGrant::__set_granted(const bool val) {
-  this->granted = val;
-}
-
-void LeaseGrant::__set_leaderHint(const Endpoint& val) {
-  this->leaderHint = val;
-}
-
-void LeaseGrant::__set_durationMicros(const int64_t val) {
-  this->durationMicros = val;
+void FenceQuery::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void LeaseGrant::__set_version(const int64_t val) {
-  this->version = val;
+void FenceQuery::__set_agentIncarnation(const int64_t val) {
+  this->agentIncarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+std::ostream& operator<<(std::ostream& out, const FenceQuery& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FenceQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8944,33 +9920,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaderHint.read(iprot);
-          this->__isset.leaderHint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->durationMicros);
-          this->__isset.durationMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->agentIncarnation);
+          this->__isset.agentIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8987,29 +9947,21 @@
   return xfer;
 }
 
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FenceQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
+  xfer += oprot->writeStructBegin("FenceQuery");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->leaderHint.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->backend);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->agentIncarnation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9017,85 +9969,81 @@
   return xfer;
 }
 
-void swap(LeaseGrant &a, LeaseGrant &b) {
+void swap(FenceQuery &a, FenceQuery &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
-  swap(a.granted, b.granted);
-  swap(a.leaderHint, b.leaderHint);
-  swap(a.durationMicros, b.durationMicros);
-  swap(a.version, b.version);
+  swap(a.backend, b.backend);
+  swap(a.agentIncarnation, b.agentIncarnation);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other292) {
-  sequence = other292.sequence;
-  granted = other292.granted;
-  leaderHint = other292.leaderHint;
-  durationMicros = other292.durationMicros;
-  version = other292.version;
-  __isset = other292.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other316) {
+  sequence = other316.sequence;
+  backend = other316.backend;
+  agentIncarnation = other316.agentIncarnation;
+  __isset = other316.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other293) noexcept {
-  sequence = other293.sequence;
-  granted = other293.granted;
-  leaderHint = std::move(other293.leaderHint);
-  durationMicros = other293.durationMicros;
-  version = other293.version;
-  __isset = other293.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other317) noexcept {
+  sequence = other317.sequence;
+  backend = std::move(other317.backend);
+  agentIncarnation = other317.agentIncarnation;
+  __isset = other317.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other294) {
-  sequence = other294.sequence;
-  granted = other294.granted;
-  leaderHint = other294.leaderHint;
-  durationMicros = other294.durationMicros;
-  version = other294.version;
-  __isset = other294.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other318) {
+  sequence = other318.sequence;
+  backend = other318.backend;
+  agentIncarnation = other318.agentIncarnation;
+  __isset = other318.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other295) noexcept {
-  sequence = other295.sequence;
-  granted = other295.granted;
-  leaderHint = std::move(other295.leaderHint);
-  durationMicros = other295.durationMicros;
-  version = other295.version;
-  __isset = other295.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other319) noexcept {
+  sequence = other319.sequence;
+  backend = std::move(other319.backend);
+  agentIncarnation = other319.agentIncarnation;
+  __isset = other319.__isset;
   return *this;
 }
-void LeaseGrant::printTo(std::ostream& out) const {
+void FenceQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
+  out << "FenceQuery(";
   out << "sequence=" << to_string(sequence);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "leaderHint=" << to_string(leaderHint);
-  out << ", " << "durationMicros=" << to_string(durationMicros);
-  out << ", " << "version=" << to_string(version);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
   out << ")";
 }
 
 
-ConfigPush::~ConfigPush() noexcept {
+FenceReply::~FenceReply() noexcept {
 }
 
 
-void ConfigPush::__set_version(const int64_t val) {
-  this->version = val;
+void FenceReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void ConfigPush::__set_author(const std::string& val) {
-  this->author = val;
+void FenceReply::__set_agentIncarnation(const int64_t val) {
+  this->agentIncarnation = val;
 }
 
-void ConfigPush::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void FenceReply::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+
+void FenceReply::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void FenceReply::__set_fence(const int64_t val) {
+  this->fence = val;
+}
+std::ostream& operator<<(std::ostream& out, const FenceReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FenceReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9118,24 +10066,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agentIncarnation);
+          this->__isset.agentIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fence);
+          this->__isset.fence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9152,21 +10116,29 @@
   return xfer;
 }
 
-uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FenceReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPush");
+  xfer += oprot->writeStructBegin("FenceReply");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->agentIncarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->fence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
