@@ -9174,65 +10146,93 @@
   return xfer;
 }
 
-void swap(ConfigPush &a, ConfigPush &b) {
+void swap(FenceReply &a, FenceReply &b) {
   using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.author, b.author);
-  swap(a.sheet, b.sheet);
+  swap(a.sequence, b.sequence);
+  swap(a.agentIncarnation, b.agentIncarnation);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.fence, b.fence);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other296) {
-  version = other296.version;
-  author = other296.author;
-  sheet = other296.sheet;
-  __isset = other296.__isset;
-}
-ConfigPush::ConfigPush(ConfigPush&& other297) noexcept {
-  version = other297.version;
-  author = std::move(other297.author);
-  sheet = std::move(other297.sheet);
-  __isset = other297.__isset;
-}
-ConfigPush& ConfigPush::operator=(const ConfigPush& other298) {
-  version = other298.version;
-  author = other298.author;
-  sheet = other298.sheet;
-  __isset = other298.__isset;
+FenceReply::FenceReply(const FenceReply& other320) {
+  sequence = other320.sequence;
+  agentIncarnation = other320.agentIncarnation;
+  granted = other320.granted;
+  leaderHint = other320.leaderHint;
+  fence = other320.fence;
+  __isset = other320.__isset;
+}
+FenceReply::FenceReply(FenceReply&& other321) noexcept {
+  sequence = other321.sequence;
+  agentIncarnation = other321.agentIncarnation;
+  granted = other321.granted;
+  leaderHint = std::move(other321.leaderHint);
+  fence = other321.fence;
+  __isset = other321.__isset;
+}
+FenceReply& FenceReply::operator=(const FenceReply& other322) {
+  sequence = other322.sequence;
+  agentIncarnation = other322.agentIncarnation;
+  granted = other322.granted;
+  leaderHint = other322.leaderHint;
+  fence = other322.fence;
+  __isset = other322.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other299) noexcept {
-  version = other299.version;
-  author = std::move(other299.author);
-  sheet = std::move(other299.sheet);
-  __isset = other299.__isset;
+FenceReply& FenceReply::operator=(FenceReply&& other323) noexcept {
+  sequence = other323.sequence;
+  agentIncarnation = other323.agentIncarnation;
+  granted = other323.granted;
+  leaderHint = std::move(other323.leaderHint);
+  fence = other323.fence;
+  __isset = other323.__isset;
   return *this;
 }
-void ConfigPush::printTo(std::ostream& out) const {
+void FenceReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigPush(";
-  out << "version=" << to_string(version);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "sheet=" << to_string(sheet);
+  out << "FenceReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "fence=" << to_string(fence);
   out << ")";
 }
 
 
-VersionQuery::~VersionQuery() noexcept {
+FencedOrder::~FencedOrder() noexcept {
 }
 
 
-void VersionQuery::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void FencedOrder::__set_backend(const std::string& val) {
+  this->backend = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+
+void FencedOrder::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void FencedOrder::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void FencedOrder::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void FencedOrder::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FencedOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FencedOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9254,9 +10254,41 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9273,13 +10305,29 @@
   return xfer;
 }
 
-uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FencedOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionQuery");
+  xfer += oprot->writeStructBegin("FencedOrder");
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9287,65 +10335,85 @@
   return xfer;
 }
 
-void swap(VersionQuery &a, VersionQuery &b) {
+void swap(FencedOrder &a, FencedOrder &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
+  swap(a.backend, b.backend);
+  swap(a.token, b.token);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other300) noexcept {
-  sequence = other300.sequence;
-  __isset = other300.__isset;
-}
-VersionQuery::VersionQuery(VersionQuery&& other301) noexcept {
-  sequence = other301.sequence;
-  __isset = other301.__isset;
-}
-VersionQuery& VersionQuery::operator=(const VersionQuery& other302) noexcept {
-  sequence = other302.sequence;
-  __isset = other302.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other324) {
+  backend = other324.backend;
+  token = other324.token;
+  kind = other324.kind;
+  name = other324.name;
+  bytes = other324.bytes;
+  __isset = other324.__isset;
+}
+FencedOrder::FencedOrder(FencedOrder&& other325) noexcept {
+  backend = std::move(other325.backend);
+  token = other325.token;
+  kind = other325.kind;
+  name = std::move(other325.name);
+  bytes = other325.bytes;
+  __isset = other325.__isset;
+}
+FencedOrder& FencedOrder::operator=(const FencedOrder& other326) {
+  backend = other326.backend;
+  token = other326.token;
+  kind = other326.kind;
+  name = other326.name;
+  bytes = other326.bytes;
+  __isset = other326.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other303) noexcept {
-  sequence = other303.sequence;
-  __isset = other303.__isset;
+FencedOrder& FencedOrder::operator=(FencedOrder&& other327) noexcept {
+  backend = std::move(other327.backend);
+  token = other327.token;
+  kind = other327.kind;
+  name = std::move(other327.name);
+  bytes = other327.bytes;
+  __isset = other327.__isset;
   return *this;
 }
-void VersionQuery::printTo(std::ostream& out) const {
+void FencedOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionQuery(";
-  out << "sequence=" << to_string(sequence);
+  out << "FencedOrder(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-VersionReply::~VersionReply() noexcept {
+OrderReply::~OrderReply() noexcept {
 }
 
 
-void VersionReply::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void VersionReply::__set_version(const int64_t val) {
-  this->version = val;
+void OrderReply::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void VersionReply::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void OrderReply::__set_token(const int64_t val) {
+  this->token = val;
 }
 
-void VersionReply::__set_zone(const std::string& val) {
-  this->zone = val;
+void OrderReply::__set_status(const int32_t val) {
+  this->status = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+std::ostream& operator<<(std::ostream& out, const OrderReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OrderReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9367,33 +10435,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9410,25 +10470,21 @@
   return xfer;
 }
 
-uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrderReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionReply");
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("OrderReply");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9436,52 +10492,46 @@
   return xfer;
 }
 
-void swap(VersionReply &a, VersionReply &b) {
+void swap(OrderReply &a, OrderReply &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.version, b.version);
-  swap(a.sheet, b.sheet);
-  swap(a.zone, b.zone);
+  swap(a.backend, b.backend);
+  swap(a.token, b.token);
+  swap(a.status, b.status);
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other304) {
-  sequence = other304.sequence;
-  version = other304.version;
-  sheet = other304.sheet;
-  zone = other304.zone;
-  __isset = other304.__isset;
+OrderReply::OrderReply(const OrderReply& other328) {
+  backend = other328.backend;
+  token = other328.token;
+  status = other328.status;
+  __isset = other328.__isset;
 }
-VersionReply::VersionReply(VersionReply&& other305) noexcept {
-  sequence = other305.sequence;
-  version = other305.version;
-  sheet = std::move(other305.sheet);
-  zone = std::move(other305.zone);
-  __isset = other305.__isset;
+OrderReply::OrderReply(OrderReply&& other329) noexcept {
+  backend = std::move(other329.backend);
+  token = other329.token;
+  status = other329.status;
+  __isset = other329.__isset;
 }
-VersionReply& VersionReply::operator=(const VersionReply& other306) {
-  sequence = other306.sequence;
-  version = other306.version;
-  sheet = other306.sheet;
-  zone = other306.zone;
-  __isset = other306.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other330) {
+  backend = other330.backend;
+  token = other330.token;
+  status = other330.status;
+  __isset = other330.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other307) noexcept {
-  sequence = other307.sequence;
-  version = other307.version;
-  sheet = std::move(other307.sheet);
-  zone = std::move(other307.zone);
-  __isset = other307.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other331) noexcept {
+  backend = std::move(other331.backend);
+  token = other331.token;
+  status = other331.status;
+  __isset = other331.__isset;
   return *this;
 }
-void VersionReply::printTo(std::ostream& out) const {
+void OrderReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionReply(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "sheet=" << to_string(sheet);
-  out << ", " << "zone=" << to_string(zone);
+  out << "OrderReply(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "status=" << to_string(status);
   out << ")";
 }
 
@@ -9612,34 +10662,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other308) {
-  version = other308.version;
-  changeId = other308.changeId;
-  author = other308.author;
-  sheetHash = other308.sheetHash;
-  __isset = other308.__isset;
-}
-StateVersion::StateVersion(StateVersion&& other309) noexcept {
-  version = other309.version;
-  changeId = std::move(other309.changeId);
-  author = std::move(other309.author);
-  sheetHash = other309.sheetHash;
-  __isset = other309.__isset;
-}
-StateVersion& StateVersion::operator=(const StateVersion& other310) {
-  version = other310.version;
-  changeId = other310.changeId;
-  author = other310.author;
-  sheetHash = other310.sheetHash;
-  __isset = other310.__isset;
+StateVersion::StateVersion(const StateVersion& other332) {
+  version = other332.version;
+  changeId = other332.changeId;
+  author = other332.author;
+  sheetHash = other332.sheetHash;
+  __isset = other332.__isset;
+}
+StateVersion::StateVersion(StateVersion&& other333) noexcept {
+  version = other333.version;
+  changeId = std::move(other333.changeId);
+  author = std::move(other333.author);
+  sheetHash = other333.sheetHash;
+  __isset = other333.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other334) {
+  version = other334.version;
+  changeId = other334.changeId;
+  author = other334.author;
+  sheetHash = other334.sheetHash;
+  __isset = other334.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other311) noexcept {
-  version = other311.version;
-  changeId = std::move(other311.changeId);
-  author = std::move(other311.author);
-  sheetHash = other311.sheetHash;
-  __isset = other311.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other335) noexcept {
+  version = other335.version;
+  changeId = std::move(other335.changeId);
+  author = std::move(other335.author);
+  sheetHash = other335.sheetHash;
+  __isset = other335.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -9813,42 +10863,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other312) {
-  changeId = other312.changeId;
-  baseVersion = other312.baseVersion;
-  sheetHash = other312.sheetHash;
-  verdict = other312.verdict;
-  version = other312.version;
-  winner = other312.winner;
-  __isset = other312.__isset;
-}
-StateChange::StateChange(StateChange&& other313) noexcept {
-  changeId = std::move(other313.changeId);
-  baseVersion = other313.baseVersion;
-  sheetHash = other313.sheetHash;
-  verdict = other313.verdict;
-  version = other313.version;
-  winner = std::move(other313.winner);
-  __isset = other313.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other314) {
-  changeId = other314.changeId;
-  baseVersion = other314.baseVersion;
-  sheetHash = other314.sheetHash;
-  verdict = other314.verdict;
-  version = other314.version;
-  winner = other314.winner;
-  __isset = other314.__isset;
+StateChange::StateChange(const StateChange& other336) {
+  changeId = other336.changeId;
+  baseVersion = other336.baseVersion;
+  sheetHash = other336.sheetHash;
+  verdict = other336.verdict;
+  version = other336.version;
+  winner = other336.winner;
+  __isset = other336.__isset;
+}
+StateChange::StateChange(StateChange&& other337) noexcept {
+  changeId = std::move(other337.changeId);
+  baseVersion = other337.baseVersion;
+  sheetHash = other337.sheetHash;
+  verdict = other337.verdict;
+  version = other337.version;
+  winner = std::move(other337.winner);
+  __isset = other337.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other338) {
+  changeId = other338.changeId;
+  baseVersion = other338.baseVersion;
+  sheetHash = other338.sheetHash;
+  verdict = other338.verdict;
+  version = other338.version;
+  winner = other338.winner;
+  __isset = other338.__isset;
   return *this;
 }
-StateChange& StateChange::operator=(StateChange&& other315) noexcept {
-  changeId = std::move(other315.changeId);
-  baseVersion = other315.baseVersion;
-  sheetHash = other315.sheetHash;
-  verdict = other315.verdict;
-  version = other315.version;
-  winner = std::move(other315.winner);
-  __isset = other315.__isset;
+StateChange& StateChange::operator=(StateChange&& other339) noexcept {
+  changeId = std::move(other339.changeId);
+  baseVersion = other339.baseVersion;
+  sheetHash = other339.sheetHash;
+  verdict = other339.verdict;
+  version = other339.version;
+  winner = std::move(other339.winner);
+  __isset = other339.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -10109,62 +11159,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other316) {
-  member = other316.member;
-  key = other316.key;
-  contentHash = other316.contentHash;
-  dispatch = other316.dispatch;
-  backend = other316.backend;
-  backendIncarnation = other316.backendIncarnation;
-  status = other316.status;
-  answerStored = other316.answerStored;
-  answerStatus = other316.answerStatus;
-  answerType = other316.answerType;
-  answer = other316.answer;
-  __isset = other316.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other317) noexcept {
-  member = std::move(other317.member);
-  key = std::move(other317.key);
-  contentHash = other317.contentHash;
-  dispatch = std::move(other317.dispatch);
-  backend = std::move(other317.backend);
-  backendIncarnation = other317.backendIncarnation;
-  status = other317.status;
-  answerStored = other317.answerStored;
-  answerStatus = other317.answerStatus;
-  answerType = std::move(other317.answerType);
-  answer = std::move(other317.answer);
-  __isset = other317.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other318) {
-  member = other318.member;
-  key = other318.key;
-  contentHash = other318.contentHash;
-  dispatch = other318.dispatch;
-  backend = other318.backend;
-  backendIncarnation = other318.backendIncarnation;
-  status = other318.status;
-  answerStored = other318.answerStored;
-  answerStatus = other318.answerStatus;
-  answerType = other318.answerType;
-  answer = other318.answer;
-  __isset = other318.__isset;
+StateRecord::StateRecord(const StateRecord& other340) {
+  member = other340.member;
+  key = other340.key;
+  contentHash = other340.contentHash;
+  dispatch = other340.dispatch;
+  backend = other340.backend;
+  backendIncarnation = other340.backendIncarnation;
+  status = other340.status;
+  answerStored = other340.answerStored;
+  answerStatus = other340.answerStatus;
+  answerType = other340.answerType;
+  answer = other340.answer;
+  __isset = other340.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other341) noexcept {
+  member = std::move(other341.member);
+  key = std::move(other341.key);
+  contentHash = other341.contentHash;
+  dispatch = std::move(other341.dispatch);
+  backend = std::move(other341.backend);
+  backendIncarnation = other341.backendIncarnation;
+  status = other341.status;
+  answerStored = other341.answerStored;
+  answerStatus = other341.answerStatus;
+  answerType = std::move(other341.answerType);
+  answer = std::move(other341.answer);
+  __isset = other341.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other342) {
+  member = other342.member;
+  key = other342.key;
+  contentHash = other342.contentHash;
+  dispatch = other342.dispatch;
+  backend = other342.backend;
+  backendIncarnation = other342.backendIncarnation;
+  status = other342.status;
+  answerStored = other342.answerStored;
+  answerStatus = other342.answerStatus;
+  answerType = other342.answerType;
+  answer = other342.answer;
+  __isset = other342.__isset;
   return *this;
 }
-StateRecord& StateRecord::operator=(StateRecord&& other319) noexcept {
-  member = std::move(other319.member);
-  key = std::move(other319.key);
-  contentHash = other319.contentHash;
-  dispatch = std::move(other319.dispatch);
-  backend = std::move(other319.backend);
-  backendIncarnation = other319.backendIncarnation;
-  status = other319.status;
-  answerStored = other319.answerStored;
-  answerStatus = other319.answerStatus;
-  answerType = std::move(other319.answerType);
-  answer = std::move(other319.answer);
-  __isset = other319.__isset;
+StateRecord& StateRecord::operator=(StateRecord&& other343) noexcept {
+  member = std::move(other343.member);
+  key = std::move(other343.key);
+  contentHash = other343.contentHash;
+  dispatch = std::move(other343.dispatch);
+  backend = std::move(other343.backend);
+  backendIncarnation = other343.backendIncarnation;
+  status = other343.status;
+  answerStored = other343.answerStored;
+  answerStatus = other343.answerStatus;
+  answerType = std::move(other343.answerType);
+  answer = std::move(other343.answer);
+  __isset = other343.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -10185,6 +11235,151 @@
 }
 
 
+StateOrder::~StateOrder() noexcept {
+}
+
+
+void StateOrder::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void StateOrder::__set_order(const OrderSubmission& val) {
+  this->order = val;
+}
+
+void StateOrder::__set_status(const int32_t val) {
+  this->status = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->order.read(iprot);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateOrder");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->order.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateOrder &a, StateOrder &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+  swap(a.order, b.order);
+  swap(a.status, b.status);
+  swap(a.__isset, b.__isset);
+}
+
+StateOrder::StateOrder(const StateOrder& other344) {
+  token = other344.token;
+  order = other344.order;
+  status = other344.status;
+  __isset = other344.__isset;
+}
+StateOrder::StateOrder(StateOrder&& other345) noexcept {
+  token = other345.token;
+  order = std::move(other345.order);
+  status = other345.status;
+  __isset = other345.__isset;
+}
+StateOrder& StateOrder::operator=(const StateOrder& other346) {
+  token = other346.token;
+  order = other346.order;
+  status = other346.status;
+  __isset = other346.__isset;
+  return *this;
+}
+StateOrder& StateOrder::operator=(StateOrder&& other347) noexcept {
+  token = other347.token;
+  order = std::move(other347.order);
+  status = other347.status;
+  __isset = other347.__isset;
+  return *this;
+}
+void StateOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateOrder(";
+  out << "token=" << to_string(token);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "status=" << to_string(status);
+  out << ")";
+}
+
+
 StateSnapshot::~StateSnapshot() noexcept {
 }
 
@@ -10228,6 +11423,11 @@
 void StateSnapshot::__set_records(const std::vector<StateRecord> & val) {
   this->records = val;
 }
+
+void StateSnapshot::__set_orders(const std::vector<StateOrder> & val) {
+  this->orders = val;
+__isset.orders = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -10284,14 +11484,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->replicas.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->replicas.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->replicas[_i324].read(iprot);
+              xfer += this->replicas[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10320,14 +11520,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size325;
-            ::apache::thrift::protocol::TType _etype328;
-            xfer += iprot->readListBegin(_etype328, _size325);
-            this->versions.resize(_size325);
-            uint32_t _i329;
-            for (_i329 = 0; _i329 < _size325; ++_i329)
+            uint32_t _size353;
+            ::apache::thrift::protocol::TType _etype356;
+            xfer += iprot->readListBegin(_etype356, _size353);
+            this->versions.resize(_size353);
+            uint32_t _i357;
+            for (_i357 = 0; _i357 < _size353; ++_i357)
             {
-              xfer += this->versions[_i329].read(iprot);
+              xfer += this->versions[_i357].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10340,14 +11540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->changes.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->changes.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->changes[_i334].read(iprot);
+              xfer += this->changes[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10368,14 +11568,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->records.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size363;
+            ::apache::thrift::protocol::TType _etype366;
+            xfer += iprot->readListBegin(_etype366, _size363);
+            this->records.resize(_size363);
+            uint32_t _i367;
+            for (_i367 = 0; _i367 < _size363; ++_i367)
             {
-              xfer += this->records[_i339].read(iprot);
+              xfer += this->records[_i367].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10384,6 +11584,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _etype371;
+            xfer += iprot->readListBegin(_etype371, _size368);
+            this->orders.resize(_size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
+            {
+              xfer += this->orders[_i372].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10416,10 +11636,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter340;
-    for (_iter340 = this->replicas.begin(); _iter340 != this->replicas.end(); ++_iter340)
+    std::vector<Replica> ::const_iterator _iter373;
+    for (_iter373 = this->replicas.begin(); _iter373 != this->replicas.end(); ++_iter373)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10436,10 +11656,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter341;
-    for (_iter341 = this->versions.begin(); _iter341 != this->versions.end(); ++_iter341)
+    std::vector<StateVersion> ::const_iterator _iter374;
+    for (_iter374 = this->versions.begin(); _iter374 != this->versions.end(); ++_iter374)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter374).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10448,10 +11668,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter342;
-    for (_iter342 = this->changes.begin(); _iter342 != this->changes.end(); ++_iter342)
+    std::vector<StateChange> ::const_iterator _iter375;
+    for (_iter375 = this->changes.begin(); _iter375 != this->changes.end(); ++_iter375)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter375).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10464,15 +11684,28 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter343;
-    for (_iter343 = this->records.begin(); _iter343 != this->records.end(); ++_iter343)
+    std::vector<StateRecord> ::const_iterator _iter376;
+    for (_iter376 = this->records.begin(); _iter376 != this->records.end(); ++_iter376)
     {
-      xfer += (*_iter343).write(oprot);
+      xfer += (*_iter376).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.orders) {
+    xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+      std::vector<StateOrder> ::const_iterator _iter377;
+      for (_iter377 = this->orders.begin(); _iter377 != this->orders.end(); ++_iter377)
+      {
+        xfer += (*_iter377).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10490,61 +11723,66 @@
   swap(a.changes, b.changes);
   swap(a.clockMicros, b.clockMicros);
   swap(a.records, b.records);
+  swap(a.orders, b.orders);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other344) {
-  formatVersion = other344.formatVersion;
-  lastIndex = other344.lastIndex;
-  lastTerm = other344.lastTerm;
-  replicas = other344.replicas;
-  current = other344.current;
-  sheet = other344.sheet;
-  versions = other344.versions;
-  changes = other344.changes;
-  clockMicros = other344.clockMicros;
-  records = other344.records;
-  __isset = other344.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other345) noexcept {
-  formatVersion = other345.formatVersion;
-  lastIndex = other345.lastIndex;
-  lastTerm = other345.lastTerm;
-  replicas = std::move(other345.replicas);
-  current = std::move(other345.current);
-  sheet = std::move(other345.sheet);
-  versions = std::move(other345.versions);
-  changes = std::move(other345.changes);
-  clockMicros = other345.clockMicros;
-  records = std::move(other345.records);
-  __isset = other345.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other346) {
-  formatVersion = other346.formatVersion;
-  lastIndex = other346.lastIndex;
-  lastTerm = other346.lastTerm;
-  replicas = other346.replicas;
-  current = other346.current;
-  sheet = other346.sheet;
-  versions = other346.versions;
-  changes = other346.changes;
-  clockMicros = other346.clockMicros;
-  records = other346.records;
-  __isset = other346.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other378) {
+  formatVersion = other378.formatVersion;
+  lastIndex = other378.lastIndex;
+  lastTerm = other378.lastTerm;
+  replicas = other378.replicas;
+  current = other378.current;
+  sheet = other378.sheet;
+  versions = other378.versions;
+  changes = other378.changes;
+  clockMicros = other378.clockMicros;
+  records = other378.records;
+  orders = other378.orders;
+  __isset = other378.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other379) noexcept {
+  formatVersion = other379.formatVersion;
+  lastIndex = other379.lastIndex;
+  lastTerm = other379.lastTerm;
+  replicas = std::move(other379.replicas);
+  current = std::move(other379.current);
+  sheet = std::move(other379.sheet);
+  versions = std::move(other379.versions);
+  changes = std::move(other379.changes);
+  clockMicros = other379.clockMicros;
+  records = std::move(other379.records);
+  orders = std::move(other379.orders);
+  __isset = other379.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other380) {
+  formatVersion = other380.formatVersion;
+  lastIndex = other380.lastIndex;
+  lastTerm = other380.lastTerm;
+  replicas = other380.replicas;
+  current = other380.current;
+  sheet = other380.sheet;
+  versions = other380.versions;
+  changes = other380.changes;
+  clockMicros = other380.clockMicros;
+  records = other380.records;
+  orders = other380.orders;
+  __isset = other380.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other347) noexcept {
-  formatVersion = other347.formatVersion;
-  lastIndex = other347.lastIndex;
-  lastTerm = other347.lastTerm;
-  replicas = std::move(other347.replicas);
-  current = std::move(other347.current);
-  sheet = std::move(other347.sheet);
-  versions = std::move(other347.versions);
-  changes = std::move(other347.changes);
-  clockMicros = other347.clockMicros;
-  records = std::move(other347.records);
-  __isset = other347.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other381) noexcept {
+  formatVersion = other381.formatVersion;
+  lastIndex = other381.lastIndex;
+  lastTerm = other381.lastTerm;
+  replicas = std::move(other381.replicas);
+  current = std::move(other381.current);
+  sheet = std::move(other381.sheet);
+  versions = std::move(other381.versions);
+  changes = std::move(other381.changes);
+  clockMicros = other381.clockMicros;
+  records = std::move(other381.records);
+  orders = std::move(other381.orders);
+  __isset = other381.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -10560,6 +11798,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "clockMicros=" << to_string(clockMicros);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "orders="; (__isset.orders ? (out << to_string(orders)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10656,26 +11895,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other348) noexcept {
-  protocolVersion = other348.protocolVersion;
-  messageType = other348.messageType;
-  __isset = other348.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other382) noexcept {
+  protocolVersion = other382.protocolVersion;
+  messageType = other382.messageType;
+  __isset = other382.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other349) noexcept {
-  protocolVersion = other349.protocolVersion;
-  messageType = other349.messageType;
-  __isset = other349.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other383) noexcept {
+  protocolVersion = other383.protocolVersion;
+  messageType = other383.messageType;
+  __isset = other383.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other350) noexcept {
-  protocolVersion = other350.protocolVersion;
-  messageType = other350.messageType;
-  __isset = other350.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other384) noexcept {
+  protocolVersion = other384.protocolVersion;
+  messageType = other384.messageType;
+  __isset = other384.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other351) noexcept {
-  protocolVersion = other351.protocolVersion;
-  messageType = other351.messageType;
-  __isset = other351.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other385) noexcept {
+  protocolVersion = other385.protocolVersion;
+  messageType = other385.messageType;
+  __isset = other385.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -85,6 +85,10 @@
 
 class RecordOutcome;
 
+class OrderSubmission;
+
+class OrderCompletion;
+
 class Command;
 
 class LogEntry;
@@ -133,12 +137,22 @@
 
 class VersionReply;
 
+class FenceQuery;
+
+class FenceReply;
+
+class FencedOrder;
+
+class OrderReply;
+
 class StateVersion;
 
 class StateChange;
 
 class StateRecord;
 
+class StateOrder;
+
 class StateSnapshot;
 
 class FrameHeader;
@@ -2119,13 +2133,147 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordOutcome& obj);
 
+typedef struct _OrderSubmission__isset {
+  _OrderSubmission__isset() : changeId(false), author(false), backend(false), kind(false), name(false), bytes(false) {}
+  bool changeId :1;
+  bool author :1;
+  bool backend :1;
+  bool kind :1;
+  bool name :1;
+  bool bytes :1;
+} _OrderSubmission__isset;
+
+class OrderSubmission : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderSubmission(const OrderSubmission&);
+  OrderSubmission(OrderSubmission&&) noexcept;
+  OrderSubmission& operator=(const OrderSubmission&);
+  OrderSubmission& operator=(OrderSubmission&&) noexcept;
+  OrderSubmission() noexcept
+                  : changeId(),
+                    author(),
+                    backend(),
+                    kind(0),
+                    name(),
+                    bytes(0) {
+  }
+
+  virtual ~OrderSubmission() noexcept;
+  std::string changeId;
+  std::string author;
+  std::string backend;
+  int32_t kind;
+  std::string name;
+  int64_t bytes;
+
+  _OrderSubmission__isset __isset;
+
+  void __set_changeId(const std::string& val);
+
+  void __set_author(const std::string& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_name(const std::string& val);
+
+  void __set_bytes(const int64_t val);
+
+  bool operator == (const OrderSubmission & rhs) const
+  {
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderSubmission &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderSubmission & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderSubmission &a, OrderSubmission &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderSubmission& obj);
+
+typedef struct _OrderCompletion__isset {
+  _OrderCompletion__isset() : token(false), status(false) {}
+  bool token :1;
+  bool status :1;
+} _OrderCompletion__isset;
+
+class OrderCompletion : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderCompletion(const OrderCompletion&) noexcept;
+  OrderCompletion(OrderCompletion&&) noexcept;
+  OrderCompletion& operator=(const OrderCompletion&) noexcept;
+  OrderCompletion& operator=(OrderCompletion&&) noexcept;
+  OrderCompletion() noexcept
+                  : token(0),
+                    status(0) {
+  }
+
+  virtual ~OrderCompletion() noexcept;
+  int64_t token;
+  int32_t status;
+
+  _OrderCompletion__isset __isset;
+
+  void __set_token(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  bool operator == (const OrderCompletion & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderCompletion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderCompletion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderCompletion &a, OrderCompletion &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderCompletion& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false) {}
+  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false), orderSubmission(false), orderCompletion(false) {}
   bool noOperation :1;
   bool replicaChange :1;
   bool configChange :1;
   bool recordClaim :1;
   bool recordOutcome :1;
+  bool orderSubmission :1;
+  bool orderCompletion :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2144,6 +2292,8 @@
   ConfigChange configChange;
   RecordClaim recordClaim;
   RecordOutcome recordOutcome;
+  OrderSubmission orderSubmission;
+  OrderCompletion orderCompletion;
 
   _Command__isset __isset;
 
@@ -2157,6 +2307,10 @@
 
   void __set_recordOutcome(const RecordOutcome& val);
 
+  void __set_orderSubmission(const OrderSubmission& val);
+
+  void __set_orderCompletion(const OrderCompletion& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.noOperation != rhs.__isset.noOperation)
@@ -2179,6 +2333,14 @@
       return false;
     else if (__isset.recordOutcome && !(recordOutcome == rhs.recordOutcome))
       return false;
+    if (__isset.orderSubmission != rhs.__isset.orderSubmission)
+      return false;
+    else if (__isset.orderSubmission && !(orderSubmission == rhs.orderSubmission))
+      return false;
+    if (__isset.orderCompletion != rhs.__isset.orderCompletion)
+      return false;
+    else if (__isset.orderCompletion && !(orderCompletion == rhs.orderCompletion))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -3747,6 +3909,269 @@
 
 std::ostream& operator<<(std::ostream& out, const VersionReply& obj);
 
+typedef struct _FenceQuery__isset {
+  _FenceQuery__isset() : sequence(false), backend(false), agentIncarnation(false) {}
+  bool sequence :1;
+  bool backend :1;
+  bool agentIncarnation :1;
+} _FenceQuery__isset;
+
+class FenceQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  FenceQuery(const FenceQuery&);
+  FenceQuery(FenceQuery&&) noexcept;
+  FenceQuery& operator=(const FenceQuery&);
+  FenceQuery& operator=(FenceQuery&&) noexcept;
+  FenceQuery() noexcept
+             : sequence(0),
+               backend(),
+               agentIncarnation(0) {
+  }
+
+  virtual ~FenceQuery() noexcept;
+  int64_t sequence;
+  std::string backend;
+  int64_t agentIncarnation;
+
+  _FenceQuery__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_agentIncarnation(const int64_t val);
+
+  bool operator == (const FenceQuery & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(agentIncarnation == rhs.agentIncarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const FenceQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FenceQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FenceQuery &a, FenceQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const FenceQuery& obj);
+
+typedef struct _FenceReply__isset {
+  _FenceReply__isset() : sequence(false), agentIncarnation(false), granted(false), leaderHint(false), fence(false) {}
+  bool sequence :1;
+  bool agentIncarnation :1;
+  bool granted :1;
+  bool leaderHint :1;
+  bool fence :1;
+} _FenceReply__isset;
+
+class FenceReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  FenceReply(const FenceReply&);
+  FenceReply(FenceReply&&) noexcept;
+  FenceReply& operator=(const FenceReply&);
+  FenceReply& operator=(FenceReply&&) noexcept;
+  FenceReply() noexcept
+             : sequence(0),
+               agentIncarnation(0),
+               granted(0),
+               fence(0) {
+  }
+
+  virtual ~FenceReply() noexcept;
+  int64_t sequence;
+  int64_t agentIncarnation;
+  bool granted;
+  Endpoint leaderHint;
+  int64_t fence;
+
+  _FenceReply__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_agentIncarnation(const int64_t val);
+
+  void __set_granted(const bool val);
+
+  void __set_leaderHint(const Endpoint& val);
+
+  void __set_fence(const int64_t val);
+
+  bool operator == (const FenceReply & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(agentIncarnation == rhs.agentIncarnation))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(leaderHint == rhs.leaderHint))
+      return false;
+    if (!(fence == rhs.fence))
+      return false;
+    return true;
+  }
+  bool operator != (const FenceReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FenceReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FenceReply &a, FenceReply &b);
+
+std::ostream& operator<<(std::ostream& out, const FenceReply& obj);
+
+typedef struct _FencedOrder__isset {
+  _FencedOrder__isset() : backend(false), token(false), kind(false), name(false), bytes(false) {}
+  bool backend :1;
+  bool token :1;
+  bool kind :1;
+  bool name :1;
+  bool bytes :1;
+} _FencedOrder__isset;
+
+class FencedOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  FencedOrder(const FencedOrder&);
+  FencedOrder(FencedOrder&&) noexcept;
+  FencedOrder& operator=(const FencedOrder&);
+  FencedOrder& operator=(FencedOrder&&) noexcept;
+  FencedOrder() noexcept
+              : backend(),
+                token(0),
+                kind(0),
+                name(),
+                bytes(0) {
+  }
+
+  virtual ~FencedOrder() noexcept;
+  std::string backend;
+  int64_t token;
+  int32_t kind;
+  std::string name;
+  int64_t bytes;
+
+  _FencedOrder__isset __isset;
+
+  void __set_backend(const std::string& val);
+
+  void __set_token(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_name(const std::string& val);
+
+  void __set_bytes(const int64_t val);
+
+  bool operator == (const FencedOrder & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const FencedOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FencedOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FencedOrder &a, FencedOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const FencedOrder& obj);
+
+typedef struct _OrderReply__isset {
+  _OrderReply__isset() : backend(false), token(false), status(false) {}
+  bool backend :1;
+  bool token :1;
+  bool status :1;
+} _OrderReply__isset;
+
+class OrderReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderReply(const OrderReply&);
+  OrderReply(OrderReply&&) noexcept;
+  OrderReply& operator=(const OrderReply&);
+  OrderReply& operator=(OrderReply&&) noexcept;
+  OrderReply() noexcept
+             : backend(),
+               token(0),
+               status(0) {
+  }
+
+  virtual ~OrderReply() noexcept;
+  std::string backend;
+  int64_t token;
+  int32_t status;
+
+  _OrderReply__isset __isset;
+
+  void __set_backend(const std::string& val);
+
+  void __set_token(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  bool operator == (const OrderReply & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderReply &a, OrderReply &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderReply& obj);
+
 typedef struct _StateVersion__isset {
   _StateVersion__isset() : version(false), changeId(false), author(false), sheetHash(false) {}
   bool version :1;
@@ -4006,8 +4431,66 @@
 
 std::ostream& operator<<(std::ostream& out, const StateRecord& obj);
 
+typedef struct _StateOrder__isset {
+  _StateOrder__isset() : token(false), order(false), status(false) {}
+  bool token :1;
+  bool order :1;
+  bool status :1;
+} _StateOrder__isset;
+
+class StateOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateOrder(const StateOrder&);
+  StateOrder(StateOrder&&) noexcept;
+  StateOrder& operator=(const StateOrder&);
+  StateOrder& operator=(StateOrder&&) noexcept;
+  StateOrder() noexcept
+             : token(0),
+               status(0) {
+  }
+
+  virtual ~StateOrder() noexcept;
+  int64_t token;
+  OrderSubmission order;
+  int32_t status;
+
+  _StateOrder__isset __isset;
+
+  void __set_token(const int64_t val);
+
+  void __set_order(const OrderSubmission& val);
+
+  void __set_status(const int32_t val);
+
+  bool operator == (const StateOrder & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    return true;
+  }
+  bool operator != (const StateOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateOrder &a, StateOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StateOrder& obj);
+
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false) {}
+  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false), orders(true) {}
   bool formatVersion :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -4018,6 +4501,7 @@
   bool changes :1;
   bool clockMicros :1;
   bool records :1;
+  bool orders :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -4033,6 +4517,7 @@
                   lastTerm(0),
                   sheet(),
                   clockMicros(0) {
+
   }
 
   virtual ~StateSnapshot() noexcept;
@@ -4046,6 +4531,7 @@
   std::vector<StateChange>  changes;
   int64_t clockMicros;
   std::vector<StateRecord>  records;
+  std::vector<StateOrder>  orders;
 
   _StateSnapshot__isset __isset;
 
@@ -4069,6 +4555,8 @@
 
   void __set_records(const std::vector<StateRecord> & val);
 
+  void __set_orders(const std::vector<StateOrder> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -4091,6 +4579,10 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.orders != rhs.__isset.orders)
+      return false;
+    else if (__isset.orders && !(orders == rhs.orders))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -15,6 +15,7 @@
 #include "io/link.h"
 #include "io/loop.h"
 #include "io/metrics.h"
+#include "io/order_api.h"
 #include "radishroute/reducer.h"
 
 namespace radishroute {
@@ -64,6 +65,11 @@
         std::make_unique<engine_api>(loop_, engine, [this](event&& e) { Apply(std::move(e)); });
   }
 
+  void SendOrders(const endpoint& engine) {
+    orders_ =
+        std::make_unique<order_api>(loop_, engine, [this](event&& e) { Apply(std::move(e)); });
+  }
+
   /// Delivers an event from another thread; false if the queue is full, which is counted.
   bool Post(event e) {
     auto shared = std::make_shared<event>(std::move(e));
@@ -155,6 +161,12 @@
     // State that breaks an invariant must not serve anyone.
     if (e.event.code == event_code::kInvariantViolated) std::abort();
   }
+  void Execute(const start_engine_order& e) {
+    if (orders_) orders_->Execute(e);
+  }
+  void Execute(const cancel_engine_order& e) {
+    if (orders_) orders_->Execute(e);
+  }
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
   void Execute(const count_retry& e) { CountRetry(e.reason); }
@@ -176,6 +188,7 @@
   link_transport links_;
   std::unique_ptr<caller_api> callers_;
   std::unique_ptr<engine_api> engine_;
+  std::unique_ptr<order_api> orders_;
   node_hooks hooks_;
   random_source random_;
   effect_list effects_;
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -9,6 +9,7 @@
 #include "io/wire_discovery.h"
 #include "io/wire_failure.h"
 #include "io/wire_log.h"
+#include "io/wire_orders.h"
 #include "io/wire_records.h"
 #include "io/wire_traffic.h"
 
@@ -68,7 +69,11 @@
     wire_entry<55, lease_grant, wire::LeaseGrant>,            //
     wire_entry<56, config_push, wire::ConfigPush>,            //
     wire_entry<57, version_query, wire::VersionQuery>,        //
-    wire_entry<58, version_reply, wire::VersionReply>>;
+    wire_entry<58, version_reply, wire::VersionReply>,        //
+    wire_entry<80, fence_query, wire::FenceQuery>,            //
+    wire_entry<81, fence_reply, wire::FenceReply>,            //
+    wire_entry<82, fenced_order, wire::FencedOrder>,          //
+    wire_entry<83, order_reply, wire::OrderReply>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -102,6 +102,19 @@
   return r;
 }
 
+wire::StateOrder ToWire(const order_record& r) {
+  wire::StateOrder w;
+  w.token = Signed(r.token);
+  w.order = radishroute::ToWire(r.order);
+  w.status = EnumToWire(r.status);
+  return w;
+}
+
+order_record FromWire(const wire::StateOrder& w, bool& ok) {
+  return {Unsigned(w.token), radishroute::FromWire(w.order, ok),
+          EnumFromWire(w.status, order_status::kQueueFull, ok)};
+}
+
 template <class From, class To>
 void ToWireList(const std::vector<From>& from, std::vector<To>& to) {
   to.reserve(from.size());
@@ -126,6 +139,8 @@
   ToWireList(state.config.changes, w.changes);
   w.clockMicros = MicrosToWire(state.records.clock.time_since_epoch());
   ToWireList(state.records.records, w.records);
+  ToWireList(state.orders, w.orders);
+  w.__isset.orders = true;
   return w;
 }
 
@@ -139,6 +154,7 @@
   FromWireList(w.changes, out.config.changes, ok);
   out.records.clock = wall_time(std::chrono::microseconds(w.clockMicros));
   FromWireList(w.records, out.records.records, ok);
+  FromWireList(w.orders, out.orders, ok);
 }
 
 }  // namespace
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -82,6 +82,18 @@
       return "config-lease-gained";
     case event_code::kLeaderFound:
       return "leader-found";
+    case event_code::kOrderCommitted:
+      return "order-committed";
+    case event_code::kOrderEnded:
+      return "order-ended";
+    case event_code::kOrderFenceLearned:
+      return "order-fence-learned";
+    case event_code::kOrderRefusedStale:
+      return "order-refused-stale";
+    case event_code::kOrderRetried:
+      return "order-retried";
+    case event_code::kEngineOrderFinished:
+      return "engine-order-finished";
     case event_code::kInvariantViolated:
       return "invariant-violated";
   }
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -42,7 +42,12 @@
                                                                   "outcomes_not_stored",
                                                                   "stored_answers_served",
                                                                   "dispatches_resolved",
-                                                                  "retries_over_budget"};
+                                                                  "retries_over_budget",
+                                                                  "orders_sent",
+                                                                  "orders_done",
+                                                                  "orders_failed",
+                                                                  "orders_retried",
+                                                                  "orders_refused_stale"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/raft_log.cc
+++ b/src/raft_log.cc
@@ -23,6 +23,10 @@
 std::size_t VariableSize(const record_outcome& c) {
   return c.member.size() + c.key.size() + c.answer_type.size() + c.answer.size();
 }
+std::size_t VariableSize(const order_submission& c) {
+  return c.change_id.size() + c.author.size() + c.backend.size() + c.name.size();
+}
+std::size_t VariableSize(const order_completion&) { return 0; }
 
 bool IsVoter(const std::vector<replica>& replicas, voter_id id) {
   const replica* found = FindReplica(replicas, id);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -94,6 +94,10 @@
   backend.Read("progress_timeout_ms", out.progress_timeout, std::chrono::milliseconds(100),
                std::chrono::minutes(10));
   backend.Read("checks_fencing", out.checks_fencing);
+  backend.Read("order_timeout_ms", out.order_timeout, std::chrono::milliseconds(100),
+               std::chrono::hours(1));
+  backend.Read("order_settle_ms", out.order_settle, std::chrono::milliseconds(0),
+               std::chrono::hours(1));
   backend.Finish();
   reader.Finish();
   return out;
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -100,6 +100,8 @@
   6: string answerType
   7: binary answer
 }
+struct OrderSubmission { 1: string changeId; 2: string author; 3: string backend; 4: i32 kind; 5: string name; 6: i64 bytes }
+struct OrderCompletion { 1: i64 token; 2: i32 status }
 // Exactly one field is set.
 struct Command {
   1: optional NoOperation noOperation
@@ -107,6 +109,8 @@
   3: optional ConfigChange configChange
   4: optional RecordClaim recordClaim
   5: optional RecordOutcome recordOutcome
+  10: optional OrderSubmission orderSubmission
+  11: optional OrderCompletion orderCompletion
 }
 struct LogEntry { 1: i64 term; 2: i64 index; 3: Command body }
 struct RaftHeader { 1: i32 logGroup; 2: i64 sender; 3: i64 recipient; 4: i64 term }
@@ -193,6 +197,12 @@
 struct VersionQuery { 1: i64 sequence }
 struct VersionReply { 1: i64 sequence; 2: i64 version; 3: binary sheet; 4: string zone }
 
+// Fenced orders. `messageType` numbers 80-89.
+struct FenceQuery { 1: i64 sequence; 2: string backend; 3: i64 agentIncarnation }
+struct FenceReply { 1: i64 sequence; 2: i64 agentIncarnation; 3: bool granted; 4: Endpoint leaderHint; 5: i64 fence }
+struct FencedOrder { 1: string backend; 2: i64 token; 3: i32 kind; 4: string name; 5: i64 bytes }
+struct OrderReply { 1: string backend; 2: i64 token; 3: i32 status }
+
 // Contents of a snapshot of the state machine.
 struct StateVersion { 1: i64 version; 2: string changeId; 3: string author; 4: i64 sheetHash }
 struct StateChange {
@@ -216,6 +226,7 @@
   10: string answerType
   11: binary answer
 }
+struct StateOrder { 1: i64 token; 2: OrderSubmission order; 3: i32 status }
 struct StateSnapshot {
   1: i32 formatVersion
   2: i64 lastIndex
@@ -227,6 +238,7 @@
   8: list<StateChange> changes
   9: i64 clockMicros
   10: list<StateRecord> records
+  20: optional list<StateOrder> orders = []
 }
 
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
