--- a/tests/order_random_test.cc
+++ b/tests/order_random_test.cc
@@ -33,7 +33,7 @@
       At(Delay(40000), [this, i] { Submit("c-" + std::to_string(i)); });
     }
     for (int i = 0; i < 6; ++i) At(Delay(50000), [this] { RestartAgent(); });
-    for (int i = 0; i < 6; ++i) At(Delay(50000), [this] { leader_ = random_() % kControllers; });
+    for (int i = 0; i < 6; ++i) At(Delay(50000), [this] { ChangeLeader(); });
     // Former leaders send the order that they hold to be the oldest pending one.
     for (int i = 0; i < 60; ++i) At(Delay(60000), [this] { WakeFormerLeader(); });
     At(std::chrono::milliseconds(60000), [this] { faults_ = false; });
@@ -132,6 +132,12 @@
     });
   }
 
+  // The new leader begins a term without sessions and proposals, as in controller_log.h.
+  void ChangeLeader() {
+    leader_ = random_() % kControllers;
+    controllers_[leader_].server.StepDown();
+  }
+
   void WakeFormerLeader() {
     std::size_t which = random_() % kControllers;
     if (which == leader_) return;
