--- a/tests/e2e/orders_test.py
+++ b/tests/e2e/orders_test.py
@@ -13,6 +13,8 @@
 
 from cluster import Cluster, free_address, wait_until
 
+SETTLE_MS = 1500
+
 
 def order(cluster, backend, *arguments, timeout_ms=20000):
     """Runs `order` against all controllers and returns the finished process."""
@@ -60,15 +62,14 @@
         return text in file.read()
 
 
-def add_agent(cluster, name, fencing):
-    # No weight store listens, so that an order with weights fails.
+def add_agent(cluster, name, fencing, weight_store):
     engine = cluster.add_engine(name + "-engine", [
-        "--fencing", fencing, "--model", "draft", "--weight-store", free_address()])
+        "--fencing", fencing, "--model", "draft", "--weight-store", weight_store])
     settings = {
         "node": name, "zone": "a", "traffic_listen": free_address(),
         "admin_listen": free_address(), "controllers": cluster.control_addresses(),
         "entries": [e["control_listen"] for e in cluster.entries.values()],
-        "backend": {"address": engine, "models": ["draft"], "order_settle_ms": 1500,
+        "backend": {"address": engine, "models": ["draft"], "order_settle_ms": SETTLE_MS,
                     "order_timeout_ms": 5000, "checks_fencing": fencing == "check"}}
     cluster.start_with_settings("agent", settings)
     return settings
@@ -76,7 +77,8 @@
 
 def check_kind(cluster, fencing):
     name = f"agent-{fencing}"
-    settings = add_agent(cluster, name, fencing)
+    # No weight store listens, so that an order with weights fails.
+    settings = add_agent(cluster, name, fencing, free_address())
     first = done(order(cluster, name, "--load-model", "m-1", "--change-id", f"{fencing}-1"))
     # Guards against a resend that makes a second order, or that hides a conflict.
     again = done(order(cluster, name, "--load-model", "m-1", "--change-id", f"{fencing}-1"))
@@ -172,6 +174,27 @@
     assert tokens == sorted(tokens), tokens
 
 
+def check_agent_loss(cluster):
+    """Kills the agent while its engine, which ignores tokens, loads weights for an order."""
+    store, name = free_address(), "agent-slow"
+    cluster.start("weights", ["engine", "--kind", "weights", "--listen", store,
+                              "--weight-rate", "1000"])
+    settings = add_agent(cluster, name, "ignore", store)
+    results = {}
+    sender = threading.Thread(target=lambda: results.update(
+        load=order(cluster, name, "--load-model", "m-4", "--bytes", "1500")))
+    sender.start()
+    # The load takes 1.5 s after the first settling time.
+    time.sleep(SETTLE_MS / 1000 + 0.8)
+    cluster.kill(name)
+    restarted = time.monotonic()
+    cluster.start_with_settings("agent", settings)
+    sender.join()
+    done(results["load"])
+    # Guards against an order that overtakes the one still on its way to the engine.
+    assert time.monotonic() - restarted >= SETTLE_MS / 1000 + 1.5
+
+
 def main():
     with Cluster(sys.argv[1]) as cluster:
         cluster.add_controllers(["a", "a", "a"])
@@ -180,6 +203,7 @@
         for fencing in ("check", "ignore"):
             settings = check_kind(cluster, fencing)
             check_leader_loss(cluster, settings)
+        check_agent_loss(cluster)
         # Guards against an order for an unknown backend server that looks carried out.
         nobody = order(cluster, "nobody", "--load-model", "x", timeout_ms=1000)
         assert nobody.returncode == 1, nobody
