--- a/tests/order_test.cc
+++ b/tests/order_test.cc
@@ -26,14 +26,14 @@
   std::vector<command> proposed;
 };
 
-const endpoint kLeader{"10.0.0.1", 1};
+const endpoint leader_address{"10.0.0.1", 1};
 constexpr link_id kLink{5};
 
 /// An agent's order client whose link to the leader is open.
 struct client_fixture {
-  explicit client_fixture(bool checks) : client(Settings(checks), {kLeader}) {
+  explicit client_fixture(bool checks) : client(Settings(checks), {leader_address}) {
     context.Do([&](auto& ctx) { client.Handle(process_started{}, ctx); });
-    context.Do([&](auto& ctx) { client.Handle(link_opened{kLink, {}, kLeader}, ctx); });
+    context.Do([&](auto& ctx) { client.Handle(link_opened{kLink, {}, leader_address}, ctx); });
   }
   static order_client_settings Settings(bool checks) {
     return {"engine-1", 3, std::chrono::seconds(10), std::chrono::seconds(5), checks};
@@ -192,9 +192,9 @@
 // Guards against requests for a new model that no entry routes to the engine that loaded it.
 TEST_CASE("an order that was carried out is announced") {
   fake_context context;
-  announcer out({}, {kLeader});
+  announcer out({}, {leader_address});
   context.Do([&](auto& ctx) { out.Handle(process_started{}, ctx); });
-  context.Do([&](auto& ctx) { out.Handle(link_opened{kLink, {}, kLeader}, ctx); });
+  context.Do([&](auto& ctx) { out.Handle(link_opened{kLink, {}, leader_address}, ctx); });
   auto finish = [&](order_kind kind, order_status status) {
     engine_order_finished e{{"engine-1", 1, kind, "x", 0}, status};
     context.Do([&](auto& ctx) { out.Handle(e, ctx); });
@@ -230,9 +230,9 @@
   auto q = std::get<fence_query>(round_trip(fence_query{1, "e", 2}));
   CHECK(q.sequence == 1);
   CHECK(q.agent_incarnation == 2);
-  auto f = std::get<fence_reply>(round_trip(fence_reply{1, 2, true, kLeader, 3}));
+  auto f = std::get<fence_reply>(round_trip(fence_reply{1, 2, true, leader_address, 3}));
   CHECK(f.granted);
-  CHECK(f.leader_hint == kLeader);
+  CHECK(f.leader_hint == leader_address);
   CHECK(f.fence == 3);
 }
 
