--- a/benchmark/log_benchmark.cc
+++ b/benchmark/log_benchmark.cc
@@ -60,7 +60,7 @@
     auto node = std::make_unique<node_type>(
         self, node_type::handlers{[this](const proposal_finished& e) { OnFinished(e); }, nullptr});
     std::error_code error =
-        node->Open(folder_ + "/replica-" + std::to_string(i), Self(i), bootstrap);
+        node->Open(folder_ + "/replica-" + std::to_string(i), Self(i), Self(i).address, bootstrap);
     if (error) {
       std::cerr << error.message() << "\n";
       _exit(1);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -20,6 +20,7 @@
     {"apply", "put a sheet in force as a new configuration version", radishroute::RunApply},
     {"status", "show the state of the controllers", radishroute::RunStatus},
     {"drain", "ask an entry or agent to finish its work and stop", radishroute::RunDrain},
+    {"order", "give an engine a fenced order", radishroute::RunOrder},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
     {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
     {"load", "send requests and check every answer", radishroute::RunLoad},
--- a/src/config_admin.cc
+++ b/src/config_admin.cc
@@ -5,8 +5,6 @@
 
 namespace radishroute {
 
-namespace {
-
 // A change id is part of a URL path.
 bool IsChangeId(const std::string& id) {
   constexpr std::string_view kAllowed =
@@ -14,6 +12,8 @@
   return !id.empty() && id.size() <= 64 && id.find_first_not_of(kAllowed) == std::string::npos;
 }
 
+namespace {
+
 // The leases of a new leader name no zone that it cannot reach; the replicas name it all the same,
 // so that an operator sees a zone that is cut off.
 in_force_report ReportInForce(const state_machine& state, const config_leases& leases,
