--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/group_command.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -88,7 +89,9 @@
     replica_change,            //
     config_change,             //
     record_claim,              //
-    record_outcome>;
+    record_outcome,            //
+    group_change,              //
+    group_pin>;
 
 /// Position and content of one log entry.
 struct log_entry {
--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "radishroute/config_leases.h"
+#include "radishroute/group_server.h"
 #include "radishroute/raft.h"
 #include "radishroute/record_server.h"
 #include "radishroute/state_machine.h"
@@ -24,6 +25,7 @@
     std::uint64_t version = state_.Config().Version();
     apply_result result = state_.Apply(entry, ctx);
     records_.OnApplied(entry, result, state_.Records(), ctx);
+    groups_.OnApplied(entry, result, state_.Groups(), ctx);
     if (state_.Config().Version() != version) leases_.OnCommitted(state_.Config(), ctx);
   }
 
@@ -34,11 +36,14 @@
   record_server& Records() { return records_; }
   config_leases& Leases() { return leases_; }
   const config_leases& Leases() const { return leases_; }
+  group_server& Groups() { return groups_; }
+  const group_server& Groups() const { return groups_; }
 
  private:
   replicated_state<Codec> state_;
   record_server records_;
   config_leases leases_;
+  group_server groups_;
 };
 
 /// A controller's replica of the log, which serves entries while it leads.
@@ -82,6 +87,24 @@
     if (serving_) log_.Machine().Records().OnOutcome(link, m, log_, ctx);
   }
 
+  void Handle(link_id link, const group_report& m, reduce_context& ctx) {
+    // Only a leader that has applied all committed entries knows every step that was granted.
+    if (!serving_ || !Core().IsCurrent(ctx.now)) {
+      group_grant refused;
+      refused.sequence = m.sequence;
+      refused.group = m.group;
+      refused.leader_hint = Core().LeaderAddress();
+      ctx.Emit(send_message{link, std::move(refused)});
+      return;
+    }
+    log_.Machine().Groups().OnReport(link, m, State().Groups(), log_, ctx);
+  }
+
+  void Handle(const placement_planned& e, reduce_context& ctx) {
+    if (!serving_) return;
+    log_.Machine().Groups().OnPlanned(*e.result, State().Groups(), log_, ctx);
+  }
+
   void Handle(link_id link, const lease_renew& m, reduce_context& ctx) {
     // A leader without its own lease may have been replaced and must not vouch for a version.
     if (!Core().IsCurrent(ctx.now)) {
@@ -97,6 +120,11 @@
   const raft_core& Core() const { return log_.Core(); }
   const state_machine& State() const { return log_.Machine().State(); }
   const config_leases& Leases() const { return log_.Machine().Leases(); }
+  const group_server& Groups() const { return log_.Machine().Groups(); }
+  /// To be called before the first event.
+  void ServeGroups(const group_settings& settings) {
+    log_.Machine().Groups() = group_server(settings);
+  }
 
  private:
   void FollowRole(reduce_context& ctx) {
@@ -104,6 +132,7 @@
     if (serving_ && (!leads || Core().Term() != term_)) {
       log_.Machine().Records().StepDown();
       log_.Machine().Leases().StepDown();
+      log_.Machine().Groups().StepDown();
       serving_ = false;
     }
     if (!serving_ && Core().IsCurrent(ctx.now)) {
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -11,10 +11,12 @@
 
 #include "radishroute/clock.h"
 #include "radishroute/error.h"
+#include "radishroute/group_plan.h"
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
 #include "radishroute/raft_event.h"
+#include "radishroute/rank_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
@@ -184,7 +186,9 @@
     share_engine_status,      //
     probe_engine,             //
     store_log,                //
-    proposal_finished>;
+    proposal_finished,        //
+    plan_placement,           //
+    call_rank>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -4,8 +4,10 @@
 #include <variant>
 
 #include "radishroute/failure_event.h"
+#include "radishroute/group_plan.h"
 #include "radishroute/link_event.h"
 #include "radishroute/raft_event.h"
+#include "radishroute/rank_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/traffic_event.h"
 
@@ -35,7 +37,9 @@
     claim_submitted,          //
     outcome_submitted,        //
     claim_answered,           //
-    outcome_answered>;
+    outcome_answered,         //
+    placement_planned,        //
+    rank_answered>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/expert_map.h
+++ b/include/radishroute/expert_map.h
@@ -46,6 +46,14 @@
 using group_command =
     std::variant<create_group, extend_steps, propose_map, activate_map, abandon_map, retire_map>;
 
+/// Contents of a group's record, for snapshots.
+struct group_image {
+  std::uint32_t ranks = 0;
+  std::vector<step_range> ranges;
+  std::uint64_t proposed = 0;
+  std::uint64_t highest_map = 0;
+};
+
 enum class group_result : std::uint8_t { kApplied, kStale, kConflict };
 
 /// Replicated record of one group: which steps have been granted under which map. What it has
@@ -60,6 +68,11 @@
   std::uint64_t ActiveMap() const { return ranges_.empty() ? 0 : ranges_.back().map_version; }
   std::uint64_t LastStep() const { return ranges_.empty() ? 0 : ranges_.back().last; }
   std::optional<std::uint64_t> ProposedMap() const { return proposed_; }
+  std::uint64_t HighestMap() const { return highest_map_; }
+
+  group_image Save() const;
+  /// False if the image contradicts itself; the record is then empty.
+  bool Load(group_image image);
 
  private:
   group_result Handle(const create_group& c);
@@ -142,14 +155,18 @@
   /// Takes a report; returns the command to propose, if any. At most one command is outstanding.
   std::optional<group_command> Handle(const group_record& record, const rank_report& report);
 
+  /// Step that every rank has completed; nothing until every rank has reported.
+  std::optional<std::uint64_t> SlowestStep(const group_record& record) const;
+
   /// Answer to a rank after its report.
   step_grant GrantFor(const group_record& record, const rank_report& report) const;
 
+  /// A command that the caller proposed by itself counts as the outstanding one.
+  void OnProposed() { outstanding_ = true; }
   /// The outstanding command was applied or failed.
   void OnCommandDone() { outstanding_ = false; }
 
  private:
-  std::optional<std::uint64_t> SlowestStep(const group_record& record) const;
   bool AllLoaded(const group_record& record, std::uint64_t map_version) const;
   std::optional<group_command> Next(const group_record& record) const;
 
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -49,6 +49,13 @@
   kConfigLeaseLost = 603,
   kConfigLeaseGained = 604,
   kLeaderFound = 605,
+  kGroupCreated = 720,
+  kMapProposed = 721,
+  kMapActivated = 722,
+  kRankReportRefused = 723,
+  kRankPastGrant = 724,
+  kGroupPinned = 725,
+  kGroupUnpinned = 726,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -6,6 +6,7 @@
 #include "radishroute/config_message.h"
 #include "radishroute/discovery_message.h"
 #include "radishroute/failure_message.h"
+#include "radishroute/group_message.h"
 #include "radishroute/raft_message.h"
 #include "radishroute/record_message.h"
 #include "radishroute/traffic_message.h"
@@ -64,7 +65,9 @@
     lease_grant,               //
     config_push,               //
     version_query,             //
-    version_reply>;
+    version_reply,             //
+    group_report,              //
+    group_grant>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -47,9 +47,16 @@
   kStoredAnswersServed,
   kDispatchesResolved,
   kRetriesOverBudget,
+  kStepsGranted,
+  kPlacementsPlanned,
+  kPlacementsNotWorth,
+  kMapsActivated,
+  kMapBytesMoved,
+  kRankReportsRefused,
+  kRankCallsFailed,
 };
 
-inline constexpr std::size_t kCounterCount = 38;
+inline constexpr std::size_t kCounterCount = 45;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "radishroute/discovery_message.h"
+#include "radishroute/group_settings.h"
 #include "radishroute/log_event.h"
 #include "radishroute/types.h"
 
@@ -75,6 +76,7 @@
   /// Longest pause of a stream before its engine counts as stalled.
   std::chrono::milliseconds progress_timeout{2000};
   bool checks_fencing = false;
+  group_membership group;
 };
 
 struct controller_settings {
@@ -86,6 +88,7 @@
   std::string admin_token;
   /// Data folder.
   std::string data;
+  group_settings groups;
 };
 
 /// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -9,6 +9,7 @@
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
 #include "radishroute/link_monitor.h"
+#include "radishroute/rank_agent.h"
 #include "radishroute/requests.h"
 #include "radishroute/state_codec.h"
 
@@ -20,6 +21,7 @@
   std::optional<announcer> announcements;
   std::optional<controller_log<thrift_state_codec>> log;
   std::optional<config_client> config;
+  std::optional<rank_agent> rank;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/include/radishroute/state_machine.h
+++ b/include/radishroute/state_machine.h
@@ -12,6 +12,7 @@
 #include "radishroute/command.h"
 #include "radishroute/config.h"
 #include "radishroute/error.h"
+#include "radishroute/expert_groups.h"
 #include "radishroute/records.h"
 
 namespace radishroute {
@@ -23,6 +24,7 @@
   std::vector<replica> replicas;
   config_image config;
   records_image records;
+  groups_image groups;
 };
 
 /// Encodes and decodes snapshots. Decode returns kSnapshotCorrupt for any damage.
@@ -33,7 +35,8 @@
 };
 
 /// Result of one log entry; monostate for entries without one.
-using apply_result = std::variant<std::monostate, change_result, claim_result, outcome_verdict>;
+using apply_result =
+    std::variant<std::monostate, change_result, claim_result, outcome_verdict, group_result>;
 
 /// Applied hard state. The same entries give the same state and results on every replica.
 class state_machine {
@@ -46,6 +49,7 @@
 
   const config_document& Config() const { return config_; }
   const record_table& Records() const { return records_; }
+  const group_table& Groups() const { return groups_; }
   const std::vector<replica>& Replicas() const { return replicas_; }
   std::uint64_t LastIndex() const { return last_index_; }
   std::uint64_t LastTerm() const { return last_term_; }
@@ -69,12 +73,19 @@
   apply_result ApplyBody(const record_outcome& outcome, reduce_context& ctx) {
     return records_.Apply(outcome, ctx);
   }
+  apply_result ApplyBody(const group_change& change, reduce_context& ctx) {
+    return groups_.Apply(change, ctx);
+  }
+  apply_result ApplyBody(const group_pin& pin, reduce_context& ctx) {
+    return groups_.Apply(pin, ctx);
+  }
 
   std::uint64_t last_index_ = 0;
   std::uint64_t last_term_ = 0;
   std::vector<replica> replicas_;
   config_document config_;
   record_table records_;
+  group_table groups_;
 };
 
 /// A state machine with the interface that the log needs; the codec is chosen by the adapter.
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -59,6 +59,10 @@
     control_ = std::make_unique<node_thread<P>>(self, node_hooks{});
     control_->State().control.announcements.emplace(MakeAnnouncement(settings_, self),
                                                     settings_.entries);
+    if (!settings_.group.group.empty()) {
+      control_->State().control.rank.emplace(settings_.group, settings_.controllers);
+      control_->CallEngine(settings_.engine);
+    }
     admin_ = std::make_unique<admin_api>(control_->Loop(), nullptr);
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
 
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -140,10 +140,51 @@
     std::cout << (r.value("voting", false) ? "voter " : "learner ") << r.value("id", "") << " zone "
               << r.value("zone", "") << " " << r.value("address", "") << "\n";
   }
+  for (const json& g : status.value("groups", json::array())) {
+    std::cout << "group " << g.value("group", "") << ": map " << g.value("map_in_force", 0)
+              << " in force, ";
+    if (g.value("proposed_map", 0) != 0) std::cout << g.value("proposed_map", 0) << " proposed, ";
+    std::cout << "step " << g.value("step", std::uint64_t{0}) << " of "
+              << g.value("steps_granted", std::uint64_t{0}) << " granted, skew "
+              << g.value("skew", 0.0) << ", " << g.value("changes", 0) << " changes, "
+              << g.value("bytes_moved", std::uint64_t{0}) << " bytes moved"
+              << (g.value("pinned", false) ? ", pinned" : "") << "\n";
+    if (!g.value("reason", "").empty())
+      std::cout << "  last change: " << g.value("reason", "") << "\n";
+  }
 }
 
 }  // namespace
 
+int RunPin(int argc, char** argv) {
+  cxxopts::Options options("radishroute pin", "Keeps the expert map of a group in force.");
+  AddCommonOptions(options);
+  options.add_options()("group", "name of the group", cxxopts::value<std::string>())(
+      "off", "allow changes of the map again");
+  int exit = kExitSuccess;
+  auto parsed = ParseOptions(options, argc, argv, exit);
+  if (!parsed) return exit;
+  if (parsed->count("group") == 0) {
+    std::cerr << "--group is required\n";
+    return kExitUsage;
+  }
+  auto client = MakeClient(*parsed);
+  if (!client) return kExitUsage;
+  QuietLibwebsockets();
+  auto timeout = std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>());
+  json pin = {{"group", (*parsed)["group"].as<std::string>()},
+              {"pinned", parsed->count("off") == 0}};
+  steady_time end = std::chrono::steady_clock::now() + timeout;
+  while (true) {
+    // The request is repeated until it meets the applied state, also over a change of leader.
+    auto answer = client->Call("/v1/groups", pin.dump(), timeout);
+    if (answer && answer->status == 200) return kExitSuccess;
+    if (!answer || answer->status != 202) return PrintFailure(answer);
+    if (std::chrono::steady_clock::now() >= end) return PrintFailure(std::nullopt);
+    operator_client::Pause(kPollInterval);
+  }
+}
+
 int RunApply(int argc, char** argv) {
   cxxopts::Options options("radishroute apply", "Puts a sheet in force as a new version.");
   AddCommonOptions(options);
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -8,6 +8,7 @@
 int RunAgent(int argc, char** argv);
 int RunCheck(int argc, char** argv);
 int RunApply(int argc, char** argv);
+int RunPin(int argc, char** argv);
 int RunStatus(int argc, char** argv);
 int RunEngine(int argc, char** argv);
 int RunLoad(int argc, char** argv);
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -9,6 +9,7 @@
 #include "cli/admin.h"
 #include "cli/commands.h"
 #include "cli/config_http.h"
+#include "cli/group_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
@@ -81,6 +82,7 @@
   int Run(bool bootstrap) {
     replica self{{}, settings_.common.zone, settings_.control_listen, true, {}};
     std::error_code error = node_.Open(settings_.data, self, bootstrap);
+    if (!error) node_.Thread().State().control.log->ServeGroups(settings_.groups);
     if (!error) error = admin_.Start(settings_.admin_listen);
     if (error) {
       std::cerr << settings_.data << ": " << error.message() << "\n";
@@ -130,12 +132,28 @@
     };
     backend.is_leader = [this, now] { return node_.Core().IsCurrent(now); };
     backend.token = settings_.admin_token;
-    auto answer = HandleConfigHttp(request, backend, now);
+    auto answer = request.path == "/v1/groups" ? OnGroups(request, now)
+                                               : HandleConfigHttp(request, backend, now);
     if (!answer) return false;
+    if (request.path == "/v1/status" && answer->status == 200) {
+      AddGroups(log.Groups().Report(log.State().Groups()), answer->body);
+    }
     server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
     return true;
   }
 
+  std::optional<http_answer> OnGroups(const http_request& request, steady_time now) {
+    if (!Authorized(request, settings_.admin_token)) {
+      return http_answer{401, R"({"error":"unauthorized"})"};
+    }
+    if (!node_.Core().IsCurrent(now)) return http_answer{421, R"({"error":"not-leader"})"};
+    const auto& log = *node_.Thread().State().control.log;
+    return HandleGroupPin(request, log.State().Groups(), [this](group_pin pin) {
+      node_.Thread().Apply(propose_command{{}, std::move(pin)});
+      return true;
+    });
+  }
+
   void OnChange(const http_request& request) {
     change_voters change;
     if (!ParseVoterChange(request.body, change)) {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -19,6 +19,7 @@
     {"voter", "list or change the replicas of the log", radishroute::RunVoter},
     {"apply", "put a sheet in force as a new configuration version", radishroute::RunApply},
     {"status", "show the state of the controllers", radishroute::RunStatus},
+    {"pin", "keep the expert map of a group, or allow changes again", radishroute::RunPin},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
     {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
     {"load", "send requests and check every answer", radishroute::RunLoad},
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -11,6 +11,7 @@
 #include "engine/http_api.h"
 #include "engine/model.h"
 #include "engine/options.h"
+#include "engine/rank_process.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
 
@@ -149,6 +150,7 @@
   if (!options) return exit;
   BlockStopSignals();
   QuietLibwebsockets();
+  if (options->kind == stand_in_kind::kRank) return RunRank(*options);
   engine_process process(*options);
   return process.Run();
 }
--- a/src/engine/http_api.h
+++ b/src/engine/http_api.h
@@ -10,7 +10,7 @@
 
 namespace radishroute {
 
-enum class stand_in_kind : std::uint8_t { kEngine, kService, kWeights };
+enum class stand_in_kind : std::uint8_t { kEngine, kService, kWeights, kRank };
 
 /// Maps a request to an event; nothing if the stand-in has no such path or the body is malformed.
 std::optional<engine_event> ParseEngineRequest(const http_request& request, stand_in_kind kind);
--- a/src/engine/options.cc
+++ b/src/engine/options.cc
@@ -17,7 +17,7 @@
     return cxxopts::value<std::uint64_t>()->default_value(value);
   };
   auto text = [](const char* value) { return cxxopts::value<std::string>()->default_value(value); };
-  options.add_options()("listen", "address", text(""))("kind", "engine, service or weights",
+  options.add_options()("listen", "address", text(""))("kind", "engine, service, weights or rank",
                                                        text("engine"))(
       "model", "model served at the start, may be repeated; any model without it",
       cxxopts::value<std::vector<std::string>>())("max-batch", "requests in a batch", number("16"))(
@@ -35,7 +35,18 @@
       "runs-file", "file to which each run of a service call is appended", text(""))(
       "crash-on", "exit when a prompt contains this text", text(""))(
       "fault", "fault at the start, NAME or NAME=VALUE, may be repeated",
-      cxxopts::value<std::vector<std::string>>());
+      cxxopts::value<std::vector<std::string>>())("rank", "number of a rank in its group",
+                                                  number("0"))(
+      "peer", "address of each rank of the group, in their order",
+      cxxopts::value<std::vector<std::string>>())("seed", "seed of the experts' popularity",
+                                                  number("1"))(
+      "tokens", "tokens of a step in each layer", number("4096"))(
+      "token-ns", "added duration of a step per token of this rank", number("1000"))(
+      "window-steps", "steps of one window of expert counts", number("50"))(
+      "drift-windows", "windows after which two experts change places in popularity", number("20"))(
+      "shift-step", "step at which other experts become popular; 0 for none", number("0"))(
+      "expert-bytes", "size of one expert's weights", number("1048576"))(
+      "steps-file", "file to which each step of a rank is appended", text(""));
   return options;
 }
 
@@ -46,6 +57,8 @@
     out = stand_in_kind::kService;
   } else if (text == "weights") {
     out = stand_in_kind::kWeights;
+  } else if (text == "rank") {
+    out = stand_in_kind::kRank;
   } else {
     return false;
   }
@@ -87,6 +100,25 @@
   }
 }
 
+bool ReadRank(const cxxopts::ParseResult& parsed, rank_options& out) {
+  auto number = [&](const char* name) { return parsed[name].as<std::uint64_t>(); };
+  out.model.rank = static_cast<std::uint32_t>(number("rank"));
+  out.model.popularity.seed = number("seed");
+  out.model.popularity.tokens_per_step = static_cast<std::uint32_t>(number("tokens"));
+  out.model.popularity.drift_windows = std::max(number("drift-windows"), std::uint64_t{1});
+  out.model.popularity.shift_step = number("shift-step");
+  out.model.step_base = std::chrono::microseconds(number("step-us"));
+  out.model.per_token = std::chrono::nanoseconds(number("token-ns"));
+  out.model.window_steps = std::max(static_cast<std::uint32_t>(number("window-steps")), 1U);
+  out.model.expert_bytes = number("expert-bytes");
+  out.steps_file = parsed["steps-file"].as<std::string>();
+  if (parsed.count("peer") == 0) return false;
+  for (const std::string& text : parsed["peer"].as<std::vector<std::string>>()) {
+    if (!ParseEndpoint(text, out.peers.emplace_back())) return false;
+  }
+  return out.model.rank < out.peers.size();
+}
+
 }  // namespace
 
 std::optional<engine_options> ParseEngineOptions(int argc, char** argv, int& exit) {
@@ -103,7 +135,7 @@
     return fail("--listen must be an IPv4 address and port");
   }
   if (!ParseKind((*parsed)["kind"].as<std::string>(), out.kind)) {
-    return fail("--kind must be engine, service or weights");
+    return fail("--kind must be engine, service, weights or rank");
   }
   std::string fencing = (*parsed)["fencing"].as<std::string>();
   if (fencing != "check" && fencing != "ignore") return fail("--fencing must be check or ignore");
@@ -115,6 +147,9 @@
   if (!ParseFaults(*parsed, out.faults)) return fail("--fault must be NAME or NAME=NUMBER");
   out.runs_file = (*parsed)["runs-file"].as<std::string>();
   ReadSettings(*parsed, out.settings);
+  if (out.kind == stand_in_kind::kRank && !ReadRank(*parsed, out.rank)) {
+    return fail("--kind rank needs --peer for each rank, and --rank below their number");
+  }
   return out;
 }
 
--- a/src/engine/options.h
+++ b/src/engine/options.h
@@ -7,9 +7,19 @@
 
 #include "engine/http_api.h"
 #include "engine/model.h"
+#include "engine/rank_model.h"
 
 namespace radishroute {
 
+/// Options of a stand-in for a rank.
+struct rank_options {
+  rank_model_settings model;
+  /// Addresses of all ranks of the group in their order, this one included.
+  std::vector<endpoint> peers;
+  /// File to which each step is appended: number, map, wall-clock milliseconds, tokens by layer.
+  std::string steps_file;
+};
+
 /// Command line of `radishroute engine`.
 struct engine_options {
   endpoint listen;
@@ -18,6 +28,7 @@
   /// Port 0 for none: loading then takes no time.
   endpoint weight_store;
   std::string runs_file;
+  rank_options rank;
   std::vector<fault_injected> faults;
 };
 
--- a/src/expert_map.cc
+++ b/src/expert_map.cc
@@ -54,6 +54,28 @@
   return group_result::kApplied;
 }
 
+group_image group_record::Save() const {
+  return {ranks_, ranges_, proposed_.value_or(0), highest_map_};
+}
+
+bool group_record::Load(group_image image) {
+  *this = group_record();
+  std::uint64_t map = 0;
+  std::uint64_t step = 0;
+  for (const step_range& range : image.ranges) {
+    bool follows = map == 0 || range.first == step + 1;
+    if (range.map_version <= map || range.last < range.first || !follows) return false;
+    map = range.map_version;
+    step = range.last;
+  }
+  if (image.highest_map < std::max(map, image.proposed)) return false;
+  ranks_ = image.ranks;
+  ranges_ = std::move(image.ranges);
+  if (image.proposed != 0) proposed_ = image.proposed;
+  highest_map_ = image.highest_map;
+  return true;
+}
+
 bool rank_map::Handle(const step_grant& grant) {
   for (const step_range& range : grant.ranges) {
     auto it = ranges_.find(range.map_version);
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -5212,42 +5212,33 @@
 }
 
 
-Command::~Command() noexcept {
+GroupShape::~GroupShape() noexcept {
 }
 
 
-void Command::__set_noOperation(const NoOperation& val) {
-  this->noOperation = val;
-__isset.noOperation = true;
-}
-
-void Command::__set_replicaChange(const ReplicaChange& val) {
-  this->replicaChange = val;
-__isset.replicaChange = true;
+void GroupShape::__set_ranks(const int32_t val) {
+  this->ranks = val;
 }
 
-void Command::__set_configChange(const ConfigChange& val) {
-  this->configChange = val;
-__isset.configChange = true;
+void GroupShape::__set_experts(const int32_t val) {
+  this->experts = val;
 }
 
-void Command::__set_recordClaim(const RecordClaim& val) {
-  this->recordClaim = val;
-__isset.recordClaim = true;
+void GroupShape::__set_layers(const int32_t val) {
+  this->layers = val;
 }
 
-void Command::__set_recordOutcome(const RecordOutcome& val) {
-  this->recordOutcome = val;
-__isset.recordOutcome = true;
+void GroupShape::__set_slotsPerRank(const int32_t val) {
+  this->slotsPerRank = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const GroupShape& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupShape::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5269,41 +5260,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->noOperation.read(iprot);
-          this->__isset.noOperation = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->replicaChange.read(iprot);
-          this->__isset.replicaChange = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->experts);
+          this->__isset.experts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configChange.read(iprot);
-          this->__isset.configChange = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->layers);
+          this->__isset.layers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordClaim.read(iprot);
-          this->__isset.recordClaim = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordOutcome.read(iprot);
-          this->__isset.recordOutcome = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slotsPerRank);
+          this->__isset.slotsPerRank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5320,120 +5303,129 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupShape::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("GroupShape");
+
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->experts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("layers", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->layers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotsPerRank", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->slotsPerRank);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.noOperation) {
-    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->noOperation.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.replicaChange) {
-    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->replicaChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.configChange) {
-    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->configChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordClaim) {
-    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->recordClaim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordOutcome) {
-    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->recordOutcome.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(GroupShape &a, GroupShape &b) {
   using ::std::swap;
-  swap(a.noOperation, b.noOperation);
-  swap(a.replicaChange, b.replicaChange);
-  swap(a.configChange, b.configChange);
-  swap(a.recordClaim, b.recordClaim);
-  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.ranks, b.ranks);
+  swap(a.experts, b.experts);
+  swap(a.layers, b.layers);
+  swap(a.slotsPerRank, b.slotsPerRank);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other188) {
-  noOperation = other188.noOperation;
-  replicaChange = other188.replicaChange;
-  configChange = other188.configChange;
-  recordClaim = other188.recordClaim;
-  recordOutcome = other188.recordOutcome;
+GroupShape::GroupShape(const GroupShape& other188) noexcept {
+  ranks = other188.ranks;
+  experts = other188.experts;
+  layers = other188.layers;
+  slotsPerRank = other188.slotsPerRank;
   __isset = other188.__isset;
 }
-Command::Command(Command&& other189) noexcept {
-  noOperation = std::move(other189.noOperation);
-  replicaChange = std::move(other189.replicaChange);
-  configChange = std::move(other189.configChange);
-  recordClaim = std::move(other189.recordClaim);
-  recordOutcome = std::move(other189.recordOutcome);
+GroupShape::GroupShape(GroupShape&& other189) noexcept {
+  ranks = other189.ranks;
+  experts = other189.experts;
+  layers = other189.layers;
+  slotsPerRank = other189.slotsPerRank;
   __isset = other189.__isset;
 }
-Command& Command::operator=(const Command& other190) {
-  noOperation = other190.noOperation;
-  replicaChange = other190.replicaChange;
-  configChange = other190.configChange;
-  recordClaim = other190.recordClaim;
-  recordOutcome = other190.recordOutcome;
+GroupShape& GroupShape::operator=(const GroupShape& other190) noexcept {
+  ranks = other190.ranks;
+  experts = other190.experts;
+  layers = other190.layers;
+  slotsPerRank = other190.slotsPerRank;
   __isset = other190.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other191) noexcept {
-  noOperation = std::move(other191.noOperation);
-  replicaChange = std::move(other191.replicaChange);
-  configChange = std::move(other191.configChange);
-  recordClaim = std::move(other191.recordClaim);
-  recordOutcome = std::move(other191.recordOutcome);
+GroupShape& GroupShape::operator=(GroupShape&& other191) noexcept {
+  ranks = other191.ranks;
+  experts = other191.experts;
+  layers = other191.layers;
+  slotsPerRank = other191.slotsPerRank;
   __isset = other191.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+void GroupShape::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
-  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
-  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
-  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
-  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << "GroupShape(";
+  out << "ranks=" << to_string(ranks);
+  out << ", " << "experts=" << to_string(experts);
+  out << ", " << "layers=" << to_string(layers);
+  out << ", " << "slotsPerRank=" << to_string(slotsPerRank);
   out << ")";
 }
 
 
-LogEntry::~LogEntry() noexcept {
+GroupChange::~GroupChange() noexcept {
 }
 
 
-void LogEntry::__set_term(const int64_t val) {
-  this->term = val;
+void GroupChange::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void LogEntry::__set_index(const int64_t val) {
-  this->index = val;
+void GroupChange::__set_action(const int32_t val) {
+  this->action = val;
 }
 
-void LogEntry::__set_body(const Command& val) {
-  this->body = val;
+void GroupChange::__set_ranks(const int32_t val) {
+  this->ranks = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+
+void GroupChange::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
+}
+
+void GroupChange::__set_lastStep(const int64_t val) {
+  this->lastStep = val;
+}
+
+void GroupChange::__set_shape(const GroupShape& val) {
+  this->shape = val;
+}
+
+void GroupChange::__set_slots(const std::string& val) {
+  this->slots = val;
+}
+
+void GroupChange::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void GroupChange::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5455,25 +5447,73 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->action);
+          this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastStep);
+          this->__isset.lastStep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5490,21 +5530,45 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
+  xfer += oprot->writeStructBegin("GroupChange");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("action", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->action);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->mapVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastStep", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->lastStep);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->shape.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5512,77 +5576,105 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(GroupChange &a, GroupChange &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.index, b.index);
-  swap(a.body, b.body);
+  swap(a.group, b.group);
+  swap(a.action, b.action);
+  swap(a.ranks, b.ranks);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.lastStep, b.lastStep);
+  swap(a.shape, b.shape);
+  swap(a.slots, b.slots);
+  swap(a.reason, b.reason);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other192) {
-  term = other192.term;
-  index = other192.index;
-  body = other192.body;
+GroupChange::GroupChange(const GroupChange& other192) {
+  group = other192.group;
+  action = other192.action;
+  ranks = other192.ranks;
+  mapVersion = other192.mapVersion;
+  lastStep = other192.lastStep;
+  shape = other192.shape;
+  slots = other192.slots;
+  reason = other192.reason;
+  bytes = other192.bytes;
   __isset = other192.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other193) noexcept {
-  term = other193.term;
-  index = other193.index;
-  body = std::move(other193.body);
+GroupChange::GroupChange(GroupChange&& other193) noexcept {
+  group = std::move(other193.group);
+  action = other193.action;
+  ranks = other193.ranks;
+  mapVersion = other193.mapVersion;
+  lastStep = other193.lastStep;
+  shape = std::move(other193.shape);
+  slots = std::move(other193.slots);
+  reason = std::move(other193.reason);
+  bytes = other193.bytes;
   __isset = other193.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other194) {
-  term = other194.term;
-  index = other194.index;
-  body = other194.body;
+GroupChange& GroupChange::operator=(const GroupChange& other194) {
+  group = other194.group;
+  action = other194.action;
+  ranks = other194.ranks;
+  mapVersion = other194.mapVersion;
+  lastStep = other194.lastStep;
+  shape = other194.shape;
+  slots = other194.slots;
+  reason = other194.reason;
+  bytes = other194.bytes;
   __isset = other194.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other195) noexcept {
-  term = other195.term;
-  index = other195.index;
-  body = std::move(other195.body);
+GroupChange& GroupChange::operator=(GroupChange&& other195) noexcept {
+  group = std::move(other195.group);
+  action = other195.action;
+  ranks = other195.ranks;
+  mapVersion = other195.mapVersion;
+  lastStep = other195.lastStep;
+  shape = std::move(other195.shape);
+  slots = std::move(other195.slots);
+  reason = std::move(other195.reason);
+  bytes = other195.bytes;
   __isset = other195.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void GroupChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
-  out << "term=" << to_string(term);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "body=" << to_string(body);
+  out << "GroupChange(";
+  out << "group=" << to_string(group);
+  out << ", " << "action=" << to_string(action);
+  out << ", " << "ranks=" << to_string(ranks);
+  out << ", " << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "lastStep=" << to_string(lastStep);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-RaftHeader::~RaftHeader() noexcept {
-}
-
-
-void RaftHeader::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+GroupPin::~GroupPin() noexcept {
 }
 
-void RaftHeader::__set_sender(const int64_t val) {
-  this->sender = val;
-}
 
-void RaftHeader::__set_recipient(const int64_t val) {
-  this->recipient = val;
+void GroupPin::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void RaftHeader::__set_term(const int64_t val) {
-  this->term = val;
+void GroupPin::__set_pinned(const bool val) {
+  this->pinned = val;
 }
-std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
+std::ostream& operator<<(std::ostream& out, const GroupPin& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupPin::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5604,33 +5696,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sender);
-          this->__isset.sender = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->recipient);
-          this->__isset.recipient = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pinned);
+          this->__isset.pinned = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5647,25 +5723,17 @@
   return xfer;
 }
 
-uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupPin::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RaftHeader");
-
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->sender);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("GroupPin");
 
-  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("pinned", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->pinned);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5673,91 +5741,90 @@
   return xfer;
 }
 
-void swap(RaftHeader &a, RaftHeader &b) {
+void swap(GroupPin &a, GroupPin &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.sender, b.sender);
-  swap(a.recipient, b.recipient);
-  swap(a.term, b.term);
+  swap(a.group, b.group);
+  swap(a.pinned, b.pinned);
   swap(a.__isset, b.__isset);
 }
 
-RaftHeader::RaftHeader(const RaftHeader& other196) noexcept {
-  logGroup = other196.logGroup;
-  sender = other196.sender;
-  recipient = other196.recipient;
-  term = other196.term;
+GroupPin::GroupPin(const GroupPin& other196) {
+  group = other196.group;
+  pinned = other196.pinned;
   __isset = other196.__isset;
 }
-RaftHeader::RaftHeader(RaftHeader&& other197) noexcept {
-  logGroup = other197.logGroup;
-  sender = other197.sender;
-  recipient = other197.recipient;
-  term = other197.term;
+GroupPin::GroupPin(GroupPin&& other197) noexcept {
+  group = std::move(other197.group);
+  pinned = other197.pinned;
   __isset = other197.__isset;
 }
-RaftHeader& RaftHeader::operator=(const RaftHeader& other198) noexcept {
-  logGroup = other198.logGroup;
-  sender = other198.sender;
-  recipient = other198.recipient;
-  term = other198.term;
+GroupPin& GroupPin::operator=(const GroupPin& other198) {
+  group = other198.group;
+  pinned = other198.pinned;
   __isset = other198.__isset;
   return *this;
 }
-RaftHeader& RaftHeader::operator=(RaftHeader&& other199) noexcept {
-  logGroup = other199.logGroup;
-  sender = other199.sender;
-  recipient = other199.recipient;
-  term = other199.term;
+GroupPin& GroupPin::operator=(GroupPin&& other199) noexcept {
+  group = std::move(other199.group);
+  pinned = other199.pinned;
   __isset = other199.__isset;
   return *this;
 }
-void RaftHeader::printTo(std::ostream& out) const {
+void GroupPin::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RaftHeader(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "recipient=" << to_string(recipient);
-  out << ", " << "term=" << to_string(term);
+  out << "GroupPin(";
+  out << "group=" << to_string(group);
+  out << ", " << "pinned=" << to_string(pinned);
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void AppendRequest::__set_header(const RaftHeader& val) {
-  this->header = val;
+void Command::__set_noOperation(const NoOperation& val) {
+  this->noOperation = val;
+__isset.noOperation = true;
 }
 
-void AppendRequest::__set_prevIndex(const int64_t val) {
-  this->prevIndex = val;
+void Command::__set_replicaChange(const ReplicaChange& val) {
+  this->replicaChange = val;
+__isset.replicaChange = true;
 }
 
-void AppendRequest::__set_prevTerm(const int64_t val) {
-  this->prevTerm = val;
+void Command::__set_configChange(const ConfigChange& val) {
+  this->configChange = val;
+__isset.configChange = true;
 }
 
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
+void Command::__set_recordClaim(const RecordClaim& val) {
+  this->recordClaim = val;
+__isset.recordClaim = true;
 }
 
-void AppendRequest::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void Command::__set_recordOutcome(const RecordOutcome& val) {
+  this->recordOutcome = val;
+__isset.recordOutcome = true;
 }
 
-void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void Command::__set_groupChange(const GroupChange& val) {
+  this->groupChange = val;
+__isset.groupChange = true;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+
+void Command::__set_groupPin(const GroupPin& val) {
+  this->groupPin = val;
+__isset.groupPin = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5780,60 +5847,56 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+          xfer += this->noOperation.read(iprot);
+          this->__isset.noOperation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevIndex);
-          this->__isset.prevIndex = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replicaChange.read(iprot);
+          this->__isset.replicaChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevTerm);
-          this->__isset.prevTerm = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configChange.read(iprot);
+          this->__isset.configChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordClaim.read(iprot);
+          this->__isset.recordClaim = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOutcome.read(iprot);
+          this->__isset.recordOutcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->entries.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
-            {
-              xfer += this->entries[_i204].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupChange.read(iprot);
+          this->__isset.groupChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupPin.read(iprot);
+          this->__isset.groupPin = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5850,137 +5913,142 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prevIndex);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prevTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->commit);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Command");
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter205;
-    for (_iter205 = this->entries.begin(); _iter205 != this->entries.end(); ++_iter205)
-    {
-      xfer += (*_iter205).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.noOperation) {
+    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->noOperation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replicaChange) {
+    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->replicaChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configChange) {
+    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->configChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordClaim) {
+    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->recordClaim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordOutcome) {
+    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->recordOutcome.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groupChange) {
+    xfer += oprot->writeFieldBegin("groupChange", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->groupChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groupPin) {
+    xfer += oprot->writeFieldBegin("groupPin", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->groupPin.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(Command &a, Command &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.prevIndex, b.prevIndex);
-  swap(a.prevTerm, b.prevTerm);
-  swap(a.commit, b.commit);
-  swap(a.sentNanos, b.sentNanos);
-  swap(a.entries, b.entries);
+  swap(a.noOperation, b.noOperation);
+  swap(a.replicaChange, b.replicaChange);
+  swap(a.configChange, b.configChange);
+  swap(a.recordClaim, b.recordClaim);
+  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.groupChange, b.groupChange);
+  swap(a.groupPin, b.groupPin);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other206) {
-  header = other206.header;
-  prevIndex = other206.prevIndex;
-  prevTerm = other206.prevTerm;
-  commit = other206.commit;
-  sentNanos = other206.sentNanos;
-  entries = other206.entries;
-  __isset = other206.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other207) noexcept {
-  header = std::move(other207.header);
-  prevIndex = other207.prevIndex;
-  prevTerm = other207.prevTerm;
-  commit = other207.commit;
-  sentNanos = other207.sentNanos;
-  entries = std::move(other207.entries);
-  __isset = other207.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other208) {
-  header = other208.header;
-  prevIndex = other208.prevIndex;
-  prevTerm = other208.prevTerm;
-  commit = other208.commit;
-  sentNanos = other208.sentNanos;
-  entries = other208.entries;
-  __isset = other208.__isset;
+Command::Command(const Command& other200) {
+  noOperation = other200.noOperation;
+  replicaChange = other200.replicaChange;
+  configChange = other200.configChange;
+  recordClaim = other200.recordClaim;
+  recordOutcome = other200.recordOutcome;
+  groupChange = other200.groupChange;
+  groupPin = other200.groupPin;
+  __isset = other200.__isset;
+}
+Command::Command(Command&& other201) noexcept {
+  noOperation = std::move(other201.noOperation);
+  replicaChange = std::move(other201.replicaChange);
+  configChange = std::move(other201.configChange);
+  recordClaim = std::move(other201.recordClaim);
+  recordOutcome = std::move(other201.recordOutcome);
+  groupChange = std::move(other201.groupChange);
+  groupPin = std::move(other201.groupPin);
+  __isset = other201.__isset;
+}
+Command& Command::operator=(const Command& other202) {
+  noOperation = other202.noOperation;
+  replicaChange = other202.replicaChange;
+  configChange = other202.configChange;
+  recordClaim = other202.recordClaim;
+  recordOutcome = other202.recordOutcome;
+  groupChange = other202.groupChange;
+  groupPin = other202.groupPin;
+  __isset = other202.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other209) noexcept {
-  header = std::move(other209.header);
-  prevIndex = other209.prevIndex;
-  prevTerm = other209.prevTerm;
-  commit = other209.commit;
-  sentNanos = other209.sentNanos;
-  entries = std::move(other209.entries);
-  __isset = other209.__isset;
+Command& Command::operator=(Command&& other203) noexcept {
+  noOperation = std::move(other203.noOperation);
+  replicaChange = std::move(other203.replicaChange);
+  configChange = std::move(other203.configChange);
+  recordClaim = std::move(other203.recordClaim);
+  recordOutcome = std::move(other203.recordOutcome);
+  groupChange = std::move(other203.groupChange);
+  groupPin = std::move(other203.groupPin);
+  __isset = other203.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
-  out << "header=" << to_string(header);
-  out << ", " << "prevIndex=" << to_string(prevIndex);
-  out << ", " << "prevTerm=" << to_string(prevTerm);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
-  out << ", " << "entries=" << to_string(entries);
+  out << "Command(";
+  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
+  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
+  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
+  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
+  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << ", " << "groupChange="; (__isset.groupChange ? (out << to_string(groupChange)) : (out << "<null>"));
+  out << ", " << "groupPin="; (__isset.groupPin ? (out << to_string(groupPin)) : (out << "<null>"));
   out << ")";
 }
 
 
-AppendReply::~AppendReply() noexcept {
+LogEntry::~LogEntry() noexcept {
 }
 
 
-void AppendReply::__set_header(const RaftHeader& val) {
-  this->header = val;
-}
-
-void AppendReply::__set_matched(const bool val) {
-  this->matched = val;
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void AppendReply::__set_matchIndex(const int64_t val) {
-  this->matchIndex = val;
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void AppendReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void LogEntry::__set_body(const Command& val) {
+  this->body = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6002,33 +6070,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->matched);
-          this->__isset.matched = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->matchIndex);
-          this->__isset.matchIndex = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6045,25 +6105,21 @@
   return xfer;
 }
 
-uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendReply");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogEntry");
 
-  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->matched);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6071,83 +6127,77 @@
   return xfer;
 }
 
-void swap(AppendReply &a, AppendReply &b) {
+void swap(LogEntry &a, LogEntry &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.matched, b.matched);
-  swap(a.matchIndex, b.matchIndex);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other210) noexcept {
-  header = other210.header;
-  matched = other210.matched;
-  matchIndex = other210.matchIndex;
-  sentNanos = other210.sentNanos;
-  __isset = other210.__isset;
+LogEntry::LogEntry(const LogEntry& other204) {
+  term = other204.term;
+  index = other204.index;
+  body = other204.body;
+  __isset = other204.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other211) noexcept {
-  header = std::move(other211.header);
-  matched = other211.matched;
-  matchIndex = other211.matchIndex;
-  sentNanos = other211.sentNanos;
-  __isset = other211.__isset;
+LogEntry::LogEntry(LogEntry&& other205) noexcept {
+  term = other205.term;
+  index = other205.index;
+  body = std::move(other205.body);
+  __isset = other205.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other212) noexcept {
-  header = other212.header;
-  matched = other212.matched;
-  matchIndex = other212.matchIndex;
-  sentNanos = other212.sentNanos;
-  __isset = other212.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other206) {
+  term = other206.term;
+  index = other206.index;
+  body = other206.body;
+  __isset = other206.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other213) noexcept {
-  header = std::move(other213.header);
-  matched = other213.matched;
-  matchIndex = other213.matchIndex;
-  sentNanos = other213.sentNanos;
-  __isset = other213.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other207) noexcept {
+  term = other207.term;
+  index = other207.index;
+  body = std::move(other207.body);
+  __isset = other207.__isset;
   return *this;
 }
-void AppendReply::printTo(std::ostream& out) const {
+void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendReply(";
-  out << "header=" << to_string(header);
-  out << ", " << "matched=" << to_string(matched);
-  out << ", " << "matchIndex=" << to_string(matchIndex);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << "LogEntry(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+RaftHeader::~RaftHeader() noexcept {
 }
 
 
-void VoteRequest::__set_header(const RaftHeader& val) {
-  this->header = val;
+void RaftHeader::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void VoteRequest::__set_preVote(const bool val) {
-  this->preVote = val;
+void RaftHeader::__set_sender(const int64_t val) {
+  this->sender = val;
 }
 
-void VoteRequest::__set_lastIndex(const int64_t val) {
-  this->lastIndex = val;
+void RaftHeader::__set_recipient(const int64_t val) {
+  this->recipient = val;
 }
 
-void VoteRequest::__set_lastTerm(const int64_t val) {
-  this->lastTerm = val;
+void RaftHeader::__set_term(const int64_t val) {
+  this->term = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6169,33 +6219,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastIndex);
-          this->__isset.lastIndex = true;
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastTerm);
-          this->__isset.lastTerm = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6212,25 +6262,25 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
+  xfer += oprot->writeStructBegin("RaftHeader");
 
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sender);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recipient);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6238,79 +6288,91 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(RaftHeader &a, RaftHeader &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.lastIndex, b.lastIndex);
-  swap(a.lastTerm, b.lastTerm);
+  swap(a.logGroup, b.logGroup);
+  swap(a.sender, b.sender);
+  swap(a.recipient, b.recipient);
+  swap(a.term, b.term);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other214) noexcept {
-  header = other214.header;
-  preVote = other214.preVote;
-  lastIndex = other214.lastIndex;
-  lastTerm = other214.lastTerm;
-  __isset = other214.__isset;
+RaftHeader::RaftHeader(const RaftHeader& other208) noexcept {
+  logGroup = other208.logGroup;
+  sender = other208.sender;
+  recipient = other208.recipient;
+  term = other208.term;
+  __isset = other208.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other215) noexcept {
-  header = std::move(other215.header);
-  preVote = other215.preVote;
-  lastIndex = other215.lastIndex;
-  lastTerm = other215.lastTerm;
-  __isset = other215.__isset;
+RaftHeader::RaftHeader(RaftHeader&& other209) noexcept {
+  logGroup = other209.logGroup;
+  sender = other209.sender;
+  recipient = other209.recipient;
+  term = other209.term;
+  __isset = other209.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other216) noexcept {
-  header = other216.header;
-  preVote = other216.preVote;
-  lastIndex = other216.lastIndex;
-  lastTerm = other216.lastTerm;
-  __isset = other216.__isset;
+RaftHeader& RaftHeader::operator=(const RaftHeader& other210) noexcept {
+  logGroup = other210.logGroup;
+  sender = other210.sender;
+  recipient = other210.recipient;
+  term = other210.term;
+  __isset = other210.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other217) noexcept {
-  header = std::move(other217.header);
-  preVote = other217.preVote;
-  lastIndex = other217.lastIndex;
-  lastTerm = other217.lastTerm;
-  __isset = other217.__isset;
+RaftHeader& RaftHeader::operator=(RaftHeader&& other211) noexcept {
+  logGroup = other211.logGroup;
+  sender = other211.sender;
+  recipient = other211.recipient;
+  term = other211.term;
+  __isset = other211.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void RaftHeader::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
-  out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "lastIndex=" << to_string(lastIndex);
-  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << "RaftHeader(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "term=" << to_string(term);
   out << ")";
 }
 
 
-VoteReply::~VoteReply() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void VoteReply::__set_header(const RaftHeader& val) {
+void AppendRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void VoteReply::__set_preVote(const bool val) {
-  this->preVote = val;
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
 }
 
-void VoteReply::__set_granted(const bool val) {
-  this->granted = val;
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6340,17 +6402,53 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->entries.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
+            {
+              xfer += this->entries[_i216].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6367,21 +6465,41 @@
   return xfer;
 }
 
-uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteReply");
+  xfer += oprot->writeStructBegin("AppendRequest");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter217;
+    for (_iter217 = this->entries.begin(); _iter217 != this->entries.end(); ++_iter217)
+    {
+      xfer += (*_iter217).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6389,97 +6507,95 @@
   return xfer;
 }
 
-void swap(VoteReply &a, VoteReply &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.granted, b.granted);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.commit, b.commit);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other218) noexcept {
+AppendRequest::AppendRequest(const AppendRequest& other218) {
   header = other218.header;
-  preVote = other218.preVote;
-  granted = other218.granted;
+  prevIndex = other218.prevIndex;
+  prevTerm = other218.prevTerm;
+  commit = other218.commit;
+  sentNanos = other218.sentNanos;
+  entries = other218.entries;
   __isset = other218.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other219) noexcept {
+AppendRequest::AppendRequest(AppendRequest&& other219) noexcept {
   header = std::move(other219.header);
-  preVote = other219.preVote;
-  granted = other219.granted;
+  prevIndex = other219.prevIndex;
+  prevTerm = other219.prevTerm;
+  commit = other219.commit;
+  sentNanos = other219.sentNanos;
+  entries = std::move(other219.entries);
   __isset = other219.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other220) noexcept {
+AppendRequest& AppendRequest::operator=(const AppendRequest& other220) {
   header = other220.header;
-  preVote = other220.preVote;
-  granted = other220.granted;
+  prevIndex = other220.prevIndex;
+  prevTerm = other220.prevTerm;
+  commit = other220.commit;
+  sentNanos = other220.sentNanos;
+  entries = other220.entries;
   __isset = other220.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other221) noexcept {
+AppendRequest& AppendRequest::operator=(AppendRequest&& other221) noexcept {
   header = std::move(other221.header);
-  preVote = other221.preVote;
-  granted = other221.granted;
+  prevIndex = other221.prevIndex;
+  prevTerm = other221.prevTerm;
+  commit = other221.commit;
+  sentNanos = other221.sentNanos;
+  entries = std::move(other221.entries);
   __isset = other221.__isset;
   return *this;
 }
-void VoteReply::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteReply(";
+  out << "AppendRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-SnapshotChunk::~SnapshotChunk() noexcept {
+AppendReply::~AppendReply() noexcept {
 }
 
 
-void SnapshotChunk::__set_header(const RaftHeader& val) {
+void AppendReply::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotChunk::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
-  this->snapshotTerm = val;
-}
-
-void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
-  this->replicas = val;
-}
-
-void SnapshotChunk::__set_total(const int64_t val) {
-  this->total = val;
-}
-
-void SnapshotChunk::__set_hash(const int64_t val) {
-  this->hash = val;
-}
-
-void SnapshotChunk::__set_offset(const int64_t val) {
-  this->offset = val;
+void AppendReply::__set_matched(const bool val) {
+  this->matched = val;
 }
 
-void SnapshotChunk::__set_bytes(const std::string& val) {
-  this->bytes = val;
+void AppendReply::__set_matchIndex(const int64_t val) {
+  this->matchIndex = val;
 }
 
-void SnapshotChunk::__set_sentNanos(const int64_t val) {
+void AppendReply::__set_sentNanos(const int64_t val) {
   this->sentNanos = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6509,74 +6625,22 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->matched);
+          this->__isset.matched = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->snapshotTerm);
-          this->__isset.snapshotTerm = true;
+          xfer += iprot->readI64(this->matchIndex);
+          this->__isset.matchIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->replicas.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->replicas.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
-            {
-              xfer += this->replicas[_i226].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.replicas = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->total);
-          this->__isset.total = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offset);
-          this->__isset.offset = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->bytes);
-          this->__isset.bytes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->sentNanos);
           this->__isset.sentNanos = true;
@@ -6596,52 +6660,24 @@
   return xfer;
 }
 
-uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotChunk");
+  xfer += oprot->writeStructBegin("AppendReply");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->snapshotTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter227;
-    for (_iter227 = this->replicas.begin(); _iter227 != this->replicas.end(); ++_iter227)
-    {
-      xfer += (*_iter227).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->total);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->hash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->matched);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->matchIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
@@ -6650,117 +6686,83 @@
   return xfer;
 }
 
-void swap(SnapshotChunk &a, SnapshotChunk &b) {
+void swap(AppendReply &a, AppendReply &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.snapshotTerm, b.snapshotTerm);
-  swap(a.replicas, b.replicas);
-  swap(a.total, b.total);
-  swap(a.hash, b.hash);
-  swap(a.offset, b.offset);
-  swap(a.bytes, b.bytes);
+  swap(a.matched, b.matched);
+  swap(a.matchIndex, b.matchIndex);
   swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other228) {
-  header = other228.header;
-  index = other228.index;
-  snapshotTerm = other228.snapshotTerm;
-  replicas = other228.replicas;
-  total = other228.total;
-  hash = other228.hash;
-  offset = other228.offset;
-  bytes = other228.bytes;
-  sentNanos = other228.sentNanos;
-  __isset = other228.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other229) noexcept {
-  header = std::move(other229.header);
-  index = other229.index;
-  snapshotTerm = other229.snapshotTerm;
-  replicas = std::move(other229.replicas);
-  total = other229.total;
-  hash = other229.hash;
-  offset = other229.offset;
-  bytes = std::move(other229.bytes);
-  sentNanos = other229.sentNanos;
-  __isset = other229.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other230) {
-  header = other230.header;
-  index = other230.index;
-  snapshotTerm = other230.snapshotTerm;
-  replicas = other230.replicas;
-  total = other230.total;
-  hash = other230.hash;
-  offset = other230.offset;
-  bytes = other230.bytes;
-  sentNanos = other230.sentNanos;
-  __isset = other230.__isset;
+AppendReply::AppendReply(const AppendReply& other222) noexcept {
+  header = other222.header;
+  matched = other222.matched;
+  matchIndex = other222.matchIndex;
+  sentNanos = other222.sentNanos;
+  __isset = other222.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other223) noexcept {
+  header = std::move(other223.header);
+  matched = other223.matched;
+  matchIndex = other223.matchIndex;
+  sentNanos = other223.sentNanos;
+  __isset = other223.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other224) noexcept {
+  header = other224.header;
+  matched = other224.matched;
+  matchIndex = other224.matchIndex;
+  sentNanos = other224.sentNanos;
+  __isset = other224.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other231) noexcept {
-  header = std::move(other231.header);
-  index = other231.index;
-  snapshotTerm = other231.snapshotTerm;
-  replicas = std::move(other231.replicas);
-  total = other231.total;
-  hash = other231.hash;
-  offset = other231.offset;
-  bytes = std::move(other231.bytes);
-  sentNanos = other231.sentNanos;
-  __isset = other231.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other225) noexcept {
+  header = std::move(other225.header);
+  matched = other225.matched;
+  matchIndex = other225.matchIndex;
+  sentNanos = other225.sentNanos;
+  __isset = other225.__isset;
   return *this;
 }
-void SnapshotChunk::printTo(std::ostream& out) const {
+void AppendReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotChunk(";
+  out << "AppendReply(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "total=" << to_string(total);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "offset=" << to_string(offset);
-  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "matched=" << to_string(matched);
+  out << ", " << "matchIndex=" << to_string(matchIndex);
   out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-SnapshotReply::~SnapshotReply() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void SnapshotReply::__set_header(const RaftHeader& val) {
+void VoteRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotReply::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotReply::__set_nextOffset(const int64_t val) {
-  this->nextOffset = val;
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void SnapshotReply::__set_done(const bool val) {
-  this->done = val;
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
 }
 
-void SnapshotReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6790,33 +6792,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->nextOffset);
-          this->__isset.nextOffset = true;
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->done);
-          this->__isset.done = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6833,29 +6827,25 @@
   return xfer;
 }
 
-uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotReply");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6863,85 +6853,79 @@
   return xfer;
 }
 
-void swap(SnapshotReply &a, SnapshotReply &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.nextOffset, b.nextOffset);
-  swap(a.done, b.done);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other232) noexcept {
-  header = other232.header;
-  index = other232.index;
-  nextOffset = other232.nextOffset;
-  done = other232.done;
-  sentNanos = other232.sentNanos;
-  __isset = other232.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other226) noexcept {
+  header = other226.header;
+  preVote = other226.preVote;
+  lastIndex = other226.lastIndex;
+  lastTerm = other226.lastTerm;
+  __isset = other226.__isset;
 }
-SnapshotReply::SnapshotReply(SnapshotReply&& other233) noexcept {
-  header = std::move(other233.header);
-  index = other233.index;
-  nextOffset = other233.nextOffset;
-  done = other233.done;
-  sentNanos = other233.sentNanos;
-  __isset = other233.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other227) noexcept {
+  header = std::move(other227.header);
+  preVote = other227.preVote;
+  lastIndex = other227.lastIndex;
+  lastTerm = other227.lastTerm;
+  __isset = other227.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other234) noexcept {
-  header = other234.header;
-  index = other234.index;
-  nextOffset = other234.nextOffset;
-  done = other234.done;
-  sentNanos = other234.sentNanos;
-  __isset = other234.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other228) noexcept {
+  header = other228.header;
+  preVote = other228.preVote;
+  lastIndex = other228.lastIndex;
+  lastTerm = other228.lastTerm;
+  __isset = other228.__isset;
   return *this;
 }
-SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other235) noexcept {
-  header = std::move(other235.header);
-  index = other235.index;
-  nextOffset = other235.nextOffset;
-  done = other235.done;
-  sentNanos = other235.sentNanos;
-  __isset = other235.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other229) noexcept {
+  header = std::move(other229.header);
+  preVote = other229.preVote;
+  lastIndex = other229.lastIndex;
+  lastTerm = other229.lastTerm;
+  __isset = other229.__isset;
   return *this;
 }
-void SnapshotReply::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotReply(";
+  out << "VoteRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "nextOffset=" << to_string(nextOffset);
-  out << ", " << "done=" << to_string(done);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ")";
 }
 
 
-ProposeRequest::~ProposeRequest() noexcept {
+VoteReply::~VoteReply() noexcept {
 }
 
 
-void ProposeRequest::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void VoteReply::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void VoteReply::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void ProposeRequest::__set_body(const Command& val) {
-  this->body = val;
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6963,25 +6947,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6998,21 +6982,21 @@
   return xfer;
 }
 
-uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeRequest");
+  xfer += oprot->writeStructBegin("VoteReply");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7020,81 +7004,97 @@
   return xfer;
 }
 
-void swap(ProposeRequest &a, ProposeRequest &b) {
+void swap(VoteReply &a, VoteReply &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.body, b.body);
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other236) {
-  logGroup = other236.logGroup;
-  proposal = other236.proposal;
-  body = other236.body;
-  __isset = other236.__isset;
+VoteReply::VoteReply(const VoteReply& other230) noexcept {
+  header = other230.header;
+  preVote = other230.preVote;
+  granted = other230.granted;
+  __isset = other230.__isset;
 }
-ProposeRequest::ProposeRequest(ProposeRequest&& other237) noexcept {
-  logGroup = other237.logGroup;
-  proposal = other237.proposal;
-  body = std::move(other237.body);
-  __isset = other237.__isset;
+VoteReply::VoteReply(VoteReply&& other231) noexcept {
+  header = std::move(other231.header);
+  preVote = other231.preVote;
+  granted = other231.granted;
+  __isset = other231.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other238) {
-  logGroup = other238.logGroup;
-  proposal = other238.proposal;
-  body = other238.body;
-  __isset = other238.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other232) noexcept {
+  header = other232.header;
+  preVote = other232.preVote;
+  granted = other232.granted;
+  __isset = other232.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other239) noexcept {
-  logGroup = other239.logGroup;
-  proposal = other239.proposal;
-  body = std::move(other239.body);
-  __isset = other239.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other233) noexcept {
+  header = std::move(other233.header);
+  preVote = other233.preVote;
+  granted = other233.granted;
+  __isset = other233.__isset;
   return *this;
 }
-void ProposeRequest::printTo(std::ostream& out) const {
+void VoteReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeRequest(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "body=" << to_string(body);
+  out << "VoteReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
+SnapshotChunk::~SnapshotChunk() noexcept {
 }
 
 
-void ProposeReply::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void SnapshotChunk::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void SnapshotChunk::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void ProposeReply::__set_status(const int32_t val) {
-  this->status = val;
+void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
+  this->snapshotTerm = val;
 }
 
-void ProposeReply::__set_index(const int64_t val) {
-  this->index = val;
+void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
 }
 
-void ProposeReply::__set_leader(const Endpoint& val) {
-  this->leader = val;
+void SnapshotChunk::__set_total(const int64_t val) {
+  this->total = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+
+void SnapshotChunk::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void SnapshotChunk::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7116,41 +7116,85 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->snapshotTerm);
+          this->__isset.snapshotTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->replicas.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
+            {
+              xfer += this->replicas[_i238].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leader.read(iprot);
-          this->__isset.leader = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7167,29 +7211,53 @@
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("SnapshotChunk");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->snapshotTerm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter239;
+    for (_iter239 = this->replicas.begin(); _iter239 != this->replicas.end(); ++_iter239)
+    {
+      xfer += (*_iter239).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->leader.write(oprot);
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7197,81 +7265,117 @@
   return xfer;
 }
 
-void swap(ProposeReply &a, ProposeReply &b) {
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.status, b.status);
+  swap(a.header, b.header);
   swap(a.index, b.index);
-  swap(a.leader, b.leader);
+  swap(a.snapshotTerm, b.snapshotTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.total, b.total);
+  swap(a.hash, b.hash);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other240) {
-  logGroup = other240.logGroup;
-  proposal = other240.proposal;
-  status = other240.status;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other240) {
+  header = other240.header;
   index = other240.index;
-  leader = other240.leader;
+  snapshotTerm = other240.snapshotTerm;
+  replicas = other240.replicas;
+  total = other240.total;
+  hash = other240.hash;
+  offset = other240.offset;
+  bytes = other240.bytes;
+  sentNanos = other240.sentNanos;
   __isset = other240.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other241) noexcept {
-  logGroup = other241.logGroup;
-  proposal = other241.proposal;
-  status = other241.status;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other241) noexcept {
+  header = std::move(other241.header);
   index = other241.index;
-  leader = std::move(other241.leader);
+  snapshotTerm = other241.snapshotTerm;
+  replicas = std::move(other241.replicas);
+  total = other241.total;
+  hash = other241.hash;
+  offset = other241.offset;
+  bytes = std::move(other241.bytes);
+  sentNanos = other241.sentNanos;
   __isset = other241.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other242) {
-  logGroup = other242.logGroup;
-  proposal = other242.proposal;
-  status = other242.status;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other242) {
+  header = other242.header;
   index = other242.index;
-  leader = other242.leader;
+  snapshotTerm = other242.snapshotTerm;
+  replicas = other242.replicas;
+  total = other242.total;
+  hash = other242.hash;
+  offset = other242.offset;
+  bytes = other242.bytes;
+  sentNanos = other242.sentNanos;
   __isset = other242.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other243) noexcept {
-  logGroup = other243.logGroup;
-  proposal = other243.proposal;
-  status = other243.status;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other243) noexcept {
+  header = std::move(other243.header);
   index = other243.index;
-  leader = std::move(other243.leader);
+  snapshotTerm = other243.snapshotTerm;
+  replicas = std::move(other243.replicas);
+  total = other243.total;
+  hash = other243.hash;
+  offset = other243.offset;
+  bytes = std::move(other243.bytes);
+  sentNanos = other243.sentNanos;
   __isset = other243.__isset;
   return *this;
 }
-void ProposeReply::printTo(std::ostream& out) const {
+void SnapshotChunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeReply(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "status=" << to_string(status);
+  out << "SnapshotChunk(";
+  out << "header=" << to_string(header);
   out << ", " << "index=" << to_string(index);
-  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-LogBatch::~LogBatch() noexcept {
+SnapshotReply::~SnapshotReply() noexcept {
 }
 
 
-void LogBatch::__set_truncateFrom(const int64_t val) {
-  this->truncateFrom = val;
+void SnapshotReply::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
+
+void SnapshotReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void SnapshotReply::__set_done(const bool val) {
+  this->done = val;
+}
+
+void SnapshotReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7293,29 +7397,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->truncateFrom);
-          this->__isset.truncateFrom = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size244;
-            ::apache::thrift::protocol::TType _etype247;
-            xfer += iprot->readListBegin(_etype247, _size244);
-            this->entries.resize(_size244);
-            uint32_t _i248;
-            for (_i248 = 0; _i248 < _size244; ++_i248)
-            {
-              xfer += this->entries[_i248].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7332,25 +7448,29 @@
   return xfer;
 }
 
-uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogBatch");
+  xfer += oprot->writeStructBegin("SnapshotReply");
 
-  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter249;
-    for (_iter249 = this->entries.begin(); _iter249 != this->entries.end(); ++_iter249)
-    {
-      xfer += (*_iter249).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7358,59 +7478,85 @@
   return xfer;
 }
 
-void swap(LogBatch &a, LogBatch &b) {
+void swap(SnapshotReply &a, SnapshotReply &b) {
   using ::std::swap;
-  swap(a.truncateFrom, b.truncateFrom);
-  swap(a.entries, b.entries);
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.done, b.done);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other250) {
-  truncateFrom = other250.truncateFrom;
-  entries = other250.entries;
-  __isset = other250.__isset;
-}
-LogBatch::LogBatch(LogBatch&& other251) noexcept {
-  truncateFrom = other251.truncateFrom;
-  entries = std::move(other251.entries);
-  __isset = other251.__isset;
-}
-LogBatch& LogBatch::operator=(const LogBatch& other252) {
-  truncateFrom = other252.truncateFrom;
-  entries = other252.entries;
-  __isset = other252.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other244) noexcept {
+  header = other244.header;
+  index = other244.index;
+  nextOffset = other244.nextOffset;
+  done = other244.done;
+  sentNanos = other244.sentNanos;
+  __isset = other244.__isset;
+}
+SnapshotReply::SnapshotReply(SnapshotReply&& other245) noexcept {
+  header = std::move(other245.header);
+  index = other245.index;
+  nextOffset = other245.nextOffset;
+  done = other245.done;
+  sentNanos = other245.sentNanos;
+  __isset = other245.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other246) noexcept {
+  header = other246.header;
+  index = other246.index;
+  nextOffset = other246.nextOffset;
+  done = other246.done;
+  sentNanos = other246.sentNanos;
+  __isset = other246.__isset;
   return *this;
 }
-LogBatch& LogBatch::operator=(LogBatch&& other253) noexcept {
-  truncateFrom = other253.truncateFrom;
-  entries = std::move(other253.entries);
-  __isset = other253.__isset;
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other247) noexcept {
+  header = std::move(other247.header);
+  index = other247.index;
+  nextOffset = other247.nextOffset;
+  done = other247.done;
+  sentNanos = other247.sentNanos;
+  __isset = other247.__isset;
   return *this;
 }
-void LogBatch::printTo(std::ostream& out) const {
+void SnapshotReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogBatch(";
-  out << "truncateFrom=" << to_string(truncateFrom);
-  out << ", " << "entries=" << to_string(entries);
+  out << "SnapshotReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-VoterRecord::~VoterRecord() noexcept {
+ProposeRequest::~ProposeRequest() noexcept {
 }
 
 
-void VoterRecord::__set_id(const int64_t val) {
-  this->id = val;
+void ProposeRequest::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeRequest::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7432,9 +7578,25 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7451,13 +7613,21 @@
   return xfer;
 }
 
-uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoterRecord");
+  xfer += oprot->writeStructBegin("ProposeRequest");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7465,57 +7635,81 @@
   return xfer;
 }
 
-void swap(VoterRecord &a, VoterRecord &b) {
+void swap(ProposeRequest &a, ProposeRequest &b) {
   using ::std::swap;
-  swap(a.id, b.id);
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other254) noexcept {
-  id = other254.id;
-  __isset = other254.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other248) {
+  logGroup = other248.logGroup;
+  proposal = other248.proposal;
+  body = other248.body;
+  __isset = other248.__isset;
 }
-VoterRecord::VoterRecord(VoterRecord&& other255) noexcept {
-  id = other255.id;
-  __isset = other255.__isset;
+ProposeRequest::ProposeRequest(ProposeRequest&& other249) noexcept {
+  logGroup = other249.logGroup;
+  proposal = other249.proposal;
+  body = std::move(other249.body);
+  __isset = other249.__isset;
 }
-VoterRecord& VoterRecord::operator=(const VoterRecord& other256) noexcept {
-  id = other256.id;
-  __isset = other256.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other250) {
+  logGroup = other250.logGroup;
+  proposal = other250.proposal;
+  body = other250.body;
+  __isset = other250.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other257) noexcept {
-  id = other257.id;
-  __isset = other257.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other251) noexcept {
+  logGroup = other251.logGroup;
+  proposal = other251.proposal;
+  body = std::move(other251.body);
+  __isset = other251.__isset;
   return *this;
 }
-void VoterRecord::printTo(std::ostream& out) const {
+void ProposeRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoterRecord(";
-  out << "id=" << to_string(id);
+  out << "ProposeRequest(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-VoteRecord::~VoteRecord() noexcept {
+ProposeReply::~ProposeReply() noexcept {
 }
 
 
-void VoteRecord::__set_term(const int64_t val) {
-  this->term = val;
+void ProposeReply::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void VoteRecord::__set_votedFor(const int64_t val) {
-  this->votedFor = val;
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+
+void ProposeReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ProposeReply::__set_leader(const Endpoint& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7537,17 +7731,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->votedFor);
-          this->__isset.votedFor = true;
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7564,17 +7782,29 @@
   return xfer;
 }
 
-uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRecord");
+  xfer += oprot->writeStructBegin("ProposeReply");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->votedFor);
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->leader.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7582,71 +7812,81 @@
   return xfer;
 }
 
-void swap(VoteRecord &a, VoteRecord &b) {
+void swap(ProposeReply &a, ProposeReply &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.votedFor, b.votedFor);
-  swap(a.__isset, b.__isset);
-}
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.status, b.status);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
+  swap(a.__isset, b.__isset);
+}
 
-VoteRecord::VoteRecord(const VoteRecord& other258) noexcept {
-  term = other258.term;
-  votedFor = other258.votedFor;
-  __isset = other258.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other252) {
+  logGroup = other252.logGroup;
+  proposal = other252.proposal;
+  status = other252.status;
+  index = other252.index;
+  leader = other252.leader;
+  __isset = other252.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other259) noexcept {
-  term = other259.term;
-  votedFor = other259.votedFor;
-  __isset = other259.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other253) noexcept {
+  logGroup = other253.logGroup;
+  proposal = other253.proposal;
+  status = other253.status;
+  index = other253.index;
+  leader = std::move(other253.leader);
+  __isset = other253.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other260) noexcept {
-  term = other260.term;
-  votedFor = other260.votedFor;
-  __isset = other260.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other254) {
+  logGroup = other254.logGroup;
+  proposal = other254.proposal;
+  status = other254.status;
+  index = other254.index;
+  leader = other254.leader;
+  __isset = other254.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other261) noexcept {
-  term = other261.term;
-  votedFor = other261.votedFor;
-  __isset = other261.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other255) noexcept {
+  logGroup = other255.logGroup;
+  proposal = other255.proposal;
+  status = other255.status;
+  index = other255.index;
+  leader = std::move(other255.leader);
+  __isset = other255.__isset;
   return *this;
 }
-void VoteRecord::printTo(std::ostream& out) const {
+void ProposeReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRecord(";
-  out << "term=" << to_string(term);
-  out << ", " << "votedFor=" << to_string(votedFor);
+  out << "ProposeReply(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
 
-SnapshotRecord::~SnapshotRecord() noexcept {
-}
-
-
-void SnapshotRecord::__set_index(const int64_t val) {
-  this->index = val;
+LogBatch::~LogBatch() noexcept {
 }
 
-void SnapshotRecord::__set_term(const int64_t val) {
-  this->term = val;
-}
 
-void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
-  this->replicas = val;
+void LogBatch::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
 }
 
-void SnapshotRecord::__set_state(const std::string& val) {
-  this->state = val;
+void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7669,44 +7909,28 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->replicas.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->replicas.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            this->entries.clear();
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->entries.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->replicas[_i266].read(iprot);
+              xfer += this->entries[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.replicas = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->state);
-          this->__isset.state = true;
+          this->__isset.entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7723,129 +7947,85 @@
   return xfer;
 }
 
-uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRecord");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogBatch");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->truncateFrom);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter267;
-    for (_iter267 = this->replicas.begin(); _iter267 != this->replicas.end(); ++_iter267)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter261;
+    for (_iter261 = this->entries.begin(); _iter261 != this->entries.end(); ++_iter261)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->state);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(SnapshotRecord &a, SnapshotRecord &b) {
+void swap(LogBatch &a, LogBatch &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.replicas, b.replicas);
-  swap(a.state, b.state);
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other268) {
-  index = other268.index;
-  term = other268.term;
-  replicas = other268.replicas;
-  state = other268.state;
-  __isset = other268.__isset;
+LogBatch::LogBatch(const LogBatch& other262) {
+  truncateFrom = other262.truncateFrom;
+  entries = other262.entries;
+  __isset = other262.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other269) noexcept {
-  index = other269.index;
-  term = other269.term;
-  replicas = std::move(other269.replicas);
-  state = std::move(other269.state);
-  __isset = other269.__isset;
+LogBatch::LogBatch(LogBatch&& other263) noexcept {
+  truncateFrom = other263.truncateFrom;
+  entries = std::move(other263.entries);
+  __isset = other263.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other270) {
-  index = other270.index;
-  term = other270.term;
-  replicas = other270.replicas;
-  state = other270.state;
-  __isset = other270.__isset;
+LogBatch& LogBatch::operator=(const LogBatch& other264) {
+  truncateFrom = other264.truncateFrom;
+  entries = other264.entries;
+  __isset = other264.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other271) noexcept {
-  index = other271.index;
-  term = other271.term;
-  replicas = std::move(other271.replicas);
-  state = std::move(other271.state);
-  __isset = other271.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other265) noexcept {
+  truncateFrom = other265.truncateFrom;
+  entries = std::move(other265.entries);
+  __isset = other265.__isset;
   return *this;
 }
-void SnapshotRecord::printTo(std::ostream& out) const {
+void LogBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRecord(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "state=" << to_string(state);
+  out << "LogBatch(";
+  out << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-ClaimRequest::~ClaimRequest() noexcept {
-}
-
-
-void ClaimRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
-
-void ClaimRequest::__set_member(const std::string& val) {
-  this->member = val;
-}
-
-void ClaimRequest::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void ClaimRequest::__set_contentHash(const int64_t val) {
-  this->contentHash = val;
-}
-
-void ClaimRequest::__set_dispatch(const DispatchId& val) {
-  this->dispatch = val;
+VoterRecord::~VoterRecord() noexcept {
 }
 
-void ClaimRequest::__set_backend(const std::string& val) {
-  this->backend = val;
-}
 
-void ClaimRequest::__set_backendIncarnation(const int64_t val) {
-  this->backendIncarnation = val;
+void VoterRecord::__set_id(const int64_t val) {
+  this->id = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7868,56 +8048,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->contentHash);
-          this->__isset.contentHash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->dispatch.read(iprot);
-          this->__isset.dispatch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->backendIncarnation);
-          this->__isset.backendIncarnation = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7934,37 +8066,13 @@
   return xfer;
 }
 
-uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimRequest");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->member);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->contentHash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->dispatch.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->backend);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VoterRecord");
 
-  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7972,117 +8080,57 @@
   return xfer;
 }
 
-void swap(ClaimRequest &a, ClaimRequest &b) {
+void swap(VoterRecord &a, VoterRecord &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.member, b.member);
-  swap(a.key, b.key);
-  swap(a.contentHash, b.contentHash);
-  swap(a.dispatch, b.dispatch);
-  swap(a.backend, b.backend);
-  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.id, b.id);
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other272) {
-  proposal = other272.proposal;
-  member = other272.member;
-  key = other272.key;
-  contentHash = other272.contentHash;
-  dispatch = other272.dispatch;
-  backend = other272.backend;
-  backendIncarnation = other272.backendIncarnation;
-  __isset = other272.__isset;
+VoterRecord::VoterRecord(const VoterRecord& other266) noexcept {
+  id = other266.id;
+  __isset = other266.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other273) noexcept {
-  proposal = other273.proposal;
-  member = std::move(other273.member);
-  key = std::move(other273.key);
-  contentHash = other273.contentHash;
-  dispatch = std::move(other273.dispatch);
-  backend = std::move(other273.backend);
-  backendIncarnation = other273.backendIncarnation;
-  __isset = other273.__isset;
+VoterRecord::VoterRecord(VoterRecord&& other267) noexcept {
+  id = other267.id;
+  __isset = other267.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other274) {
-  proposal = other274.proposal;
-  member = other274.member;
-  key = other274.key;
-  contentHash = other274.contentHash;
-  dispatch = other274.dispatch;
-  backend = other274.backend;
-  backendIncarnation = other274.backendIncarnation;
-  __isset = other274.__isset;
+VoterRecord& VoterRecord::operator=(const VoterRecord& other268) noexcept {
+  id = other268.id;
+  __isset = other268.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other275) noexcept {
-  proposal = other275.proposal;
-  member = std::move(other275.member);
-  key = std::move(other275.key);
-  contentHash = other275.contentHash;
-  dispatch = std::move(other275.dispatch);
-  backend = std::move(other275.backend);
-  backendIncarnation = other275.backendIncarnation;
-  __isset = other275.__isset;
+VoterRecord& VoterRecord::operator=(VoterRecord&& other269) noexcept {
+  id = other269.id;
+  __isset = other269.__isset;
   return *this;
 }
-void ClaimRequest::printTo(std::ostream& out) const {
+void VoterRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimRequest(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "contentHash=" << to_string(contentHash);
-  out << ", " << "dispatch=" << to_string(dispatch);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << "VoterRecord(";
+  out << "id=" << to_string(id);
   out << ")";
 }
 
 
-OutcomeRequest::~OutcomeRequest() noexcept {
-}
-
-
-void OutcomeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
-
-void OutcomeRequest::__set_member(const std::string& val) {
-  this->member = val;
-}
-
-void OutcomeRequest::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void OutcomeRequest::__set_dispatch(const DispatchId& val) {
-  this->dispatch = val;
-}
-
-void OutcomeRequest::__set_status(const int32_t val) {
-  this->status = val;
+VoteRecord::~VoteRecord() noexcept {
 }
 
-void OutcomeRequest::__set_answerStatus(const int32_t val) {
-  this->answerStatus = val;
-}
 
-void OutcomeRequest::__set_answerType(const std::string& val) {
-  this->answerType = val;
+void VoteRecord::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void OutcomeRequest::__set_answer(const std::string& val) {
-  this->answer = val;
+void VoteRecord::__set_votedFor(const int64_t val) {
+  this->votedFor = val;
 }
-std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8105,64 +8153,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->dispatch.read(iprot);
-          this->__isset.dispatch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answerStatus);
-          this->__isset.answerStatus = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->answerType);
-          this->__isset.answerType = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->votedFor);
+          this->__isset.votedFor = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8179,41 +8179,17 @@
   return xfer;
 }
 
-uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OutcomeRequest");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->member);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->dispatch.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->status);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->answerStatus);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VoteRecord");
 
-  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->votedFor);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8221,127 +8197,71 @@
   return xfer;
 }
 
-void swap(OutcomeRequest &a, OutcomeRequest &b) {
+void swap(VoteRecord &a, VoteRecord &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.member, b.member);
-  swap(a.key, b.key);
-  swap(a.dispatch, b.dispatch);
-  swap(a.status, b.status);
-  swap(a.answerStatus, b.answerStatus);
-  swap(a.answerType, b.answerType);
-  swap(a.answer, b.answer);
+  swap(a.term, b.term);
+  swap(a.votedFor, b.votedFor);
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other276) {
-  proposal = other276.proposal;
-  member = other276.member;
-  key = other276.key;
-  dispatch = other276.dispatch;
-  status = other276.status;
-  answerStatus = other276.answerStatus;
-  answerType = other276.answerType;
-  answer = other276.answer;
-  __isset = other276.__isset;
-}
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other277) noexcept {
-  proposal = other277.proposal;
-  member = std::move(other277.member);
-  key = std::move(other277.key);
-  dispatch = std::move(other277.dispatch);
-  status = other277.status;
-  answerStatus = other277.answerStatus;
-  answerType = std::move(other277.answerType);
-  answer = std::move(other277.answer);
-  __isset = other277.__isset;
-}
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other278) {
-  proposal = other278.proposal;
-  member = other278.member;
-  key = other278.key;
-  dispatch = other278.dispatch;
-  status = other278.status;
-  answerStatus = other278.answerStatus;
-  answerType = other278.answerType;
-  answer = other278.answer;
-  __isset = other278.__isset;
-  return *this;
-}
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other279) noexcept {
-  proposal = other279.proposal;
-  member = std::move(other279.member);
-  key = std::move(other279.key);
-  dispatch = std::move(other279.dispatch);
-  status = other279.status;
-  answerStatus = other279.answerStatus;
-  answerType = std::move(other279.answerType);
-  answer = std::move(other279.answer);
-  __isset = other279.__isset;
-  return *this;
+VoteRecord::VoteRecord(const VoteRecord& other270) noexcept {
+  term = other270.term;
+  votedFor = other270.votedFor;
+  __isset = other270.__isset;
 }
-void OutcomeRequest::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "OutcomeRequest(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "dispatch=" << to_string(dispatch);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "answerStatus=" << to_string(answerStatus);
-  out << ", " << "answerType=" << to_string(answerType);
-  out << ", " << "answer=" << to_string(answer);
-  out << ")";
+VoteRecord::VoteRecord(VoteRecord&& other271) noexcept {
+  term = other271.term;
+  votedFor = other271.votedFor;
+  __isset = other271.__isset;
 }
-
-
-RecordReply::~RecordReply() noexcept {
+VoteRecord& VoteRecord::operator=(const VoteRecord& other272) noexcept {
+  term = other272.term;
+  votedFor = other272.votedFor;
+  __isset = other272.__isset;
+  return *this;
 }
-
-
-void RecordReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other273) noexcept {
+  term = other273.term;
+  votedFor = other273.votedFor;
+  __isset = other273.__isset;
+  return *this;
 }
-
-void RecordReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
+void VoteRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRecord(";
+  out << "term=" << to_string(term);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ")";
 }
 
-void RecordReply::__set_holder(const DispatchId& val) {
-  this->holder = val;
-}
 
-void RecordReply::__set_backend(const std::string& val) {
-  this->backend = val;
+SnapshotRecord::~SnapshotRecord() noexcept {
 }
 
-void RecordReply::__set_backendIncarnation(const int64_t val) {
-  this->backendIncarnation = val;
-}
 
-void RecordReply::__set_answerStored(const bool val) {
-  this->answerStored = val;
+void SnapshotRecord::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void RecordReply::__set_answerStatus(const int32_t val) {
-  this->answerStatus = val;
+void SnapshotRecord::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void RecordReply::__set_answerType(const std::string& val) {
-  this->answerType = val;
+void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
 }
 
-void RecordReply::__set_answer(const std::string& val) {
-  this->answer = val;
+void SnapshotRecord::__set_state(const std::string& val) {
+  this->state = val;
 }
-std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8364,72 +8284,255 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->holder.read(iprot);
-          this->__isset.holder = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->replicas.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
+            {
+              xfer += this->replicas[_i278].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->backendIncarnation);
-          this->__isset.backendIncarnation = true;
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->answerStored);
-          this->__isset.answerStored = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answerStatus);
-          this->__isset.answerStatus = true;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotRecord");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter279;
+    for (_iter279 = this->replicas.begin(); _iter279 != this->replicas.end(); ++_iter279)
+    {
+      xfer += (*_iter279).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotRecord &a, SnapshotRecord &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.replicas, b.replicas);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other280) {
+  index = other280.index;
+  term = other280.term;
+  replicas = other280.replicas;
+  state = other280.state;
+  __isset = other280.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other281) noexcept {
+  index = other281.index;
+  term = other281.term;
+  replicas = std::move(other281.replicas);
+  state = std::move(other281.state);
+  __isset = other281.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other282) {
+  index = other282.index;
+  term = other282.term;
+  replicas = other282.replicas;
+  state = other282.state;
+  __isset = other282.__isset;
+  return *this;
+}
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other283) noexcept {
+  index = other283.index;
+  term = other283.term;
+  replicas = std::move(other283.replicas);
+  state = std::move(other283.state);
+  __isset = other283.__isset;
+  return *this;
+}
+void SnapshotRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
+ClaimRequest::~ClaimRequest() noexcept {
+}
+
+
+void ClaimRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ClaimRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void ClaimRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ClaimRequest::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void ClaimRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void ClaimRequest::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void ClaimRequest::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->answerType);
-          this->__isset.answerType = true;
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8446,45 +8549,37 @@
   return xfer;
 }
 
-uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordReply");
+  xfer += oprot->writeStructBegin("ClaimRequest");
 
   xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->proposal);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->holder.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->contentHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->dispatch.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->backend);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->backendIncarnation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
