@@ -8492,105 +8587,1543 @@
   return xfer;
 }
 
-void swap(RecordReply &a, RecordReply &b) {
+void swap(ClaimRequest &a, ClaimRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRequest::ClaimRequest(const ClaimRequest& other284) {
+  proposal = other284.proposal;
+  member = other284.member;
+  key = other284.key;
+  contentHash = other284.contentHash;
+  dispatch = other284.dispatch;
+  backend = other284.backend;
+  backendIncarnation = other284.backendIncarnation;
+  __isset = other284.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other285) noexcept {
+  proposal = other285.proposal;
+  member = std::move(other285.member);
+  key = std::move(other285.key);
+  contentHash = other285.contentHash;
+  dispatch = std::move(other285.dispatch);
+  backend = std::move(other285.backend);
+  backendIncarnation = other285.backendIncarnation;
+  __isset = other285.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other286) {
+  proposal = other286.proposal;
+  member = other286.member;
+  key = other286.key;
+  contentHash = other286.contentHash;
+  dispatch = other286.dispatch;
+  backend = other286.backend;
+  backendIncarnation = other286.backendIncarnation;
+  __isset = other286.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other287) noexcept {
+  proposal = other287.proposal;
+  member = std::move(other287.member);
+  key = std::move(other287.key);
+  contentHash = other287.contentHash;
+  dispatch = std::move(other287.dispatch);
+  backend = std::move(other287.backend);
+  backendIncarnation = other287.backendIncarnation;
+  __isset = other287.__isset;
+  return *this;
+}
+void ClaimRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ")";
+}
+
+
+OutcomeRequest::~OutcomeRequest() noexcept {
+}
+
+
+void OutcomeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void OutcomeRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void OutcomeRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void OutcomeRequest::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void OutcomeRequest::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void OutcomeRequest::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void OutcomeRequest::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeRequest &a, OutcomeRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatch, b.dispatch);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other288) {
+  proposal = other288.proposal;
+  member = other288.member;
+  key = other288.key;
+  dispatch = other288.dispatch;
+  status = other288.status;
+  answerStatus = other288.answerStatus;
+  answerType = other288.answerType;
+  answer = other288.answer;
+  __isset = other288.__isset;
+}
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other289) noexcept {
+  proposal = other289.proposal;
+  member = std::move(other289.member);
+  key = std::move(other289.key);
+  dispatch = std::move(other289.dispatch);
+  status = other289.status;
+  answerStatus = other289.answerStatus;
+  answerType = std::move(other289.answerType);
+  answer = std::move(other289.answer);
+  __isset = other289.__isset;
+}
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other290) {
+  proposal = other290.proposal;
+  member = other290.member;
+  key = other290.key;
+  dispatch = other290.dispatch;
+  status = other290.status;
+  answerStatus = other290.answerStatus;
+  answerType = other290.answerType;
+  answer = other290.answer;
+  __isset = other290.__isset;
+  return *this;
+}
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other291) noexcept {
+  proposal = other291.proposal;
+  member = std::move(other291.member);
+  key = std::move(other291.key);
+  dispatch = std::move(other291.dispatch);
+  status = other291.status;
+  answerStatus = other291.answerStatus;
+  answerType = std::move(other291.answerType);
+  answer = std::move(other291.answer);
+  __isset = other291.__isset;
+  return *this;
+}
+void OutcomeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+RecordReply::~RecordReply() noexcept {
+}
+
+
+void RecordReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void RecordReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void RecordReply::__set_holder(const DispatchId& val) {
+  this->holder = val;
+}
+
+void RecordReply::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordReply::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordReply::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void RecordReply::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordReply::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordReply::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordReply &a, RecordReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.holder, b.holder);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordReply::RecordReply(const RecordReply& other292) {
+  proposal = other292.proposal;
+  verdict = other292.verdict;
+  holder = other292.holder;
+  backend = other292.backend;
+  backendIncarnation = other292.backendIncarnation;
+  answerStored = other292.answerStored;
+  answerStatus = other292.answerStatus;
+  answerType = other292.answerType;
+  answer = other292.answer;
+  __isset = other292.__isset;
+}
+RecordReply::RecordReply(RecordReply&& other293) noexcept {
+  proposal = other293.proposal;
+  verdict = other293.verdict;
+  holder = std::move(other293.holder);
+  backend = std::move(other293.backend);
+  backendIncarnation = other293.backendIncarnation;
+  answerStored = other293.answerStored;
+  answerStatus = other293.answerStatus;
+  answerType = std::move(other293.answerType);
+  answer = std::move(other293.answer);
+  __isset = other293.__isset;
+}
+RecordReply& RecordReply::operator=(const RecordReply& other294) {
+  proposal = other294.proposal;
+  verdict = other294.verdict;
+  holder = other294.holder;
+  backend = other294.backend;
+  backendIncarnation = other294.backendIncarnation;
+  answerStored = other294.answerStored;
+  answerStatus = other294.answerStatus;
+  answerType = other294.answerType;
+  answer = other294.answer;
+  __isset = other294.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other295) noexcept {
+  proposal = other295.proposal;
+  verdict = other295.verdict;
+  holder = std::move(other295.holder);
+  backend = std::move(other295.backend);
+  backendIncarnation = other295.backendIncarnation;
+  answerStored = other295.answerStored;
+  answerStatus = other295.answerStatus;
+  answerType = std::move(other295.answerType);
+  answer = std::move(other295.answer);
+  __isset = other295.__isset;
+  return *this;
+}
+void RecordReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+OutcomeReply::~OutcomeReply() noexcept {
+}
+
+
+void OutcomeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeReply &a, OutcomeReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeReply::OutcomeReply(const OutcomeReply& other296) noexcept {
+  proposal = other296.proposal;
+  verdict = other296.verdict;
+  __isset = other296.__isset;
+}
+OutcomeReply::OutcomeReply(OutcomeReply&& other297) noexcept {
+  proposal = other297.proposal;
+  verdict = other297.verdict;
+  __isset = other297.__isset;
+}
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other298) noexcept {
+  proposal = other298.proposal;
+  verdict = other298.verdict;
+  __isset = other298.__isset;
+  return *this;
+}
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other299) noexcept {
+  proposal = other299.proposal;
+  verdict = other299.verdict;
+  __isset = other299.__isset;
+  return *this;
+}
+void OutcomeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ")";
+}
+
+
+LeaseRenew::~LeaseRenew() noexcept {
+}
+
+
+void LeaseRenew::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseRenew::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void LeaseRenew::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void LeaseRenew::__set_appliedVersion(const int64_t val) {
+  this->appliedVersion = val;
+}
+
+void LeaseRenew::__set_heardVersion(const int64_t val) {
+  this->heardVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedVersion);
+          this->__isset.appliedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardVersion);
+          this->__isset.heardVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenew");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenew &a, LeaseRenew &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.appliedVersion, b.appliedVersion);
+  swap(a.heardVersion, b.heardVersion);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseRenew::LeaseRenew(const LeaseRenew& other300) {
+  sequence = other300.sequence;
+  node = other300.node;
+  zone = other300.zone;
+  appliedVersion = other300.appliedVersion;
+  heardVersion = other300.heardVersion;
+  __isset = other300.__isset;
+}
+LeaseRenew::LeaseRenew(LeaseRenew&& other301) noexcept {
+  sequence = other301.sequence;
+  node = std::move(other301.node);
+  zone = std::move(other301.zone);
+  appliedVersion = other301.appliedVersion;
+  heardVersion = other301.heardVersion;
+  __isset = other301.__isset;
+}
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other302) {
+  sequence = other302.sequence;
+  node = other302.node;
+  zone = other302.zone;
+  appliedVersion = other302.appliedVersion;
+  heardVersion = other302.heardVersion;
+  __isset = other302.__isset;
+  return *this;
+}
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other303) noexcept {
+  sequence = other303.sequence;
+  node = std::move(other303.node);
+  zone = std::move(other303.zone);
+  appliedVersion = other303.appliedVersion;
+  heardVersion = other303.heardVersion;
+  __isset = other303.__isset;
+  return *this;
+}
+void LeaseRenew::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenew(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "appliedVersion=" << to_string(appliedVersion);
+  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ")";
+}
+
+
+LeaseGrant::~LeaseGrant() noexcept {
+}
+
+
+void LeaseGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseGrant::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void LeaseGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void LeaseGrant::__set_durationMicros(const int64_t val) {
+  this->durationMicros = val;
+}
+
+void LeaseGrant::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMicros);
+          this->__isset.durationMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseGrant &a, LeaseGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.durationMicros, b.durationMicros);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseGrant::LeaseGrant(const LeaseGrant& other304) {
+  sequence = other304.sequence;
+  granted = other304.granted;
+  leaderHint = other304.leaderHint;
+  durationMicros = other304.durationMicros;
+  version = other304.version;
+  __isset = other304.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other305) noexcept {
+  sequence = other305.sequence;
+  granted = other305.granted;
+  leaderHint = std::move(other305.leaderHint);
+  durationMicros = other305.durationMicros;
+  version = other305.version;
+  __isset = other305.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other306) {
+  sequence = other306.sequence;
+  granted = other306.granted;
+  leaderHint = other306.leaderHint;
+  durationMicros = other306.durationMicros;
+  version = other306.version;
+  __isset = other306.__isset;
+  return *this;
+}
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other307) noexcept {
+  sequence = other307.sequence;
+  granted = other307.granted;
+  leaderHint = std::move(other307.leaderHint);
+  durationMicros = other307.durationMicros;
+  version = other307.version;
+  __isset = other307.__isset;
+  return *this;
+}
+void LeaseGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "durationMicros=" << to_string(durationMicros);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigPush::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigPush::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other308) {
+  version = other308.version;
+  author = other308.author;
+  sheet = other308.sheet;
+  __isset = other308.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other309) noexcept {
+  version = other309.version;
+  author = std::move(other309.author);
+  sheet = std::move(other309.sheet);
+  __isset = other309.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other310) {
+  version = other310.version;
+  author = other310.author;
+  sheet = other310.sheet;
+  __isset = other310.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other311) noexcept {
+  version = other311.version;
+  author = std::move(other311.author);
+  sheet = std::move(other311.sheet);
+  __isset = other311.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+VersionQuery::~VersionQuery() noexcept {
+}
+
+
+void VersionQuery::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionQuery");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionQuery &a, VersionQuery &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+VersionQuery::VersionQuery(const VersionQuery& other312) noexcept {
+  sequence = other312.sequence;
+  __isset = other312.__isset;
+}
+VersionQuery::VersionQuery(VersionQuery&& other313) noexcept {
+  sequence = other313.sequence;
+  __isset = other313.__isset;
+}
+VersionQuery& VersionQuery::operator=(const VersionQuery& other314) noexcept {
+  sequence = other314.sequence;
+  __isset = other314.__isset;
+  return *this;
+}
+VersionQuery& VersionQuery::operator=(VersionQuery&& other315) noexcept {
+  sequence = other315.sequence;
+  __isset = other315.__isset;
+  return *this;
+}
+void VersionQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionQuery(";
+  out << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+VersionReply::~VersionReply() noexcept {
+}
+
+
+void VersionReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void VersionReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void VersionReply::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void VersionReply::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionReply");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionReply &a, VersionReply &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
-  swap(a.holder, b.holder);
-  swap(a.backend, b.backend);
-  swap(a.backendIncarnation, b.backendIncarnation);
-  swap(a.answerStored, b.answerStored);
-  swap(a.answerStatus, b.answerStatus);
-  swap(a.answerType, b.answerType);
-  swap(a.answer, b.answer);
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.sheet, b.sheet);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other280) {
-  proposal = other280.proposal;
-  verdict = other280.verdict;
-  holder = other280.holder;
-  backend = other280.backend;
-  backendIncarnation = other280.backendIncarnation;
-  answerStored = other280.answerStored;
-  answerStatus = other280.answerStatus;
-  answerType = other280.answerType;
-  answer = other280.answer;
-  __isset = other280.__isset;
+VersionReply::VersionReply(const VersionReply& other316) {
+  sequence = other316.sequence;
+  version = other316.version;
+  sheet = other316.sheet;
+  zone = other316.zone;
+  __isset = other316.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other281) noexcept {
-  proposal = other281.proposal;
-  verdict = other281.verdict;
-  holder = std::move(other281.holder);
-  backend = std::move(other281.backend);
-  backendIncarnation = other281.backendIncarnation;
-  answerStored = other281.answerStored;
-  answerStatus = other281.answerStatus;
-  answerType = std::move(other281.answerType);
-  answer = std::move(other281.answer);
-  __isset = other281.__isset;
+VersionReply::VersionReply(VersionReply&& other317) noexcept {
+  sequence = other317.sequence;
+  version = other317.version;
+  sheet = std::move(other317.sheet);
+  zone = std::move(other317.zone);
+  __isset = other317.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other282) {
-  proposal = other282.proposal;
-  verdict = other282.verdict;
-  holder = other282.holder;
-  backend = other282.backend;
-  backendIncarnation = other282.backendIncarnation;
-  answerStored = other282.answerStored;
-  answerStatus = other282.answerStatus;
-  answerType = other282.answerType;
-  answer = other282.answer;
-  __isset = other282.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other318) {
+  sequence = other318.sequence;
+  version = other318.version;
+  sheet = other318.sheet;
+  zone = other318.zone;
+  __isset = other318.__isset;
   return *this;
 }
-RecordReply& RecordReply::operator=(RecordReply&& other283) noexcept {
-  proposal = other283.proposal;
-  verdict = other283.verdict;
-  holder = std::move(other283.holder);
-  backend = std::move(other283.backend);
-  backendIncarnation = other283.backendIncarnation;
-  answerStored = other283.answerStored;
-  answerStatus = other283.answerStatus;
-  answerType = std::move(other283.answerType);
-  answer = std::move(other283.answer);
-  __isset = other283.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other319) noexcept {
+  sequence = other319.sequence;
+  version = other319.version;
+  sheet = std::move(other319.sheet);
+  zone = std::move(other319.zone);
+  __isset = other319.__isset;
   return *this;
 }
-void RecordReply::printTo(std::ostream& out) const {
+void VersionReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RecordReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
-  out << ", " << "holder=" << to_string(holder);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
-  out << ", " << "answerStored=" << to_string(answerStored);
-  out << ", " << "answerStatus=" << to_string(answerStatus);
-  out << ", " << "answerType=" << to_string(answerType);
-  out << ", " << "answer=" << to_string(answer);
+  out << "VersionReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
 
-OutcomeReply::~OutcomeReply() noexcept {
+StepRange::~StepRange() noexcept {
 }
 
 
-void OutcomeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void StepRange::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
 }
 
-void OutcomeReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
+void StepRange::__set_first(const int64_t val) {
+  this->first = val;
 }
-std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+
+void StepRange::__set_last(const int64_t val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepRange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StepRange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8613,16 +10146,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last);
+          this->__isset.last = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8639,17 +10180,21 @@
   return xfer;
 }
 
-uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StepRange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OutcomeReply");
+  xfer += oprot->writeStructBegin("StepRange");
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->mapVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8657,75 +10202,69 @@
   return xfer;
 }
 
-void swap(OutcomeReply &a, OutcomeReply &b) {
+void swap(StepRange &a, StepRange &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.first, b.first);
+  swap(a.last, b.last);
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other284) noexcept {
-  proposal = other284.proposal;
-  verdict = other284.verdict;
-  __isset = other284.__isset;
+StepRange::StepRange(const StepRange& other320) noexcept {
+  mapVersion = other320.mapVersion;
+  first = other320.first;
+  last = other320.last;
+  __isset = other320.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other285) noexcept {
-  proposal = other285.proposal;
-  verdict = other285.verdict;
-  __isset = other285.__isset;
+StepRange::StepRange(StepRange&& other321) noexcept {
+  mapVersion = other321.mapVersion;
+  first = other321.first;
+  last = other321.last;
+  __isset = other321.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other286) noexcept {
-  proposal = other286.proposal;
-  verdict = other286.verdict;
-  __isset = other286.__isset;
+StepRange& StepRange::operator=(const StepRange& other322) noexcept {
+  mapVersion = other322.mapVersion;
+  first = other322.first;
+  last = other322.last;
+  __isset = other322.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other287) noexcept {
-  proposal = other287.proposal;
-  verdict = other287.verdict;
-  __isset = other287.__isset;
+StepRange& StepRange::operator=(StepRange&& other323) noexcept {
+  mapVersion = other323.mapVersion;
+  first = other323.first;
+  last = other323.last;
+  __isset = other323.__isset;
   return *this;
 }
-void OutcomeReply::printTo(std::ostream& out) const {
+void StepRange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "OutcomeReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
+  out << "StepRange(";
+  out << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
   out << ")";
 }
 
 
-LeaseRenew::~LeaseRenew() noexcept {
-}
-
-
-void LeaseRenew::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void LeaseRenew::__set_node(const std::string& val) {
-  this->node = val;
+ExpertMap::~ExpertMap() noexcept {
 }
 
-void LeaseRenew::__set_zone(const std::string& val) {
-  this->zone = val;
-}
 
-void LeaseRenew::__set_appliedVersion(const int64_t val) {
-  this->appliedVersion = val;
+void ExpertMap::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void LeaseRenew::__set_heardVersion(const int64_t val) {
-  this->heardVersion = val;
+void ExpertMap::__set_slots(const std::string& val) {
+  this->slots = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+std::ostream& operator<<(std::ostream& out, const ExpertMap& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ExpertMap::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8748,40 +10287,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->appliedVersion);
-          this->__isset.appliedVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->heardVersion);
-          this->__isset.heardVersion = true;
+          xfer += iprot->readBinary(this->slots);
+          this->__isset.slots = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8798,29 +10313,17 @@
   return xfer;
 }
 
-uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ExpertMap::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseRenew");
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->zone);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ExpertMap");
 
-  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->slots);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8828,93 +10331,107 @@
   return xfer;
 }
 
-void swap(LeaseRenew &a, LeaseRenew &b) {
+void swap(ExpertMap &a, ExpertMap &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.node, b.node);
-  swap(a.zone, b.zone);
-  swap(a.appliedVersion, b.appliedVersion);
-  swap(a.heardVersion, b.heardVersion);
+  swap(a.version, b.version);
+  swap(a.slots, b.slots);
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other288) {
-  sequence = other288.sequence;
-  node = other288.node;
-  zone = other288.zone;
-  appliedVersion = other288.appliedVersion;
-  heardVersion = other288.heardVersion;
-  __isset = other288.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other324) {
+  version = other324.version;
+  slots = other324.slots;
+  __isset = other324.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other289) noexcept {
-  sequence = other289.sequence;
-  node = std::move(other289.node);
-  zone = std::move(other289.zone);
-  appliedVersion = other289.appliedVersion;
-  heardVersion = other289.heardVersion;
-  __isset = other289.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other325) noexcept {
+  version = other325.version;
+  slots = std::move(other325.slots);
+  __isset = other325.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other290) {
-  sequence = other290.sequence;
-  node = other290.node;
-  zone = other290.zone;
-  appliedVersion = other290.appliedVersion;
-  heardVersion = other290.heardVersion;
-  __isset = other290.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other326) {
+  version = other326.version;
+  slots = other326.slots;
+  __isset = other326.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other291) noexcept {
-  sequence = other291.sequence;
-  node = std::move(other291.node);
-  zone = std::move(other291.zone);
-  appliedVersion = other291.appliedVersion;
-  heardVersion = other291.heardVersion;
-  __isset = other291.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other327) noexcept {
+  version = other327.version;
+  slots = std::move(other327.slots);
+  __isset = other327.__isset;
   return *this;
 }
-void LeaseRenew::printTo(std::ostream& out) const {
+void ExpertMap::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseRenew(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "node=" << to_string(node);
-  out << ", " << "zone=" << to_string(zone);
-  out << ", " << "appliedVersion=" << to_string(appliedVersion);
-  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << "ExpertMap(";
+  out << "version=" << to_string(version);
+  out << ", " << "slots=" << to_string(slots);
   out << ")";
 }
 
 
-LeaseGrant::~LeaseGrant() noexcept {
+RankReport::~RankReport() noexcept {
 }
 
 
-void LeaseGrant::__set_sequence(const int64_t val) {
+void RankReport::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void LeaseGrant::__set_granted(const bool val) {
+void RankReport::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void RankReport::__set_shape(const GroupShape& val) {
+  this->shape = val;
+}
+
+void RankReport::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void RankReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void RankReport::__set_step(const int64_t val) {
+  this->step = val;
+}
+
+void RankReport::__set_granted(const int64_t val) {
   this->granted = val;
 }
 
-void LeaseGrant::__set_leaderHint(const Endpoint& val) {
-  this->leaderHint = val;
+void RankReport::__set_loaded(const std::vector<int64_t> & val) {
+  this->loaded = val;
 }
 
-void LeaseGrant::__set_durationMicros(const int64_t val) {
-  this->durationMicros = val;
+void RankReport::__set_window(const int64_t val) {
+  this->window = val;
 }
 
-void LeaseGrant::__set_version(const int64_t val) {
-  this->version = val;
+void RankReport::__set_windowMicros(const int64_t val) {
+  this->windowMicros = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+
+void RankReport::__set_cells(const std::vector<int32_t> & val) {
+  this->cells = val;
+}
+
+void RankReport::__set_counts(const std::vector<int32_t> & val) {
+  this->counts = val;
+}
+
+void RankReport::__set_windowSteps(const int32_t val) {
+  this->windowSteps = val;
+}
+std::ostream& operator<<(std::ostream& out, const RankReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RankReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8943,34 +10460,134 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loaded.clear();
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->loaded.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
+            {
+              xfer += iprot->readI64(this->loaded[_i332]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loaded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->windowMicros);
+          this->__isset.windowMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaderHint.read(iprot);
-          this->__isset.leaderHint = true;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->cells.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
+            {
+              xfer += iprot->readI32(this->cells[_i337]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->durationMicros);
-          this->__isset.durationMicros = true;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->counts.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
+            {
+              xfer += iprot->readI32(this->counts[_i342]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->windowSteps);
+          this->__isset.windowSteps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8987,29 +10604,85 @@
   return xfer;
 }
 
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RankReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
+  xfer += oprot->writeStructBegin("RankReport");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->shape.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->rank);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
+    std::vector<int64_t> ::const_iterator _iter343;
+    for (_iter343 = this->loaded.begin(); _iter343 != this->loaded.end(); ++_iter343)
+    {
+      xfer += oprot->writeI64((*_iter343));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windowMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->windowMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
+    std::vector<int32_t> ::const_iterator _iter344;
+    for (_iter344 = this->cells.begin(); _iter344 != this->cells.end(); ++_iter344)
+    {
+      xfer += oprot->writeI32((*_iter344));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::vector<int32_t> ::const_iterator _iter345;
+    for (_iter345 = this->counts.begin(); _iter345 != this->counts.end(); ++_iter345)
+    {
+      xfer += oprot->writeI32((*_iter345));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windowSteps", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->windowSteps);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9017,85 +10690,153 @@
   return xfer;
 }
 
-void swap(LeaseGrant &a, LeaseGrant &b) {
+void swap(RankReport &a, RankReport &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
+  swap(a.group, b.group);
+  swap(a.shape, b.shape);
+  swap(a.rank, b.rank);
+  swap(a.incarnation, b.incarnation);
+  swap(a.step, b.step);
   swap(a.granted, b.granted);
-  swap(a.leaderHint, b.leaderHint);
-  swap(a.durationMicros, b.durationMicros);
-  swap(a.version, b.version);
+  swap(a.loaded, b.loaded);
+  swap(a.window, b.window);
+  swap(a.windowMicros, b.windowMicros);
+  swap(a.cells, b.cells);
+  swap(a.counts, b.counts);
+  swap(a.windowSteps, b.windowSteps);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other292) {
-  sequence = other292.sequence;
-  granted = other292.granted;
-  leaderHint = other292.leaderHint;
-  durationMicros = other292.durationMicros;
-  version = other292.version;
-  __isset = other292.__isset;
+RankReport::RankReport(const RankReport& other346) {
+  sequence = other346.sequence;
+  group = other346.group;
+  shape = other346.shape;
+  rank = other346.rank;
+  incarnation = other346.incarnation;
+  step = other346.step;
+  granted = other346.granted;
+  loaded = other346.loaded;
+  window = other346.window;
+  windowMicros = other346.windowMicros;
+  cells = other346.cells;
+  counts = other346.counts;
+  windowSteps = other346.windowSteps;
+  __isset = other346.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other293) noexcept {
-  sequence = other293.sequence;
-  granted = other293.granted;
-  leaderHint = std::move(other293.leaderHint);
-  durationMicros = other293.durationMicros;
-  version = other293.version;
-  __isset = other293.__isset;
+RankReport::RankReport(RankReport&& other347) noexcept {
+  sequence = other347.sequence;
+  group = std::move(other347.group);
+  shape = std::move(other347.shape);
+  rank = other347.rank;
+  incarnation = other347.incarnation;
+  step = other347.step;
+  granted = other347.granted;
+  loaded = std::move(other347.loaded);
+  window = other347.window;
+  windowMicros = other347.windowMicros;
+  cells = std::move(other347.cells);
+  counts = std::move(other347.counts);
+  windowSteps = other347.windowSteps;
+  __isset = other347.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other294) {
-  sequence = other294.sequence;
-  granted = other294.granted;
-  leaderHint = other294.leaderHint;
-  durationMicros = other294.durationMicros;
-  version = other294.version;
-  __isset = other294.__isset;
+RankReport& RankReport::operator=(const RankReport& other348) {
+  sequence = other348.sequence;
+  group = other348.group;
+  shape = other348.shape;
+  rank = other348.rank;
+  incarnation = other348.incarnation;
+  step = other348.step;
+  granted = other348.granted;
+  loaded = other348.loaded;
+  window = other348.window;
+  windowMicros = other348.windowMicros;
+  cells = other348.cells;
+  counts = other348.counts;
+  windowSteps = other348.windowSteps;
+  __isset = other348.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other295) noexcept {
-  sequence = other295.sequence;
-  granted = other295.granted;
-  leaderHint = std::move(other295.leaderHint);
-  durationMicros = other295.durationMicros;
-  version = other295.version;
-  __isset = other295.__isset;
+RankReport& RankReport::operator=(RankReport&& other349) noexcept {
+  sequence = other349.sequence;
+  group = std::move(other349.group);
+  shape = std::move(other349.shape);
+  rank = other349.rank;
+  incarnation = other349.incarnation;
+  step = other349.step;
+  granted = other349.granted;
+  loaded = std::move(other349.loaded);
+  window = other349.window;
+  windowMicros = other349.windowMicros;
+  cells = std::move(other349.cells);
+  counts = std::move(other349.counts);
+  windowSteps = other349.windowSteps;
+  __isset = other349.__isset;
   return *this;
 }
-void LeaseGrant::printTo(std::ostream& out) const {
+void RankReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
+  out << "RankReport(";
   out << "sequence=" << to_string(sequence);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "step=" << to_string(step);
   out << ", " << "granted=" << to_string(granted);
-  out << ", " << "leaderHint=" << to_string(leaderHint);
-  out << ", " << "durationMicros=" << to_string(durationMicros);
-  out << ", " << "version=" << to_string(version);
+  out << ", " << "loaded=" << to_string(loaded);
+  out << ", " << "window=" << to_string(window);
+  out << ", " << "windowMicros=" << to_string(windowMicros);
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "counts=" << to_string(counts);
+  out << ", " << "windowSteps=" << to_string(windowSteps);
   out << ")";
 }
 
 
-ConfigPush::~ConfigPush() noexcept {
+StepGrant::~StepGrant() noexcept {
 }
 
 
-void ConfigPush::__set_version(const int64_t val) {
-  this->version = val;
+void StepGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void ConfigPush::__set_author(const std::string& val) {
-  this->author = val;
+void StepGrant::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void ConfigPush::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void StepGrant::__set_leads(const bool val) {
+  this->leads = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+
+void StepGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void StepGrant::__set_ranges(const std::vector<StepRange> & val) {
+  this->ranges = val;
+}
+
+void StepGrant::__set_loadMap(const int64_t val) {
+  this->loadMap = val;
+}
+
+void StepGrant::__set_droppableThrough(const int64_t val) {
+  this->droppableThrough = val;
+}
+
+void StepGrant::__set_maps(const std::vector<ExpertMap> & val) {
+  this->maps = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StepGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9118,24 +10859,88 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranges.clear();
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->ranges.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
+            {
+              xfer += this->ranges[_i354].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ranges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->loadMap);
+          this->__isset.loadMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->droppableThrough);
+          this->__isset.droppableThrough = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->maps.clear();
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->maps.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
+            {
+              xfer += this->maps[_i359].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.maps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9152,134 +10957,57 @@
   return xfer;
 }
 
-uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StepGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPush");
+  xfer += oprot->writeStructBegin("StepGrant");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->leads);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ConfigPush &a, ConfigPush &b) {
-  using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.author, b.author);
-  swap(a.sheet, b.sheet);
-  swap(a.__isset, b.__isset);
-}
-
-ConfigPush::ConfigPush(const ConfigPush& other296) {
-  version = other296.version;
-  author = other296.author;
-  sheet = other296.sheet;
-  __isset = other296.__isset;
-}
-ConfigPush::ConfigPush(ConfigPush&& other297) noexcept {
-  version = other297.version;
-  author = std::move(other297.author);
-  sheet = std::move(other297.sheet);
-  __isset = other297.__isset;
-}
-ConfigPush& ConfigPush::operator=(const ConfigPush& other298) {
-  version = other298.version;
-  author = other298.author;
-  sheet = other298.sheet;
-  __isset = other298.__isset;
-  return *this;
-}
-ConfigPush& ConfigPush::operator=(ConfigPush&& other299) noexcept {
-  version = other299.version;
-  author = std::move(other299.author);
-  sheet = std::move(other299.sheet);
-  __isset = other299.__isset;
-  return *this;
-}
-void ConfigPush::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ConfigPush(";
-  out << "version=" << to_string(version);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "sheet=" << to_string(sheet);
-  out << ")";
-}
-
-
-VersionQuery::~VersionQuery() noexcept {
-}
-
-
-void VersionQuery::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
 
-  while (true)
+  xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
+    std::vector<StepRange> ::const_iterator _iter360;
+    for (_iter360 = this->ranges.begin(); _iter360 != this->ranges.end(); ++_iter360)
     {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
+      xfer += (*_iter360).write(oprot);
     }
-    xfer += iprot->readFieldEnd();
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
 
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
+  xfer += oprot->writeFieldBegin("loadMap", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->loadMap);
+  xfer += oprot->writeFieldEnd();
 
-uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionQuery");
+  xfer += oprot->writeFieldBegin("droppableThrough", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->droppableThrough);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
+    std::vector<ExpertMap> ::const_iterator _iter361;
+    for (_iter361 = this->maps.begin(); _iter361 != this->maps.end(); ++_iter361)
+    {
+      xfer += (*_iter361).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9287,65 +11015,139 @@
   return xfer;
 }
 
-void swap(VersionQuery &a, VersionQuery &b) {
+void swap(StepGrant &a, StepGrant &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
+  swap(a.group, b.group);
+  swap(a.leads, b.leads);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.ranges, b.ranges);
+  swap(a.loadMap, b.loadMap);
+  swap(a.droppableThrough, b.droppableThrough);
+  swap(a.maps, b.maps);
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other300) noexcept {
-  sequence = other300.sequence;
-  __isset = other300.__isset;
-}
-VersionQuery::VersionQuery(VersionQuery&& other301) noexcept {
-  sequence = other301.sequence;
-  __isset = other301.__isset;
-}
-VersionQuery& VersionQuery::operator=(const VersionQuery& other302) noexcept {
-  sequence = other302.sequence;
-  __isset = other302.__isset;
+StepGrant::StepGrant(const StepGrant& other362) {
+  sequence = other362.sequence;
+  group = other362.group;
+  leads = other362.leads;
+  leaderHint = other362.leaderHint;
+  ranges = other362.ranges;
+  loadMap = other362.loadMap;
+  droppableThrough = other362.droppableThrough;
+  maps = other362.maps;
+  __isset = other362.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other363) noexcept {
+  sequence = other363.sequence;
+  group = std::move(other363.group);
+  leads = other363.leads;
+  leaderHint = std::move(other363.leaderHint);
+  ranges = std::move(other363.ranges);
+  loadMap = other363.loadMap;
+  droppableThrough = other363.droppableThrough;
+  maps = std::move(other363.maps);
+  __isset = other363.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other364) {
+  sequence = other364.sequence;
+  group = other364.group;
+  leads = other364.leads;
+  leaderHint = other364.leaderHint;
+  ranges = other364.ranges;
+  loadMap = other364.loadMap;
+  droppableThrough = other364.droppableThrough;
+  maps = other364.maps;
+  __isset = other364.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other303) noexcept {
-  sequence = other303.sequence;
-  __isset = other303.__isset;
+StepGrant& StepGrant::operator=(StepGrant&& other365) noexcept {
+  sequence = other365.sequence;
+  group = std::move(other365.group);
+  leads = other365.leads;
+  leaderHint = std::move(other365.leaderHint);
+  ranges = std::move(other365.ranges);
+  loadMap = other365.loadMap;
+  droppableThrough = other365.droppableThrough;
+  maps = std::move(other365.maps);
+  __isset = other365.__isset;
   return *this;
 }
-void VersionQuery::printTo(std::ostream& out) const {
+void StepGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionQuery(";
+  out << "StepGrant(";
   out << "sequence=" << to_string(sequence);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "leads=" << to_string(leads);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "ranges=" << to_string(ranges);
+  out << ", " << "loadMap=" << to_string(loadMap);
+  out << ", " << "droppableThrough=" << to_string(droppableThrough);
+  out << ", " << "maps=" << to_string(maps);
   out << ")";
 }
 
 
-VersionReply::~VersionReply() noexcept {
+StateGroup::~StateGroup() noexcept {
 }
 
 
-void VersionReply::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void StateGroup::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void VersionReply::__set_version(const int64_t val) {
-  this->version = val;
+void StateGroup::__set_shape(const GroupShape& val) {
+  this->shape = val;
 }
 
-void VersionReply::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void StateGroup::__set_ranges(const std::vector<StepRange> & val) {
+  this->ranges = val;
 }
 
-void VersionReply::__set_zone(const std::string& val) {
-  this->zone = val;
+void StateGroup::__set_proposed(const int64_t val) {
+  this->proposed = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+
+void StateGroup::__set_highestMap(const int64_t val) {
+  this->highestMap = val;
+}
+
+void StateGroup::__set_maps(const std::vector<ExpertMap> & val) {
+  this->maps = val;
+}
+
+void StateGroup::__set_pinned(const bool val) {
+  this->pinned = val;
+}
+
+void StateGroup::__set_changedMap(const int64_t val) {
+  this->changedMap = val;
+}
+
+void StateGroup::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void StateGroup::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+
+void StateGroup::__set_bytesMoved(const int64_t val) {
+  this->bytesMoved = val;
+}
+
+void StateGroup::__set_changes(const int64_t val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateGroup& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9367,33 +11169,121 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranges.clear();
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->ranges.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
+            {
+              xfer += this->ranges[_i370].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ranges = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposed);
+          this->__isset.proposed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->highestMap);
+          this->__isset.highestMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->maps.clear();
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _etype374;
+            xfer += iprot->readListBegin(_etype374, _size371);
+            this->maps.resize(_size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
+            {
+              xfer += this->maps[_i375].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.maps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pinned);
+          this->__isset.pinned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changedMap);
+          this->__isset.changedMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytesMoved);
+          this->__isset.bytesMoved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changes);
+          this->__isset.changes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9410,25 +11300,73 @@
   return xfer;
 }
 
-uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionReply");
+  xfer += oprot->writeStructBegin("StateGroup");
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->shape.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
+    std::vector<StepRange> ::const_iterator _iter376;
+    for (_iter376 = this->ranges.begin(); _iter376 != this->ranges.end(); ++_iter376)
+    {
+      xfer += (*_iter376).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldBegin("proposed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->proposed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("highestMap", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->highestMap);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
+    std::vector<ExpertMap> ::const_iterator _iter377;
+    for (_iter377 = this->maps.begin(); _iter377 != this->maps.end(); ++_iter377)
+    {
+      xfer += (*_iter377).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pinned", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->pinned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changedMap", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->changedMap);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytesMoved", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->bytesMoved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->changes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9436,52 +11374,100 @@
   return xfer;
 }
 
-void swap(VersionReply &a, VersionReply &b) {
+void swap(StateGroup &a, StateGroup &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.version, b.version);
-  swap(a.sheet, b.sheet);
-  swap(a.zone, b.zone);
+  swap(a.name, b.name);
+  swap(a.shape, b.shape);
+  swap(a.ranges, b.ranges);
+  swap(a.proposed, b.proposed);
+  swap(a.highestMap, b.highestMap);
+  swap(a.maps, b.maps);
+  swap(a.pinned, b.pinned);
+  swap(a.changedMap, b.changedMap);
+  swap(a.reason, b.reason);
+  swap(a.bytes, b.bytes);
+  swap(a.bytesMoved, b.bytesMoved);
+  swap(a.changes, b.changes);
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other304) {
-  sequence = other304.sequence;
-  version = other304.version;
-  sheet = other304.sheet;
-  zone = other304.zone;
-  __isset = other304.__isset;
-}
-VersionReply::VersionReply(VersionReply&& other305) noexcept {
-  sequence = other305.sequence;
-  version = other305.version;
-  sheet = std::move(other305.sheet);
-  zone = std::move(other305.zone);
-  __isset = other305.__isset;
-}
-VersionReply& VersionReply::operator=(const VersionReply& other306) {
-  sequence = other306.sequence;
-  version = other306.version;
-  sheet = other306.sheet;
-  zone = other306.zone;
-  __isset = other306.__isset;
+StateGroup::StateGroup(const StateGroup& other378) {
+  name = other378.name;
+  shape = other378.shape;
+  ranges = other378.ranges;
+  proposed = other378.proposed;
+  highestMap = other378.highestMap;
+  maps = other378.maps;
+  pinned = other378.pinned;
+  changedMap = other378.changedMap;
+  reason = other378.reason;
+  bytes = other378.bytes;
+  bytesMoved = other378.bytesMoved;
+  changes = other378.changes;
+  __isset = other378.__isset;
+}
+StateGroup::StateGroup(StateGroup&& other379) noexcept {
+  name = std::move(other379.name);
+  shape = std::move(other379.shape);
+  ranges = std::move(other379.ranges);
+  proposed = other379.proposed;
+  highestMap = other379.highestMap;
+  maps = std::move(other379.maps);
+  pinned = other379.pinned;
+  changedMap = other379.changedMap;
+  reason = std::move(other379.reason);
+  bytes = other379.bytes;
+  bytesMoved = other379.bytesMoved;
+  changes = other379.changes;
+  __isset = other379.__isset;
+}
+StateGroup& StateGroup::operator=(const StateGroup& other380) {
+  name = other380.name;
+  shape = other380.shape;
+  ranges = other380.ranges;
+  proposed = other380.proposed;
+  highestMap = other380.highestMap;
+  maps = other380.maps;
+  pinned = other380.pinned;
+  changedMap = other380.changedMap;
+  reason = other380.reason;
+  bytes = other380.bytes;
+  bytesMoved = other380.bytesMoved;
+  changes = other380.changes;
+  __isset = other380.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other307) noexcept {
-  sequence = other307.sequence;
-  version = other307.version;
-  sheet = std::move(other307.sheet);
-  zone = std::move(other307.zone);
-  __isset = other307.__isset;
+StateGroup& StateGroup::operator=(StateGroup&& other381) noexcept {
+  name = std::move(other381.name);
+  shape = std::move(other381.shape);
+  ranges = std::move(other381.ranges);
+  proposed = other381.proposed;
+  highestMap = other381.highestMap;
+  maps = std::move(other381.maps);
+  pinned = other381.pinned;
+  changedMap = other381.changedMap;
+  reason = std::move(other381.reason);
+  bytes = other381.bytes;
+  bytesMoved = other381.bytesMoved;
+  changes = other381.changes;
+  __isset = other381.__isset;
   return *this;
 }
-void VersionReply::printTo(std::ostream& out) const {
+void StateGroup::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionReply(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "sheet=" << to_string(sheet);
-  out << ", " << "zone=" << to_string(zone);
+  out << "StateGroup(";
+  out << "name=" << to_string(name);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "ranges=" << to_string(ranges);
+  out << ", " << "proposed=" << to_string(proposed);
+  out << ", " << "highestMap=" << to_string(highestMap);
+  out << ", " << "maps=" << to_string(maps);
+  out << ", " << "pinned=" << to_string(pinned);
+  out << ", " << "changedMap=" << to_string(changedMap);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "bytesMoved=" << to_string(bytesMoved);
+  out << ", " << "changes=" << to_string(changes);
   out << ")";
 }
 
@@ -9612,34 +11598,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other308) {
-  version = other308.version;
-  changeId = other308.changeId;
-  author = other308.author;
-  sheetHash = other308.sheetHash;
-  __isset = other308.__isset;
-}
-StateVersion::StateVersion(StateVersion&& other309) noexcept {
-  version = other309.version;
-  changeId = std::move(other309.changeId);
-  author = std::move(other309.author);
-  sheetHash = other309.sheetHash;
-  __isset = other309.__isset;
-}
-StateVersion& StateVersion::operator=(const StateVersion& other310) {
-  version = other310.version;
-  changeId = other310.changeId;
-  author = other310.author;
-  sheetHash = other310.sheetHash;
-  __isset = other310.__isset;
+StateVersion::StateVersion(const StateVersion& other382) {
+  version = other382.version;
+  changeId = other382.changeId;
+  author = other382.author;
+  sheetHash = other382.sheetHash;
+  __isset = other382.__isset;
+}
+StateVersion::StateVersion(StateVersion&& other383) noexcept {
+  version = other383.version;
+  changeId = std::move(other383.changeId);
+  author = std::move(other383.author);
+  sheetHash = other383.sheetHash;
+  __isset = other383.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other384) {
+  version = other384.version;
+  changeId = other384.changeId;
+  author = other384.author;
+  sheetHash = other384.sheetHash;
+  __isset = other384.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other311) noexcept {
-  version = other311.version;
-  changeId = std::move(other311.changeId);
-  author = std::move(other311.author);
-  sheetHash = other311.sheetHash;
-  __isset = other311.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other385) noexcept {
+  version = other385.version;
+  changeId = std::move(other385.changeId);
+  author = std::move(other385.author);
+  sheetHash = other385.sheetHash;
+  __isset = other385.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -9813,42 +11799,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other312) {
-  changeId = other312.changeId;
-  baseVersion = other312.baseVersion;
-  sheetHash = other312.sheetHash;
-  verdict = other312.verdict;
-  version = other312.version;
-  winner = other312.winner;
-  __isset = other312.__isset;
-}
-StateChange::StateChange(StateChange&& other313) noexcept {
-  changeId = std::move(other313.changeId);
-  baseVersion = other313.baseVersion;
-  sheetHash = other313.sheetHash;
-  verdict = other313.verdict;
-  version = other313.version;
-  winner = std::move(other313.winner);
-  __isset = other313.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other314) {
-  changeId = other314.changeId;
-  baseVersion = other314.baseVersion;
-  sheetHash = other314.sheetHash;
-  verdict = other314.verdict;
-  version = other314.version;
-  winner = other314.winner;
-  __isset = other314.__isset;
+StateChange::StateChange(const StateChange& other386) {
+  changeId = other386.changeId;
+  baseVersion = other386.baseVersion;
+  sheetHash = other386.sheetHash;
+  verdict = other386.verdict;
+  version = other386.version;
+  winner = other386.winner;
+  __isset = other386.__isset;
+}
+StateChange::StateChange(StateChange&& other387) noexcept {
+  changeId = std::move(other387.changeId);
+  baseVersion = other387.baseVersion;
+  sheetHash = other387.sheetHash;
+  verdict = other387.verdict;
+  version = other387.version;
+  winner = std::move(other387.winner);
+  __isset = other387.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other388) {
+  changeId = other388.changeId;
+  baseVersion = other388.baseVersion;
+  sheetHash = other388.sheetHash;
+  verdict = other388.verdict;
+  version = other388.version;
+  winner = other388.winner;
+  __isset = other388.__isset;
   return *this;
 }
-StateChange& StateChange::operator=(StateChange&& other315) noexcept {
-  changeId = std::move(other315.changeId);
-  baseVersion = other315.baseVersion;
-  sheetHash = other315.sheetHash;
-  verdict = other315.verdict;
-  version = other315.version;
-  winner = std::move(other315.winner);
-  __isset = other315.__isset;
+StateChange& StateChange::operator=(StateChange&& other389) noexcept {
+  changeId = std::move(other389.changeId);
+  baseVersion = other389.baseVersion;
+  sheetHash = other389.sheetHash;
+  verdict = other389.verdict;
+  version = other389.version;
+  winner = std::move(other389.winner);
+  __isset = other389.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -10109,62 +12095,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other316) {
-  member = other316.member;
-  key = other316.key;
-  contentHash = other316.contentHash;
-  dispatch = other316.dispatch;
-  backend = other316.backend;
-  backendIncarnation = other316.backendIncarnation;
-  status = other316.status;
-  answerStored = other316.answerStored;
-  answerStatus = other316.answerStatus;
-  answerType = other316.answerType;
-  answer = other316.answer;
-  __isset = other316.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other317) noexcept {
-  member = std::move(other317.member);
-  key = std::move(other317.key);
-  contentHash = other317.contentHash;
-  dispatch = std::move(other317.dispatch);
-  backend = std::move(other317.backend);
-  backendIncarnation = other317.backendIncarnation;
-  status = other317.status;
-  answerStored = other317.answerStored;
-  answerStatus = other317.answerStatus;
-  answerType = std::move(other317.answerType);
-  answer = std::move(other317.answer);
-  __isset = other317.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other318) {
-  member = other318.member;
-  key = other318.key;
-  contentHash = other318.contentHash;
-  dispatch = other318.dispatch;
-  backend = other318.backend;
-  backendIncarnation = other318.backendIncarnation;
-  status = other318.status;
-  answerStored = other318.answerStored;
-  answerStatus = other318.answerStatus;
-  answerType = other318.answerType;
-  answer = other318.answer;
-  __isset = other318.__isset;
+StateRecord::StateRecord(const StateRecord& other390) {
+  member = other390.member;
+  key = other390.key;
+  contentHash = other390.contentHash;
+  dispatch = other390.dispatch;
+  backend = other390.backend;
+  backendIncarnation = other390.backendIncarnation;
+  status = other390.status;
+  answerStored = other390.answerStored;
+  answerStatus = other390.answerStatus;
+  answerType = other390.answerType;
+  answer = other390.answer;
+  __isset = other390.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other391) noexcept {
+  member = std::move(other391.member);
+  key = std::move(other391.key);
+  contentHash = other391.contentHash;
+  dispatch = std::move(other391.dispatch);
+  backend = std::move(other391.backend);
+  backendIncarnation = other391.backendIncarnation;
+  status = other391.status;
+  answerStored = other391.answerStored;
+  answerStatus = other391.answerStatus;
+  answerType = std::move(other391.answerType);
+  answer = std::move(other391.answer);
+  __isset = other391.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other392) {
+  member = other392.member;
+  key = other392.key;
+  contentHash = other392.contentHash;
+  dispatch = other392.dispatch;
+  backend = other392.backend;
+  backendIncarnation = other392.backendIncarnation;
+  status = other392.status;
+  answerStored = other392.answerStored;
+  answerStatus = other392.answerStatus;
+  answerType = other392.answerType;
+  answer = other392.answer;
+  __isset = other392.__isset;
   return *this;
 }
-StateRecord& StateRecord::operator=(StateRecord&& other319) noexcept {
-  member = std::move(other319.member);
-  key = std::move(other319.key);
-  contentHash = other319.contentHash;
-  dispatch = std::move(other319.dispatch);
-  backend = std::move(other319.backend);
-  backendIncarnation = other319.backendIncarnation;
-  status = other319.status;
-  answerStored = other319.answerStored;
-  answerStatus = other319.answerStatus;
-  answerType = std::move(other319.answerType);
-  answer = std::move(other319.answer);
-  __isset = other319.__isset;
+StateRecord& StateRecord::operator=(StateRecord&& other393) noexcept {
+  member = std::move(other393.member);
+  key = std::move(other393.key);
+  contentHash = other393.contentHash;
+  dispatch = std::move(other393.dispatch);
+  backend = std::move(other393.backend);
+  backendIncarnation = other393.backendIncarnation;
+  status = other393.status;
+  answerStored = other393.answerStored;
+  answerStatus = other393.answerStatus;
+  answerType = std::move(other393.answerType);
+  answer = std::move(other393.answer);
+  __isset = other393.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -10228,6 +12214,11 @@
 void StateSnapshot::__set_records(const std::vector<StateRecord> & val) {
   this->records = val;
 }
+
+void StateSnapshot::__set_groups(const std::vector<StateGroup> & val) {
+  this->groups = val;
+__isset.groups = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -10284,14 +12275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->replicas.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->replicas.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += this->replicas[_i324].read(iprot);
+              xfer += this->replicas[_i398].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10320,14 +12311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size325;
-            ::apache::thrift::protocol::TType _etype328;
-            xfer += iprot->readListBegin(_etype328, _size325);
-            this->versions.resize(_size325);
-            uint32_t _i329;
-            for (_i329 = 0; _i329 < _size325; ++_i329)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->versions.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += this->versions[_i329].read(iprot);
+              xfer += this->versions[_i403].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10340,14 +12331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->changes.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->changes.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += this->changes[_i334].read(iprot);
+              xfer += this->changes[_i408].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10368,14 +12359,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->records.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->records.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->records[_i339].read(iprot);
+              xfer += this->records[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10384,6 +12375,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->groups.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
+            {
+              xfer += this->groups[_i418].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10416,10 +12427,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter340;
-    for (_iter340 = this->replicas.begin(); _iter340 != this->replicas.end(); ++_iter340)
+    std::vector<Replica> ::const_iterator _iter419;
+    for (_iter419 = this->replicas.begin(); _iter419 != this->replicas.end(); ++_iter419)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter419).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10436,10 +12447,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter341;
-    for (_iter341 = this->versions.begin(); _iter341 != this->versions.end(); ++_iter341)
+    std::vector<StateVersion> ::const_iterator _iter420;
+    for (_iter420 = this->versions.begin(); _iter420 != this->versions.end(); ++_iter420)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter420).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10448,10 +12459,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter342;
-    for (_iter342 = this->changes.begin(); _iter342 != this->changes.end(); ++_iter342)
+    std::vector<StateChange> ::const_iterator _iter421;
+    for (_iter421 = this->changes.begin(); _iter421 != this->changes.end(); ++_iter421)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter421).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10464,15 +12475,28 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter343;
-    for (_iter343 = this->records.begin(); _iter343 != this->records.end(); ++_iter343)
+    std::vector<StateRecord> ::const_iterator _iter422;
+    for (_iter422 = this->records.begin(); _iter422 != this->records.end(); ++_iter422)
     {
-      xfer += (*_iter343).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.groups) {
+    xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+      std::vector<StateGroup> ::const_iterator _iter423;
+      for (_iter423 = this->groups.begin(); _iter423 != this->groups.end(); ++_iter423)
+      {
+        xfer += (*_iter423).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10490,61 +12514,66 @@
   swap(a.changes, b.changes);
   swap(a.clockMicros, b.clockMicros);
   swap(a.records, b.records);
+  swap(a.groups, b.groups);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other344) {
-  formatVersion = other344.formatVersion;
-  lastIndex = other344.lastIndex;
-  lastTerm = other344.lastTerm;
-  replicas = other344.replicas;
-  current = other344.current;
-  sheet = other344.sheet;
-  versions = other344.versions;
-  changes = other344.changes;
-  clockMicros = other344.clockMicros;
-  records = other344.records;
-  __isset = other344.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other345) noexcept {
-  formatVersion = other345.formatVersion;
-  lastIndex = other345.lastIndex;
-  lastTerm = other345.lastTerm;
-  replicas = std::move(other345.replicas);
-  current = std::move(other345.current);
-  sheet = std::move(other345.sheet);
-  versions = std::move(other345.versions);
-  changes = std::move(other345.changes);
-  clockMicros = other345.clockMicros;
-  records = std::move(other345.records);
-  __isset = other345.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other346) {
-  formatVersion = other346.formatVersion;
-  lastIndex = other346.lastIndex;
-  lastTerm = other346.lastTerm;
-  replicas = other346.replicas;
-  current = other346.current;
-  sheet = other346.sheet;
-  versions = other346.versions;
-  changes = other346.changes;
-  clockMicros = other346.clockMicros;
-  records = other346.records;
-  __isset = other346.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other424) {
+  formatVersion = other424.formatVersion;
+  lastIndex = other424.lastIndex;
+  lastTerm = other424.lastTerm;
+  replicas = other424.replicas;
+  current = other424.current;
+  sheet = other424.sheet;
+  versions = other424.versions;
+  changes = other424.changes;
+  clockMicros = other424.clockMicros;
+  records = other424.records;
+  groups = other424.groups;
+  __isset = other424.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other425) noexcept {
+  formatVersion = other425.formatVersion;
+  lastIndex = other425.lastIndex;
+  lastTerm = other425.lastTerm;
+  replicas = std::move(other425.replicas);
+  current = std::move(other425.current);
+  sheet = std::move(other425.sheet);
+  versions = std::move(other425.versions);
+  changes = std::move(other425.changes);
+  clockMicros = other425.clockMicros;
+  records = std::move(other425.records);
+  groups = std::move(other425.groups);
+  __isset = other425.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other426) {
+  formatVersion = other426.formatVersion;
+  lastIndex = other426.lastIndex;
+  lastTerm = other426.lastTerm;
+  replicas = other426.replicas;
+  current = other426.current;
+  sheet = other426.sheet;
+  versions = other426.versions;
+  changes = other426.changes;
+  clockMicros = other426.clockMicros;
+  records = other426.records;
+  groups = other426.groups;
+  __isset = other426.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other347) noexcept {
-  formatVersion = other347.formatVersion;
-  lastIndex = other347.lastIndex;
-  lastTerm = other347.lastTerm;
-  replicas = std::move(other347.replicas);
-  current = std::move(other347.current);
-  sheet = std::move(other347.sheet);
-  versions = std::move(other347.versions);
-  changes = std::move(other347.changes);
-  clockMicros = other347.clockMicros;
-  records = std::move(other347.records);
-  __isset = other347.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other427) noexcept {
+  formatVersion = other427.formatVersion;
+  lastIndex = other427.lastIndex;
+  lastTerm = other427.lastTerm;
+  replicas = std::move(other427.replicas);
+  current = std::move(other427.current);
+  sheet = std::move(other427.sheet);
+  versions = std::move(other427.versions);
+  changes = std::move(other427.changes);
+  clockMicros = other427.clockMicros;
+  records = std::move(other427.records);
+  groups = std::move(other427.groups);
+  __isset = other427.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -10560,6 +12589,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "clockMicros=" << to_string(clockMicros);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "groups="; (__isset.groups ? (out << to_string(groups)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10656,26 +12686,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other348) noexcept {
-  protocolVersion = other348.protocolVersion;
-  messageType = other348.messageType;
-  __isset = other348.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other428) noexcept {
+  protocolVersion = other428.protocolVersion;
+  messageType = other428.messageType;
+  __isset = other428.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other349) noexcept {
-  protocolVersion = other349.protocolVersion;
-  messageType = other349.messageType;
-  __isset = other349.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other429) noexcept {
+  protocolVersion = other429.protocolVersion;
+  messageType = other429.messageType;
+  __isset = other429.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other350) noexcept {
-  protocolVersion = other350.protocolVersion;
-  messageType = other350.messageType;
-  __isset = other350.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other430) noexcept {
+  protocolVersion = other430.protocolVersion;
+  messageType = other430.messageType;
+  __isset = other430.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other351) noexcept {
-  protocolVersion = other351.protocolVersion;
-  messageType = other351.messageType;
-  __isset = other351.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other431) noexcept {
+  protocolVersion = other431.protocolVersion;
+  messageType = other431.messageType;
+  __isset = other431.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -85,6 +85,12 @@
 
 class RecordOutcome;
 
+class GroupShape;
+
+class GroupChange;
+
+class GroupPin;
+
 class Command;
 
 class LogEntry;
@@ -133,6 +139,16 @@
 
 class VersionReply;
 
+class StepRange;
+
+class ExpertMap;
+
+class RankReport;
+
+class StepGrant;
+
+class StateGroup;
+
 class StateVersion;
 
 class StateChange;
@@ -2119,13 +2135,233 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordOutcome& obj);
 
+typedef struct _GroupShape__isset {
+  _GroupShape__isset() : ranks(false), experts(false), layers(false), slotsPerRank(false) {}
+  bool ranks :1;
+  bool experts :1;
+  bool layers :1;
+  bool slotsPerRank :1;
+} _GroupShape__isset;
+
+class GroupShape : public virtual ::apache::thrift::TBase {
+ public:
+
+  GroupShape(const GroupShape&) noexcept;
+  GroupShape(GroupShape&&) noexcept;
+  GroupShape& operator=(const GroupShape&) noexcept;
+  GroupShape& operator=(GroupShape&&) noexcept;
+  GroupShape() noexcept
+             : ranks(0),
+               experts(0),
+               layers(0),
+               slotsPerRank(0) {
+  }
+
+  virtual ~GroupShape() noexcept;
+  int32_t ranks;
+  int32_t experts;
+  int32_t layers;
+  int32_t slotsPerRank;
+
+  _GroupShape__isset __isset;
+
+  void __set_ranks(const int32_t val);
+
+  void __set_experts(const int32_t val);
+
+  void __set_layers(const int32_t val);
+
+  void __set_slotsPerRank(const int32_t val);
+
+  bool operator == (const GroupShape & rhs) const
+  {
+    if (!(ranks == rhs.ranks))
+      return false;
+    if (!(experts == rhs.experts))
+      return false;
+    if (!(layers == rhs.layers))
+      return false;
+    if (!(slotsPerRank == rhs.slotsPerRank))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupShape &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupShape & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupShape &a, GroupShape &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupShape& obj);
+
+typedef struct _GroupChange__isset {
+  _GroupChange__isset() : group(false), action(false), ranks(false), mapVersion(false), lastStep(false), shape(false), slots(false), reason(false), bytes(false) {}
+  bool group :1;
+  bool action :1;
+  bool ranks :1;
+  bool mapVersion :1;
+  bool lastStep :1;
+  bool shape :1;
+  bool slots :1;
+  bool reason :1;
+  bool bytes :1;
+} _GroupChange__isset;
+
+class GroupChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  GroupChange(const GroupChange&);
+  GroupChange(GroupChange&&) noexcept;
+  GroupChange& operator=(const GroupChange&);
+  GroupChange& operator=(GroupChange&&) noexcept;
+  GroupChange() noexcept
+              : group(),
+                action(0),
+                ranks(0),
+                mapVersion(0),
+                lastStep(0),
+                slots(),
+                reason(),
+                bytes(0) {
+  }
+
+  virtual ~GroupChange() noexcept;
+  std::string group;
+  int32_t action;
+  int32_t ranks;
+  int64_t mapVersion;
+  int64_t lastStep;
+  GroupShape shape;
+  std::string slots;
+  std::string reason;
+  int64_t bytes;
+
+  _GroupChange__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_action(const int32_t val);
+
+  void __set_ranks(const int32_t val);
+
+  void __set_mapVersion(const int64_t val);
+
+  void __set_lastStep(const int64_t val);
+
+  void __set_shape(const GroupShape& val);
+
+  void __set_slots(const std::string& val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_bytes(const int64_t val);
+
+  bool operator == (const GroupChange & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(action == rhs.action))
+      return false;
+    if (!(ranks == rhs.ranks))
+      return false;
+    if (!(mapVersion == rhs.mapVersion))
+      return false;
+    if (!(lastStep == rhs.lastStep))
+      return false;
+    if (!(shape == rhs.shape))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupChange &a, GroupChange &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupChange& obj);
+
+typedef struct _GroupPin__isset {
+  _GroupPin__isset() : group(false), pinned(false) {}
+  bool group :1;
+  bool pinned :1;
+} _GroupPin__isset;
+
+class GroupPin : public virtual ::apache::thrift::TBase {
+ public:
+
+  GroupPin(const GroupPin&);
+  GroupPin(GroupPin&&) noexcept;
+  GroupPin& operator=(const GroupPin&);
+  GroupPin& operator=(GroupPin&&) noexcept;
+  GroupPin() noexcept
+           : group(),
+             pinned(0) {
+  }
+
+  virtual ~GroupPin() noexcept;
+  std::string group;
+  bool pinned;
+
+  _GroupPin__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_pinned(const bool val);
+
+  bool operator == (const GroupPin & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(pinned == rhs.pinned))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupPin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupPin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupPin &a, GroupPin &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupPin& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false) {}
+  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false), groupChange(false), groupPin(false) {}
   bool noOperation :1;
   bool replicaChange :1;
   bool configChange :1;
   bool recordClaim :1;
   bool recordOutcome :1;
+  bool groupChange :1;
+  bool groupPin :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2144,6 +2380,8 @@
   ConfigChange configChange;
   RecordClaim recordClaim;
   RecordOutcome recordOutcome;
+  GroupChange groupChange;
+  GroupPin groupPin;
 
   _Command__isset __isset;
 
@@ -2157,6 +2395,10 @@
 
   void __set_recordOutcome(const RecordOutcome& val);
 
+  void __set_groupChange(const GroupChange& val);
+
+  void __set_groupPin(const GroupPin& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.noOperation != rhs.__isset.noOperation)
@@ -2179,6 +2421,14 @@
       return false;
     else if (__isset.recordOutcome && !(recordOutcome == rhs.recordOutcome))
       return false;
+    if (__isset.groupChange != rhs.__isset.groupChange)
+      return false;
+    else if (__isset.groupChange && !(groupChange == rhs.groupChange))
+      return false;
+    if (__isset.groupPin != rhs.__isset.groupPin)
+      return false;
+    else if (__isset.groupPin && !(groupPin == rhs.groupPin))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -3747,6 +3997,452 @@
 
 std::ostream& operator<<(std::ostream& out, const VersionReply& obj);
 
+typedef struct _StepRange__isset {
+  _StepRange__isset() : mapVersion(false), first(false), last(false) {}
+  bool mapVersion :1;
+  bool first :1;
+  bool last :1;
+} _StepRange__isset;
+
+class StepRange : public virtual ::apache::thrift::TBase {
+ public:
+
+  StepRange(const StepRange&) noexcept;
+  StepRange(StepRange&&) noexcept;
+  StepRange& operator=(const StepRange&) noexcept;
+  StepRange& operator=(StepRange&&) noexcept;
+  StepRange() noexcept
+            : mapVersion(0),
+              first(0),
+              last(0) {
+  }
+
+  virtual ~StepRange() noexcept;
+  int64_t mapVersion;
+  int64_t first;
+  int64_t last;
+
+  _StepRange__isset __isset;
+
+  void __set_mapVersion(const int64_t val);
+
+  void __set_first(const int64_t val);
+
+  void __set_last(const int64_t val);
+
+  bool operator == (const StepRange & rhs) const
+  {
+    if (!(mapVersion == rhs.mapVersion))
+      return false;
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const StepRange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StepRange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StepRange &a, StepRange &b);
+
+std::ostream& operator<<(std::ostream& out, const StepRange& obj);
+
+typedef struct _ExpertMap__isset {
+  _ExpertMap__isset() : version(false), slots(false) {}
+  bool version :1;
+  bool slots :1;
+} _ExpertMap__isset;
+
+class ExpertMap : public virtual ::apache::thrift::TBase {
+ public:
+
+  ExpertMap(const ExpertMap&);
+  ExpertMap(ExpertMap&&) noexcept;
+  ExpertMap& operator=(const ExpertMap&);
+  ExpertMap& operator=(ExpertMap&&) noexcept;
+  ExpertMap() noexcept
+            : version(0),
+              slots() {
+  }
+
+  virtual ~ExpertMap() noexcept;
+  int64_t version;
+  std::string slots;
+
+  _ExpertMap__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_slots(const std::string& val);
+
+  bool operator == (const ExpertMap & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const ExpertMap &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ExpertMap & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ExpertMap &a, ExpertMap &b);
+
+std::ostream& operator<<(std::ostream& out, const ExpertMap& obj);
+
+typedef struct _RankReport__isset {
+  _RankReport__isset() : sequence(false), group(false), shape(false), rank(false), incarnation(false), step(false), granted(false), loaded(false), window(false), windowMicros(false), cells(false), counts(false), windowSteps(false) {}
+  bool sequence :1;
+  bool group :1;
+  bool shape :1;
+  bool rank :1;
+  bool incarnation :1;
+  bool step :1;
+  bool granted :1;
+  bool loaded :1;
+  bool window :1;
+  bool windowMicros :1;
+  bool cells :1;
+  bool counts :1;
+  bool windowSteps :1;
+} _RankReport__isset;
+
+class RankReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RankReport(const RankReport&);
+  RankReport(RankReport&&) noexcept;
+  RankReport& operator=(const RankReport&);
+  RankReport& operator=(RankReport&&) noexcept;
+  RankReport() noexcept
+             : sequence(0),
+               group(),
+               rank(0),
+               incarnation(0),
+               step(0),
+               granted(0),
+               window(0),
+               windowMicros(0),
+               windowSteps(0) {
+  }
+
+  virtual ~RankReport() noexcept;
+  int64_t sequence;
+  std::string group;
+  GroupShape shape;
+  int32_t rank;
+  int64_t incarnation;
+  int64_t step;
+  int64_t granted;
+  std::vector<int64_t>  loaded;
+  int64_t window;
+  int64_t windowMicros;
+  std::vector<int32_t>  cells;
+  std::vector<int32_t>  counts;
+  int32_t windowSteps;
+
+  _RankReport__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_group(const std::string& val);
+
+  void __set_shape(const GroupShape& val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_step(const int64_t val);
+
+  void __set_granted(const int64_t val);
+
+  void __set_loaded(const std::vector<int64_t> & val);
+
+  void __set_window(const int64_t val);
+
+  void __set_windowMicros(const int64_t val);
+
+  void __set_cells(const std::vector<int32_t> & val);
+
+  void __set_counts(const std::vector<int32_t> & val);
+
+  void __set_windowSteps(const int32_t val);
+
+  bool operator == (const RankReport & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(shape == rhs.shape))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(loaded == rhs.loaded))
+      return false;
+    if (!(window == rhs.window))
+      return false;
+    if (!(windowMicros == rhs.windowMicros))
+      return false;
+    if (!(cells == rhs.cells))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    if (!(windowSteps == rhs.windowSteps))
+      return false;
+    return true;
+  }
+  bool operator != (const RankReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RankReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RankReport &a, RankReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RankReport& obj);
+
+typedef struct _StepGrant__isset {
+  _StepGrant__isset() : sequence(false), group(false), leads(false), leaderHint(false), ranges(false), loadMap(false), droppableThrough(false), maps(false) {}
+  bool sequence :1;
+  bool group :1;
+  bool leads :1;
+  bool leaderHint :1;
+  bool ranges :1;
+  bool loadMap :1;
+  bool droppableThrough :1;
+  bool maps :1;
+} _StepGrant__isset;
+
+class StepGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  StepGrant(const StepGrant&);
+  StepGrant(StepGrant&&) noexcept;
+  StepGrant& operator=(const StepGrant&);
+  StepGrant& operator=(StepGrant&&) noexcept;
+  StepGrant() noexcept
+            : sequence(0),
+              group(),
+              leads(0),
+              loadMap(0),
+              droppableThrough(0) {
+  }
+
+  virtual ~StepGrant() noexcept;
+  int64_t sequence;
+  std::string group;
+  bool leads;
+  Endpoint leaderHint;
+  std::vector<StepRange>  ranges;
+  int64_t loadMap;
+  int64_t droppableThrough;
+  std::vector<ExpertMap>  maps;
+
+  _StepGrant__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_group(const std::string& val);
+
+  void __set_leads(const bool val);
+
+  void __set_leaderHint(const Endpoint& val);
+
+  void __set_ranges(const std::vector<StepRange> & val);
+
+  void __set_loadMap(const int64_t val);
+
+  void __set_droppableThrough(const int64_t val);
+
+  void __set_maps(const std::vector<ExpertMap> & val);
+
+  bool operator == (const StepGrant & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(leads == rhs.leads))
+      return false;
+    if (!(leaderHint == rhs.leaderHint))
+      return false;
+    if (!(ranges == rhs.ranges))
+      return false;
+    if (!(loadMap == rhs.loadMap))
+      return false;
+    if (!(droppableThrough == rhs.droppableThrough))
+      return false;
+    if (!(maps == rhs.maps))
+      return false;
+    return true;
+  }
+  bool operator != (const StepGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StepGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StepGrant &a, StepGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const StepGrant& obj);
+
+typedef struct _StateGroup__isset {
+  _StateGroup__isset() : name(false), shape(false), ranges(false), proposed(false), highestMap(false), maps(false), pinned(false), changedMap(false), reason(false), bytes(false), bytesMoved(false), changes(false) {}
+  bool name :1;
+  bool shape :1;
+  bool ranges :1;
+  bool proposed :1;
+  bool highestMap :1;
+  bool maps :1;
+  bool pinned :1;
+  bool changedMap :1;
+  bool reason :1;
+  bool bytes :1;
+  bool bytesMoved :1;
+  bool changes :1;
+} _StateGroup__isset;
+
+class StateGroup : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateGroup(const StateGroup&);
+  StateGroup(StateGroup&&) noexcept;
+  StateGroup& operator=(const StateGroup&);
+  StateGroup& operator=(StateGroup&&) noexcept;
+  StateGroup() noexcept
+             : name(),
+               proposed(0),
+               highestMap(0),
+               pinned(0),
+               changedMap(0),
+               reason(),
+               bytes(0),
+               bytesMoved(0),
+               changes(0) {
+  }
+
+  virtual ~StateGroup() noexcept;
+  std::string name;
+  GroupShape shape;
+  std::vector<StepRange>  ranges;
+  int64_t proposed;
+  int64_t highestMap;
+  std::vector<ExpertMap>  maps;
+  bool pinned;
+  int64_t changedMap;
+  std::string reason;
+  int64_t bytes;
+  int64_t bytesMoved;
+  int64_t changes;
+
+  _StateGroup__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_shape(const GroupShape& val);
+
+  void __set_ranges(const std::vector<StepRange> & val);
+
+  void __set_proposed(const int64_t val);
+
+  void __set_highestMap(const int64_t val);
+
+  void __set_maps(const std::vector<ExpertMap> & val);
+
+  void __set_pinned(const bool val);
+
+  void __set_changedMap(const int64_t val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_bytes(const int64_t val);
+
+  void __set_bytesMoved(const int64_t val);
+
+  void __set_changes(const int64_t val);
+
+  bool operator == (const StateGroup & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(shape == rhs.shape))
+      return false;
+    if (!(ranges == rhs.ranges))
+      return false;
+    if (!(proposed == rhs.proposed))
+      return false;
+    if (!(highestMap == rhs.highestMap))
+      return false;
+    if (!(maps == rhs.maps))
+      return false;
+    if (!(pinned == rhs.pinned))
+      return false;
+    if (!(changedMap == rhs.changedMap))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    if (!(bytesMoved == rhs.bytesMoved))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const StateGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateGroup &a, StateGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const StateGroup& obj);
+
 typedef struct _StateVersion__isset {
   _StateVersion__isset() : version(false), changeId(false), author(false), sheetHash(false) {}
   bool version :1;
@@ -4007,7 +4703,7 @@
 std::ostream& operator<<(std::ostream& out, const StateRecord& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false) {}
+  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false), groups(false) {}
   bool formatVersion :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -4018,6 +4714,7 @@
   bool changes :1;
   bool clockMicros :1;
   bool records :1;
+  bool groups :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -4046,6 +4743,7 @@
   std::vector<StateChange>  changes;
   int64_t clockMicros;
   std::vector<StateRecord>  records;
+  std::vector<StateGroup>  groups;
 
   _StateSnapshot__isset __isset;
 
@@ -4069,6 +4767,8 @@
 
   void __set_records(const std::vector<StateRecord> & val);
 
+  void __set_groups(const std::vector<StateGroup> & val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -4091,6 +4791,10 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.groups != rhs.__isset.groups)
+      return false;
+    else if (__isset.groups && !(groups == rhs.groups))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/src/io/engine_api.cc
+++ b/src/io/engine_api.cc
@@ -2,12 +2,15 @@
 
 #include <utility>
 
+#include "io/rank_json.h"
+
 namespace radishroute {
 
 namespace {
 
 // Path at which engines answer health checks without doing any work.
 constexpr const char* kHealthPath = "/health";
+constexpr const char* kRankPath = "/v1/rank";
 
 }  // namespace
 
@@ -51,6 +54,13 @@
   probe_call_ = client_.Start(engine_, kHealthPath, {}, "");
 }
 
+void engine_api::Execute(const call_rank& e) {
+  if (rank_call_ != 0) client_.Cancel(rank_call_);
+  rank_number_ = e.number;
+  rank_answer_.clear();
+  rank_call_ = client_.Start(engine_, kRankPath, {}, RenderRankOrder(e.order));
+}
+
 void engine_api::OnBegin(http_client::call_id call, unsigned status, const std::string& type) {
   if (call == probe_call_) {
     // Any status shows that the server is alive; the rest of the response is not needed.
@@ -64,6 +74,10 @@
 }
 
 void engine_api::OnBytes(http_client::call_id call, std::string_view bytes) {
+  if (call == rank_call_) {
+    rank_answer_.append(bytes);
+    return;
+  }
   auto it = dispatches_.find(call);
   if (it != dispatches_.end()) sink_(engine_answer_bytes{it->second, std::string(bytes)});
 }
@@ -74,6 +88,13 @@
     sink_(engine_probe_done{probe_number_, result == http_call_result::kComplete});
     return;
   }
+  if (call == rank_call_) {
+    rank_call_ = 0;
+    rank_answered answered{rank_number_, {}};
+    if (result == http_call_result::kComplete) answered.progress = ParseRankProgress(rank_answer_);
+    sink_(std::move(answered));
+    return;
+  }
   auto it = dispatches_.find(call);
   if (it == dispatches_.end()) return;
   dispatch_id id = it->second;
--- a/src/io/engine_api.h
+++ b/src/io/engine_api.h
@@ -21,6 +21,7 @@
   void Execute(const start_engine_call& e);
   void Execute(const cancel_engine_call& e);
   void Execute(const probe_engine& e);
+  void Execute(const call_rank& e);
 
  private:
   void OnEnd(http_client::call_id call, http_call_result result);
@@ -35,6 +36,10 @@
   /// Probe in progress; 0 if there is none.
   http_client::call_id probe_call_ = 0;
   std::uint64_t probe_number_ = 0;
+  /// Call of the rank in progress; 0 if there is none.
+  http_client::call_id rank_call_ = 0;
+  std::uint64_t rank_number_ = 0;
+  std::string rank_answer_;
   http_client client_;
 };
 
--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "io/node_thread.h"
+#include "io/plan_thread.h"
 #include "io/storage.h"
 
 namespace radishroute {
@@ -28,6 +29,7 @@
     thread_->Join();
     // Its completions would be posted to the loop, which must still exist.
     storage_.reset();
+    plans_.reset();
   }
 
   /// Opens the data folder; with `bootstrap`, an empty one becomes a group of one voter.
@@ -47,6 +49,8 @@
     if (auto error = log->Load(std::move(recovered))) return error;
     storage_ = std::make_unique<storage_thread>(std::move(storage),
                                                 [this](log_stored done) { thread_->Post(done); });
+    plans_ = std::make_unique<plan_thread>(
+        [this](placement_planned done) { thread_->Post(std::move(done)); });
     return thread_->Links().Listen(self.address);
   }
 
@@ -66,6 +70,10 @@
       log_stored refused{batch->log_group, batch->sequence, errc::kSyncFailed};
       if (!storage_->Post(std::move(batch))) thread_->Post(refused);
     };
+    hooks.on_plan = [this](std::shared_ptr<const plan_request> request) {
+      // A group has one plan under way, so a full queue means more groups than the table holds.
+      if (!plans_->Post(std::move(request))) CountMetric(counter::kEventQueueFull);
+    };
     return hooks;
   }
 
@@ -96,6 +104,7 @@
   handlers on_;
   std::unique_ptr<node_thread<P>> thread_;
   std::unique_ptr<storage_thread> storage_;
+  std::unique_ptr<plan_thread> plans_;
 };
 
 }  // namespace radishroute
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -31,6 +31,7 @@
   std::function<void(bool up)> on_engine_status;
   std::function<void(std::shared_ptr<const store_batch>)> on_store;
   std::function<void(const proposal_finished&)> on_proposal;
+  std::function<void(std::shared_ptr<const plan_request>)> on_plan;
 };
 
 /// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
@@ -150,6 +151,9 @@
   void Execute(const proposal_finished& e) {
     if (hooks_.on_proposal) hooks_.on_proposal(e);
   }
+  void Execute(const plan_placement& e) {
+    if (hooks_.on_plan) hooks_.on_plan(e.request);
+  }
   void Execute(const write_log& e) {
     WriteLog(e.event);
     // State that breaks an invariant must not serve anyone.
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -8,6 +8,7 @@
 #include "io/wire_basic.h"
 #include "io/wire_discovery.h"
 #include "io/wire_failure.h"
+#include "io/wire_groups.h"
 #include "io/wire_log.h"
 #include "io/wire_records.h"
 #include "io/wire_traffic.h"
@@ -68,7 +69,9 @@
     wire_entry<55, lease_grant, wire::LeaseGrant>,            //
     wire_entry<56, config_push, wire::ConfigPush>,            //
     wire_entry<57, version_query, wire::VersionQuery>,        //
-    wire_entry<58, version_reply, wire::VersionReply>>;
+    wire_entry<58, version_reply, wire::VersionReply>,        //
+    wire_entry<90, group_report, wire::RankReport>,           //
+    wire_entry<91, group_grant, wire::StepGrant>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/io/wire_log.h
+++ b/src/io/wire_log.h
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "io/wire_groups.h"
 #include "io/wire_traffic.h"
 #include "radishroute/raft_event.h"
 
@@ -72,6 +73,10 @@
   w.__set_recordOutcome(outcome);
 }
 
+inline void SetCommand(const group_change& c, wire::Command& w) { w.__set_groupChange(ToWire(c)); }
+
+inline void SetCommand(const group_pin& c, wire::Command& w) { w.__set_groupPin(ToWire(c)); }
+
 inline wire::Command ToWire(const command& c) {
   wire::Command w;
   std::visit([&](const auto& specific) { SetCommand(specific, w); }, c);
@@ -117,6 +122,8 @@
   if (w.__isset.configChange) return FromWire(w.configChange, ok);
   if (w.__isset.recordClaim) return FromWire(w.recordClaim, ok);
   if (w.__isset.recordOutcome) return FromWire(w.recordOutcome, ok);
+  if (w.__isset.groupChange) return FromWire(w.groupChange, ok);
+  if (w.__isset.groupPin) return FromWire(w.groupPin, ok);
   // A command of a newer version: applying it as nothing would make replicas diverge.
   if (!w.__isset.noOperation) ok = false;
   return no_operation{};
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "io/wire_groups.h"
 #include "io/wire_log.h"
 #include "io/wire_traffic.h"
 #include "radishroute/state_codec.h"
@@ -126,6 +127,9 @@
   ToWireList(state.config.changes, w.changes);
   w.clockMicros = MicrosToWire(state.records.clock.time_since_epoch());
   ToWireList(state.records.records, w.records);
+  std::vector<wire::StateGroup> groups;
+  ListToWire(state.groups, groups);
+  w.__set_groups(std::move(groups));
   return w;
 }
 
@@ -139,6 +143,8 @@
   FromWireList(w.changes, out.config.changes, ok);
   out.records.clock = wall_time(std::chrono::microseconds(w.clockMicros));
   FromWireList(w.records, out.records.records, ok);
+  ListFromWire(w.groups, out.groups,
+               [&](const wire::StateGroup& g) { return radishroute::FromWire(g, ok); });
 }
 
 }  // namespace
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -82,6 +82,20 @@
       return "config-lease-gained";
     case event_code::kLeaderFound:
       return "leader-found";
+    case event_code::kGroupCreated:
+      return "group-created";
+    case event_code::kMapProposed:
+      return "map-proposed";
+    case event_code::kMapActivated:
+      return "map-activated";
+    case event_code::kRankReportRefused:
+      return "rank-report-refused";
+    case event_code::kRankPastGrant:
+      return "rank-past-grant";
+    case event_code::kGroupPinned:
+      return "group-pinned";
+    case event_code::kGroupUnpinned:
+      return "group-unpinned";
     case event_code::kInvariantViolated:
       return "invariant-violated";
   }
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -42,7 +42,14 @@
                                                                   "outcomes_not_stored",
                                                                   "stored_answers_served",
                                                                   "dispatches_resolved",
-                                                                  "retries_over_budget"};
+                                                                  "retries_over_budget",
+                                                                  "steps_granted",
+                                                                  "placements_planned",
+                                                                  "placements_not_worth",
+                                                                  "maps_activated",
+                                                                  "map_bytes_moved",
+                                                                  "rank_reports_refused",
+                                                                  "rank_calls_failed"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/raft_log.cc
+++ b/src/raft_log.cc
@@ -23,6 +23,12 @@
 std::size_t VariableSize(const record_outcome& c) {
   return c.member.size() + c.key.size() + c.answer_type.size() + c.answer.size();
 }
+std::size_t VariableSize(const group_change& c) {
+  std::size_t slots = 0;
+  for (const layer_placement& layer : c.placement.layers) slots += layer.slots.size();
+  return c.group.size() + c.reason.size() + slots * sizeof(std::uint16_t);
+}
+std::size_t VariableSize(const group_pin& c) { return c.group.size(); }
 
 bool IsVoter(const std::vector<replica>& replicas, voter_id id) {
   const replica* found = FindReplica(replicas, id);
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -31,6 +31,7 @@
   visit(state.control.announcements);
   visit(state.control.log);
   visit(state.control.config);
+  visit(state.control.rank);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
   visit(state.links);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "radishroute/expert_groups.h"
 #include "radishroute/policies.h"
 #include "settings_reader.h"
 
@@ -21,6 +22,31 @@
   errors.push_back({"policy", expected});
 }
 
+void ReadMembership(settings_reader reader, group_membership& out) {
+  reader.Read("name", out.group, false);
+  reader.ReadNumber("rank", out.rank, 0, 1023);
+  reader.ReadNumber("ranks", out.shape.ranks, 1, 1024);
+  reader.ReadNumber("experts", out.shape.experts, 1, 65000);
+  reader.ReadNumber("layers", out.shape.layers, 1, 1024);
+  reader.ReadNumber("slots_per_rank", out.shape.slots_per_rank, 1, 65000);
+  reader.Finish();
+}
+
+void ReadGroups(settings_reader reader, group_settings& out) {
+  using std::chrono::milliseconds;
+  out.policy = static_cast<placement_choice>(
+      reader.ReadChoice("policy", {"incremental", "static", "greedy", "repack"}, 0));
+  reader.ReadNumber("horizon_steps", out.horizon.steps, 2, 1000000);
+  out.horizon.refill = out.horizon.steps / 2;
+  reader.ReadNumber("refill_steps", out.horizon.refill, 1, 1000000);
+  reader.ReadNumber("expert_bytes", out.cost.bytes_per_expert, 1, std::uint64_t{1} << 40);
+  reader.ReadNumber("weight_bytes_per_second", out.cost.bytes_per_second, 1,
+                    std::uint64_t{1} << 50);
+  reader.ReadNumber("pay_back_steps", out.pay_back_steps, 1, std::uint64_t{1} << 40);
+  reader.Read("half_life_ms", out.half_life, milliseconds(10), milliseconds(86400000));
+  reader.Finish();
+}
+
 }  // namespace
 
 bool ParseEndpoint(std::string_view text, endpoint& out) {
@@ -95,6 +121,15 @@
                std::chrono::minutes(10));
   backend.Read("checks_fencing", out.checks_fencing);
   backend.Finish();
+  ReadMembership(reader.Child("group"), out.group);
+  if (!out.group.group.empty()) {
+    if (!IsValidShape(out.group.shape) || out.group.rank >= out.group.shape.ranks) {
+      errors.push_back({"group", "rank below ranks, and a slot for every expert"});
+    }
+    if (out.controllers.empty()) {
+      errors.push_back({"controllers", "the controllers' addresses, which a rank needs"});
+    }
+  }
   reader.Finish();
   return out;
 }
@@ -109,6 +144,7 @@
   reader.Read("admin_token", out.admin_token, true);
   if (out.admin_token.empty()) errors.push_back({"admin_token", "a string that is not empty"});
   reader.Read("data", out.data, true);
+  ReadGroups(reader.Child("experts"), out.groups);
   reader.Finish();
   return out;
 }
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -17,11 +17,12 @@
 }
 
 hard_state state_machine::Save() const {
-  return {last_index_, last_term_, replicas_, config_.Save(), records_.Save()};
+  return {last_index_, last_term_, replicas_, config_.Save(), records_.Save(), groups_.Save()};
 }
 
 std::error_code state_machine::Load(hard_state state) {
-  bool loaded = config_.Load(std::move(state.config)) && records_.Load(std::move(state.records));
+  bool loaded = config_.Load(std::move(state.config)) && records_.Load(std::move(state.records)) &&
+                groups_.Load(std::move(state.groups));
   if (!loaded) {
     *this = state_machine(records_.Limits());
     return errc::kSnapshotCorrupt;
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -40,6 +40,7 @@
         self.processes = {}
         self.entries = {}
         self.controllers = {}
+        self.controller_extra = {}
         self.engines = {}
         self.runs_files = []
         self.sheet = os.path.join(self.dir, "sheet.csv")
@@ -117,7 +118,7 @@
             self.controllers[name] = {
                 "node": name, "zone": zone, "control_listen": free_address(),
                 "admin_listen": free_address(), "admin_token": "token",
-                "data": os.path.join(self.dir, name + "-data")}
+                "data": os.path.join(self.dir, name + "-data"), **self.controller_extra}
         path = os.path.join(self.dir, name + ".json")
         with open(path, "w") as file:
             json.dump({"role": "controller", "secret": "test", **self.controllers[name]}, file)
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -100,6 +100,21 @@
   6: string answerType
   7: binary answer
 }
+// Expert-parallel groups. `action` is the index in `group_command`; a map has two little-endian bytes per slot, layer by
+// layer.
+struct GroupShape { 1: i32 ranks; 2: i32 experts; 3: i32 layers; 4: i32 slotsPerRank }
+struct GroupChange {
+  1: string group
+  2: i32 action
+  3: i32 ranks
+  4: i64 mapVersion
+  5: i64 lastStep
+  6: GroupShape shape
+  7: binary slots
+  8: string reason
+  9: i64 bytes
+}
+struct GroupPin { 1: string group; 2: bool pinned }
 // Exactly one field is set.
 struct Command {
   1: optional NoOperation noOperation
@@ -107,6 +122,8 @@
   3: optional ConfigChange configChange
   4: optional RecordClaim recordClaim
   5: optional RecordOutcome recordOutcome
+  15: optional GroupChange groupChange
+  16: optional GroupPin groupPin
 }
 struct LogEntry { 1: i64 term; 2: i64 index; 3: Command body }
 struct RaftHeader { 1: i32 logGroup; 2: i64 sender; 3: i64 recipient; 4: i64 term }
@@ -193,7 +210,50 @@
 struct VersionQuery { 1: i64 sequence }
 struct VersionReply { 1: i64 sequence; 2: i64 version; 3: binary sheet; 4: string zone }
 
+// Reports of ranks and grants of steps. `messageType` numbers 90-99.
+struct StepRange { 1: i64 mapVersion; 2: i64 first; 3: i64 last }
+struct ExpertMap { 1: i64 version; 2: binary slots }
+struct RankReport {
+  1: i64 sequence
+  2: string group
+  3: GroupShape shape
+  4: i32 rank
+  5: i64 incarnation
+  6: i64 step
+  7: i64 granted
+  8: list<i64> loaded
+  9: i64 window
+  10: i64 windowMicros
+  11: list<i32> cells
+  12: list<i32> counts
+  13: i32 windowSteps
+}
+struct StepGrant {
+  1: i64 sequence
+  2: string group
+  3: bool leads
+  4: Endpoint leaderHint
+  5: list<StepRange> ranges
+  6: i64 loadMap
+  7: i64 droppableThrough
+  8: list<ExpertMap> maps
+}
+
 // Contents of a snapshot of the state machine.
+struct StateGroup {
+  1: string name
+  2: GroupShape shape
+  3: list<StepRange> ranges
+  4: i64 proposed
+  5: i64 highestMap
+  6: list<ExpertMap> maps
+  7: bool pinned
+  8: i64 changedMap
+  9: string reason
+  10: i64 bytes
+  11: i64 bytesMoved
+  12: i64 changes
+}
 struct StateVersion { 1: i64 version; 2: string changeId; 3: string author; 4: i64 sheetHash }
 struct StateChange {
   1: string changeId
@@ -227,6 +287,7 @@
   8: list<StateChange> changes
   9: i64 clockMicros
   10: list<StateRecord> records
+  25: optional list<StateGroup> groups
 }
 
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
