Bound the answer of a rank and test the encoding of its orders

An engine could fill the agent's memory with an endless answer to an order. The agent keeps 4 MiB at most; a longer answer counts as failed.

--- a/src/io/engine_api.cc
+++ b/src/io/engine_api.cc
@@ -12,6 +12,9 @@
 constexpr const char* kHealthPath = "/health";
 constexpr const char* kRankPath = "/v1/rank";
 
+// Counts of the largest map as JSON take about 300 KB.
+constexpr std::size_t kMaxRankAnswerBytes = std::size_t{4} << 20;
+
 }  // namespace
 
 engine_api::engine_api(io_loop& loop, endpoint engine, event_sink sink)
@@ -75,7 +78,12 @@
 
 void engine_api::OnBytes(http_client::call_id call, std::string_view bytes) {
   if (call == rank_call_) {
-    rank_answer_.append(bytes);
+    if (rank_answer_.size() + bytes.size() <= kMaxRankAnswerBytes) {
+      rank_answer_.append(bytes);
+    } else {
+      // What is kept is no whole document, so the answer counts as failed.
+      rank_answer_.clear();
+    }
     return;
   }
   auto it = dispatches_.find(call);
--- a/tests/group_test.cc
+++ b/tests/group_test.cc
@@ -2,6 +2,7 @@
 #include <deque>
 
 #include "fake_context.h"
+#include "io/rank_json.h"
 #include "io/wire.h"
 #include "radishroute/expert_groups.h"
 #include "radishroute/group_server.h"
@@ -243,6 +244,29 @@
   CHECK(f.Group().record.ProposedMap() == 2);
 }
 
+// Guards against a rank that acts on half an order, or an agent that reports half an answer.
+TEST_CASE("orders to ranks survive encoding, and damaged ones are refused") {
+  rank_order order{{{1, 1, 9}, {2, 10, 30}}, 0, kShape, group_map{2, Propose(2).placement}};
+  std::string text = RenderRankOrder(order);
+  auto read = ParseRankOrder(text);
+  REQUIRE(read.has_value());
+  CHECK(read->ranges == order.ranges);
+  REQUIRE(read->load.has_value());
+  CHECK(read->load->placement.layers[1].slots == order.load->placement.layers[1].slots);
+  rank_progress progress{5, 9, {1, 2}, 3, {4, std::chrono::microseconds(7), 50, {0, 3}, {8, 9}}};
+  auto answer = ParseRankProgress(RenderRankProgress(progress));
+  REQUIRE(answer.has_value());
+  CHECK(answer->loaded == progress.loaded);
+  CHECK(answer->counts.duration == progress.counts.duration);
+  CHECK(answer->counts.counts == progress.counts.counts);
+  progress.counts.cells.pop_back();
+  CHECK_FALSE(ParseRankProgress(RenderRankProgress(progress)).has_value());
+  CHECK_FALSE(ParseRankProgress("[]").has_value());
+  for (std::size_t cut = 0; cut < text.size(); cut += 7) {
+    CHECK_FALSE(ParseRankOrder(text.substr(0, cut)).has_value());
+  }
+}
+
 // Guards against an agent that passes on a grant under another map than an earlier one named.
 TEST_CASE("an agent stops at a grant that contradicts an earlier one") {
   fake_context context;
