--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/group_command.h"
 #include "radishroute/order_types.h"
 #include "radishroute/types.h"
 
@@ -91,7 +92,9 @@
     record_claim,              //
     record_outcome,            //
     order_submission,          //
-    order_completion>;
+    order_completion,
+    group_change,  //
+    group_pin>;
 
 /// Position and content of one log entry.
 struct log_entry {
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -11,11 +11,13 @@
 
 #include "radishroute/clock.h"
 #include "radishroute/error.h"
+#include "radishroute/group_plan.h"
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
 #include "radishroute/metric.h"
 #include "radishroute/order_event.h"
 #include "radishroute/raft_event.h"
+#include "radishroute/rank_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/routing_table.h"
 #include "radishroute/types.h"
@@ -191,7 +193,9 @@
     store_log,                //
     proposal_finished,        //
     start_engine_order,       //
-    cancel_engine_order>;
+    cancel_engine_order,
+    plan_placement,  //
+    call_rank>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -4,9 +4,11 @@
 #include <variant>
 
 #include "radishroute/failure_event.h"
+#include "radishroute/group_plan.h"
 #include "radishroute/link_event.h"
 #include "radishroute/order_event.h"
 #include "radishroute/raft_event.h"
+#include "radishroute/rank_event.h"
 #include "radishroute/record_event.h"
 #include "radishroute/traffic_event.h"
 
@@ -37,7 +39,9 @@
     outcome_submitted,        //
     claim_answered,           //
     outcome_answered,         //
-    engine_order_finished>;
+    engine_order_finished,
+    placement_planned,  //
+    rank_answered>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -55,6 +55,13 @@
   kOrderRefusedStale = 703,
   kOrderRetried = 704,
   kEngineOrderFinished = 705,
+  kGroupCreated = 720,
+  kMapProposed = 721,
+  kMapActivated = 722,
+  kRankReportRefused = 723,
+  kRankPastGrant = 724,
+  kGroupPinned = 725,
+  kGroupUnpinned = 726,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -6,6 +6,7 @@
 #include "radishroute/config_message.h"
 #include "radishroute/discovery_message.h"
 #include "radishroute/failure_message.h"
+#include "radishroute/group_message.h"
 #include "radishroute/order_message.h"
 #include "radishroute/raft_message.h"
 #include "radishroute/record_message.h"
@@ -69,7 +70,9 @@
     fence_query,               //
     fence_reply,               //
     fenced_order,              //
-    order_reply>;
+    order_reply,
+    group_report,  //
+    group_grant>;
 
 }  // namespace radishroute
 
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -52,9 +52,16 @@
   kOrdersFailed,
   kOrdersRetried,
   kOrdersRefusedStale,
+  kStepsGranted,
+  kPlacementsPlanned,
+  kPlacementsNotWorth,
+  kMapsActivated,
+  kMapBytesMoved,
+  kRankReportsRefused,
+  kRankCallsFailed,
 };
 
-inline constexpr std::size_t kCounterCount = 43;
+inline constexpr std::size_t kCounterCount = 50;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "radishroute/discovery_message.h"
+#include "radishroute/group_settings.h"
 #include "radishroute/log_event.h"
 #include "radishroute/types.h"
 
@@ -87,6 +88,7 @@
   /// Longest time in which the engine may still carry out an order whose connection is gone; no
   /// order is sent in it unless the engine checks fencing tokens.
   std::chrono::milliseconds order_settle{30000};
+  group_membership group;
 };
 
 struct controller_settings {
@@ -99,6 +101,7 @@
   std::string admin_token;
   /// Data folder.
   std::string data;
+  group_settings groups;
 };
 
 /// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -10,6 +10,7 @@
 #include "radishroute/executions.h"
 #include "radishroute/link_monitor.h"
 #include "radishroute/order_client.h"
+#include "radishroute/rank_agent.h"
 #include "radishroute/requests.h"
 #include "radishroute/state_codec.h"
 
@@ -22,6 +23,7 @@
   std::optional<controller_log<thrift_state_codec>> log;
   std::optional<config_client> config;
   std::optional<order_client> orders;
+  std::optional<rank_agent> rank;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/include/radishroute/state_machine.h
+++ b/include/radishroute/state_machine.h
@@ -12,6 +12,7 @@
 #include "radishroute/command.h"
 #include "radishroute/config.h"
 #include "radishroute/error.h"
+#include "radishroute/expert_groups.h"
 #include "radishroute/order_table.h"
 #include "radishroute/records.h"
 
@@ -25,6 +26,7 @@
   config_image config;
   records_image records;
   std::vector<order_record> orders;
+  groups_image groups;
 };
 
 /// Encodes and decodes snapshots. Decode returns kSnapshotCorrupt for any damage.
@@ -35,7 +37,8 @@
 };
 
 /// Result of one log entry; monostate for entries without one.
-using apply_result = std::variant<std::monostate, change_result, claim_result, outcome_verdict>;
+using apply_result =
+    std::variant<std::monostate, change_result, claim_result, outcome_verdict, group_result>;
 
 /// Applied hard state. The same entries give the same state and results on every replica.
 class state_machine {
@@ -49,6 +52,7 @@
   const config_document& Config() const { return config_; }
   const record_table& Records() const { return records_; }
   const order_table& Orders() const { return orders_; }
+  const group_table& Groups() const { return groups_; }
   const std::vector<replica>& Replicas() const { return replicas_; }
   std::uint64_t LastIndex() const { return last_index_; }
   std::uint64_t LastTerm() const { return last_term_; }
@@ -80,6 +84,12 @@
     orders_.Apply(completion, ctx);
     return {};
   }
+  apply_result ApplyBody(const group_change& change, reduce_context& ctx) {
+    return groups_.Apply(change, ctx);
+  }
+  apply_result ApplyBody(const group_pin& pin, reduce_context& ctx) {
+    return groups_.Apply(pin, ctx);
+  }
 
   std::uint64_t last_index_ = 0;
   std::uint64_t last_term_ = 0;
@@ -87,6 +97,7 @@
   config_document config_;
   record_table records_;
   order_table orders_;
+  group_table groups_;
 };
 
 /// A state machine with the interface that the log needs; the codec is chosen by the adapter.
--- a/src/cli/agent.cc
+++ b/src/cli/agent.cc
@@ -70,6 +70,10 @@
       control_->State().control.orders.emplace(std::move(orders), settings_.controllers);
       control_->SendOrders(settings_.engine);
     }
+    if (!settings_.group.group.empty()) {
+      control_->State().control.rank.emplace(settings_.group, settings_.controllers);
+      control_->CallEngine(settings_.engine);
+    }
     admin_ = std::make_unique<admin_api>(control_->Loop(), DrainHttpHandler(settings_.admin_token));
     if (auto error = admin_->Start(settings_.admin_listen)) return error;
 
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -116,6 +116,18 @@
               << o.value("state", "") << " (" << o.value("change_id", "") << " by "
               << o.value("author", "") << ")\n";
   }
+  for (const json& g : status.value("groups", json::array())) {
+    std::cout << "group " << g.value("group", "") << ": map " << g.value("map_in_force", 0)
+              << " in force, ";
+    if (g.value("proposed_map", 0) != 0) std::cout << g.value("proposed_map", 0) << " proposed, ";
+    std::cout << "step " << g.value("step", std::uint64_t{0}) << " of "
+              << g.value("steps_granted", std::uint64_t{0}) << " granted, skew "
+              << g.value("skew", 0.0) << ", " << g.value("changes", 0) << " changes, "
+              << g.value("bytes_moved", std::uint64_t{0}) << " bytes moved"
+              << (g.value("pinned", false) ? ", pinned" : "") << "\n";
+    if (!g.value("reason", "").empty())
+      std::cout << "  last change: " << g.value("reason", "") << "\n";
+  }
 }
 
 }  // namespace
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -9,6 +9,7 @@
 #include "cli/admin.h"
 #include "cli/commands.h"
 #include "cli/config_http.h"
+#include "cli/group_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/order_http.h"
@@ -82,6 +83,7 @@
   int Run(bool bootstrap) {
     replica self{{}, settings_.common.zone, settings_.control_advertise, true, {}};
     std::error_code error = node_.Open(settings_.data, self, settings_.control_listen, bootstrap);
+    if (!error) node_.Thread().State().control.log->ServeGroups(settings_.groups);
     if (!error) error = admin_.Start(settings_.admin_listen);
     if (error) {
       std::cerr << settings_.data << ": " << error.message() << "\n";
@@ -132,12 +134,16 @@
     backend.is_leader = [this, now] { return node_.Core().IsCurrent(now); };
     backend.token = settings_.admin_token;
     auto answer = HandleConfigHttp(request, backend, now);
-    if (!answer) return OnOrders(request, server);
+    if (!answer) answer = request.path == "/v1/groups" ? OnGroups(request, now) : OnOrders(request);
+    if (!answer) return false;
+    if (request.path == "/v1/status" && answer->status == 200) {
+      AddGroups(log.Groups().Report(log.State().Groups()), answer->body);
+    }
     server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
     return true;
   }
 
-  bool OnOrders(const http_request& request, http_server& server) {
+  std::optional<http_answer> OnOrders(const http_request& request) {
     order_http_backend backend;
     backend.orders = &node_.Thread().State().control.log->State().Orders();
     backend.is_leader = [this] { return node_.Core().IsCurrent(std::chrono::steady_clock::now()); };
@@ -146,10 +152,19 @@
       return true;
     };
     backend.token = settings_.admin_token;
-    auto answer = HandleOrderHttp(request, backend);
-    if (!answer) return false;
-    server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
-    return true;
+    return HandleOrderHttp(request, backend);
+  }
+
+  std::optional<http_answer> OnGroups(const http_request& request, steady_time now) {
+    if (!Authorized(request, settings_.admin_token)) {
+      return http_answer{401, R"({"error":"unauthorized"})"};
+    }
+    if (!node_.Core().IsCurrent(now)) return http_answer{421, R"({"error":"not-leader"})"};
+    const auto& log = *node_.Thread().State().control.log;
+    return HandleGroupPin(request, log.State().Groups(), [this](group_pin pin) {
+      node_.Thread().Apply(propose_command{{}, std::move(pin)});
+      return true;
+    });
   }
 
   void OnChange(const http_request& request) {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -21,6 +21,7 @@
     {"status", "show the state of the controllers", radishroute::RunStatus},
     {"drain", "ask an entry or agent to finish its work and stop", radishroute::RunDrain},
     {"order", "give an engine a fenced order", radishroute::RunOrder},
+    {"pin", "keep the expert map of a group, or allow changes again", radishroute::RunPin},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
     {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
     {"load", "send requests and check every answer", radishroute::RunLoad},
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -5546,52 +5546,33 @@
 }
 
 
-Command::~Command() noexcept {
-}
-
-
-void Command::__set_noOperation(const NoOperation& val) {
-  this->noOperation = val;
-__isset.noOperation = true;
-}
-
-void Command::__set_replicaChange(const ReplicaChange& val) {
-  this->replicaChange = val;
-__isset.replicaChange = true;
+GroupShape::~GroupShape() noexcept {
 }
 
-void Command::__set_configChange(const ConfigChange& val) {
-  this->configChange = val;
-__isset.configChange = true;
-}
 
-void Command::__set_recordClaim(const RecordClaim& val) {
-  this->recordClaim = val;
-__isset.recordClaim = true;
+void GroupShape::__set_ranks(const int32_t val) {
+  this->ranks = val;
 }
 
-void Command::__set_recordOutcome(const RecordOutcome& val) {
-  this->recordOutcome = val;
-__isset.recordOutcome = true;
+void GroupShape::__set_experts(const int32_t val) {
+  this->experts = val;
 }
 
-void Command::__set_orderSubmission(const OrderSubmission& val) {
-  this->orderSubmission = val;
-__isset.orderSubmission = true;
+void GroupShape::__set_layers(const int32_t val) {
+  this->layers = val;
 }
 
-void Command::__set_orderCompletion(const OrderCompletion& val) {
-  this->orderCompletion = val;
-__isset.orderCompletion = true;
+void GroupShape::__set_slotsPerRank(const int32_t val) {
+  this->slotsPerRank = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const GroupShape& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupShape::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5613,57 +5594,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->noOperation.read(iprot);
-          this->__isset.noOperation = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->replicaChange.read(iprot);
-          this->__isset.replicaChange = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->experts);
+          this->__isset.experts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configChange.read(iprot);
-          this->__isset.configChange = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->layers);
+          this->__isset.layers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordClaim.read(iprot);
-          this->__isset.recordClaim = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordOutcome.read(iprot);
-          this->__isset.recordOutcome = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->orderSubmission.read(iprot);
-          this->__isset.orderSubmission = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->orderCompletion.read(iprot);
-          this->__isset.orderCompletion = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slotsPerRank);
+          this->__isset.slotsPerRank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5680,142 +5637,129 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupShape::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("GroupShape");
+
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->experts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("layers", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->layers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotsPerRank", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->slotsPerRank);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.noOperation) {
-    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->noOperation.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.replicaChange) {
-    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->replicaChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.configChange) {
-    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->configChange.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordClaim) {
-    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->recordClaim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.recordOutcome) {
-    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->recordOutcome.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.orderSubmission) {
-    xfer += oprot->writeFieldBegin("orderSubmission", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->orderSubmission.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.orderCompletion) {
-    xfer += oprot->writeFieldBegin("orderCompletion", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->orderCompletion.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(GroupShape &a, GroupShape &b) {
   using ::std::swap;
-  swap(a.noOperation, b.noOperation);
-  swap(a.replicaChange, b.replicaChange);
-  swap(a.configChange, b.configChange);
-  swap(a.recordClaim, b.recordClaim);
-  swap(a.recordOutcome, b.recordOutcome);
-  swap(a.orderSubmission, b.orderSubmission);
-  swap(a.orderCompletion, b.orderCompletion);
+  swap(a.ranks, b.ranks);
+  swap(a.experts, b.experts);
+  swap(a.layers, b.layers);
+  swap(a.slotsPerRank, b.slotsPerRank);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other196) {
-  noOperation = other196.noOperation;
-  replicaChange = other196.replicaChange;
-  configChange = other196.configChange;
-  recordClaim = other196.recordClaim;
-  recordOutcome = other196.recordOutcome;
-  orderSubmission = other196.orderSubmission;
-  orderCompletion = other196.orderCompletion;
+GroupShape::GroupShape(const GroupShape& other196) noexcept {
+  ranks = other196.ranks;
+  experts = other196.experts;
+  layers = other196.layers;
+  slotsPerRank = other196.slotsPerRank;
   __isset = other196.__isset;
 }
-Command::Command(Command&& other197) noexcept {
-  noOperation = std::move(other197.noOperation);
-  replicaChange = std::move(other197.replicaChange);
-  configChange = std::move(other197.configChange);
-  recordClaim = std::move(other197.recordClaim);
-  recordOutcome = std::move(other197.recordOutcome);
-  orderSubmission = std::move(other197.orderSubmission);
-  orderCompletion = std::move(other197.orderCompletion);
+GroupShape::GroupShape(GroupShape&& other197) noexcept {
+  ranks = other197.ranks;
+  experts = other197.experts;
+  layers = other197.layers;
+  slotsPerRank = other197.slotsPerRank;
   __isset = other197.__isset;
 }
-Command& Command::operator=(const Command& other198) {
-  noOperation = other198.noOperation;
-  replicaChange = other198.replicaChange;
-  configChange = other198.configChange;
-  recordClaim = other198.recordClaim;
-  recordOutcome = other198.recordOutcome;
-  orderSubmission = other198.orderSubmission;
-  orderCompletion = other198.orderCompletion;
+GroupShape& GroupShape::operator=(const GroupShape& other198) noexcept {
+  ranks = other198.ranks;
+  experts = other198.experts;
+  layers = other198.layers;
+  slotsPerRank = other198.slotsPerRank;
   __isset = other198.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other199) noexcept {
-  noOperation = std::move(other199.noOperation);
-  replicaChange = std::move(other199.replicaChange);
-  configChange = std::move(other199.configChange);
-  recordClaim = std::move(other199.recordClaim);
-  recordOutcome = std::move(other199.recordOutcome);
-  orderSubmission = std::move(other199.orderSubmission);
-  orderCompletion = std::move(other199.orderCompletion);
+GroupShape& GroupShape::operator=(GroupShape&& other199) noexcept {
+  ranks = other199.ranks;
+  experts = other199.experts;
+  layers = other199.layers;
+  slotsPerRank = other199.slotsPerRank;
   __isset = other199.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+void GroupShape::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
-  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
-  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
-  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
-  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
-  out << ", " << "orderSubmission="; (__isset.orderSubmission ? (out << to_string(orderSubmission)) : (out << "<null>"));
-  out << ", " << "orderCompletion="; (__isset.orderCompletion ? (out << to_string(orderCompletion)) : (out << "<null>"));
+  out << "GroupShape(";
+  out << "ranks=" << to_string(ranks);
+  out << ", " << "experts=" << to_string(experts);
+  out << ", " << "layers=" << to_string(layers);
+  out << ", " << "slotsPerRank=" << to_string(slotsPerRank);
   out << ")";
 }
 
 
-LogEntry::~LogEntry() noexcept {
+GroupChange::~GroupChange() noexcept {
 }
 
 
-void LogEntry::__set_term(const int64_t val) {
-  this->term = val;
+void GroupChange::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void LogEntry::__set_index(const int64_t val) {
-  this->index = val;
+void GroupChange::__set_action(const int32_t val) {
+  this->action = val;
 }
 
-void LogEntry::__set_body(const Command& val) {
-  this->body = val;
+void GroupChange::__set_ranks(const int32_t val) {
+  this->ranks = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+
+void GroupChange::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
+}
+
+void GroupChange::__set_lastStep(const int64_t val) {
+  this->lastStep = val;
+}
+
+void GroupChange::__set_shape(const GroupShape& val) {
+  this->shape = val;
+}
+
+void GroupChange::__set_slots(const std::string& val) {
+  this->slots = val;
+}
+
+void GroupChange::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void GroupChange::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5837,25 +5781,73 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->action);
+          this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastStep);
+          this->__isset.lastStep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5872,21 +5864,45 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
+  xfer += oprot->writeStructBegin("GroupChange");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("action", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->action);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->mapVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastStep", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->lastStep);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->shape.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5894,77 +5910,105 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(GroupChange &a, GroupChange &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.index, b.index);
-  swap(a.body, b.body);
+  swap(a.group, b.group);
+  swap(a.action, b.action);
+  swap(a.ranks, b.ranks);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.lastStep, b.lastStep);
+  swap(a.shape, b.shape);
+  swap(a.slots, b.slots);
+  swap(a.reason, b.reason);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other200) {
-  term = other200.term;
-  index = other200.index;
-  body = other200.body;
+GroupChange::GroupChange(const GroupChange& other200) {
+  group = other200.group;
+  action = other200.action;
+  ranks = other200.ranks;
+  mapVersion = other200.mapVersion;
+  lastStep = other200.lastStep;
+  shape = other200.shape;
+  slots = other200.slots;
+  reason = other200.reason;
+  bytes = other200.bytes;
   __isset = other200.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other201) noexcept {
-  term = other201.term;
-  index = other201.index;
-  body = std::move(other201.body);
+GroupChange::GroupChange(GroupChange&& other201) noexcept {
+  group = std::move(other201.group);
+  action = other201.action;
+  ranks = other201.ranks;
+  mapVersion = other201.mapVersion;
+  lastStep = other201.lastStep;
+  shape = std::move(other201.shape);
+  slots = std::move(other201.slots);
+  reason = std::move(other201.reason);
+  bytes = other201.bytes;
   __isset = other201.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other202) {
-  term = other202.term;
-  index = other202.index;
-  body = other202.body;
+GroupChange& GroupChange::operator=(const GroupChange& other202) {
+  group = other202.group;
+  action = other202.action;
+  ranks = other202.ranks;
+  mapVersion = other202.mapVersion;
+  lastStep = other202.lastStep;
+  shape = other202.shape;
+  slots = other202.slots;
+  reason = other202.reason;
+  bytes = other202.bytes;
   __isset = other202.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other203) noexcept {
-  term = other203.term;
-  index = other203.index;
-  body = std::move(other203.body);
+GroupChange& GroupChange::operator=(GroupChange&& other203) noexcept {
+  group = std::move(other203.group);
+  action = other203.action;
+  ranks = other203.ranks;
+  mapVersion = other203.mapVersion;
+  lastStep = other203.lastStep;
+  shape = std::move(other203.shape);
+  slots = std::move(other203.slots);
+  reason = std::move(other203.reason);
+  bytes = other203.bytes;
   __isset = other203.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void GroupChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
-  out << "term=" << to_string(term);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "body=" << to_string(body);
+  out << "GroupChange(";
+  out << "group=" << to_string(group);
+  out << ", " << "action=" << to_string(action);
+  out << ", " << "ranks=" << to_string(ranks);
+  out << ", " << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "lastStep=" << to_string(lastStep);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-RaftHeader::~RaftHeader() noexcept {
-}
-
-
-void RaftHeader::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+GroupPin::~GroupPin() noexcept {
 }
 
-void RaftHeader::__set_sender(const int64_t val) {
-  this->sender = val;
-}
 
-void RaftHeader::__set_recipient(const int64_t val) {
-  this->recipient = val;
+void GroupPin::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void RaftHeader::__set_term(const int64_t val) {
-  this->term = val;
+void GroupPin::__set_pinned(const bool val) {
+  this->pinned = val;
 }
-std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
+std::ostream& operator<<(std::ostream& out, const GroupPin& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupPin::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5986,33 +6030,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sender);
-          this->__isset.sender = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->recipient);
-          this->__isset.recipient = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pinned);
+          this->__isset.pinned = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6029,25 +6057,17 @@
   return xfer;
 }
 
-uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupPin::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RaftHeader");
-
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->sender);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("GroupPin");
 
-  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("pinned", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->pinned);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6055,91 +6075,100 @@
   return xfer;
 }
 
-void swap(RaftHeader &a, RaftHeader &b) {
+void swap(GroupPin &a, GroupPin &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.sender, b.sender);
-  swap(a.recipient, b.recipient);
-  swap(a.term, b.term);
+  swap(a.group, b.group);
+  swap(a.pinned, b.pinned);
   swap(a.__isset, b.__isset);
 }
 
-RaftHeader::RaftHeader(const RaftHeader& other204) noexcept {
-  logGroup = other204.logGroup;
-  sender = other204.sender;
-  recipient = other204.recipient;
-  term = other204.term;
+GroupPin::GroupPin(const GroupPin& other204) {
+  group = other204.group;
+  pinned = other204.pinned;
   __isset = other204.__isset;
 }
-RaftHeader::RaftHeader(RaftHeader&& other205) noexcept {
-  logGroup = other205.logGroup;
-  sender = other205.sender;
-  recipient = other205.recipient;
-  term = other205.term;
+GroupPin::GroupPin(GroupPin&& other205) noexcept {
+  group = std::move(other205.group);
+  pinned = other205.pinned;
   __isset = other205.__isset;
 }
-RaftHeader& RaftHeader::operator=(const RaftHeader& other206) noexcept {
-  logGroup = other206.logGroup;
-  sender = other206.sender;
-  recipient = other206.recipient;
-  term = other206.term;
+GroupPin& GroupPin::operator=(const GroupPin& other206) {
+  group = other206.group;
+  pinned = other206.pinned;
   __isset = other206.__isset;
   return *this;
 }
-RaftHeader& RaftHeader::operator=(RaftHeader&& other207) noexcept {
-  logGroup = other207.logGroup;
-  sender = other207.sender;
-  recipient = other207.recipient;
-  term = other207.term;
+GroupPin& GroupPin::operator=(GroupPin&& other207) noexcept {
+  group = std::move(other207.group);
+  pinned = other207.pinned;
   __isset = other207.__isset;
   return *this;
 }
-void RaftHeader::printTo(std::ostream& out) const {
+void GroupPin::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RaftHeader(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "recipient=" << to_string(recipient);
-  out << ", " << "term=" << to_string(term);
+  out << "GroupPin(";
+  out << "group=" << to_string(group);
+  out << ", " << "pinned=" << to_string(pinned);
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void AppendRequest::__set_header(const RaftHeader& val) {
-  this->header = val;
+void Command::__set_noOperation(const NoOperation& val) {
+  this->noOperation = val;
+__isset.noOperation = true;
 }
 
-void AppendRequest::__set_prevIndex(const int64_t val) {
-  this->prevIndex = val;
+void Command::__set_replicaChange(const ReplicaChange& val) {
+  this->replicaChange = val;
+__isset.replicaChange = true;
 }
 
-void AppendRequest::__set_prevTerm(const int64_t val) {
-  this->prevTerm = val;
+void Command::__set_configChange(const ConfigChange& val) {
+  this->configChange = val;
+__isset.configChange = true;
 }
 
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
+void Command::__set_recordClaim(const RecordClaim& val) {
+  this->recordClaim = val;
+__isset.recordClaim = true;
 }
 
-void AppendRequest::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void Command::__set_recordOutcome(const RecordOutcome& val) {
+  this->recordOutcome = val;
+__isset.recordOutcome = true;
 }
 
-void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void Command::__set_orderSubmission(const OrderSubmission& val) {
+  this->orderSubmission = val;
+__isset.orderSubmission = true;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+
+void Command::__set_orderCompletion(const OrderCompletion& val) {
+  this->orderCompletion = val;
+__isset.orderCompletion = true;
+}
+
+void Command::__set_groupChange(const GroupChange& val) {
+  this->groupChange = val;
+__isset.groupChange = true;
+}
+
+void Command::__set_groupPin(const GroupPin& val) {
+  this->groupPin = val;
+__isset.groupPin = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6162,60 +6191,72 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+          xfer += this->noOperation.read(iprot);
+          this->__isset.noOperation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevIndex);
-          this->__isset.prevIndex = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replicaChange.read(iprot);
+          this->__isset.replicaChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prevTerm);
-          this->__isset.prevTerm = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configChange.read(iprot);
+          this->__isset.configChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordClaim.read(iprot);
+          this->__isset.recordClaim = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOutcome.read(iprot);
+          this->__isset.recordOutcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->entries.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
-            {
-              xfer += this->entries[_i212].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderSubmission.read(iprot);
+          this->__isset.orderSubmission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderCompletion.read(iprot);
+          this->__isset.orderCompletion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupChange.read(iprot);
+          this->__isset.groupChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupPin.read(iprot);
+          this->__isset.groupPin = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6232,137 +6273,164 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prevIndex);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prevTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->commit);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Command");
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter213;
-    for (_iter213 = this->entries.begin(); _iter213 != this->entries.end(); ++_iter213)
-    {
-      xfer += (*_iter213).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.noOperation) {
+    xfer += oprot->writeFieldBegin("noOperation", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->noOperation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replicaChange) {
+    xfer += oprot->writeFieldBegin("replicaChange", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->replicaChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configChange) {
+    xfer += oprot->writeFieldBegin("configChange", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->configChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordClaim) {
+    xfer += oprot->writeFieldBegin("recordClaim", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->recordClaim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordOutcome) {
+    xfer += oprot->writeFieldBegin("recordOutcome", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->recordOutcome.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.orderSubmission) {
+    xfer += oprot->writeFieldBegin("orderSubmission", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->orderSubmission.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.orderCompletion) {
+    xfer += oprot->writeFieldBegin("orderCompletion", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->orderCompletion.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groupChange) {
+    xfer += oprot->writeFieldBegin("groupChange", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->groupChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groupPin) {
+    xfer += oprot->writeFieldBegin("groupPin", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->groupPin.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(Command &a, Command &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.prevIndex, b.prevIndex);
-  swap(a.prevTerm, b.prevTerm);
-  swap(a.commit, b.commit);
-  swap(a.sentNanos, b.sentNanos);
-  swap(a.entries, b.entries);
+  swap(a.noOperation, b.noOperation);
+  swap(a.replicaChange, b.replicaChange);
+  swap(a.configChange, b.configChange);
+  swap(a.recordClaim, b.recordClaim);
+  swap(a.recordOutcome, b.recordOutcome);
+  swap(a.orderSubmission, b.orderSubmission);
+  swap(a.orderCompletion, b.orderCompletion);
+  swap(a.groupChange, b.groupChange);
+  swap(a.groupPin, b.groupPin);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other214) {
-  header = other214.header;
-  prevIndex = other214.prevIndex;
-  prevTerm = other214.prevTerm;
-  commit = other214.commit;
-  sentNanos = other214.sentNanos;
-  entries = other214.entries;
-  __isset = other214.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other215) noexcept {
-  header = std::move(other215.header);
-  prevIndex = other215.prevIndex;
-  prevTerm = other215.prevTerm;
-  commit = other215.commit;
-  sentNanos = other215.sentNanos;
-  entries = std::move(other215.entries);
-  __isset = other215.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other216) {
-  header = other216.header;
-  prevIndex = other216.prevIndex;
-  prevTerm = other216.prevTerm;
-  commit = other216.commit;
-  sentNanos = other216.sentNanos;
-  entries = other216.entries;
-  __isset = other216.__isset;
-  return *this;
-}
-AppendRequest& AppendRequest::operator=(AppendRequest&& other217) noexcept {
-  header = std::move(other217.header);
-  prevIndex = other217.prevIndex;
-  prevTerm = other217.prevTerm;
-  commit = other217.commit;
-  sentNanos = other217.sentNanos;
-  entries = std::move(other217.entries);
-  __isset = other217.__isset;
+Command::Command(const Command& other208) {
+  noOperation = other208.noOperation;
+  replicaChange = other208.replicaChange;
+  configChange = other208.configChange;
+  recordClaim = other208.recordClaim;
+  recordOutcome = other208.recordOutcome;
+  orderSubmission = other208.orderSubmission;
+  orderCompletion = other208.orderCompletion;
+  groupChange = other208.groupChange;
+  groupPin = other208.groupPin;
+  __isset = other208.__isset;
+}
+Command::Command(Command&& other209) noexcept {
+  noOperation = std::move(other209.noOperation);
+  replicaChange = std::move(other209.replicaChange);
+  configChange = std::move(other209.configChange);
+  recordClaim = std::move(other209.recordClaim);
+  recordOutcome = std::move(other209.recordOutcome);
+  orderSubmission = std::move(other209.orderSubmission);
+  orderCompletion = std::move(other209.orderCompletion);
+  groupChange = std::move(other209.groupChange);
+  groupPin = std::move(other209.groupPin);
+  __isset = other209.__isset;
+}
+Command& Command::operator=(const Command& other210) {
+  noOperation = other210.noOperation;
+  replicaChange = other210.replicaChange;
+  configChange = other210.configChange;
+  recordClaim = other210.recordClaim;
+  recordOutcome = other210.recordOutcome;
+  orderSubmission = other210.orderSubmission;
+  orderCompletion = other210.orderCompletion;
+  groupChange = other210.groupChange;
+  groupPin = other210.groupPin;
+  __isset = other210.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other211) noexcept {
+  noOperation = std::move(other211.noOperation);
+  replicaChange = std::move(other211.replicaChange);
+  configChange = std::move(other211.configChange);
+  recordClaim = std::move(other211.recordClaim);
+  recordOutcome = std::move(other211.recordOutcome);
+  orderSubmission = std::move(other211.orderSubmission);
+  orderCompletion = std::move(other211.orderCompletion);
+  groupChange = std::move(other211.groupChange);
+  groupPin = std::move(other211.groupPin);
+  __isset = other211.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
-  out << "header=" << to_string(header);
-  out << ", " << "prevIndex=" << to_string(prevIndex);
-  out << ", " << "prevTerm=" << to_string(prevTerm);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
-  out << ", " << "entries=" << to_string(entries);
-  out << ")";
-}
-
-
-AppendReply::~AppendReply() noexcept {
+  out << "Command(";
+  out << "noOperation="; (__isset.noOperation ? (out << to_string(noOperation)) : (out << "<null>"));
+  out << ", " << "replicaChange="; (__isset.replicaChange ? (out << to_string(replicaChange)) : (out << "<null>"));
+  out << ", " << "configChange="; (__isset.configChange ? (out << to_string(configChange)) : (out << "<null>"));
+  out << ", " << "recordClaim="; (__isset.recordClaim ? (out << to_string(recordClaim)) : (out << "<null>"));
+  out << ", " << "recordOutcome="; (__isset.recordOutcome ? (out << to_string(recordOutcome)) : (out << "<null>"));
+  out << ", " << "orderSubmission="; (__isset.orderSubmission ? (out << to_string(orderSubmission)) : (out << "<null>"));
+  out << ", " << "orderCompletion="; (__isset.orderCompletion ? (out << to_string(orderCompletion)) : (out << "<null>"));
+  out << ", " << "groupChange="; (__isset.groupChange ? (out << to_string(groupChange)) : (out << "<null>"));
+  out << ", " << "groupPin="; (__isset.groupPin ? (out << to_string(groupPin)) : (out << "<null>"));
+  out << ")";
 }
 
 
-void AppendReply::__set_header(const RaftHeader& val) {
-  this->header = val;
+LogEntry::~LogEntry() noexcept {
 }
 
-void AppendReply::__set_matched(const bool val) {
-  this->matched = val;
+
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void AppendReply::__set_matchIndex(const int64_t val) {
-  this->matchIndex = val;
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void AppendReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void LogEntry::__set_body(const Command& val) {
+  this->body = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6384,33 +6452,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->matched);
-          this->__isset.matched = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->matchIndex);
-          this->__isset.matchIndex = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6427,25 +6487,21 @@
   return xfer;
 }
 
-uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendReply");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogEntry");
 
-  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->matched);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->matchIndex);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6453,83 +6509,77 @@
   return xfer;
 }
 
-void swap(AppendReply &a, AppendReply &b) {
+void swap(LogEntry &a, LogEntry &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.matched, b.matched);
-  swap(a.matchIndex, b.matchIndex);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other218) noexcept {
-  header = other218.header;
-  matched = other218.matched;
-  matchIndex = other218.matchIndex;
-  sentNanos = other218.sentNanos;
-  __isset = other218.__isset;
+LogEntry::LogEntry(const LogEntry& other212) {
+  term = other212.term;
+  index = other212.index;
+  body = other212.body;
+  __isset = other212.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other219) noexcept {
-  header = std::move(other219.header);
-  matched = other219.matched;
-  matchIndex = other219.matchIndex;
-  sentNanos = other219.sentNanos;
-  __isset = other219.__isset;
+LogEntry::LogEntry(LogEntry&& other213) noexcept {
+  term = other213.term;
+  index = other213.index;
+  body = std::move(other213.body);
+  __isset = other213.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other220) noexcept {
-  header = other220.header;
-  matched = other220.matched;
-  matchIndex = other220.matchIndex;
-  sentNanos = other220.sentNanos;
-  __isset = other220.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other214) {
+  term = other214.term;
+  index = other214.index;
+  body = other214.body;
+  __isset = other214.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other221) noexcept {
-  header = std::move(other221.header);
-  matched = other221.matched;
-  matchIndex = other221.matchIndex;
-  sentNanos = other221.sentNanos;
-  __isset = other221.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other215) noexcept {
+  term = other215.term;
+  index = other215.index;
+  body = std::move(other215.body);
+  __isset = other215.__isset;
   return *this;
 }
-void AppendReply::printTo(std::ostream& out) const {
+void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendReply(";
-  out << "header=" << to_string(header);
-  out << ", " << "matched=" << to_string(matched);
-  out << ", " << "matchIndex=" << to_string(matchIndex);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << "LogEntry(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+RaftHeader::~RaftHeader() noexcept {
 }
 
 
-void VoteRequest::__set_header(const RaftHeader& val) {
-  this->header = val;
+void RaftHeader::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void VoteRequest::__set_preVote(const bool val) {
-  this->preVote = val;
+void RaftHeader::__set_sender(const int64_t val) {
+  this->sender = val;
 }
 
-void VoteRequest::__set_lastIndex(const int64_t val) {
-  this->lastIndex = val;
+void RaftHeader::__set_recipient(const int64_t val) {
+  this->recipient = val;
 }
 
-void VoteRequest::__set_lastTerm(const int64_t val) {
-  this->lastTerm = val;
+void RaftHeader::__set_term(const int64_t val) {
+  this->term = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+std::ostream& operator<<(std::ostream& out, const RaftHeader& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RaftHeader::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6551,33 +6601,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->header.read(iprot);
-          this->__isset.header = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastIndex);
-          this->__isset.lastIndex = true;
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastTerm);
-          this->__isset.lastTerm = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6594,25 +6644,25 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RaftHeader::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
+  xfer += oprot->writeStructBegin("RaftHeader");
 
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sender);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recipient);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6620,79 +6670,91 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(RaftHeader &a, RaftHeader &b) {
   using ::std::swap;
-  swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.lastIndex, b.lastIndex);
-  swap(a.lastTerm, b.lastTerm);
+  swap(a.logGroup, b.logGroup);
+  swap(a.sender, b.sender);
+  swap(a.recipient, b.recipient);
+  swap(a.term, b.term);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other222) noexcept {
-  header = other222.header;
-  preVote = other222.preVote;
-  lastIndex = other222.lastIndex;
-  lastTerm = other222.lastTerm;
-  __isset = other222.__isset;
+RaftHeader::RaftHeader(const RaftHeader& other216) noexcept {
+  logGroup = other216.logGroup;
+  sender = other216.sender;
+  recipient = other216.recipient;
+  term = other216.term;
+  __isset = other216.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other223) noexcept {
-  header = std::move(other223.header);
-  preVote = other223.preVote;
-  lastIndex = other223.lastIndex;
-  lastTerm = other223.lastTerm;
-  __isset = other223.__isset;
+RaftHeader::RaftHeader(RaftHeader&& other217) noexcept {
+  logGroup = other217.logGroup;
+  sender = other217.sender;
+  recipient = other217.recipient;
+  term = other217.term;
+  __isset = other217.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other224) noexcept {
-  header = other224.header;
-  preVote = other224.preVote;
-  lastIndex = other224.lastIndex;
-  lastTerm = other224.lastTerm;
-  __isset = other224.__isset;
+RaftHeader& RaftHeader::operator=(const RaftHeader& other218) noexcept {
+  logGroup = other218.logGroup;
+  sender = other218.sender;
+  recipient = other218.recipient;
+  term = other218.term;
+  __isset = other218.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other225) noexcept {
-  header = std::move(other225.header);
-  preVote = other225.preVote;
-  lastIndex = other225.lastIndex;
-  lastTerm = other225.lastTerm;
-  __isset = other225.__isset;
+RaftHeader& RaftHeader::operator=(RaftHeader&& other219) noexcept {
+  logGroup = other219.logGroup;
+  sender = other219.sender;
+  recipient = other219.recipient;
+  term = other219.term;
+  __isset = other219.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void RaftHeader::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
-  out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "lastIndex=" << to_string(lastIndex);
-  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << "RaftHeader(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "term=" << to_string(term);
   out << ")";
 }
 
 
-VoteReply::~VoteReply() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void VoteReply::__set_header(const RaftHeader& val) {
+void AppendRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void VoteReply::__set_preVote(const bool val) {
-  this->preVote = val;
+void AppendRequest::__set_prevIndex(const int64_t val) {
+  this->prevIndex = val;
 }
 
-void VoteReply::__set_granted(const bool val) {
-  this->granted = val;
+void AppendRequest::__set_prevTerm(const int64_t val) {
+  this->prevTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6722,48 +6784,104 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->preVote);
-          this->__isset.preVote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevIndex);
+          this->__isset.prevIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prevTerm);
+          this->__isset.prevTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteReply");
-
-  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->header.write(oprot);
-  xfer += oprot->writeFieldEnd();
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->entries.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += this->entries[_i224].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
 
-  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->preVote);
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendRequest");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("prevIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prevIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prevTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prevTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter225;
+    for (_iter225 = this->entries.begin(); _iter225 != this->entries.end(); ++_iter225)
+    {
+      xfer += (*_iter225).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6771,97 +6889,95 @@
   return xfer;
 }
 
-void swap(VoteReply &a, VoteReply &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.preVote, b.preVote);
-  swap(a.granted, b.granted);
+  swap(a.prevIndex, b.prevIndex);
+  swap(a.prevTerm, b.prevTerm);
+  swap(a.commit, b.commit);
+  swap(a.sentNanos, b.sentNanos);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other226) noexcept {
+AppendRequest::AppendRequest(const AppendRequest& other226) {
   header = other226.header;
-  preVote = other226.preVote;
-  granted = other226.granted;
+  prevIndex = other226.prevIndex;
+  prevTerm = other226.prevTerm;
+  commit = other226.commit;
+  sentNanos = other226.sentNanos;
+  entries = other226.entries;
   __isset = other226.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other227) noexcept {
+AppendRequest::AppendRequest(AppendRequest&& other227) noexcept {
   header = std::move(other227.header);
-  preVote = other227.preVote;
-  granted = other227.granted;
+  prevIndex = other227.prevIndex;
+  prevTerm = other227.prevTerm;
+  commit = other227.commit;
+  sentNanos = other227.sentNanos;
+  entries = std::move(other227.entries);
   __isset = other227.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other228) noexcept {
+AppendRequest& AppendRequest::operator=(const AppendRequest& other228) {
   header = other228.header;
-  preVote = other228.preVote;
-  granted = other228.granted;
+  prevIndex = other228.prevIndex;
+  prevTerm = other228.prevTerm;
+  commit = other228.commit;
+  sentNanos = other228.sentNanos;
+  entries = other228.entries;
   __isset = other228.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other229) noexcept {
+AppendRequest& AppendRequest::operator=(AppendRequest&& other229) noexcept {
   header = std::move(other229.header);
-  preVote = other229.preVote;
-  granted = other229.granted;
+  prevIndex = other229.prevIndex;
+  prevTerm = other229.prevTerm;
+  commit = other229.commit;
+  sentNanos = other229.sentNanos;
+  entries = std::move(other229.entries);
   __isset = other229.__isset;
   return *this;
 }
-void VoteReply::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteReply(";
+  out << "AppendRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "preVote=" << to_string(preVote);
-  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "prevIndex=" << to_string(prevIndex);
+  out << ", " << "prevTerm=" << to_string(prevTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-SnapshotChunk::~SnapshotChunk() noexcept {
+AppendReply::~AppendReply() noexcept {
 }
 
 
-void SnapshotChunk::__set_header(const RaftHeader& val) {
+void AppendReply::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotChunk::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
-  this->snapshotTerm = val;
-}
-
-void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
-  this->replicas = val;
-}
-
-void SnapshotChunk::__set_total(const int64_t val) {
-  this->total = val;
-}
-
-void SnapshotChunk::__set_hash(const int64_t val) {
-  this->hash = val;
-}
-
-void SnapshotChunk::__set_offset(const int64_t val) {
-  this->offset = val;
+void AppendReply::__set_matched(const bool val) {
+  this->matched = val;
 }
 
-void SnapshotChunk::__set_bytes(const std::string& val) {
-  this->bytes = val;
+void AppendReply::__set_matchIndex(const int64_t val) {
+  this->matchIndex = val;
 }
 
-void SnapshotChunk::__set_sentNanos(const int64_t val) {
+void AppendReply::__set_sentNanos(const int64_t val) {
   this->sentNanos = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6891,74 +7007,22 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->matched);
+          this->__isset.matched = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->snapshotTerm);
-          this->__isset.snapshotTerm = true;
+          xfer += iprot->readI64(this->matchIndex);
+          this->__isset.matchIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->replicas.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->replicas.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
-            {
-              xfer += this->replicas[_i234].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.replicas = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->total);
-          this->__isset.total = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offset);
-          this->__isset.offset = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->bytes);
-          this->__isset.bytes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->sentNanos);
           this->__isset.sentNanos = true;
@@ -6978,52 +7042,24 @@
   return xfer;
 }
 
-uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotChunk");
+  xfer += oprot->writeStructBegin("AppendReply");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->snapshotTerm);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter235;
-    for (_iter235 = this->replicas.begin(); _iter235 != this->replicas.end(); ++_iter235)
-    {
-      xfer += (*_iter235).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->total);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->hash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldBegin("matched", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->matched);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldBegin("matchIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->matchIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
@@ -7032,117 +7068,83 @@
   return xfer;
 }
 
-void swap(SnapshotChunk &a, SnapshotChunk &b) {
+void swap(AppendReply &a, AppendReply &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.snapshotTerm, b.snapshotTerm);
-  swap(a.replicas, b.replicas);
-  swap(a.total, b.total);
-  swap(a.hash, b.hash);
-  swap(a.offset, b.offset);
-  swap(a.bytes, b.bytes);
+  swap(a.matched, b.matched);
+  swap(a.matchIndex, b.matchIndex);
   swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other236) {
-  header = other236.header;
-  index = other236.index;
-  snapshotTerm = other236.snapshotTerm;
-  replicas = other236.replicas;
-  total = other236.total;
-  hash = other236.hash;
-  offset = other236.offset;
-  bytes = other236.bytes;
-  sentNanos = other236.sentNanos;
-  __isset = other236.__isset;
+AppendReply::AppendReply(const AppendReply& other230) noexcept {
+  header = other230.header;
+  matched = other230.matched;
+  matchIndex = other230.matchIndex;
+  sentNanos = other230.sentNanos;
+  __isset = other230.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other237) noexcept {
-  header = std::move(other237.header);
-  index = other237.index;
-  snapshotTerm = other237.snapshotTerm;
-  replicas = std::move(other237.replicas);
-  total = other237.total;
-  hash = other237.hash;
-  offset = other237.offset;
-  bytes = std::move(other237.bytes);
-  sentNanos = other237.sentNanos;
-  __isset = other237.__isset;
+AppendReply::AppendReply(AppendReply&& other231) noexcept {
+  header = std::move(other231.header);
+  matched = other231.matched;
+  matchIndex = other231.matchIndex;
+  sentNanos = other231.sentNanos;
+  __isset = other231.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other238) {
-  header = other238.header;
-  index = other238.index;
-  snapshotTerm = other238.snapshotTerm;
-  replicas = other238.replicas;
-  total = other238.total;
-  hash = other238.hash;
-  offset = other238.offset;
-  bytes = other238.bytes;
-  sentNanos = other238.sentNanos;
-  __isset = other238.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other232) noexcept {
+  header = other232.header;
+  matched = other232.matched;
+  matchIndex = other232.matchIndex;
+  sentNanos = other232.sentNanos;
+  __isset = other232.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other239) noexcept {
-  header = std::move(other239.header);
-  index = other239.index;
-  snapshotTerm = other239.snapshotTerm;
-  replicas = std::move(other239.replicas);
-  total = other239.total;
-  hash = other239.hash;
-  offset = other239.offset;
-  bytes = std::move(other239.bytes);
-  sentNanos = other239.sentNanos;
-  __isset = other239.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other233) noexcept {
+  header = std::move(other233.header);
+  matched = other233.matched;
+  matchIndex = other233.matchIndex;
+  sentNanos = other233.sentNanos;
+  __isset = other233.__isset;
   return *this;
 }
-void SnapshotChunk::printTo(std::ostream& out) const {
+void AppendReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotChunk(";
+  out << "AppendReply(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "total=" << to_string(total);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "offset=" << to_string(offset);
-  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "matched=" << to_string(matched);
+  out << ", " << "matchIndex=" << to_string(matchIndex);
   out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-SnapshotReply::~SnapshotReply() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void SnapshotReply::__set_header(const RaftHeader& val) {
+void VoteRequest::__set_header(const RaftHeader& val) {
   this->header = val;
 }
 
-void SnapshotReply::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void SnapshotReply::__set_nextOffset(const int64_t val) {
-  this->nextOffset = val;
+void VoteRequest::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void SnapshotReply::__set_done(const bool val) {
-  this->done = val;
+void VoteRequest::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
 }
 
-void SnapshotReply::__set_sentNanos(const int64_t val) {
-  this->sentNanos = val;
+void VoteRequest::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7172,33 +7174,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->nextOffset);
-          this->__isset.nextOffset = true;
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->done);
-          this->__isset.done = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentNanos);
-          this->__isset.sentNanos = true;
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7215,29 +7209,25 @@
   return xfer;
 }
 
-uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotReply");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sentNanos);
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7245,85 +7235,79 @@
   return xfer;
 }
 
-void swap(SnapshotReply &a, SnapshotReply &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.header, b.header);
-  swap(a.index, b.index);
-  swap(a.nextOffset, b.nextOffset);
-  swap(a.done, b.done);
-  swap(a.sentNanos, b.sentNanos);
+  swap(a.preVote, b.preVote);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other240) noexcept {
-  header = other240.header;
-  index = other240.index;
-  nextOffset = other240.nextOffset;
-  done = other240.done;
-  sentNanos = other240.sentNanos;
-  __isset = other240.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other234) noexcept {
+  header = other234.header;
+  preVote = other234.preVote;
+  lastIndex = other234.lastIndex;
+  lastTerm = other234.lastTerm;
+  __isset = other234.__isset;
 }
-SnapshotReply::SnapshotReply(SnapshotReply&& other241) noexcept {
-  header = std::move(other241.header);
-  index = other241.index;
-  nextOffset = other241.nextOffset;
-  done = other241.done;
-  sentNanos = other241.sentNanos;
-  __isset = other241.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other235) noexcept {
+  header = std::move(other235.header);
+  preVote = other235.preVote;
+  lastIndex = other235.lastIndex;
+  lastTerm = other235.lastTerm;
+  __isset = other235.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other242) noexcept {
-  header = other242.header;
-  index = other242.index;
-  nextOffset = other242.nextOffset;
-  done = other242.done;
-  sentNanos = other242.sentNanos;
-  __isset = other242.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other236) noexcept {
+  header = other236.header;
+  preVote = other236.preVote;
+  lastIndex = other236.lastIndex;
+  lastTerm = other236.lastTerm;
+  __isset = other236.__isset;
   return *this;
 }
-SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other243) noexcept {
-  header = std::move(other243.header);
-  index = other243.index;
-  nextOffset = other243.nextOffset;
-  done = other243.done;
-  sentNanos = other243.sentNanos;
-  __isset = other243.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other237) noexcept {
+  header = std::move(other237.header);
+  preVote = other237.preVote;
+  lastIndex = other237.lastIndex;
+  lastTerm = other237.lastTerm;
+  __isset = other237.__isset;
   return *this;
 }
-void SnapshotReply::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotReply(";
+  out << "VoteRequest(";
   out << "header=" << to_string(header);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "nextOffset=" << to_string(nextOffset);
-  out << ", " << "done=" << to_string(done);
-  out << ", " << "sentNanos=" << to_string(sentNanos);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ")";
 }
 
 
-ProposeRequest::~ProposeRequest() noexcept {
+VoteReply::~VoteReply() noexcept {
 }
 
 
-void ProposeRequest::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void VoteReply::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void VoteReply::__set_preVote(const bool val) {
+  this->preVote = val;
 }
 
-void ProposeRequest::__set_body(const Command& val) {
-  this->body = val;
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7345,25 +7329,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->preVote);
+          this->__isset.preVote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7380,21 +7364,21 @@
   return xfer;
 }
 
-uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeRequest");
+  xfer += oprot->writeStructBegin("VoteReply");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("preVote", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7402,81 +7386,97 @@
   return xfer;
 }
 
-void swap(ProposeRequest &a, ProposeRequest &b) {
+void swap(VoteReply &a, VoteReply &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.body, b.body);
+  swap(a.header, b.header);
+  swap(a.preVote, b.preVote);
+  swap(a.granted, b.granted);
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other244) {
-  logGroup = other244.logGroup;
-  proposal = other244.proposal;
-  body = other244.body;
-  __isset = other244.__isset;
+VoteReply::VoteReply(const VoteReply& other238) noexcept {
+  header = other238.header;
+  preVote = other238.preVote;
+  granted = other238.granted;
+  __isset = other238.__isset;
 }
-ProposeRequest::ProposeRequest(ProposeRequest&& other245) noexcept {
-  logGroup = other245.logGroup;
-  proposal = other245.proposal;
-  body = std::move(other245.body);
-  __isset = other245.__isset;
+VoteReply::VoteReply(VoteReply&& other239) noexcept {
+  header = std::move(other239.header);
+  preVote = other239.preVote;
+  granted = other239.granted;
+  __isset = other239.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other246) {
-  logGroup = other246.logGroup;
-  proposal = other246.proposal;
-  body = other246.body;
-  __isset = other246.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other240) noexcept {
+  header = other240.header;
+  preVote = other240.preVote;
+  granted = other240.granted;
+  __isset = other240.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other247) noexcept {
-  logGroup = other247.logGroup;
-  proposal = other247.proposal;
-  body = std::move(other247.body);
-  __isset = other247.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other241) noexcept {
+  header = std::move(other241.header);
+  preVote = other241.preVote;
+  granted = other241.granted;
+  __isset = other241.__isset;
   return *this;
 }
-void ProposeRequest::printTo(std::ostream& out) const {
+void VoteReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeRequest(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "body=" << to_string(body);
+  out << "VoteReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "granted=" << to_string(granted);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
+SnapshotChunk::~SnapshotChunk() noexcept {
 }
 
 
-void ProposeReply::__set_logGroup(const int32_t val) {
-  this->logGroup = val;
+void SnapshotChunk::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void ProposeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void SnapshotChunk::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void ProposeReply::__set_status(const int32_t val) {
-  this->status = val;
+void SnapshotChunk::__set_snapshotTerm(const int64_t val) {
+  this->snapshotTerm = val;
 }
 
-void ProposeReply::__set_index(const int64_t val) {
-  this->index = val;
+void SnapshotChunk::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
 }
 
-void ProposeReply::__set_leader(const Endpoint& val) {
-  this->leader = val;
+void SnapshotChunk::__set_total(const int64_t val) {
+  this->total = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+
+void SnapshotChunk::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+void SnapshotChunk::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7498,80 +7498,148 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->logGroup);
-          this->__isset.logGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->snapshotTerm);
+          this->__isset.snapshotTerm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->replicas.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
+            {
+              xfer += this->replicas[_i246].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leader.read(iprot);
-          this->__isset.leader = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("SnapshotChunk");
 
-  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("snapshotTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->snapshotTerm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter247;
+    for (_iter247 = this->replicas.begin(); _iter247 != this->replicas.end(); ++_iter247)
+    {
+      xfer += (*_iter247).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->leader.write(oprot);
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7579,81 +7647,117 @@
   return xfer;
 }
 
-void swap(ProposeReply &a, ProposeReply &b) {
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
   using ::std::swap;
-  swap(a.logGroup, b.logGroup);
-  swap(a.proposal, b.proposal);
-  swap(a.status, b.status);
+  swap(a.header, b.header);
   swap(a.index, b.index);
-  swap(a.leader, b.leader);
+  swap(a.snapshotTerm, b.snapshotTerm);
+  swap(a.replicas, b.replicas);
+  swap(a.total, b.total);
+  swap(a.hash, b.hash);
+  swap(a.offset, b.offset);
+  swap(a.bytes, b.bytes);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other248) {
-  logGroup = other248.logGroup;
-  proposal = other248.proposal;
-  status = other248.status;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other248) {
+  header = other248.header;
   index = other248.index;
-  leader = other248.leader;
+  snapshotTerm = other248.snapshotTerm;
+  replicas = other248.replicas;
+  total = other248.total;
+  hash = other248.hash;
+  offset = other248.offset;
+  bytes = other248.bytes;
+  sentNanos = other248.sentNanos;
   __isset = other248.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other249) noexcept {
-  logGroup = other249.logGroup;
-  proposal = other249.proposal;
-  status = other249.status;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other249) noexcept {
+  header = std::move(other249.header);
   index = other249.index;
-  leader = std::move(other249.leader);
+  snapshotTerm = other249.snapshotTerm;
+  replicas = std::move(other249.replicas);
+  total = other249.total;
+  hash = other249.hash;
+  offset = other249.offset;
+  bytes = std::move(other249.bytes);
+  sentNanos = other249.sentNanos;
   __isset = other249.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other250) {
-  logGroup = other250.logGroup;
-  proposal = other250.proposal;
-  status = other250.status;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other250) {
+  header = other250.header;
   index = other250.index;
-  leader = other250.leader;
+  snapshotTerm = other250.snapshotTerm;
+  replicas = other250.replicas;
+  total = other250.total;
+  hash = other250.hash;
+  offset = other250.offset;
+  bytes = other250.bytes;
+  sentNanos = other250.sentNanos;
   __isset = other250.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other251) noexcept {
-  logGroup = other251.logGroup;
-  proposal = other251.proposal;
-  status = other251.status;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other251) noexcept {
+  header = std::move(other251.header);
   index = other251.index;
-  leader = std::move(other251.leader);
+  snapshotTerm = other251.snapshotTerm;
+  replicas = std::move(other251.replicas);
+  total = other251.total;
+  hash = other251.hash;
+  offset = other251.offset;
+  bytes = std::move(other251.bytes);
+  sentNanos = other251.sentNanos;
   __isset = other251.__isset;
   return *this;
 }
-void ProposeReply::printTo(std::ostream& out) const {
+void SnapshotChunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeReply(";
-  out << "logGroup=" << to_string(logGroup);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "status=" << to_string(status);
+  out << "SnapshotChunk(";
+  out << "header=" << to_string(header);
   out << ", " << "index=" << to_string(index);
-  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "snapshotTerm=" << to_string(snapshotTerm);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-LogBatch::~LogBatch() noexcept {
+SnapshotReply::~SnapshotReply() noexcept {
 }
 
 
-void LogBatch::__set_truncateFrom(const int64_t val) {
-  this->truncateFrom = val;
+void SnapshotReply::__set_header(const RaftHeader& val) {
+  this->header = val;
 }
 
-void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
+
+void SnapshotReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void SnapshotReply::__set_done(const bool val) {
+  this->done = val;
+}
+
+void SnapshotReply::__set_sentNanos(const int64_t val) {
+  this->sentNanos = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7675,29 +7779,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->truncateFrom);
-          this->__isset.truncateFrom = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->entries.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
-            {
-              xfer += this->entries[_i256].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentNanos);
+          this->__isset.sentNanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7714,25 +7830,29 @@
   return xfer;
 }
 
-uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogBatch");
+  xfer += oprot->writeStructBegin("SnapshotReply");
 
-  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter257;
-    for (_iter257 = this->entries.begin(); _iter257 != this->entries.end(); ++_iter257)
-    {
-      xfer += (*_iter257).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentNanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sentNanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7740,59 +7860,85 @@
   return xfer;
 }
 
-void swap(LogBatch &a, LogBatch &b) {
+void swap(SnapshotReply &a, SnapshotReply &b) {
   using ::std::swap;
-  swap(a.truncateFrom, b.truncateFrom);
-  swap(a.entries, b.entries);
+  swap(a.header, b.header);
+  swap(a.index, b.index);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.done, b.done);
+  swap(a.sentNanos, b.sentNanos);
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other258) {
-  truncateFrom = other258.truncateFrom;
-  entries = other258.entries;
-  __isset = other258.__isset;
-}
-LogBatch::LogBatch(LogBatch&& other259) noexcept {
-  truncateFrom = other259.truncateFrom;
-  entries = std::move(other259.entries);
-  __isset = other259.__isset;
-}
-LogBatch& LogBatch::operator=(const LogBatch& other260) {
-  truncateFrom = other260.truncateFrom;
-  entries = other260.entries;
-  __isset = other260.__isset;
-  return *this;
-}
-LogBatch& LogBatch::operator=(LogBatch&& other261) noexcept {
-  truncateFrom = other261.truncateFrom;
-  entries = std::move(other261.entries);
-  __isset = other261.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other252) noexcept {
+  header = other252.header;
+  index = other252.index;
+  nextOffset = other252.nextOffset;
+  done = other252.done;
+  sentNanos = other252.sentNanos;
+  __isset = other252.__isset;
+}
+SnapshotReply::SnapshotReply(SnapshotReply&& other253) noexcept {
+  header = std::move(other253.header);
+  index = other253.index;
+  nextOffset = other253.nextOffset;
+  done = other253.done;
+  sentNanos = other253.sentNanos;
+  __isset = other253.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other254) noexcept {
+  header = other254.header;
+  index = other254.index;
+  nextOffset = other254.nextOffset;
+  done = other254.done;
+  sentNanos = other254.sentNanos;
+  __isset = other254.__isset;
+  return *this;
+}
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other255) noexcept {
+  header = std::move(other255.header);
+  index = other255.index;
+  nextOffset = other255.nextOffset;
+  done = other255.done;
+  sentNanos = other255.sentNanos;
+  __isset = other255.__isset;
   return *this;
 }
-void LogBatch::printTo(std::ostream& out) const {
+void SnapshotReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogBatch(";
-  out << "truncateFrom=" << to_string(truncateFrom);
-  out << ", " << "entries=" << to_string(entries);
+  out << "SnapshotReply(";
+  out << "header=" << to_string(header);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "sentNanos=" << to_string(sentNanos);
   out << ")";
 }
 
 
-VoterRecord::~VoterRecord() noexcept {
+ProposeRequest::~ProposeRequest() noexcept {
 }
 
 
-void VoterRecord::__set_id(const int64_t val) {
-  this->id = val;
+void ProposeRequest::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
+
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeRequest::__set_body(const Command& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7814,9 +7960,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7833,13 +7995,21 @@
   return xfer;
 }
 
-uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoterRecord");
+  xfer += oprot->writeStructBegin("ProposeRequest");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7847,57 +8017,81 @@
   return xfer;
 }
 
-void swap(VoterRecord &a, VoterRecord &b) {
+void swap(ProposeRequest &a, ProposeRequest &b) {
   using ::std::swap;
-  swap(a.id, b.id);
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other262) noexcept {
-  id = other262.id;
-  __isset = other262.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other256) {
+  logGroup = other256.logGroup;
+  proposal = other256.proposal;
+  body = other256.body;
+  __isset = other256.__isset;
 }
-VoterRecord::VoterRecord(VoterRecord&& other263) noexcept {
-  id = other263.id;
-  __isset = other263.__isset;
+ProposeRequest::ProposeRequest(ProposeRequest&& other257) noexcept {
+  logGroup = other257.logGroup;
+  proposal = other257.proposal;
+  body = std::move(other257.body);
+  __isset = other257.__isset;
 }
-VoterRecord& VoterRecord::operator=(const VoterRecord& other264) noexcept {
-  id = other264.id;
-  __isset = other264.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other258) {
+  logGroup = other258.logGroup;
+  proposal = other258.proposal;
+  body = other258.body;
+  __isset = other258.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other265) noexcept {
-  id = other265.id;
-  __isset = other265.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other259) noexcept {
+  logGroup = other259.logGroup;
+  proposal = other259.proposal;
+  body = std::move(other259.body);
+  __isset = other259.__isset;
   return *this;
 }
-void VoterRecord::printTo(std::ostream& out) const {
+void ProposeRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoterRecord(";
-  out << "id=" << to_string(id);
+  out << "ProposeRequest(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-VoteRecord::~VoteRecord() noexcept {
+ProposeReply::~ProposeReply() noexcept {
 }
 
 
-void VoteRecord::__set_term(const int64_t val) {
-  this->term = val;
+void ProposeReply::__set_logGroup(const int32_t val) {
+  this->logGroup = val;
 }
 
-void VoteRecord::__set_votedFor(const int64_t val) {
-  this->votedFor = val;
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
+
+void ProposeReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ProposeReply::__set_leader(const Endpoint& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7919,17 +8113,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->logGroup);
+          this->__isset.logGroup = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->votedFor);
-          this->__isset.votedFor = true;
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7946,17 +8164,29 @@
   return xfer;
 }
 
-uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRecord");
+  xfer += oprot->writeStructBegin("ProposeReply");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("logGroup", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->logGroup);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->votedFor);
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->leader.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7964,71 +8194,81 @@
   return xfer;
 }
 
-void swap(VoteRecord &a, VoteRecord &b) {
+void swap(ProposeReply &a, ProposeReply &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.votedFor, b.votedFor);
+  swap(a.logGroup, b.logGroup);
+  swap(a.proposal, b.proposal);
+  swap(a.status, b.status);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other266) noexcept {
-  term = other266.term;
-  votedFor = other266.votedFor;
-  __isset = other266.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other260) {
+  logGroup = other260.logGroup;
+  proposal = other260.proposal;
+  status = other260.status;
+  index = other260.index;
+  leader = other260.leader;
+  __isset = other260.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other267) noexcept {
-  term = other267.term;
-  votedFor = other267.votedFor;
-  __isset = other267.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other261) noexcept {
+  logGroup = other261.logGroup;
+  proposal = other261.proposal;
+  status = other261.status;
+  index = other261.index;
+  leader = std::move(other261.leader);
+  __isset = other261.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other268) noexcept {
-  term = other268.term;
-  votedFor = other268.votedFor;
-  __isset = other268.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other262) {
+  logGroup = other262.logGroup;
+  proposal = other262.proposal;
+  status = other262.status;
+  index = other262.index;
+  leader = other262.leader;
+  __isset = other262.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other269) noexcept {
-  term = other269.term;
-  votedFor = other269.votedFor;
-  __isset = other269.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other263) noexcept {
+  logGroup = other263.logGroup;
+  proposal = other263.proposal;
+  status = other263.status;
+  index = other263.index;
+  leader = std::move(other263.leader);
+  __isset = other263.__isset;
   return *this;
 }
-void VoteRecord::printTo(std::ostream& out) const {
+void ProposeReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRecord(";
-  out << "term=" << to_string(term);
-  out << ", " << "votedFor=" << to_string(votedFor);
+  out << "ProposeReply(";
+  out << "logGroup=" << to_string(logGroup);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
 
-SnapshotRecord::~SnapshotRecord() noexcept {
-}
-
-
-void SnapshotRecord::__set_index(const int64_t val) {
-  this->index = val;
+LogBatch::~LogBatch() noexcept {
 }
 
-void SnapshotRecord::__set_term(const int64_t val) {
-  this->term = val;
-}
 
-void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
-  this->replicas = val;
+void LogBatch::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
 }
 
-void SnapshotRecord::__set_state(const std::string& val) {
-  this->state = val;
+void LogBatch::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+std::ostream& operator<<(std::ostream& out, const LogBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8051,44 +8291,28 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->replicas.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->replicas.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            this->entries.clear();
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->entries.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += this->replicas[_i274].read(iprot);
+              xfer += this->entries[_i268].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.replicas = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->state);
-          this->__isset.state = true;
+          this->__isset.entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8105,129 +8329,85 @@
   return xfer;
 }
 
-uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRecord");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogBatch");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->truncateFrom);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter275;
-    for (_iter275 = this->replicas.begin(); _iter275 != this->replicas.end(); ++_iter275)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter269;
+    for (_iter269 = this->entries.begin(); _iter269 != this->entries.end(); ++_iter269)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter269).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->state);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(SnapshotRecord &a, SnapshotRecord &b) {
+void swap(LogBatch &a, LogBatch &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.replicas, b.replicas);
-  swap(a.state, b.state);
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other276) {
-  index = other276.index;
-  term = other276.term;
-  replicas = other276.replicas;
-  state = other276.state;
-  __isset = other276.__isset;
+LogBatch::LogBatch(const LogBatch& other270) {
+  truncateFrom = other270.truncateFrom;
+  entries = other270.entries;
+  __isset = other270.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other277) noexcept {
-  index = other277.index;
-  term = other277.term;
-  replicas = std::move(other277.replicas);
-  state = std::move(other277.state);
-  __isset = other277.__isset;
+LogBatch::LogBatch(LogBatch&& other271) noexcept {
+  truncateFrom = other271.truncateFrom;
+  entries = std::move(other271.entries);
+  __isset = other271.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other278) {
-  index = other278.index;
-  term = other278.term;
-  replicas = other278.replicas;
-  state = other278.state;
-  __isset = other278.__isset;
+LogBatch& LogBatch::operator=(const LogBatch& other272) {
+  truncateFrom = other272.truncateFrom;
+  entries = other272.entries;
+  __isset = other272.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other279) noexcept {
-  index = other279.index;
-  term = other279.term;
-  replicas = std::move(other279.replicas);
-  state = std::move(other279.state);
-  __isset = other279.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other273) noexcept {
+  truncateFrom = other273.truncateFrom;
+  entries = std::move(other273.entries);
+  __isset = other273.__isset;
   return *this;
 }
-void SnapshotRecord::printTo(std::ostream& out) const {
+void LogBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRecord(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "state=" << to_string(state);
+  out << "LogBatch(";
+  out << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-ClaimRequest::~ClaimRequest() noexcept {
+VoterRecord::~VoterRecord() noexcept {
 }
 
 
-void ClaimRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void VoterRecord::__set_id(const int64_t val) {
+  this->id = val;
 }
-
-void ClaimRequest::__set_member(const std::string& val) {
-  this->member = val;
-}
-
-void ClaimRequest::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void ClaimRequest::__set_contentHash(const int64_t val) {
-  this->contentHash = val;
-}
-
-void ClaimRequest::__set_dispatch(const DispatchId& val) {
-  this->dispatch = val;
-}
-
-void ClaimRequest::__set_backend(const std::string& val) {
-  this->backend = val;
-}
-
-void ClaimRequest::__set_backendIncarnation(const int64_t val) {
-  this->backendIncarnation = val;
-}
-std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoterRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoterRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8250,56 +8430,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->contentHash);
-          this->__isset.contentHash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->dispatch.read(iprot);
-          this->__isset.dispatch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->backendIncarnation);
-          this->__isset.backendIncarnation = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8316,37 +8448,13 @@
   return xfer;
 }
 
-uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoterRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimRequest");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->member);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->contentHash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->dispatch.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->backend);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VoterRecord");
 
-  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8354,117 +8462,57 @@
   return xfer;
 }
 
-void swap(ClaimRequest &a, ClaimRequest &b) {
+void swap(VoterRecord &a, VoterRecord &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.member, b.member);
-  swap(a.key, b.key);
-  swap(a.contentHash, b.contentHash);
-  swap(a.dispatch, b.dispatch);
-  swap(a.backend, b.backend);
-  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.id, b.id);
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other280) {
-  proposal = other280.proposal;
-  member = other280.member;
-  key = other280.key;
-  contentHash = other280.contentHash;
-  dispatch = other280.dispatch;
-  backend = other280.backend;
-  backendIncarnation = other280.backendIncarnation;
-  __isset = other280.__isset;
+VoterRecord::VoterRecord(const VoterRecord& other274) noexcept {
+  id = other274.id;
+  __isset = other274.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other281) noexcept {
-  proposal = other281.proposal;
-  member = std::move(other281.member);
-  key = std::move(other281.key);
-  contentHash = other281.contentHash;
-  dispatch = std::move(other281.dispatch);
-  backend = std::move(other281.backend);
-  backendIncarnation = other281.backendIncarnation;
-  __isset = other281.__isset;
+VoterRecord::VoterRecord(VoterRecord&& other275) noexcept {
+  id = other275.id;
+  __isset = other275.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other282) {
-  proposal = other282.proposal;
-  member = other282.member;
-  key = other282.key;
-  contentHash = other282.contentHash;
-  dispatch = other282.dispatch;
-  backend = other282.backend;
-  backendIncarnation = other282.backendIncarnation;
-  __isset = other282.__isset;
+VoterRecord& VoterRecord::operator=(const VoterRecord& other276) noexcept {
+  id = other276.id;
+  __isset = other276.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other283) noexcept {
-  proposal = other283.proposal;
-  member = std::move(other283.member);
-  key = std::move(other283.key);
-  contentHash = other283.contentHash;
-  dispatch = std::move(other283.dispatch);
-  backend = std::move(other283.backend);
-  backendIncarnation = other283.backendIncarnation;
-  __isset = other283.__isset;
+VoterRecord& VoterRecord::operator=(VoterRecord&& other277) noexcept {
+  id = other277.id;
+  __isset = other277.__isset;
   return *this;
 }
-void ClaimRequest::printTo(std::ostream& out) const {
+void VoterRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimRequest(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "contentHash=" << to_string(contentHash);
-  out << ", " << "dispatch=" << to_string(dispatch);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << "VoterRecord(";
+  out << "id=" << to_string(id);
   out << ")";
 }
 
 
-OutcomeRequest::~OutcomeRequest() noexcept {
-}
-
-
-void OutcomeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
-
-void OutcomeRequest::__set_member(const std::string& val) {
-  this->member = val;
-}
-
-void OutcomeRequest::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void OutcomeRequest::__set_dispatch(const DispatchId& val) {
-  this->dispatch = val;
-}
-
-void OutcomeRequest::__set_status(const int32_t val) {
-  this->status = val;
+VoteRecord::~VoteRecord() noexcept {
 }
 
-void OutcomeRequest::__set_answerStatus(const int32_t val) {
-  this->answerStatus = val;
-}
 
-void OutcomeRequest::__set_answerType(const std::string& val) {
-  this->answerType = val;
+void VoteRecord::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void OutcomeRequest::__set_answer(const std::string& val) {
-  this->answer = val;
+void VoteRecord::__set_votedFor(const int64_t val) {
+  this->votedFor = val;
 }
-std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8487,64 +8535,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->dispatch.read(iprot);
-          this->__isset.dispatch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answerStatus);
-          this->__isset.answerStatus = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->answerType);
-          this->__isset.answerType = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->votedFor);
+          this->__isset.votedFor = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8561,41 +8561,192 @@
   return xfer;
 }
 
-uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OutcomeRequest");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VoteRecord");
 
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->votedFor);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->dispatch.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->status);
+void swap(VoteRecord &a, VoteRecord &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.votedFor, b.votedFor);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRecord::VoteRecord(const VoteRecord& other278) noexcept {
+  term = other278.term;
+  votedFor = other278.votedFor;
+  __isset = other278.__isset;
+}
+VoteRecord::VoteRecord(VoteRecord&& other279) noexcept {
+  term = other279.term;
+  votedFor = other279.votedFor;
+  __isset = other279.__isset;
+}
+VoteRecord& VoteRecord::operator=(const VoteRecord& other280) noexcept {
+  term = other280.term;
+  votedFor = other280.votedFor;
+  __isset = other280.__isset;
+  return *this;
+}
+VoteRecord& VoteRecord::operator=(VoteRecord&& other281) noexcept {
+  term = other281.term;
+  votedFor = other281.votedFor;
+  __isset = other281.__isset;
+  return *this;
+}
+void VoteRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRecord(";
+  out << "term=" << to_string(term);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ")";
+}
+
+
+SnapshotRecord::~SnapshotRecord() noexcept {
+}
+
+
+void SnapshotRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotRecord::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
+
+void SnapshotRecord::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->replicas.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
+            {
+              xfer += this->replicas[_i286].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotRecord");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter287;
+    for (_iter287 = this->replicas.begin(); _iter287 != this->replicas.end(); ++_iter287)
+    {
+      xfer += (*_iter287).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8603,127 +8754,95 @@
   return xfer;
 }
 
-void swap(OutcomeRequest &a, OutcomeRequest &b) {
+void swap(SnapshotRecord &a, SnapshotRecord &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.member, b.member);
-  swap(a.key, b.key);
-  swap(a.dispatch, b.dispatch);
-  swap(a.status, b.status);
-  swap(a.answerStatus, b.answerStatus);
-  swap(a.answerType, b.answerType);
-  swap(a.answer, b.answer);
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.replicas, b.replicas);
+  swap(a.state, b.state);
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other284) {
-  proposal = other284.proposal;
-  member = other284.member;
-  key = other284.key;
-  dispatch = other284.dispatch;
-  status = other284.status;
-  answerStatus = other284.answerStatus;
-  answerType = other284.answerType;
-  answer = other284.answer;
-  __isset = other284.__isset;
-}
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other285) noexcept {
-  proposal = other285.proposal;
-  member = std::move(other285.member);
-  key = std::move(other285.key);
-  dispatch = std::move(other285.dispatch);
-  status = other285.status;
-  answerStatus = other285.answerStatus;
-  answerType = std::move(other285.answerType);
-  answer = std::move(other285.answer);
-  __isset = other285.__isset;
-}
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other286) {
-  proposal = other286.proposal;
-  member = other286.member;
-  key = other286.key;
-  dispatch = other286.dispatch;
-  status = other286.status;
-  answerStatus = other286.answerStatus;
-  answerType = other286.answerType;
-  answer = other286.answer;
-  __isset = other286.__isset;
-  return *this;
-}
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other287) noexcept {
-  proposal = other287.proposal;
-  member = std::move(other287.member);
-  key = std::move(other287.key);
-  dispatch = std::move(other287.dispatch);
-  status = other287.status;
-  answerStatus = other287.answerStatus;
-  answerType = std::move(other287.answerType);
-  answer = std::move(other287.answer);
-  __isset = other287.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other288) {
+  index = other288.index;
+  term = other288.term;
+  replicas = other288.replicas;
+  state = other288.state;
+  __isset = other288.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other289) noexcept {
+  index = other289.index;
+  term = other289.term;
+  replicas = std::move(other289.replicas);
+  state = std::move(other289.state);
+  __isset = other289.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other290) {
+  index = other290.index;
+  term = other290.term;
+  replicas = other290.replicas;
+  state = other290.state;
+  __isset = other290.__isset;
   return *this;
 }
-void OutcomeRequest::printTo(std::ostream& out) const {
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other291) noexcept {
+  index = other291.index;
+  term = other291.term;
+  replicas = std::move(other291.replicas);
+  state = std::move(other291.state);
+  __isset = other291.__isset;
+  return *this;
+}
+void SnapshotRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "OutcomeRequest(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "dispatch=" << to_string(dispatch);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "answerStatus=" << to_string(answerStatus);
-  out << ", " << "answerType=" << to_string(answerType);
-  out << ", " << "answer=" << to_string(answer);
+  out << "SnapshotRecord(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "state=" << to_string(state);
   out << ")";
 }
 
 
-RecordReply::~RecordReply() noexcept {
+ClaimRequest::~ClaimRequest() noexcept {
 }
 
 
-void RecordReply::__set_proposal(const int64_t val) {
+void ClaimRequest::__set_proposal(const int64_t val) {
   this->proposal = val;
 }
 
-void RecordReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
-}
-
-void RecordReply::__set_holder(const DispatchId& val) {
-  this->holder = val;
-}
-
-void RecordReply::__set_backend(const std::string& val) {
-  this->backend = val;
+void ClaimRequest::__set_member(const std::string& val) {
+  this->member = val;
 }
 
-void RecordReply::__set_backendIncarnation(const int64_t val) {
-  this->backendIncarnation = val;
+void ClaimRequest::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void RecordReply::__set_answerStored(const bool val) {
-  this->answerStored = val;
+void ClaimRequest::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
 }
 
-void RecordReply::__set_answerStatus(const int32_t val) {
-  this->answerStatus = val;
+void ClaimRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
 }
 
-void RecordReply::__set_answerType(const std::string& val) {
-  this->answerType = val;
+void ClaimRequest::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void RecordReply::__set_answer(const std::string& val) {
-  this->answer = val;
+void ClaimRequest::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8753,22 +8872,38 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->holder.read(iprot);
-          this->__isset.holder = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->backend);
           this->__isset.backend = true;
