@@ -8776,42 +8911,1349 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimRequest &a, ClaimRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.contentHash, b.contentHash);
+  swap(a.dispatch, b.dispatch);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRequest::ClaimRequest(const ClaimRequest& other292) {
+  proposal = other292.proposal;
+  member = other292.member;
+  key = other292.key;
+  contentHash = other292.contentHash;
+  dispatch = other292.dispatch;
+  backend = other292.backend;
+  backendIncarnation = other292.backendIncarnation;
+  __isset = other292.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other293) noexcept {
+  proposal = other293.proposal;
+  member = std::move(other293.member);
+  key = std::move(other293.key);
+  contentHash = other293.contentHash;
+  dispatch = std::move(other293.dispatch);
+  backend = std::move(other293.backend);
+  backendIncarnation = other293.backendIncarnation;
+  __isset = other293.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other294) {
+  proposal = other294.proposal;
+  member = other294.member;
+  key = other294.key;
+  contentHash = other294.contentHash;
+  dispatch = other294.dispatch;
+  backend = other294.backend;
+  backendIncarnation = other294.backendIncarnation;
+  __isset = other294.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other295) noexcept {
+  proposal = other295.proposal;
+  member = std::move(other295.member);
+  key = std::move(other295.key);
+  contentHash = other295.contentHash;
+  dispatch = std::move(other295.dispatch);
+  backend = std::move(other295.backend);
+  backendIncarnation = other295.backendIncarnation;
+  __isset = other295.__isset;
+  return *this;
+}
+void ClaimRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ")";
+}
+
+
+OutcomeRequest::~OutcomeRequest() noexcept {
+}
+
+
+void OutcomeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeRequest::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void OutcomeRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void OutcomeRequest::__set_dispatch(const DispatchId& val) {
+  this->dispatch = val;
+}
+
+void OutcomeRequest::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void OutcomeRequest::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void OutcomeRequest::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void OutcomeRequest::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->dispatch.read(iprot);
+          this->__isset.dispatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dispatch", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->dispatch.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeRequest &a, OutcomeRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.member, b.member);
+  swap(a.key, b.key);
+  swap(a.dispatch, b.dispatch);
+  swap(a.status, b.status);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other296) {
+  proposal = other296.proposal;
+  member = other296.member;
+  key = other296.key;
+  dispatch = other296.dispatch;
+  status = other296.status;
+  answerStatus = other296.answerStatus;
+  answerType = other296.answerType;
+  answer = other296.answer;
+  __isset = other296.__isset;
+}
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other297) noexcept {
+  proposal = other297.proposal;
+  member = std::move(other297.member);
+  key = std::move(other297.key);
+  dispatch = std::move(other297.dispatch);
+  status = other297.status;
+  answerStatus = other297.answerStatus;
+  answerType = std::move(other297.answerType);
+  answer = std::move(other297.answer);
+  __isset = other297.__isset;
+}
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other298) {
+  proposal = other298.proposal;
+  member = other298.member;
+  key = other298.key;
+  dispatch = other298.dispatch;
+  status = other298.status;
+  answerStatus = other298.answerStatus;
+  answerType = other298.answerType;
+  answer = other298.answer;
+  __isset = other298.__isset;
+  return *this;
+}
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other299) noexcept {
+  proposal = other299.proposal;
+  member = std::move(other299.member);
+  key = std::move(other299.key);
+  dispatch = std::move(other299.dispatch);
+  status = other299.status;
+  answerStatus = other299.answerStatus;
+  answerType = std::move(other299.answerType);
+  answer = std::move(other299.answer);
+  __isset = other299.__isset;
+  return *this;
+}
+void OutcomeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "dispatch=" << to_string(dispatch);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+RecordReply::~RecordReply() noexcept {
+}
+
+
+void RecordReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void RecordReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void RecordReply::__set_holder(const DispatchId& val) {
+  this->holder = val;
+}
+
+void RecordReply::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void RecordReply::__set_backendIncarnation(const int64_t val) {
+  this->backendIncarnation = val;
+}
+
+void RecordReply::__set_answerStored(const bool val) {
+  this->answerStored = val;
+}
+
+void RecordReply::__set_answerStatus(const int32_t val) {
+  this->answerStatus = val;
+}
+
+void RecordReply::__set_answerType(const std::string& val) {
+  this->answerType = val;
+}
+
+void RecordReply::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->backendIncarnation);
+          this->__isset.backendIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answerStored);
+          this->__isset.answerStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answerStatus);
+          this->__isset.answerStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answerType);
+          this->__isset.answerType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->backendIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->answerStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->answerStatus);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->answerType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordReply &a, RecordReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.holder, b.holder);
+  swap(a.backend, b.backend);
+  swap(a.backendIncarnation, b.backendIncarnation);
+  swap(a.answerStored, b.answerStored);
+  swap(a.answerStatus, b.answerStatus);
+  swap(a.answerType, b.answerType);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RecordReply::RecordReply(const RecordReply& other300) {
+  proposal = other300.proposal;
+  verdict = other300.verdict;
+  holder = other300.holder;
+  backend = other300.backend;
+  backendIncarnation = other300.backendIncarnation;
+  answerStored = other300.answerStored;
+  answerStatus = other300.answerStatus;
+  answerType = other300.answerType;
+  answer = other300.answer;
+  __isset = other300.__isset;
+}
+RecordReply::RecordReply(RecordReply&& other301) noexcept {
+  proposal = other301.proposal;
+  verdict = other301.verdict;
+  holder = std::move(other301.holder);
+  backend = std::move(other301.backend);
+  backendIncarnation = other301.backendIncarnation;
+  answerStored = other301.answerStored;
+  answerStatus = other301.answerStatus;
+  answerType = std::move(other301.answerType);
+  answer = std::move(other301.answer);
+  __isset = other301.__isset;
+}
+RecordReply& RecordReply::operator=(const RecordReply& other302) {
+  proposal = other302.proposal;
+  verdict = other302.verdict;
+  holder = other302.holder;
+  backend = other302.backend;
+  backendIncarnation = other302.backendIncarnation;
+  answerStored = other302.answerStored;
+  answerStatus = other302.answerStatus;
+  answerType = other302.answerType;
+  answer = other302.answer;
+  __isset = other302.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other303) noexcept {
+  proposal = other303.proposal;
+  verdict = other303.verdict;
+  holder = std::move(other303.holder);
+  backend = std::move(other303.backend);
+  backendIncarnation = other303.backendIncarnation;
+  answerStored = other303.answerStored;
+  answerStatus = other303.answerStatus;
+  answerType = std::move(other303.answerType);
+  answer = std::move(other303.answer);
+  __isset = other303.__isset;
+  return *this;
+}
+void RecordReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
+  out << ", " << "answerStored=" << to_string(answerStored);
+  out << ", " << "answerStatus=" << to_string(answerStatus);
+  out << ", " << "answerType=" << to_string(answerType);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+OutcomeReply::~OutcomeReply() noexcept {
+}
+
+
+void OutcomeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void OutcomeReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OutcomeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OutcomeReply &a, OutcomeReply &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+OutcomeReply::OutcomeReply(const OutcomeReply& other304) noexcept {
+  proposal = other304.proposal;
+  verdict = other304.verdict;
+  __isset = other304.__isset;
+}
+OutcomeReply::OutcomeReply(OutcomeReply&& other305) noexcept {
+  proposal = other305.proposal;
+  verdict = other305.verdict;
+  __isset = other305.__isset;
+}
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other306) noexcept {
+  proposal = other306.proposal;
+  verdict = other306.verdict;
+  __isset = other306.__isset;
+  return *this;
+}
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other307) noexcept {
+  proposal = other307.proposal;
+  verdict = other307.verdict;
+  __isset = other307.__isset;
+  return *this;
+}
+void OutcomeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OutcomeReply(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ")";
+}
+
+
+LeaseRenew::~LeaseRenew() noexcept {
+}
+
+
+void LeaseRenew::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseRenew::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void LeaseRenew::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void LeaseRenew::__set_appliedVersion(const int64_t val) {
+  this->appliedVersion = val;
+}
+
+void LeaseRenew::__set_heardVersion(const int64_t val) {
+  this->heardVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedVersion);
+          this->__isset.appliedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardVersion);
+          this->__isset.heardVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenew");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenew &a, LeaseRenew &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.appliedVersion, b.appliedVersion);
+  swap(a.heardVersion, b.heardVersion);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseRenew::LeaseRenew(const LeaseRenew& other308) {
+  sequence = other308.sequence;
+  node = other308.node;
+  zone = other308.zone;
+  appliedVersion = other308.appliedVersion;
+  heardVersion = other308.heardVersion;
+  __isset = other308.__isset;
+}
+LeaseRenew::LeaseRenew(LeaseRenew&& other309) noexcept {
+  sequence = other309.sequence;
+  node = std::move(other309.node);
+  zone = std::move(other309.zone);
+  appliedVersion = other309.appliedVersion;
+  heardVersion = other309.heardVersion;
+  __isset = other309.__isset;
+}
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other310) {
+  sequence = other310.sequence;
+  node = other310.node;
+  zone = other310.zone;
+  appliedVersion = other310.appliedVersion;
+  heardVersion = other310.heardVersion;
+  __isset = other310.__isset;
+  return *this;
+}
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other311) noexcept {
+  sequence = other311.sequence;
+  node = std::move(other311.node);
+  zone = std::move(other311.zone);
+  appliedVersion = other311.appliedVersion;
+  heardVersion = other311.heardVersion;
+  __isset = other311.__isset;
+  return *this;
+}
+void LeaseRenew::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenew(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "appliedVersion=" << to_string(appliedVersion);
+  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ")";
+}
+
+
+LeaseGrant::~LeaseGrant() noexcept {
+}
+
+
+void LeaseGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void LeaseGrant::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void LeaseGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+
+void LeaseGrant::__set_durationMicros(const int64_t val) {
+  this->durationMicros = val;
+}
+
+void LeaseGrant::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMicros);
+          this->__isset.durationMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseGrant &a, LeaseGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.granted, b.granted);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.durationMicros, b.durationMicros);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaseGrant::LeaseGrant(const LeaseGrant& other312) {
+  sequence = other312.sequence;
+  granted = other312.granted;
+  leaderHint = other312.leaderHint;
+  durationMicros = other312.durationMicros;
+  version = other312.version;
+  __isset = other312.__isset;
+}
+LeaseGrant::LeaseGrant(LeaseGrant&& other313) noexcept {
+  sequence = other313.sequence;
+  granted = other313.granted;
+  leaderHint = std::move(other313.leaderHint);
+  durationMicros = other313.durationMicros;
+  version = other313.version;
+  __isset = other313.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other314) {
+  sequence = other314.sequence;
+  granted = other314.granted;
+  leaderHint = other314.leaderHint;
+  durationMicros = other314.durationMicros;
+  version = other314.version;
+  __isset = other314.__isset;
+  return *this;
+}
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other315) noexcept {
+  sequence = other315.sequence;
+  granted = other315.granted;
+  leaderHint = std::move(other315.leaderHint);
+  durationMicros = other315.durationMicros;
+  version = other315.version;
+  __isset = other315.__isset;
+  return *this;
+}
+void LeaseGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "durationMicros=" << to_string(durationMicros);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigPush::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigPush::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.sheet, b.sheet);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other316) {
+  version = other316.version;
+  author = other316.author;
+  sheet = other316.sheet;
+  __isset = other316.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other317) noexcept {
+  version = other317.version;
+  author = std::move(other317.author);
+  sheet = std::move(other317.sheet);
+  __isset = other317.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other318) {
+  version = other318.version;
+  author = other318.author;
+  sheet = other318.sheet;
+  __isset = other318.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other319) noexcept {
+  version = other319.version;
+  author = std::move(other319.author);
+  sheet = std::move(other319.sheet);
+  __isset = other319.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ")";
+}
+
+
+VersionQuery::~VersionQuery() noexcept {
+}
+
+
+void VersionQuery::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->backendIncarnation);
-          this->__isset.backendIncarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->answerStored);
-          this->__isset.answerStored = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answerStatus);
-          this->__isset.answerStatus = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->answerType);
-          this->__isset.answerType = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->answer);
-          this->__isset.answer = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8828,45 +10270,13 @@
   return xfer;
 }
 
-uint32_t RecordReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordReply");
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->holder.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->backend);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backendIncarnation", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->backendIncarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answerStored", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->answerStored);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answerStatus", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->answerStatus);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answerType", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->answerType);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VersionQuery");
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8874,105 +10284,65 @@
   return xfer;
 }
 
-void swap(RecordReply &a, RecordReply &b) {
+void swap(VersionQuery &a, VersionQuery &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
-  swap(a.holder, b.holder);
-  swap(a.backend, b.backend);
-  swap(a.backendIncarnation, b.backendIncarnation);
-  swap(a.answerStored, b.answerStored);
-  swap(a.answerStatus, b.answerStatus);
-  swap(a.answerType, b.answerType);
-  swap(a.answer, b.answer);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other288) {
-  proposal = other288.proposal;
-  verdict = other288.verdict;
-  holder = other288.holder;
-  backend = other288.backend;
-  backendIncarnation = other288.backendIncarnation;
-  answerStored = other288.answerStored;
-  answerStatus = other288.answerStatus;
-  answerType = other288.answerType;
-  answer = other288.answer;
-  __isset = other288.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other320) noexcept {
+  sequence = other320.sequence;
+  __isset = other320.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other289) noexcept {
-  proposal = other289.proposal;
-  verdict = other289.verdict;
-  holder = std::move(other289.holder);
-  backend = std::move(other289.backend);
-  backendIncarnation = other289.backendIncarnation;
-  answerStored = other289.answerStored;
-  answerStatus = other289.answerStatus;
-  answerType = std::move(other289.answerType);
-  answer = std::move(other289.answer);
-  __isset = other289.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other321) noexcept {
+  sequence = other321.sequence;
+  __isset = other321.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other290) {
-  proposal = other290.proposal;
-  verdict = other290.verdict;
-  holder = other290.holder;
-  backend = other290.backend;
-  backendIncarnation = other290.backendIncarnation;
-  answerStored = other290.answerStored;
-  answerStatus = other290.answerStatus;
-  answerType = other290.answerType;
-  answer = other290.answer;
-  __isset = other290.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other322) noexcept {
+  sequence = other322.sequence;
+  __isset = other322.__isset;
   return *this;
 }
-RecordReply& RecordReply::operator=(RecordReply&& other291) noexcept {
-  proposal = other291.proposal;
-  verdict = other291.verdict;
-  holder = std::move(other291.holder);
-  backend = std::move(other291.backend);
-  backendIncarnation = other291.backendIncarnation;
-  answerStored = other291.answerStored;
-  answerStatus = other291.answerStatus;
-  answerType = std::move(other291.answerType);
-  answer = std::move(other291.answer);
-  __isset = other291.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other323) noexcept {
+  sequence = other323.sequence;
+  __isset = other323.__isset;
   return *this;
 }
-void RecordReply::printTo(std::ostream& out) const {
+void VersionQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RecordReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
-  out << ", " << "holder=" << to_string(holder);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "backendIncarnation=" << to_string(backendIncarnation);
-  out << ", " << "answerStored=" << to_string(answerStored);
-  out << ", " << "answerStatus=" << to_string(answerStatus);
-  out << ", " << "answerType=" << to_string(answerType);
-  out << ", " << "answer=" << to_string(answer);
+  out << "VersionQuery(";
+  out << "sequence=" << to_string(sequence);
   out << ")";
 }
 
 
-OutcomeReply::~OutcomeReply() noexcept {
+VersionReply::~VersionReply() noexcept {
 }
 
 
-void OutcomeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void VersionReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void OutcomeReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
+void VersionReply::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj)
+
+void VersionReply::__set_sheet(const std::string& val) {
+  this->sheet = val;
+}
+
+void VersionReply::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OutcomeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8995,16 +10365,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->sheet);
+          this->__isset.sheet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9021,17 +10407,25 @@
   return xfer;
 }
 
-uint32_t OutcomeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OutcomeReply");
+  xfer += oprot->writeStructBegin("VersionReply");
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9039,75 +10433,79 @@
   return xfer;
 }
 
-void swap(OutcomeReply &a, OutcomeReply &b) {
+void swap(VersionReply &a, VersionReply &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.verdict, b.verdict);
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.sheet, b.sheet);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other292) noexcept {
-  proposal = other292.proposal;
-  verdict = other292.verdict;
-  __isset = other292.__isset;
+VersionReply::VersionReply(const VersionReply& other324) {
+  sequence = other324.sequence;
+  version = other324.version;
+  sheet = other324.sheet;
+  zone = other324.zone;
+  __isset = other324.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other293) noexcept {
-  proposal = other293.proposal;
-  verdict = other293.verdict;
-  __isset = other293.__isset;
+VersionReply::VersionReply(VersionReply&& other325) noexcept {
+  sequence = other325.sequence;
+  version = other325.version;
+  sheet = std::move(other325.sheet);
+  zone = std::move(other325.zone);
+  __isset = other325.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other294) noexcept {
-  proposal = other294.proposal;
-  verdict = other294.verdict;
-  __isset = other294.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other326) {
+  sequence = other326.sequence;
+  version = other326.version;
+  sheet = other326.sheet;
+  zone = other326.zone;
+  __isset = other326.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other295) noexcept {
-  proposal = other295.proposal;
-  verdict = other295.verdict;
-  __isset = other295.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other327) noexcept {
+  sequence = other327.sequence;
+  version = other327.version;
+  sheet = std::move(other327.sheet);
+  zone = std::move(other327.zone);
+  __isset = other327.__isset;
   return *this;
 }
-void OutcomeReply::printTo(std::ostream& out) const {
+void VersionReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "OutcomeReply(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "verdict=" << to_string(verdict);
+  out << "VersionReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
 
-LeaseRenew::~LeaseRenew() noexcept {
+FenceQuery::~FenceQuery() noexcept {
 }
 
 
-void LeaseRenew::__set_sequence(const int64_t val) {
+void FenceQuery::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void LeaseRenew::__set_node(const std::string& val) {
-  this->node = val;
-}
-
-void LeaseRenew::__set_zone(const std::string& val) {
-  this->zone = val;
-}
-
-void LeaseRenew::__set_appliedVersion(const int64_t val) {
-  this->appliedVersion = val;
+void FenceQuery::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void LeaseRenew::__set_heardVersion(const int64_t val) {
-  this->heardVersion = val;
+void FenceQuery::__set_agentIncarnation(const int64_t val) {
+  this->agentIncarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
+std::ostream& operator<<(std::ostream& out, const FenceQuery& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseRenew::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FenceQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9138,32 +10536,16 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->appliedVersion);
-          this->__isset.appliedVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->heardVersion);
-          this->__isset.heardVersion = true;
+          xfer += iprot->readI64(this->agentIncarnation);
+          this->__isset.agentIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9180,29 +10562,21 @@
   return xfer;
 }
 
-uint32_t LeaseRenew::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FenceQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseRenew");
+  xfer += oprot->writeStructBegin("FenceQuery");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->zone);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("appliedVersion", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->appliedVersion);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->backend);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("heardVersion", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->heardVersion);
+  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->agentIncarnation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9210,93 +10584,81 @@
   return xfer;
 }
 
-void swap(LeaseRenew &a, LeaseRenew &b) {
+void swap(FenceQuery &a, FenceQuery &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
-  swap(a.node, b.node);
-  swap(a.zone, b.zone);
-  swap(a.appliedVersion, b.appliedVersion);
-  swap(a.heardVersion, b.heardVersion);
+  swap(a.backend, b.backend);
+  swap(a.agentIncarnation, b.agentIncarnation);
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other296) {
-  sequence = other296.sequence;
-  node = other296.node;
-  zone = other296.zone;
-  appliedVersion = other296.appliedVersion;
-  heardVersion = other296.heardVersion;
-  __isset = other296.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other328) {
+  sequence = other328.sequence;
+  backend = other328.backend;
+  agentIncarnation = other328.agentIncarnation;
+  __isset = other328.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other297) noexcept {
-  sequence = other297.sequence;
-  node = std::move(other297.node);
-  zone = std::move(other297.zone);
-  appliedVersion = other297.appliedVersion;
-  heardVersion = other297.heardVersion;
-  __isset = other297.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other329) noexcept {
+  sequence = other329.sequence;
+  backend = std::move(other329.backend);
+  agentIncarnation = other329.agentIncarnation;
+  __isset = other329.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other298) {
-  sequence = other298.sequence;
-  node = other298.node;
-  zone = other298.zone;
-  appliedVersion = other298.appliedVersion;
-  heardVersion = other298.heardVersion;
-  __isset = other298.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other330) {
+  sequence = other330.sequence;
+  backend = other330.backend;
+  agentIncarnation = other330.agentIncarnation;
+  __isset = other330.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other299) noexcept {
-  sequence = other299.sequence;
-  node = std::move(other299.node);
-  zone = std::move(other299.zone);
-  appliedVersion = other299.appliedVersion;
-  heardVersion = other299.heardVersion;
-  __isset = other299.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other331) noexcept {
+  sequence = other331.sequence;
+  backend = std::move(other331.backend);
+  agentIncarnation = other331.agentIncarnation;
+  __isset = other331.__isset;
   return *this;
 }
-void LeaseRenew::printTo(std::ostream& out) const {
+void FenceQuery::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseRenew(";
+  out << "FenceQuery(";
   out << "sequence=" << to_string(sequence);
-  out << ", " << "node=" << to_string(node);
-  out << ", " << "zone=" << to_string(zone);
-  out << ", " << "appliedVersion=" << to_string(appliedVersion);
-  out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
   out << ")";
 }
 
 
-LeaseGrant::~LeaseGrant() noexcept {
+FenceReply::~FenceReply() noexcept {
 }
 
 
-void LeaseGrant::__set_sequence(const int64_t val) {
+void FenceReply::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void LeaseGrant::__set_granted(const bool val) {
-  this->granted = val;
+void FenceReply::__set_agentIncarnation(const int64_t val) {
+  this->agentIncarnation = val;
 }
 
-void LeaseGrant::__set_leaderHint(const Endpoint& val) {
-  this->leaderHint = val;
+void FenceReply::__set_granted(const bool val) {
+  this->granted = val;
 }
 
-void LeaseGrant::__set_durationMicros(const int64_t val) {
-  this->durationMicros = val;
+void FenceReply::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
 }
 
-void LeaseGrant::__set_version(const int64_t val) {
-  this->version = val;
+void FenceReply::__set_fence(const int64_t val) {
+  this->fence = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+std::ostream& operator<<(std::ostream& out, const FenceReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FenceReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9326,33 +10688,33 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agentIncarnation);
+          this->__isset.agentIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaderHint.read(iprot);
-          this->__isset.leaderHint = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->durationMicros);
-          this->__isset.durationMicros = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->fence);
+          this->__isset.fence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9369,29 +10731,29 @@
   return xfer;
 }
 
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FenceReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
+  xfer += oprot->writeStructBegin("FenceReply");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->agentIncarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("durationMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->durationMicros);
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->leaderHint.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->fence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9399,85 +10761,93 @@
   return xfer;
 }
 
-void swap(LeaseGrant &a, LeaseGrant &b) {
+void swap(FenceReply &a, FenceReply &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
+  swap(a.agentIncarnation, b.agentIncarnation);
   swap(a.granted, b.granted);
   swap(a.leaderHint, b.leaderHint);
-  swap(a.durationMicros, b.durationMicros);
-  swap(a.version, b.version);
+  swap(a.fence, b.fence);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other300) {
-  sequence = other300.sequence;
-  granted = other300.granted;
-  leaderHint = other300.leaderHint;
-  durationMicros = other300.durationMicros;
-  version = other300.version;
-  __isset = other300.__isset;
+FenceReply::FenceReply(const FenceReply& other332) {
+  sequence = other332.sequence;
+  agentIncarnation = other332.agentIncarnation;
+  granted = other332.granted;
+  leaderHint = other332.leaderHint;
+  fence = other332.fence;
+  __isset = other332.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other301) noexcept {
-  sequence = other301.sequence;
-  granted = other301.granted;
-  leaderHint = std::move(other301.leaderHint);
-  durationMicros = other301.durationMicros;
-  version = other301.version;
-  __isset = other301.__isset;
+FenceReply::FenceReply(FenceReply&& other333) noexcept {
+  sequence = other333.sequence;
+  agentIncarnation = other333.agentIncarnation;
+  granted = other333.granted;
+  leaderHint = std::move(other333.leaderHint);
+  fence = other333.fence;
+  __isset = other333.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other302) {
-  sequence = other302.sequence;
-  granted = other302.granted;
-  leaderHint = other302.leaderHint;
-  durationMicros = other302.durationMicros;
-  version = other302.version;
-  __isset = other302.__isset;
+FenceReply& FenceReply::operator=(const FenceReply& other334) {
+  sequence = other334.sequence;
+  agentIncarnation = other334.agentIncarnation;
+  granted = other334.granted;
+  leaderHint = other334.leaderHint;
+  fence = other334.fence;
+  __isset = other334.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other303) noexcept {
-  sequence = other303.sequence;
-  granted = other303.granted;
-  leaderHint = std::move(other303.leaderHint);
-  durationMicros = other303.durationMicros;
-  version = other303.version;
-  __isset = other303.__isset;
+FenceReply& FenceReply::operator=(FenceReply&& other335) noexcept {
+  sequence = other335.sequence;
+  agentIncarnation = other335.agentIncarnation;
+  granted = other335.granted;
+  leaderHint = std::move(other335.leaderHint);
+  fence = other335.fence;
+  __isset = other335.__isset;
   return *this;
 }
-void LeaseGrant::printTo(std::ostream& out) const {
+void FenceReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
+  out << "FenceReply(";
   out << "sequence=" << to_string(sequence);
+  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "leaderHint=" << to_string(leaderHint);
-  out << ", " << "durationMicros=" << to_string(durationMicros);
-  out << ", " << "version=" << to_string(version);
+  out << ", " << "fence=" << to_string(fence);
   out << ")";
 }
 
 
-ConfigPush::~ConfigPush() noexcept {
+FencedOrder::~FencedOrder() noexcept {
 }
 
 
-void ConfigPush::__set_version(const int64_t val) {
-  this->version = val;
+void FencedOrder::__set_backend(const std::string& val) {
+  this->backend = val;
 }
 
-void ConfigPush::__set_author(const std::string& val) {
-  this->author = val;
+void FencedOrder::__set_token(const int64_t val) {
+  this->token = val;
 }
 
-void ConfigPush::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void FencedOrder::__set_kind(const int32_t val) {
+  this->kind = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+
+void FencedOrder::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void FencedOrder::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FencedOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FencedOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9499,25 +10869,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9534,21 +10920,29 @@
   return xfer;
 }
 
-uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FencedOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPush");
+  xfer += oprot->writeStructBegin("FencedOrder");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9556,65 +10950,85 @@
   return xfer;
 }
 
-void swap(ConfigPush &a, ConfigPush &b) {
-  using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.author, b.author);
-  swap(a.sheet, b.sheet);
+void swap(FencedOrder &a, FencedOrder &b) {
+  using ::std::swap;
+  swap(a.backend, b.backend);
+  swap(a.token, b.token);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other304) {
-  version = other304.version;
-  author = other304.author;
-  sheet = other304.sheet;
-  __isset = other304.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other336) {
+  backend = other336.backend;
+  token = other336.token;
+  kind = other336.kind;
+  name = other336.name;
+  bytes = other336.bytes;
+  __isset = other336.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other305) noexcept {
-  version = other305.version;
-  author = std::move(other305.author);
-  sheet = std::move(other305.sheet);
-  __isset = other305.__isset;
+FencedOrder::FencedOrder(FencedOrder&& other337) noexcept {
+  backend = std::move(other337.backend);
+  token = other337.token;
+  kind = other337.kind;
+  name = std::move(other337.name);
+  bytes = other337.bytes;
+  __isset = other337.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other306) {
-  version = other306.version;
-  author = other306.author;
-  sheet = other306.sheet;
-  __isset = other306.__isset;
+FencedOrder& FencedOrder::operator=(const FencedOrder& other338) {
+  backend = other338.backend;
+  token = other338.token;
+  kind = other338.kind;
+  name = other338.name;
+  bytes = other338.bytes;
+  __isset = other338.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other307) noexcept {
-  version = other307.version;
-  author = std::move(other307.author);
-  sheet = std::move(other307.sheet);
-  __isset = other307.__isset;
+FencedOrder& FencedOrder::operator=(FencedOrder&& other339) noexcept {
+  backend = std::move(other339.backend);
+  token = other339.token;
+  kind = other339.kind;
+  name = std::move(other339.name);
+  bytes = other339.bytes;
+  __isset = other339.__isset;
   return *this;
 }
-void ConfigPush::printTo(std::ostream& out) const {
+void FencedOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigPush(";
-  out << "version=" << to_string(version);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "sheet=" << to_string(sheet);
+  out << "FencedOrder(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-VersionQuery::~VersionQuery() noexcept {
+OrderReply::~OrderReply() noexcept {
 }
 
 
-void VersionQuery::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void OrderReply::__set_backend(const std::string& val) {
+  this->backend = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionQuery& obj)
+
+void OrderReply::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void OrderReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OrderReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9636,9 +11050,25 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9655,13 +11085,21 @@
   return xfer;
 }
 
-uint32_t VersionQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrderReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionQuery");
+  xfer += oprot->writeStructBegin("OrderReply");
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9669,65 +11107,73 @@
   return xfer;
 }
 
-void swap(VersionQuery &a, VersionQuery &b) {
+void swap(OrderReply &a, OrderReply &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
+  swap(a.backend, b.backend);
+  swap(a.token, b.token);
+  swap(a.status, b.status);
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other308) noexcept {
-  sequence = other308.sequence;
-  __isset = other308.__isset;
+OrderReply::OrderReply(const OrderReply& other340) {
+  backend = other340.backend;
+  token = other340.token;
+  status = other340.status;
+  __isset = other340.__isset;
 }
-VersionQuery::VersionQuery(VersionQuery&& other309) noexcept {
-  sequence = other309.sequence;
-  __isset = other309.__isset;
+OrderReply::OrderReply(OrderReply&& other341) noexcept {
+  backend = std::move(other341.backend);
+  token = other341.token;
+  status = other341.status;
+  __isset = other341.__isset;
 }
-VersionQuery& VersionQuery::operator=(const VersionQuery& other310) noexcept {
-  sequence = other310.sequence;
-  __isset = other310.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other342) {
+  backend = other342.backend;
+  token = other342.token;
+  status = other342.status;
+  __isset = other342.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other311) noexcept {
-  sequence = other311.sequence;
-  __isset = other311.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other343) noexcept {
+  backend = std::move(other343.backend);
+  token = other343.token;
+  status = other343.status;
+  __isset = other343.__isset;
   return *this;
 }
-void VersionQuery::printTo(std::ostream& out) const {
+void OrderReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionQuery(";
-  out << "sequence=" << to_string(sequence);
+  out << "OrderReply(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "status=" << to_string(status);
   out << ")";
 }
 
 
-VersionReply::~VersionReply() noexcept {
+StepRange::~StepRange() noexcept {
 }
 
 
-void VersionReply::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void VersionReply::__set_version(const int64_t val) {
-  this->version = val;
+void StepRange::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
 }
 
-void VersionReply::__set_sheet(const std::string& val) {
-  this->sheet = val;
+void StepRange::__set_first(const int64_t val) {
+  this->first = val;
 }
 
-void VersionReply::__set_zone(const std::string& val) {
-  this->zone = val;
+void StepRange::__set_last(const int64_t val) {
+  this->last = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
+std::ostream& operator<<(std::ostream& out, const StepRange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StepRange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9750,32 +11196,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->first);
+          this->__isset.first = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->sheet);
-          this->__isset.sheet = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last);
+          this->__isset.last = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9792,25 +11230,21 @@
   return xfer;
 }
 
-uint32_t VersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StepRange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionReply");
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("StepRange");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->mapVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->sheet);
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->first);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9818,79 +11252,69 @@
   return xfer;
 }
 
-void swap(VersionReply &a, VersionReply &b) {
+void swap(StepRange &a, StepRange &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.version, b.version);
-  swap(a.sheet, b.sheet);
-  swap(a.zone, b.zone);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.first, b.first);
+  swap(a.last, b.last);
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other312) {
-  sequence = other312.sequence;
-  version = other312.version;
-  sheet = other312.sheet;
-  zone = other312.zone;
-  __isset = other312.__isset;
+StepRange::StepRange(const StepRange& other344) noexcept {
+  mapVersion = other344.mapVersion;
+  first = other344.first;
+  last = other344.last;
+  __isset = other344.__isset;
 }
-VersionReply::VersionReply(VersionReply&& other313) noexcept {
-  sequence = other313.sequence;
-  version = other313.version;
-  sheet = std::move(other313.sheet);
-  zone = std::move(other313.zone);
-  __isset = other313.__isset;
+StepRange::StepRange(StepRange&& other345) noexcept {
+  mapVersion = other345.mapVersion;
+  first = other345.first;
+  last = other345.last;
+  __isset = other345.__isset;
 }
-VersionReply& VersionReply::operator=(const VersionReply& other314) {
-  sequence = other314.sequence;
-  version = other314.version;
-  sheet = other314.sheet;
-  zone = other314.zone;
-  __isset = other314.__isset;
+StepRange& StepRange::operator=(const StepRange& other346) noexcept {
+  mapVersion = other346.mapVersion;
+  first = other346.first;
+  last = other346.last;
+  __isset = other346.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other315) noexcept {
-  sequence = other315.sequence;
-  version = other315.version;
-  sheet = std::move(other315.sheet);
-  zone = std::move(other315.zone);
-  __isset = other315.__isset;
+StepRange& StepRange::operator=(StepRange&& other347) noexcept {
+  mapVersion = other347.mapVersion;
+  first = other347.first;
+  last = other347.last;
+  __isset = other347.__isset;
   return *this;
 }
-void VersionReply::printTo(std::ostream& out) const {
+void StepRange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionReply(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "sheet=" << to_string(sheet);
-  out << ", " << "zone=" << to_string(zone);
+  out << "StepRange(";
+  out << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
   out << ")";
 }
 
 
-FenceQuery::~FenceQuery() noexcept {
+ExpertMap::~ExpertMap() noexcept {
 }
 
 
-void FenceQuery::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void FenceQuery::__set_backend(const std::string& val) {
-  this->backend = val;
+void ExpertMap::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void FenceQuery::__set_agentIncarnation(const int64_t val) {
-  this->agentIncarnation = val;
+void ExpertMap::__set_slots(const std::string& val) {
+  this->slots = val;
 }
-std::ostream& operator<<(std::ostream& out, const FenceQuery& obj)
+std::ostream& operator<<(std::ostream& out, const ExpertMap& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FenceQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ExpertMap::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9913,24 +11337,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->agentIncarnation);
-          this->__isset.agentIncarnation = true;
+          xfer += iprot->readBinary(this->slots);
+          this->__isset.slots = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9947,21 +11363,17 @@
   return xfer;
 }
 
-uint32_t FenceQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ExpertMap::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FenceQuery");
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ExpertMap");
 
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->agentIncarnation);
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->slots);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9969,81 +11381,107 @@
   return xfer;
 }
 
-void swap(FenceQuery &a, FenceQuery &b) {
+void swap(ExpertMap &a, ExpertMap &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.backend, b.backend);
-  swap(a.agentIncarnation, b.agentIncarnation);
+  swap(a.version, b.version);
+  swap(a.slots, b.slots);
   swap(a.__isset, b.__isset);
 }
 
-FenceQuery::FenceQuery(const FenceQuery& other316) {
-  sequence = other316.sequence;
-  backend = other316.backend;
-  agentIncarnation = other316.agentIncarnation;
-  __isset = other316.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other348) {
+  version = other348.version;
+  slots = other348.slots;
+  __isset = other348.__isset;
 }
-FenceQuery::FenceQuery(FenceQuery&& other317) noexcept {
-  sequence = other317.sequence;
-  backend = std::move(other317.backend);
-  agentIncarnation = other317.agentIncarnation;
-  __isset = other317.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other349) noexcept {
+  version = other349.version;
+  slots = std::move(other349.slots);
+  __isset = other349.__isset;
 }
-FenceQuery& FenceQuery::operator=(const FenceQuery& other318) {
-  sequence = other318.sequence;
-  backend = other318.backend;
-  agentIncarnation = other318.agentIncarnation;
-  __isset = other318.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other350) {
+  version = other350.version;
+  slots = other350.slots;
+  __isset = other350.__isset;
   return *this;
 }
-FenceQuery& FenceQuery::operator=(FenceQuery&& other319) noexcept {
-  sequence = other319.sequence;
-  backend = std::move(other319.backend);
-  agentIncarnation = other319.agentIncarnation;
-  __isset = other319.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other351) noexcept {
+  version = other351.version;
+  slots = std::move(other351.slots);
+  __isset = other351.__isset;
   return *this;
 }
-void FenceQuery::printTo(std::ostream& out) const {
+void ExpertMap::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "FenceQuery(";
-  out << "sequence=" << to_string(sequence);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
+  out << "ExpertMap(";
+  out << "version=" << to_string(version);
+  out << ", " << "slots=" << to_string(slots);
   out << ")";
 }
 
 
-FenceReply::~FenceReply() noexcept {
+RankReport::~RankReport() noexcept {
 }
 
 
-void FenceReply::__set_sequence(const int64_t val) {
+void RankReport::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void FenceReply::__set_agentIncarnation(const int64_t val) {
-  this->agentIncarnation = val;
+void RankReport::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void RankReport::__set_shape(const GroupShape& val) {
+  this->shape = val;
+}
+
+void RankReport::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void RankReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void RankReport::__set_step(const int64_t val) {
+  this->step = val;
+}
+
+void RankReport::__set_granted(const int64_t val) {
+  this->granted = val;
+}
+
+void RankReport::__set_loaded(const std::vector<int64_t> & val) {
+  this->loaded = val;
+}
+
+void RankReport::__set_window(const int64_t val) {
+  this->window = val;
+}
+
+void RankReport::__set_windowMicros(const int64_t val) {
+  this->windowMicros = val;
 }
 
-void FenceReply::__set_granted(const bool val) {
-  this->granted = val;
+void RankReport::__set_cells(const std::vector<int32_t> & val) {
+  this->cells = val;
 }
 
-void FenceReply::__set_leaderHint(const Endpoint& val) {
-  this->leaderHint = val;
+void RankReport::__set_counts(const std::vector<int32_t> & val) {
+  this->counts = val;
 }
 
-void FenceReply::__set_fence(const int64_t val) {
-  this->fence = val;
+void RankReport::__set_windowSteps(const int32_t val) {
+  this->windowSteps = val;
 }
-std::ostream& operator<<(std::ostream& out, const FenceReply& obj)
+std::ostream& operator<<(std::ostream& out, const RankReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FenceReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RankReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10073,33 +11511,133 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->agentIncarnation);
-          this->__isset.agentIncarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaderHint.read(iprot);
-          this->__isset.leaderHint = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fence);
-          this->__isset.fence = true;
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loaded.clear();
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->loaded.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
+            {
+              xfer += iprot->readI64(this->loaded[_i356]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loaded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->windowMicros);
+          this->__isset.windowMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->cells.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
+            {
+              xfer += iprot->readI32(this->cells[_i361]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->counts.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
+            {
+              xfer += iprot->readI32(this->counts[_i366]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->windowSteps);
+          this->__isset.windowSteps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10116,29 +11654,85 @@
   return xfer;
 }
 
-uint32_t FenceReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RankReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FenceReply");
+  xfer += oprot->writeStructBegin("RankReport");
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("agentIncarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->agentIncarnation);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->shape.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->rank);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->fence);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
+    std::vector<int64_t> ::const_iterator _iter367;
+    for (_iter367 = this->loaded.begin(); _iter367 != this->loaded.end(); ++_iter367)
+    {
+      xfer += oprot->writeI64((*_iter367));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windowMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->windowMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
+    std::vector<int32_t> ::const_iterator _iter368;
+    for (_iter368 = this->cells.begin(); _iter368 != this->cells.end(); ++_iter368)
+    {
+      xfer += oprot->writeI32((*_iter368));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::vector<int32_t> ::const_iterator _iter369;
+    for (_iter369 = this->counts.begin(); _iter369 != this->counts.end(); ++_iter369)
+    {
+      xfer += oprot->writeI32((*_iter369));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windowSteps", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->windowSteps);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10146,93 +11740,153 @@
   return xfer;
 }
 
-void swap(FenceReply &a, FenceReply &b) {
+void swap(RankReport &a, RankReport &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
-  swap(a.agentIncarnation, b.agentIncarnation);
+  swap(a.group, b.group);
+  swap(a.shape, b.shape);
+  swap(a.rank, b.rank);
+  swap(a.incarnation, b.incarnation);
+  swap(a.step, b.step);
   swap(a.granted, b.granted);
-  swap(a.leaderHint, b.leaderHint);
-  swap(a.fence, b.fence);
+  swap(a.loaded, b.loaded);
+  swap(a.window, b.window);
+  swap(a.windowMicros, b.windowMicros);
+  swap(a.cells, b.cells);
+  swap(a.counts, b.counts);
+  swap(a.windowSteps, b.windowSteps);
   swap(a.__isset, b.__isset);
 }
 
-FenceReply::FenceReply(const FenceReply& other320) {
-  sequence = other320.sequence;
-  agentIncarnation = other320.agentIncarnation;
-  granted = other320.granted;
-  leaderHint = other320.leaderHint;
-  fence = other320.fence;
-  __isset = other320.__isset;
-}
-FenceReply::FenceReply(FenceReply&& other321) noexcept {
-  sequence = other321.sequence;
-  agentIncarnation = other321.agentIncarnation;
-  granted = other321.granted;
-  leaderHint = std::move(other321.leaderHint);
-  fence = other321.fence;
-  __isset = other321.__isset;
-}
-FenceReply& FenceReply::operator=(const FenceReply& other322) {
-  sequence = other322.sequence;
-  agentIncarnation = other322.agentIncarnation;
-  granted = other322.granted;
-  leaderHint = other322.leaderHint;
-  fence = other322.fence;
-  __isset = other322.__isset;
-  return *this;
-}
-FenceReply& FenceReply::operator=(FenceReply&& other323) noexcept {
-  sequence = other323.sequence;
-  agentIncarnation = other323.agentIncarnation;
-  granted = other323.granted;
-  leaderHint = std::move(other323.leaderHint);
-  fence = other323.fence;
-  __isset = other323.__isset;
-  return *this;
-}
-void FenceReply::printTo(std::ostream& out) const {
+RankReport::RankReport(const RankReport& other370) {
+  sequence = other370.sequence;
+  group = other370.group;
+  shape = other370.shape;
+  rank = other370.rank;
+  incarnation = other370.incarnation;
+  step = other370.step;
+  granted = other370.granted;
+  loaded = other370.loaded;
+  window = other370.window;
+  windowMicros = other370.windowMicros;
+  cells = other370.cells;
+  counts = other370.counts;
+  windowSteps = other370.windowSteps;
+  __isset = other370.__isset;
+}
+RankReport::RankReport(RankReport&& other371) noexcept {
+  sequence = other371.sequence;
+  group = std::move(other371.group);
+  shape = std::move(other371.shape);
+  rank = other371.rank;
+  incarnation = other371.incarnation;
+  step = other371.step;
+  granted = other371.granted;
+  loaded = std::move(other371.loaded);
+  window = other371.window;
+  windowMicros = other371.windowMicros;
+  cells = std::move(other371.cells);
+  counts = std::move(other371.counts);
+  windowSteps = other371.windowSteps;
+  __isset = other371.__isset;
+}
+RankReport& RankReport::operator=(const RankReport& other372) {
+  sequence = other372.sequence;
+  group = other372.group;
+  shape = other372.shape;
+  rank = other372.rank;
+  incarnation = other372.incarnation;
+  step = other372.step;
+  granted = other372.granted;
+  loaded = other372.loaded;
+  window = other372.window;
+  windowMicros = other372.windowMicros;
+  cells = other372.cells;
+  counts = other372.counts;
+  windowSteps = other372.windowSteps;
+  __isset = other372.__isset;
+  return *this;
+}
+RankReport& RankReport::operator=(RankReport&& other373) noexcept {
+  sequence = other373.sequence;
+  group = std::move(other373.group);
+  shape = std::move(other373.shape);
+  rank = other373.rank;
+  incarnation = other373.incarnation;
+  step = other373.step;
+  granted = other373.granted;
+  loaded = std::move(other373.loaded);
+  window = other373.window;
+  windowMicros = other373.windowMicros;
+  cells = std::move(other373.cells);
+  counts = std::move(other373.counts);
+  windowSteps = other373.windowSteps;
+  __isset = other373.__isset;
+  return *this;
+}
+void RankReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "FenceReply(";
+  out << "RankReport(";
   out << "sequence=" << to_string(sequence);
-  out << ", " << "agentIncarnation=" << to_string(agentIncarnation);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "step=" << to_string(step);
   out << ", " << "granted=" << to_string(granted);
-  out << ", " << "leaderHint=" << to_string(leaderHint);
-  out << ", " << "fence=" << to_string(fence);
+  out << ", " << "loaded=" << to_string(loaded);
+  out << ", " << "window=" << to_string(window);
+  out << ", " << "windowMicros=" << to_string(windowMicros);
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "counts=" << to_string(counts);
+  out << ", " << "windowSteps=" << to_string(windowSteps);
   out << ")";
 }
 
 
-FencedOrder::~FencedOrder() noexcept {
+StepGrant::~StepGrant() noexcept {
 }
 
 
-void FencedOrder::__set_backend(const std::string& val) {
-  this->backend = val;
+void StepGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void FencedOrder::__set_token(const int64_t val) {
-  this->token = val;
+void StepGrant::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void FencedOrder::__set_kind(const int32_t val) {
-  this->kind = val;
+void StepGrant::__set_leads(const bool val) {
+  this->leads = val;
 }
 
-void FencedOrder::__set_name(const std::string& val) {
-  this->name = val;
+void StepGrant::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
 }
 
-void FencedOrder::__set_bytes(const int64_t val) {
-  this->bytes = val;
+void StepGrant::__set_ranges(const std::vector<StepRange> & val) {
+  this->ranges = val;
 }
-std::ostream& operator<<(std::ostream& out, const FencedOrder& obj)
+
+void StepGrant::__set_loadMap(const int64_t val) {
+  this->loadMap = val;
+}
+
+void StepGrant::__set_droppableThrough(const int64_t val) {
+  this->droppableThrough = val;
+}
+
+void StepGrant::__set_maps(const std::vector<ExpertMap> & val) {
+  this->maps = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FencedOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StepGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10254,41 +11908,89 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->token);
-          this->__isset.token = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->kind);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranges.clear();
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->ranges.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
+            {
+              xfer += this->ranges[_i378].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ranges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->bytes);
-          this->__isset.bytes = true;
+          xfer += iprot->readI64(this->loadMap);
+          this->__isset.loadMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->droppableThrough);
+          this->__isset.droppableThrough = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->maps.clear();
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->maps.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
+            {
+              xfer += this->maps[_i383].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.maps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10305,29 +12007,57 @@
   return xfer;
 }
 
-uint32_t FencedOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StepGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FencedOrder");
+  xfer += oprot->writeStructBegin("StepGrant");
 
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->leads);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->leaderHint.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->bytes);
+  xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
+    std::vector<StepRange> ::const_iterator _iter384;
+    for (_iter384 = this->ranges.begin(); _iter384 != this->ranges.end(); ++_iter384)
+    {
+      xfer += (*_iter384).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loadMap", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->loadMap);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("droppableThrough", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->droppableThrough);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
+    std::vector<ExpertMap> ::const_iterator _iter385;
+    for (_iter385 = this->maps.begin(); _iter385 != this->maps.end(); ++_iter385)
+    {
+      xfer += (*_iter385).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10335,85 +12065,139 @@
   return xfer;
 }
 
-void swap(FencedOrder &a, FencedOrder &b) {
+void swap(StepGrant &a, StepGrant &b) {
   using ::std::swap;
-  swap(a.backend, b.backend);
-  swap(a.token, b.token);
-  swap(a.kind, b.kind);
-  swap(a.name, b.name);
-  swap(a.bytes, b.bytes);
+  swap(a.sequence, b.sequence);
+  swap(a.group, b.group);
+  swap(a.leads, b.leads);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.ranges, b.ranges);
+  swap(a.loadMap, b.loadMap);
+  swap(a.droppableThrough, b.droppableThrough);
+  swap(a.maps, b.maps);
   swap(a.__isset, b.__isset);
 }
 
-FencedOrder::FencedOrder(const FencedOrder& other324) {
-  backend = other324.backend;
-  token = other324.token;
-  kind = other324.kind;
-  name = other324.name;
-  bytes = other324.bytes;
-  __isset = other324.__isset;
+StepGrant::StepGrant(const StepGrant& other386) {
+  sequence = other386.sequence;
+  group = other386.group;
+  leads = other386.leads;
+  leaderHint = other386.leaderHint;
+  ranges = other386.ranges;
+  loadMap = other386.loadMap;
+  droppableThrough = other386.droppableThrough;
+  maps = other386.maps;
+  __isset = other386.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other387) noexcept {
+  sequence = other387.sequence;
+  group = std::move(other387.group);
+  leads = other387.leads;
+  leaderHint = std::move(other387.leaderHint);
+  ranges = std::move(other387.ranges);
+  loadMap = other387.loadMap;
+  droppableThrough = other387.droppableThrough;
+  maps = std::move(other387.maps);
+  __isset = other387.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other388) {
+  sequence = other388.sequence;
+  group = other388.group;
+  leads = other388.leads;
+  leaderHint = other388.leaderHint;
+  ranges = other388.ranges;
+  loadMap = other388.loadMap;
+  droppableThrough = other388.droppableThrough;
+  maps = other388.maps;
+  __isset = other388.__isset;
+  return *this;
+}
+StepGrant& StepGrant::operator=(StepGrant&& other389) noexcept {
+  sequence = other389.sequence;
+  group = std::move(other389.group);
+  leads = other389.leads;
+  leaderHint = std::move(other389.leaderHint);
+  ranges = std::move(other389.ranges);
+  loadMap = other389.loadMap;
+  droppableThrough = other389.droppableThrough;
+  maps = std::move(other389.maps);
+  __isset = other389.__isset;
+  return *this;
+}
+void StepGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StepGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "leads=" << to_string(leads);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "ranges=" << to_string(ranges);
+  out << ", " << "loadMap=" << to_string(loadMap);
+  out << ", " << "droppableThrough=" << to_string(droppableThrough);
+  out << ", " << "maps=" << to_string(maps);
+  out << ")";
 }
-FencedOrder::FencedOrder(FencedOrder&& other325) noexcept {
-  backend = std::move(other325.backend);
-  token = other325.token;
-  kind = other325.kind;
-  name = std::move(other325.name);
-  bytes = other325.bytes;
-  __isset = other325.__isset;
+
+
+StateGroup::~StateGroup() noexcept {
 }
-FencedOrder& FencedOrder::operator=(const FencedOrder& other326) {
-  backend = other326.backend;
-  token = other326.token;
-  kind = other326.kind;
-  name = other326.name;
-  bytes = other326.bytes;
-  __isset = other326.__isset;
-  return *this;
+
+
+void StateGroup::__set_name(const std::string& val) {
+  this->name = val;
 }
-FencedOrder& FencedOrder::operator=(FencedOrder&& other327) noexcept {
-  backend = std::move(other327.backend);
-  token = other327.token;
-  kind = other327.kind;
-  name = std::move(other327.name);
-  bytes = other327.bytes;
-  __isset = other327.__isset;
-  return *this;
+
+void StateGroup::__set_shape(const GroupShape& val) {
+  this->shape = val;
 }
-void FencedOrder::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "FencedOrder(";
-  out << "backend=" << to_string(backend);
-  out << ", " << "token=" << to_string(token);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "bytes=" << to_string(bytes);
-  out << ")";
+
+void StateGroup::__set_ranges(const std::vector<StepRange> & val) {
+  this->ranges = val;
 }
 
+void StateGroup::__set_proposed(const int64_t val) {
+  this->proposed = val;
+}
 
-OrderReply::~OrderReply() noexcept {
+void StateGroup::__set_highestMap(const int64_t val) {
+  this->highestMap = val;
 }
 
+void StateGroup::__set_maps(const std::vector<ExpertMap> & val) {
+  this->maps = val;
+}
 
-void OrderReply::__set_backend(const std::string& val) {
-  this->backend = val;
+void StateGroup::__set_pinned(const bool val) {
+  this->pinned = val;
 }
 
-void OrderReply::__set_token(const int64_t val) {
-  this->token = val;
+void StateGroup::__set_changedMap(const int64_t val) {
+  this->changedMap = val;
 }
 
-void OrderReply::__set_status(const int32_t val) {
-  this->status = val;
+void StateGroup::__set_reason(const std::string& val) {
+  this->reason = val;
 }
-std::ostream& operator<<(std::ostream& out, const OrderReply& obj)
+
+void StateGroup::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+
+void StateGroup::__set_bytesMoved(const int64_t val) {
+  this->bytesMoved = val;
+}
+
+void StateGroup::__set_changes(const int64_t val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateGroup& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t OrderReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10436,24 +12220,120 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->token);
-          this->__isset.token = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shape.read(iprot);
+          this->__isset.shape = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranges.clear();
+            uint32_t _size390;
+            ::apache::thrift::protocol::TType _etype393;
+            xfer += iprot->readListBegin(_etype393, _size390);
+            this->ranges.resize(_size390);
+            uint32_t _i394;
+            for (_i394 = 0; _i394 < _size390; ++_i394)
+            {
+              xfer += this->ranges[_i394].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ranges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposed);
+          this->__isset.proposed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->highestMap);
+          this->__isset.highestMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->maps.clear();
+            uint32_t _size395;
+            ::apache::thrift::protocol::TType _etype398;
+            xfer += iprot->readListBegin(_etype398, _size395);
+            this->maps.resize(_size395);
+            uint32_t _i399;
+            for (_i399 = 0; _i399 < _size395; ++_i399)
+            {
+              xfer += this->maps[_i399].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.maps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pinned);
+          this->__isset.pinned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changedMap);
+          this->__isset.changedMap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytesMoved);
+          this->__isset.bytesMoved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changes);
+          this->__isset.changes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10470,21 +12350,73 @@
   return xfer;
 }
 
-uint32_t OrderReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("OrderReply");
+  xfer += oprot->writeStructBegin("StateGroup");
 
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->shape.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
+    std::vector<StepRange> ::const_iterator _iter400;
+    for (_iter400 = this->ranges.begin(); _iter400 != this->ranges.end(); ++_iter400)
+    {
+      xfer += (*_iter400).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->proposed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("highestMap", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->highestMap);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
+    std::vector<ExpertMap> ::const_iterator _iter401;
+    for (_iter401 = this->maps.begin(); _iter401 != this->maps.end(); ++_iter401)
+    {
+      xfer += (*_iter401).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pinned", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->pinned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changedMap", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->changedMap);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytesMoved", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->bytesMoved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->changes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10492,46 +12424,100 @@
   return xfer;
 }
 
-void swap(OrderReply &a, OrderReply &b) {
+void swap(StateGroup &a, StateGroup &b) {
   using ::std::swap;
-  swap(a.backend, b.backend);
-  swap(a.token, b.token);
-  swap(a.status, b.status);
+  swap(a.name, b.name);
+  swap(a.shape, b.shape);
+  swap(a.ranges, b.ranges);
+  swap(a.proposed, b.proposed);
+  swap(a.highestMap, b.highestMap);
+  swap(a.maps, b.maps);
+  swap(a.pinned, b.pinned);
+  swap(a.changedMap, b.changedMap);
+  swap(a.reason, b.reason);
+  swap(a.bytes, b.bytes);
+  swap(a.bytesMoved, b.bytesMoved);
+  swap(a.changes, b.changes);
   swap(a.__isset, b.__isset);
 }
 
-OrderReply::OrderReply(const OrderReply& other328) {
-  backend = other328.backend;
-  token = other328.token;
-  status = other328.status;
-  __isset = other328.__isset;
-}
-OrderReply::OrderReply(OrderReply&& other329) noexcept {
-  backend = std::move(other329.backend);
-  token = other329.token;
-  status = other329.status;
-  __isset = other329.__isset;
-}
-OrderReply& OrderReply::operator=(const OrderReply& other330) {
-  backend = other330.backend;
-  token = other330.token;
-  status = other330.status;
-  __isset = other330.__isset;
-  return *this;
-}
-OrderReply& OrderReply::operator=(OrderReply&& other331) noexcept {
-  backend = std::move(other331.backend);
-  token = other331.token;
-  status = other331.status;
-  __isset = other331.__isset;
-  return *this;
-}
-void OrderReply::printTo(std::ostream& out) const {
+StateGroup::StateGroup(const StateGroup& other402) {
+  name = other402.name;
+  shape = other402.shape;
+  ranges = other402.ranges;
+  proposed = other402.proposed;
+  highestMap = other402.highestMap;
+  maps = other402.maps;
+  pinned = other402.pinned;
+  changedMap = other402.changedMap;
+  reason = other402.reason;
+  bytes = other402.bytes;
+  bytesMoved = other402.bytesMoved;
+  changes = other402.changes;
+  __isset = other402.__isset;
+}
+StateGroup::StateGroup(StateGroup&& other403) noexcept {
+  name = std::move(other403.name);
+  shape = std::move(other403.shape);
+  ranges = std::move(other403.ranges);
+  proposed = other403.proposed;
+  highestMap = other403.highestMap;
+  maps = std::move(other403.maps);
+  pinned = other403.pinned;
+  changedMap = other403.changedMap;
+  reason = std::move(other403.reason);
+  bytes = other403.bytes;
+  bytesMoved = other403.bytesMoved;
+  changes = other403.changes;
+  __isset = other403.__isset;
+}
+StateGroup& StateGroup::operator=(const StateGroup& other404) {
+  name = other404.name;
+  shape = other404.shape;
+  ranges = other404.ranges;
+  proposed = other404.proposed;
+  highestMap = other404.highestMap;
+  maps = other404.maps;
+  pinned = other404.pinned;
+  changedMap = other404.changedMap;
+  reason = other404.reason;
+  bytes = other404.bytes;
+  bytesMoved = other404.bytesMoved;
+  changes = other404.changes;
+  __isset = other404.__isset;
+  return *this;
+}
+StateGroup& StateGroup::operator=(StateGroup&& other405) noexcept {
+  name = std::move(other405.name);
+  shape = std::move(other405.shape);
+  ranges = std::move(other405.ranges);
+  proposed = other405.proposed;
+  highestMap = other405.highestMap;
+  maps = std::move(other405.maps);
+  pinned = other405.pinned;
+  changedMap = other405.changedMap;
+  reason = std::move(other405.reason);
+  bytes = other405.bytes;
+  bytesMoved = other405.bytesMoved;
+  changes = other405.changes;
+  __isset = other405.__isset;
+  return *this;
+}
+void StateGroup::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "OrderReply(";
-  out << "backend=" << to_string(backend);
-  out << ", " << "token=" << to_string(token);
-  out << ", " << "status=" << to_string(status);
+  out << "StateGroup(";
+  out << "name=" << to_string(name);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "ranges=" << to_string(ranges);
+  out << ", " << "proposed=" << to_string(proposed);
+  out << ", " << "highestMap=" << to_string(highestMap);
+  out << ", " << "maps=" << to_string(maps);
+  out << ", " << "pinned=" << to_string(pinned);
+  out << ", " << "changedMap=" << to_string(changedMap);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "bytesMoved=" << to_string(bytesMoved);
+  out << ", " << "changes=" << to_string(changes);
   out << ")";
 }
 
@@ -10662,34 +12648,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other332) {
-  version = other332.version;
-  changeId = other332.changeId;
-  author = other332.author;
-  sheetHash = other332.sheetHash;
-  __isset = other332.__isset;
+StateVersion::StateVersion(const StateVersion& other406) {
+  version = other406.version;
+  changeId = other406.changeId;
+  author = other406.author;
+  sheetHash = other406.sheetHash;
+  __isset = other406.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other333) noexcept {
-  version = other333.version;
-  changeId = std::move(other333.changeId);
-  author = std::move(other333.author);
-  sheetHash = other333.sheetHash;
-  __isset = other333.__isset;
+StateVersion::StateVersion(StateVersion&& other407) noexcept {
+  version = other407.version;
+  changeId = std::move(other407.changeId);
+  author = std::move(other407.author);
+  sheetHash = other407.sheetHash;
+  __isset = other407.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other334) {
-  version = other334.version;
-  changeId = other334.changeId;
-  author = other334.author;
-  sheetHash = other334.sheetHash;
-  __isset = other334.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other408) {
+  version = other408.version;
+  changeId = other408.changeId;
+  author = other408.author;
+  sheetHash = other408.sheetHash;
+  __isset = other408.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other335) noexcept {
-  version = other335.version;
-  changeId = std::move(other335.changeId);
-  author = std::move(other335.author);
-  sheetHash = other335.sheetHash;
-  __isset = other335.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other409) noexcept {
+  version = other409.version;
+  changeId = std::move(other409.changeId);
+  author = std::move(other409.author);
+  sheetHash = other409.sheetHash;
+  __isset = other409.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -10863,42 +12849,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other336) {
-  changeId = other336.changeId;
-  baseVersion = other336.baseVersion;
-  sheetHash = other336.sheetHash;
-  verdict = other336.verdict;
-  version = other336.version;
-  winner = other336.winner;
-  __isset = other336.__isset;
-}
-StateChange::StateChange(StateChange&& other337) noexcept {
-  changeId = std::move(other337.changeId);
-  baseVersion = other337.baseVersion;
-  sheetHash = other337.sheetHash;
-  verdict = other337.verdict;
-  version = other337.version;
-  winner = std::move(other337.winner);
-  __isset = other337.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other338) {
-  changeId = other338.changeId;
-  baseVersion = other338.baseVersion;
-  sheetHash = other338.sheetHash;
-  verdict = other338.verdict;
-  version = other338.version;
-  winner = other338.winner;
-  __isset = other338.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other339) noexcept {
-  changeId = std::move(other339.changeId);
-  baseVersion = other339.baseVersion;
-  sheetHash = other339.sheetHash;
-  verdict = other339.verdict;
-  version = other339.version;
-  winner = std::move(other339.winner);
-  __isset = other339.__isset;
+StateChange::StateChange(const StateChange& other410) {
+  changeId = other410.changeId;
+  baseVersion = other410.baseVersion;
+  sheetHash = other410.sheetHash;
+  verdict = other410.verdict;
+  version = other410.version;
+  winner = other410.winner;
+  __isset = other410.__isset;
+}
+StateChange::StateChange(StateChange&& other411) noexcept {
+  changeId = std::move(other411.changeId);
+  baseVersion = other411.baseVersion;
+  sheetHash = other411.sheetHash;
+  verdict = other411.verdict;
+  version = other411.version;
+  winner = std::move(other411.winner);
+  __isset = other411.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other412) {
+  changeId = other412.changeId;
+  baseVersion = other412.baseVersion;
+  sheetHash = other412.sheetHash;
+  verdict = other412.verdict;
+  version = other412.version;
+  winner = other412.winner;
+  __isset = other412.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other413) noexcept {
+  changeId = std::move(other413.changeId);
+  baseVersion = other413.baseVersion;
+  sheetHash = other413.sheetHash;
+  verdict = other413.verdict;
+  version = other413.version;
+  winner = std::move(other413.winner);
+  __isset = other413.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -11159,62 +13145,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other340) {
-  member = other340.member;
-  key = other340.key;
-  contentHash = other340.contentHash;
-  dispatch = other340.dispatch;
-  backend = other340.backend;
-  backendIncarnation = other340.backendIncarnation;
-  status = other340.status;
-  answerStored = other340.answerStored;
-  answerStatus = other340.answerStatus;
-  answerType = other340.answerType;
-  answer = other340.answer;
-  __isset = other340.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other341) noexcept {
-  member = std::move(other341.member);
-  key = std::move(other341.key);
-  contentHash = other341.contentHash;
-  dispatch = std::move(other341.dispatch);
-  backend = std::move(other341.backend);
-  backendIncarnation = other341.backendIncarnation;
-  status = other341.status;
-  answerStored = other341.answerStored;
-  answerStatus = other341.answerStatus;
-  answerType = std::move(other341.answerType);
-  answer = std::move(other341.answer);
-  __isset = other341.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other342) {
-  member = other342.member;
-  key = other342.key;
-  contentHash = other342.contentHash;
-  dispatch = other342.dispatch;
-  backend = other342.backend;
-  backendIncarnation = other342.backendIncarnation;
-  status = other342.status;
-  answerStored = other342.answerStored;
-  answerStatus = other342.answerStatus;
-  answerType = other342.answerType;
-  answer = other342.answer;
-  __isset = other342.__isset;
-  return *this;
-}
-StateRecord& StateRecord::operator=(StateRecord&& other343) noexcept {
-  member = std::move(other343.member);
-  key = std::move(other343.key);
-  contentHash = other343.contentHash;
-  dispatch = std::move(other343.dispatch);
-  backend = std::move(other343.backend);
-  backendIncarnation = other343.backendIncarnation;
-  status = other343.status;
-  answerStored = other343.answerStored;
-  answerStatus = other343.answerStatus;
-  answerType = std::move(other343.answerType);
-  answer = std::move(other343.answer);
-  __isset = other343.__isset;
+StateRecord::StateRecord(const StateRecord& other414) {
+  member = other414.member;
+  key = other414.key;
+  contentHash = other414.contentHash;
+  dispatch = other414.dispatch;
+  backend = other414.backend;
+  backendIncarnation = other414.backendIncarnation;
+  status = other414.status;
+  answerStored = other414.answerStored;
+  answerStatus = other414.answerStatus;
+  answerType = other414.answerType;
+  answer = other414.answer;
+  __isset = other414.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other415) noexcept {
+  member = std::move(other415.member);
+  key = std::move(other415.key);
+  contentHash = other415.contentHash;
+  dispatch = std::move(other415.dispatch);
+  backend = std::move(other415.backend);
+  backendIncarnation = other415.backendIncarnation;
+  status = other415.status;
+  answerStored = other415.answerStored;
+  answerStatus = other415.answerStatus;
+  answerType = std::move(other415.answerType);
+  answer = std::move(other415.answer);
+  __isset = other415.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other416) {
+  member = other416.member;
+  key = other416.key;
+  contentHash = other416.contentHash;
+  dispatch = other416.dispatch;
+  backend = other416.backend;
+  backendIncarnation = other416.backendIncarnation;
+  status = other416.status;
+  answerStored = other416.answerStored;
+  answerStatus = other416.answerStatus;
+  answerType = other416.answerType;
+  answer = other416.answer;
+  __isset = other416.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other417) noexcept {
+  member = std::move(other417.member);
+  key = std::move(other417.key);
+  contentHash = other417.contentHash;
+  dispatch = std::move(other417.dispatch);
+  backend = std::move(other417.backend);
+  backendIncarnation = other417.backendIncarnation;
+  status = other417.status;
+  answerStored = other417.answerStored;
+  answerStatus = other417.answerStatus;
+  answerType = std::move(other417.answerType);
+  answer = std::move(other417.answer);
+  __isset = other417.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -11344,30 +13330,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other344) {
-  token = other344.token;
-  order = other344.order;
-  status = other344.status;
-  __isset = other344.__isset;
+StateOrder::StateOrder(const StateOrder& other418) {
+  token = other418.token;
+  order = other418.order;
+  status = other418.status;
+  __isset = other418.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other345) noexcept {
-  token = other345.token;
-  order = std::move(other345.order);
-  status = other345.status;
-  __isset = other345.__isset;
+StateOrder::StateOrder(StateOrder&& other419) noexcept {
+  token = other419.token;
+  order = std::move(other419.order);
+  status = other419.status;
+  __isset = other419.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other346) {
-  token = other346.token;
-  order = other346.order;
-  status = other346.status;
-  __isset = other346.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other420) {
+  token = other420.token;
+  order = other420.order;
+  status = other420.status;
+  __isset = other420.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other347) noexcept {
-  token = other347.token;
-  order = std::move(other347.order);
-  status = other347.status;
-  __isset = other347.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other421) noexcept {
+  token = other421.token;
+  order = std::move(other421.order);
+  status = other421.status;
+  __isset = other421.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -11428,6 +13414,11 @@
   this->orders = val;
 __isset.orders = true;
 }
+
+void StateSnapshot::__set_groups(const std::vector<StateGroup> & val) {
+  this->groups = val;
+__isset.groups = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -11484,14 +13475,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size348;
-            ::apache::thrift::protocol::TType _etype351;
-            xfer += iprot->readListBegin(_etype351, _size348);
-            this->replicas.resize(_size348);
-            uint32_t _i352;
-            for (_i352 = 0; _i352 < _size348; ++_i352)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->replicas.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += this->replicas[_i352].read(iprot);
+              xfer += this->replicas[_i426].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11520,14 +13511,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size353;
-            ::apache::thrift::protocol::TType _etype356;
-            xfer += iprot->readListBegin(_etype356, _size353);
-            this->versions.resize(_size353);
-            uint32_t _i357;
-            for (_i357 = 0; _i357 < _size353; ++_i357)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->versions.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->versions[_i357].read(iprot);
+              xfer += this->versions[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11540,14 +13531,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size358;
-            ::apache::thrift::protocol::TType _etype361;
-            xfer += iprot->readListBegin(_etype361, _size358);
-            this->changes.resize(_size358);
-            uint32_t _i362;
-            for (_i362 = 0; _i362 < _size358; ++_i362)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->changes.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += this->changes[_i362].read(iprot);
+              xfer += this->changes[_i436].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11568,14 +13559,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size363;
-            ::apache::thrift::protocol::TType _etype366;
-            xfer += iprot->readListBegin(_etype366, _size363);
-            this->records.resize(_size363);
-            uint32_t _i367;
-            for (_i367 = 0; _i367 < _size363; ++_i367)
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->records.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
             {
-              xfer += this->records[_i367].read(iprot);
+              xfer += this->records[_i441].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11588,14 +13579,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _etype371;
-            xfer += iprot->readListBegin(_etype371, _size368);
-            this->orders.resize(_size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size442;
+            ::apache::thrift::protocol::TType _etype445;
+            xfer += iprot->readListBegin(_etype445, _size442);
+            this->orders.resize(_size442);
+            uint32_t _i446;
+            for (_i446 = 0; _i446 < _size442; ++_i446)
             {
-              xfer += this->orders[_i372].read(iprot);
+              xfer += this->orders[_i446].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11604,6 +13595,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->groups.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
+            {
+              xfer += this->groups[_i451].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11636,10 +13647,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter373;
-    for (_iter373 = this->replicas.begin(); _iter373 != this->replicas.end(); ++_iter373)
+    std::vector<Replica> ::const_iterator _iter452;
+    for (_iter452 = this->replicas.begin(); _iter452 != this->replicas.end(); ++_iter452)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter452).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11656,10 +13667,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter374;
-    for (_iter374 = this->versions.begin(); _iter374 != this->versions.end(); ++_iter374)
+    std::vector<StateVersion> ::const_iterator _iter453;
+    for (_iter453 = this->versions.begin(); _iter453 != this->versions.end(); ++_iter453)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter453).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11668,10 +13679,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter375;
-    for (_iter375 = this->changes.begin(); _iter375 != this->changes.end(); ++_iter375)
+    std::vector<StateChange> ::const_iterator _iter454;
+    for (_iter454 = this->changes.begin(); _iter454 != this->changes.end(); ++_iter454)
     {
-      xfer += (*_iter375).write(oprot);
+      xfer += (*_iter454).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11684,10 +13695,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter376;
-    for (_iter376 = this->records.begin(); _iter376 != this->records.end(); ++_iter376)
+    std::vector<StateRecord> ::const_iterator _iter455;
+    for (_iter455 = this->records.begin(); _iter455 != this->records.end(); ++_iter455)
     {
-      xfer += (*_iter376).write(oprot);
+      xfer += (*_iter455).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11697,10 +13708,23 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter377;
-      for (_iter377 = this->orders.begin(); _iter377 != this->orders.end(); ++_iter377)
+      std::vector<StateOrder> ::const_iterator _iter456;
+      for (_iter456 = this->orders.begin(); _iter456 != this->orders.end(); ++_iter456)
+      {
+        xfer += (*_iter456).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groups) {
+    xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+      std::vector<StateGroup> ::const_iterator _iter457;
+      for (_iter457 = this->groups.begin(); _iter457 != this->groups.end(); ++_iter457)
       {
-        xfer += (*_iter377).write(oprot);
+        xfer += (*_iter457).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -11724,65 +13748,70 @@
   swap(a.clockMicros, b.clockMicros);
   swap(a.records, b.records);
   swap(a.orders, b.orders);
+  swap(a.groups, b.groups);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other378) {
-  formatVersion = other378.formatVersion;
-  lastIndex = other378.lastIndex;
-  lastTerm = other378.lastTerm;
-  replicas = other378.replicas;
-  current = other378.current;
-  sheet = other378.sheet;
-  versions = other378.versions;
-  changes = other378.changes;
-  clockMicros = other378.clockMicros;
-  records = other378.records;
-  orders = other378.orders;
-  __isset = other378.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other379) noexcept {
-  formatVersion = other379.formatVersion;
-  lastIndex = other379.lastIndex;
-  lastTerm = other379.lastTerm;
-  replicas = std::move(other379.replicas);
-  current = std::move(other379.current);
-  sheet = std::move(other379.sheet);
-  versions = std::move(other379.versions);
-  changes = std::move(other379.changes);
-  clockMicros = other379.clockMicros;
-  records = std::move(other379.records);
-  orders = std::move(other379.orders);
-  __isset = other379.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other380) {
-  formatVersion = other380.formatVersion;
-  lastIndex = other380.lastIndex;
-  lastTerm = other380.lastTerm;
-  replicas = other380.replicas;
-  current = other380.current;
-  sheet = other380.sheet;
-  versions = other380.versions;
-  changes = other380.changes;
-  clockMicros = other380.clockMicros;
-  records = other380.records;
-  orders = other380.orders;
-  __isset = other380.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other381) noexcept {
-  formatVersion = other381.formatVersion;
-  lastIndex = other381.lastIndex;
-  lastTerm = other381.lastTerm;
-  replicas = std::move(other381.replicas);
-  current = std::move(other381.current);
-  sheet = std::move(other381.sheet);
-  versions = std::move(other381.versions);
-  changes = std::move(other381.changes);
-  clockMicros = other381.clockMicros;
-  records = std::move(other381.records);
-  orders = std::move(other381.orders);
-  __isset = other381.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other458) {
+  formatVersion = other458.formatVersion;
+  lastIndex = other458.lastIndex;
+  lastTerm = other458.lastTerm;
+  replicas = other458.replicas;
+  current = other458.current;
+  sheet = other458.sheet;
+  versions = other458.versions;
+  changes = other458.changes;
+  clockMicros = other458.clockMicros;
+  records = other458.records;
+  orders = other458.orders;
+  groups = other458.groups;
+  __isset = other458.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other459) noexcept {
+  formatVersion = other459.formatVersion;
+  lastIndex = other459.lastIndex;
+  lastTerm = other459.lastTerm;
+  replicas = std::move(other459.replicas);
+  current = std::move(other459.current);
+  sheet = std::move(other459.sheet);
+  versions = std::move(other459.versions);
+  changes = std::move(other459.changes);
+  clockMicros = other459.clockMicros;
+  records = std::move(other459.records);
+  orders = std::move(other459.orders);
+  groups = std::move(other459.groups);
+  __isset = other459.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other460) {
+  formatVersion = other460.formatVersion;
+  lastIndex = other460.lastIndex;
+  lastTerm = other460.lastTerm;
+  replicas = other460.replicas;
+  current = other460.current;
+  sheet = other460.sheet;
+  versions = other460.versions;
+  changes = other460.changes;
+  clockMicros = other460.clockMicros;
+  records = other460.records;
+  orders = other460.orders;
+  groups = other460.groups;
+  __isset = other460.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other461) noexcept {
+  formatVersion = other461.formatVersion;
+  lastIndex = other461.lastIndex;
+  lastTerm = other461.lastTerm;
+  replicas = std::move(other461.replicas);
+  current = std::move(other461.current);
+  sheet = std::move(other461.sheet);
+  versions = std::move(other461.versions);
+  changes = std::move(other461.changes);
+  clockMicros = other461.clockMicros;
+  records = std::move(other461.records);
+  orders = std::move(other461.orders);
+  groups = std::move(other461.groups);
+  __isset = other461.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -11799,6 +13828,7 @@
   out << ", " << "clockMicros=" << to_string(clockMicros);
   out << ", " << "records=" << to_string(records);
   out << ", " << "orders="; (__isset.orders ? (out << to_string(orders)) : (out << "<null>"));
+  out << ", " << "groups="; (__isset.groups ? (out << to_string(groups)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11895,26 +13925,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other382) noexcept {
-  protocolVersion = other382.protocolVersion;
-  messageType = other382.messageType;
-  __isset = other382.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other462) noexcept {
+  protocolVersion = other462.protocolVersion;
+  messageType = other462.messageType;
+  __isset = other462.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other383) noexcept {
-  protocolVersion = other383.protocolVersion;
-  messageType = other383.messageType;
-  __isset = other383.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other463) noexcept {
+  protocolVersion = other463.protocolVersion;
+  messageType = other463.messageType;
+  __isset = other463.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other384) noexcept {
-  protocolVersion = other384.protocolVersion;
-  messageType = other384.messageType;
-  __isset = other384.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other464) noexcept {
+  protocolVersion = other464.protocolVersion;
+  messageType = other464.messageType;
+  __isset = other464.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other385) noexcept {
-  protocolVersion = other385.protocolVersion;
-  messageType = other385.messageType;
-  __isset = other385.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other465) noexcept {
+  protocolVersion = other465.protocolVersion;
+  messageType = other465.messageType;
+  __isset = other465.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -8,6 +8,7 @@
 #include "io/wire_basic.h"
 #include "io/wire_discovery.h"
 #include "io/wire_failure.h"
+#include "io/wire_groups.h"
 #include "io/wire_log.h"
 #include "io/wire_orders.h"
 #include "io/wire_records.h"
@@ -73,7 +74,9 @@
     wire_entry<80, fence_query, wire::FenceQuery>,            //
     wire_entry<81, fence_reply, wire::FenceReply>,            //
     wire_entry<82, fenced_order, wire::FencedOrder>,          //
-    wire_entry<83, order_reply, wire::OrderReply>>;
+    wire_entry<83, order_reply, wire::OrderReply>,            //
+    wire_entry<90, group_report, wire::RankReport>,           //
+    wire_entry<91, group_grant, wire::StepGrant>>;
 
 template <class Core, class... Entries>
 constexpr std::int32_t NumberOf(wire_registry<Entries...>) {
--- a/src/io/wire_log.h
+++ b/src/io/wire_log.h
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "io/wire_groups.h"
 #include "io/wire_orders.h"
 #include "io/wire_traffic.h"
 #include "radishroute/raft_event.h"
@@ -80,6 +81,9 @@
 inline void SetCommand(const order_completion& c, wire::Command& w) {
   w.__set_orderCompletion(ToWire(c));
 }
+inline void SetCommand(const group_change& c, wire::Command& w) { w.__set_groupChange(ToWire(c)); }
+
+inline void SetCommand(const group_pin& c, wire::Command& w) { w.__set_groupPin(ToWire(c)); }
 
 inline wire::Command ToWire(const command& c) {
   wire::Command w;
@@ -128,6 +132,8 @@
   if (w.__isset.recordOutcome) return FromWire(w.recordOutcome, ok);
   if (w.__isset.orderSubmission) return FromWire(w.orderSubmission, ok);
   if (w.__isset.orderCompletion) return FromWire(w.orderCompletion, ok);
+  if (w.__isset.groupChange) return FromWire(w.groupChange, ok);
+  if (w.__isset.groupPin) return FromWire(w.groupPin, ok);
   // A command of a newer version: applying it as nothing would make replicas diverge.
   if (!w.__isset.noOperation) ok = false;
   return no_operation{};
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "io/wire_groups.h"
 #include "io/wire_log.h"
 #include "io/wire_traffic.h"
 #include "radishroute/state_codec.h"
@@ -141,6 +142,9 @@
   ToWireList(state.records.records, w.records);
   ToWireList(state.orders, w.orders);
   w.__isset.orders = true;
+  std::vector<wire::StateGroup> groups;
+  ListToWire(state.groups, groups);
+  w.__set_groups(std::move(groups));
   return w;
 }
 
@@ -155,6 +159,8 @@
   out.records.clock = wall_time(std::chrono::microseconds(w.clockMicros));
   FromWireList(w.records, out.records.records, ok);
   FromWireList(w.orders, out.orders, ok);
+  ListFromWire(w.groups, out.groups,
+               [&](const wire::StateGroup& g) { return radishroute::FromWire(g, ok); });
 }
 
 }  // namespace
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -47,7 +47,14 @@
                                                                   "orders_done",
                                                                   "orders_failed",
                                                                   "orders_retried",
-                                                                  "orders_refused_stale"};
+                                                                  "orders_refused_stale",
+                                                                  "steps_granted",
+                                                                  "placements_planned",
+                                                                  "placements_not_worth",
+                                                                  "maps_activated",
+                                                                  "map_bytes_moved",
+                                                                  "rank_reports_refused",
+                                                                  "rank_calls_failed"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/src/raft_log.cc
+++ b/src/raft_log.cc
@@ -27,6 +27,12 @@
   return c.change_id.size() + c.author.size() + c.backend.size() + c.name.size();
 }
 std::size_t VariableSize(const order_completion&) { return 0; }
+std::size_t VariableSize(const group_change& c) {
+  std::size_t slots = 0;
+  for (const layer_placement& layer : c.placement.layers) slots += layer.slots.size();
+  return c.group.size() + c.reason.size() + slots * sizeof(std::uint16_t);
+}
+std::size_t VariableSize(const group_pin& c) { return c.group.size(); }
 
 bool IsVoter(const std::vector<replica>& replicas, voter_id id) {
   const replica* found = FindReplica(replicas, id);
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -32,6 +32,7 @@
   visit(state.control.log);
   visit(state.control.config);
   visit(state.control.orders);
+  visit(state.control.rank);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
   visit(state.links);
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -45,6 +45,7 @@
         self.entries = {}
         self.entry_addresses = {}
         self.controllers = {}
+        self.controller_extra = {}
         self.engines = {}
         self.agents = {}
         self.runs_files = []
@@ -133,7 +134,7 @@
                 "node": name, "zone": zone, "control_listen": listen,
                 "control_advertise": self.relayed(zone, listen),
                 "admin_listen": free_address(), "admin_token": "token",
-                "data": os.path.join(self.dir, name + "-data")}
+                "data": os.path.join(self.dir, name + "-data"), **self.controller_extra}
         path = os.path.join(self.dir, name + ".json")
         with open(path, "w") as file:
             json.dump({"role": "controller", "secret": "test", **self.controllers[name]}, file)
