--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -158,23 +158,6 @@
   CHECK(f.Problem() == nullptr);
 }
 
-// Guards against refusing repeatable requests because a silent link lost more of a Member's
-// dispatches than its retry budget allows: the agent, asked over the new link, answers tombstoned.
-TEST_CASE("dispatches lost on a link do not use up the retry budget") {
-  entry_fixture f;
-  std::vector<std::pair<link_id, dispatch_request>> sent;
-  for (int i = 0; i < 60; ++i) {
-    auto dispatch = f.Submit("small");
-    REQUIRE(dispatch);
-    sent.emplace_back(f.link, *dispatch);
-  }
-  for (const auto& [link, dispatch] : sent) {
-    f.link = link;
-    f.Refuse(dispatch, refusal_reason::kTombstoned);
-    CHECK(f.Sent());
-  }
-}
-
 // Guards against "not run" for a request that an earlier attempt may have run.
 TEST_CASE("a refusal after a crash is not reported as not run") {
   entry_fixture f;
@@ -221,4 +204,21 @@
   CHECK(batch == Approx(50).margin(2));
 }
 
+// Guards against refusing repeatable requests because a silent link lost more of a Member's
+// dispatches than its retry budget allows: the agent, asked over the new link, answers tombstoned.
+TEST_CASE("dispatches lost on a link do not use up the retry budget") {
+  entry_fixture f;
+  std::vector<std::pair<link_id, dispatch_request>> sent;
+  for (int i = 0; i < 60; ++i) {
+    auto dispatch = f.Submit("small");
+    REQUIRE(dispatch);
+    sent.emplace_back(f.link, *dispatch);
+  }
+  for (const auto& [link, dispatch] : sent) {
+    f.link = link;
+    f.Refuse(dispatch, refusal_reason::kTombstoned);
+    CHECK(f.Sent());
+  }
+}
+
 }  // namespace radishroute
