--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -30,15 +30,6 @@
   { machine.Restore(state) } -> std::same_as<std::error_code>;
 };
 
-/// State machine without state, for a log whose content nobody uses.
-struct null_state_machine {
-  void Apply(const log_entry&, reduce_context&) {}
-  std::string Snapshot() const { return {}; }
-  std::error_code Restore(std::string_view) { return {}; }
-};
-
-static_assert(replicated_state_machine<null_state_machine>);
-
 struct raft_limits {
   std::chrono::milliseconds heartbeat{100};
   /// A replica that heard from a leader grants no vote for `election_min`, and starts an election
