Let two sessions of one process share the link to the leader

An agent of a rank now has two leader sessions, one for orders and one for the rank. A second link to the same address closes the first one, and a session kept to the link that it had opened, so each closed the other's link in turn and reports got no answer.

Change: a session adopts a newer link to the controller that it uses, also when link_monitor has replaced a silent one.

--- a/src/leader_session.cc
+++ b/src/leader_session.cc
@@ -38,8 +38,12 @@
   ctx.Emit(schedule_wakeup{*retry_at_});
 }
 
+// A second link to the same controller closes the first one, whoever opened it: `link_monitor` when
+// the first was silent, or another session of this process. Two sessions that each insisted on
+// their own link closed each other's in turn, and an agent with orders and a rank got no grant.
 bool leader_session::OnOpened(const link_opened& opened) {
-  if (!opening_ || opened.dialed != controllers_[current_]) return false;
+  if (controllers_.empty() || opened.dialed != controllers_[current_]) return false;
+  if (!opening_ && !link_) return false;
   opening_ = false;
   link_ = opened.link;
   return true;
--- /dev/null
+++ b/tests/leader_session_test.cc
@@ -0,0 +1,66 @@
+#include "radishroute/leader_session.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_context.h"
+
+namespace radishroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const endpoint kController{"10.0.0.1", 9101};
+
+link_opened Opened(std::uint64_t link) { return {{link}, {}, kController}; }
+
+}  // namespace
+
+// Guards against two sessions of one process that close each other's link to the leader for ever.
+TEST_CASE("sessions with the same controller share the newest link") {
+  fake_context fake;
+  leader_session orders({kController});
+  leader_session rank({kController});
+  fake.Do([&](auto& ctx) {
+    orders.Start(ctx);
+    rank.Start(ctx);
+  });
+  CHECK(fake.All<open_link>().size() == 2);
+  for (std::uint64_t link = 1; link <= 2; ++link) {
+    CHECK(orders.OnOpened(Opened(link)));
+    CHECK(rank.OnOpened(Opened(link)));
+  }
+  // The transport closes the first link, since the second one replaces it.
+  fake.Do([&](auto& ctx) {
+    CHECK_FALSE(orders.OnClosed({{1}, kController, {}}, ctx));
+    CHECK_FALSE(rank.OnClosed({{1}, kController, {}}, ctx));
+  });
+  CHECK(fake.All<open_link>().empty());
+  CHECK(orders.Link() == link_id{2});
+  CHECK(rank.Link() == link_id{2});
+}
+
+// Guards against a session that goes on with a silent link that has been replaced.
+TEST_CASE("a session goes over to the link that replaces its own") {
+  fake_context fake;
+  leader_session session({kController});
+  fake.Do([&](auto& ctx) { session.Start(ctx); });
+  CHECK(session.OnOpened(Opened(1)));
+  fake.Do([&](auto& ctx) { session.OnLeader(ctx); });
+  CHECK(session.OnOpened(Opened(2)));
+  CHECK(session.Confirmed());
+  CHECK(session.Link() == link_id{2});
+}
+
+// Guards against taking a link that the session has not asked for.
+TEST_CASE("a session without a link takes none that others open") {
+  fake_context fake;
+  leader_session session({kController});
+  fake.Do([&](auto& ctx) { session.Start(ctx); });
+  CHECK(session.OnOpened(Opened(1)));
+  fake.Do([&](auto& ctx) { session.OnClosed({{1}, kController, {}}, ctx); });
+  CHECK_FALSE(session.OnOpened(Opened(2)));
+  CHECK_FALSE(session.Link());
+}
+
+}  // namespace radishroute
