--- a/src/io/storage_record.cc
+++ b/src/io/storage_record.cc
@@ -168,7 +168,7 @@
   wire::LogBatch w;
   bool ok = Decode(payload, w);
   out.truncate_from = Unsigned(w.truncateFrom);
-  ListFromWire(w.entries, out.entries, [&](const wire::LogEntry& e) { return FromWire(e, ok); });
+  ConvertList(w.entries, out.entries, [&](const wire::LogEntry& e) { return FromWire(e, ok); });
   return ok ? std::error_code() : errc::kLogCorrupt;
 }
 
@@ -191,7 +191,7 @@
   bool ok = Decode(payload, w);
   out.index = Unsigned(w.index);
   out.term = Unsigned(w.term);
-  ListFromWire(w.replicas, out.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
+  ConvertList(w.replicas, out.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
   out.state = std::move(w.state);
   return ok ? std::error_code() : errc::kSnapshotCorrupt;
 }
--- a/src/io/wire_basic.h
+++ b/src/io/wire_basic.h
@@ -38,20 +38,19 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
 }
 
-/// Appends the wire form of each element of `from` to `to`.
-template <class From, class To>
-void ListToWire(const std::vector<From>& from, std::vector<To>& to) {
-  to.reserve(from.size());
-  for (const From& item : from) to.push_back(ToWire(item));
-}
-
 /// Appends `convert(element)` for each element of `from` to `to`.
 template <class From, class To, class Convert>
-void ListFromWire(const std::vector<From>& from, std::vector<To>& to, Convert convert) {
+void ConvertList(const std::vector<From>& from, std::vector<To>& to, Convert convert) {
   to.reserve(from.size());
   for (const From& item : from) to.push_back(convert(item));
 }
 
+/// Appends the wire form of each element of `from` to `to`.
+template <class From, class To>
+void ListToWire(const std::vector<From>& from, std::vector<To>& to) {
+  ConvertList(from, to, [](const From& item) { return ToWire(item); });
+}
+
 inline wire::ProcessId ToWire(const process_id& id) {
   wire::ProcessId w;
   w.node = Signed(id.node);
--- a/src/io/wire_discovery.h
+++ b/src/io/wire_discovery.h
@@ -51,8 +51,8 @@
 
 inline directory_delta FromWire(const wire::DirectoryDelta& w, bool& ok) {
   directory_delta m;
-  ListFromWire(w.records, m.records,
-               [&](const wire::Announcement& record) { return FromWire(record, ok); });
+  ConvertList(w.records, m.records,
+              [&](const wire::Announcement& record) { return FromWire(record, ok); });
   return m;
 }
 
--- a/src/io/wire_groups.cc
+++ b/src/io/wire_groups.cc
@@ -79,14 +79,12 @@
 
 template <class Value, class WireValue>
 void NumbersToWire(const std::vector<Value>& from, std::vector<WireValue>& to) {
-  to.reserve(from.size());
-  for (Value value : from) to.push_back(Signed(value));
+  ConvertList(from, to, [](Value value) { return Signed(value); });
 }
 
 template <class Value, class WireValue>
 void NumbersFromWire(const std::vector<WireValue>& from, std::vector<Value>& to) {
-  to.reserve(from.size());
-  for (WireValue value : from) to.push_back(Unsigned(value));
+  ConvertList(from, to, [](WireValue value) { return Unsigned(value); });
 }
 
 // Slots per layer differ between groups, so a map on its own carries the number of its layers in
--- a/src/io/wire_log.h
+++ b/src/io/wire_log.h
@@ -81,6 +81,7 @@
 inline void SetCommand(const order_completion& c, wire::Command& w) {
   w.__set_orderCompletion(ToWire(c));
 }
+
 inline void SetCommand(const group_change& c, wire::Command& w) { w.__set_groupChange(ToWire(c)); }
 
 inline void SetCommand(const group_pin& c, wire::Command& w) { w.__set_groupPin(ToWire(c)); }
@@ -93,7 +94,7 @@
 
 inline replica_change FromWire(const wire::ReplicaChange& w, bool& ok) {
   replica_change c;
-  ListFromWire(w.replicas, c.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
+  ConvertList(w.replicas, c.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
   return c;
 }
 
@@ -182,7 +183,7 @@
   m.prev_term = Unsigned(w.prevTerm);
   m.commit = Unsigned(w.commit);
   m.sent = SteadyFromWire(w.sentNanos);
-  ListFromWire(w.entries, m.entries, [&](const wire::LogEntry& e) { return FromWire(e, ok); });
+  ConvertList(w.entries, m.entries, [&](const wire::LogEntry& e) { return FromWire(e, ok); });
   return m;
 }
 
@@ -243,7 +244,7 @@
   m.header = FromWire(w.header, ok);
   m.index = Unsigned(w.index);
   m.snapshot_term = Unsigned(w.snapshotTerm);
-  ListFromWire(w.replicas, m.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
+  ConvertList(w.replicas, m.replicas, [&](const wire::Replica& r) { return FromWire(r, ok); });
   m.total = Unsigned(w.total);
   m.hash = Unsigned(w.hash);
   m.offset = Unsigned(w.offset);
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -118,14 +118,12 @@
 
 template <class From, class To>
 void ToWireList(const std::vector<From>& from, std::vector<To>& to) {
-  to.reserve(from.size());
-  for (const From& item : from) to.push_back(ToWire(item));
+  ConvertList(from, to, [](const From& item) { return ToWire(item); });
 }
 
 template <class From, class To>
 void FromWireList(const std::vector<From>& from, std::vector<To>& to, bool& ok) {
-  to.reserve(from.size());
-  for (const From& item : from) to.push_back(FromWire(item, ok));
+  ConvertList(from, to, [&](const From& item) { return FromWire(item, ok); });
 }
 
 wire::StateSnapshot ToWire(const hard_state& state) {
@@ -142,9 +140,8 @@
   ToWireList(state.records.records, w.records);
   ToWireList(state.orders, w.orders);
   w.__isset.orders = true;
-  std::vector<wire::StateGroup> groups;
-  ListToWire(state.groups, groups);
-  w.__set_groups(std::move(groups));
+  ToWireList(state.groups, w.groups);
+  w.__isset.groups = true;
   return w;
 }
 
@@ -159,8 +156,7 @@
   out.records.clock = wall_time(std::chrono::microseconds(w.clockMicros));
   FromWireList(w.records, out.records.records, ok);
   FromWireList(w.orders, out.orders, ok);
-  ListFromWire(w.groups, out.groups,
-               [&](const wire::StateGroup& g) { return radishroute::FromWire(g, ok); });
+  FromWireList(w.groups, out.groups, ok);
 }
 
 }  // namespace
