Share the admin HTTP answers and the options of operators' commands

Cause: `voter` had its own copy of the call to an admin address; three HTTP mappings had their own error answer; the check of the operators' token for /v1/groups stood in the controller; the groups were added to the status by parsing its finished body again; the options and messages of a change stood twice. ConfigHttpHandler was called by nothing.

Change: admin_http.h has the answer, the error answer and the token check. HandleGroupHttp is built like the mappings of orders and changes, and the status is rendered once. `voter` calls CallProcess; change id, author, timeout, token file and poll interval stand in operator_options.h. The controller proposes all commands in one place.

Behaviour is unchanged, but for a lease that ends between the check and the proposal of an order or pin: that answers 421 in place of 202.

--- /dev/null
+++ b/src/cli/admin_http.cc
@@ -0,0 +1,19 @@
+#include "cli/admin_http.h"
+
+#include <nlohmann/json.hpp>
+
+#include "io/secret.h"
+
+namespace radishroute {
+
+http_answer ErrorAnswer(unsigned status, std::string_view type) {
+  return {status, nlohmann::json{{"error", type}}.dump()};
+}
+
+bool Authorized(const http_request& request, const std::string& token) {
+  auto it = request.headers.find("authorization");
+  return !token.empty() && it != request.headers.end() &&
+         SecretsEqual(it->second, "Bearer " + token);
+}
+
+}  // namespace radishroute
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -12,8 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kPollInterval{100};
-
 void PrintZones(const json& in_force, std::ostream& out) {
   if (!in_force.value("known", false)) {
     out << "in force: not known yet, a new leader waits one lease\n";
@@ -78,9 +76,7 @@
     if (over) break;
   }
   if (report.value("state", "") == "pending") {
-    std::cerr << make_error_code(errc::kOutcomeUnknown).message() << "; resend with --change-id "
-              << change.value("change_id", "") << "\n";
-    return kExitFailed;
+    return PrintUnknownOutcome(change.value("change_id", ""));
   }
   return PrintChange(report, as_json);
 }
@@ -136,9 +132,8 @@
   cxxopts::Options options("radishroute apply", "Puts a sheet in force as a new version.");
   AddOperatorOptions(options);
   options.add_options()("sheet", "CSV sheet", cxxopts::value<std::string>())(
-      "base-version", "version that the sheet replaces", cxxopts::value<std::uint64_t>())(
-      "change-id", "the same one in a resend; random if omitted", cxxopts::value<std::string>())(
-      "author", "name shown to others", cxxopts::value<std::string>()->default_value("operator"));
+      "base-version", "version that the sheet replaces", cxxopts::value<std::uint64_t>());
+  AddChangeOptions(options);
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
@@ -154,16 +149,12 @@
     std::cerr << file << ": " << make_error_code(errc::kFileUnreadable).message() << "\n";
     return kExitUsage;
   }
-  std::string id =
-      parsed->count("change-id") > 0 ? (*parsed)["change-id"].as<std::string>() : RandomChangeId();
   json change = {{"base_version", (*parsed)["base-version"].as<std::uint64_t>()},
-                 {"change_id", id},
+                 {"change_id", ChangeId(*parsed)},
                  {"author", (*parsed)["author"].as<std::string>()},
                  {"sheet", *sheet}};
   QuietLibwebsockets();
-  return ApplyChange(*client, change,
-                     std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>()),
-                     parsed->count("json") > 0);
+  return ApplyChange(*client, change, Timeout(*parsed), parsed->count("json") > 0);
 }
 
 int RunStatus(int argc, char** argv) {
@@ -175,7 +166,7 @@
   auto client = MakeOperatorClient(*parsed);
   if (!client) return kExitUsage;
   QuietLibwebsockets();
-  auto timeout = std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>());
+  std::chrono::milliseconds timeout = Timeout(*parsed);
   auto answer = client->Call("/v1/status", "", timeout);
   if (!answer || answer->status != 200) return PrintCallFailure(answer);
   json status = json::parse(answer->body, nullptr, false);
--- a/src/cli/config_http.cc
+++ b/src/cli/config_http.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "io/secret.h"
+#include "cli/group_http.h"
 
 namespace radishroute {
 
@@ -56,11 +56,6 @@
           {"replicas", replicas}};
 }
 
-http_answer Error(unsigned status, const char* type, json details = json::object()) {
-  details["error"] = type;
-  return {status, details.dump()};
-}
-
 http_answer Submit(const http_request& request, const config_http_backend& backend) {
   json body = json::parse(request.body, nullptr, false);
   bool valid = body.is_object() && body.contains("base_version") &&
@@ -68,7 +63,7 @@
   for (const char* key : {"change_id", "author", "sheet"}) {
     valid = valid && body.contains(key) && body[key].is_string();
   }
-  if (!valid) return Error(400, "malformed-request");
+  if (!valid) return ErrorAnswer(400, "malformed-request");
   config_change change{body["base_version"].get<std::uint64_t>(),
                        body["change_id"].get<std::string>(), body["author"].get<std::string>(),
                        body["sheet"].get<std::string>()};
@@ -76,43 +71,34 @@
   for (const sheet_error& e : CheckChange(change)) {
     faults.push_back({{"row", e.row}, {"column", e.column}, {"expected", e.expected}});
   }
-  if (!faults.empty()) return Error(422, "sheet-invalid", {{"faults", faults}});
-  if (!backend.propose(std::move(change))) return Error(421, "not-leader");
+  if (!faults.empty()) {
+    return {422, json{{"error", "sheet-invalid"}, {"faults", faults}}.dump()};
+  }
+  if (!backend.propose(std::move(change))) return ErrorAnswer(421, "not-leader");
   return {202, json{{"state", "pending"}}.dump()};
 }
 
 }  // namespace
 
-bool Authorized(const http_request& request, const std::string& token) {
-  auto it = request.headers.find("authorization");
-  return !token.empty() && it != request.headers.end() &&
-         SecretsEqual(it->second, "Bearer " + token);
-}
-
 std::optional<http_answer> HandleConfigHttp(const http_request& request,
                                             const config_http_backend& backend, steady_time now) {
   bool change = request.path.starts_with(kChanges);
   if (!change && request.path != kStatus) return std::nullopt;
-  if (!Authorized(request, backend.token)) return Error(401, "unauthorized");
+  if (!Authorized(request, backend.token)) return ErrorAnswer(401, "unauthorized");
   if (request.method == "POST" && request.path == kChanges) return Submit(request, backend);
-  if (request.method != "GET") return Error(405, "method-not-allowed");
+  if (request.method != "GET") return ErrorAnswer(405, "method-not-allowed");
   // Only the leader knows leases; a former leader may not have learned of a change yet.
-  if (!backend.is_leader()) return Error(421, "not-leader");
-  if (!change)
-    return http_answer{200, ToJson(ReportStatus(*backend.state, *backend.leases, now)).dump()};
-  if (request.path.size() <= kChanges.size() + 1) return Error(404, "no-such-change");
+  if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
+  if (!change) {
+    json status = ToJson(ReportStatus(*backend.state, *backend.leases, now));
+    if (backend.groups != nullptr) {
+      status["groups"] = GroupsToJson(backend.groups->Report(backend.state->Groups()));
+    }
+    return http_answer{200, status.dump()};
+  }
+  if (request.path.size() <= kChanges.size() + 1) return ErrorAnswer(404, "no-such-change");
   std::string id = request.path.substr(kChanges.size() + 1);
   return http_answer{200, ToJson(ReportChange(*backend.state, *backend.leases, id, now)).dump()};
 }
 
-std::function<bool(const http_request&, http_server&)> ConfigHttpHandler(
-    const config_http_backend& backend) {
-  return [&backend](const http_request& request, http_server& server) {
-    auto answer = HandleConfigHttp(request, backend, system_clock_source().Now());
-    if (!answer) return false;
-    server.Respond(request.exchange, answer->status, "application/json", {}, answer->body);
-    return true;
-  };
-}
-
 }  // namespace radishroute
--- a/src/cli/config_http.h
+++ b/src/cli/config_http.h
@@ -5,8 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "io/http_server.h"
+#include "cli/admin_http.h"
 #include "radishroute/config_admin.h"
+#include "radishroute/group_server.h"
 
 namespace radishroute {
 
@@ -19,25 +20,15 @@
   std::function<bool()> is_leader;
   /// Bearer token of operators.
   std::string token;
+  /// Adds the groups to the status; may be null.
+  const group_server* groups = nullptr;
 };
 
-struct http_answer {
-  unsigned status = 200;
-  std::string body;
-};
-
-/// Whether a request carries the operators' bearer token; never with an empty token.
-bool Authorized(const http_request& request, const std::string& token);
-
 /// Answers POST /v1/config/changes, GET /v1/config/changes/ID and GET /v1/status; nothing for
 /// other paths. A change is proposed and its result read by its id, so both may be repeated.
 std::optional<http_answer> HandleConfigHttp(const http_request& request,
                                             const config_http_backend& backend, steady_time now);
 
-/// Handler for `admin_api`; `backend` must outlive it.
-std::function<bool(const http_request&, http_server&)> ConfigHttpHandler(
-    const config_http_backend& backend);
-
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_CLI_CONFIG_HTTP_H_
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -121,50 +121,35 @@
   }
 
   bool OnConfig(const http_request& request, http_server& server) {
-    const auto& log = *node_.Thread().State().control.log;
-    steady_time now = std::chrono::steady_clock::now();
-    config_http_backend backend;
-    backend.state = &log.State();
-    backend.leases = &log.Leases();
-    backend.propose = [this, now](config_change change) {
-      if (!node_.Core().IsCurrent(now)) return false;
-      node_.Thread().Apply(propose_command{{}, std::move(change)});
-      return true;
-    };
-    backend.is_leader = [this, now] { return node_.Core().IsCurrent(now); };
-    backend.token = settings_.admin_token;
-    auto answer = HandleConfigHttp(request, backend, now);
-    if (!answer) answer = request.path == "/v1/groups" ? OnGroups(request, now) : OnOrders(request);
+    auto answer = Answer(request);
     if (!answer) return false;
-    if (request.path == "/v1/status" && answer->status == 200) {
-      AddGroups(log.Groups().Report(log.State().Groups()), answer->body);
-    }
     server.Respond(request.exchange, answer->status, kJson, {}, answer->body);
     return true;
   }
 
-  std::optional<http_answer> OnOrders(const http_request& request) {
-    order_http_backend backend;
-    backend.orders = &node_.Thread().State().control.log->State().Orders();
-    backend.is_leader = [this] { return node_.Core().IsCurrent(std::chrono::steady_clock::now()); };
-    backend.propose = [this](order_submission submission) {
-      node_.Thread().Apply(propose_command{{}, std::move(submission)});
-      return true;
-    };
-    backend.token = settings_.admin_token;
-    return HandleOrderHttp(request, backend);
+  std::optional<http_answer> Answer(const http_request& request) {
+    const auto& log = *node_.Thread().State().control.log;
+    auto propose = [this](auto body) { return Propose(std::move(body)); };
+    auto is_leader = [this] { return IsLeader(); };
+    const std::string& token = settings_.admin_token;
+    config_http_backend config{&log.State(), &log.Leases(), propose,
+                               is_leader,    token,         &log.Groups()};
+    auto answer = HandleConfigHttp(request, config, std::chrono::steady_clock::now());
+    if (!answer) {
+      answer = HandleGroupHttp(request, {&log.State().Groups(), propose, is_leader, token});
+    }
+    if (!answer) {
+      answer = HandleOrderHttp(request, {&log.State().Orders(), propose, is_leader, token});
+    }
+    return answer;
   }
 
-  std::optional<http_answer> OnGroups(const http_request& request, steady_time now) {
-    if (!Authorized(request, settings_.admin_token)) {
-      return http_answer{401, R"({"error":"unauthorized"})"};
-    }
-    if (!node_.Core().IsCurrent(now)) return http_answer{421, R"({"error":"not-leader"})"};
-    const auto& log = *node_.Thread().State().control.log;
-    return HandleGroupPin(request, log.State().Groups(), [this](group_pin pin) {
-      node_.Thread().Apply(propose_command{{}, std::move(pin)});
-      return true;
-    });
+  bool IsLeader() { return node_.Core().IsCurrent(std::chrono::steady_clock::now()); }
+
+  bool Propose(command body) {
+    if (!IsLeader()) return false;
+    node_.Thread().Apply(propose_command{{}, std::move(body)});
+    return true;
   }
 
   void OnChange(const http_request& request) {
--- a/src/cli/drain.cc
+++ b/src/cli/drain.cc
@@ -2,8 +2,7 @@
 
 #include "cli/commands.h"
 #include "cli/drain_http.h"
-#include "cli/operator_client.h"
-#include "cli/options.h"
+#include "cli/operator_options.h"
 #include "cli/process.h"
 
 namespace radishroute {
@@ -47,17 +46,14 @@
     std::cerr << "--process is required and must be an IPv4 address and port\n";
     return kExitUsage;
   }
-  std::string file =
-      parsed->count("token-file") > 0 ? (*parsed)["token-file"].as<std::string>() : "";
-  auto token = ReadToken(file);
+  auto token = ReadTokenOption(*parsed);
   if (!token) {
     std::cerr << "--token-file is required: " << make_error_code(errc::kFileUnreadable).message()
               << "\n";
     return kExitUsage;
   }
   QuietLibwebsockets();
-  auto timeout = std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>());
-  errc error = DrainError(CallProcess(process, *token, kDrainPath, "{}", timeout));
+  errc error = DrainError(CallProcess(process, *token, kDrainPath, "{}", Timeout(*parsed)));
   if (error != errc::kOk) {
     std::cerr << ToString(process) << ": " << make_error_code(error).message() << "\n";
     return kExitFailed;
--- a/src/cli/drain_http.cc
+++ b/src/cli/drain_http.cc
@@ -10,8 +10,8 @@
 std::optional<http_answer> HandleDrainHttp(const http_request& request, const std::string& token,
                                            const std::function<void()>& drain) {
   if (request.path != kDrainPath) return std::nullopt;
-  if (!Authorized(request, token)) return http_answer{401, R"({"error":"unauthorized"})"};
-  if (request.method != "POST") return http_answer{405, R"({"error":"method-not-allowed"})"};
+  if (!Authorized(request, token)) return ErrorAnswer(401, "unauthorized");
+  if (request.method != "POST") return ErrorAnswer(405, "method-not-allowed");
   drain();
   return http_answer{202, R"({"state":"draining"})"};
 }
--- a/src/cli/group_http.cc
+++ b/src/cli/group_http.cc
@@ -9,9 +9,7 @@
 
 using nlohmann::json;
 
-http_answer Error(unsigned status, const char* type) {
-  return {status, json{{"error", type}}.dump()};
-}
+constexpr std::string_view kGroupsPath = "/v1/groups";
 
 json ToJson(const group_status& g) {
   return {{"group", g.name},
@@ -30,31 +28,35 @@
           {"reason", g.reason}};
 }
 
-}  // namespace
-
-void AddGroups(const std::vector<group_status>& groups, std::string& status_body) {
-  json status = json::parse(status_body, nullptr, false);
-  if (!status.is_object()) return;
-  json list = json::array();
-  for (const group_status& group : groups) list.push_back(ToJson(group));
-  status["groups"] = std::move(list);
-  status_body = status.dump();
-}
-
-http_answer HandleGroupPin(const http_request& request, const group_table& groups,
-                           const std::function<bool(group_pin)>& propose) {
-  if (request.method != "POST") return Error(405, "method-not-allowed");
+http_answer Pin(const http_request& request, const group_http_backend& backend) {
   json body = json::parse(request.body, nullptr, false);
   bool valid = body.is_object() && body.contains("group") && body["group"].is_string() &&
                body.contains("pinned") && body["pinned"].is_boolean();
-  if (!valid) return Error(400, "malformed-request");
+  if (!valid) return ErrorAnswer(400, "malformed-request");
   group_pin pin{body["group"].get<std::string>(), body["pinned"].get<bool>()};
-  const expert_group* group = groups.Find(pin.group);
-  if (group == nullptr) return Error(404, "no-such-group");
+  const expert_group* group = backend.groups->Find(pin.group);
+  if (group == nullptr) return ErrorAnswer(404, "no-such-group");
   // A repeated request ends here once the first one is applied.
   if (group->pinned == pin.pinned) return {200, json{{"pinned", pin.pinned}}.dump()};
-  if (!propose(std::move(pin))) return Error(421, "not-leader");
+  if (!backend.propose(std::move(pin))) return ErrorAnswer(421, "not-leader");
   return {202, json{{"state", "pending"}}.dump()};
 }
 
+}  // namespace
+
+json GroupsToJson(const std::vector<group_status>& groups) {
+  json list = json::array();
+  for (const group_status& group : groups) list.push_back(ToJson(group));
+  return list;
+}
+
+std::optional<http_answer> HandleGroupHttp(const http_request& request,
+                                           const group_http_backend& backend) {
+  if (request.path != kGroupsPath) return std::nullopt;
+  if (!Authorized(request, backend.token)) return ErrorAnswer(401, "unauthorized");
+  if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
+  if (request.method != "POST") return ErrorAnswer(405, "method-not-allowed");
+  return Pin(request, backend);
+}
+
 }  // namespace radishroute
--- a/src/cli/group_http.h
+++ b/src/cli/group_http.h
@@ -2,21 +2,33 @@
 #define RADISHROUTE_CLI_GROUP_HTTP_H_
 
 #include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "cli/config_http.h"
+#include "cli/admin_http.h"
 #include "radishroute/group_server.h"
 
 namespace radishroute {
 
-/// Adds the groups to the body of GET /v1/status.
-void AddGroups(const std::vector<group_status>& groups, std::string& status_body);
+/// What the HTTP mapping of groups needs of a controller; all of it on its control thread.
+struct group_http_backend {
+  const group_table* groups = nullptr;
+  /// Proposes a command; false if this process is not the leader.
+  std::function<bool(group_pin)> propose;
+  std::function<bool()> is_leader;
+  /// Bearer token of operators.
+  std::string token;
+};
 
-/// Answers POST /v1/groups with {"group": NAME, "pinned": BOOL}; the request must be authorized.
-/// `propose` returns false if this process is not the leader.
-http_answer HandleGroupPin(const http_request& request, const group_table& groups,
-                           const std::function<bool(group_pin)>& propose);
+/// The groups in the form of GET /v1/status.
+nlohmann::json GroupsToJson(const std::vector<group_status>& groups);
+
+/// Answers POST /v1/groups with {"group": NAME, "pinned": BOOL}; nothing for other paths. May be
+/// repeated: it answers 202 until the group is as asked, 200 after that.
+std::optional<http_answer> HandleGroupHttp(const http_request& request,
+                                           const group_http_backend& backend);
 
 }  // namespace radishroute
 
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "cli/process.h"
-
 namespace radishroute {
 
 namespace {
@@ -50,12 +48,6 @@
   return reply;
 }
 
-std::optional<std::string> ReadToken(const std::string& file) {
-  auto token = ReadFile(file);
-  if (token) token->erase(token->find_last_not_of(" \r\n\t") + 1);
-  return token;
-}
-
 std::optional<http_answer> operator_client::Call(const std::string& path, const std::string& body,
                                                  std::chrono::milliseconds timeout) {
   steady_time end = std::chrono::steady_clock::now() + timeout;
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "cli/config_http.h"
+#include "cli/admin_http.h"
 #include "io/http_client.h"
 
 namespace radishroute {
@@ -22,9 +22,6 @@
                            const std::string& path, const std::string& body,
                            std::chrono::milliseconds timeout);
 
-/// Reads a bearer token without the white space at its end; nothing if the file cannot be read.
-std::optional<std::string> ReadToken(const std::string& file);
-
 /// Operators' calls to the controllers' admin addresses.
 class operator_client {
  public:
--- a/src/cli/operator_options.cc
+++ b/src/cli/operator_options.cc
@@ -20,9 +20,7 @@
       controllers.push_back(address);
     }
   }
-  // The token comes from a file, since arguments are visible to every user of the VM.
-  std::string file = parsed.count("token-file") > 0 ? parsed["token-file"].as<std::string>() : "";
-  auto token = ReadToken(file);
+  auto token = ReadTokenOption(parsed);
   if (controllers.empty() || !token) {
     std::cerr << "--controller and a readable --token-file are required\n";
     return std::nullopt;
@@ -38,12 +36,37 @@
                             cxxopts::value<std::uint32_t>()->default_value("8000"));
 }
 
-std::string RandomChangeId() {
+void AddChangeOptions(cxxopts::Options& options) {
+  options.add_options()("change-id", "the same one in a resend; random if omitted",
+                        cxxopts::value<std::string>())(
+      "author", "name shown to others", cxxopts::value<std::string>()->default_value("operator"));
+}
+
+std::string ChangeId(const cxxopts::ParseResult& parsed) {
+  if (parsed.count("change-id") > 0) return parsed["change-id"].as<std::string>();
   std::random_device entropy;
   std::uint64_t value = (std::uint64_t{entropy()} << 32) | entropy();
   return "change-" + std::to_string(value);
 }
 
+std::chrono::milliseconds Timeout(const cxxopts::ParseResult& parsed) {
+  return std::chrono::milliseconds(parsed["timeout-ms"].as<std::uint32_t>());
+}
+
+// The token comes from a file, since arguments are visible to every user of the VM.
+std::optional<std::string> ReadTokenOption(const cxxopts::ParseResult& parsed) {
+  if (parsed.count("token-file") == 0) return std::nullopt;
+  auto token = ReadFile(parsed["token-file"].as<std::string>());
+  if (token) token->erase(token->find_last_not_of(" \r\n\t") + 1);
+  return token;
+}
+
+int PrintUnknownOutcome(const std::string& change_id) {
+  std::cerr << make_error_code(errc::kOutcomeUnknown).message() << "; resend with --change-id "
+            << change_id << "\n";
+  return kExitFailed;
+}
+
 int PrintCallFailure(const std::optional<http_answer>& answer) {
   if (!answer) {
     std::cerr << make_error_code(errc::kNoQuorum).message() << "\n";
--- a/src/cli/order.cc
+++ b/src/cli/order.cc
@@ -14,8 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kPollInterval{100};
-
 /// Option that gives the name for each kind of order.
 constexpr std::array<const char*, kOrderKindCount> kKindOptions = {"load-model", "load-adapter",
                                                                    "set-version", "change-role"};
@@ -54,9 +52,7 @@
     operator_client::Pause(kPollInterval);
   }
   if (!report.is_null()) return PrintOrder(report, as_json);
-  std::cerr << make_error_code(errc::kOutcomeUnknown).message() << "; resend with --change-id "
-            << order.value("change_id", "") << "\n";
-  return kExitFailed;
+  return PrintUnknownOutcome(order.value("change_id", ""));
 }
 
 std::optional<json> ReadOrder(const cxxopts::ParseResult& parsed) {
@@ -76,8 +72,7 @@
   order["backend"] = parsed["backend"].as<std::string>();
   order["bytes"] = parsed["bytes"].as<std::uint64_t>();
   order["author"] = parsed["author"].as<std::string>();
-  order["change_id"] =
-      parsed.count("change-id") > 0 ? parsed["change-id"].as<std::string>() : RandomChangeId();
+  order["change_id"] = ChangeId(parsed);
   return order;
 }
 
@@ -91,9 +86,8 @@
       "load-adapter", "adapter to load", cxxopts::value<std::string>())(
       "set-version", "version to set", cxxopts::value<std::string>())(
       "change-role", "role to take", cxxopts::value<std::string>())(
-      "bytes", "size of the weights", cxxopts::value<std::uint64_t>()->default_value("0"))(
-      "change-id", "the same one in a resend; random if omitted", cxxopts::value<std::string>())(
-      "author", "name shown to others", cxxopts::value<std::string>()->default_value("operator"));
+      "bytes", "size of the weights", cxxopts::value<std::uint64_t>()->default_value("0"));
+  AddChangeOptions(options);
   int exit = kExitSuccess;
   auto parsed = ParseOptions(options, argc, argv, exit);
   if (!parsed) return exit;
@@ -102,9 +96,7 @@
   auto client = MakeOperatorClient(*parsed);
   if (!client) return kExitUsage;
   QuietLibwebsockets();
-  return GiveOrder(*client, *order,
-                   std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>()),
-                   parsed->count("json") > 0);
+  return GiveOrder(*client, *order, Timeout(*parsed), parsed->count("json") > 0);
 }
 
 }  // namespace radishroute
--- a/src/cli/order_http.cc
+++ b/src/cli/order_http.cc
@@ -27,10 +27,6 @@
           {"state", ToString(record.status)}};
 }
 
-http_answer Error(unsigned status, const char* type) {
-  return {status, json{{"error", type}}.dump()};
-}
-
 bool ReadText(const json& body, const char* key, std::string& out) {
   auto it = body.find(key);
   if (it == body.end() || !it->is_string()) return false;
@@ -55,8 +51,8 @@
 
 http_answer Submit(const http_request& request, const order_http_backend& backend) {
   order_submission submission;
-  if (!Parse(request.body, submission)) return Error(400, "malformed-request");
-  if (!backend.is_leader()) return Error(421, "not-leader");
+  if (!Parse(request.body, submission)) return ErrorAnswer(400, "malformed-request");
+  if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
   const order_record* known = backend.orders->FindChange(submission.change_id);
   if (known != nullptr) {
     json report = ToJson(*known);
@@ -64,7 +60,7 @@
     report["error"] = "change-id-reused";
     return {409, report.dump()};
   }
-  if (!backend.propose(std::move(submission))) return Error(421, "not-leader");
+  if (!backend.propose(std::move(submission))) return ErrorAnswer(421, "not-leader");
   return {202, json{{"state", "proposed"}}.dump()};
 }
 
@@ -73,10 +69,10 @@
 std::optional<http_answer> HandleOrderHttp(const http_request& request,
                                            const order_http_backend& backend) {
   if (request.path != kOrdersPath) return std::nullopt;
-  if (!Authorized(request, backend.token)) return Error(401, "unauthorized");
+  if (!Authorized(request, backend.token)) return ErrorAnswer(401, "unauthorized");
   if (request.method == "POST") return Submit(request, backend);
-  if (request.method != "GET") return Error(405, "method-not-allowed");
-  if (!backend.is_leader()) return Error(421, "not-leader");
+  if (request.method != "GET") return ErrorAnswer(405, "method-not-allowed");
+  if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
   json orders = json::array();
   for (const auto& [token, record] : backend.orders->Orders()) orders.push_back(ToJson(record));
   return http_answer{200, json{{"orders", orders}}.dump()};
--- a/src/cli/order_http.h
+++ b/src/cli/order_http.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "cli/config_http.h"
+#include "cli/admin_http.h"
 #include "radishroute/order_table.h"
 
 namespace radishroute {
--- a/src/cli/pin.cc
+++ b/src/cli/pin.cc
@@ -7,14 +7,6 @@
 
 namespace radishroute {
 
-namespace {
-
-using nlohmann::json;
-
-constexpr std::chrono::milliseconds kPollInterval{100};
-
-}  // namespace
-
 int RunPin(int argc, char** argv) {
   cxxopts::Options options("radishroute pin", "Keeps the expert map of a group in force.");
   AddOperatorOptions(options);
@@ -30,9 +22,9 @@
   auto client = MakeOperatorClient(*parsed);
   if (!client) return kExitUsage;
   QuietLibwebsockets();
-  auto timeout = std::chrono::milliseconds((*parsed)["timeout-ms"].as<std::uint32_t>());
-  json pin = {{"group", (*parsed)["group"].as<std::string>()},
-              {"pinned", parsed->count("off") == 0}};
+  std::chrono::milliseconds timeout = Timeout(*parsed);
+  nlohmann::json pin = {{"group", (*parsed)["group"].as<std::string>()},
+                        {"pinned", parsed->count("off") == 0}};
   steady_time end = std::chrono::steady_clock::now() + timeout;
   while (true) {
     // The request is repeated until it meets the applied state, also over a change of leader.
--- a/src/cli/voter.cc
+++ b/src/cli/voter.cc
@@ -3,9 +3,9 @@
 #include <optional>
 
 #include "cli/commands.h"
+#include "cli/operator_client.h"
 #include "cli/options.h"
 #include "cli/process.h"
-#include "io/http_client.h"
 
 namespace radishroute {
 
@@ -22,26 +22,10 @@
 /// Sends one request to a controller's admin address; nothing if there is no whole answer.
 std::optional<admin_answer> CallAdmin(const endpoint& controller, const std::string& token,
                                       const std::string& body) {
-  io_loop loop;
-  static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-  loop.CreateClientVhost(protocols);
-  admin_answer answer;
-  std::string text;
-  bool complete = false;
-  http_client client(loop, {[&](http_client::call_id, unsigned status, const std::string&) {
-                              answer.status = status;
-                            },
-                            [&](http_client::call_id, std::string_view bytes) { text += bytes; },
-                            [&](http_client::call_id, http_call_result result) {
-                              complete = result == http_call_result::kComplete;
-                              loop.Stop();
-                            }});
-  loop.SetTimerHandler([&] { loop.Stop(); });
-  loop.WakeAt(std::chrono::steady_clock::now() + kAnswerTimeout);
-  client.Start(controller, "/voters", {{"authorization", "Bearer " + token}}, body);
-  loop.Run();
-  if (!complete) return std::nullopt;
-  answer.body = nlohmann::json::parse(text, nullptr, false);
+  operator_reply reply = CallProcess(controller, token, "/voters", body, kAnswerTimeout);
+  if (reply.result != http_call_result::kComplete) return std::nullopt;
+  admin_answer answer{reply.answer.status,
+                      nlohmann::json::parse(reply.answer.body, nullptr, false)};
   if (!answer.body.is_object()) return std::nullopt;
   return answer;
 }
