Run operators' commands of end-to-end tests by one method

Cause: cluster.py, experts_test.py and orders_test.py each wrote a token file and listed the controllers.

Change: Cluster.operator runs a command against all controllers. No check changed.

Checked: control, experts, orders and zone tests.

--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -177,23 +177,24 @@
 
     def apply_sheet(self, base_version=0, *arguments, sheet=None):
         """Puts a sheet, or the cluster's own, in force and returns the finished process."""
-        return subprocess.run(
-            [self.program, "apply", *self.operator_arguments(), "--sheet", sheet or self.sheet,
-             "--base-version", str(base_version), *arguments],
-            capture_output=True, text=True, timeout=30)
+        return self.operator("apply", "--sheet", sheet or self.sheet,
+                             "--base-version", str(base_version), *arguments)
 
-    def operator_arguments(self):
+    def operator(self, command, *arguments, timeout=30):
+        """Runs an operators' command against all controllers; returns the finished process."""
         token = os.path.join(self.dir, "token")
         if not os.path.exists(token):
             with open(token, "w") as file:
                 file.write("token")
-        return ["--token-file", token, *(a for c in self.controllers.values()
-                                         for a in ("--controller", c["admin_listen"]))]
+        targets = [a for c in self.controllers.values()
+                   for a in ("--controller", c["admin_listen"])]
+        return subprocess.run(
+            [self.program, command, *targets, "--token-file", token, *arguments],
+            capture_output=True, text=True, timeout=timeout)
 
     def version_in_force(self):
         """Version that the leader reports; None without a leader."""
-        done = subprocess.run([self.program, "status", *self.operator_arguments(), "--json"],
-                              capture_output=True, text=True, timeout=30)
+        done = self.operator("status", "--json")
         return json.loads(done.stdout)["config"]["version"] if done.returncode == 0 else None
 
     def fault(self, engine, fault, value=0):
--- a/tests/e2e/experts_test.py
+++ b/tests/e2e/experts_test.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import subprocess
 import sys
 import time
 
@@ -62,17 +61,8 @@
         for rank in range(RANKS):
             self.start_agent(rank)
 
-    def operator(self, *arguments):
-        token = os.path.join(self.cluster.dir, "token")
-        with open(token, "w") as file:
-            file.write("token")
-        targets = [a for c in self.cluster.controllers.values()
-                   for a in ("--controller", c["admin_listen"])]
-        return subprocess.run([self.cluster.program, *arguments, *targets, "--token-file", token],
-                              capture_output=True, text=True, timeout=30)
-
     def status(self):
-        done = self.operator("status", "--json")
+        done = self.cluster.operator("status", "--json")
         groups = json.loads(done.stdout).get("groups", []) if done.returncode == 0 else []
         return groups[0] if groups else {"step": 0, "map_in_force": 0, "proposed_map": 0,
                                          "changed_map": 0, "skew": 0}
@@ -141,10 +131,10 @@
 
 
 def check_pin(group):
-    assert group.operator("pin", "--group", "none").returncode == 1, "an unknown group"
-    assert group.operator("pin", "--group", "moe").returncode == 0
+    assert group.cluster.operator("pin", "--group", "none").returncode == 1, "an unknown group"
+    assert group.cluster.operator("pin", "--group", "moe").returncode == 0
     assert group.status()["pinned"]
-    assert group.operator("pin", "--group", "moe", "--off").returncode == 0
+    assert group.cluster.operator("pin", "--group", "moe", "--off").returncode == 0
     assert not group.status()["pinned"]
 
 
@@ -185,7 +175,7 @@
         group.await_steps(2 * HORIZON, "steps after the restart")
         check_pin(group)
         status = group.status()
-        print(group.operator("status").stdout)
+        print(group.cluster.operator("status").stdout)
 
         records = group.records()
         last = check_one_map(records)
--- a/tests/e2e/orders_test.py
+++ b/tests/e2e/orders_test.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import subprocess
 import sys
 import threading
 import time
@@ -18,14 +17,8 @@
 
 def order(cluster, backend, *arguments, timeout_ms=20000):
     """Runs `order` against all controllers and returns the finished process."""
-    token = os.path.join(cluster.dir, "order-token")
-    with open(token, "w") as file:
-        file.write("token")
-    targets = [a for c in cluster.controllers.values()
-               for a in ("--controller", c["admin_listen"])]
-    return subprocess.run(
-        [cluster.program, "order", *targets, "--token-file", token, "--backend", backend, "--json",
-         "--timeout-ms", str(timeout_ms), *arguments], capture_output=True, text=True, timeout=60)
+    return cluster.operator("order", "--backend", backend, "--json",
+                            "--timeout-ms", str(timeout_ms), *arguments, timeout=60)
 
 
 def done(result):
@@ -47,12 +40,7 @@
 
 
 def status(cluster):
-    token = os.path.join(cluster.dir, "order-token")
-    targets = [a for c in cluster.controllers.values()
-               for a in ("--controller", c["admin_listen"])]
-    result = subprocess.run(
-        [cluster.program, "status", *targets, "--token-file", token, "--json"],
-        capture_output=True, text=True, timeout=30)
+    result = cluster.operator("status", "--json")
     assert result.returncode == 0, result.stderr
     return json.loads(result.stdout)["orders"]
 
