Date the load tool's keys and its latencies from one origin

Cause: the checker of fault runs takes the start of the load from the time in a key. The generator's wall clock was read before the run began, and a key of version 7 rounds down to milliseconds, so that an answer cut by a kill could seem to end just before it and was reported as cut without cause. Change: the runner reads both clocks together and hands the wall time to the generator with the first event; the checker allows the resolution of a key. Conclusion: the finding was a fault of the checker, not of the entry.

--- a/src/load/generator.cc
+++ b/src/load/generator.cc
@@ -16,13 +16,11 @@
 
 }  // namespace
 
-load_generator::load_generator(load_plan plan, std::size_t targets, wall_time wall_start,
-                               std::size_t connections)
+load_generator::load_generator(load_plan plan, std::size_t targets, std::size_t connections)
     : plan_(std::move(plan)),
       targets_(targets),
       connections_(connections),
       calls_(targets),
-      wall_start_(wall_start),
       schedule_(MakeSchedule(plan_)) {}
 
 void load_generator::Reduce(const load_event& e, steady_time now, load_effects& effects) {
@@ -33,8 +31,9 @@
   }
 }
 
-void load_generator::Handle(const load_started&, steady_time now, load_effects& effects) {
+void load_generator::Handle(const load_started& e, steady_time now, load_effects& effects) {
   started_ = now;
+  wall_start_ = e.wall;
   StartDue(now, effects);
   ScheduleNext(effects);
 }
--- a/src/load/generator.h
+++ b/src/load/generator.h
@@ -18,7 +18,10 @@
 
 namespace radishroute {
 
-struct load_started {};
+/// `wall` dates the Idempotency-Keys.
+struct load_started {
+  wall_time wall;
+};
 
 struct load_timer_expired {};
 
@@ -77,8 +80,7 @@
   /// examples' plans keep in progress, and few enough that polling them costs little.
   static constexpr std::size_t kDefaultConnections = 512;
 
-  /// `wall_start` dates the Idempotency-Keys.
-  load_generator(load_plan plan, std::size_t targets, wall_time wall_start,
+  load_generator(load_plan plan, std::size_t targets,
                  std::size_t connections = kDefaultConnections);
 
   void Reduce(const load_event& e, steady_time now, load_effects& effects);
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -16,8 +16,7 @@
                          std::size_t connections, std::ostream* records)
     : targets_(std::move(targets)),
       records_(records),
-      wall_start_(clock_.WallNow()),
-      generator_(plan, targets_.size(), wall_start_, connections),
+      generator_(plan, targets_.size(), connections),
       result_(plan),
       client_(loop_,
               {[this](http_client::call_id id, unsigned status, const std::string& type) {
@@ -58,7 +57,9 @@
 
 load_result load_runner::Run() {
   started_ = clock_.Now();
-  Apply(load_started{});
+  // Read together, so that the date of a key and the latency of its request have one origin.
+  wall_start_ = clock_.WallNow();
+  Apply(load_started{wall_start_});
   loop_.Run();
   return std::move(result_);
 }
--- a/tests/e2e/invariants.py
+++ b/tests/e2e/invariants.py
@@ -9,6 +9,8 @@
 
 LEAVING_S = 2
 IN_FORCE_S = 8
+# Keys of version 7 round down to milliseconds.
+KEY_RESOLUTION_S = 0.001
 LOG_LINE = re.compile(r"^(\S+) \S+ event=(\d+) name=(\S+) ?(.*)$")
 DONE = ("in_time", "late")
 
@@ -27,6 +29,13 @@
     return launched
 
 
+def span_of(record, started):
+    """Earliest begin and latest end of a request. With the time of a key, the start of the load is
+    early by up to a millisecond, in which a kill cuts every answer."""
+    begin = started + record["planned_us"] / 1e6
+    return begin, begin + record["latency_us"] / 1e6 + KEY_RESOLUTION_S
+
+
 def read_runs(paths):
     """Runs by Idempotency-Key."""
     runs = {}
@@ -64,8 +73,7 @@
             found.append(f"request {r['number']}: wrong answer")
         if r["outcome"] != "cut":
             continue
-        begin = started + r["planned_us"] / 1e6
-        end = begin + r["latency_us"] / 1e6
+        begin, end = span_of(r, started)
         if not any(first <= end and begin <= last for first, last in interruptions):
             found.append(f"request {r['number']}: cut answer, although no entry was interrupted")
     return found
@@ -111,7 +119,7 @@
     for r in records:
         if r["outcome"] not in ("cut", "wrong"):
             continue
-        end = started + (r["planned_us"] + r["latency_us"]) / 1e6
+        _, end = span_of(r, started)
         found += [f"request {r['number']}: {r['outcome']} during the graceful stop of {s['process']}"
                   for s in stops if s["alone"] and s["begin"] <= end <= s["end"]]
     return found
--- a/tests/e2e/invariants_test.py
+++ b/tests/e2e/invariants_test.py
@@ -69,6 +69,11 @@
     assert not inv.find_interrupted_shutdowns([STOP], SOUND, START)
     assert inv.find_interrupted_shutdowns([{**STOP, "code": 3}], SOUND, START)
     assert inv.find_interrupted_shutdowns([STOP], with_outcome(3, "cut"), START)
+    # A start that a key gives may be early, so that an answer seems to be cut just before the stop.
+    just_after = {**STOP, "begin": START + 4.5009}
+    assert inv.find_interrupted_shutdowns([just_after], with_outcome(3, "cut"), START)
+    assert not inv.find_interrupted_shutdowns([{**STOP, "begin": START + 4.502}],
+                                              with_outcome(3, "cut"), START)
     # A kill at the same time may cut what the graceful stop would not have.
     assert not inv.find_interrupted_shutdowns([{**STOP, "alone": False}], with_outcome(3, "cut"), START)
 
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -38,8 +38,8 @@
 struct fake_entries {
   explicit fake_entries(const load_plan& plan, std::size_t targets = 2,
                         std::size_t connections = load_generator::kDefaultConnections)
-      : generator(plan, targets, wall_time(std::chrono::hours(1)), connections) {
-    Apply(load_started{});
+      : generator(plan, targets, connections) {
+    Apply(load_started{wall_time(std::chrono::hours(1))});
   }
 
   void Apply(const load_event& e) {
