--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -40,14 +40,24 @@
   std::vector<replica> replicas;
 };
 
-/// Puts a configuration in force as version `base_version + 1`.
+/// Which of two configuration changes takes effect.
+enum class config_precedence : std::uint8_t {
+  /// A change names the version that it follows; any other change in between is a conflict.
+  kCompareAndSet,
+  /// A change names its own version; it takes effect if that is the highest so far.
+  kHighestVersion,
+};
+
+/// Puts a configuration in force as version `base_version + 1`, or as `base_version` itself if the
+/// highest version takes precedence.
 struct config_change {
   std::uint64_t base_version = 0;
   /// Chosen by the operator; a resend carries the same one.
   std::string change_id;
   std::string author;
-  /// The sheet as CSV text.
+  /// The sheet as CSV text, or a document of the deployment's own format.
   std::string sheet;
+  config_precedence precedence = config_precedence::kCompareAndSet;
 };
 
 /// Claims an idempotency key before its request is dispatched.
--- a/include/radishroute/config.h
+++ b/include/radishroute/config.h
@@ -78,6 +78,7 @@
 
  private:
   change_result Decide(const config_change& change, std::uint64_t sheet_hash) const;
+  change_result ApplyHighest(const config_change& change, reduce_context& ctx);
   const config_version& Winner(std::uint64_t version) const;
   void Remember(change_record record);
 
--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -23,6 +23,8 @@
   std::vector<endpoint> peers;
   /// Sheet in force as version 0, before the first configuration change.
   work_sheet initial;
+  /// The configuration is a document that the traffic threads read, not a sheet.
+  bool documents = false;
 };
 
 /// Control-thread side of an entry towards the controllers: configuration lease, configuration
@@ -37,6 +39,7 @@
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
   void Handle(const timer_expired& timer, reduce_context& ctx);
+  void Handle(const controllers_changed& changed, reduce_context& ctx);
   void Handle(const claim_submitted& submitted, reduce_context& ctx);
   void Handle(const outcome_submitted& submitted, reduce_context& ctx);
 
--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -41,9 +41,10 @@
   void BecomeLeader(steady_time now);
   void StepDown();
 
-  /// Answers a renewal, and pushes the document to an entry that lacks it.
+  /// Answers a renewal, names the replicas, and pushes the document to an entry that lacks it.
   void OnRenew(link_id link, const lease_renew& renew, const config_document& config,
-               const endpoint& leader_hint, reduce_context& ctx);
+               const endpoint& leader_hint, reduce_context& ctx,
+               const std::vector<replica>& replicas = {});
   /// Pushes a version just committed to every entry.
   void OnCommitted(const config_document& config, reduce_context& ctx);
   void OnClosed(link_id link);
--- a/include/radishroute/config_message.h
+++ b/include/radishroute/config_message.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "radishroute/types.h"
 
@@ -28,6 +29,8 @@
   std::chrono::microseconds duration{};
   /// Version in force; the entry must have applied it before it serves.
   std::uint64_t version = 0;
+  /// All controllers that the leader knows.
+  std::vector<endpoint> controllers = {};
 };
 
 /// A configuration document.
--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -10,6 +10,8 @@
 #include <variant>
 
 #include "radishroute/config_leases.h"
+#include "radishroute/document_server.h"
+#include "radishroute/group_joiner.h"
 #include "radishroute/group_server.h"
 #include "radishroute/order_server.h"
 #include "radishroute/raft.h"
@@ -71,6 +73,9 @@
       log_.Machine().Orders().OnClosed(e.link);
       log_.Machine().Leases().OnClosed(e.link);
     }
+    if constexpr (requires(group_joiner joiner) { joiner.Handle(e); }) {
+      if (joiner_) joiner_->Handle(e);
+    }
     FollowRole(ctx);
   }
 
@@ -84,6 +89,30 @@
     FollowRole(ctx);
   }
 
+  void Handle(link_id, const join_reply& m, reduce_context&) {
+    if (joiner_) joiner_->OnHint(m.leader_hint);
+  }
+
+  void Handle(const controllers_changed& e, reduce_context&) {
+    if (joiner_) joiner_->Handle(e);
+  }
+
+  void Handle(const document_submitted& e, reduce_context& ctx) {
+    documents_.OnSubmitted(e, State().Config(), log_, ctx);
+    FollowRole(ctx);
+  }
+
+  void Handle(const document_requested& e, reduce_context& ctx) {
+    documents_.OnRequested(e, log_, ctx);
+    FollowRole(ctx);
+  }
+
+  // An entry that starts while no leader answers serves under what its nearest controller holds.
+  void Handle(link_id link, const version_query& m, reduce_context& ctx) {
+    const config_document& config = State().Config();
+    ctx.Emit(send_message{link, version_reply{m.sequence, config.Version(), config.Sheet(), {}}});
+  }
+
   void Handle(link_id link, const claim_request& m, reduce_context& ctx) {
     if (serving_) log_.Machine().Records().OnClaim(link, m, log_, ctx);
   }
@@ -119,7 +148,8 @@
       ctx.Emit(send_message{link, std::move(refused)});
       return;
     }
-    log_.Machine().Leases().OnRenew(link, m, State().Config(), Core().LeaderAddress(), ctx);
+    log_.Machine().Leases().OnRenew(link, m, State().Config(), Core().LeaderAddress(), ctx,
+                                    Core().Log().Replicas());
   }
 
   void Handle(link_id link, const fence_query& m, reduce_context& ctx) {
@@ -148,8 +178,13 @@
     log_.Machine().Groups() = group_server(settings);
   }
 
+  /// To be called before the first event, for a replica that finds its group by itself.
+  void JoinBy(group_joiner joiner) { joiner_.emplace(std::move(joiner)); }
+
  private:
   void FollowRole(reduce_context& ctx) {
+    documents_.OnProgress(Core(), State().Config(), ctx);
+    if (joiner_) joiner_->OnProgress(Core(), ctx);
     bool leads = Core().Role() == raft_role::kLeader && !Core().Failure();
     if (serving_ && (!leads || Core().Term() != term_)) {
       log_.Machine().Records().StepDown();
@@ -167,6 +202,8 @@
   }
 
   replicated_log<served_state<Codec>> log_;
+  document_server documents_;
+  std::optional<group_joiner> joiner_;
   bool serving_ = false;
   std::uint64_t term_ = 0;
 };
--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -29,6 +29,12 @@
   std::chrono::milliseconds home_timeout_per_peer{250};
   std::chrono::minutes tombstone_retention{10};
   std::size_t max_records = 16384;
+  /// Not zero where backend servers register themselves at controllers: a record whose backend
+  /// server has not repeated its registration for this time is down. Changes then go from the
+  /// controller that heard them to all others and to every entry, and not by gossip.
+  std::chrono::milliseconds registration_timeout{0};
+  /// Period in which controllers tell each other which registrations were repeated.
+  std::chrono::milliseconds registration_exchange{1000};
 };
 
 /// Directory of backend servers on an entry's control thread, kept the same on all entries by
@@ -39,13 +45,15 @@
 
   /// `initial` is in force until SetWork; a sheet without kinds means no configuration.
   directory(process_id self, std::string zone, work_sheet initial, std::vector<endpoint> peers = {},
-            directory_limits limits = {});
+            directory_limits limits = {}, process_role role = process_role::kEntry);
 
   void Handle(const process_started& started, reduce_context& ctx);
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
   void Handle(const timer_expired& timer, reduce_context& ctx);
   void Handle(const crash_report_shared& shared, reduce_context& ctx);
+  void Handle(const backend_registered& registered, reduce_context& ctx);
+  void Handle(const backend_withdrawn& withdrawn, reduce_context& ctx);
 
   void Handle(link_id link, const announcement& record, reduce_context& ctx);
   void Handle(link_id link, const directory_delta& delta, reduce_context& ctx);
@@ -57,6 +65,9 @@
   /// Sets the sheet in force under a configuration version.
   void SetWork(std::uint64_t version, work_sheet sheet, reduce_context& ctx);
 
+  /// Adds a controller to which a link is kept open.
+  void AddController(const endpoint& address, reduce_context& ctx);
+
   /// Publishes the end of the configuration lease to the traffic threads.
   void SetLease(steady_time until, reduce_context& ctx);
 
@@ -76,6 +87,25 @@
     steady_time advanced;
   };
 
+  // discovery_registration.cc
+  struct registration {
+    std::uint64_t sequence = 0;
+    steady_time heard;
+    bool heard_here = false;
+  };
+  struct registered_link {
+    bool to_controller = false;
+  };
+
+  bool Registered() const { return limits_.registration_timeout.count() > 0; }
+  void OnRegisteredLink(const link_opened& opened, reduce_context& ctx);
+  bool AcceptRegistration(const announcement& record, bool heard_here, reduce_context& ctx);
+  bool ClaimAddress(const announcement& record, directory_delta& changes, reduce_context& ctx);
+  void OnRegisteredDelta(link_id link, const directory_delta& delta, reduce_context& ctx);
+  void SendToAll(const directory_delta& delta, bool controllers_only, reduce_context& ctx);
+  void ExchangeRegistrations(reduce_context& ctx);
+  void ExpireRegistrations(reduce_context& ctx);
+
   bool Accept(const announcement& record, reduce_context& ctx);
   void Store(const announcement& record, reduce_context& ctx);
   bool Heard(const std::string& backend) const;
@@ -95,6 +125,10 @@
   std::string zone_;
   directory_limits limits_;
   peer_links peers_;
+  std::unordered_map<link_id, registered_link> registered_links_;
+  std::map<std::string, registration> registrations_;
+  steady_time next_exchange_;
+  bool is_controller_ = false;
   std::map<std::string, announcement> records_;
   std::array<std::uint64_t, kBuckets> bucket_hashes_{};
   std::uint64_t up_count_ = 0;
--- /dev/null
+++ b/include/radishroute/document_server.h
@@ -0,0 +1,79 @@
+#ifndef RADISHROUTE_DOCUMENT_SERVER_H_
+#define RADISHROUTE_DOCUMENT_SERVER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "radishroute/config.h"
+#include "radishroute/document_event.h"
+#include "radishroute/raft.h"
+#include "radishroute/reduce_context.h"
+
+namespace radishroute {
+
+/// Operators' changes and reads of the configuration document at one controller. A read is answered
+/// only after a majority has confirmed, later than the read arrived, that this replica leads.
+class document_server {
+ public:
+  /// A caller tries another controller after a second; an answer that is later reaches nobody.
+  static constexpr std::chrono::milliseconds kLongestRead{900};
+
+  template <class Log>
+  void OnSubmitted(const document_submitted& e, const config_document& config, Log& log,
+                   reduce_context& ctx) {
+    if (RefuseUnlessLeader(e.exchange, log.Core(), ctx)) return;
+    if (e.version <= config.Version()) {
+      Answer(e.exchange, document_status::kAccepted, config.Version(), ctx);
+      return;
+    }
+    config_change change;
+    change.base_version = e.version;
+    change.change_id = "v" + std::to_string(e.version);
+    change.sheet = e.text;
+    change.precedence = config_precedence::kHighestVersion;
+    auto position = log.Propose(std::move(change), ctx);
+    if (!position) {
+      Answer(e.exchange, document_status::kUnavailable, 0, ctx);
+      return;
+    }
+    changes_.emplace(position->index, pending_change{e.exchange, position->term, e.version});
+  }
+
+  template <class Log>
+  void OnRequested(const document_requested& e, Log& log, reduce_context& ctx) {
+    if (RefuseUnlessLeader(e.exchange, log.Core(), ctx)) return;
+    reads_.push_back({e.exchange, ctx.now});
+    log.RequestConfirmation(ctx);
+    ctx.Emit(schedule_wakeup{ctx.now + kLongestRead});
+  }
+
+  /// To be called after each event.
+  void OnProgress(const raft_core& core, const config_document& config, reduce_context& ctx);
+
+ private:
+  struct pending_change {
+    exchange_id exchange;
+    std::uint64_t term = 0;
+    std::uint64_t version = 0;
+  };
+  struct pending_read {
+    exchange_id exchange;
+    steady_time arrived;
+  };
+
+  static bool RefuseUnlessLeader(exchange_id exchange, const raft_core& core, reduce_context& ctx);
+  static void Answer(exchange_id exchange, document_status status, std::uint64_t version,
+                     reduce_context& ctx);
+
+  /// By log index.
+  std::multimap<std::uint64_t, pending_change> changes_;
+  std::vector<pending_read> reads_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_DOCUMENT_SERVER_H_
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/document_event.h"
 #include "radishroute/error.h"
+#include "radishroute/forward/forward_event.h"
 #include "radishroute/group_plan.h"
 #include "radishroute/log_event.h"
 #include "radishroute/message.h"
@@ -193,8 +195,18 @@
     store_log,                //
     proposal_finished,        //
     start_engine_order,       //
-    cancel_engine_order,
-    plan_placement,  //
+    cancel_engine_order,      //
+    document_answered,        //
+    registration_answered,    //
+    publish_document,         //
+    start_upstream,           //
+    cancel_upstream,          //
+    forward_begin,            //
+    forward_bytes,            //
+    forward_end,              //
+    forward_abort,            //
+    forward_reject,           //
+    plan_placement,           //
     call_rank>;
 
 using effect_list = std::vector<effect>;
--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -38,9 +38,12 @@
   kIdempotencyKeyInFuture,
   kClaimQueueFull,
   kRecordTableFull,
+  kUnknownRoute,
+  kUnauthorized,
+  kBackendsFull,
 };
 
-inline constexpr std::size_t kRefusalReasonCount = 28;
+inline constexpr std::size_t kRefusalReasonCount = 31;
 
 /// Stable identifier of a refusal reason, used in problem types and counter labels.
 std::string_view ToString(refusal_reason reason);
@@ -104,6 +107,10 @@
   kFolderInUse,
   kFolderUnusable,
   kNotDrainable,
+  kMalformedHttp,
+  kHttpHeadTooLong,
+  kMalformedCall,
+  kInvalidDeployment,
 };
 
 const std::error_category& RadishrouteCategory();
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -3,7 +3,9 @@
 
 #include <variant>
 
+#include "radishroute/document_event.h"
 #include "radishroute/failure_event.h"
+#include "radishroute/forward/forward_event.h"
 #include "radishroute/group_plan.h"
 #include "radishroute/link_event.h"
 #include "radishroute/order_event.h"
@@ -39,8 +41,20 @@
     outcome_submitted,        //
     claim_answered,           //
     outcome_answered,         //
-    engine_order_finished,
-    placement_planned,  //
+    engine_order_finished,    //
+    document_submitted,       //
+    document_requested,       //
+    backend_registered,       //
+    backend_withdrawn,        //
+    controllers_changed,      //
+    forward_received,         //
+    forward_caller_closed,    //
+    upstream_answer_begin,    //
+    upstream_answer_bytes,    //
+    upstream_answer_end,      //
+    upstream_call_failed,     //
+    deployment_published,     //
+    placement_planned,        //
     rank_answered>;
 
 }  // namespace radishroute
--- a/include/radishroute/leader_session.h
+++ b/include/radishroute/leader_session.h
@@ -18,6 +18,8 @@
       : controllers_(std::move(controllers)) {}
 
   void Start(reduce_context& ctx);
+  /// Adds a controller unless it is known.
+  void AddController(const endpoint& address);
 
   /// Each returns true if the link to the current controller changed.
   bool OnOpened(const link_opened& opened);
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -62,6 +62,15 @@
   kRankPastGrant = 724,
   kGroupPinned = 725,
   kGroupUnpinned = 726,
+  kForwardFinished = 800,
+  kForwardRefused = 801,
+  kForwardRetried = 802,
+  kForwardAttemptFailed = 803,
+  kDeploymentApplied = 810,
+  kDeploymentRejected = 811,
+  kDocumentAnswered = 812,
+  kCallRejected = 813,
+  kSettingsReloaded = 820,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -58,6 +58,8 @@
     snapshot_reply,            //
     propose_request,           //
     propose_reply,             //
+    join_request,              //
+    join_reply,                //
     claim_request,             //
     outcome_request,           //
     record_reply,              //
--- a/include/radishroute/peer_links.h
+++ b/include/radishroute/peer_links.h
@@ -11,10 +11,16 @@
 
 namespace radishroute {
 
-/// Links to other entries, opened when there is something to send and closed when idle.
+/// Links to other processes, opened when there is something to send and closed when idle, or kept
+/// open all the time.
 class peer_links {
  public:
-  explicit peer_links(std::vector<endpoint> peers);
+  explicit peer_links(std::vector<endpoint> peers, bool keep_open = false);
+
+  /// Adds a peer unless it is known.
+  void Add(const endpoint& address);
+  /// Opens the links that are to be kept open.
+  void OpenAll(reduce_context& ctx);
 
   void Handle(const link_opened& opened, reduce_context& ctx);
   /// True if the link could not be opened.
@@ -39,6 +45,7 @@
   peer* Find(const endpoint& address);
   void Send(peer& p, const message& m, reduce_context& ctx);
 
+  bool keep_open_ = false;
   std::vector<peer> peers_;
 };
 
--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -58,6 +58,12 @@
   std::uint64_t keep_entries = 1000;
   /// A learner at most this many entries behind becomes a voter.
   std::uint64_t caught_up = 100;
+  /// Learners beyond this many voters wait until they can replace one.
+  std::size_t max_voters = SIZE_MAX;
+  /// A voter that answers nothing for this time gives its place to a waiting learner.
+  std::chrono::milliseconds replace_silent{2500};
+  /// A learner that answers nothing for this time is removed.
+  std::chrono::milliseconds forget_learner{30000};
 };
 
 enum class raft_role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -87,6 +93,7 @@
   void Handle(link_id link, const snapshot_chunk& m, reduce_context& ctx);
   void Handle(link_id link, const snapshot_reply& m, reduce_context& ctx);
   void Handle(link_id link, const propose_request& m, reduce_context& ctx);
+  void Handle(link_id link, const join_request& m, reduce_context& ctx);
 
   /// Appends a command without a reply; its index, or nothing if this replica cannot commit now.
   std::optional<std::uint64_t> Append(command body, reduce_context& ctx);
@@ -118,6 +125,10 @@
   bool LeaseHeld(steady_time now) const;
   /// Whether this leader has applied every entry of earlier terms, too.
   bool IsCurrent(steady_time now) const;
+  /// Latest time at which this replica certainly was the only leader, as a majority confirmed.
+  steady_time ConfirmedAt(steady_time now) const;
+  /// Asks the others at once to confirm that this replica still leads.
+  void RequestConfirmation(reduce_context& ctx);
 
  private:
   /// What the leader knows about another replica.
@@ -195,6 +206,9 @@
   void FinishAllUnknown(reduce_context& ctx);
   bool ChangeAllowed(const std::vector<replica>& to, reduce_context& ctx) const;
   void AdvanceMembership(reduce_context& ctx);
+  bool IsSilent(const replica& r, std::chrono::milliseconds limit, steady_time now) const;
+  const replica* SilentVoter(steady_time now) const;
+  bool ForgetSilentLearner(reduce_context& ctx);
 
   raft_limits limits_;
   std::uint32_t log_group_ = 0;
@@ -278,6 +292,10 @@
   }
 
   const raft_core& Core() const { return core_; }
+  void RequestConfirmation(reduce_context& ctx) {
+    core_.RequestConfirmation(ctx);
+    core_.Flush(ctx);
+  }
   const S& Machine() const { return machine_; }
   S& Machine() { return machine_; }
 
--- a/include/radishroute/raft_message.h
+++ b/include/radishroute/raft_message.h
@@ -114,6 +114,16 @@
   endpoint leader;
 };
 
+/// Asks the leader to add this replica to the group.
+struct join_request {
+  replica candidate;
+};
+
+/// Answer to a join request; names the leader if it is known.
+struct join_reply {
+  endpoint leader_hint;
+};
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_RAFT_MESSAGE_H_
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -102,12 +102,40 @@
   /// Data folder.
   std::string data;
   group_settings groups;
+  /// Interface for operators' documents and for registrations; empty host for none.
+  endpoint calls_listen;
+  /// Controllers that this process was told of, itself among them at the first start.
+  std::vector<endpoint> known_controllers;
+  /// The whole system starts for the first time, and the known controllers form its group.
+  bool first_start = false;
+  /// Voters of the group; further replicas only copy the log until they replace one.
+  std::uint32_t voters = 5;
+  /// A backend server that has not repeated its registration for this time is down.
+  std::chrono::milliseconds registration_timeout{5000};
+};
+
+/// Settings of a process that forwards callers' HTTP requests to backend servers.
+struct gateway_settings {
+  common_settings common;
+  endpoint http_listen;
+  /// Address for readiness probes and metrics.
+  endpoint probe_listen;
+  std::vector<endpoint> controllers;
+  std::size_t max_requests = 4000;
+  /// Time for which a draining process still accepts requests.
+  std::chrono::milliseconds drain_notice{2500};
+  /// Attempts beyond the first per request and service, over all processes, in `retry_window`.
+  double retry_ratio = 0.2;
+  std::chrono::milliseconds retry_window{10000};
+  /// Further attempts in the window that one process may use beyond the ratio.
+  std::uint32_t retry_slack = 2;
 };
 
 /// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
 /// if there is none.
 entry_settings ParseEntrySettings(std::string_view text, std::vector<settings_error>& errors);
 agent_settings ParseAgentSettings(std::string_view text, std::vector<settings_error>& errors);
+gateway_settings ParseGatewaySettings(std::string_view text, std::vector<settings_error>& errors);
 controller_settings ParseControllerSettings(std::string_view text,
                                             std::vector<settings_error>& errors);
 
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -8,6 +8,7 @@
 #include "radishroute/controller_log.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
+#include "radishroute/forward/forwarder.h"
 #include "radishroute/link_monitor.h"
 #include "radishroute/order_client.h"
 #include "radishroute/rank_agent.h"
@@ -31,6 +32,7 @@
 struct traffic_state {
   std::optional<request_table<P>> requests;
   std::optional<execution_table<P>> executions;
+  std::optional<forwarder<least_loaded_selector>> forwarding;
 };
 
 /// State of one thread; a thread owns either the control part or a traffic part.
--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -23,8 +23,10 @@
     ParseAgentSettings(*text, errors);
   } else if (role == "controller") {
     ParseControllerSettings(*text, errors);
+  } else if (role == "gateway") {
+    ParseGatewaySettings(*text, errors);
   } else {
-    errors.push_back({"role", "one of \"entry\" \"agent\" \"controller\""});
+    errors.push_back({"role", "one of \"entry\" \"agent\" \"controller\" \"gateway\""});
   }
   return PrintErrors(file, errors) ? kExitUsage : kExitSuccess;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -6,6 +6,7 @@
 // Each runs one subcommand; `argv[0]` is the subcommand's name. Returns an exit_code.
 int RunEntry(int argc, char** argv);
 int RunAgent(int argc, char** argv);
+int RunGateway(int argc, char** argv);
 int RunCheck(int argc, char** argv);
 int RunApply(int argc, char** argv);
 int RunPin(int argc, char** argv);
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -14,7 +14,9 @@
 #include "cli/options.h"
 #include "cli/order_http.h"
 #include "cli/process.h"
+#include "io/control_api.h"
 #include "io/log_node.h"
+#include "platform/control_wire.h"
 #include "radishroute/policies.h"
 
 namespace radishroute {
@@ -67,11 +69,23 @@
     {proposal_status::kQueueFull, 503, "queue-full"},
 };
 
+// Documents are large and come in quick succession, so the log keeps few of them.
+raft_limits LimitsOf(const controller_settings& settings) {
+  raft_limits limits;
+  if (settings.calls_listen.host.empty()) return limits;
+  limits.max_voters = settings.voters;
+  limits.snapshot_every = 64;
+  limits.keep_entries = 16;
+  limits.caught_up = 2;
+  return limits;
+}
+
 /// One replica of the log and its operators' interface.
 class controller_process {
  public:
-  explicit controller_process(controller_settings settings)
+  controller_process(controller_settings settings, std::string file)
       : settings_(std::move(settings)),
+        settings_file_(std::move(file)),
         latch_(1),
         node_(MakeHello(settings_.common, process_role::kController),
               {[this](const proposal_finished& e) { OnFinished(e); },
@@ -82,8 +96,11 @@
 
   int Run(bool bootstrap) {
     replica self{{}, settings_.common.zone, settings_.control_advertise, true, {}};
-    std::error_code error = node_.Open(settings_.data, self, settings_.control_listen, bootstrap);
+    std::error_code error =
+        node_.Open(settings_.data, self, settings_.control_listen, bootstrap, LimitsOf(settings_),
+                   {settings_.first_start, settings_.known_controllers});
     if (!error) node_.Thread().State().control.log->ServeGroups(settings_.groups);
+    if (!error && !settings_.calls_listen.host.empty()) error = ServeCalls(self);
     if (!error) error = admin_.Start(settings_.admin_listen);
     if (error) {
       std::cerr << settings_.data << ": " << error.message() << "\n";
@@ -93,14 +110,39 @@
                     {{"role", "controller"}, {"node", settings_.common.node}});
     node_.Thread().Start();
     LogProcessEvent(event_code::kListening, {{"address", ToString(settings_.admin_listen)}});
-    WaitForStopSignal();
+    WaitForStopSignal(settings_file_, [this](const std::string& text) { OnSettings(text); });
     node_.Thread().Post(drain_requested{std::chrono::steady_clock::now()});
     bool finished = latch_.Wait();
     LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    FlushLog();
     return finished ? kExitSuccess : kExitFailed;
   }
 
  private:
+  using wire_api = control_api<platform::control_wire>;
+
+  std::error_code ServeCalls(const replica& self) {
+    control_state& control = node_.Thread().State().control;
+    control.log->JoinBy(group_joiner(self, settings_.known_controllers));
+    directory_limits limits;
+    limits.registration_timeout = settings_.registration_timeout;
+    hello identity = MakeHello(settings_.common, process_role::kController);
+    control.backends.emplace(identity.process, settings_.common.zone, work_sheet{},
+                             std::vector<endpoint>{}, limits, process_role::kController);
+    wire_api& api =
+        node_.Thread().Attach(node_.Thread().Loop(), settings_.calls_listen.port,
+                              [this](event&& e) { node_.Thread().Apply(std::move(e)); });
+    return api.Start(settings_.calls_listen);
+  }
+
+  // The other settings take effect at the next start.
+  void OnSettings(const std::string& text) {
+    std::vector<settings_error> errors;
+    controller_settings changed = ParseControllerSettings(text, errors);
+    LogReload(settings_file_, errors);
+    if (errors.empty()) node_.Thread().Post(controllers_changed{changed.known_controllers});
+  }
+
   void OnStop(bool finished) {
     latch_.Report(0, finished);
     // The module stops by itself only after a broken invariant; the main thread waits for a signal.
@@ -202,8 +244,9 @@
   }
 
   controller_settings settings_;
+  std::string settings_file_;
   stop_latch latch_;
-  log_node<baseline_policies> node_;
+  log_node<baseline_policies, wire_api> node_;
   admin_api admin_;
   http_server* server_ = nullptr;
   std::uint64_t next_proposal_ = 1;
@@ -221,7 +264,7 @@
   if (!parsed) return exit;
   auto settings = LoadSettings(*parsed, ParseControllerSettings);
   if (!settings) return kExitUsage;
-  controller_process process(std::move(*settings));
+  controller_process process(std::move(*settings), (*parsed)["settings"].as<std::string>());
   return process.Run(parsed->count("bootstrap") > 0);
 }
 
--- /dev/null
+++ b/src/cli/gateway.cc
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <iostream>
+#include <memory>
+
+#include "cli/commands.h"
+#include "cli/load_settings.h"
+#include "cli/options.h"
+#include "cli/process.h"
+#include "io/forward_api.h"
+#include "io/node_thread.h"
+#include "platform/config_wire.h"
+#include "platform/http_wire.h"
+#include "radishroute/policies.h"
+
+namespace radishroute {
+
+namespace {
+
+// Entries only receive registrations; the controllers decide when one has expired.
+constexpr std::chrono::milliseconds kRegistrationsExpireAtControllers{1};
+
+// Left of the time to drain for closing the process itself.
+constexpr std::chrono::milliseconds kExitMargin{300};
+
+/// A control thread that follows configuration and directory, and a traffic thread that forwards.
+class gateway_process {
+ public:
+  gateway_process(gateway_settings settings, std::string file)
+      : settings_(std::move(settings)), settings_file_(std::move(file)) {}
+
+  ~gateway_process() {
+    if (traffic_) traffic_->Join();
+    if (control_) control_->Join();
+  }
+
+  int Run() {
+    BuildControl();
+    if (auto error = BuildTraffic()) {
+      std::cerr << ToString(settings_.http_listen) << ": " << error.message() << "\n";
+      return kExitFailed;
+    }
+    LogProcessEvent(event_code::kProcessStarted,
+                    {{"role", "gateway"}, {"node", settings_.common.node}});
+    traffic_->Start();
+    control_->Start();
+    LogProcessEvent(event_code::kListening, {{"address", ToString(settings_.http_listen)}});
+    WaitForStopSignal(settings_file_, [this](const std::string& text) { OnSettings(text); });
+    LogProcessEvent(event_code::kDrainStarted, {});
+    auto longest = settings_.common.drain_timeout - kExitMargin;
+    traffic_->Post(drain_requested{system_clock_source().Now() + longest});
+    bool finished = latch_.Wait();
+    LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    FlushLog();
+    return finished ? kExitSuccess : kExitUnfinished;
+  }
+
+ private:
+  using wire_api = forward_api<platform::http_wire>;
+  using traffic_thread = node_thread<baseline_policies, wire_api>;
+
+  void BuildControl() {
+    hello self = MakeHello(settings_.common, process_role::kEntry);
+    node_hooks hooks;
+    hooks.on_publish = [this](const publish_routing_table& p) {
+      traffic_->Post(routing_table_published{p.table, p.config_lease_until});
+    };
+    hooks.on_document = [this](const publish_document& d) { OnDocument(d); };
+    control_ = std::make_unique<node_thread<baseline_policies>>(self, hooks);
+    control_state& control = control_->State().control;
+    directory_limits limits;
+    limits.registration_timeout = kRegistrationsExpireAtControllers;
+    control.backends.emplace(self.process, settings_.common.zone, work_sheet{},
+                             settings_.controllers, limits);
+    config_client_settings config;
+    config.node = settings_.common.node;
+    config.zone = settings_.common.zone;
+    config.controllers = config.peers = settings_.controllers;
+    config.documents = true;
+    control.config.emplace(std::move(config), *control.backends);
+  }
+
+  std::error_code BuildTraffic() {
+    node_hooks hooks;
+    hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
+    traffic_ =
+        std::make_unique<traffic_thread>(MakeHello(settings_.common, process_role::kEntry), hooks);
+    forwarder_settings forwarding;
+    forwarding.zone = settings_.common.zone;
+    forwarding.max_requests = settings_.max_requests;
+    forwarding.drain_notice = settings_.drain_notice;
+    forwarding.retries = {settings_.retry_ratio, settings_.retry_window,
+                          static_cast<double>(settings_.retry_slack)};
+    auto& state = traffic_->State().traffic.forwarding;
+    state.emplace(std::move(forwarding));
+    wire_api& api = traffic_->Attach(
+        traffic_->Loop(), [this](event&& e) { traffic_->Apply(std::move(e)); },
+        [&state] { return state->Ready(); });
+    return api.Start(settings_.http_listen, settings_.probe_listen);
+  }
+
+  // The other settings take effect at the next start.
+  void OnSettings(const std::string& text) {
+    std::vector<settings_error> errors;
+    gateway_settings changed = ParseGatewaySettings(text, errors);
+    LogReload(settings_file_, errors);
+    if (errors.empty()) control_->Post(controllers_changed{changed.controllers});
+  }
+
+  // On the control thread, so that reading a large document does not hold up requests.
+  void OnDocument(const publish_document& d) {
+    deployment parsed;
+    std::error_code error = platform::DecodeDeployment(*d.text, parsed);
+    std::string version = std::to_string(d.version);
+    if (error) {
+      // Controllers check documents before they accept them.
+      WriteLog({event_code::kDeploymentRejected,
+                log_level::kError,
+                {{"version", version}, {"error", error.message()}}});
+      return;
+    }
+    request_bounds bounds = parsed.bounds;
+    WriteLog({event_code::kDeploymentApplied,
+              log_level::kInfo,
+              {{"version", version}, {"routes", std::to_string(parsed.routes.size())}}});
+    traffic_->Loop().Post([this, bounds] { traffic_->Extension().SetBounds(bounds); });
+    traffic_->Post(deployment_published{std::make_shared<const route_index>(std::move(parsed))});
+  }
+
+  gateway_settings settings_;
+  std::string settings_file_;
+  stop_latch latch_{1};
+  std::unique_ptr<node_thread<baseline_policies>> control_;
+  std::unique_ptr<traffic_thread> traffic_;
+};
+
+}  // namespace
+
+int RunGateway(int argc, char** argv) {
+  cxxopts::Options options("radishroute gateway",
+                           "Forwards callers' HTTP requests to backend servers.");
+  AddSettingsOption(options);
+  int exit = kExitSuccess;
+  auto parsed = ParseOptions(options, argc, argv, exit);
+  if (!parsed) return exit;
+  auto settings = LoadSettings(*parsed, ParseGatewaySettings);
+  if (!settings) return kExitUsage;
+  gateway_process process(std::move(*settings), (*parsed)["settings"].as<std::string>());
+  return process.Run();
+}
+
+}  // namespace radishroute
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -12,11 +12,15 @@
 
 namespace {
 
+// A file may change without a signal; its readers need the change within seconds.
+constexpr std::chrono::seconds kSettingsInterval{1};
+
 sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -31,7 +35,25 @@
 void WaitForStopSignal() {
   sigset_t signals = StopSignals();
   int received = 0;
-  sigwait(&signals, &received);
+  do {
+    sigwait(&signals, &received);
+  } while (received == SIGHUP);
+}
+
+void WaitForStopSignal(const std::string& settings_file,
+                       const std::function<void(const std::string&)>& on_change) {
+  sigset_t signals = StopSignals();
+  std::string known = ReadFile(settings_file).value_or("");
+  for (;;) {
+    timespec interval{kSettingsInterval.count(), 0};
+    int received = sigtimedwait(&signals, nullptr, &interval);
+    if (received > 0 && received != SIGHUP) return;
+    auto text = ReadFile(settings_file);
+    // A file that is being replaced may be missing for a moment.
+    if (!text || text->empty() || *text == known) continue;
+    known = *text;
+    on_change(known);
+  }
 }
 
 void stop_latch::Report(std::size_t thread, bool all_finished) {
@@ -102,6 +124,17 @@
   return !errors.empty();
 }
 
+void LogReload(const std::string& file, const std::vector<settings_error>& errors) {
+  log_event line;
+  line.code = event_code::kSettingsReloaded;
+  line.fields = {{"file", file}, {"changed", errors.empty() ? "yes" : "no"}};
+  if (!errors.empty()) {
+    line.level = log_level::kError;
+    line.fields.push_back({"error", errors.front().path + ": expected " + errors.front().expected});
+  }
+  WriteLog(line);
+}
+
 void LogProcessEvent(event_code code, std::vector<log_field> fields) {
   WriteLog({code, log_level::kInfo, std::move(fields)});
 }
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -25,9 +26,14 @@
 /// Blocks the signals that ask for a graceful stop in this thread and those it starts.
 void BlockStopSignals();
 
-/// Waits until SIGTERM or SIGINT arrives.
+/// Waits until SIGTERM or SIGINT arrives. SIGHUP does not end the process.
 void WaitForStopSignal();
 
+/// Waits in the same way, and calls `on_change` with the text of a settings file each time that it
+/// differs from before: at SIGHUP, or found by looking once a second.
+void WaitForStopSignal(const std::string& settings_file,
+                       const std::function<void(const std::string&)>& on_change);
+
 /// Counts threads that report that they have stopped.
 class stop_latch {
  public:
@@ -63,6 +69,9 @@
 /// Prints settings errors to standard error; true if there are any.
 bool PrintErrors(const std::string& file, const std::vector<settings_error>& errors);
 
+/// Logs that a changed settings file was read, with its first fault if it has any.
+void LogReload(const std::string& file, const std::vector<settings_error>& errors);
+
 void LogProcessEvent(event_code code, std::vector<log_field> fields);
 
 }  // namespace radishroute
--- a/src/config.cc
+++ b/src/config.cc
@@ -32,7 +32,21 @@
   return result;
 }
 
+// Versions may leave gaps, and a resend needs no history: it is not higher than what is held.
+change_result config_document::ApplyHighest(const config_change& change, reduce_context& ctx) {
+  if (change.base_version <= current_.version) {
+    return {change_verdict::kCommitted, current_.version, current_};
+  }
+  std::uint64_t former = current_.version;
+  current_ = {change.base_version, change.change_id, change.author, StableHash(change.sheet)};
+  CheckInvariant(current_.version > former, "configuration versions never go back", ctx);
+  sheet_ = change.sheet;
+  versions_.assign(1, current_);
+  return {change_verdict::kCommitted, current_.version, current_};
+}
+
 change_result config_document::Apply(const config_change& change, reduce_context& ctx) {
+  if (change.precedence == config_precedence::kHighestVersion) return ApplyHighest(change, ctx);
   if (change.change_id.empty()) return {change_verdict::kMissingChangeId, 0, current_};
   std::uint64_t sheet_hash = StableHash(change.sheet);
   if (auto it = by_change_id_.find(change.change_id); it != by_change_id_.end()) {
--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -57,7 +57,7 @@
   }
   bool peer = std::find(settings_.peers.begin(), settings_.peers.end(), opened.dialed) !=
               settings_.peers.end();
-  if (!peer || opened.peer.zone != settings_.zone) return;
+  if (!peer || (!settings_.documents && opened.peer.zone != settings_.zone)) return;
   peer_links_[opened.dialed] = opened.link;
   if (peers_asked_ && !ready_) ctx.Emit(send_message{opened.link, version_query{next_sequence_++}});
 }
@@ -91,6 +91,7 @@
   }
   bool first = !session_.Confirmed();
   session_.OnLeader(ctx);
+  Handle(controllers_changed{grant.controllers}, ctx);
   heard_ = std::max(heard_, grant.version);
   lease_until_ = std::max(lease_until_, sent + grant.duration - grant.duration / kDriftDivisor);
   if (!ready_ && heard_ == 0) {
@@ -125,6 +126,14 @@
 
 void config_client::Apply(std::uint64_t version, const std::string& sheet, reduce_context& ctx) {
   if (version < heard_ || (ready_ && version <= applied_)) return;
+  if (settings_.documents) {
+    if (!CheckInvariant(version >= applied_, "configuration versions never go back", ctx)) return;
+    applied_ = heard_ = version;
+    sheet_ = sheet;
+    ctx.Emit(publish_document{version, std::make_shared<const std::string>(sheet)});
+    BecomeReady(ctx);
+    return;
+  }
   std::vector<sheet_error> errors;
   work_sheet parsed = ParseSheet(sheet, errors);
   log_event entry;
@@ -173,7 +182,8 @@
 }
 
 void config_client::Handle(link_id link, const version_reply& reply, reduce_context& ctx) {
-  if (ready_ || !peers_asked_ || reply.zone != settings_.zone) return;
+  bool trusted = settings_.documents || reply.zone == settings_.zone;
+  if (ready_ || !peers_asked_ || !trusted) return;
   heard_ = std::max(heard_, reply.version);
   peer_answers_[link] = {reply.version, reply.sheet};
   ctx.Emit(schedule_wakeup{ctx.now + kPeerWait});
@@ -214,6 +224,13 @@
   }
 }
 
+void config_client::Handle(const controllers_changed& changed, reduce_context& ctx) {
+  for (const endpoint& controller : changed.controllers) {
+    session_.AddController(controller);
+    backends_.AddController(controller, ctx);
+  }
+}
+
 void config_client::Handle(const claim_submitted& submitted, reduce_context& ctx) {
   if (!session_.HasControllers()) {
     record_reply reply;
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -20,7 +20,8 @@
 }
 
 void config_leases::OnRenew(link_id link, const lease_renew& renew, const config_document& config,
-                            const endpoint& leader_hint, reduce_context& ctx) {
+                            const endpoint& leader_hint, reduce_context& ctx,
+                            const std::vector<replica>& replicas) {
   lease_grant grant;
   grant.sequence = renew.sequence;
   grant.leader_hint = leader_hint;
@@ -29,6 +30,7 @@
   if (grant.granted) {
     grant.duration = kLease;
     grant.version = config.Version();
+    for (const replica& r : replicas) grant.controllers.push_back(r.address);
     lease& held = leases_[renew.node];
     held.zone = renew.zone;
     held.link = link;
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -55,11 +55,12 @@
 }  // namespace
 
 directory::directory(process_id self, std::string zone, work_sheet initial,
-                     std::vector<endpoint> peers, directory_limits limits)
+                     std::vector<endpoint> peers, directory_limits limits, process_role role)
     : self_(self),
       zone_(std::move(zone)),
       limits_(limits),
-      peers_(std::move(peers)),
+      peers_(std::move(peers), limits.registration_timeout.count() > 0),
+      is_controller_(role == process_role::kController),
       sheet_(std::move(initial)) {}
 
 bool directory::Heard(const std::string& backend) const {
@@ -117,6 +118,14 @@
 }
 
 void directory::Handle(const process_started&, reduce_context& ctx) {
+  if (Registered()) {
+    pull_pending_ = !is_controller_;
+    peers_.OpenAll(ctx);
+    next_exchange_ = ctx.now + limits_.registration_exchange;
+    ctx.Emit(schedule_wakeup{next_exchange_});
+    Publish(ctx);
+    return;
+  }
   next_digest_ = ctx.now + limits_.digest_interval;
   beats_[self_.node] = {self_.incarnation, ctx.now};
   pull_pending_ = peers_.Size() > 0;
@@ -127,6 +136,7 @@
 
 void directory::Handle(const link_opened& opened, reduce_context& ctx) {
   peers_.Handle(opened, ctx);
+  if (Registered()) OnRegisteredLink(opened, ctx);
 }
 
 void directory::Handle(link_id link, const announcement& record, reduce_context& ctx) {
@@ -140,7 +150,9 @@
 }
 
 void directory::Handle(const link_closed& closed, reduce_context& ctx) {
-  if (peers_.Handle(closed, ctx) && pull_pending_) peers_.Spread(directory_pull{}, 1, ctx);
+  bool unreachable = peers_.Handle(closed, ctx);
+  if (unreachable && pull_pending_ && !Registered()) peers_.Spread(directory_pull{}, 1, ctx);
+  registered_links_.erase(closed.link);
   auto it = announced_on_.find(closed.link);
   if (it == announced_on_.end()) return;
   std::string backend = it->second;
@@ -183,7 +195,11 @@
   peers_.Spread(std::move(delta), urgent ? kUrgentFanOut : kFanOut, ctx);
 }
 
-void directory::Handle(link_id, const directory_delta& delta, reduce_context& ctx) {
+void directory::Handle(link_id link, const directory_delta& delta, reduce_context& ctx) {
+  if (Registered()) {
+    OnRegisteredDelta(link, delta, ctx);
+    return;
+  }
   bool first = std::exchange(pull_pending_, false);
   directory_delta fresh;
   for (const announcement& record : delta.records) {
@@ -290,6 +306,11 @@
 
 void directory::Handle(const timer_expired& timer, reduce_context& ctx) {
   peers_.Handle(timer, ctx);
+  if (Registered()) {
+    if (is_controller_ && ctx.now >= next_exchange_) ExchangeRegistrations(ctx);
+    if (is_controller_) ctx.Emit(schedule_wakeup{next_exchange_});
+    return;
+  }
   ClaimLostAgents(ctx);
   if (peers_.Size() > 0 && ctx.now >= next_digest_) {
     ExchangeDigest(ctx);
@@ -333,6 +354,7 @@
 
 bool directory::Routable(const announcement& record) const {
   if (record.status != backend_status::kUp) return false;
+  if (Registered()) return true;
   return !lost_homes_.contains(record.home) || Heard(record.backend);
 }
 
--- /dev/null
+++ b/src/document_server.cc
@@ -0,0 +1,56 @@
+#include "radishroute/document_server.h"
+
+namespace radishroute {
+
+void document_server::Answer(exchange_id exchange, document_status status, std::uint64_t version,
+                             reduce_context& ctx) {
+  document_answered answer;
+  answer.exchange = exchange;
+  answer.status = status;
+  answer.version = version;
+  ctx.Emit(std::move(answer));
+}
+
+bool document_server::RefuseUnlessLeader(exchange_id exchange, const raft_core& core,
+                                         reduce_context& ctx) {
+  if (core.Role() == raft_role::kLeader && !core.Failure()) return false;
+  document_answered answer;
+  answer.exchange = exchange;
+  answer.leader = core.LeaderAddress();
+  bool known = !answer.leader.host.empty();
+  answer.status = known ? document_status::kRedirected : document_status::kUnavailable;
+  ctx.Emit(std::move(answer));
+  return true;
+}
+
+void document_server::OnProgress(const raft_core& core, const config_document& config,
+                                 reduce_context& ctx) {
+  bool leads = core.Role() == raft_role::kLeader && !core.Failure();
+  while (!changes_.empty()) {
+    const auto& [index, change] = *changes_.begin();
+    if (leads && change.term == core.Term() && index > core.AppliedIndex()) break;
+    // An entry of this term was appended by this leader, so what is applied there is the change.
+    bool applied = change.term == core.Term() && index <= core.AppliedIndex();
+    bool in_force = applied && config.Version() >= change.version;
+    Answer(change.exchange, in_force ? document_status::kAccepted : document_status::kUnavailable,
+           config.Version(), ctx);
+    changes_.erase(changes_.begin());
+  }
+  std::erase_if(reads_, [&](const pending_read& read) {
+    bool confirmed = leads && core.IsCurrent(ctx.now) && core.ConfirmedAt(ctx.now) >= read.arrived;
+    if (confirmed && config.Version() > 0) {
+      document_answered answer;
+      answer.exchange = read.exchange;
+      answer.status = document_status::kFound;
+      answer.version = config.Version();
+      answer.text = config.Sheet();
+      ctx.Emit(std::move(answer));
+      return true;
+    }
+    bool waits = leads && !confirmed && ctx.now - read.arrived < kLongestRead;
+    if (!waits) Answer(read.exchange, document_status::kUnavailable, 0, ctx);
+    return !waits;
+  });
+}
+
+}  // namespace radishroute
--- a/src/error.cc
+++ b/src/error.cc
@@ -33,7 +33,10 @@
                                                                         "suspect-already-running",
                                                                         "idempotency-key-in-future",
                                                                         "claim-queue-full",
-                                                                        "record-table-full"};
+                                                                        "record-table-full",
+                                                                        "unknown-route",
+                                                                        "unauthorized",
+                                                                        "backends-full"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
@@ -112,6 +115,14 @@
         return "data folder is in use by another process";
       case errc::kFolderUnusable:
         return "data folder cannot be created or read";
+      case errc::kMalformedHttp:
+        return "message is not valid HTTP/1.1";
+      case errc::kHttpHeadTooLong:
+        return "HTTP head exceeds the length limit";
+      case errc::kMalformedCall:
+        return "call cannot be read";
+      case errc::kInvalidDeployment:
+        return "configuration is invalid";
       case errc::kNotDrainable:
         return "process does not take this command";
     }
--- /dev/null
+++ b/src/forward/deployment.cc
@@ -0,0 +1,86 @@
+#include "radishroute/forward/deployment.h"
+
+#include <array>
+#include <set>
+#include <unordered_set>
+#include <utility>
+
+#include "radishroute/error.h"
+
+namespace radishroute {
+
+namespace {
+
+std::string PlaceKey(std::string_view host, std::string_view prefix) {
+  std::string key(host);
+  key.append(" ").append(prefix);
+  return key;
+}
+
+bool RouteIsValid(const route& r, const std::unordered_set<std::string_view>& services) {
+  std::uint64_t weight = 0;
+  for (const traffic_share& share : r.split) {
+    if (!services.contains(share.service)) return false;
+    weight += share.weight;
+  }
+  bool placed = !r.path_prefix.empty() && r.path_prefix.front() == '/' &&
+                r.path_prefix.back() == '/' && r.path_prefix.find(' ') == std::string::npos;
+  return weight > 0 && r.timeout.count() > 0 && placed;
+}
+
+}  // namespace
+
+std::string_view ToString(request_kind kind) {
+  constexpr std::array<std::string_view, 3> kNames = {"idempotent", "non-idempotent", "streaming"};
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+std::error_code Validate(const deployment& d) {
+  std::unordered_set<std::string_view> services;
+  for (const service& s : d.services) services.insert(s.name);
+  std::set<std::pair<std::string_view, std::string_view>> places;
+  for (const route& r : d.routes) {
+    if (!RouteIsValid(r, services)) return errc::kInvalidDeployment;
+    if (!places.emplace(r.host, r.path_prefix).second) return errc::kInvalidDeployment;
+  }
+  std::unordered_set<std::string_view> keys;
+  for (const member_account& m : d.members) {
+    std::unordered_set<std::string_view> own(m.keys.begin(), m.keys.end());
+    for (std::string_view key : own) {
+      if (!keys.insert(key).second) return errc::kInvalidDeployment;
+    }
+  }
+  return {};
+}
+
+route_index::route_index(deployment d) : deployment_(std::move(d)) {
+  for (const route& r : deployment_.routes) routes_[PlaceKey(r.host, r.path_prefix)] = &r;
+  for (const service& s : deployment_.services) services_[s.name] = &s;
+  for (const member_account& m : deployment_.members) {
+    for (const std::string& key : m.keys) members_[key] = &m;
+  }
+}
+
+const route* route_index::Find(std::string_view host, std::string_view path) const {
+  std::string key = PlaceKey(host, path);
+  std::size_t first = host.size() + 1;
+  // Every prefix ends with a slash, so only those that end at a slash of the path can match.
+  for (std::size_t end = key.rfind('/'); end != std::string::npos && end >= first;
+       end = end == first ? std::string::npos : key.rfind('/', end - 1)) {
+    auto it = routes_.find(std::string_view(key).substr(0, end + 1));
+    if (it != routes_.end()) return it->second;
+  }
+  return nullptr;
+}
+
+const member_account* route_index::FindMember(std::string_view key) const {
+  auto it = members_.find(key);
+  return it == members_.end() ? nullptr : it->second;
+}
+
+const service* route_index::FindService(std::string_view name) const {
+  auto it = services_.find(name);
+  return it == services_.end() ? nullptr : it->second;
+}
+
+}  // namespace radishroute
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -4598,6 +4598,11 @@
 void ConfigChange::__set_sheet(const std::string& val) {
   this->sheet = val;
 }
+
+void ConfigChange::__set_precedence(const int32_t val) {
+  this->precedence = val;
+__isset.precedence = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
 {
   obj.printTo(out);
@@ -4652,12 +4657,20 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sheet);
+          xfer += iprot->readBinary(this->sheet);
           this->__isset.sheet = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->precedence);
+          this->__isset.precedence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4688,9 +4701,14 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->sheet);
+  xfer += oprot->writeBinary(this->sheet);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.precedence) {
+    xfer += oprot->writeFieldBegin("precedence", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->precedence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4702,6 +4720,7 @@
   swap(a.changeId, b.changeId);
   swap(a.author, b.author);
   swap(a.sheet, b.sheet);
+  swap(a.precedence, b.precedence);
   swap(a.__isset, b.__isset);
 }
 
@@ -4710,6 +4729,7 @@
   changeId = other176.changeId;
   author = other176.author;
   sheet = other176.sheet;
+  precedence = other176.precedence;
   __isset = other176.__isset;
 }
 ConfigChange::ConfigChange(ConfigChange&& other177) noexcept {
@@ -4717,6 +4737,7 @@
   changeId = std::move(other177.changeId);
   author = std::move(other177.author);
   sheet = std::move(other177.sheet);
+  precedence = other177.precedence;
   __isset = other177.__isset;
 }
 ConfigChange& ConfigChange::operator=(const ConfigChange& other178) {
@@ -4724,6 +4745,7 @@
   changeId = other178.changeId;
   author = other178.author;
   sheet = other178.sheet;
+  precedence = other178.precedence;
   __isset = other178.__isset;
   return *this;
 }
@@ -4732,6 +4754,7 @@
   changeId = std::move(other179.changeId);
   author = std::move(other179.author);
   sheet = std::move(other179.sheet);
+  precedence = other179.precedence;
   __isset = other179.__isset;
   return *this;
 }
@@ -4742,6 +4765,7 @@
   out << ", " << "changeId=" << to_string(changeId);
   out << ", " << "author=" << to_string(author);
   out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "precedence="; (__isset.precedence ? (out << to_string(precedence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8250,6 +8274,208 @@
 }
 
 
+JoinRequest::~JoinRequest() noexcept {
+}
+
+
+void JoinRequest::__set_candidate(const Replica& val) {
+  this->candidate = val;
+}
+std::ostream& operator<<(std::ostream& out, const JoinRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JoinRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->candidate.read(iprot);
+          this->__isset.candidate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JoinRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JoinRequest");
+
+  xfer += oprot->writeFieldBegin("candidate", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->candidate.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JoinRequest &a, JoinRequest &b) {
+  using ::std::swap;
+  swap(a.candidate, b.candidate);
+  swap(a.__isset, b.__isset);
+}
+
+JoinRequest::JoinRequest(const JoinRequest& other264) {
+  candidate = other264.candidate;
+  __isset = other264.__isset;
+}
+JoinRequest::JoinRequest(JoinRequest&& other265) noexcept {
+  candidate = std::move(other265.candidate);
+  __isset = other265.__isset;
+}
+JoinRequest& JoinRequest::operator=(const JoinRequest& other266) {
+  candidate = other266.candidate;
+  __isset = other266.__isset;
+  return *this;
+}
+JoinRequest& JoinRequest::operator=(JoinRequest&& other267) noexcept {
+  candidate = std::move(other267.candidate);
+  __isset = other267.__isset;
+  return *this;
+}
+void JoinRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JoinRequest(";
+  out << "candidate=" << to_string(candidate);
+  out << ")";
+}
+
+
+JoinReply::~JoinReply() noexcept {
+}
+
+
+void JoinReply::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+std::ostream& operator<<(std::ostream& out, const JoinReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JoinReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JoinReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JoinReply");
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JoinReply &a, JoinReply &b) {
+  using ::std::swap;
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.__isset, b.__isset);
+}
+
+JoinReply::JoinReply(const JoinReply& other268) {
+  leaderHint = other268.leaderHint;
+  __isset = other268.__isset;
+}
+JoinReply::JoinReply(JoinReply&& other269) noexcept {
+  leaderHint = std::move(other269.leaderHint);
+  __isset = other269.__isset;
+}
+JoinReply& JoinReply::operator=(const JoinReply& other270) {
+  leaderHint = other270.leaderHint;
+  __isset = other270.__isset;
+  return *this;
+}
+JoinReply& JoinReply::operator=(JoinReply&& other271) noexcept {
+  leaderHint = std::move(other271.leaderHint);
+  __isset = other271.__isset;
+  return *this;
+}
+void JoinReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JoinReply(";
+  out << "leaderHint=" << to_string(leaderHint);
+  out << ")";
+}
+
+
 LogBatch::~LogBatch() noexcept {
 }
 
@@ -8301,14 +8527,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _etype267;
-            xfer += iprot->readListBegin(_etype267, _size264);
-            this->entries.resize(_size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->entries.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->entries[_i268].read(iprot);
+              xfer += this->entries[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8341,10 +8567,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter269;
-    for (_iter269 = this->entries.begin(); _iter269 != this->entries.end(); ++_iter269)
+    std::vector<LogEntry> ::const_iterator _iter277;
+    for (_iter277 = this->entries.begin(); _iter277 != this->entries.end(); ++_iter277)
     {
-      xfer += (*_iter269).write(oprot);
+      xfer += (*_iter277).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8362,26 +8588,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other270) {
-  truncateFrom = other270.truncateFrom;
-  entries = other270.entries;
-  __isset = other270.__isset;
+LogBatch::LogBatch(const LogBatch& other278) {
+  truncateFrom = other278.truncateFrom;
+  entries = other278.entries;
+  __isset = other278.__isset;
 }
-LogBatch::LogBatch(LogBatch&& other271) noexcept {
-  truncateFrom = other271.truncateFrom;
-  entries = std::move(other271.entries);
-  __isset = other271.__isset;
+LogBatch::LogBatch(LogBatch&& other279) noexcept {
+  truncateFrom = other279.truncateFrom;
+  entries = std::move(other279.entries);
+  __isset = other279.__isset;
 }
-LogBatch& LogBatch::operator=(const LogBatch& other272) {
-  truncateFrom = other272.truncateFrom;
-  entries = other272.entries;
-  __isset = other272.__isset;
+LogBatch& LogBatch::operator=(const LogBatch& other280) {
+  truncateFrom = other280.truncateFrom;
+  entries = other280.entries;
+  __isset = other280.__isset;
   return *this;
 }
-LogBatch& LogBatch::operator=(LogBatch&& other273) noexcept {
-  truncateFrom = other273.truncateFrom;
-  entries = std::move(other273.entries);
-  __isset = other273.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other281) noexcept {
+  truncateFrom = other281.truncateFrom;
+  entries = std::move(other281.entries);
+  __isset = other281.__isset;
   return *this;
 }
 void LogBatch::printTo(std::ostream& out) const {
@@ -8468,22 +8694,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other274) noexcept {
-  id = other274.id;
-  __isset = other274.__isset;
+VoterRecord::VoterRecord(const VoterRecord& other282) noexcept {
+  id = other282.id;
+  __isset = other282.__isset;
 }
-VoterRecord::VoterRecord(VoterRecord&& other275) noexcept {
-  id = other275.id;
-  __isset = other275.__isset;
+VoterRecord::VoterRecord(VoterRecord&& other283) noexcept {
+  id = other283.id;
+  __isset = other283.__isset;
 }
-VoterRecord& VoterRecord::operator=(const VoterRecord& other276) noexcept {
-  id = other276.id;
-  __isset = other276.__isset;
+VoterRecord& VoterRecord::operator=(const VoterRecord& other284) noexcept {
+  id = other284.id;
+  __isset = other284.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other277) noexcept {
-  id = other277.id;
-  __isset = other277.__isset;
+VoterRecord& VoterRecord::operator=(VoterRecord&& other285) noexcept {
+  id = other285.id;
+  __isset = other285.__isset;
   return *this;
 }
 void VoterRecord::printTo(std::ostream& out) const {
@@ -8586,26 +8812,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other278) noexcept {
-  term = other278.term;
-  votedFor = other278.votedFor;
-  __isset = other278.__isset;
+VoteRecord::VoteRecord(const VoteRecord& other286) noexcept {
+  term = other286.term;
+  votedFor = other286.votedFor;
+  __isset = other286.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other279) noexcept {
-  term = other279.term;
-  votedFor = other279.votedFor;
-  __isset = other279.__isset;
+VoteRecord::VoteRecord(VoteRecord&& other287) noexcept {
+  term = other287.term;
+  votedFor = other287.votedFor;
+  __isset = other287.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other280) noexcept {
-  term = other280.term;
-  votedFor = other280.votedFor;
-  __isset = other280.__isset;
+VoteRecord& VoteRecord::operator=(const VoteRecord& other288) noexcept {
+  term = other288.term;
+  votedFor = other288.votedFor;
+  __isset = other288.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other281) noexcept {
-  term = other281.term;
-  votedFor = other281.votedFor;
-  __isset = other281.__isset;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other289) noexcept {
+  term = other289.term;
+  votedFor = other289.votedFor;
+  __isset = other289.__isset;
   return *this;
 }
 void VoteRecord::printTo(std::ostream& out) const {
@@ -8684,14 +8910,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->replicas.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->replicas.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->replicas[_i286].read(iprot);
+              xfer += this->replicas[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8736,10 +8962,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter287;
-    for (_iter287 = this->replicas.begin(); _iter287 != this->replicas.end(); ++_iter287)
+    std::vector<Replica> ::const_iterator _iter295;
+    for (_iter295 = this->replicas.begin(); _iter295 != this->replicas.end(); ++_iter295)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8763,34 +8989,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other288) {
-  index = other288.index;
-  term = other288.term;
-  replicas = other288.replicas;
-  state = other288.state;
-  __isset = other288.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other296) {
+  index = other296.index;
+  term = other296.term;
+  replicas = other296.replicas;
+  state = other296.state;
+  __isset = other296.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other289) noexcept {
-  index = other289.index;
-  term = other289.term;
-  replicas = std::move(other289.replicas);
-  state = std::move(other289.state);
-  __isset = other289.__isset;
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other297) noexcept {
+  index = other297.index;
+  term = other297.term;
+  replicas = std::move(other297.replicas);
+  state = std::move(other297.state);
+  __isset = other297.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other290) {
-  index = other290.index;
-  term = other290.term;
-  replicas = other290.replicas;
-  state = other290.state;
-  __isset = other290.__isset;
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other298) {
+  index = other298.index;
+  term = other298.term;
+  replicas = other298.replicas;
+  state = other298.state;
+  __isset = other298.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other291) noexcept {
-  index = other291.index;
-  term = other291.term;
-  replicas = std::move(other291.replicas);
-  state = std::move(other291.state);
-  __isset = other291.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other299) noexcept {
+  index = other299.index;
+  term = other299.term;
+  replicas = std::move(other299.replicas);
+  state = std::move(other299.state);
+  __isset = other299.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -8981,46 +9207,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other292) {
-  proposal = other292.proposal;
-  member = other292.member;
-  key = other292.key;
-  contentHash = other292.contentHash;
-  dispatch = other292.dispatch;
-  backend = other292.backend;
-  backendIncarnation = other292.backendIncarnation;
-  __isset = other292.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other293) noexcept {
-  proposal = other293.proposal;
-  member = std::move(other293.member);
-  key = std::move(other293.key);
-  contentHash = other293.contentHash;
-  dispatch = std::move(other293.dispatch);
-  backend = std::move(other293.backend);
-  backendIncarnation = other293.backendIncarnation;
-  __isset = other293.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other294) {
-  proposal = other294.proposal;
-  member = other294.member;
-  key = other294.key;
-  contentHash = other294.contentHash;
-  dispatch = other294.dispatch;
-  backend = other294.backend;
-  backendIncarnation = other294.backendIncarnation;
-  __isset = other294.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other295) noexcept {
-  proposal = other295.proposal;
-  member = std::move(other295.member);
-  key = std::move(other295.key);
-  contentHash = other295.contentHash;
-  dispatch = std::move(other295.dispatch);
-  backend = std::move(other295.backend);
-  backendIncarnation = other295.backendIncarnation;
-  __isset = other295.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other300) {
+  proposal = other300.proposal;
+  member = other300.member;
+  key = other300.key;
+  contentHash = other300.contentHash;
+  dispatch = other300.dispatch;
+  backend = other300.backend;
+  backendIncarnation = other300.backendIncarnation;
+  __isset = other300.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other301) noexcept {
+  proposal = other301.proposal;
+  member = std::move(other301.member);
+  key = std::move(other301.key);
+  contentHash = other301.contentHash;
+  dispatch = std::move(other301.dispatch);
+  backend = std::move(other301.backend);
+  backendIncarnation = other301.backendIncarnation;
+  __isset = other301.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other302) {
+  proposal = other302.proposal;
+  member = other302.member;
+  key = other302.key;
+  contentHash = other302.contentHash;
+  dispatch = other302.dispatch;
+  backend = other302.backend;
+  backendIncarnation = other302.backendIncarnation;
+  __isset = other302.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other303) noexcept {
+  proposal = other303.proposal;
+  member = std::move(other303.member);
+  key = std::move(other303.key);
+  contentHash = other303.contentHash;
+  dispatch = std::move(other303.dispatch);
+  backend = std::move(other303.backend);
+  backendIncarnation = other303.backendIncarnation;
+  __isset = other303.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -9231,50 +9457,50 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other296) {
-  proposal = other296.proposal;
-  member = other296.member;
-  key = other296.key;
-  dispatch = other296.dispatch;
-  status = other296.status;
-  answerStatus = other296.answerStatus;
-  answerType = other296.answerType;
-  answer = other296.answer;
-  __isset = other296.__isset;
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other304) {
+  proposal = other304.proposal;
+  member = other304.member;
+  key = other304.key;
+  dispatch = other304.dispatch;
+  status = other304.status;
+  answerStatus = other304.answerStatus;
+  answerType = other304.answerType;
+  answer = other304.answer;
+  __isset = other304.__isset;
 }
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other297) noexcept {
-  proposal = other297.proposal;
-  member = std::move(other297.member);
-  key = std::move(other297.key);
-  dispatch = std::move(other297.dispatch);
-  status = other297.status;
-  answerStatus = other297.answerStatus;
-  answerType = std::move(other297.answerType);
-  answer = std::move(other297.answer);
-  __isset = other297.__isset;
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other305) noexcept {
+  proposal = other305.proposal;
+  member = std::move(other305.member);
+  key = std::move(other305.key);
+  dispatch = std::move(other305.dispatch);
+  status = other305.status;
+  answerStatus = other305.answerStatus;
+  answerType = std::move(other305.answerType);
+  answer = std::move(other305.answer);
+  __isset = other305.__isset;
 }
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other298) {
-  proposal = other298.proposal;
-  member = other298.member;
-  key = other298.key;
-  dispatch = other298.dispatch;
-  status = other298.status;
-  answerStatus = other298.answerStatus;
-  answerType = other298.answerType;
-  answer = other298.answer;
-  __isset = other298.__isset;
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other306) {
+  proposal = other306.proposal;
+  member = other306.member;
+  key = other306.key;
+  dispatch = other306.dispatch;
+  status = other306.status;
+  answerStatus = other306.answerStatus;
+  answerType = other306.answerType;
+  answer = other306.answer;
+  __isset = other306.__isset;
   return *this;
 }
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other299) noexcept {
-  proposal = other299.proposal;
-  member = std::move(other299.member);
-  key = std::move(other299.key);
-  dispatch = std::move(other299.dispatch);
-  status = other299.status;
-  answerStatus = other299.answerStatus;
-  answerType = std::move(other299.answerType);
-  answer = std::move(other299.answer);
-  __isset = other299.__isset;
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other307) noexcept {
+  proposal = other307.proposal;
+  member = std::move(other307.member);
+  key = std::move(other307.key);
+  dispatch = std::move(other307.dispatch);
+  status = other307.status;
+  answerStatus = other307.answerStatus;
+  answerType = std::move(other307.answerType);
+  answer = std::move(other307.answer);
+  __isset = other307.__isset;
   return *this;
 }
 void OutcomeRequest::printTo(std::ostream& out) const {
@@ -9503,54 +9729,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other300) {
-  proposal = other300.proposal;
-  verdict = other300.verdict;
-  holder = other300.holder;
-  backend = other300.backend;
-  backendIncarnation = other300.backendIncarnation;
-  answerStored = other300.answerStored;
-  answerStatus = other300.answerStatus;
-  answerType = other300.answerType;
-  answer = other300.answer;
-  __isset = other300.__isset;
+RecordReply::RecordReply(const RecordReply& other308) {
+  proposal = other308.proposal;
+  verdict = other308.verdict;
+  holder = other308.holder;
+  backend = other308.backend;
+  backendIncarnation = other308.backendIncarnation;
+  answerStored = other308.answerStored;
+  answerStatus = other308.answerStatus;
+  answerType = other308.answerType;
+  answer = other308.answer;
+  __isset = other308.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other301) noexcept {
-  proposal = other301.proposal;
-  verdict = other301.verdict;
-  holder = std::move(other301.holder);
-  backend = std::move(other301.backend);
-  backendIncarnation = other301.backendIncarnation;
-  answerStored = other301.answerStored;
-  answerStatus = other301.answerStatus;
-  answerType = std::move(other301.answerType);
-  answer = std::move(other301.answer);
-  __isset = other301.__isset;
+RecordReply::RecordReply(RecordReply&& other309) noexcept {
+  proposal = other309.proposal;
+  verdict = other309.verdict;
+  holder = std::move(other309.holder);
+  backend = std::move(other309.backend);
+  backendIncarnation = other309.backendIncarnation;
+  answerStored = other309.answerStored;
+  answerStatus = other309.answerStatus;
+  answerType = std::move(other309.answerType);
+  answer = std::move(other309.answer);
+  __isset = other309.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other302) {
-  proposal = other302.proposal;
-  verdict = other302.verdict;
-  holder = other302.holder;
-  backend = other302.backend;
-  backendIncarnation = other302.backendIncarnation;
-  answerStored = other302.answerStored;
-  answerStatus = other302.answerStatus;
-  answerType = other302.answerType;
-  answer = other302.answer;
-  __isset = other302.__isset;
+RecordReply& RecordReply::operator=(const RecordReply& other310) {
+  proposal = other310.proposal;
+  verdict = other310.verdict;
+  holder = other310.holder;
+  backend = other310.backend;
+  backendIncarnation = other310.backendIncarnation;
+  answerStored = other310.answerStored;
+  answerStatus = other310.answerStatus;
+  answerType = other310.answerType;
+  answer = other310.answer;
+  __isset = other310.__isset;
   return *this;
 }
-RecordReply& RecordReply::operator=(RecordReply&& other303) noexcept {
-  proposal = other303.proposal;
-  verdict = other303.verdict;
-  holder = std::move(other303.holder);
-  backend = std::move(other303.backend);
-  backendIncarnation = other303.backendIncarnation;
-  answerStored = other303.answerStored;
-  answerStatus = other303.answerStatus;
-  answerType = std::move(other303.answerType);
-  answer = std::move(other303.answer);
-  __isset = other303.__isset;
+RecordReply& RecordReply::operator=(RecordReply&& other311) noexcept {
+  proposal = other311.proposal;
+  verdict = other311.verdict;
+  holder = std::move(other311.holder);
+  backend = std::move(other311.backend);
+  backendIncarnation = other311.backendIncarnation;
+  answerStored = other311.answerStored;
+  answerStatus = other311.answerStatus;
+  answerType = std::move(other311.answerType);
+  answer = std::move(other311.answer);
+  __isset = other311.__isset;
   return *this;
 }
 void RecordReply::printTo(std::ostream& out) const {
@@ -9661,26 +9887,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other304) noexcept {
-  proposal = other304.proposal;
-  verdict = other304.verdict;
-  __isset = other304.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other312) noexcept {
+  proposal = other312.proposal;
+  verdict = other312.verdict;
+  __isset = other312.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other305) noexcept {
-  proposal = other305.proposal;
-  verdict = other305.verdict;
-  __isset = other305.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other313) noexcept {
+  proposal = other313.proposal;
+  verdict = other313.verdict;
+  __isset = other313.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other306) noexcept {
-  proposal = other306.proposal;
-  verdict = other306.verdict;
-  __isset = other306.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other314) noexcept {
+  proposal = other314.proposal;
+  verdict = other314.verdict;
+  __isset = other314.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other307) noexcept {
-  proposal = other307.proposal;
-  verdict = other307.verdict;
-  __isset = other307.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other315) noexcept {
+  proposal = other315.proposal;
+  verdict = other315.verdict;
+  __isset = other315.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -9835,38 +10061,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other308) {
-  sequence = other308.sequence;
-  node = other308.node;
-  zone = other308.zone;
-  appliedVersion = other308.appliedVersion;
-  heardVersion = other308.heardVersion;
-  __isset = other308.__isset;
+LeaseRenew::LeaseRenew(const LeaseRenew& other316) {
+  sequence = other316.sequence;
+  node = other316.node;
+  zone = other316.zone;
+  appliedVersion = other316.appliedVersion;
+  heardVersion = other316.heardVersion;
+  __isset = other316.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other309) noexcept {
-  sequence = other309.sequence;
-  node = std::move(other309.node);
-  zone = std::move(other309.zone);
-  appliedVersion = other309.appliedVersion;
-  heardVersion = other309.heardVersion;
-  __isset = other309.__isset;
+LeaseRenew::LeaseRenew(LeaseRenew&& other317) noexcept {
+  sequence = other317.sequence;
+  node = std::move(other317.node);
+  zone = std::move(other317.zone);
+  appliedVersion = other317.appliedVersion;
+  heardVersion = other317.heardVersion;
+  __isset = other317.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other310) {
-  sequence = other310.sequence;
-  node = other310.node;
-  zone = other310.zone;
-  appliedVersion = other310.appliedVersion;
-  heardVersion = other310.heardVersion;
-  __isset = other310.__isset;
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other318) {
+  sequence = other318.sequence;
+  node = other318.node;
+  zone = other318.zone;
+  appliedVersion = other318.appliedVersion;
+  heardVersion = other318.heardVersion;
+  __isset = other318.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other311) noexcept {
-  sequence = other311.sequence;
-  node = std::move(other311.node);
-  zone = std::move(other311.zone);
-  appliedVersion = other311.appliedVersion;
-  heardVersion = other311.heardVersion;
-  __isset = other311.__isset;
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other319) noexcept {
+  sequence = other319.sequence;
+  node = std::move(other319.node);
+  zone = std::move(other319.zone);
+  appliedVersion = other319.appliedVersion;
+  heardVersion = other319.heardVersion;
+  __isset = other319.__isset;
   return *this;
 }
 void LeaseRenew::printTo(std::ostream& out) const {
@@ -9904,6 +10130,11 @@
 void LeaseGrant::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void LeaseGrant::__set_controllers(const std::vector<Endpoint> & val) {
+  this->controllers = val;
+__isset.controllers = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
 {
   obj.printTo(out);
@@ -9972,6 +10203,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controllers.clear();
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->controllers.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
+            {
+              xfer += this->controllers[_i324].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controllers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10009,6 +10260,19 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.controllers) {
+    xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controllers.size()));
+      std::vector<Endpoint> ::const_iterator _iter325;
+      for (_iter325 = this->controllers.begin(); _iter325 != this->controllers.end(); ++_iter325)
+      {
+        xfer += (*_iter325).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10021,41 +10285,46 @@
   swap(a.leaderHint, b.leaderHint);
   swap(a.durationMicros, b.durationMicros);
   swap(a.version, b.version);
+  swap(a.controllers, b.controllers);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other312) {
-  sequence = other312.sequence;
-  granted = other312.granted;
-  leaderHint = other312.leaderHint;
-  durationMicros = other312.durationMicros;
-  version = other312.version;
-  __isset = other312.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other326) {
+  sequence = other326.sequence;
+  granted = other326.granted;
+  leaderHint = other326.leaderHint;
+  durationMicros = other326.durationMicros;
+  version = other326.version;
+  controllers = other326.controllers;
+  __isset = other326.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other313) noexcept {
-  sequence = other313.sequence;
-  granted = other313.granted;
-  leaderHint = std::move(other313.leaderHint);
-  durationMicros = other313.durationMicros;
-  version = other313.version;
-  __isset = other313.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other327) noexcept {
+  sequence = other327.sequence;
+  granted = other327.granted;
+  leaderHint = std::move(other327.leaderHint);
+  durationMicros = other327.durationMicros;
+  version = other327.version;
+  controllers = std::move(other327.controllers);
+  __isset = other327.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other314) {
-  sequence = other314.sequence;
-  granted = other314.granted;
-  leaderHint = other314.leaderHint;
-  durationMicros = other314.durationMicros;
-  version = other314.version;
-  __isset = other314.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other328) {
+  sequence = other328.sequence;
+  granted = other328.granted;
+  leaderHint = other328.leaderHint;
+  durationMicros = other328.durationMicros;
+  version = other328.version;
+  controllers = other328.controllers;
+  __isset = other328.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other315) noexcept {
-  sequence = other315.sequence;
-  granted = other315.granted;
-  leaderHint = std::move(other315.leaderHint);
-  durationMicros = other315.durationMicros;
-  version = other315.version;
-  __isset = other315.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other329) noexcept {
+  sequence = other329.sequence;
+  granted = other329.granted;
+  leaderHint = std::move(other329.leaderHint);
+  durationMicros = other329.durationMicros;
+  version = other329.version;
+  controllers = std::move(other329.controllers);
+  __isset = other329.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -10066,6 +10335,7 @@
   out << ", " << "leaderHint=" << to_string(leaderHint);
   out << ", " << "durationMicros=" << to_string(durationMicros);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "controllers="; (__isset.controllers ? (out << to_string(controllers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10179,30 +10449,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other316) {
-  version = other316.version;
-  author = other316.author;
-  sheet = other316.sheet;
-  __isset = other316.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other330) {
+  version = other330.version;
+  author = other330.author;
+  sheet = other330.sheet;
+  __isset = other330.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other317) noexcept {
-  version = other317.version;
-  author = std::move(other317.author);
-  sheet = std::move(other317.sheet);
-  __isset = other317.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other331) noexcept {
+  version = other331.version;
+  author = std::move(other331.author);
+  sheet = std::move(other331.sheet);
+  __isset = other331.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other318) {
-  version = other318.version;
-  author = other318.author;
-  sheet = other318.sheet;
-  __isset = other318.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other332) {
+  version = other332.version;
+  author = other332.author;
+  sheet = other332.sheet;
+  __isset = other332.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other319) noexcept {
-  version = other319.version;
-  author = std::move(other319.author);
-  sheet = std::move(other319.sheet);
-  __isset = other319.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other333) noexcept {
+  version = other333.version;
+  author = std::move(other333.author);
+  sheet = std::move(other333.sheet);
+  __isset = other333.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -10290,22 +10560,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other320) noexcept {
-  sequence = other320.sequence;
-  __isset = other320.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other334) noexcept {
+  sequence = other334.sequence;
+  __isset = other334.__isset;
 }
-VersionQuery::VersionQuery(VersionQuery&& other321) noexcept {
-  sequence = other321.sequence;
-  __isset = other321.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other335) noexcept {
+  sequence = other335.sequence;
+  __isset = other335.__isset;
 }
-VersionQuery& VersionQuery::operator=(const VersionQuery& other322) noexcept {
-  sequence = other322.sequence;
-  __isset = other322.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other336) noexcept {
+  sequence = other336.sequence;
+  __isset = other336.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other323) noexcept {
-  sequence = other323.sequence;
-  __isset = other323.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other337) noexcept {
+  sequence = other337.sequence;
+  __isset = other337.__isset;
   return *this;
 }
 void VersionQuery::printTo(std::ostream& out) const {
@@ -10442,34 +10712,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other324) {
-  sequence = other324.sequence;
-  version = other324.version;
-  sheet = other324.sheet;
-  zone = other324.zone;
-  __isset = other324.__isset;
+VersionReply::VersionReply(const VersionReply& other338) {
+  sequence = other338.sequence;
+  version = other338.version;
+  sheet = other338.sheet;
+  zone = other338.zone;
+  __isset = other338.__isset;
 }
-VersionReply::VersionReply(VersionReply&& other325) noexcept {
-  sequence = other325.sequence;
-  version = other325.version;
-  sheet = std::move(other325.sheet);
-  zone = std::move(other325.zone);
-  __isset = other325.__isset;
+VersionReply::VersionReply(VersionReply&& other339) noexcept {
+  sequence = other339.sequence;
+  version = other339.version;
+  sheet = std::move(other339.sheet);
+  zone = std::move(other339.zone);
+  __isset = other339.__isset;
 }
-VersionReply& VersionReply::operator=(const VersionReply& other326) {
-  sequence = other326.sequence;
-  version = other326.version;
-  sheet = other326.sheet;
-  zone = other326.zone;
-  __isset = other326.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other340) {
+  sequence = other340.sequence;
+  version = other340.version;
+  sheet = other340.sheet;
+  zone = other340.zone;
+  __isset = other340.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other327) noexcept {
-  sequence = other327.sequence;
-  version = other327.version;
-  sheet = std::move(other327.sheet);
-  zone = std::move(other327.zone);
-  __isset = other327.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other341) noexcept {
+  sequence = other341.sequence;
+  version = other341.version;
+  sheet = std::move(other341.sheet);
+  zone = std::move(other341.zone);
+  __isset = other341.__isset;
   return *this;
 }
 void VersionReply::printTo(std::ostream& out) const {
@@ -10592,30 +10862,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceQuery::FenceQuery(const FenceQuery& other328) {
-  sequence = other328.sequence;
-  backend = other328.backend;
-  agentIncarnation = other328.agentIncarnation;
-  __isset = other328.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other342) {
+  sequence = other342.sequence;
+  backend = other342.backend;
+  agentIncarnation = other342.agentIncarnation;
+  __isset = other342.__isset;
 }
-FenceQuery::FenceQuery(FenceQuery&& other329) noexcept {
-  sequence = other329.sequence;
-  backend = std::move(other329.backend);
-  agentIncarnation = other329.agentIncarnation;
-  __isset = other329.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other343) noexcept {
+  sequence = other343.sequence;
+  backend = std::move(other343.backend);
+  agentIncarnation = other343.agentIncarnation;
+  __isset = other343.__isset;
 }
-FenceQuery& FenceQuery::operator=(const FenceQuery& other330) {
-  sequence = other330.sequence;
-  backend = other330.backend;
-  agentIncarnation = other330.agentIncarnation;
-  __isset = other330.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other344) {
+  sequence = other344.sequence;
+  backend = other344.backend;
+  agentIncarnation = other344.agentIncarnation;
+  __isset = other344.__isset;
   return *this;
 }
-FenceQuery& FenceQuery::operator=(FenceQuery&& other331) noexcept {
-  sequence = other331.sequence;
-  backend = std::move(other331.backend);
-  agentIncarnation = other331.agentIncarnation;
-  __isset = other331.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other345) noexcept {
+  sequence = other345.sequence;
+  backend = std::move(other345.backend);
+  agentIncarnation = other345.agentIncarnation;
+  __isset = other345.__isset;
   return *this;
 }
 void FenceQuery::printTo(std::ostream& out) const {
@@ -10771,38 +11041,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceReply::FenceReply(const FenceReply& other332) {
-  sequence = other332.sequence;
-  agentIncarnation = other332.agentIncarnation;
-  granted = other332.granted;
-  leaderHint = other332.leaderHint;
-  fence = other332.fence;
-  __isset = other332.__isset;
+FenceReply::FenceReply(const FenceReply& other346) {
+  sequence = other346.sequence;
+  agentIncarnation = other346.agentIncarnation;
+  granted = other346.granted;
+  leaderHint = other346.leaderHint;
+  fence = other346.fence;
+  __isset = other346.__isset;
 }
-FenceReply::FenceReply(FenceReply&& other333) noexcept {
-  sequence = other333.sequence;
-  agentIncarnation = other333.agentIncarnation;
-  granted = other333.granted;
-  leaderHint = std::move(other333.leaderHint);
-  fence = other333.fence;
-  __isset = other333.__isset;
+FenceReply::FenceReply(FenceReply&& other347) noexcept {
+  sequence = other347.sequence;
+  agentIncarnation = other347.agentIncarnation;
+  granted = other347.granted;
+  leaderHint = std::move(other347.leaderHint);
+  fence = other347.fence;
+  __isset = other347.__isset;
 }
-FenceReply& FenceReply::operator=(const FenceReply& other334) {
-  sequence = other334.sequence;
-  agentIncarnation = other334.agentIncarnation;
-  granted = other334.granted;
-  leaderHint = other334.leaderHint;
-  fence = other334.fence;
-  __isset = other334.__isset;
+FenceReply& FenceReply::operator=(const FenceReply& other348) {
+  sequence = other348.sequence;
+  agentIncarnation = other348.agentIncarnation;
+  granted = other348.granted;
+  leaderHint = other348.leaderHint;
+  fence = other348.fence;
+  __isset = other348.__isset;
   return *this;
 }
-FenceReply& FenceReply::operator=(FenceReply&& other335) noexcept {
-  sequence = other335.sequence;
-  agentIncarnation = other335.agentIncarnation;
-  granted = other335.granted;
-  leaderHint = std::move(other335.leaderHint);
-  fence = other335.fence;
-  __isset = other335.__isset;
+FenceReply& FenceReply::operator=(FenceReply&& other349) noexcept {
+  sequence = other349.sequence;
+  agentIncarnation = other349.agentIncarnation;
+  granted = other349.granted;
+  leaderHint = std::move(other349.leaderHint);
+  fence = other349.fence;
+  __isset = other349.__isset;
   return *this;
 }
 void FenceReply::printTo(std::ostream& out) const {
@@ -10960,38 +11230,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FencedOrder::FencedOrder(const FencedOrder& other336) {
-  backend = other336.backend;
-  token = other336.token;
-  kind = other336.kind;
-  name = other336.name;
-  bytes = other336.bytes;
-  __isset = other336.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other350) {
+  backend = other350.backend;
+  token = other350.token;
+  kind = other350.kind;
+  name = other350.name;
+  bytes = other350.bytes;
+  __isset = other350.__isset;
 }
-FencedOrder::FencedOrder(FencedOrder&& other337) noexcept {
-  backend = std::move(other337.backend);
-  token = other337.token;
-  kind = other337.kind;
-  name = std::move(other337.name);
-  bytes = other337.bytes;
-  __isset = other337.__isset;
+FencedOrder::FencedOrder(FencedOrder&& other351) noexcept {
+  backend = std::move(other351.backend);
+  token = other351.token;
+  kind = other351.kind;
+  name = std::move(other351.name);
+  bytes = other351.bytes;
+  __isset = other351.__isset;
 }
-FencedOrder& FencedOrder::operator=(const FencedOrder& other338) {
-  backend = other338.backend;
-  token = other338.token;
-  kind = other338.kind;
-  name = other338.name;
-  bytes = other338.bytes;
-  __isset = other338.__isset;
+FencedOrder& FencedOrder::operator=(const FencedOrder& other352) {
+  backend = other352.backend;
+  token = other352.token;
+  kind = other352.kind;
+  name = other352.name;
+  bytes = other352.bytes;
+  __isset = other352.__isset;
   return *this;
 }
-FencedOrder& FencedOrder::operator=(FencedOrder&& other339) noexcept {
-  backend = std::move(other339.backend);
-  token = other339.token;
-  kind = other339.kind;
-  name = std::move(other339.name);
-  bytes = other339.bytes;
-  __isset = other339.__isset;
+FencedOrder& FencedOrder::operator=(FencedOrder&& other353) noexcept {
+  backend = std::move(other353.backend);
+  token = other353.token;
+  kind = other353.kind;
+  name = std::move(other353.name);
+  bytes = other353.bytes;
+  __isset = other353.__isset;
   return *this;
 }
 void FencedOrder::printTo(std::ostream& out) const {
@@ -11115,30 +11385,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderReply::OrderReply(const OrderReply& other340) {
-  backend = other340.backend;
-  token = other340.token;
-  status = other340.status;
-  __isset = other340.__isset;
+OrderReply::OrderReply(const OrderReply& other354) {
+  backend = other354.backend;
+  token = other354.token;
+  status = other354.status;
+  __isset = other354.__isset;
 }
-OrderReply::OrderReply(OrderReply&& other341) noexcept {
-  backend = std::move(other341.backend);
-  token = other341.token;
-  status = other341.status;
-  __isset = other341.__isset;
+OrderReply::OrderReply(OrderReply&& other355) noexcept {
+  backend = std::move(other355.backend);
+  token = other355.token;
+  status = other355.status;
+  __isset = other355.__isset;
 }
-OrderReply& OrderReply::operator=(const OrderReply& other342) {
-  backend = other342.backend;
-  token = other342.token;
-  status = other342.status;
-  __isset = other342.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other356) {
+  backend = other356.backend;
+  token = other356.token;
+  status = other356.status;
+  __isset = other356.__isset;
   return *this;
 }
-OrderReply& OrderReply::operator=(OrderReply&& other343) noexcept {
-  backend = std::move(other343.backend);
-  token = other343.token;
-  status = other343.status;
-  __isset = other343.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other357) noexcept {
+  backend = std::move(other357.backend);
+  token = other357.token;
+  status = other357.status;
+  __isset = other357.__isset;
   return *this;
 }
 void OrderReply::printTo(std::ostream& out) const {
@@ -11260,30 +11530,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRange::StepRange(const StepRange& other344) noexcept {
-  mapVersion = other344.mapVersion;
-  first = other344.first;
-  last = other344.last;
-  __isset = other344.__isset;
+StepRange::StepRange(const StepRange& other358) noexcept {
+  mapVersion = other358.mapVersion;
+  first = other358.first;
+  last = other358.last;
+  __isset = other358.__isset;
 }
-StepRange::StepRange(StepRange&& other345) noexcept {
-  mapVersion = other345.mapVersion;
-  first = other345.first;
-  last = other345.last;
-  __isset = other345.__isset;
+StepRange::StepRange(StepRange&& other359) noexcept {
+  mapVersion = other359.mapVersion;
+  first = other359.first;
+  last = other359.last;
+  __isset = other359.__isset;
 }
-StepRange& StepRange::operator=(const StepRange& other346) noexcept {
-  mapVersion = other346.mapVersion;
-  first = other346.first;
-  last = other346.last;
-  __isset = other346.__isset;
+StepRange& StepRange::operator=(const StepRange& other360) noexcept {
+  mapVersion = other360.mapVersion;
+  first = other360.first;
+  last = other360.last;
+  __isset = other360.__isset;
   return *this;
 }
-StepRange& StepRange::operator=(StepRange&& other347) noexcept {
-  mapVersion = other347.mapVersion;
-  first = other347.first;
-  last = other347.last;
-  __isset = other347.__isset;
+StepRange& StepRange::operator=(StepRange&& other361) noexcept {
+  mapVersion = other361.mapVersion;
+  first = other361.first;
+  last = other361.last;
+  __isset = other361.__isset;
   return *this;
 }
 void StepRange::printTo(std::ostream& out) const {
@@ -11388,26 +11658,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ExpertMap::ExpertMap(const ExpertMap& other348) {
-  version = other348.version;
-  slots = other348.slots;
-  __isset = other348.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other362) {
+  version = other362.version;
+  slots = other362.slots;
+  __isset = other362.__isset;
 }
-ExpertMap::ExpertMap(ExpertMap&& other349) noexcept {
-  version = other349.version;
-  slots = std::move(other349.slots);
-  __isset = other349.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other363) noexcept {
+  version = other363.version;
+  slots = std::move(other363.slots);
+  __isset = other363.__isset;
 }
-ExpertMap& ExpertMap::operator=(const ExpertMap& other350) {
-  version = other350.version;
-  slots = other350.slots;
-  __isset = other350.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other364) {
+  version = other364.version;
+  slots = other364.slots;
+  __isset = other364.__isset;
   return *this;
 }
-ExpertMap& ExpertMap::operator=(ExpertMap&& other351) noexcept {
-  version = other351.version;
-  slots = std::move(other351.slots);
-  __isset = other351.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other365) noexcept {
+  version = other365.version;
+  slots = std::move(other365.slots);
+  __isset = other365.__isset;
   return *this;
 }
 void ExpertMap::printTo(std::ostream& out) const {
@@ -11562,14 +11832,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loaded.clear();
-            uint32_t _size352;
-            ::apache::thrift::protocol::TType _etype355;
-            xfer += iprot->readListBegin(_etype355, _size352);
-            this->loaded.resize(_size352);
-            uint32_t _i356;
-            for (_i356 = 0; _i356 < _size352; ++_i356)
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->loaded.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
             {
-              xfer += iprot->readI64(this->loaded[_i356]);
+              xfer += iprot->readI64(this->loaded[_i370]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11598,14 +11868,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size357;
-            ::apache::thrift::protocol::TType _etype360;
-            xfer += iprot->readListBegin(_etype360, _size357);
-            this->cells.resize(_size357);
-            uint32_t _i361;
-            for (_i361 = 0; _i361 < _size357; ++_i361)
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _etype374;
+            xfer += iprot->readListBegin(_etype374, _size371);
+            this->cells.resize(_size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
             {
-              xfer += iprot->readI32(this->cells[_i361]);
+              xfer += iprot->readI32(this->cells[_i375]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11618,14 +11888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size362;
-            ::apache::thrift::protocol::TType _etype365;
-            xfer += iprot->readListBegin(_etype365, _size362);
-            this->counts.resize(_size362);
-            uint32_t _i366;
-            for (_i366 = 0; _i366 < _size362; ++_i366)
+            uint32_t _size376;
+            ::apache::thrift::protocol::TType _etype379;
+            xfer += iprot->readListBegin(_etype379, _size376);
+            this->counts.resize(_size376);
+            uint32_t _i380;
+            for (_i380 = 0; _i380 < _size376; ++_i380)
             {
-              xfer += iprot->readI32(this->counts[_i366]);
+              xfer += iprot->readI32(this->counts[_i380]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11690,10 +11960,10 @@
   xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
-    std::vector<int64_t> ::const_iterator _iter367;
-    for (_iter367 = this->loaded.begin(); _iter367 != this->loaded.end(); ++_iter367)
+    std::vector<int64_t> ::const_iterator _iter381;
+    for (_iter381 = this->loaded.begin(); _iter381 != this->loaded.end(); ++_iter381)
     {
-      xfer += oprot->writeI64((*_iter367));
+      xfer += oprot->writeI64((*_iter381));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11710,10 +11980,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
-    std::vector<int32_t> ::const_iterator _iter368;
-    for (_iter368 = this->cells.begin(); _iter368 != this->cells.end(); ++_iter368)
+    std::vector<int32_t> ::const_iterator _iter382;
+    for (_iter382 = this->cells.begin(); _iter382 != this->cells.end(); ++_iter382)
     {
-      xfer += oprot->writeI32((*_iter368));
+      xfer += oprot->writeI32((*_iter382));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11722,10 +11992,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter369;
-    for (_iter369 = this->counts.begin(); _iter369 != this->counts.end(); ++_iter369)
+    std::vector<int32_t> ::const_iterator _iter383;
+    for (_iter383 = this->counts.begin(); _iter383 != this->counts.end(); ++_iter383)
     {
-      xfer += oprot->writeI32((*_iter369));
+      xfer += oprot->writeI32((*_iter383));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11758,70 +12028,70 @@
   swap(a.__isset, b.__isset);
 }
 
-RankReport::RankReport(const RankReport& other370) {
-  sequence = other370.sequence;
-  group = other370.group;
-  shape = other370.shape;
-  rank = other370.rank;
-  incarnation = other370.incarnation;
-  step = other370.step;
-  granted = other370.granted;
-  loaded = other370.loaded;
-  window = other370.window;
-  windowMicros = other370.windowMicros;
-  cells = other370.cells;
-  counts = other370.counts;
-  windowSteps = other370.windowSteps;
-  __isset = other370.__isset;
-}
-RankReport::RankReport(RankReport&& other371) noexcept {
-  sequence = other371.sequence;
-  group = std::move(other371.group);
-  shape = std::move(other371.shape);
-  rank = other371.rank;
-  incarnation = other371.incarnation;
-  step = other371.step;
-  granted = other371.granted;
-  loaded = std::move(other371.loaded);
-  window = other371.window;
-  windowMicros = other371.windowMicros;
-  cells = std::move(other371.cells);
-  counts = std::move(other371.counts);
-  windowSteps = other371.windowSteps;
-  __isset = other371.__isset;
-}
-RankReport& RankReport::operator=(const RankReport& other372) {
-  sequence = other372.sequence;
-  group = other372.group;
-  shape = other372.shape;
-  rank = other372.rank;
-  incarnation = other372.incarnation;
-  step = other372.step;
-  granted = other372.granted;
-  loaded = other372.loaded;
-  window = other372.window;
-  windowMicros = other372.windowMicros;
-  cells = other372.cells;
-  counts = other372.counts;
-  windowSteps = other372.windowSteps;
-  __isset = other372.__isset;
-  return *this;
-}
-RankReport& RankReport::operator=(RankReport&& other373) noexcept {
-  sequence = other373.sequence;
-  group = std::move(other373.group);
-  shape = std::move(other373.shape);
-  rank = other373.rank;
-  incarnation = other373.incarnation;
-  step = other373.step;
-  granted = other373.granted;
-  loaded = std::move(other373.loaded);
-  window = other373.window;
-  windowMicros = other373.windowMicros;
-  cells = std::move(other373.cells);
-  counts = std::move(other373.counts);
-  windowSteps = other373.windowSteps;
-  __isset = other373.__isset;
+RankReport::RankReport(const RankReport& other384) {
+  sequence = other384.sequence;
+  group = other384.group;
+  shape = other384.shape;
+  rank = other384.rank;
+  incarnation = other384.incarnation;
+  step = other384.step;
+  granted = other384.granted;
+  loaded = other384.loaded;
+  window = other384.window;
+  windowMicros = other384.windowMicros;
+  cells = other384.cells;
+  counts = other384.counts;
+  windowSteps = other384.windowSteps;
+  __isset = other384.__isset;
+}
+RankReport::RankReport(RankReport&& other385) noexcept {
+  sequence = other385.sequence;
+  group = std::move(other385.group);
+  shape = std::move(other385.shape);
+  rank = other385.rank;
+  incarnation = other385.incarnation;
+  step = other385.step;
+  granted = other385.granted;
+  loaded = std::move(other385.loaded);
+  window = other385.window;
+  windowMicros = other385.windowMicros;
+  cells = std::move(other385.cells);
+  counts = std::move(other385.counts);
+  windowSteps = other385.windowSteps;
+  __isset = other385.__isset;
+}
+RankReport& RankReport::operator=(const RankReport& other386) {
+  sequence = other386.sequence;
+  group = other386.group;
+  shape = other386.shape;
+  rank = other386.rank;
+  incarnation = other386.incarnation;
+  step = other386.step;
+  granted = other386.granted;
+  loaded = other386.loaded;
+  window = other386.window;
+  windowMicros = other386.windowMicros;
+  cells = other386.cells;
+  counts = other386.counts;
+  windowSteps = other386.windowSteps;
+  __isset = other386.__isset;
+  return *this;
+}
+RankReport& RankReport::operator=(RankReport&& other387) noexcept {
+  sequence = other387.sequence;
+  group = std::move(other387.group);
+  shape = std::move(other387.shape);
+  rank = other387.rank;
+  incarnation = other387.incarnation;
+  step = other387.step;
+  granted = other387.granted;
+  loaded = std::move(other387.loaded);
+  window = other387.window;
+  windowMicros = other387.windowMicros;
+  cells = std::move(other387.cells);
+  counts = std::move(other387.counts);
+  windowSteps = other387.windowSteps;
+  __isset = other387.__isset;
   return *this;
 }
 void RankReport::printTo(std::ostream& out) const {
@@ -11943,14 +12213,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->ranges.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->ranges.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += this->ranges[_i378].read(iprot);
+              xfer += this->ranges[_i392].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11979,14 +12249,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->maps.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->maps.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
             {
-              xfer += this->maps[_i383].read(iprot);
+              xfer += this->maps[_i397].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12031,10 +12301,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter384;
-    for (_iter384 = this->ranges.begin(); _iter384 != this->ranges.end(); ++_iter384)
+    std::vector<StepRange> ::const_iterator _iter398;
+    for (_iter398 = this->ranges.begin(); _iter398 != this->ranges.end(); ++_iter398)
     {
-      xfer += (*_iter384).write(oprot);
+      xfer += (*_iter398).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12051,10 +12321,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter385;
-    for (_iter385 = this->maps.begin(); _iter385 != this->maps.end(); ++_iter385)
+    std::vector<ExpertMap> ::const_iterator _iter399;
+    for (_iter399 = this->maps.begin(); _iter399 != this->maps.end(); ++_iter399)
     {
-      xfer += (*_iter385).write(oprot);
+      xfer += (*_iter399).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12078,50 +12348,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StepGrant::StepGrant(const StepGrant& other386) {
-  sequence = other386.sequence;
-  group = other386.group;
-  leads = other386.leads;
-  leaderHint = other386.leaderHint;
-  ranges = other386.ranges;
-  loadMap = other386.loadMap;
-  droppableThrough = other386.droppableThrough;
-  maps = other386.maps;
-  __isset = other386.__isset;
-}
-StepGrant::StepGrant(StepGrant&& other387) noexcept {
-  sequence = other387.sequence;
-  group = std::move(other387.group);
-  leads = other387.leads;
-  leaderHint = std::move(other387.leaderHint);
-  ranges = std::move(other387.ranges);
-  loadMap = other387.loadMap;
-  droppableThrough = other387.droppableThrough;
-  maps = std::move(other387.maps);
-  __isset = other387.__isset;
+StepGrant::StepGrant(const StepGrant& other400) {
+  sequence = other400.sequence;
+  group = other400.group;
+  leads = other400.leads;
+  leaderHint = other400.leaderHint;
+  ranges = other400.ranges;
+  loadMap = other400.loadMap;
+  droppableThrough = other400.droppableThrough;
+  maps = other400.maps;
+  __isset = other400.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other401) noexcept {
+  sequence = other401.sequence;
+  group = std::move(other401.group);
+  leads = other401.leads;
+  leaderHint = std::move(other401.leaderHint);
+  ranges = std::move(other401.ranges);
+  loadMap = other401.loadMap;
+  droppableThrough = other401.droppableThrough;
+  maps = std::move(other401.maps);
+  __isset = other401.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other402) {
+  sequence = other402.sequence;
+  group = other402.group;
+  leads = other402.leads;
+  leaderHint = other402.leaderHint;
+  ranges = other402.ranges;
+  loadMap = other402.loadMap;
+  droppableThrough = other402.droppableThrough;
+  maps = other402.maps;
+  __isset = other402.__isset;
+  return *this;
 }
-StepGrant& StepGrant::operator=(const StepGrant& other388) {
-  sequence = other388.sequence;
-  group = other388.group;
-  leads = other388.leads;
-  leaderHint = other388.leaderHint;
-  ranges = other388.ranges;
-  loadMap = other388.loadMap;
-  droppableThrough = other388.droppableThrough;
-  maps = other388.maps;
-  __isset = other388.__isset;
-  return *this;
-}
-StepGrant& StepGrant::operator=(StepGrant&& other389) noexcept {
-  sequence = other389.sequence;
-  group = std::move(other389.group);
-  leads = other389.leads;
-  leaderHint = std::move(other389.leaderHint);
-  ranges = std::move(other389.ranges);
-  loadMap = other389.loadMap;
-  droppableThrough = other389.droppableThrough;
-  maps = std::move(other389.maps);
-  __isset = other389.__isset;
+StepGrant& StepGrant::operator=(StepGrant&& other403) noexcept {
+  sequence = other403.sequence;
+  group = std::move(other403.group);
+  leads = other403.leads;
+  leaderHint = std::move(other403.leaderHint);
+  ranges = std::move(other403.ranges);
+  loadMap = other403.loadMap;
+  droppableThrough = other403.droppableThrough;
+  maps = std::move(other403.maps);
+  __isset = other403.__isset;
   return *this;
 }
 void StepGrant::printTo(std::ostream& out) const {
@@ -12238,14 +12508,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size390;
-            ::apache::thrift::protocol::TType _etype393;
-            xfer += iprot->readListBegin(_etype393, _size390);
-            this->ranges.resize(_size390);
-            uint32_t _i394;
-            for (_i394 = 0; _i394 < _size390; ++_i394)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->ranges.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += this->ranges[_i394].read(iprot);
+              xfer += this->ranges[_i408].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12274,14 +12544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size395;
-            ::apache::thrift::protocol::TType _etype398;
-            xfer += iprot->readListBegin(_etype398, _size395);
-            this->maps.resize(_size395);
-            uint32_t _i399;
-            for (_i399 = 0; _i399 < _size395; ++_i399)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->maps.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->maps[_i399].read(iprot);
+              xfer += this->maps[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12366,10 +12636,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter400;
-    for (_iter400 = this->ranges.begin(); _iter400 != this->ranges.end(); ++_iter400)
+    std::vector<StepRange> ::const_iterator _iter414;
+    for (_iter414 = this->ranges.begin(); _iter414 != this->ranges.end(); ++_iter414)
     {
-      xfer += (*_iter400).write(oprot);
+      xfer += (*_iter414).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12386,10 +12656,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter401;
-    for (_iter401 = this->maps.begin(); _iter401 != this->maps.end(); ++_iter401)
+    std::vector<ExpertMap> ::const_iterator _iter415;
+    for (_iter415 = this->maps.begin(); _iter415 != this->maps.end(); ++_iter415)
     {
-      xfer += (*_iter401).write(oprot);
+      xfer += (*_iter415).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12441,66 +12711,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other402) {
-  name = other402.name;
-  shape = other402.shape;
-  ranges = other402.ranges;
-  proposed = other402.proposed;
-  highestMap = other402.highestMap;
-  maps = other402.maps;
-  pinned = other402.pinned;
-  changedMap = other402.changedMap;
-  reason = other402.reason;
-  bytes = other402.bytes;
-  bytesMoved = other402.bytesMoved;
-  changes = other402.changes;
-  __isset = other402.__isset;
+StateGroup::StateGroup(const StateGroup& other416) {
+  name = other416.name;
+  shape = other416.shape;
+  ranges = other416.ranges;
+  proposed = other416.proposed;
+  highestMap = other416.highestMap;
+  maps = other416.maps;
+  pinned = other416.pinned;
+  changedMap = other416.changedMap;
+  reason = other416.reason;
+  bytes = other416.bytes;
+  bytesMoved = other416.bytesMoved;
+  changes = other416.changes;
+  __isset = other416.__isset;
 }
-StateGroup::StateGroup(StateGroup&& other403) noexcept {
-  name = std::move(other403.name);
-  shape = std::move(other403.shape);
-  ranges = std::move(other403.ranges);
-  proposed = other403.proposed;
-  highestMap = other403.highestMap;
-  maps = std::move(other403.maps);
-  pinned = other403.pinned;
-  changedMap = other403.changedMap;
-  reason = std::move(other403.reason);
-  bytes = other403.bytes;
-  bytesMoved = other403.bytesMoved;
-  changes = other403.changes;
-  __isset = other403.__isset;
+StateGroup::StateGroup(StateGroup&& other417) noexcept {
+  name = std::move(other417.name);
+  shape = std::move(other417.shape);
+  ranges = std::move(other417.ranges);
+  proposed = other417.proposed;
+  highestMap = other417.highestMap;
+  maps = std::move(other417.maps);
+  pinned = other417.pinned;
+  changedMap = other417.changedMap;
+  reason = std::move(other417.reason);
+  bytes = other417.bytes;
+  bytesMoved = other417.bytesMoved;
+  changes = other417.changes;
+  __isset = other417.__isset;
 }
-StateGroup& StateGroup::operator=(const StateGroup& other404) {
-  name = other404.name;
-  shape = other404.shape;
-  ranges = other404.ranges;
-  proposed = other404.proposed;
-  highestMap = other404.highestMap;
-  maps = other404.maps;
-  pinned = other404.pinned;
-  changedMap = other404.changedMap;
-  reason = other404.reason;
-  bytes = other404.bytes;
-  bytesMoved = other404.bytesMoved;
-  changes = other404.changes;
-  __isset = other404.__isset;
-  return *this;
-}
-StateGroup& StateGroup::operator=(StateGroup&& other405) noexcept {
-  name = std::move(other405.name);
-  shape = std::move(other405.shape);
-  ranges = std::move(other405.ranges);
-  proposed = other405.proposed;
-  highestMap = other405.highestMap;
-  maps = std::move(other405.maps);
-  pinned = other405.pinned;
-  changedMap = other405.changedMap;
-  reason = std::move(other405.reason);
-  bytes = other405.bytes;
-  bytesMoved = other405.bytesMoved;
-  changes = other405.changes;
-  __isset = other405.__isset;
+StateGroup& StateGroup::operator=(const StateGroup& other418) {
+  name = other418.name;
+  shape = other418.shape;
+  ranges = other418.ranges;
+  proposed = other418.proposed;
+  highestMap = other418.highestMap;
+  maps = other418.maps;
+  pinned = other418.pinned;
+  changedMap = other418.changedMap;
+  reason = other418.reason;
+  bytes = other418.bytes;
+  bytesMoved = other418.bytesMoved;
+  changes = other418.changes;
+  __isset = other418.__isset;
+  return *this;
+}
+StateGroup& StateGroup::operator=(StateGroup&& other419) noexcept {
+  name = std::move(other419.name);
+  shape = std::move(other419.shape);
+  ranges = std::move(other419.ranges);
+  proposed = other419.proposed;
+  highestMap = other419.highestMap;
+  maps = std::move(other419.maps);
+  pinned = other419.pinned;
+  changedMap = other419.changedMap;
+  reason = std::move(other419.reason);
+  bytes = other419.bytes;
+  bytesMoved = other419.bytesMoved;
+  changes = other419.changes;
+  __isset = other419.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -12648,34 +12918,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other406) {
-  version = other406.version;
-  changeId = other406.changeId;
-  author = other406.author;
-  sheetHash = other406.sheetHash;
-  __isset = other406.__isset;
+StateVersion::StateVersion(const StateVersion& other420) {
+  version = other420.version;
+  changeId = other420.changeId;
+  author = other420.author;
+  sheetHash = other420.sheetHash;
+  __isset = other420.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other407) noexcept {
-  version = other407.version;
-  changeId = std::move(other407.changeId);
-  author = std::move(other407.author);
-  sheetHash = other407.sheetHash;
-  __isset = other407.__isset;
+StateVersion::StateVersion(StateVersion&& other421) noexcept {
+  version = other421.version;
+  changeId = std::move(other421.changeId);
+  author = std::move(other421.author);
+  sheetHash = other421.sheetHash;
+  __isset = other421.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other408) {
-  version = other408.version;
-  changeId = other408.changeId;
-  author = other408.author;
-  sheetHash = other408.sheetHash;
-  __isset = other408.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other422) {
+  version = other422.version;
+  changeId = other422.changeId;
+  author = other422.author;
+  sheetHash = other422.sheetHash;
+  __isset = other422.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other409) noexcept {
-  version = other409.version;
-  changeId = std::move(other409.changeId);
-  author = std::move(other409.author);
-  sheetHash = other409.sheetHash;
-  __isset = other409.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other423) noexcept {
+  version = other423.version;
+  changeId = std::move(other423.changeId);
+  author = std::move(other423.author);
+  sheetHash = other423.sheetHash;
+  __isset = other423.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -12849,42 +13119,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other410) {
-  changeId = other410.changeId;
-  baseVersion = other410.baseVersion;
-  sheetHash = other410.sheetHash;
-  verdict = other410.verdict;
-  version = other410.version;
-  winner = other410.winner;
-  __isset = other410.__isset;
-}
-StateChange::StateChange(StateChange&& other411) noexcept {
-  changeId = std::move(other411.changeId);
-  baseVersion = other411.baseVersion;
-  sheetHash = other411.sheetHash;
-  verdict = other411.verdict;
-  version = other411.version;
-  winner = std::move(other411.winner);
-  __isset = other411.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other412) {
-  changeId = other412.changeId;
-  baseVersion = other412.baseVersion;
-  sheetHash = other412.sheetHash;
-  verdict = other412.verdict;
-  version = other412.version;
-  winner = other412.winner;
-  __isset = other412.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other413) noexcept {
-  changeId = std::move(other413.changeId);
-  baseVersion = other413.baseVersion;
-  sheetHash = other413.sheetHash;
-  verdict = other413.verdict;
-  version = other413.version;
-  winner = std::move(other413.winner);
-  __isset = other413.__isset;
+StateChange::StateChange(const StateChange& other424) {
+  changeId = other424.changeId;
+  baseVersion = other424.baseVersion;
+  sheetHash = other424.sheetHash;
+  verdict = other424.verdict;
+  version = other424.version;
+  winner = other424.winner;
+  __isset = other424.__isset;
+}
+StateChange::StateChange(StateChange&& other425) noexcept {
+  changeId = std::move(other425.changeId);
+  baseVersion = other425.baseVersion;
+  sheetHash = other425.sheetHash;
+  verdict = other425.verdict;
+  version = other425.version;
+  winner = std::move(other425.winner);
+  __isset = other425.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other426) {
+  changeId = other426.changeId;
+  baseVersion = other426.baseVersion;
+  sheetHash = other426.sheetHash;
+  verdict = other426.verdict;
+  version = other426.version;
+  winner = other426.winner;
+  __isset = other426.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other427) noexcept {
+  changeId = std::move(other427.changeId);
+  baseVersion = other427.baseVersion;
+  sheetHash = other427.sheetHash;
+  verdict = other427.verdict;
+  version = other427.version;
+  winner = std::move(other427.winner);
+  __isset = other427.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -13145,62 +13415,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other414) {
-  member = other414.member;
-  key = other414.key;
-  contentHash = other414.contentHash;
-  dispatch = other414.dispatch;
-  backend = other414.backend;
-  backendIncarnation = other414.backendIncarnation;
-  status = other414.status;
-  answerStored = other414.answerStored;
-  answerStatus = other414.answerStatus;
-  answerType = other414.answerType;
-  answer = other414.answer;
-  __isset = other414.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other415) noexcept {
-  member = std::move(other415.member);
-  key = std::move(other415.key);
-  contentHash = other415.contentHash;
-  dispatch = std::move(other415.dispatch);
-  backend = std::move(other415.backend);
-  backendIncarnation = other415.backendIncarnation;
-  status = other415.status;
-  answerStored = other415.answerStored;
-  answerStatus = other415.answerStatus;
-  answerType = std::move(other415.answerType);
-  answer = std::move(other415.answer);
-  __isset = other415.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other416) {
-  member = other416.member;
-  key = other416.key;
-  contentHash = other416.contentHash;
-  dispatch = other416.dispatch;
-  backend = other416.backend;
-  backendIncarnation = other416.backendIncarnation;
-  status = other416.status;
-  answerStored = other416.answerStored;
-  answerStatus = other416.answerStatus;
-  answerType = other416.answerType;
-  answer = other416.answer;
-  __isset = other416.__isset;
-  return *this;
-}
-StateRecord& StateRecord::operator=(StateRecord&& other417) noexcept {
-  member = std::move(other417.member);
-  key = std::move(other417.key);
-  contentHash = other417.contentHash;
-  dispatch = std::move(other417.dispatch);
-  backend = std::move(other417.backend);
-  backendIncarnation = other417.backendIncarnation;
-  status = other417.status;
-  answerStored = other417.answerStored;
-  answerStatus = other417.answerStatus;
-  answerType = std::move(other417.answerType);
-  answer = std::move(other417.answer);
-  __isset = other417.__isset;
+StateRecord::StateRecord(const StateRecord& other428) {
+  member = other428.member;
+  key = other428.key;
+  contentHash = other428.contentHash;
+  dispatch = other428.dispatch;
+  backend = other428.backend;
+  backendIncarnation = other428.backendIncarnation;
+  status = other428.status;
+  answerStored = other428.answerStored;
+  answerStatus = other428.answerStatus;
+  answerType = other428.answerType;
+  answer = other428.answer;
+  __isset = other428.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other429) noexcept {
+  member = std::move(other429.member);
+  key = std::move(other429.key);
+  contentHash = other429.contentHash;
+  dispatch = std::move(other429.dispatch);
+  backend = std::move(other429.backend);
+  backendIncarnation = other429.backendIncarnation;
+  status = other429.status;
+  answerStored = other429.answerStored;
+  answerStatus = other429.answerStatus;
+  answerType = std::move(other429.answerType);
+  answer = std::move(other429.answer);
+  __isset = other429.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other430) {
+  member = other430.member;
+  key = other430.key;
+  contentHash = other430.contentHash;
+  dispatch = other430.dispatch;
+  backend = other430.backend;
+  backendIncarnation = other430.backendIncarnation;
+  status = other430.status;
+  answerStored = other430.answerStored;
+  answerStatus = other430.answerStatus;
+  answerType = other430.answerType;
+  answer = other430.answer;
+  __isset = other430.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other431) noexcept {
+  member = std::move(other431.member);
+  key = std::move(other431.key);
+  contentHash = other431.contentHash;
+  dispatch = std::move(other431.dispatch);
+  backend = std::move(other431.backend);
+  backendIncarnation = other431.backendIncarnation;
+  status = other431.status;
+  answerStored = other431.answerStored;
+  answerStatus = other431.answerStatus;
+  answerType = std::move(other431.answerType);
+  answer = std::move(other431.answer);
+  __isset = other431.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -13330,30 +13600,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other418) {
-  token = other418.token;
-  order = other418.order;
-  status = other418.status;
-  __isset = other418.__isset;
+StateOrder::StateOrder(const StateOrder& other432) {
+  token = other432.token;
+  order = other432.order;
+  status = other432.status;
+  __isset = other432.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other419) noexcept {
-  token = other419.token;
-  order = std::move(other419.order);
-  status = other419.status;
-  __isset = other419.__isset;
+StateOrder::StateOrder(StateOrder&& other433) noexcept {
+  token = other433.token;
+  order = std::move(other433.order);
+  status = other433.status;
+  __isset = other433.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other420) {
-  token = other420.token;
-  order = other420.order;
-  status = other420.status;
-  __isset = other420.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other434) {
+  token = other434.token;
+  order = other434.order;
+  status = other434.status;
+  __isset = other434.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other421) noexcept {
-  token = other421.token;
-  order = std::move(other421.order);
-  status = other421.status;
-  __isset = other421.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other435) noexcept {
+  token = other435.token;
+  order = std::move(other435.order);
+  status = other435.status;
+  __isset = other435.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -13475,14 +13745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->replicas.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->replicas.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += this->replicas[_i426].read(iprot);
+              xfer += this->replicas[_i440].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13511,14 +13781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size427;
-            ::apache::thrift::protocol::TType _etype430;
-            xfer += iprot->readListBegin(_etype430, _size427);
-            this->versions.resize(_size427);
-            uint32_t _i431;
-            for (_i431 = 0; _i431 < _size427; ++_i431)
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->versions.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
             {
-              xfer += this->versions[_i431].read(iprot);
+              xfer += this->versions[_i445].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13531,14 +13801,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->changes.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size446;
+            ::apache::thrift::protocol::TType _etype449;
+            xfer += iprot->readListBegin(_etype449, _size446);
+            this->changes.resize(_size446);
+            uint32_t _i450;
+            for (_i450 = 0; _i450 < _size446; ++_i450)
             {
-              xfer += this->changes[_i436].read(iprot);
+              xfer += this->changes[_i450].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13559,14 +13829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size437;
-            ::apache::thrift::protocol::TType _etype440;
-            xfer += iprot->readListBegin(_etype440, _size437);
-            this->records.resize(_size437);
-            uint32_t _i441;
-            for (_i441 = 0; _i441 < _size437; ++_i441)
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _etype454;
+            xfer += iprot->readListBegin(_etype454, _size451);
+            this->records.resize(_size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
             {
-              xfer += this->records[_i441].read(iprot);
+              xfer += this->records[_i455].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13579,14 +13849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size442;
-            ::apache::thrift::protocol::TType _etype445;
-            xfer += iprot->readListBegin(_etype445, _size442);
-            this->orders.resize(_size442);
-            uint32_t _i446;
-            for (_i446 = 0; _i446 < _size442; ++_i446)
+            uint32_t _size456;
+            ::apache::thrift::protocol::TType _etype459;
+            xfer += iprot->readListBegin(_etype459, _size456);
+            this->orders.resize(_size456);
+            uint32_t _i460;
+            for (_i460 = 0; _i460 < _size456; ++_i460)
             {
-              xfer += this->orders[_i446].read(iprot);
+              xfer += this->orders[_i460].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13599,14 +13869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->groups.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _etype464;
+            xfer += iprot->readListBegin(_etype464, _size461);
+            this->groups.resize(_size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
             {
-              xfer += this->groups[_i451].read(iprot);
+              xfer += this->groups[_i465].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13647,10 +13917,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter452;
-    for (_iter452 = this->replicas.begin(); _iter452 != this->replicas.end(); ++_iter452)
+    std::vector<Replica> ::const_iterator _iter466;
+    for (_iter466 = this->replicas.begin(); _iter466 != this->replicas.end(); ++_iter466)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter466).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13667,10 +13937,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter453;
-    for (_iter453 = this->versions.begin(); _iter453 != this->versions.end(); ++_iter453)
+    std::vector<StateVersion> ::const_iterator _iter467;
+    for (_iter467 = this->versions.begin(); _iter467 != this->versions.end(); ++_iter467)
     {
-      xfer += (*_iter453).write(oprot);
+      xfer += (*_iter467).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13679,10 +13949,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter454;
-    for (_iter454 = this->changes.begin(); _iter454 != this->changes.end(); ++_iter454)
+    std::vector<StateChange> ::const_iterator _iter468;
+    for (_iter468 = this->changes.begin(); _iter468 != this->changes.end(); ++_iter468)
     {
-      xfer += (*_iter454).write(oprot);
+      xfer += (*_iter468).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13695,10 +13965,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter455;
-    for (_iter455 = this->records.begin(); _iter455 != this->records.end(); ++_iter455)
+    std::vector<StateRecord> ::const_iterator _iter469;
+    for (_iter469 = this->records.begin(); _iter469 != this->records.end(); ++_iter469)
     {
-      xfer += (*_iter455).write(oprot);
+      xfer += (*_iter469).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13708,10 +13978,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter456;
-      for (_iter456 = this->orders.begin(); _iter456 != this->orders.end(); ++_iter456)
+      std::vector<StateOrder> ::const_iterator _iter470;
+      for (_iter470 = this->orders.begin(); _iter470 != this->orders.end(); ++_iter470)
       {
-        xfer += (*_iter456).write(oprot);
+        xfer += (*_iter470).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13721,10 +13991,10 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter457;
-      for (_iter457 = this->groups.begin(); _iter457 != this->groups.end(); ++_iter457)
+      std::vector<StateGroup> ::const_iterator _iter471;
+      for (_iter471 = this->groups.begin(); _iter471 != this->groups.end(); ++_iter471)
       {
-        xfer += (*_iter457).write(oprot);
+        xfer += (*_iter471).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13752,66 +14022,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other458) {
-  formatVersion = other458.formatVersion;
-  lastIndex = other458.lastIndex;
-  lastTerm = other458.lastTerm;
-  replicas = other458.replicas;
-  current = other458.current;
-  sheet = other458.sheet;
-  versions = other458.versions;
-  changes = other458.changes;
-  clockMicros = other458.clockMicros;
-  records = other458.records;
-  orders = other458.orders;
-  groups = other458.groups;
-  __isset = other458.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other459) noexcept {
-  formatVersion = other459.formatVersion;
-  lastIndex = other459.lastIndex;
-  lastTerm = other459.lastTerm;
-  replicas = std::move(other459.replicas);
-  current = std::move(other459.current);
-  sheet = std::move(other459.sheet);
-  versions = std::move(other459.versions);
-  changes = std::move(other459.changes);
-  clockMicros = other459.clockMicros;
-  records = std::move(other459.records);
-  orders = std::move(other459.orders);
-  groups = std::move(other459.groups);
-  __isset = other459.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other460) {
-  formatVersion = other460.formatVersion;
-  lastIndex = other460.lastIndex;
-  lastTerm = other460.lastTerm;
-  replicas = other460.replicas;
-  current = other460.current;
-  sheet = other460.sheet;
-  versions = other460.versions;
-  changes = other460.changes;
-  clockMicros = other460.clockMicros;
-  records = other460.records;
-  orders = other460.orders;
-  groups = other460.groups;
-  __isset = other460.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other461) noexcept {
-  formatVersion = other461.formatVersion;
-  lastIndex = other461.lastIndex;
-  lastTerm = other461.lastTerm;
-  replicas = std::move(other461.replicas);
-  current = std::move(other461.current);
-  sheet = std::move(other461.sheet);
-  versions = std::move(other461.versions);
-  changes = std::move(other461.changes);
-  clockMicros = other461.clockMicros;
-  records = std::move(other461.records);
-  orders = std::move(other461.orders);
-  groups = std::move(other461.groups);
-  __isset = other461.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other472) {
+  formatVersion = other472.formatVersion;
+  lastIndex = other472.lastIndex;
+  lastTerm = other472.lastTerm;
+  replicas = other472.replicas;
+  current = other472.current;
+  sheet = other472.sheet;
+  versions = other472.versions;
+  changes = other472.changes;
+  clockMicros = other472.clockMicros;
+  records = other472.records;
+  orders = other472.orders;
+  groups = other472.groups;
+  __isset = other472.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other473) noexcept {
+  formatVersion = other473.formatVersion;
+  lastIndex = other473.lastIndex;
+  lastTerm = other473.lastTerm;
+  replicas = std::move(other473.replicas);
+  current = std::move(other473.current);
+  sheet = std::move(other473.sheet);
+  versions = std::move(other473.versions);
+  changes = std::move(other473.changes);
+  clockMicros = other473.clockMicros;
+  records = std::move(other473.records);
+  orders = std::move(other473.orders);
+  groups = std::move(other473.groups);
+  __isset = other473.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other474) {
+  formatVersion = other474.formatVersion;
+  lastIndex = other474.lastIndex;
+  lastTerm = other474.lastTerm;
+  replicas = other474.replicas;
+  current = other474.current;
+  sheet = other474.sheet;
+  versions = other474.versions;
+  changes = other474.changes;
+  clockMicros = other474.clockMicros;
+  records = other474.records;
+  orders = other474.orders;
+  groups = other474.groups;
+  __isset = other474.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other475) noexcept {
+  formatVersion = other475.formatVersion;
+  lastIndex = other475.lastIndex;
+  lastTerm = other475.lastTerm;
+  replicas = std::move(other475.replicas);
+  current = std::move(other475.current);
+  sheet = std::move(other475.sheet);
+  versions = std::move(other475.versions);
+  changes = std::move(other475.changes);
+  clockMicros = other475.clockMicros;
+  records = std::move(other475.records);
+  orders = std::move(other475.orders);
+  groups = std::move(other475.groups);
+  __isset = other475.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -13925,26 +14195,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other462) noexcept {
-  protocolVersion = other462.protocolVersion;
-  messageType = other462.messageType;
-  __isset = other462.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other476) noexcept {
+  protocolVersion = other476.protocolVersion;
+  messageType = other476.messageType;
+  __isset = other476.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other463) noexcept {
-  protocolVersion = other463.protocolVersion;
-  messageType = other463.messageType;
-  __isset = other463.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other477) noexcept {
+  protocolVersion = other477.protocolVersion;
+  messageType = other477.messageType;
+  __isset = other477.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other464) noexcept {
-  protocolVersion = other464.protocolVersion;
-  messageType = other464.messageType;
-  __isset = other464.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other478) noexcept {
+  protocolVersion = other478.protocolVersion;
+  messageType = other478.messageType;
+  __isset = other478.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other465) noexcept {
-  protocolVersion = other465.protocolVersion;
-  messageType = other465.messageType;
-  __isset = other465.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other479) noexcept {
+  protocolVersion = other479.protocolVersion;
+  messageType = other479.messageType;
+  __isset = other479.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -117,6 +117,10 @@
 
 class ProposeReply;
 
+class JoinRequest;
+
+class JoinReply;
+
 class LogBatch;
 
 class VoterRecord;
@@ -1912,11 +1916,12 @@
 std::ostream& operator<<(std::ostream& out, const ReplicaChange& obj);
 
 typedef struct _ConfigChange__isset {
-  _ConfigChange__isset() : baseVersion(false), changeId(false), author(false), sheet(false) {}
+  _ConfigChange__isset() : baseVersion(false), changeId(false), author(false), sheet(false), precedence(true) {}
   bool baseVersion :1;
   bool changeId :1;
   bool author :1;
   bool sheet :1;
+  bool precedence :1;
 } _ConfigChange__isset;
 
 class ConfigChange : public virtual ::apache::thrift::TBase {
@@ -1930,7 +1935,8 @@
                : baseVersion(0),
                  changeId(),
                  author(),
-                 sheet() {
+                 sheet(),
+                 precedence(0) {
   }
 
   virtual ~ConfigChange() noexcept;
@@ -1938,6 +1944,7 @@
   std::string changeId;
   std::string author;
   std::string sheet;
+  int32_t precedence;
 
   _ConfigChange__isset __isset;
 
@@ -1949,6 +1956,8 @@
 
   void __set_sheet(const std::string& val);
 
+  void __set_precedence(const int32_t val);
+
   bool operator == (const ConfigChange & rhs) const
   {
     if (!(baseVersion == rhs.baseVersion))
@@ -1959,6 +1968,10 @@
       return false;
     if (!(sheet == rhs.sheet))
       return false;
+    if (__isset.precedence != rhs.__isset.precedence)
+      return false;
+    else if (__isset.precedence && !(precedence == rhs.precedence))
+      return false;
     return true;
   }
   bool operator != (const ConfigChange &rhs) const {
@@ -3300,6 +3313,94 @@
 
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
 
+typedef struct _JoinRequest__isset {
+  _JoinRequest__isset() : candidate(false) {}
+  bool candidate :1;
+} _JoinRequest__isset;
+
+class JoinRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  JoinRequest(const JoinRequest&);
+  JoinRequest(JoinRequest&&) noexcept;
+  JoinRequest& operator=(const JoinRequest&);
+  JoinRequest& operator=(JoinRequest&&) noexcept;
+  JoinRequest() noexcept {
+  }
+
+  virtual ~JoinRequest() noexcept;
+  Replica candidate;
+
+  _JoinRequest__isset __isset;
+
+  void __set_candidate(const Replica& val);
+
+  bool operator == (const JoinRequest & rhs) const
+  {
+    if (!(candidate == rhs.candidate))
+      return false;
+    return true;
+  }
+  bool operator != (const JoinRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JoinRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JoinRequest &a, JoinRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
+
+typedef struct _JoinReply__isset {
+  _JoinReply__isset() : leaderHint(false) {}
+  bool leaderHint :1;
+} _JoinReply__isset;
+
+class JoinReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  JoinReply(const JoinReply&);
+  JoinReply(JoinReply&&) noexcept;
+  JoinReply& operator=(const JoinReply&);
+  JoinReply& operator=(JoinReply&&) noexcept;
+  JoinReply() noexcept {
+  }
+
+  virtual ~JoinReply() noexcept;
+  Endpoint leaderHint;
+
+  _JoinReply__isset __isset;
+
+  void __set_leaderHint(const Endpoint& val);
+
+  bool operator == (const JoinReply & rhs) const
+  {
+    if (!(leaderHint == rhs.leaderHint))
+      return false;
+    return true;
+  }
+  bool operator != (const JoinReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JoinReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JoinReply &a, JoinReply &b);
+
+std::ostream& operator<<(std::ostream& out, const JoinReply& obj);
+
 typedef struct _LogBatch__isset {
   _LogBatch__isset() : truncateFrom(false), entries(false) {}
   bool truncateFrom :1;
@@ -3918,12 +4019,13 @@
 std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj);
 
 typedef struct _LeaseGrant__isset {
-  _LeaseGrant__isset() : sequence(false), granted(false), leaderHint(false), durationMicros(false), version(false) {}
+  _LeaseGrant__isset() : sequence(false), granted(false), leaderHint(false), durationMicros(false), version(false), controllers(true) {}
   bool sequence :1;
   bool granted :1;
   bool leaderHint :1;
   bool durationMicros :1;
   bool version :1;
+  bool controllers :1;
 } _LeaseGrant__isset;
 
 class LeaseGrant : public virtual ::apache::thrift::TBase {
@@ -3938,6 +4040,7 @@
                granted(0),
                durationMicros(0),
                version(0) {
+
   }
 
   virtual ~LeaseGrant() noexcept;
@@ -3946,6 +4049,7 @@
   Endpoint leaderHint;
   int64_t durationMicros;
   int64_t version;
+  std::vector<Endpoint>  controllers;
 
   _LeaseGrant__isset __isset;
 
@@ -3959,6 +4063,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_controllers(const std::vector<Endpoint> & val);
+
   bool operator == (const LeaseGrant & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -3971,6 +4077,10 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.controllers != rhs.__isset.controllers)
+      return false;
+    else if (__isset.controllers && !(controllers == rhs.controllers))
+      return false;
     return true;
   }
   bool operator != (const LeaseGrant &rhs) const {
--- /dev/null
+++ b/src/io/http_codec.cc
@@ -0,0 +1,168 @@
+#include "io/http_codec.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "radishroute/error.h"
+
+namespace radishroute {
+
+http_decoder::http_decoder(http_side side, std::size_t max_head_bytes, handlers on)
+    : parser_(std::make_unique<http_parser>()),
+      side_(side),
+      max_head_bytes_(max_head_bytes),
+      on_(std::move(on)) {
+  http_parser_init(parser_.get(), side == http_side::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_->data = this;
+}
+
+http_decoder::~http_decoder() = default;
+
+// Adapts the parser's callbacks, which carry a pointer to the decoder.
+struct http_decoder::callbacks {
+  static http_decoder& Self(http_parser* parser) {
+    return *static_cast<http_decoder*>(parser->data);
+  }
+
+  static http_parser_settings Make() {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_message_begin = [](http_parser* p) {
+      http_decoder& self = Self(p);
+      self.head_ = {};
+      self.field_.clear();
+      self.value_.clear();
+      self.in_value_ = self.head_read_ = self.complete_ = false;
+      self.in_message_ = true;
+      return 0;
+    };
+    s.on_url = [](http_parser* p, const char* at, std::size_t length) {
+      Self(p).head_.target.append(at, length);
+      return 0;
+    };
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t length) {
+      Self(p).AddField({at, length});
+      return 0;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t length) {
+      Self(p).AddValue({at, length});
+      return 0;
+    };
+    s.on_headers_complete = [](http_parser* p) { return Self(p).OnHeadersComplete(); };
+    s.on_body = [](http_parser* p, const char* at, std::size_t length) {
+      Self(p).on_.on_body({at, length});
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      http_decoder& self = Self(p);
+      self.complete_ = true;
+      self.in_message_ = false;
+      // The caller decides when the next message may be read.
+      http_parser_pause(p, 1);
+      return 0;
+    };
+    return s;
+  }
+
+  static const http_parser_settings& Get() {
+    static const http_parser_settings kSettings = Make();
+    return kSettings;
+  }
+};
+
+void http_decoder::AddField(std::string_view part) {
+  // Trailers follow the head of a chunked message; they are not forwarded.
+  if (head_read_) return;
+  if (in_value_) {
+    head_.headers.push_back({std::exchange(field_, {}), std::exchange(value_, {})});
+    in_value_ = false;
+  }
+  field_.append(part);
+}
+
+void http_decoder::AddValue(std::string_view part) {
+  if (head_read_) return;
+  in_value_ = true;
+  value_.append(part);
+}
+
+int http_decoder::OnHeadersComplete() {
+  if (in_value_ || !field_.empty()) {
+    head_.headers.push_back({std::exchange(field_, {}), std::exchange(value_, {})});
+    in_value_ = false;
+  }
+  head_read_ = true;
+  head_bytes_ = 0;
+  last_ = before_last_ = 0;
+  if (side_ == http_side::kRequest) {
+    head_.method = http_method_str(static_cast<http_method>(parser_->method));
+  } else {
+    head_.status = parser_->status_code;
+  }
+  head_.keep_alive = http_should_keep_alive(parser_.get()) != 0;
+  if ((parser_->flags & F_CONTENTLENGTH) != 0) head_.content_length = parser_->content_length;
+  if (const std::string* expect = FindHeader(head_.headers, "expect")) {
+    head_.expects_continue = EqualIgnoringCase(*expect, "100-continue");
+  }
+  on_.on_head(std::move(head_));
+  return 0;
+}
+
+// A line that ends without CR, and a header that continues on the next line, are read differently
+// by different servers; a request could be hidden in another one by them.
+bool http_decoder::HeadIsStrict(std::string_view bytes) {
+  for (char c : bytes) {
+    bool bare_line_feed = c == '\n' && last_ != '\r';
+    bool bare_return = last_ == '\r' && c != '\n';
+    bool folded = (c == ' ' || c == '\t') && last_ == '\n' && before_last_ == '\r';
+    if (bare_line_feed || bare_return || folded) return false;
+    before_last_ = last_;
+    last_ = c;
+  }
+  return true;
+}
+
+std::size_t http_decoder::Feed(std::string_view bytes, std::error_code& error) {
+  const http_parser_settings& settings = callbacks::Get();
+  std::size_t used = 0;
+  if (!head_read_) {
+    std::size_t end = bytes.find("\r\n\r\n");
+    std::size_t head = end == std::string_view::npos ? bytes.size() : end + 4;
+    head_bytes_ += head;
+    if (head_bytes_ > max_head_bytes_) {
+      error = errc::kHttpHeadTooLong;
+      return 0;
+    }
+    if (side_ == http_side::kRequest && !HeadIsStrict(bytes.substr(0, head))) {
+      error = errc::kMalformedHttp;
+      return 0;
+    }
+    used = http_parser_execute(parser_.get(), &settings, bytes.data(), head);
+  }
+  bool stopped = HTTP_PARSER_ERRNO(parser_.get()) != HPE_OK;
+  if (!stopped && used < bytes.size()) {
+    used += http_parser_execute(parser_.get(), &settings, bytes.data() + used, bytes.size() - used);
+  }
+  if (complete_ && HTTP_PARSER_ERRNO(parser_.get()) == HPE_PAUSED) {
+    http_parser_pause(parser_.get(), 0);
+    complete_ = head_read_ = false;
+    on_.on_complete();
+    return used;
+  }
+  if (HTTP_PARSER_ERRNO(parser_.get()) != HPE_OK) error = errc::kMalformedHttp;
+  return used;
+}
+
+std::error_code http_decoder::Finish() {
+  const http_parser_settings& settings = callbacks::Get();
+  if (!in_message_) return {};
+  http_parser_execute(parser_.get(), &settings, nullptr, 0);
+  if (!complete_) return errc::kMalformedHttp;
+  complete_ = head_read_ = false;
+  on_.on_complete();
+  return {};
+}
+
+}  // namespace radishroute
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -21,11 +21,6 @@
 
 namespace radishroute {
 
-struct http_header {
-  std::string name;
-  std::string value;
-};
-
 /// A complete request with its body.
 struct http_request {
   exchange_id exchange;
--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -1,10 +1,13 @@
 #ifndef RADISHROUTE_IO_LOG_NODE_H_
 #define RADISHROUTE_IO_LOG_NODE_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "io/node_thread.h"
 #include "io/plan_thread.h"
@@ -12,8 +15,21 @@
 
 namespace radishroute {
 
+/// How a replica with an empty data folder comes to its group.
+struct group_formation {
+  /// The whole system starts for the first time: the founders form a group, which each of them
+  /// knows from this list alone.
+  bool first_start = false;
+  std::vector<endpoint> founders;
+};
+
+/// Identity of a founder, the same on every process.
+inline voter_id FounderId(const endpoint& address) {
+  return {StableHash(ToString(address), StableHash("founder")) | 1};
+}
+
 /// A replica of the log: the control thread with its links, and the storage thread.
-template <policy_set P>
+template <policy_set P, class Adapter = no_adapter>
 class log_node {
  public:
   struct handlers {
@@ -23,7 +39,8 @@
   };
 
   log_node(hello self, handlers on)
-      : on_(std::move(on)), thread_(std::make_unique<node_thread<P>>(std::move(self), Hooks())) {}
+      : on_(std::move(on)),
+        thread_(std::make_unique<node_thread<P, Adapter>>(std::move(self), Hooks())) {}
 
   ~log_node() {
     thread_->Join();
@@ -34,15 +51,28 @@
 
   /// Opens the data folder; with `bootstrap`, an empty one becomes a group of one voter.
   std::error_code Open(const std::string& folder, const replica& self, const endpoint& listen,
-                       bool bootstrap, raft_limits limits = {}) {
-    auto storage = std::make_unique<log_storage>(folder);
+                       bool bootstrap, raft_limits limits = {}, const group_formation& group = {}) {
+    bool founder = group.first_start && std::find(group.founders.begin(), group.founders.end(),
+                                                  self.address) != group.founders.end();
+    std::optional<voter_id> identity;
+    if (founder) identity = FounderId(self.address);
+    auto storage = std::make_unique<log_storage>(folder, log_storage::kSegmentBytes, identity);
     recovered_log recovered;
     if (auto error = storage->Open(recovered)) return error;
     LogOpened(*storage, recovered);
     bool empty = recovered.term == 0 && recovered.entries.empty() && !recovered.snapshot;
     if (bootstrap && !empty) return errc::kFolderInUse;
     if (bootstrap) {
-      if (auto error = Bootstrap(*storage, self, recovered)) return error;
+      replica first = self;
+      first.id = recovered.self;
+      if (auto error = Bootstrap(*storage, {first}, recovered)) return error;
+    }
+    if (founder && empty) {
+      std::vector<replica> founders;
+      for (const endpoint& address : group.founders) {
+        founders.push_back({FounderId(address), {}, address, true, {}});
+      }
+      if (auto error = Bootstrap(*storage, founders, recovered)) return error;
     }
     auto& log = thread_->State().control.log;
     log.emplace(0, limits);
@@ -54,7 +84,7 @@
     return thread_->Links().Listen(listen);
   }
 
-  node_thread<P>& Thread() { return *thread_; }
+  node_thread<P, Adapter>& Thread() { return *thread_; }
   const raft_core& Core() { return thread_->State().control.log->Core(); }
 
  private:
@@ -77,12 +107,12 @@
     return hooks;
   }
 
-  static std::error_code Bootstrap(log_storage& storage, replica self, recovered_log& recovered) {
-    self.id = recovered.self;
+  static std::error_code Bootstrap(log_storage& storage, const std::vector<replica>& replicas,
+                                   recovered_log& recovered) {
     store_batch first;
     first.write_vote = true;
     first.term = 1;
-    first.entries = {{1, 1, replica_change{{self}}}};
+    first.entries = {{1, 1, replica_change{replicas}}};
     if (auto error = storage.Write(first)) return error;
     recovered.term = 1;
     recovered.entries = first.entries;
@@ -102,7 +132,7 @@
   }
 
   handlers on_;
-  std::unique_ptr<node_thread<P>> thread_;
+  std::unique_ptr<node_thread<P, Adapter>> thread_;
   std::unique_ptr<storage_thread> storage_;
   std::unique_ptr<plan_thread> plans_;
 };
--- a/src/io/logging.cc
+++ b/src/io/logging.cc
@@ -1,3 +1,4 @@
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/level.h>
@@ -11,6 +12,10 @@
 
 namespace {
 
+// Lines that may wait for a slow reader of standard output; further ones are dropped and counted
+// in a line of their own, so that logging never holds up a request.
+constexpr int kMaxWaitingLines = 2000;
+
 log4cxx::LevelPtr ToLevel(log_level level) {
   switch (level) {
     case log_level::kDebug:
@@ -47,7 +52,11 @@
   auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSS} %p %m%n");
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(kMaxWaitingLines);
+    queue->setBlocking(false);
+    queue->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out"));
+    appender = queue;
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
@@ -56,6 +65,8 @@
   RootLogger()->setLevel(ToLevel(lowest));
 }
 
+void FlushLog() { RootLogger()->removeAllAppenders(); }
+
 void WriteLog(const log_event& event) {
   log4cxx::LevelPtr level = ToLevel(event.level);
   if (!RootLogger()->isEnabledFor(level)) return;
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -25,7 +25,10 @@
 /// All metrics in the text exposition format that scrapers read.
 std::string RenderMetrics();
 
-/// Sends log events to standard error or, if `file` is not empty, to that file.
+/// Writes out what waits for standard output; nothing is logged after it.
+void FlushLog();
+
+/// Sends log events to standard output or, if `file` is not empty, to that file.
 void ConfigureLogging(const std::string& file, log_level lowest);
 
 /// Writes one structured line: number, name and fields.
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -16,6 +16,7 @@
 #include "io/loop.h"
 #include "io/metrics.h"
 #include "io/order_api.h"
+#include "io/tcp.h"
 #include "radishroute/reducer.h"
 
 namespace radishroute {
@@ -29,23 +30,30 @@
   std::function<bool(const request_id&, event)> on_deliver;
   std::function<void(bool all_finished)> on_stop;
   std::function<void(const crash_report&)> on_crash_report;
+  std::function<void(const publish_document&)> on_document;
   std::function<void(bool up)> on_engine_status;
   std::function<void(std::shared_ptr<const store_batch>)> on_store;
   std::function<void(const proposal_finished&)> on_proposal;
   std::function<void(std::shared_ptr<const plan_request>)> on_plan;
 };
 
+/// Adapter of a thread that has none beside the built-in ones.
+struct no_adapter {};
+
 /// One thread of a process: an event loop, a reducer state, and the adapters that turn input into
 /// events and carry out effects.
-template <policy_set P, clock_source Clock = system_clock_source>
+template <policy_set P, class Adapter = no_adapter, clock_source Clock = system_clock_source>
 class node_thread {
  public:
   node_thread(hello self, node_hooks hooks)
       : links_(loop_, std::move(self), [this](event&& e) { Apply(std::move(e)); }),
         hooks_(std::move(hooks)),
         random_(std::random_device{}()) {
-    static const lws_protocols protocols[] = {
-        link_transport::Protocol(), http_client::Protocol(), {}};
+    static const lws_protocols protocols[] = {link_transport::Protocol(),
+                                              http_client::Protocol(),
+                                              tcp_connection::Protocol(),
+                                              tcp_listener::Protocol(),
+                                              {}};
     loop_.CreateClientVhost(protocols);
     loop_.SetTimerHandler([this] { Apply(timer_expired{}); });
     state_.links.emplace();
@@ -61,6 +69,15 @@
   }
   caller_api& Callers() { return *callers_; }
 
+  /// Takes part in carrying out effects; set before Start.
+  template <class... Arguments>
+  Adapter& Attach(Arguments&&... arguments) {
+    adapter_ = std::make_unique<Adapter>(std::forward<Arguments>(arguments)...);
+    return *adapter_;
+  }
+
+  Adapter& Extension() { return *adapter_; }
+
   void CallEngine(const endpoint& engine) {
     engine_ =
         std::make_unique<engine_api>(loop_, engine, [this](event&& e) { Apply(std::move(e)); });
@@ -160,6 +177,12 @@
   void Execute(const plan_placement& e) {
     if (hooks_.on_plan) hooks_.on_plan(e.request);
   }
+  void Execute(const drain_connections& e) {
+    if (callers_) callers_->Execute(e);
+    if constexpr (requires(Adapter adapter) { adapter.Drain(); }) {
+      if (adapter_) adapter_->Drain();
+    }
+  }
   void Execute(const write_log& e) {
     WriteLog(e.event);
     // State that breaks an invariant must not serve anyone.
@@ -176,12 +199,18 @@
   void Execute(const count_retry& e) { CountRetry(e.reason); }
   void Execute(const observe_latency& e) { ObserveLatency(e.which, e.cls, e.value); }
 
+  void Execute(const publish_document& e) {
+    if (hooks_.on_document) hooks_.on_document(e);
+  }
+
   // The remaining effects belong to an adapter that only some threads have.
   template <class Effect>
   void Execute(const Effect& e) {
-    if constexpr (requires(caller_api api) { api.Execute(e); }) {
+    if constexpr (requires(Adapter adapter) { adapter.Execute(e); }) {
+      if (adapter_) adapter_->Execute(e);
+    } else if constexpr (requires(caller_api api) { api.Execute(e); }) {
       if (callers_) callers_->Execute(e);
-    } else {
+    } else if constexpr (requires(engine_api api) { api.Execute(e); }) {
       if (engine_) engine_->Execute(e);
     }
   }
@@ -193,6 +222,7 @@
   std::unique_ptr<caller_api> callers_;
   std::unique_ptr<engine_api> engine_;
   std::unique_ptr<order_api> orders_;
+  std::unique_ptr<Adapter> adapter_;
   node_hooks hooks_;
   random_source random_;
   effect_list effects_;
--- a/src/io/storage.cc
+++ b/src/io/storage.cc
@@ -134,7 +134,7 @@
     return errc::kLogCorrupt;
   }
   created_ = true;
-  out.self = {DrawVoterId()};
+  out.self = identity_.value_or(voter_id{DrawVoterId()});
   // The identity is written last; a crash before it leaves a folder that counts as empty.
   if (auto failed = ReplaceFile(kVoteFile, EncodePayload(vote_record{}))) return failed;
   return ReplaceFile(kVoterFile, EncodePayload(out.self));
--- a/src/io/storage.h
+++ b/src/io/storage.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -22,8 +23,10 @@
   /// A segment that exceeds this length is followed by a new one.
   static constexpr std::size_t kSegmentBytes = std::size_t{8} << 20;
 
-  explicit log_storage(std::string folder, std::size_t segment_bytes = kSegmentBytes)
-      : folder_(std::move(folder)), segment_bytes_(segment_bytes) {}
+  /// An empty folder gets `identity`, or a random one.
+  explicit log_storage(std::string folder, std::size_t segment_bytes = kSegmentBytes,
+                       std::optional<voter_id> identity = std::nullopt)
+      : folder_(std::move(folder)), segment_bytes_(segment_bytes), identity_(identity) {}
   ~log_storage();
   log_storage(const log_storage&) = delete;
   log_storage& operator=(const log_storage&) = delete;
@@ -64,6 +67,7 @@
 
   std::string folder_;
   std::size_t segment_bytes_;
+  std::optional<voter_id> identity_;
   int lock_ = -1;
   int active_ = -1;
   bool created_ = false;
--- /dev/null
+++ b/src/io/stream_server.h
@@ -0,0 +1,116 @@
+#ifndef RADISHROUTE_IO_STREAM_SERVER_H_
+#define RADISHROUTE_IO_STREAM_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <unordered_map>
+#include <vector>
+
+#include "io/http_codec.h"
+#include "io/tcp.h"
+#include "radishroute/clock.h"
+#include "radishroute/types.h"
+
+namespace radishroute {
+
+/// A complete request as it came.
+struct received_request {
+  exchange_id exchange;
+  http_head head;
+  std::string body;
+};
+
+/// What a client may send, and how long it may take.
+struct client_limits {
+  std::size_t max_head_bytes = 16 * 1024;
+  std::size_t max_body_bytes = std::size_t{4} << 20;
+  std::chrono::milliseconds head_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+  /// All bodies that are being read together; a further one is refused with 503.
+  std::size_t max_buffered_bytes = std::size_t{64} << 20;
+  /// A client that takes less than this from its response is cut off.
+  std::size_t max_unsent_bytes = std::size_t{4} << 20;
+};
+
+/// HTTP/1.1 server that hands on heads and bodies unchanged and streams responses.
+class stream_server {
+ public:
+  struct handlers {
+    std::function<void(received_request&&)> on_request;
+    /// The client is gone before the response was complete.
+    std::function<void(exchange_id)> on_closed;
+    /// A request was rejected before it was complete, with this status.
+    std::function<void(unsigned status)> on_rejected;
+  };
+
+  stream_server(io_loop& loop, handlers on);
+  ~stream_server();
+  stream_server(const stream_server&) = delete;
+  stream_server& operator=(const stream_server&) = delete;
+
+  /// Error: kListenFailed.
+  std::error_code Start(const endpoint& listen) { return listener_.Start(listen); }
+  void StopListening() { listener_.Stop(); }
+  void SetLimits(const client_limits& limits) { limits_ = limits; }
+
+  /// Starts a response. Without a length, the body is sent in chunks.
+  void Begin(exchange_id id, unsigned status, const std::vector<http_header>& headers,
+             std::optional<std::size_t> length);
+  void Write(exchange_id id, std::string_view bytes);
+  void End(exchange_id id);
+  /// Sends a complete response.
+  void Respond(exchange_id id, unsigned status, const std::vector<http_header>& headers,
+               std::string_view body);
+  /// Closes the connection, so that the response cannot be taken for a complete one.
+  void Abort(exchange_id id);
+
+  /// Each further response announces that its connection is closed after it.
+  void Drain() { draining_ = true; }
+
+  std::size_t ConnectionCount() const { return connections_.size(); }
+  std::size_t OpenExchanges() const { return exchanges_.size(); }
+
+ private:
+  struct connection;
+
+  void Accept(int socket);
+  void OnBytes(connection& c, std::string_view bytes);
+  void Parse(connection& c);
+  void OnHead(connection& c, http_head&& head);
+  void OnBody(connection& c, std::string_view bytes);
+  void OnComplete(connection& c);
+  void Reject(connection& c, unsigned status);
+  void OnEnd(connection& c);
+  void FinishResponse(connection& c);
+  void Send(connection& c, std::string_view bytes);
+  void CloseLater(connection& c);
+  void Remove(connection& c);
+  void Sweep();
+  connection* Find(exchange_id id);
+
+  io_loop& loop_;
+  handlers on_;
+  client_limits limits_;
+  tcp_listener listener_;
+  std::uint64_t next_connection_ = 1;
+  std::uint64_t next_exchange_ = 1;
+  bool draining_ = false;
+  std::size_t buffered_bytes_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
+  /// Exchanges in progress, by number, with their connection's number.
+  std::unordered_map<std::uint64_t, std::uint64_t> exchanges_;
+  /// Connections whose handler may still be on the stack; freed by the next sweep.
+  std::vector<std::unique_ptr<connection>> removed_;
+  periodic_task sweep_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_STREAM_SERVER_H_
--- /dev/null
+++ b/src/io/upstream_client.cc
@@ -0,0 +1,211 @@
+#include "io/upstream_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishroute {
+
+namespace {
+
+// A third of the connect timeout: the resolution with which it is noticed.
+constexpr std::chrono::milliseconds kSweepInterval{100};
+
+steady_time Now() { return system_clock_source().Now(); }
+
+}  // namespace
+
+struct upstream_client::connection {
+  connection(upstream_client& client, std::uint64_t n, endpoint address)
+      : number(n),
+        to(std::move(address)),
+        decoder(http_side::kResponse, client.limits_.max_head_bytes,
+                {[&client, this](http_head&& head) { client.OnHead(*this, std::move(head)); },
+                 [&client, this](std::string_view bytes) {
+                   if (call.value != 0 && !foreign) client.on_.on_body(call, bytes);
+                 },
+                 [&client, this] { client.OnComplete(*this); }}) {}
+
+  std::uint64_t number;
+  endpoint to;
+  std::unique_ptr<tcp_connection> tcp;
+  http_decoder decoder;
+  upstream_id call;
+  std::string request_id;
+  /// The response that is being read belongs to another request and is dropped.
+  bool foreign = false;
+  bool answered = false;
+  bool keep_alive = true;
+  bool removed = false;
+  steady_time since;
+  steady_time reusable_until;
+};
+
+upstream_client::upstream_client(io_loop& loop, std::string identity_header, handlers on,
+                                 upstream_client_limits limits)
+    : loop_(loop),
+      identity_header_(std::move(identity_header)),
+      on_(std::move(on)),
+      limits_(limits),
+      sweep_(loop, kSweepInterval, [this] { Sweep(); }) {}
+
+upstream_client::~upstream_client() = default;
+
+upstream_client::connection* upstream_client::TakeIdle(const endpoint& to) {
+  auto it = idle_.find(to);
+  if (it == idle_.end()) return nullptr;
+  steady_time now = Now();
+  while (!it->second.empty()) {
+    auto found = connections_.find(it->second.back());
+    it->second.pop_back();
+    if (found == connections_.end()) continue;
+    if (found->second->reusable_until > now) return found->second.get();
+    Remove(*found->second);
+  }
+  return nullptr;
+}
+
+upstream_client::connection* upstream_client::Open(const endpoint& to) {
+  std::uint64_t number = next_connection_++;
+  auto c = std::make_unique<connection>(*this, number, to);
+  connection* raw = c.get();
+  c->since = Now();
+  c->tcp = tcp_connection::Connect(
+      loop_, to, {},
+      {nullptr, [this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
+       [this, raw](tcp_end how) { OnEnd(*raw, how); }, nullptr});
+  if (!c->tcp) return nullptr;
+  connections_.emplace(number, std::move(c));
+  return raw;
+}
+
+void upstream_client::Start(upstream_call call) {
+  connection* c = call.may_reuse ? TakeIdle(call.to) : nullptr;
+  if (c == nullptr) c = Open(call.to);
+  if (c == nullptr) {
+    on_.on_failed(call.id, {upstream_stage::kConnecting, tcp_end_was_clean::kNo});
+    return;
+  }
+  c->call = call.id;
+  c->request_id = std::move(call.request_id);
+  c->answered = c->foreign = false;
+  c->keep_alive = true;
+  calls_[call.id.value] = c->number;
+  c->tcp->Write(call.bytes);
+}
+
+void upstream_client::Cancel(upstream_id id) {
+  auto it = calls_.find(id.value);
+  if (it == calls_.end()) return;
+  connection& c = *connections_.at(it->second);
+  calls_.erase(it);
+  c.call = {};
+  Remove(c);
+}
+
+void upstream_client::OnBytes(connection& c, std::string_view bytes) {
+  while (!c.removed && !bytes.empty()) {
+    if (c.call.value == 0) {
+      // Bytes after a complete response belong to no request.
+      Remove(c);
+      return;
+    }
+    std::error_code error;
+    std::size_t used = c.decoder.Feed(bytes, error);
+    if (c.removed) return;
+    if (error) {
+      Fail(c, {upstream_stage::kMalformed, tcp_end_was_clean::kNo});
+      return;
+    }
+    bytes.remove_prefix(used);
+  }
+}
+
+void upstream_client::OnHead(connection& c, http_head&& head) {
+  // Interim responses come before the response itself.
+  if (head.status < 200) return;
+  const std::string* id = FindHeader(head.headers, identity_header_);
+  c.foreign = id != nullptr && !c.request_id.empty() && *id != c.request_id;
+  if (c.foreign || c.call.value == 0) return;
+  c.answered = true;
+  c.keep_alive = head.keep_alive;
+  auto seconds = KeepAliveSeconds(head);
+  std::chrono::milliseconds usable = limits_.idle_timeout;
+  if (seconds) {
+    usable = std::min<std::chrono::milliseconds>(
+        usable, std::chrono::seconds(*seconds) - limits_.idle_margin);
+  }
+  c.reusable_until = Now() + usable;
+  on_.on_head(c.call, std::move(head));
+}
+
+void upstream_client::OnComplete(connection& c) {
+  if (c.removed || c.foreign || !c.answered || c.call.value == 0) return;
+  upstream_id call = std::exchange(c.call, {});
+  calls_.erase(call.value);
+  c.answered = false;
+  auto& idle = idle_[c.to];
+  steady_time now = Now();
+  // A request that was answered before it was sent in full leaves the connection in its middle.
+  bool whole = c.tcp->BufferedBytes() == 0;
+  if (whole && c.keep_alive && c.reusable_until > now &&
+      idle.size() < limits_.max_idle_per_backend) {
+    c.reusable_until = std::min(c.reusable_until, now + limits_.idle_timeout);
+    idle.push_back(c.number);
+  } else {
+    Remove(c);
+  }
+  on_.on_end(call);
+}
+
+void upstream_client::OnEnd(connection& c, tcp_end how) {
+  if (c.removed) return;
+  if (c.call.value == 0) {
+    Remove(c);
+    return;
+  }
+  bool clean = how == tcp_end::kClosed;
+  if (clean && c.decoder.InMessage() && !c.decoder.Finish()) {
+    if (!c.removed) Remove(c);
+    return;
+  }
+  if (c.removed) return;
+  upstream_stage stage = upstream_stage::kWaiting;
+  if (how == tcp_end::kConnectFailed) stage = upstream_stage::kConnecting;
+  if (c.answered) stage = upstream_stage::kAnswering;
+  Fail(c, {stage, clean ? tcp_end_was_clean::kYes : tcp_end_was_clean::kNo});
+}
+
+void upstream_client::Fail(connection& c, upstream_failure why) {
+  upstream_id call = std::exchange(c.call, {});
+  calls_.erase(call.value);
+  Remove(c);
+  on_.on_failed(call, why);
+}
+
+void upstream_client::Remove(connection& c) {
+  if (c.removed) return;
+  c.removed = true;
+  c.tcp.reset();
+  auto it = connections_.find(c.number);
+  removed_.push_back(std::move(it->second));
+  connections_.erase(it);
+}
+
+void upstream_client::Sweep() {
+  removed_.clear();
+  steady_time now = Now();
+  std::vector<connection*> late;
+  std::vector<connection*> unused;
+  for (auto& [number, c] : connections_) {
+    if (!c->tcp->Connected() && now - c->since > limits_.connect_timeout) late.push_back(c.get());
+    if (c->call.value == 0 && c->reusable_until <= now) unused.push_back(c.get());
+  }
+  for (connection* c : unused) Remove(*c);
+  for (connection* c : late) OnEnd(*c, tcp_end::kConnectFailed);
+  for (auto& [to, numbers] : idle_) {
+    std::erase_if(numbers, [this](std::uint64_t n) { return !connections_.contains(n); });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace radishroute
--- /dev/null
+++ b/src/io/upstream_client.h
@@ -0,0 +1,95 @@
+#ifndef RADISHROUTE_IO_UPSTREAM_CLIENT_H_
+#define RADISHROUTE_IO_UPSTREAM_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "io/http_codec.h"
+#include "io/tcp.h"
+#include "radishroute/clock.h"
+#include "radishroute/forward/forward_event.h"
+
+namespace radishroute {
+
+/// One request to a backend server, already encoded.
+struct upstream_call {
+  upstream_id id;
+  endpoint to;
+  std::string bytes;
+  /// Identity that the response repeats; a response with another one belongs to another request.
+  std::string request_id;
+  /// May be sent on a connection that was used before.
+  bool may_reuse = true;
+};
+
+struct upstream_client_limits {
+  /// A connection in the same region takes a few milliseconds; a lost opening packet is repeated
+  /// by the system only after a second.
+  std::chrono::milliseconds connect_timeout{300};
+  /// Idle connections are used this long if the backend server names no time of its own.
+  std::chrono::milliseconds idle_timeout{4000};
+  /// A connection is not used any more this long before the backend server may close it.
+  std::chrono::milliseconds idle_margin{500};
+  std::size_t max_idle_per_backend = 32;
+  std::size_t max_head_bytes = 64 * 1024;
+};
+
+/// HTTP/1.1 client that hands on responses as they come and keeps connections open.
+class upstream_client {
+ public:
+  struct handlers {
+    std::function<void(upstream_id, http_head&&)> on_head;
+    std::function<void(upstream_id, std::string_view)> on_body;
+    std::function<void(upstream_id)> on_end;
+    std::function<void(upstream_id, upstream_failure)> on_failed;
+  };
+
+  /// `identity_header` names the header that carries `upstream_call::request_id`.
+  upstream_client(io_loop& loop, std::string identity_header, handlers on,
+                  upstream_client_limits limits = {});
+  ~upstream_client();
+  upstream_client(const upstream_client&) = delete;
+  upstream_client& operator=(const upstream_client&) = delete;
+
+  void Start(upstream_call call);
+  /// Closes the call's connection; no handler is called for it any more.
+  void Cancel(upstream_id id);
+
+  std::size_t OpenConnections() const { return connections_.size(); }
+
+ private:
+  struct connection;
+
+  connection* TakeIdle(const endpoint& to);
+  connection* Open(const endpoint& to);
+  void OnBytes(connection& c, std::string_view bytes);
+  void OnHead(connection& c, http_head&& head);
+  void OnComplete(connection& c);
+  void OnEnd(connection& c, tcp_end how);
+  void Fail(connection& c, upstream_failure why);
+  void Remove(connection& c);
+  void Sweep();
+
+  io_loop& loop_;
+  std::string identity_header_;
+  handlers on_;
+  upstream_client_limits limits_;
+  std::uint64_t next_connection_ = 1;
+  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
+  std::unordered_map<std::uint64_t, std::uint64_t> calls_;
+  /// Numbers of idle connections, the most recently used last.
+  std::map<endpoint, std::vector<std::uint64_t>> idle_;
+  std::vector<std::unique_ptr<connection>> removed_;
+  periodic_task sweep_;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_IO_UPSTREAM_CLIENT_H_
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -62,6 +62,8 @@
     wire_entry<35, snapshot_reply, wire::SnapshotReply>,      //
     wire_entry<36, propose_request, wire::ProposeRequest>,    //
     wire_entry<37, propose_reply, wire::ProposeReply>,        //
+    wire_entry<38, join_request, wire::JoinRequest>,          //
+    wire_entry<39, join_reply, wire::JoinReply>,              //
     wire_entry<50, claim_request, wire::ClaimRequest>,        //
     wire_entry<51, outcome_request, wire::OutcomeRequest>,    //
     wire_entry<52, record_reply, wire::RecordReply>,          //
--- a/src/io/wire_log.h
+++ b/src/io/wire_log.h
@@ -47,6 +47,7 @@
   change.changeId = c.change_id;
   change.author = c.author;
   change.sheet = c.sheet;
+  change.__set_precedence(EnumToWire(c.precedence));
   w.__set_configChange(change);
 }
 
@@ -98,8 +99,9 @@
   return c;
 }
 
-inline config_change FromWire(const wire::ConfigChange& w, bool&) {
-  return {Unsigned(w.baseVersion), w.changeId, w.author, w.sheet};
+inline config_change FromWire(const wire::ConfigChange& w, bool& ok) {
+  return {Unsigned(w.baseVersion), w.changeId, w.author, w.sheet,
+          EnumFromWire(w.precedence, config_precedence::kHighestVersion, ok)};
 }
 
 inline record_claim FromWire(const wire::RecordClaim& w, bool& ok) {
@@ -298,6 +300,26 @@
           FromWire(w.leader, ok)};
 }
 
+inline wire::JoinRequest ToWire(const join_request& m) {
+  wire::JoinRequest w;
+  w.candidate = ToWire(m.candidate);
+  return w;
+}
+
+inline join_request FromWire(const wire::JoinRequest& w, bool& ok) {
+  return {FromWire(w.candidate, ok)};
+}
+
+inline wire::JoinReply ToWire(const join_reply& m) {
+  wire::JoinReply w;
+  w.leaderHint = ToWire(m.leader_hint);
+  return w;
+}
+
+inline join_reply FromWire(const wire::JoinReply& w, bool& ok) {
+  return {FromWire(w.leaderHint, ok)};
+}
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_IO_WIRE_LOG_H_
--- a/src/io/wire_records.h
+++ b/src/io/wire_records.h
@@ -118,12 +118,22 @@
   w.leaderHint = ToWire(m.leader_hint);
   w.durationMicros = MicrosToWire(m.duration);
   w.version = Signed(m.version);
+  std::vector<wire::Endpoint> controllers;
+  ListToWire(m.controllers, controllers);
+  w.__set_controllers(std::move(controllers));
   return w;
 }
 
 inline lease_grant FromWire(const wire::LeaseGrant& w, bool& ok) {
-  return {Unsigned(w.sequence), w.granted, FromWire(w.leaderHint, ok),
-          std::chrono::microseconds(w.durationMicros), Unsigned(w.version)};
+  lease_grant m;
+  m.sequence = Unsigned(w.sequence);
+  m.granted = w.granted;
+  m.leader_hint = FromWire(w.leaderHint, ok);
+  m.duration = std::chrono::microseconds(w.durationMicros);
+  m.version = Unsigned(w.version);
+  ConvertList(w.controllers, m.controllers,
+              [&](const wire::Endpoint& e) { return FromWire(e, ok); });
+  return m;
 }
 
 inline wire::ConfigPush ToWire(const config_push& m) {
--- a/src/leader_session.cc
+++ b/src/leader_session.cc
@@ -20,6 +20,12 @@
   if (!controllers_.empty()) Use(ctx.random() % controllers_.size(), ctx);
 }
 
+void leader_session::AddController(const endpoint& address) {
+  if (std::find(controllers_.begin(), controllers_.end(), address) == controllers_.end()) {
+    controllers_.push_back(address);
+  }
+}
+
 void leader_session::Use(std::size_t index, reduce_context& ctx) {
   if (link_) ctx.Emit(close_link{*link_});
   link_.reset();
@@ -83,6 +89,7 @@
 void leader_session::OnNotLeader(const endpoint& hint, reduce_context& ctx) {
   confirmed_ = false;
   last_sign_ = ctx.now;
+  if (!hint.host.empty()) AddController(hint);
   auto it = std::find(controllers_.begin(), controllers_.end(), hint);
   if (it != controllers_.end() && *it != controllers_[current_]) {
     Use(static_cast<std::size_t>(it - controllers_.begin()), ctx);
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -106,6 +106,24 @@
       return "rank-past-grant";
     case event_code::kGroupPinned:
       return "group-pinned";
+    case event_code::kForwardFinished:
+      return "forward-finished";
+    case event_code::kForwardRefused:
+      return "forward-refused";
+    case event_code::kForwardRetried:
+      return "forward-retried";
+    case event_code::kForwardAttemptFailed:
+      return "forward-attempt-failed";
+    case event_code::kDeploymentApplied:
+      return "deployment-applied";
+    case event_code::kDeploymentRejected:
+      return "deployment-rejected";
+    case event_code::kDocumentAnswered:
+      return "document-answered";
+    case event_code::kCallRejected:
+      return "call-rejected";
+    case event_code::kSettingsReloaded:
+      return "settings-reloaded";
     case event_code::kGroupUnpinned:
       return "group-unpinned";
     case event_code::kInvariantViolated:
--- a/src/peer_links.cc
+++ b/src/peer_links.cc
@@ -16,12 +16,31 @@
 // Messages kept while a link is being opened. Digests repair what is dropped beyond this.
 constexpr std::size_t kMaxOutbox = 64;
 
+// A link that is kept open is opened again soon: its peer pushes changes that must not wait.
+constexpr std::chrono::milliseconds kReopenDelay{200};
+
 }  // namespace
 
-peer_links::peer_links(std::vector<endpoint> peers) {
+peer_links::peer_links(std::vector<endpoint> peers, bool keep_open) : keep_open_(keep_open) {
   for (endpoint& address : peers) peers_.emplace_back().address = std::move(address);
 }
 
+void peer_links::Add(const endpoint& address) {
+  if (Find(address) == nullptr) peers_.emplace_back().address = address;
+}
+
+void peer_links::OpenAll(reduce_context& ctx) {
+  for (peer& p : peers_) {
+    if (p.link || p.opening) continue;
+    if (p.retry_at > ctx.now) {
+      ctx.Emit(schedule_wakeup{p.retry_at});
+      continue;
+    }
+    p.opening = true;
+    ctx.Emit(open_link{p.address});
+  }
+}
+
 peer_links::peer* peer_links::Find(const endpoint& address) {
   for (peer& p : peers_) {
     if (p.address == address) return &p;
@@ -44,18 +63,30 @@
   peer* p = Find(closed.dialed);
   if (p == nullptr) return false;
   if (closed.link.value != 0) {
-    if (p->link == closed.link) p->link.reset();
+    if (p->link == closed.link) {
+      p->link.reset();
+      if (keep_open_) {
+        p->retry_at = ctx.now + kReopenDelay;
+        ctx.Emit(schedule_wakeup{p->retry_at});
+      }
+    }
     return false;
   }
   if (p->link) return false;
   p->opening = false;
   p->outbox.clear();
-  std::uniform_int_distribution<std::int64_t> delay(kRetryDelay.count() / 2, kRetryDelay.count());
+  auto longest = keep_open_ ? kReopenDelay : kRetryDelay;
+  std::uniform_int_distribution<std::int64_t> delay(longest.count() / 2, longest.count());
   p->retry_at = ctx.now + std::chrono::milliseconds(delay(ctx.random));
+  if (keep_open_) ctx.Emit(schedule_wakeup{p->retry_at});
   return true;
 }
 
 void peer_links::Handle(const timer_expired&, reduce_context& ctx) {
+  if (keep_open_) {
+    OpenAll(ctx);
+    return;
+  }
   for (peer& p : peers_) {
     if (!p.link) continue;
     if (ctx.now - p.last_used < kIdleTimeout) {
--- a/src/raft_election.cc
+++ b/src/raft_election.cc
@@ -181,6 +181,15 @@
   return values[values.size() / 2];
 }
 
+steady_time raft_core::ConfirmedAt(steady_time now) const {
+  if (role_ != raft_role::kLeader || failure_) return steady_time::min();
+  return MajorityValue(now, [](const progress& p) { return p.acknowledged; });
+}
+
+void raft_core::RequestConfirmation(reduce_context& ctx) {
+  if (role_ == raft_role::kLeader && !failure_) ReplicateAll(true, ctx);
+}
+
 bool raft_core::LeaseHeld(steady_time now) const {
   if (role_ != raft_role::kLeader || failure_) return false;
   steady_time heard = MajorityValue(now, [](const progress& p) { return p.acknowledged; });
