--- a/src/raft_proposals.cc
+++ b/src/raft_proposals.cc
@@ -123,6 +123,54 @@
   Propose(p, std::move(change), ctx);
 }
 
+void raft_core::Handle(link_id link, const join_request& m, reduce_context& ctx) {
+  if (role_ != raft_role::kLeader || failure_) {
+    ctx.Emit(send_message{link, join_reply{LeaderAddress()}});
+    return;
+  }
+  ctx.Emit(send_message{link, join_reply{LeaderAddress()}});
+  if (FindReplica(log_.Replicas(), m.candidate.id) != nullptr) return;
+  replica_change change{log_.Replicas()};
+  replica learner = m.candidate;
+  learner.voting = false;
+  learner.replaces = {};
+  for (const replica& r : log_.Replicas()) {
+    // The candidate has lost its disk, so its former self will never answer again.
+    if (r.address != learner.address) continue;
+    if (r.voting) learner.replaces = r.id;
+    if (!r.voting) std::erase_if(change.replicas, [&](const replica& o) { return o.id == r.id; });
+  }
+  change.replicas.push_back(learner);
+  if (!LeaseHeld(ctx.now) || !ChangeAllowed(change.replicas, ctx)) return;
+  Propose({}, std::move(change), ctx);
+}
+
+bool raft_core::IsSilent(const replica& r, std::chrono::milliseconds limit, steady_time now) const {
+  auto it = progress_.find(r.id);
+  if (r.id == self_) return false;
+  steady_time heard = it == progress_.end() ? leader_since_ : it->second.acknowledged;
+  return now - std::max(heard, leader_since_) > limit;
+}
+
+const replica* raft_core::SilentVoter(steady_time now) const {
+  for (const replica& r : log_.Replicas()) {
+    if (r.voting && IsSilent(r, limits_.replace_silent, now)) return &r;
+  }
+  return nullptr;
+}
+
+bool raft_core::ForgetSilentLearner(reduce_context& ctx) {
+  for (const replica& r : log_.Replicas()) {
+    if (r.voting || !IsSilent(r, limits_.forget_learner, ctx.now)) continue;
+    replica_change change{log_.Replicas()};
+    std::erase_if(change.replicas, [&](const replica& o) { return o.id == r.id; });
+    if (!LeaseHeld(ctx.now) || !ChangeAllowed(change.replicas, ctx)) return false;
+    Propose({}, std::move(change), ctx);
+    return true;
+  }
+  return false;
+}
+
 void raft_core::AdvanceMembership(reduce_context& ctx) {
   if (role_ != raft_role::kLeader || log_.ReplicasIndex() > commit_ || commit_ < term_start_) {
     return;
@@ -132,6 +180,7 @@
     BecomeFollower(term_, ctx);
     return;
   }
+  if (ForgetSilentLearner(ctx)) return;
   replica_change change{log_.Replicas()};
   for (replica& r : change.replicas) {
     auto it = progress_.find(r.id);
@@ -140,8 +189,12 @@
     if (!heard || it->second.match + limits_.caught_up < log_.LastIndex()) continue;
     // The replaced voter leaves first: the majority is then smallest while both changes commit.
     const replica* replaced = FindReplica(change.replicas, r.replaces);
+    if (replaced == nullptr && VoterCount(change.replicas) >= limits_.max_voters) {
+      replaced = SilentVoter(ctx.now);
+      if (replaced == nullptr) continue;
+    }
     if (replaced != nullptr) {
-      voter_id gone = r.replaces;
+      voter_id gone = replaced->id;
       std::erase_if(change.replicas, [&](const replica& other) { return other.id == gone; });
     } else {
       r.voting = true;
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -35,6 +35,7 @@
   visit(state.control.rank);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
+  visit(state.traffic.forwarding);
   visit(state.links);
 }
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -47,6 +47,14 @@
   reader.Finish();
 }
 
+// Controllers are named by the addresses that operators use; their links have one port on all.
+std::vector<endpoint> ReadControllers(settings_reader& reader, std::uint16_t link_port) {
+  std::vector<endpoint> controllers;
+  reader.Read("controllers", controllers, false);
+  for (endpoint& address : controllers) address.port = link_port;
+  return controllers;
+}
+
 }  // namespace
 
 bool ParseEndpoint(std::string_view text, endpoint& out) {
@@ -155,6 +163,41 @@
   if (out.admin_token.empty()) errors.push_back({"admin_token", "a string that is not empty"});
   reader.Read("data", out.data, true);
   ReadGroups(reader.Child("experts"), out.groups);
+  settings_reader calls = reader.Child("calls");
+  calls.Read("listen", out.calls_listen, false);
+  out.known_controllers = ReadControllers(calls, out.control_listen.port);
+  calls.Read("first_start", out.first_start);
+  std::uint32_t losses = 2;
+  calls.ReadNumber("tolerated_losses", losses, 0, 4);
+  out.voters = 2 * losses + 1;
+  calls.Read("registration_timeout_ms", out.registration_timeout, std::chrono::milliseconds(100),
+             std::chrono::hours(1));
+  calls.Finish();
+  reader.Finish();
+  return out;
+}
+
+gateway_settings ParseGatewaySettings(std::string_view text, std::vector<settings_error>& errors) {
+  gateway_settings out;
+  settings_reader reader(ParseSettingsText(text, errors), "", errors);
+  ReadCommon(reader, out.common);
+  settings_reader http = reader.Child("http");
+  http.Read("listen", out.http_listen, true);
+  http.Read("probe_listen", out.probe_listen, true);
+  http.ReadNumber("max_requests", out.max_requests, 1, 1000000);
+  http.Read("drain_notice_ms", out.drain_notice, std::chrono::milliseconds(0),
+            std::chrono::minutes(10));
+  http.Finish();
+  std::uint16_t link_port = 0;
+  reader.ReadNumber("link_port", link_port, 1, 65535);
+  out.controllers = ReadControllers(reader, link_port);
+  if (out.controllers.empty()) errors.push_back({"controllers", "one address at least"});
+  settings_reader retries = reader.Child("retries");
+  retries.Read("ratio", out.retry_ratio, 0, 1);
+  retries.Read("window_ms", out.retry_window, std::chrono::milliseconds(100),
+               std::chrono::minutes(10));
+  retries.ReadNumber("slack", out.retry_slack, 0, 100000);
+  retries.Finish();
   reader.Finish();
   return out;
 }
--- a/src/settings_reader.cc
+++ b/src/settings_reader.cc
@@ -30,6 +30,16 @@
   out = value->get<std::string>();
 }
 
+void settings_reader::Read(const char* key, double& out, double lowest, double highest) {
+  const nlohmann::json* value = Take(key, false, "a number");
+  if (value == nullptr) return;
+  if (!value->is_number() || value->get<double>() < lowest || value->get<double>() > highest) {
+    Report(key, "a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+    return;
+  }
+  out = value->get<double>();
+}
+
 void settings_reader::Read(const char* key, bool& out) {
   const nlohmann::json* value = Take(key, false, "true or false");
   if (value == nullptr) return;
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -23,6 +23,7 @@
 
   void Read(const char* key, std::string& out, bool required);
   void Read(const char* key, bool& out);
+  void Read(const char* key, double& out, double lowest, double highest);
   void Read(const char* key, endpoint& out, bool required);
   void Read(const char* key, std::vector<std::string>& out, bool required);
   void Read(const char* key, std::vector<endpoint>& out, bool required);
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -81,7 +81,13 @@
 struct Replica { 1: i64 id; 2: string zone; 3: Endpoint address; 4: bool voting; 5: i64 replaces }
 struct NoOperation {}
 struct ReplicaChange { 1: list<Replica> replicas }
-struct ConfigChange { 1: i64 baseVersion; 2: string changeId; 3: string author; 4: string sheet }
+struct ConfigChange {
+  1: i64 baseVersion
+  2: string changeId
+  3: string author
+  4: binary sheet
+  5: optional i32 precedence = 0
+}
 struct RecordClaim {
   1: string member
   2: string key
@@ -156,6 +162,9 @@
 struct SnapshotReply { 1: RaftHeader header; 2: i64 index; 3: i64 nextOffset; 4: bool done; 5: i64 sentNanos }
 struct ProposeRequest { 1: i32 logGroup; 2: i64 proposal; 3: Command body }
 struct ProposeReply { 1: i32 logGroup; 2: i64 proposal; 3: i32 status; 4: i64 index; 5: Endpoint leader }
+// A replica that is in no group asks the leader to be added.
+struct JoinRequest { 1: Replica candidate }
+struct JoinReply { 1: Endpoint leaderHint }
 // One record of a segment file.
 struct LogBatch { 1: i64 truncateFrom; 2: list<LogEntry> entries }
 struct VoterRecord { 1: i64 id }
@@ -209,6 +218,7 @@
   3: Endpoint leaderHint
   4: i64 durationMicros
   5: i64 version
+  6: optional list<Endpoint> controllers = []
 }
 struct ConfigPush { 1: i64 version; 2: string author; 3: binary sheet }
 struct VersionQuery { 1: i64 sequence }
