--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -11,6 +11,7 @@
 
 #include "radishroute/config_leases.h"
 #include "radishroute/document_server.h"
+#include "radishroute/experts/engine_groups.h"
 #include "radishroute/group_joiner.h"
 #include "radishroute/group_server.h"
 #include "radishroute/order_server.h"
@@ -30,12 +31,21 @@
     records_.OnApplied(entry, result, state_.Records(), ctx);
     orders_.OnApplied(entry, state_.Orders(), ctx);
     groups_.OnApplied(entry, result, state_.Groups(), ctx);
-    if (state_.Config().Version() != version) leases_.OnCommitted(state_.Config(), ctx);
+    if (state_.Config().Version() != version) {
+      leases_.OnCommitted(state_.Config(), ctx);
+      PublishDocument(ctx);
+    }
   }
 
   std::string Snapshot() const { return state_.Snapshot(); }
   std::error_code Restore(std::string_view bytes) { return state_.Restore(bytes); }
 
+  /// Hands the document to what this process decodes it for.
+  void PublishDocument(reduce_context& ctx) const {
+    auto text = std::make_shared<const std::string>(state_.Config().Sheet());
+    ctx.Emit(publish_document{state_.Config().Version(), std::move(text)});
+  }
+
   const state_machine& State() const { return state_; }
   record_server& Records() { return records_; }
   order_server& Orders() { return orders_; }
@@ -68,6 +78,10 @@
   }
   void Handle(const Event& e, reduce_context& ctx) {
     log_.Handle(e, ctx);
+    if constexpr (std::is_same_v<Event, process_started>) {
+      // What was loaded from disk.
+      if (State().Config().Version() > 0) log_.Machine().PublishDocument(ctx);
+    }
     if constexpr (std::is_same_v<Event, link_closed>) {
       log_.Machine().Records().OnClosed(e.link);
       log_.Machine().Orders().OnClosed(e.link);
@@ -93,6 +107,12 @@
     if (joiner_) joiner_->OnHint(m.leader_hint);
   }
 
+  void Handle(link_id link, const engine_status& m, reduce_context& ctx) {
+    engines_.OnStatus(link, m, Core(), ctx);
+  }
+
+  void Handle(const deployment_published& e, reduce_context&) { engines_.OnDeployment(*e.routes); }
+
   void Handle(const controllers_changed& e, reduce_context&) {
     if (joiner_) joiner_->Handle(e);
   }
@@ -185,6 +205,7 @@
   void FollowRole(reduce_context& ctx) {
     documents_.OnProgress(Core(), State().Config(), ctx);
     if (joiner_) joiner_->OnProgress(Core(), ctx);
+    engines_.OnProgress(Core(), ctx);
     bool leads = Core().Role() == raft_role::kLeader && !Core().Failure();
     if (serving_ && (!leads || Core().Term() != term_)) {
       log_.Machine().Records().StepDown();
@@ -203,6 +224,7 @@
 
   replicated_log<served_state<Codec>> log_;
   document_server documents_;
+  engine_groups engines_;
   std::optional<group_joiner> joiner_;
   bool serving_ = false;
   std::uint64_t term_ = 0;
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -12,6 +12,7 @@
 #include "radishroute/clock.h"
 #include "radishroute/document_event.h"
 #include "radishroute/error.h"
+#include "radishroute/experts/engine_event.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/group_plan.h"
 #include "radishroute/log_event.h"
@@ -159,6 +160,9 @@
 /// Callers' connections are closed after their next answer, which announces it.
 struct drain_connections {};
 
+/// Callers can open no more connections, and those without a request are closed.
+struct close_idle_callers {};
+
 /// The process has nothing left to do after a drain request.
 struct stop_process {
   bool all_finished = true;
@@ -188,6 +192,7 @@
     count_retry,              //
     observe_latency,          //
     drain_connections,        //
+    close_idle_callers,       //
     stop_process,             //
     share_crash_report,       //
     share_engine_status,      //
@@ -199,6 +204,9 @@
     document_answered,        //
     registration_answered,    //
     publish_document,         //
+    read_engine_report,       //
+    read_engine_choices,      //
+    give_engine_command,      //
     start_upstream,           //
     cancel_upstream,          //
     forward_begin,            //
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "radishroute/document_event.h"
+#include "radishroute/experts/engine_event.h"
 #include "radishroute/failure_event.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/group_plan.h"
@@ -47,6 +48,9 @@
     backend_registered,       //
     backend_withdrawn,        //
     controllers_changed,      //
+    engine_report_read,       //
+    engine_choices_read,      //
+    engine_command_done,      //
     forward_received,         //
     forward_caller_closed,    //
     upstream_answer_begin,    //
--- /dev/null
+++ b/include/radishroute/experts/engine_event.h
@@ -0,0 +1,70 @@
+#ifndef RADISHROUTE_EXPERTS_ENGINE_EVENT_H_
+#define RADISHROUTE_EXPERTS_ENGINE_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "radishroute/engine_message.h"
+
+namespace radishroute {
+
+/// State of an engine as it reports it itself.
+struct engine_report {
+  /// Empty for an engine that is in no group.
+  std::string group;
+  std::uint64_t epoch = 0;
+  std::uint32_t rank = 0;
+  std::uint32_t ranks = 0;
+  bool open = false;
+  std::uint64_t step = 0;
+  std::uint64_t map_version = 0;
+  std::uint64_t prepared_version = 0;
+  std::uint64_t armed_version = 0;
+  std::uint64_t armed_step = 0;
+  std::uint64_t held_step = 0;
+  /// Unix milliseconds of the engine's start.
+  std::uint64_t started = 0;
+};
+
+/// What a rank's requests chose since its start, and what it holds.
+struct engine_choices {
+  std::vector<std::int64_t> counts;
+  /// Only if asked for: the rank's experts by set, -1 for an empty place, and their map.
+  std::vector<std::int32_t> experts;
+  std::uint64_t experts_version = 0;
+};
+
+// Events.
+
+struct engine_report_read {
+  /// Absent if the engine did not answer or the answer could not be read.
+  std::optional<engine_report> report;
+};
+
+struct engine_choices_read {
+  std::optional<engine_choices> choices;
+};
+
+struct engine_command_done {
+  std::uint64_t number = 0;
+  engine_order_result result = engine_order_result::kUnknown;
+};
+
+// Effects.
+
+struct read_engine_report {};
+
+struct read_engine_choices {
+  bool with_experts = false;
+};
+
+/// Ends in `engine_command_done`.
+struct give_engine_command {
+  engine_command command;
+};
+
+}  // namespace radishroute
+
+#endif  // RADISHROUTE_EXPERTS_ENGINE_EVENT_H_
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -118,6 +118,8 @@
   std::unordered_map<upstream_id, exchange_id> attempts_;
   std::set<std::pair<steady_time, std::uint64_t>> give_up_;
   bool draining_ = false;
+  /// Set once no more callers are let in.
+  bool closed_ = false;
   bool stopped_ = false;
   steady_time drained_from_;
   steady_time drain_deadline_;
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -62,6 +62,8 @@
   kRankPastGrant = 724,
   kGroupPinned = 725,
   kGroupUnpinned = 726,
+  kMapPlanned = 727,
+  kEngineReportUnreadable = 728,
   kForwardFinished = 800,
   kForwardRefused = 801,
   kForwardRetried = 802,
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -5,6 +5,7 @@
 
 #include "radishroute/config_message.h"
 #include "radishroute/discovery_message.h"
+#include "radishroute/engine_message.h"
 #include "radishroute/failure_message.h"
 #include "radishroute/group_message.h"
 #include "radishroute/order_message.h"
@@ -73,7 +74,10 @@
     fence_reply,               //
     fenced_order,              //
     order_reply,
-    group_report,  //
+    engine_status,        //
+    engine_status_reply,  //
+    engine_command,       //
+    group_report,         //
     group_grant>;
 
 }  // namespace radishroute
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -131,10 +131,19 @@
   std::uint32_t retry_slack = 2;
 };
 
+/// Settings of a process beside an engine of an expert-parallel group.
+struct sidecar_settings {
+  common_settings common;
+  /// Address of the engine.
+  endpoint engine;
+  std::vector<endpoint> controllers;
+};
+
 /// Parses settings of one role. Appends every fault found to `errors`; the result is usable only
 /// if there is none.
 entry_settings ParseEntrySettings(std::string_view text, std::vector<settings_error>& errors);
 agent_settings ParseAgentSettings(std::string_view text, std::vector<settings_error>& errors);
+sidecar_settings ParseSidecarSettings(std::string_view text, std::vector<settings_error>& errors);
 gateway_settings ParseGatewaySettings(std::string_view text, std::vector<settings_error>& errors);
 controller_settings ParseControllerSettings(std::string_view text,
                                             std::vector<settings_error>& errors);
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -8,6 +8,7 @@
 #include "radishroute/controller_log.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
+#include "radishroute/experts/engine_watch.h"
 #include "radishroute/forward/forwarder.h"
 #include "radishroute/link_monitor.h"
 #include "radishroute/order_client.h"
@@ -25,6 +26,7 @@
   std::optional<config_client> config;
   std::optional<order_client> orders;
   std::optional<rank_agent> rank;
+  std::optional<engine_watch> engine;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -25,8 +25,10 @@
     ParseControllerSettings(*text, errors);
   } else if (role == "gateway") {
     ParseGatewaySettings(*text, errors);
+  } else if (role == "sidecar") {
+    ParseSidecarSettings(*text, errors);
   } else {
-    errors.push_back({"role", "one of \"entry\" \"agent\" \"controller\" \"gateway\""});
+    errors.push_back({"role", "one of \"entry\" \"agent\" \"controller\" \"gateway\" \"sidecar\""});
   }
   return PrintErrors(file, errors) ? kExitUsage : kExitSuccess;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -7,6 +7,7 @@
 int RunEntry(int argc, char** argv);
 int RunAgent(int argc, char** argv);
 int RunGateway(int argc, char** argv);
+int RunSidecar(int argc, char** argv);
 int RunCheck(int argc, char** argv);
 int RunApply(int argc, char** argv);
 int RunPin(int argc, char** argv);
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -16,6 +16,7 @@
 #include "cli/process.h"
 #include "io/control_api.h"
 #include "io/log_node.h"
+#include "platform/config_wire.h"
 #include "platform/control_wire.h"
 #include "radishroute/policies.h"
 
@@ -89,7 +90,8 @@
         latch_(1),
         node_(MakeHello(settings_.common, process_role::kController),
               {[this](const proposal_finished& e) { OnFinished(e); },
-               [this](bool finished) { OnStop(finished); }}),
+               [this](bool finished) { OnStop(finished); },
+               [this](const publish_document& d) { OnDocument(d); }}),
         admin_(node_.Thread().Loop(), [this](const http_request& request, http_server& server) {
           return OnAdmin(request, server);
         }) {}
@@ -135,6 +137,18 @@
     return api.Start(settings_.calls_listen);
   }
 
+  void OnDocument(const publish_document& d) {
+    if (settings_.calls_listen.host.empty()) return;
+    deployment parsed;
+    if (auto error = platform::DecodeDeployment(*d.text, parsed)) {
+      WriteLog({event_code::kDeploymentRejected,
+                log_level::kError,
+                {{"version", std::to_string(d.version)}, {"error", error.message()}}});
+      return;
+    }
+    node_.Thread().Apply(deployment_published{std::make_shared<route_index>(std::move(parsed))});
+  }
+
   // The other settings take effect at the next start.
   void OnSettings(const std::string& text) {
     std::vector<settings_error> errors;
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -16,6 +16,7 @@
     {"entry", "accept callers' requests and route them", radishroute::RunEntry},
     {"agent", "run the work of one backend server", radishroute::RunAgent},
     {"gateway", "forward callers' HTTP requests to backend servers", radishroute::RunGateway},
+    {"sidecar", "read an engine and give it the leader's orders", radishroute::RunSidecar},
     {"controller", "run one replica of the log", radishroute::RunController},
     {"voter", "list or change the replicas of the log", radishroute::RunVoter},
     {"apply", "put a sheet in force as a new configuration version", radishroute::RunApply},
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -432,6 +432,7 @@
 template <backend_selector Selector>
 void forwarder<Selector>::CheckDrained(reduce_context& ctx) {
   if (!draining_ || stopped_ || ctx.now < drained_from_) return;
+  if (!std::exchange(closed_, true)) ctx.Emit(close_idle_callers{});
   if (!requests_.empty() && ctx.now < drain_deadline_) return;
   stopped_ = true;
   ctx.Emit(stop_process{requests_.empty()});
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -12409,6 +12409,941 @@
 }
 
 
+EngineStatus::~EngineStatus() noexcept {
+}
+
+
+void EngineStatus::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EngineStatus::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void EngineStatus::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void EngineStatus::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void EngineStatus::__set_ranks(const int32_t val) {
+  this->ranks = val;
+}
+
+void EngineStatus::__set_open(const bool val) {
+  this->open = val;
+}
+
+void EngineStatus::__set_step(const int64_t val) {
+  this->step = val;
+}
+
+void EngineStatus::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
+}
+
+void EngineStatus::__set_preparedVersion(const int64_t val) {
+  this->preparedVersion = val;
+}
+
+void EngineStatus::__set_armedVersion(const int64_t val) {
+  this->armedVersion = val;
+}
+
+void EngineStatus::__set_armedStep(const int64_t val) {
+  this->armedStep = val;
+}
+
+void EngineStatus::__set_heldStep(const int64_t val) {
+  this->heldStep = val;
+}
+
+void EngineStatus::__set_counts(const std::vector<int32_t> & val) {
+  this->counts = val;
+}
+
+void EngineStatus::__set_experts(const std::vector<int32_t> & val) {
+  this->experts = val;
+}
+
+void EngineStatus::__set_lastCommand(const int64_t val) {
+  this->lastCommand = val;
+}
+
+void EngineStatus::__set_lastResult(const int32_t val) {
+  this->lastResult = val;
+}
+
+void EngineStatus::__set_uncertainMicros(const int64_t val) {
+  this->uncertainMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->open);
+          this->__isset.open = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->preparedVersion);
+          this->__isset.preparedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->armedVersion);
+          this->__isset.armedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->armedStep);
+          this->__isset.armedStep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldStep);
+          this->__isset.heldStep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->counts.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
+            {
+              xfer += iprot->readI32(this->counts[_i408]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->experts.clear();
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->experts.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
+            {
+              xfer += iprot->readI32(this->experts[_i413]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.experts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastCommand);
+          this->__isset.lastCommand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lastResult);
+          this->__isset.lastResult = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->uncertainMicros);
+          this->__isset.uncertainMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineStatus");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("open", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->open);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->mapVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("preparedVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->preparedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("armedVersion", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->armedVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("armedStep", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->armedStep);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldStep", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->heldStep);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::vector<int32_t> ::const_iterator _iter414;
+    for (_iter414 = this->counts.begin(); _iter414 != this->counts.end(); ++_iter414)
+    {
+      xfer += oprot->writeI32((*_iter414));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
+    std::vector<int32_t> ::const_iterator _iter415;
+    for (_iter415 = this->experts.begin(); _iter415 != this->experts.end(); ++_iter415)
+    {
+      xfer += oprot->writeI32((*_iter415));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastCommand", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->lastCommand);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastResult", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->lastResult);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uncertainMicros", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->uncertainMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineStatus &a, EngineStatus &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.group, b.group);
+  swap(a.epoch, b.epoch);
+  swap(a.rank, b.rank);
+  swap(a.ranks, b.ranks);
+  swap(a.open, b.open);
+  swap(a.step, b.step);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.preparedVersion, b.preparedVersion);
+  swap(a.armedVersion, b.armedVersion);
+  swap(a.armedStep, b.armedStep);
+  swap(a.heldStep, b.heldStep);
+  swap(a.counts, b.counts);
+  swap(a.experts, b.experts);
+  swap(a.lastCommand, b.lastCommand);
+  swap(a.lastResult, b.lastResult);
+  swap(a.uncertainMicros, b.uncertainMicros);
+  swap(a.__isset, b.__isset);
+}
+
+EngineStatus::EngineStatus(const EngineStatus& other416) {
+  sequence = other416.sequence;
+  group = other416.group;
+  epoch = other416.epoch;
+  rank = other416.rank;
+  ranks = other416.ranks;
+  open = other416.open;
+  step = other416.step;
+  mapVersion = other416.mapVersion;
+  preparedVersion = other416.preparedVersion;
+  armedVersion = other416.armedVersion;
+  armedStep = other416.armedStep;
+  heldStep = other416.heldStep;
+  counts = other416.counts;
+  experts = other416.experts;
+  lastCommand = other416.lastCommand;
+  lastResult = other416.lastResult;
+  uncertainMicros = other416.uncertainMicros;
+  __isset = other416.__isset;
+}
+EngineStatus::EngineStatus(EngineStatus&& other417) noexcept {
+  sequence = other417.sequence;
+  group = std::move(other417.group);
+  epoch = other417.epoch;
+  rank = other417.rank;
+  ranks = other417.ranks;
+  open = other417.open;
+  step = other417.step;
+  mapVersion = other417.mapVersion;
+  preparedVersion = other417.preparedVersion;
+  armedVersion = other417.armedVersion;
+  armedStep = other417.armedStep;
+  heldStep = other417.heldStep;
+  counts = std::move(other417.counts);
+  experts = std::move(other417.experts);
+  lastCommand = other417.lastCommand;
+  lastResult = other417.lastResult;
+  uncertainMicros = other417.uncertainMicros;
+  __isset = other417.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other418) {
+  sequence = other418.sequence;
+  group = other418.group;
+  epoch = other418.epoch;
+  rank = other418.rank;
+  ranks = other418.ranks;
+  open = other418.open;
+  step = other418.step;
+  mapVersion = other418.mapVersion;
+  preparedVersion = other418.preparedVersion;
+  armedVersion = other418.armedVersion;
+  armedStep = other418.armedStep;
+  heldStep = other418.heldStep;
+  counts = other418.counts;
+  experts = other418.experts;
+  lastCommand = other418.lastCommand;
+  lastResult = other418.lastResult;
+  uncertainMicros = other418.uncertainMicros;
+  __isset = other418.__isset;
+  return *this;
+}
+EngineStatus& EngineStatus::operator=(EngineStatus&& other419) noexcept {
+  sequence = other419.sequence;
+  group = std::move(other419.group);
+  epoch = other419.epoch;
+  rank = other419.rank;
+  ranks = other419.ranks;
+  open = other419.open;
+  step = other419.step;
+  mapVersion = other419.mapVersion;
+  preparedVersion = other419.preparedVersion;
+  armedVersion = other419.armedVersion;
+  armedStep = other419.armedStep;
+  heldStep = other419.heldStep;
+  counts = std::move(other419.counts);
+  experts = std::move(other419.experts);
+  lastCommand = other419.lastCommand;
+  lastResult = other419.lastResult;
+  uncertainMicros = other419.uncertainMicros;
+  __isset = other419.__isset;
+  return *this;
+}
+void EngineStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineStatus(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "ranks=" << to_string(ranks);
+  out << ", " << "open=" << to_string(open);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "preparedVersion=" << to_string(preparedVersion);
+  out << ", " << "armedVersion=" << to_string(armedVersion);
+  out << ", " << "armedStep=" << to_string(armedStep);
+  out << ", " << "heldStep=" << to_string(heldStep);
+  out << ", " << "counts=" << to_string(counts);
+  out << ", " << "experts=" << to_string(experts);
+  out << ", " << "lastCommand=" << to_string(lastCommand);
+  out << ", " << "lastResult=" << to_string(lastResult);
+  out << ", " << "uncertainMicros=" << to_string(uncertainMicros);
+  out << ")";
+}
+
+
+EngineStatusReply::~EngineStatusReply() noexcept {
+}
+
+
+void EngineStatusReply::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EngineStatusReply::__set_leads(const bool val) {
+  this->leads = val;
+}
+
+void EngineStatusReply::__set_leaderHint(const Endpoint& val) {
+  this->leaderHint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineStatusReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineStatusReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaderHint.read(iprot);
+          this->__isset.leaderHint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineStatusReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineStatusReply");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->leads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderHint", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->leaderHint.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineStatusReply &a, EngineStatusReply &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.leads, b.leads);
+  swap(a.leaderHint, b.leaderHint);
+  swap(a.__isset, b.__isset);
+}
+
+EngineStatusReply::EngineStatusReply(const EngineStatusReply& other420) {
+  sequence = other420.sequence;
+  leads = other420.leads;
+  leaderHint = other420.leaderHint;
+  __isset = other420.__isset;
+}
+EngineStatusReply::EngineStatusReply(EngineStatusReply&& other421) noexcept {
+  sequence = other421.sequence;
+  leads = other421.leads;
+  leaderHint = std::move(other421.leaderHint);
+  __isset = other421.__isset;
+}
+EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other422) {
+  sequence = other422.sequence;
+  leads = other422.leads;
+  leaderHint = other422.leaderHint;
+  __isset = other422.__isset;
+  return *this;
+}
+EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other423) noexcept {
+  sequence = other423.sequence;
+  leads = other423.leads;
+  leaderHint = std::move(other423.leaderHint);
+  __isset = other423.__isset;
+  return *this;
+}
+void EngineStatusReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineStatusReply(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "leads=" << to_string(leads);
+  out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ")";
+}
+
+
+EngineCommand::~EngineCommand() noexcept {
+}
+
+
+void EngineCommand::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void EngineCommand::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EngineCommand::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void EngineCommand::__set_operation(const int32_t val) {
+  this->operation = val;
+}
+
+void EngineCommand::__set_mapVersion(const int64_t val) {
+  this->mapVersion = val;
+}
+
+void EngineCommand::__set_step(const int64_t val) {
+  this->step = val;
+}
+
+void EngineCommand::__set_experts(const std::vector<int32_t> & val) {
+  this->experts = val;
+}
+
+void EngineCommand::__set_sets(const int32_t val) {
+  this->sets = val;
+}
+
+void EngineCommand::__set_ranks(const int32_t val) {
+  this->ranks = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->operation);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mapVersion);
+          this->__isset.mapVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->experts.clear();
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->experts.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
+            {
+              xfer += iprot->readI32(this->experts[_i428]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.experts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sets);
+          this->__isset.sets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ranks);
+          this->__isset.ranks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineCommand");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mapVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->mapVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
+    std::vector<int32_t> ::const_iterator _iter429;
+    for (_iter429 = this->experts.begin(); _iter429 != this->experts.end(); ++_iter429)
+    {
+      xfer += oprot->writeI32((*_iter429));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sets", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->sets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ranks", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->ranks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineCommand &a, EngineCommand &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.epoch, b.epoch);
+  swap(a.operation, b.operation);
+  swap(a.mapVersion, b.mapVersion);
+  swap(a.step, b.step);
+  swap(a.experts, b.experts);
+  swap(a.sets, b.sets);
+  swap(a.ranks, b.ranks);
+  swap(a.__isset, b.__isset);
+}
+
+EngineCommand::EngineCommand(const EngineCommand& other430) {
+  term = other430.term;
+  number = other430.number;
+  epoch = other430.epoch;
+  operation = other430.operation;
+  mapVersion = other430.mapVersion;
+  step = other430.step;
+  experts = other430.experts;
+  sets = other430.sets;
+  ranks = other430.ranks;
+  __isset = other430.__isset;
+}
+EngineCommand::EngineCommand(EngineCommand&& other431) noexcept {
+  term = other431.term;
+  number = other431.number;
+  epoch = other431.epoch;
+  operation = other431.operation;
+  mapVersion = other431.mapVersion;
+  step = other431.step;
+  experts = std::move(other431.experts);
+  sets = other431.sets;
+  ranks = other431.ranks;
+  __isset = other431.__isset;
+}
+EngineCommand& EngineCommand::operator=(const EngineCommand& other432) {
+  term = other432.term;
+  number = other432.number;
+  epoch = other432.epoch;
+  operation = other432.operation;
+  mapVersion = other432.mapVersion;
+  step = other432.step;
+  experts = other432.experts;
+  sets = other432.sets;
+  ranks = other432.ranks;
+  __isset = other432.__isset;
+  return *this;
+}
+EngineCommand& EngineCommand::operator=(EngineCommand&& other433) noexcept {
+  term = other433.term;
+  number = other433.number;
+  epoch = other433.epoch;
+  operation = other433.operation;
+  mapVersion = other433.mapVersion;
+  step = other433.step;
+  experts = std::move(other433.experts);
+  sets = other433.sets;
+  ranks = other433.ranks;
+  __isset = other433.__isset;
+  return *this;
+}
+void EngineCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineCommand(";
+  out << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "operation=" << to_string(operation);
+  out << ", " << "mapVersion=" << to_string(mapVersion);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "experts=" << to_string(experts);
+  out << ", " << "sets=" << to_string(sets);
+  out << ", " << "ranks=" << to_string(ranks);
+  out << ")";
+}
+
+
 StateGroup::~StateGroup() noexcept {
 }
 
@@ -12508,14 +13443,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->ranges.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->ranges.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->ranges[_i408].read(iprot);
+              xfer += this->ranges[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12544,14 +13479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->maps.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size439;
+            ::apache::thrift::protocol::TType _etype442;
+            xfer += iprot->readListBegin(_etype442, _size439);
+            this->maps.resize(_size439);
+            uint32_t _i443;
+            for (_i443 = 0; _i443 < _size439; ++_i443)
             {
-              xfer += this->maps[_i413].read(iprot);
+              xfer += this->maps[_i443].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12636,10 +13571,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter414;
-    for (_iter414 = this->ranges.begin(); _iter414 != this->ranges.end(); ++_iter414)
+    std::vector<StepRange> ::const_iterator _iter444;
+    for (_iter444 = this->ranges.begin(); _iter444 != this->ranges.end(); ++_iter444)
     {
-      xfer += (*_iter414).write(oprot);
+      xfer += (*_iter444).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12656,10 +13591,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter415;
-    for (_iter415 = this->maps.begin(); _iter415 != this->maps.end(); ++_iter415)
+    std::vector<ExpertMap> ::const_iterator _iter445;
+    for (_iter445 = this->maps.begin(); _iter445 != this->maps.end(); ++_iter445)
     {
-      xfer += (*_iter415).write(oprot);
+      xfer += (*_iter445).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12711,66 +13646,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other416) {
-  name = other416.name;
-  shape = other416.shape;
-  ranges = other416.ranges;
-  proposed = other416.proposed;
-  highestMap = other416.highestMap;
-  maps = other416.maps;
-  pinned = other416.pinned;
-  changedMap = other416.changedMap;
-  reason = other416.reason;
-  bytes = other416.bytes;
-  bytesMoved = other416.bytesMoved;
-  changes = other416.changes;
-  __isset = other416.__isset;
-}
-StateGroup::StateGroup(StateGroup&& other417) noexcept {
-  name = std::move(other417.name);
-  shape = std::move(other417.shape);
-  ranges = std::move(other417.ranges);
-  proposed = other417.proposed;
-  highestMap = other417.highestMap;
-  maps = std::move(other417.maps);
-  pinned = other417.pinned;
-  changedMap = other417.changedMap;
-  reason = std::move(other417.reason);
-  bytes = other417.bytes;
-  bytesMoved = other417.bytesMoved;
-  changes = other417.changes;
-  __isset = other417.__isset;
-}
-StateGroup& StateGroup::operator=(const StateGroup& other418) {
-  name = other418.name;
-  shape = other418.shape;
-  ranges = other418.ranges;
-  proposed = other418.proposed;
-  highestMap = other418.highestMap;
-  maps = other418.maps;
-  pinned = other418.pinned;
-  changedMap = other418.changedMap;
-  reason = other418.reason;
-  bytes = other418.bytes;
-  bytesMoved = other418.bytesMoved;
-  changes = other418.changes;
-  __isset = other418.__isset;
-  return *this;
-}
-StateGroup& StateGroup::operator=(StateGroup&& other419) noexcept {
-  name = std::move(other419.name);
-  shape = std::move(other419.shape);
-  ranges = std::move(other419.ranges);
-  proposed = other419.proposed;
-  highestMap = other419.highestMap;
-  maps = std::move(other419.maps);
-  pinned = other419.pinned;
-  changedMap = other419.changedMap;
-  reason = std::move(other419.reason);
-  bytes = other419.bytes;
-  bytesMoved = other419.bytesMoved;
-  changes = other419.changes;
-  __isset = other419.__isset;
+StateGroup::StateGroup(const StateGroup& other446) {
+  name = other446.name;
+  shape = other446.shape;
+  ranges = other446.ranges;
+  proposed = other446.proposed;
+  highestMap = other446.highestMap;
+  maps = other446.maps;
+  pinned = other446.pinned;
+  changedMap = other446.changedMap;
+  reason = other446.reason;
+  bytes = other446.bytes;
+  bytesMoved = other446.bytesMoved;
+  changes = other446.changes;
+  __isset = other446.__isset;
+}
+StateGroup::StateGroup(StateGroup&& other447) noexcept {
+  name = std::move(other447.name);
+  shape = std::move(other447.shape);
+  ranges = std::move(other447.ranges);
+  proposed = other447.proposed;
+  highestMap = other447.highestMap;
+  maps = std::move(other447.maps);
+  pinned = other447.pinned;
+  changedMap = other447.changedMap;
+  reason = std::move(other447.reason);
+  bytes = other447.bytes;
+  bytesMoved = other447.bytesMoved;
+  changes = other447.changes;
+  __isset = other447.__isset;
+}
+StateGroup& StateGroup::operator=(const StateGroup& other448) {
+  name = other448.name;
+  shape = other448.shape;
+  ranges = other448.ranges;
+  proposed = other448.proposed;
+  highestMap = other448.highestMap;
+  maps = other448.maps;
+  pinned = other448.pinned;
+  changedMap = other448.changedMap;
+  reason = other448.reason;
+  bytes = other448.bytes;
+  bytesMoved = other448.bytesMoved;
+  changes = other448.changes;
+  __isset = other448.__isset;
+  return *this;
+}
+StateGroup& StateGroup::operator=(StateGroup&& other449) noexcept {
+  name = std::move(other449.name);
+  shape = std::move(other449.shape);
+  ranges = std::move(other449.ranges);
+  proposed = other449.proposed;
+  highestMap = other449.highestMap;
+  maps = std::move(other449.maps);
+  pinned = other449.pinned;
+  changedMap = other449.changedMap;
+  reason = std::move(other449.reason);
+  bytes = other449.bytes;
+  bytesMoved = other449.bytesMoved;
+  changes = other449.changes;
+  __isset = other449.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -12918,34 +13853,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other420) {
-  version = other420.version;
-  changeId = other420.changeId;
-  author = other420.author;
-  sheetHash = other420.sheetHash;
-  __isset = other420.__isset;
+StateVersion::StateVersion(const StateVersion& other450) {
+  version = other450.version;
+  changeId = other450.changeId;
+  author = other450.author;
+  sheetHash = other450.sheetHash;
+  __isset = other450.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other421) noexcept {
-  version = other421.version;
-  changeId = std::move(other421.changeId);
-  author = std::move(other421.author);
-  sheetHash = other421.sheetHash;
-  __isset = other421.__isset;
+StateVersion::StateVersion(StateVersion&& other451) noexcept {
+  version = other451.version;
+  changeId = std::move(other451.changeId);
+  author = std::move(other451.author);
+  sheetHash = other451.sheetHash;
+  __isset = other451.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other422) {
-  version = other422.version;
-  changeId = other422.changeId;
-  author = other422.author;
-  sheetHash = other422.sheetHash;
-  __isset = other422.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other452) {
+  version = other452.version;
+  changeId = other452.changeId;
+  author = other452.author;
+  sheetHash = other452.sheetHash;
+  __isset = other452.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other423) noexcept {
-  version = other423.version;
-  changeId = std::move(other423.changeId);
-  author = std::move(other423.author);
-  sheetHash = other423.sheetHash;
-  __isset = other423.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other453) noexcept {
+  version = other453.version;
+  changeId = std::move(other453.changeId);
+  author = std::move(other453.author);
+  sheetHash = other453.sheetHash;
+  __isset = other453.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -13119,42 +14054,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other424) {
-  changeId = other424.changeId;
-  baseVersion = other424.baseVersion;
-  sheetHash = other424.sheetHash;
-  verdict = other424.verdict;
-  version = other424.version;
-  winner = other424.winner;
-  __isset = other424.__isset;
-}
-StateChange::StateChange(StateChange&& other425) noexcept {
-  changeId = std::move(other425.changeId);
-  baseVersion = other425.baseVersion;
-  sheetHash = other425.sheetHash;
-  verdict = other425.verdict;
-  version = other425.version;
-  winner = std::move(other425.winner);
-  __isset = other425.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other426) {
-  changeId = other426.changeId;
-  baseVersion = other426.baseVersion;
-  sheetHash = other426.sheetHash;
-  verdict = other426.verdict;
-  version = other426.version;
-  winner = other426.winner;
-  __isset = other426.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other427) noexcept {
-  changeId = std::move(other427.changeId);
-  baseVersion = other427.baseVersion;
-  sheetHash = other427.sheetHash;
-  verdict = other427.verdict;
-  version = other427.version;
-  winner = std::move(other427.winner);
-  __isset = other427.__isset;
+StateChange::StateChange(const StateChange& other454) {
+  changeId = other454.changeId;
+  baseVersion = other454.baseVersion;
+  sheetHash = other454.sheetHash;
+  verdict = other454.verdict;
+  version = other454.version;
+  winner = other454.winner;
+  __isset = other454.__isset;
+}
+StateChange::StateChange(StateChange&& other455) noexcept {
+  changeId = std::move(other455.changeId);
+  baseVersion = other455.baseVersion;
+  sheetHash = other455.sheetHash;
+  verdict = other455.verdict;
+  version = other455.version;
+  winner = std::move(other455.winner);
+  __isset = other455.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other456) {
+  changeId = other456.changeId;
+  baseVersion = other456.baseVersion;
+  sheetHash = other456.sheetHash;
+  verdict = other456.verdict;
+  version = other456.version;
+  winner = other456.winner;
+  __isset = other456.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other457) noexcept {
+  changeId = std::move(other457.changeId);
+  baseVersion = other457.baseVersion;
+  sheetHash = other457.sheetHash;
+  verdict = other457.verdict;
+  version = other457.version;
+  winner = std::move(other457.winner);
+  __isset = other457.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -13415,62 +14350,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other428) {
-  member = other428.member;
-  key = other428.key;
-  contentHash = other428.contentHash;
-  dispatch = other428.dispatch;
-  backend = other428.backend;
-  backendIncarnation = other428.backendIncarnation;
-  status = other428.status;
-  answerStored = other428.answerStored;
-  answerStatus = other428.answerStatus;
-  answerType = other428.answerType;
-  answer = other428.answer;
-  __isset = other428.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other429) noexcept {
-  member = std::move(other429.member);
-  key = std::move(other429.key);
-  contentHash = other429.contentHash;
-  dispatch = std::move(other429.dispatch);
-  backend = std::move(other429.backend);
-  backendIncarnation = other429.backendIncarnation;
-  status = other429.status;
-  answerStored = other429.answerStored;
-  answerStatus = other429.answerStatus;
-  answerType = std::move(other429.answerType);
-  answer = std::move(other429.answer);
-  __isset = other429.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other430) {
-  member = other430.member;
-  key = other430.key;
-  contentHash = other430.contentHash;
-  dispatch = other430.dispatch;
-  backend = other430.backend;
-  backendIncarnation = other430.backendIncarnation;
-  status = other430.status;
-  answerStored = other430.answerStored;
-  answerStatus = other430.answerStatus;
-  answerType = other430.answerType;
-  answer = other430.answer;
-  __isset = other430.__isset;
-  return *this;
-}
-StateRecord& StateRecord::operator=(StateRecord&& other431) noexcept {
-  member = std::move(other431.member);
-  key = std::move(other431.key);
-  contentHash = other431.contentHash;
-  dispatch = std::move(other431.dispatch);
-  backend = std::move(other431.backend);
-  backendIncarnation = other431.backendIncarnation;
-  status = other431.status;
-  answerStored = other431.answerStored;
-  answerStatus = other431.answerStatus;
-  answerType = std::move(other431.answerType);
-  answer = std::move(other431.answer);
-  __isset = other431.__isset;
+StateRecord::StateRecord(const StateRecord& other458) {
+  member = other458.member;
+  key = other458.key;
+  contentHash = other458.contentHash;
+  dispatch = other458.dispatch;
+  backend = other458.backend;
+  backendIncarnation = other458.backendIncarnation;
+  status = other458.status;
+  answerStored = other458.answerStored;
+  answerStatus = other458.answerStatus;
+  answerType = other458.answerType;
+  answer = other458.answer;
+  __isset = other458.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other459) noexcept {
+  member = std::move(other459.member);
+  key = std::move(other459.key);
+  contentHash = other459.contentHash;
+  dispatch = std::move(other459.dispatch);
+  backend = std::move(other459.backend);
+  backendIncarnation = other459.backendIncarnation;
+  status = other459.status;
+  answerStored = other459.answerStored;
+  answerStatus = other459.answerStatus;
+  answerType = std::move(other459.answerType);
+  answer = std::move(other459.answer);
+  __isset = other459.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other460) {
+  member = other460.member;
+  key = other460.key;
+  contentHash = other460.contentHash;
+  dispatch = other460.dispatch;
+  backend = other460.backend;
+  backendIncarnation = other460.backendIncarnation;
+  status = other460.status;
+  answerStored = other460.answerStored;
+  answerStatus = other460.answerStatus;
+  answerType = other460.answerType;
+  answer = other460.answer;
+  __isset = other460.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other461) noexcept {
+  member = std::move(other461.member);
+  key = std::move(other461.key);
+  contentHash = other461.contentHash;
+  dispatch = std::move(other461.dispatch);
+  backend = std::move(other461.backend);
+  backendIncarnation = other461.backendIncarnation;
+  status = other461.status;
+  answerStored = other461.answerStored;
+  answerStatus = other461.answerStatus;
+  answerType = std::move(other461.answerType);
+  answer = std::move(other461.answer);
+  __isset = other461.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -13600,30 +14535,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other432) {
-  token = other432.token;
-  order = other432.order;
-  status = other432.status;
-  __isset = other432.__isset;
+StateOrder::StateOrder(const StateOrder& other462) {
+  token = other462.token;
+  order = other462.order;
+  status = other462.status;
+  __isset = other462.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other433) noexcept {
-  token = other433.token;
-  order = std::move(other433.order);
-  status = other433.status;
-  __isset = other433.__isset;
+StateOrder::StateOrder(StateOrder&& other463) noexcept {
+  token = other463.token;
+  order = std::move(other463.order);
+  status = other463.status;
+  __isset = other463.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other434) {
-  token = other434.token;
-  order = other434.order;
-  status = other434.status;
-  __isset = other434.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other464) {
+  token = other464.token;
+  order = other464.order;
+  status = other464.status;
+  __isset = other464.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other435) noexcept {
-  token = other435.token;
-  order = std::move(other435.order);
-  status = other435.status;
-  __isset = other435.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other465) noexcept {
+  token = other465.token;
+  order = std::move(other465.order);
+  status = other465.status;
+  __isset = other465.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -13745,14 +14680,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size436;
-            ::apache::thrift::protocol::TType _etype439;
-            xfer += iprot->readListBegin(_etype439, _size436);
-            this->replicas.resize(_size436);
-            uint32_t _i440;
-            for (_i440 = 0; _i440 < _size436; ++_i440)
+            uint32_t _size466;
+            ::apache::thrift::protocol::TType _etype469;
+            xfer += iprot->readListBegin(_etype469, _size466);
+            this->replicas.resize(_size466);
+            uint32_t _i470;
+            for (_i470 = 0; _i470 < _size466; ++_i470)
             {
-              xfer += this->replicas[_i440].read(iprot);
+              xfer += this->replicas[_i470].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13781,14 +14716,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->versions.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size471;
+            ::apache::thrift::protocol::TType _etype474;
+            xfer += iprot->readListBegin(_etype474, _size471);
+            this->versions.resize(_size471);
+            uint32_t _i475;
+            for (_i475 = 0; _i475 < _size471; ++_i475)
             {
-              xfer += this->versions[_i445].read(iprot);
+              xfer += this->versions[_i475].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13801,14 +14736,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->changes.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size476;
+            ::apache::thrift::protocol::TType _etype479;
+            xfer += iprot->readListBegin(_etype479, _size476);
+            this->changes.resize(_size476);
+            uint32_t _i480;
+            for (_i480 = 0; _i480 < _size476; ++_i480)
             {
-              xfer += this->changes[_i450].read(iprot);
+              xfer += this->changes[_i480].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13829,14 +14764,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _etype454;
-            xfer += iprot->readListBegin(_etype454, _size451);
-            this->records.resize(_size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size481;
+            ::apache::thrift::protocol::TType _etype484;
+            xfer += iprot->readListBegin(_etype484, _size481);
+            this->records.resize(_size481);
+            uint32_t _i485;
+            for (_i485 = 0; _i485 < _size481; ++_i485)
             {
-              xfer += this->records[_i455].read(iprot);
+              xfer += this->records[_i485].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13849,14 +14784,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size456;
-            ::apache::thrift::protocol::TType _etype459;
-            xfer += iprot->readListBegin(_etype459, _size456);
-            this->orders.resize(_size456);
-            uint32_t _i460;
-            for (_i460 = 0; _i460 < _size456; ++_i460)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->orders.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += this->orders[_i460].read(iprot);
+              xfer += this->orders[_i490].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13869,14 +14804,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size461;
-            ::apache::thrift::protocol::TType _etype464;
-            xfer += iprot->readListBegin(_etype464, _size461);
-            this->groups.resize(_size461);
-            uint32_t _i465;
-            for (_i465 = 0; _i465 < _size461; ++_i465)
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->groups.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
             {
-              xfer += this->groups[_i465].read(iprot);
+              xfer += this->groups[_i495].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13917,10 +14852,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter466;
-    for (_iter466 = this->replicas.begin(); _iter466 != this->replicas.end(); ++_iter466)
+    std::vector<Replica> ::const_iterator _iter496;
+    for (_iter496 = this->replicas.begin(); _iter496 != this->replicas.end(); ++_iter496)
     {
-      xfer += (*_iter466).write(oprot);
+      xfer += (*_iter496).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13937,10 +14872,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter467;
-    for (_iter467 = this->versions.begin(); _iter467 != this->versions.end(); ++_iter467)
+    std::vector<StateVersion> ::const_iterator _iter497;
+    for (_iter497 = this->versions.begin(); _iter497 != this->versions.end(); ++_iter497)
     {
-      xfer += (*_iter467).write(oprot);
+      xfer += (*_iter497).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13949,10 +14884,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter468;
-    for (_iter468 = this->changes.begin(); _iter468 != this->changes.end(); ++_iter468)
+    std::vector<StateChange> ::const_iterator _iter498;
+    for (_iter498 = this->changes.begin(); _iter498 != this->changes.end(); ++_iter498)
     {
-      xfer += (*_iter468).write(oprot);
+      xfer += (*_iter498).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13965,10 +14900,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter469;
-    for (_iter469 = this->records.begin(); _iter469 != this->records.end(); ++_iter469)
+    std::vector<StateRecord> ::const_iterator _iter499;
+    for (_iter499 = this->records.begin(); _iter499 != this->records.end(); ++_iter499)
     {
-      xfer += (*_iter469).write(oprot);
+      xfer += (*_iter499).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13978,10 +14913,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter470;
-      for (_iter470 = this->orders.begin(); _iter470 != this->orders.end(); ++_iter470)
+      std::vector<StateOrder> ::const_iterator _iter500;
+      for (_iter500 = this->orders.begin(); _iter500 != this->orders.end(); ++_iter500)
       {
-        xfer += (*_iter470).write(oprot);
+        xfer += (*_iter500).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13991,10 +14926,10 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter471;
-      for (_iter471 = this->groups.begin(); _iter471 != this->groups.end(); ++_iter471)
+      std::vector<StateGroup> ::const_iterator _iter501;
+      for (_iter501 = this->groups.begin(); _iter501 != this->groups.end(); ++_iter501)
       {
-        xfer += (*_iter471).write(oprot);
+        xfer += (*_iter501).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -14022,66 +14957,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other472) {
-  formatVersion = other472.formatVersion;
-  lastIndex = other472.lastIndex;
-  lastTerm = other472.lastTerm;
-  replicas = other472.replicas;
-  current = other472.current;
-  sheet = other472.sheet;
-  versions = other472.versions;
-  changes = other472.changes;
-  clockMicros = other472.clockMicros;
-  records = other472.records;
-  orders = other472.orders;
-  groups = other472.groups;
-  __isset = other472.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other473) noexcept {
-  formatVersion = other473.formatVersion;
-  lastIndex = other473.lastIndex;
-  lastTerm = other473.lastTerm;
-  replicas = std::move(other473.replicas);
-  current = std::move(other473.current);
-  sheet = std::move(other473.sheet);
-  versions = std::move(other473.versions);
-  changes = std::move(other473.changes);
-  clockMicros = other473.clockMicros;
-  records = std::move(other473.records);
-  orders = std::move(other473.orders);
-  groups = std::move(other473.groups);
-  __isset = other473.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other474) {
-  formatVersion = other474.formatVersion;
-  lastIndex = other474.lastIndex;
-  lastTerm = other474.lastTerm;
-  replicas = other474.replicas;
-  current = other474.current;
-  sheet = other474.sheet;
-  versions = other474.versions;
-  changes = other474.changes;
-  clockMicros = other474.clockMicros;
-  records = other474.records;
-  orders = other474.orders;
-  groups = other474.groups;
-  __isset = other474.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other475) noexcept {
-  formatVersion = other475.formatVersion;
-  lastIndex = other475.lastIndex;
-  lastTerm = other475.lastTerm;
-  replicas = std::move(other475.replicas);
-  current = std::move(other475.current);
-  sheet = std::move(other475.sheet);
-  versions = std::move(other475.versions);
-  changes = std::move(other475.changes);
-  clockMicros = other475.clockMicros;
-  records = std::move(other475.records);
-  orders = std::move(other475.orders);
-  groups = std::move(other475.groups);
-  __isset = other475.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other502) {
+  formatVersion = other502.formatVersion;
+  lastIndex = other502.lastIndex;
+  lastTerm = other502.lastTerm;
+  replicas = other502.replicas;
+  current = other502.current;
+  sheet = other502.sheet;
+  versions = other502.versions;
+  changes = other502.changes;
+  clockMicros = other502.clockMicros;
+  records = other502.records;
+  orders = other502.orders;
+  groups = other502.groups;
+  __isset = other502.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other503) noexcept {
+  formatVersion = other503.formatVersion;
+  lastIndex = other503.lastIndex;
+  lastTerm = other503.lastTerm;
+  replicas = std::move(other503.replicas);
+  current = std::move(other503.current);
+  sheet = std::move(other503.sheet);
+  versions = std::move(other503.versions);
+  changes = std::move(other503.changes);
+  clockMicros = other503.clockMicros;
+  records = std::move(other503.records);
+  orders = std::move(other503.orders);
+  groups = std::move(other503.groups);
+  __isset = other503.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other504) {
+  formatVersion = other504.formatVersion;
+  lastIndex = other504.lastIndex;
+  lastTerm = other504.lastTerm;
+  replicas = other504.replicas;
+  current = other504.current;
+  sheet = other504.sheet;
+  versions = other504.versions;
+  changes = other504.changes;
+  clockMicros = other504.clockMicros;
+  records = other504.records;
+  orders = other504.orders;
+  groups = other504.groups;
+  __isset = other504.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other505) noexcept {
+  formatVersion = other505.formatVersion;
+  lastIndex = other505.lastIndex;
+  lastTerm = other505.lastTerm;
+  replicas = std::move(other505.replicas);
+  current = std::move(other505.current);
+  sheet = std::move(other505.sheet);
+  versions = std::move(other505.versions);
+  changes = std::move(other505.changes);
+  clockMicros = other505.clockMicros;
+  records = std::move(other505.records);
+  orders = std::move(other505.orders);
+  groups = std::move(other505.groups);
+  __isset = other505.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -14195,26 +15130,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other476) noexcept {
-  protocolVersion = other476.protocolVersion;
-  messageType = other476.messageType;
-  __isset = other476.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other506) noexcept {
+  protocolVersion = other506.protocolVersion;
+  messageType = other506.messageType;
+  __isset = other506.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other477) noexcept {
-  protocolVersion = other477.protocolVersion;
-  messageType = other477.messageType;
-  __isset = other477.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other507) noexcept {
+  protocolVersion = other507.protocolVersion;
+  messageType = other507.messageType;
+  __isset = other507.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other478) noexcept {
-  protocolVersion = other478.protocolVersion;
-  messageType = other478.messageType;
-  __isset = other478.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other508) noexcept {
+  protocolVersion = other508.protocolVersion;
+  messageType = other508.messageType;
+  __isset = other508.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other479) noexcept {
-  protocolVersion = other479.protocolVersion;
-  messageType = other479.messageType;
-  __isset = other479.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other509) noexcept {
+  protocolVersion = other509.protocolVersion;
+  messageType = other509.messageType;
+  __isset = other509.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -163,6 +163,12 @@
 
 class StepGrant;
 
+class EngineStatus;
+
+class EngineStatusReply;
+
+class EngineCommand;
+
 class StateGroup;
 
 class StateVersion;
@@ -4859,6 +4865,319 @@
 
 std::ostream& operator<<(std::ostream& out, const StepGrant& obj);
 
+typedef struct _EngineStatus__isset {
+  _EngineStatus__isset() : sequence(false), group(false), epoch(false), rank(false), ranks(false), open(false), step(false), mapVersion(false), preparedVersion(false), armedVersion(false), armedStep(false), heldStep(false), counts(false), experts(false), lastCommand(false), lastResult(false), uncertainMicros(false) {}
+  bool sequence :1;
+  bool group :1;
+  bool epoch :1;
+  bool rank :1;
+  bool ranks :1;
+  bool open :1;
+  bool step :1;
+  bool mapVersion :1;
+  bool preparedVersion :1;
+  bool armedVersion :1;
+  bool armedStep :1;
+  bool heldStep :1;
+  bool counts :1;
+  bool experts :1;
+  bool lastCommand :1;
+  bool lastResult :1;
+  bool uncertainMicros :1;
+} _EngineStatus__isset;
+
+class EngineStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineStatus(const EngineStatus&);
+  EngineStatus(EngineStatus&&) noexcept;
+  EngineStatus& operator=(const EngineStatus&);
+  EngineStatus& operator=(EngineStatus&&) noexcept;
+  EngineStatus() noexcept
+               : sequence(0),
+                 group(),
+                 epoch(0),
+                 rank(0),
+                 ranks(0),
+                 open(0),
+                 step(0),
+                 mapVersion(0),
+                 preparedVersion(0),
+                 armedVersion(0),
+                 armedStep(0),
+                 heldStep(0),
+                 lastCommand(0),
+                 lastResult(0),
+                 uncertainMicros(0) {
+  }
+
+  virtual ~EngineStatus() noexcept;
+  int64_t sequence;
+  std::string group;
+  int64_t epoch;
+  int32_t rank;
+  int32_t ranks;
+  bool open;
+  int64_t step;
+  int64_t mapVersion;
+  int64_t preparedVersion;
+  int64_t armedVersion;
+  int64_t armedStep;
+  int64_t heldStep;
+  std::vector<int32_t>  counts;
+  std::vector<int32_t>  experts;
+  int64_t lastCommand;
+  int32_t lastResult;
+  int64_t uncertainMicros;
+
+  _EngineStatus__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_group(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_ranks(const int32_t val);
+
+  void __set_open(const bool val);
+
+  void __set_step(const int64_t val);
+
+  void __set_mapVersion(const int64_t val);
+
+  void __set_preparedVersion(const int64_t val);
+
+  void __set_armedVersion(const int64_t val);
+
+  void __set_armedStep(const int64_t val);
+
+  void __set_heldStep(const int64_t val);
+
+  void __set_counts(const std::vector<int32_t> & val);
+
+  void __set_experts(const std::vector<int32_t> & val);
+
+  void __set_lastCommand(const int64_t val);
+
+  void __set_lastResult(const int32_t val);
+
+  void __set_uncertainMicros(const int64_t val);
+
+  bool operator == (const EngineStatus & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(ranks == rhs.ranks))
+      return false;
+    if (!(open == rhs.open))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(mapVersion == rhs.mapVersion))
+      return false;
+    if (!(preparedVersion == rhs.preparedVersion))
+      return false;
+    if (!(armedVersion == rhs.armedVersion))
+      return false;
+    if (!(armedStep == rhs.armedStep))
+      return false;
+    if (!(heldStep == rhs.heldStep))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    if (!(experts == rhs.experts))
+      return false;
+    if (!(lastCommand == rhs.lastCommand))
+      return false;
+    if (!(lastResult == rhs.lastResult))
+      return false;
+    if (!(uncertainMicros == rhs.uncertainMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineStatus &a, EngineStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineStatus& obj);
+
+typedef struct _EngineStatusReply__isset {
+  _EngineStatusReply__isset() : sequence(false), leads(false), leaderHint(false) {}
+  bool sequence :1;
+  bool leads :1;
+  bool leaderHint :1;
+} _EngineStatusReply__isset;
+
+class EngineStatusReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineStatusReply(const EngineStatusReply&);
+  EngineStatusReply(EngineStatusReply&&) noexcept;
+  EngineStatusReply& operator=(const EngineStatusReply&);
+  EngineStatusReply& operator=(EngineStatusReply&&) noexcept;
+  EngineStatusReply() noexcept
+                    : sequence(0),
+                      leads(0) {
+  }
+
+  virtual ~EngineStatusReply() noexcept;
+  int64_t sequence;
+  bool leads;
+  Endpoint leaderHint;
+
+  _EngineStatusReply__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_leads(const bool val);
+
+  void __set_leaderHint(const Endpoint& val);
+
+  bool operator == (const EngineStatusReply & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(leads == rhs.leads))
+      return false;
+    if (!(leaderHint == rhs.leaderHint))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineStatusReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineStatusReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineStatusReply &a, EngineStatusReply &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineStatusReply& obj);
+
+typedef struct _EngineCommand__isset {
+  _EngineCommand__isset() : term(false), number(false), epoch(false), operation(false), mapVersion(false), step(false), experts(false), sets(false), ranks(false) {}
+  bool term :1;
+  bool number :1;
+  bool epoch :1;
+  bool operation :1;
+  bool mapVersion :1;
+  bool step :1;
+  bool experts :1;
+  bool sets :1;
+  bool ranks :1;
+} _EngineCommand__isset;
+
+class EngineCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineCommand(const EngineCommand&);
+  EngineCommand(EngineCommand&&) noexcept;
+  EngineCommand& operator=(const EngineCommand&);
+  EngineCommand& operator=(EngineCommand&&) noexcept;
+  EngineCommand() noexcept
+                : term(0),
+                  number(0),
+                  epoch(0),
+                  operation(0),
+                  mapVersion(0),
+                  step(0),
+                  sets(0),
+                  ranks(0) {
+  }
+
+  virtual ~EngineCommand() noexcept;
+  int64_t term;
+  int64_t number;
+  int64_t epoch;
+  int32_t operation;
+  int64_t mapVersion;
+  int64_t step;
+  std::vector<int32_t>  experts;
+  int32_t sets;
+  int32_t ranks;
+
+  _EngineCommand__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_operation(const int32_t val);
+
+  void __set_mapVersion(const int64_t val);
+
+  void __set_step(const int64_t val);
+
+  void __set_experts(const std::vector<int32_t> & val);
+
+  void __set_sets(const int32_t val);
+
+  void __set_ranks(const int32_t val);
+
+  bool operator == (const EngineCommand & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(mapVersion == rhs.mapVersion))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(experts == rhs.experts))
+      return false;
+    if (!(sets == rhs.sets))
+      return false;
+    if (!(ranks == rhs.ranks))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineCommand &a, EngineCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineCommand& obj);
+
 typedef struct _StateGroup__isset {
   _StateGroup__isset() : name(false), shape(false), ranges(false), proposed(false), highestMap(false), maps(false), pinned(false), changedMap(false), reason(false), bytes(false), bytesMoved(false), changes(false) {}
   bool name :1;
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -12,6 +12,7 @@
 #include "io/metrics.h"
 #include "io/stream_server.h"
 #include "io/upstream_client.h"
+#include "radishroute/effect.h"
 #include "radishroute/event.h"
 
 namespace radishroute {
@@ -86,6 +87,7 @@
     std::string body = "{\"reason\":\"" + std::string(ToString(e.reason)) + "\"}";
     callers_.Respond(e.exchange, e.status, headers, body);
   }
+  void Execute(const close_idle_callers&) { callers_.CloseIdle(); }
   void Drain() { callers_.Drain(); }
 
  private:
--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -36,6 +36,7 @@
     /// Both are called on the control thread.
     std::function<void(const proposal_finished&)> on_proposal;
     std::function<void(bool all_finished)> on_stop;
+    std::function<void(const publish_document&)> on_document;
   };
 
   log_node(hello self, handlers on)
@@ -96,6 +97,9 @@
     hooks.on_proposal = [this](const proposal_finished& e) {
       if (on_.on_proposal) on_.on_proposal(e);
     };
+    hooks.on_document = [this](const publish_document& d) {
+      if (on_.on_document) on_.on_document(d);
+    };
     hooks.on_store = [this](std::shared_ptr<const store_batch> batch) {
       log_stored refused{batch->log_group, batch->sequence, errc::kSyncFailed};
       if (!storage_->Post(std::move(batch))) thread_->Post(refused);
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -257,6 +257,15 @@
   Remove(*c);
 }
 
+void stream_server::CloseIdle() {
+  draining_ = true;
+  listener_.Stop();
+  for (auto& [number, c] : connections_) {
+    bool idle = c->exchange == 0 && !c->closing && !c->decoder.InMessage();
+    if (idle) CloseLater(*c);
+  }
+}
+
 void stream_server::Sweep() {
   removed_.clear();
   steady_time now = Now();
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -73,6 +73,8 @@
 
   /// Each further response announces that its connection is closed after it.
   void Drain() { draining_ = true; }
+  /// Accepts no more connections and closes those without a request in progress.
+  void CloseIdle();
 
   std::size_t ConnectionCount() const { return connections_.size(); }
   std::size_t OpenExchanges() const { return exchanges_.size(); }
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -106,6 +106,10 @@
       return "rank-past-grant";
     case event_code::kGroupPinned:
       return "group-pinned";
+    case event_code::kMapPlanned:
+      return "map-planned";
+    case event_code::kEngineReportUnreadable:
+      return "engine-report-unreadable";
     case event_code::kForwardFinished:
       return "forward-finished";
     case event_code::kForwardRefused:
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -177,6 +177,19 @@
   return out;
 }
 
+sidecar_settings ParseSidecarSettings(std::string_view text, std::vector<settings_error>& errors) {
+  sidecar_settings out;
+  settings_reader reader(ParseSettingsText(text, errors), "", errors);
+  ReadCommon(reader, out.common);
+  reader.Read("engine", out.engine, true);
+  std::uint16_t link_port = 0;
+  reader.ReadNumber("link_port", link_port, 1, 65535);
+  out.controllers = ReadControllers(reader, link_port);
+  if (out.controllers.empty()) errors.push_back({"controllers", "one address at least"});
+  reader.Finish();
+  return out;
+}
+
 gateway_settings ParseGatewaySettings(std::string_view text, std::vector<settings_error>& errors) {
   gateway_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -258,6 +258,40 @@
   8: list<ExpertMap> maps
 }
 
+// Engines beside a sidecar, and what the leader orders. `messageType` numbers 100-109. Lists of experts are flattened: by
+// set, rank and place, with -1 for an empty place.
+struct EngineStatus {
+  1: i64 sequence
+  2: string group
+  3: i64 epoch
+  4: i32 rank
+  5: i32 ranks
+  6: bool open
+  7: i64 step
+  8: i64 mapVersion
+  9: i64 preparedVersion
+  10: i64 armedVersion
+  11: i64 armedStep
+  12: i64 heldStep
+  13: list<i32> counts
+  14: list<i32> experts
+  15: i64 lastCommand
+  16: i32 lastResult
+  17: i64 uncertainMicros
+}
+struct EngineStatusReply { 1: i64 sequence; 2: bool leads; 3: Endpoint leaderHint }
+struct EngineCommand {
+  1: i64 term
+  2: i64 number
+  3: i64 epoch
+  4: i32 operation
+  5: i64 mapVersion
+  6: i64 step
+  7: list<i32> experts
+  8: i32 sets
+  9: i32 ranks
+}
+
 // Contents of a snapshot of the state machine.
 struct StateGroup {
   1: string name
