--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -43,6 +43,7 @@
   void Handle(const claim_submitted& submitted, reduce_context& ctx);
   void Handle(const outcome_submitted& submitted, reduce_context& ctx);
 
+  void Handle(link_id link, const fleet_load& load, reduce_context& ctx);
   void Handle(link_id link, const lease_grant& grant, reduce_context& ctx);
   void Handle(link_id link, const config_push& push, reduce_context& ctx);
   void Handle(link_id link, const record_reply& reply, reduce_context& ctx);
--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -87,6 +87,7 @@
       log_.Machine().Orders().OnClosed(e.link);
       log_.Machine().Leases().OnClosed(e.link);
     }
+    if constexpr (requires { engines_.Handle(e); }) engines_.Handle(e);
     if constexpr (requires(group_joiner joiner) { joiner.Handle(e); }) {
       if (joiner_) joiner_->Handle(e);
     }
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -207,6 +207,7 @@
     read_engine_report,       //
     read_engine_choices,      //
     give_engine_command,      //
+    publish_fleet_load,       //
     start_upstream,           //
     cancel_upstream,          //
     forward_begin,            //
--- a/include/radishroute/engine_message.h
+++ b/include/radishroute/engine_message.h
@@ -53,6 +53,29 @@
   engine_order_result last_result = engine_order_result::kNone;
   /// How much longer an order without a known result may still be carried out.
   std::chrono::microseconds uncertain{};
+  /// Address at which the engine takes requests.
+  endpoint address;
+  /// Requests that it runs, and those that wait in it.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+};
+
+/// Requests at one engine when its sidecar read it.
+struct fleet_engine_load {
+  endpoint address;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  /// Time since it was read, when the message was sent.
+  std::chrono::milliseconds age{};
+};
+
+/// State of an expert-parallel group, from the leader to every entry.
+struct fleet_load {
+  /// False while the group makes no passes, because a rank is missing.
+  bool open = false;
+  /// Mean duration of a pass lately; zero if it is not known.
+  std::chrono::microseconds pass{};
+  std::vector<fleet_engine_load> engines;
 };
 
 struct engine_status_reply {
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -51,6 +51,7 @@
     engine_report_read,       //
     engine_choices_read,      //
     engine_command_done,      //
+    fleet_load_published,     //
     forward_received,         //
     forward_caller_closed,    //
     upstream_answer_begin,    //
--- a/include/radishroute/experts/engine_event.h
+++ b/include/radishroute/experts/engine_event.h
@@ -2,6 +2,7 @@
 #define RADISHROUTE_EXPERTS_ENGINE_EVENT_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,6 +25,8 @@
   std::uint64_t armed_version = 0;
   std::uint64_t armed_step = 0;
   std::uint64_t held_step = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
   /// Unix milliseconds of the engine's start.
   std::uint64_t started = 0;
 };
@@ -52,8 +55,18 @@
   engine_order_result result = engine_order_result::kUnknown;
 };
 
+/// Event of a traffic thread: the leader's latest view of the engines.
+struct fleet_load_published {
+  std::shared_ptr<const fleet_load> load;
+};
+
 // Effects.
 
+/// Control thread only: hands the leader's view of the engines to every traffic thread.
+struct publish_fleet_load {
+  std::shared_ptr<const fleet_load> load;
+};
+
 struct read_engine_report {};
 
 struct read_engine_choices {
--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   std::chrono::milliseconds pause{400};
   /// Counts lose half of their weight in this time; popularity shifts within seconds.
   std::chrono::milliseconds half_life{600};
+  /// Period of messages to entries, and how many of them one leader serves at that period; with
+  /// more entries the period grows.
+  std::chrono::milliseconds load_period{100};
+  std::size_t entries_per_period = 12;
   /// Share of a pass's expert work that a change must save.
   double min_gain = 0.06;
   /// Choices that must have been counted before they are trusted, per expert.
@@ -36,6 +41,8 @@
   void OnStatus(link_id link, const engine_status& status, const raft_core& core,
                 reduce_context& ctx);
   void OnDeployment(const route_index& routes);
+  void Handle(const link_opened& opened);
+  void Handle(const link_closed& closed);
   /// To be called after each event.
   void OnProgress(const raft_core& core, reduce_context& ctx);
 
@@ -47,18 +54,29 @@
     steady_time decayed;
     steady_time plan_at;
     std::uint64_t epoch = 0;
+    /// For the duration of a pass.
+    std::uint64_t measured_step = 0;
+    steady_time measured_at;
+    std::chrono::microseconds pass{};
+    steady_time waiting_logged;
   };
 
   void AddCounts(group& g, const engine_status& status) const;
   void Decay(group& g, steady_time now) const;
-  void Plan(group& g, std::uint64_t term, reduce_context& ctx) const;
+  void MeasurePass(group& g, steady_time now) const;
+  void SendLoads(reduce_context& ctx);
+  void Plan(const std::string& name, group& g, std::uint64_t term, reduce_context& ctx) const;
+  void LogWaiting(const std::string& name, group& g, std::string_view reason,
+                  reduce_context& ctx) const;
 
   engine_group_limits limits_;
   std::map<std::string, group> groups_;
   /// Profile of expert-parallel engines; one service has them.
   std::optional<engine_profile> profile_;
   steady_time next_tick_;
+  steady_time next_loads_;
   std::uint64_t term_ = 0;
+  std::set<link_id> entries_;
 };
 
 }  // namespace radishroute
--- a/include/radishroute/experts/engine_watch.h
+++ b/include/radishroute/experts/engine_watch.h
@@ -14,7 +14,9 @@
 namespace radishroute {
 
 struct engine_watch_limits {
-  std::chrono::milliseconds interval{250};
+  /// Entries choose engines by what is read.
+  std::chrono::milliseconds interval{125};
+  std::chrono::milliseconds choices_interval{250};
   /// While the leader changes the map of the group.
   std::chrono::milliseconds busy_interval{60};
   std::chrono::milliseconds busy_for{1000};
@@ -28,8 +30,8 @@
 /// to the engine, one at a time.
 class engine_watch {
  public:
-  explicit engine_watch(std::vector<endpoint> controllers, engine_watch_limits limits = {})
-      : session_(std::move(controllers)), limits_(limits) {}
+  engine_watch(endpoint engine, std::vector<endpoint> controllers, engine_watch_limits limits = {})
+      : engine_(std::move(engine)), session_(std::move(controllers)), limits_(limits) {}
 
   void Handle(const process_started& e, reduce_context& ctx);
   void Handle(const timer_expired& e, reduce_context& ctx);
@@ -48,6 +50,7 @@
   void GiveNext(reduce_context& ctx);
   void Report(const engine_report& report, reduce_context& ctx);
 
+  endpoint engine_;
   leader_session session_;
   engine_watch_limits limits_;
   std::uint64_t sequence_ = 0;
--- a/include/radishroute/experts/map_switch.h
+++ b/include/radishroute/experts/map_switch.h
@@ -50,9 +50,15 @@
   phase Phase() const { return phase_; }
   /// All ranks have been heard lately in one epoch of an open group.
   bool Known(steady_time now) const;
+  /// Some rank reports that the group makes no passes. A rank that is silent says nothing: its
+  /// sidecar may be gone while its engine runs.
+  bool Down(steady_time now) const;
   /// The group is known, at rest, and every rank has the same map.
   bool ReadyToChange(steady_time now) const;
   std::uint64_t MapVersion() const;
+  std::uint64_t NewestStep() const;
+  /// Requests at each engine that was heard lately.
+  std::vector<fleet_engine_load> Loads(steady_time now) const;
   std::uint64_t Epoch() const { return epoch_; }
   std::uint32_t Ranks() const { return static_cast<std::uint32_t>(ranks_.size()); }
   /// Experts by rank as the ranks report them for the map in force; nothing if one is missing.
@@ -82,7 +88,6 @@
   void Arm(std::uint64_t term, reduce_context& ctx);
   void Release(std::uint64_t term, reduce_context& ctx);
   bool FenceAll(std::uint64_t term, reduce_context& ctx);
-  std::uint64_t NewestStep() const;
   rank_view* Holder();
 
   map_switch_limits limits_;
--- a/include/radishroute/forward/backend_selector.h
+++ b/include/radishroute/forward/backend_selector.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "radishroute/clock.h"
+#include "radishroute/engine_message.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/policy.h"
 #include "radishroute/routing_table.h"
@@ -53,9 +54,11 @@
 concept backend_selector = std::default_initializable<S> &&
     requires(S selector, const routing_table& table, const std::string& zone,
              const selection_query& query, const std::string& backend, const reported_load& load,
-             attempt_verdict verdict, random_source& random, steady_time now) {
+             const fleet_load& fleet, attempt_verdict verdict, random_source& random,
+             steady_time now) {
   {selector.OnTable(table, zone)};
   { selector.Choose(query, now, random) } -> std::same_as<std::optional<selection>>;
+  {selector.OnFleetLoad(fleet, now)};
   {selector.OnSent(backend, now)};
   {selector.OnLoad(backend, load, now)};
   {selector.OnDone(backend, verdict, now)};
@@ -73,6 +76,12 @@
   /// Requests of other processes, by the last response.
   double others = 0;
   steady_time others_at;
+  /// Attempts of this process that the last report cannot contain.
+  std::uint32_t unreported = 0;
+  /// Of these, the ones sent since that report.
+  std::uint32_t sent_lately = 0;
+  /// The last report came from the leader, which hears of all requests.
+  bool reported_whole = false;
   std::uint32_t failures = 0;
   steady_time avoid_until;
 };
@@ -84,6 +93,7 @@
   void OnTable(const routing_table& table, const std::string& zone);
   std::optional<selection> Choose(const selection_query& query, steady_time now,
                                   random_source& random) const;
+  void OnFleetLoad(const fleet_load& fleet, steady_time now);
   void OnSent(const std::string& backend, steady_time now);
   void OnLoad(const std::string& backend, const reported_load& load, steady_time now);
   void OnDone(const std::string& backend, attempt_verdict verdict, steady_time now);
@@ -102,6 +112,7 @@
   void OnTable(const routing_table& table, const std::string& zone);
   std::optional<selection> Choose(const selection_query& query, steady_time now,
                                   random_source& random);
+  void OnFleetLoad(const fleet_load&, steady_time) {}
   void OnSent(const std::string&, steady_time) {}
   void OnLoad(const std::string&, const reported_load&, steady_time) {}
   void OnDone(const std::string&, attempt_verdict, steady_time) {}
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "radishroute/event.h"
+#include "radishroute/forward/admission.h"
 #include "radishroute/forward/backend_selector.h"
 #include "radishroute/forward/event_stream.h"
 #include "radishroute/forward/forward_event.h"
@@ -31,7 +32,7 @@
 
 /// Lifecycle of callers' HTTP requests that go to backend servers directly. A request is sent
 /// again only where that cannot run it twice.
-template <backend_selector Selector>
+template <backend_selector Selector, forward_admission Admission>
 class forwarder {
  public:
   explicit forwarder(forwarder_settings settings)
@@ -45,6 +46,7 @@
   void Handle(const upstream_call_failed& e, reduce_context& ctx);
   void Handle(const deployment_published& e, reduce_context& ctx);
   void Handle(const routing_table_published& e, reduce_context& ctx);
+  void Handle(const fleet_load_published& e, reduce_context& ctx);
   void Handle(const timer_expired& e, reduce_context& ctx);
   void Handle(const drain_requested& e, reduce_context& ctx);
 
@@ -95,7 +97,11 @@
   void Reject(const forward_request& request, unsigned status, refusal_reason reason,
               std::optional<std::chrono::milliseconds> retry_after, reduce_context& ctx);
   std::string PickService(const route& via, random_source& random) const;
-  bool Send(forwarded& f, reduce_context& ctx);
+  /// Whether a request was sent, and why not.
+  refusal_reason Send(forwarded& f, reduce_context& ctx);
+  bool CameBack(const forwarded& f) const;
+  std::chrono::milliseconds RetryAfter(const forwarded& f, refusal_reason reason,
+                                       reduce_context& ctx) const;
   bool SendAgain(forwarded& f, retry_reason reason, reduce_context& ctx);
   bool MayRepeat(const forwarded& f) const;
   void BeginStream(forwarded& f, reduce_context& ctx);
@@ -110,6 +116,7 @@
 
   forwarder_settings settings_;
   Selector selector_;
+  Admission admission_;
   shared_retry_budget retries_;
   std::shared_ptr<const route_index> routes_;
   bool directory_known_ = false;
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -64,6 +64,7 @@
   kGroupUnpinned = 726,
   kMapPlanned = 727,
   kEngineReportUnreadable = 728,
+  kMapWaiting = 729,
   kForwardFinished = 800,
   kForwardRefused = 801,
   kForwardRetried = 802,
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -77,6 +77,7 @@
     engine_status,        //
     engine_status_reply,  //
     engine_command,       //
+    fleet_load,           //
     group_report,         //
     group_grant>;
 
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -34,7 +34,7 @@
 struct traffic_state {
   std::optional<request_table<P>> requests;
   std::optional<execution_table<P>> executions;
-  std::optional<forwarder<least_loaded_selector>> forwarding;
+  std::optional<forwarder<least_loaded_selector, engine_model_admission>> forwarding;
 };
 
 /// State of one thread; a thread owns either the control part or a traffic part.
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -64,6 +64,9 @@
     hooks.on_publish = [this](const publish_routing_table& p) {
       traffic_->Post(routing_table_published{p.table, p.config_lease_until});
     };
+    hooks.on_fleet_load = [this](const publish_fleet_load& e) {
+      traffic_->Post(fleet_load_published{e.load});
+    };
     hooks.on_document = [this](const publish_document& d) { OnDocument(d); };
     control_ = std::make_unique<node_thread<baseline_policies>>(self, hooks);
     control_state& control = control_->State().control;
--- a/src/cli/sidecar.cc
+++ b/src/cli/sidecar.cc
@@ -27,7 +27,7 @@
     node_hooks hooks;
     hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
     thread_ = std::make_unique<thread>(MakeHello(settings_.common, process_role::kAgent), hooks);
-    thread_->State().control.engine.emplace(settings_.controllers);
+    thread_->State().control.engine.emplace(settings_.engine, settings_.controllers);
     thread_->Attach(thread_->Loop(), settings_.engine,
                     [this](event&& e) { thread_->Apply(std::move(e)); });
     LogProcessEvent(event_code::kProcessStarted,
--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -102,6 +102,10 @@
   if (first) records_.OnLeader(link, ctx);
 }
 
+void config_client::Handle(link_id, const fleet_load& load, reduce_context& ctx) {
+  ctx.Emit(publish_fleet_load{std::make_shared<const fleet_load>(load)});
+}
+
 void config_client::PublishLease(reduce_context& ctx) {
   bool valid = LeaseValid(ctx.now) && ready_;
   backends_.SetLease(valid ? lease_until_ : steady_time::min(), ctx);
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -7,6 +7,16 @@
 
 namespace radishroute {
 
+namespace {
+
+// Long enough for several passes, short against the shifts of load.
+constexpr std::chrono::milliseconds kPassWindow{400};
+
+// A group that waits for long is worth a line now and then.
+constexpr std::chrono::seconds kWaitingLogPeriod{1};
+
+}  // namespace
+
 void engine_groups::OnDeployment(const route_index& routes) {
   profile_.reset();
   for (const service& s : routes.Deployment().services) {
@@ -52,6 +62,38 @@
   g.change.Advance(core.Term(), ctx);
 }
 
+void engine_groups::Handle(const link_opened& opened) {
+  if (opened.peer.role == process_role::kEntry) entries_.insert(opened.link);
+}
+
+void engine_groups::Handle(const link_closed& closed) { entries_.erase(closed.link); }
+
+void engine_groups::MeasurePass(group& g, steady_time now) const {
+  std::uint64_t step = g.change.NewestStep();
+  bool restarted = step < g.measured_step || g.measured_at == steady_time{};
+  if (!restarted && now - g.measured_at < kPassWindow) return;
+  if (!restarted && step > g.measured_step) {
+    auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - g.measured_at);
+    g.pass = elapsed / static_cast<std::int64_t>(step - g.measured_step);
+  }
+  g.measured_step = step;
+  g.measured_at = now;
+}
+
+void engine_groups::SendLoads(reduce_context& ctx) {
+  if (ctx.now < next_loads_) return;
+  std::size_t slowdown = 1 + entries_.size() / limits_.entries_per_period;
+  next_loads_ = ctx.now + limits_.load_period * static_cast<int>(slowdown);
+  for (auto& [name, g] : groups_) {
+    MeasurePass(g, ctx.now);
+    fleet_load load;
+    load.open = !g.change.Down(ctx.now);
+    load.pass = g.pass;
+    load.engines = g.change.Loads(ctx.now);
+    for (link_id entry : entries_) ctx.Emit(send_message{entry, load});
+  }
+}
+
 void engine_groups::OnProgress(const raft_core& core, reduce_context& ctx) {
   bool leads = core.IsCurrent(ctx.now);
   if (!leads || term_ != core.Term()) {
@@ -62,24 +104,41 @@
   if (ctx.now < next_tick_) return;
   next_tick_ = ctx.now + limits_.tick;
   if (!groups_.empty()) ctx.Emit(schedule_wakeup{next_tick_});
+  SendLoads(ctx);
   for (auto& [name, g] : groups_) {
     bool was_changing = g.change.Phase() != map_switch::phase::kWatching;
     g.change.Advance(term_, ctx);
     bool changing = g.change.Phase() != map_switch::phase::kWatching;
     if (was_changing || changing) g.plan_at = ctx.now + limits_.pause;
     if (changing || ctx.now < g.plan_at) continue;
-    Plan(g, term_, ctx);
+    Plan(name, g, term_, ctx);
   }
 }
 
-void engine_groups::Plan(group& g, std::uint64_t term, reduce_context& ctx) const {
+void engine_groups::LogWaiting(const std::string& name, group& g, std::string_view reason,
+                               reduce_context& ctx) const {
+  if (ctx.now - g.waiting_logged < kWaitingLogPeriod) return;
+  g.waiting_logged = ctx.now;
+  ctx.Emit(write_log{{event_code::kMapWaiting,
+                      log_level::kInfo,
+                      {{"group", name},
+                       {"reason", std::string(reason)},
+                       {"phase", std::to_string(static_cast<int>(g.change.Phase()))},
+                       {"epoch", std::to_string(g.change.Epoch())}}}});
+}
+
+void engine_groups::Plan(const std::string& name, group& g, std::uint64_t term,
+                         reduce_context& ctx) const {
   g.plan_at = ctx.now + limits_.pause / 2;
-  if (!profile_ || g.choices.empty() || !g.change.ReadyToChange(ctx.now)) return;
+  if (!profile_) return LogWaiting(name, g, "no-profile", ctx);
+  if (!g.change.Known(ctx.now)) return LogWaiting(name, g, "rank-unknown", ctx);
+  if (!g.change.ReadyToChange(ctx.now)) return LogWaiting(name, g, "ranks-differ", ctx);
+  if (g.choices.empty()) return LogWaiting(name, g, "no-counts", ctx);
   Decay(g, ctx.now);
   group_shape shape{g.change.Ranks(), profile_->experts, profile_->expert_sets,
                     profile_->expert_places};
   auto current = g.change.Placement(shape);
-  if (!current) return;
+  if (!current) return LogWaiting(name, g, "experts-unknown", ctx);
   double choices = 0;
   for (const auto& set : g.choices) choices = std::accumulate(set.begin(), set.end(), choices);
   if (choices < limits_.min_choices_per_expert * shape.experts * shape.layers) return;
--- a/src/experts/engine_watch.cc
+++ b/src/experts/engine_watch.cc
@@ -52,7 +52,7 @@
   }
   reading_since_ = ctx.now;
   if (ctx.now >= next_choices_) {
-    next_choices_ = ctx.now + limits_.interval;
+    next_choices_ = ctx.now + limits_.choices_interval;
     ctx.Emit(read_engine_choices{experts_wanted_});
   }
   ctx.Emit(read_engine_report{});
@@ -98,6 +98,9 @@
   status.armed_version = report.armed_version;
   status.armed_step = report.armed_step;
   status.held_step = report.held_step;
+  status.address = engine_;
+  status.running = report.running;
+  status.waiting = report.waiting;
   if (!counted_.empty() && counted_ != reported_) {
     bool comparable = reported_.size() == counted_.size();
     for (std::size_t i = 0; comparable && i < counted_.size(); ++i) {
--- a/src/experts/map_switch.cc
+++ b/src/experts/map_switch.cc
@@ -53,6 +53,12 @@
   });
 }
 
+bool map_switch::Down(steady_time now) const {
+  return std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_view& r) {
+    return r.link && !r.status.open && now - r.heard <= limits_.fresh;
+  });
+}
+
 std::uint64_t map_switch::MapVersion() const {
   return ranks_.empty() ? 0 : ranks_.front().status.map_version;
 }
@@ -154,6 +160,16 @@
   return newest;
 }
 
+std::vector<fleet_engine_load> map_switch::Loads(steady_time now) const {
+  std::vector<fleet_engine_load> loads;
+  for (const rank_view& rank : ranks_) {
+    if (!rank.link || now - rank.heard > limits_.fresh) continue;
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - rank.heard);
+    loads.push_back({rank.status.address, rank.status.running, rank.status.waiting, age});
+  }
+  return loads;
+}
+
 map_switch::rank_view* map_switch::Holder() {
   for (std::size_t i = 0; i < ranks_.size(); ++i) {
     if (ranks_[i].status.held_step == 0) continue;
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace radishroute {
 
@@ -11,6 +12,9 @@
 // stream, after which half of them have ended and others have come.
 constexpr std::chrono::duration<double> kLoadHalfLife{0.8};
 
+// A report of the leader stands for the whole load this long.
+constexpr std::chrono::milliseconds kReportUsable{1000};
+
 // Requests that a backend server in another zone must be ahead by. A crossing costs less than a
 // step of an engine, so distance only decides between nearly equal loads.
 constexpr double kRemoteZonePenalty = 0.5;
@@ -61,6 +65,7 @@
 }
 
 double least_loaded_selector::ExpectedLoad(const backend_view& b, steady_time now) {
+  if (b.reported_whole && now - b.others_at <= kReportUsable) return b.others + b.unreported;
   double age = std::chrono::duration<double>(now - b.others_at) / kLoadHalfLife;
   return b.in_flight + b.others * std::exp2(-std::max(age, 0.0));
 }
@@ -89,15 +94,33 @@
   return selection{best->id, best->address, ExpectedLoad(*best, now) + 1, best->slots};
 }
 
+void least_loaded_selector::OnFleetLoad(const fleet_load& fleet, steady_time now) {
+  for (auto& [id, view] : backends_) {
+    auto same = [&](const fleet_engine_load& e) { return e.address == view.address; };
+    auto it = std::find_if(fleet.engines.begin(), fleet.engines.end(), same);
+    if (it == fleet.engines.end()) continue;
+    view.others = it->running + it->waiting;
+    view.others_at = now;
+    view.reported_whole = true;
+    // What was sent in the last moments is on its way, or too new for the engine's own report.
+    view.unreported = std::exchange(view.sent_lately, 0);
+  }
+}
+
 void least_loaded_selector::OnSent(const std::string& backend, steady_time) {
   auto it = backends_.find(backend);
-  if (it != backends_.end()) ++it->second.in_flight;
+  if (it == backends_.end()) return;
+  ++it->second.in_flight;
+  ++it->second.unreported;
+  ++it->second.sent_lately;
 }
 
 void least_loaded_selector::OnLoad(const std::string& backend, const reported_load& load,
                                    steady_time now) {
   auto it = backends_.find(backend);
   if (it == backends_.end()) return;
+  if (it->second.reported_whole && now - it->second.others_at <= kReportUsable) return;
+  it->second.reported_whole = false;
   double total = load.running + load.waiting;
   it->second.others = std::max(0.0, total - it->second.in_flight);
   it->second.others_at = now;
@@ -127,7 +150,7 @@
       break;
     case attempt_verdict::kFull:
       b.others = std::max<double>(b.others, b.slots);
-      b.others_at = now;
+      if (!b.reported_whole) b.others_at = now;
       break;
     case attempt_verdict::kWithdrawn:
       break;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -20,6 +20,13 @@
 // in which each of them ends several requests.
 constexpr std::chrono::milliseconds kRetryAfterFull{300};
 
+// Of a route's time, what a caller has left at its first attempt at least.
+constexpr double kFirstAttemptShare = 0.9;
+
+// Callers honour a time to come back up to a third of what they have left.
+constexpr double kEarliestReturn = 0.24;
+constexpr double kLatestReturn = 0.33;
+
 // A process that has just started hears its configuration and directory within this time.
 constexpr std::chrono::milliseconds kRetryAfterStart{500};
 
@@ -60,14 +67,14 @@
   return kNames[static_cast<std::size_t>(stage)];
 }
 
-template <backend_selector Selector>
-auto forwarder<Selector>::Find(upstream_id id) -> forwarded* {
+template <backend_selector Selector, forward_admission Admission>
+auto forwarder<Selector, Admission>::Find(upstream_id id) -> forwarded* {
   auto it = attempts_.find(id);
   return it == attempts_.end() ? nullptr : &requests_.at(it->second);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Reject(const forward_request& request, unsigned status,
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Reject(const forward_request& request, unsigned status,
                                  refusal_reason reason,
                                  std::optional<std::chrono::milliseconds> retry_after,
                                  reduce_context& ctx) {
@@ -82,8 +89,8 @@
                        {"config", std::to_string(routes_ ? routes_->Version() : 0)}}}});
 }
 
-template <backend_selector Selector>
-std::string forwarder<Selector>::PickService(const route& via, random_source& random) const {
+template <backend_selector Selector, forward_admission Admission>
+std::string forwarder<Selector, Admission>::PickService(const route& via, random_source& random) const {
   std::uint64_t total = 0;
   for (const traffic_share& share : via.split) total += share.weight;
   std::uint64_t point = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
@@ -94,8 +101,8 @@
   return via.split.back().service;
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const forward_received& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const forward_received& e, reduce_context& ctx) {
   const forward_request& request = *e.request;
   ctx.Emit(count{counter::kRequestsReceived});
   if (routes_ == nullptr || !directory_known_) {
@@ -132,20 +139,32 @@
   retries_.OnRequest(f.service, ctx.now);
   auto [it, added] = requests_.emplace(request.exchange, std::move(f));
   give_up_.emplace(it->second.give_up_at, request.exchange.value);
-  if (!Send(it->second, ctx)) {
-    GiveUp(it->second, refusal_reason::kNoBackend, ctx);
+  refusal_reason refused = Send(it->second, ctx);
+  if (refused != refusal_reason::kNone) {
+    GiveUp(it->second, refused, ctx);
     return;
   }
   ScheduleNext(ctx);
 }
 
-template <backend_selector Selector>
-bool forwarder<Selector>::Send(forwarded& f, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+refusal_reason forwarder<Selector, Admission>::Send(forwarded& f, reduce_context& ctx) {
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(f.give_up_at - ctx.now);
-  if (left < kLeastTimeForAttempt) return false;
+  if (left < kLeastTimeForAttempt) return refusal_reason::kDeadlinePassed;
   selection_query query{f.service, f.urgency, f.tried};
   auto chosen = selector_.Choose(query, ctx.now, ctx.random);
-  if (!chosen) return false;
+  if (!chosen) return refusal_reason::kNoBackend;
+  const service* target = f.routes->FindService(f.service);
+  bool has_engine = target != nullptr && target->engine;
+  const engine_profile* engine = has_engine ? &*target->engine : nullptr;
+  if (engine != nullptr && engine->expert_sets > 0 && admission_.GroupIsDown(ctx.now)) {
+    return refusal_reason::kNoBackend;
+  }
+  // What was admitted once is not refused for load when it goes on elsewhere.
+  admission_query load{f.via, engine, *chosen, CameBack(f)};
+  if (f.attempts == 0 && !admission_.Admit(load, ctx.now, ctx.random)) {
+    return refusal_reason::kQueueFull;
+  }
   f.current = attempt{{next_attempt_++}, chosen->backend, ctx.now, chosen->load};
   f.tried.push_back(chosen->backend);
   ++f.attempts;
@@ -165,11 +184,31 @@
   // it was read then cannot be known.
   start.may_reuse_connection = f.via->kind != request_kind::kNonIdempotent;
   ctx.Emit(std::move(start));
-  return true;
+  return refusal_reason::kNone;
+}
+
+// A caller that was told to come back has waited since; its time left shows that.
+template <backend_selector Selector, forward_admission Admission>
+bool forwarder<Selector, Admission>::CameBack(const forwarded& f) const {
+  return f.request->time_left && *f.request->time_left < f.via->timeout * kFirstAttemptShare;
 }
 
-template <backend_selector Selector>
-bool forwarder<Selector>::MayRepeat(const forwarded& f) const {
+// Callers come back once, within a third of the time that they have left. A group that is down is
+// back after seconds, and a flood lasts as long, so a later return has the better chance. The times
+// are spread, so that a crowd does not come back at once.
+template <backend_selector Selector, forward_admission Admission>
+std::chrono::milliseconds forwarder<Selector, Admission>::RetryAfter(const forwarded& f,
+                                                                     refusal_reason reason,
+                                                                     reduce_context& ctx) const {
+  bool lasts = reason == refusal_reason::kNoBackend || reason == refusal_reason::kQueueFull;
+  if (f.via->kind != request_kind::kStreaming || !lasts) return kRetryAfterFull;
+  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(f.give_up_at - ctx.now);
+  std::uniform_real_distribution<double> spread(kEarliestReturn, kLatestReturn);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(left * spread(ctx.random));
+}
+
+template <backend_selector Selector, forward_admission Admission>
+bool forwarder<Selector, Admission>::MayRepeat(const forwarded& f) const {
   switch (f.via->kind) {
     case request_kind::kIdempotent:
       return true;
@@ -181,14 +220,14 @@
   return false;
 }
 
-template <backend_selector Selector>
-bool forwarder<Selector>::SendAgain(forwarded& f, retry_reason reason, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+bool forwarder<Selector, Admission>::SendAgain(forwarded& f, retry_reason reason, reduce_context& ctx) {
   if (!MayRepeat(f) || f.attempts >= f.via->attempts) return false;
   if (!retries_.TakeRetry(f.service, ctx.now)) {
     ctx.Emit(count{counter::kRetriesOverBudget});
     return false;
   }
-  if (!Send(f, ctx)) return false;
+  if (Send(f, ctx) != refusal_reason::kNone) return false;
   ctx.Emit(count_retry{reason});
   ctx.Emit(write_log{{event_code::kForwardRetried,
                       log_level::kInfo,
@@ -199,16 +238,16 @@
   return true;
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::EndAttempt(forwarded& f, attempt_verdict verdict, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::EndAttempt(forwarded& f, attempt_verdict verdict, reduce_context& ctx) {
   if (!f.current) return;
   selector_.OnDone(f.current->backend, verdict, ctx.now);
   attempts_.erase(f.current->id);
   f.current.reset();
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const upstream_answer_begin& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const upstream_answer_begin& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
   attempt& a = *f->current;
@@ -224,21 +263,21 @@
   if (stream && !f->begun) BeginStream(*f, ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::BeginStream(forwarded& f, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::BeginStream(forwarded& f, reduce_context& ctx) {
   f.begun = f.streams = true;
   ctx.Emit(forward_begin{f.request->exchange, f.answer.status, f.answer.headers, std::nullopt});
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::PassThrough(forwarded& f, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::PassThrough(forwarded& f, reduce_context& ctx) {
   f.begun = f.passes_through = true;
   ctx.Emit(forward_begin{f.request->exchange, f.answer.status, f.answer.headers, f.answer.length});
   ctx.Emit(forward_bytes{f.request->exchange, std::exchange(f.body, {})});
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const upstream_answer_bytes& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const upstream_answer_bytes& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
   bool stream_goes_on = f->streams && f->answer.status == 200 && !f->current->not_run;
@@ -253,8 +292,8 @@
   }
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Deliver(forwarded& f, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Deliver(forwarded& f, reduce_context& ctx) {
   exchange_id exchange = f.request->exchange;
   std::size_t length = f.body.size();
   ctx.Emit(forward_begin{exchange, f.answer.status, f.answer.headers, length});
@@ -262,8 +301,8 @@
   ctx.Emit(forward_end{exchange});
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const upstream_answer_end& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const upstream_answer_end& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
   bool not_run = f->current->not_run;
@@ -285,7 +324,9 @@
     Finish(*f, "served", status, ctx);
     return;
   }
-  bool failed = not_run || status >= 500;
+  // A status that promises that nothing ran counts only with the backend server's statement.
+  bool unproven = !not_run && (status == 503 || status == 429 || status == 408 || status == 421);
+  bool failed = not_run || unproven || status >= 500;
   retry_reason reason = not_run ? retry_reason::kRefusedByBackend : retry_reason::kEngineCrashed;
   if (failed && SendAgain(*f, reason, ctx)) return;
   if (f->begun) {
@@ -298,12 +339,16 @@
     GiveUp(*f, refusal_reason::kBackendsFull, ctx);
     return;
   }
+  if (unproven) {
+    GiveUp(*f, refusal_reason::kNoBackend, ctx);
+    return;
+  }
   Deliver(*f, ctx);
   Finish(*f, failed ? "failed" : "served", status, ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const upstream_call_failed& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const upstream_call_failed& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
   bool unsent = e.failure.stage == upstream_stage::kConnecting;
@@ -319,7 +364,7 @@
   if (unsent) {
     --f->attempts;
     bool again = ++f->connect_failures <= kMaxConnectFailures;
-    if (again && MayRepeat(*f) && Send(*f, ctx)) return;
+    if (again && MayRepeat(*f) && Send(*f, ctx) == refusal_reason::kNone) return;
   } else {
     f->may_have_run = true;
     if (!f->passes_through && SendAgain(*f, retry_reason::kEngineCrashed, ctx)) return;
@@ -327,8 +372,8 @@
   GiveUp(*f, refusal_reason::kNoBackend, ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::GiveUp(forwarded& f, refusal_reason reason, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::GiveUp(forwarded& f, refusal_reason reason, reduce_context& ctx) {
   exchange_id exchange = f.request->exchange;
   bool running = f.current.has_value();
   if (running) {
@@ -348,12 +393,12 @@
     return;
   }
   ctx.Emit(count_refusal{reason});
-  ctx.Emit(forward_reject{exchange, 503, reason, kRetryAfterFull});
+  ctx.Emit(forward_reject{exchange, 503, reason, RetryAfter(f, reason, ctx)});
   Finish(f, ToString(reason), 503, ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Finish(forwarded& f, std::string_view outcome, unsigned status,
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Finish(forwarded& f, std::string_view outcome, unsigned status,
                                  reduce_context& ctx) {
   priority_class cls = kPriorityClasses[std::min<std::size_t>(f.via->rank, 2)];
   if (f.first_byte) {
@@ -384,8 +429,8 @@
   CheckDrained(ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const forward_caller_closed& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const forward_caller_closed& e, reduce_context& ctx) {
   auto it = requests_.find(e.exchange);
   if (it == requests_.end()) return;
   forwarded& f = it->second;
@@ -397,20 +442,26 @@
   Finish(f, "caller-left", 0, ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const deployment_published& e, reduce_context&) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const deployment_published& e, reduce_context&) {
   // Versions only go up within one life of a process.
   if (routes_ == nullptr || e.routes->Version() > routes_->Version()) routes_ = e.routes;
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const routing_table_published& e, reduce_context&) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const routing_table_published& e, reduce_context&) {
   directory_known_ = directory_known_ || e.table->directory_known;
   selector_.OnTable(*e.table, settings_.zone);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const timer_expired&, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const fleet_load_published& e, reduce_context& ctx) {
+  selector_.OnFleetLoad(*e.load, ctx.now);
+  admission_.OnFleetLoad(e.load, ctx.now);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const timer_expired&, reduce_context& ctx) {
   while (!give_up_.empty() && give_up_.begin()->first <= ctx.now) {
     forwarded& f = requests_.at({give_up_.begin()->second});
     GiveUp(f, refusal_reason::kDeadlinePassed, ctx);
@@ -419,8 +470,8 @@
   ScheduleNext(ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::Handle(const drain_requested& e, reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const drain_requested& e, reduce_context& ctx) {
   if (draining_) return;
   draining_ = true;
   drained_from_ = ctx.now + settings_.drain_notice;
@@ -429,8 +480,8 @@
   ScheduleNext(ctx);
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::CheckDrained(reduce_context& ctx) {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::CheckDrained(reduce_context& ctx) {
   if (!draining_ || stopped_ || ctx.now < drained_from_) return;
   if (!std::exchange(closed_, true)) ctx.Emit(close_idle_callers{});
   if (!requests_.empty() && ctx.now < drain_deadline_) return;
@@ -438,15 +489,15 @@
   ctx.Emit(stop_process{requests_.empty()});
 }
 
-template <backend_selector Selector>
-void forwarder<Selector>::ScheduleNext(reduce_context& ctx) const {
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::ScheduleNext(reduce_context& ctx) const {
   if (!give_up_.empty()) ctx.Emit(schedule_wakeup{give_up_.begin()->first});
   if (draining_ && !stopped_) {
     ctx.Emit(schedule_wakeup{ctx.now < drained_from_ ? drained_from_ : drain_deadline_});
   }
 }
 
-template class forwarder<least_loaded_selector>;
-template class forwarder<round_robin_selector>;
+template class forwarder<least_loaded_selector, engine_model_admission>;
+template class forwarder<round_robin_selector, admit_all>;
 
 }  // namespace radishroute
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -12480,6 +12480,18 @@
 void EngineStatus::__set_uncertainMicros(const int64_t val) {
   this->uncertainMicros = val;
 }
+
+void EngineStatus::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void EngineStatus::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void EngineStatus::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj)
 {
   obj.printTo(out);
@@ -12668,6 +12680,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12769,6 +12805,18 @@
   xfer += oprot->writeI64(this->uncertainMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 18);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12793,6 +12841,9 @@
   swap(a.lastCommand, b.lastCommand);
   swap(a.lastResult, b.lastResult);
   swap(a.uncertainMicros, b.uncertainMicros);
+  swap(a.address, b.address);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
@@ -12814,6 +12865,9 @@
   lastCommand = other416.lastCommand;
   lastResult = other416.lastResult;
   uncertainMicros = other416.uncertainMicros;
+  address = other416.address;
+  running = other416.running;
+  waiting = other416.waiting;
   __isset = other416.__isset;
 }
 EngineStatus::EngineStatus(EngineStatus&& other417) noexcept {
@@ -12834,6 +12888,9 @@
   lastCommand = other417.lastCommand;
   lastResult = other417.lastResult;
   uncertainMicros = other417.uncertainMicros;
+  address = std::move(other417.address);
+  running = other417.running;
+  waiting = other417.waiting;
   __isset = other417.__isset;
 }
 EngineStatus& EngineStatus::operator=(const EngineStatus& other418) {
@@ -12854,6 +12911,9 @@
   lastCommand = other418.lastCommand;
   lastResult = other418.lastResult;
   uncertainMicros = other418.uncertainMicros;
+  address = other418.address;
+  running = other418.running;
+  waiting = other418.waiting;
   __isset = other418.__isset;
   return *this;
 }
@@ -12875,6 +12935,9 @@
   lastCommand = other419.lastCommand;
   lastResult = other419.lastResult;
   uncertainMicros = other419.uncertainMicros;
+  address = std::move(other419.address);
+  running = other419.running;
+  waiting = other419.waiting;
   __isset = other419.__isset;
   return *this;
 }
@@ -12898,6 +12961,9 @@
   out << ", " << "lastCommand=" << to_string(lastCommand);
   out << ", " << "lastResult=" << to_string(lastResult);
   out << ", " << "uncertainMicros=" << to_string(uncertainMicros);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -13344,6 +13410,338 @@
 }
 
 
+EngineLoad::~EngineLoad() noexcept {
+}
+
+
+void EngineLoad::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void EngineLoad::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void EngineLoad::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void EngineLoad::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineLoad");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineLoad &a, EngineLoad &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.__isset, b.__isset);
+}
+
+EngineLoad::EngineLoad(const EngineLoad& other434) {
+  address = other434.address;
+  running = other434.running;
+  waiting = other434.waiting;
+  ageMillis = other434.ageMillis;
+  __isset = other434.__isset;
+}
+EngineLoad::EngineLoad(EngineLoad&& other435) noexcept {
+  address = std::move(other435.address);
+  running = other435.running;
+  waiting = other435.waiting;
+  ageMillis = other435.ageMillis;
+  __isset = other435.__isset;
+}
+EngineLoad& EngineLoad::operator=(const EngineLoad& other436) {
+  address = other436.address;
+  running = other436.running;
+  waiting = other436.waiting;
+  ageMillis = other436.ageMillis;
+  __isset = other436.__isset;
+  return *this;
+}
+EngineLoad& EngineLoad::operator=(EngineLoad&& other437) noexcept {
+  address = std::move(other437.address);
+  running = other437.running;
+  waiting = other437.waiting;
+  ageMillis = other437.ageMillis;
+  __isset = other437.__isset;
+  return *this;
+}
+void EngineLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineLoad(";
+  out << "address=" << to_string(address);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ")";
+}
+
+
+FleetLoad::~FleetLoad() noexcept {
+}
+
+
+void FleetLoad::__set_open(const bool val) {
+  this->open = val;
+}
+
+void FleetLoad::__set_passMicros(const int64_t val) {
+  this->passMicros = val;
+}
+
+void FleetLoad::__set_engines(const std::vector<EngineLoad> & val) {
+  this->engines = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->open);
+          this->__isset.open = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->passMicros);
+          this->__isset.passMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->engines.clear();
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->engines.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
+            {
+              xfer += this->engines[_i442].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.engines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetLoad");
+
+  xfer += oprot->writeFieldBegin("open", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->open);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("passMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->passMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
+    std::vector<EngineLoad> ::const_iterator _iter443;
+    for (_iter443 = this->engines.begin(); _iter443 != this->engines.end(); ++_iter443)
+    {
+      xfer += (*_iter443).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetLoad &a, FleetLoad &b) {
+  using ::std::swap;
+  swap(a.open, b.open);
+  swap(a.passMicros, b.passMicros);
+  swap(a.engines, b.engines);
+  swap(a.__isset, b.__isset);
+}
+
+FleetLoad::FleetLoad(const FleetLoad& other444) {
+  open = other444.open;
+  passMicros = other444.passMicros;
+  engines = other444.engines;
+  __isset = other444.__isset;
+}
+FleetLoad::FleetLoad(FleetLoad&& other445) noexcept {
+  open = other445.open;
+  passMicros = other445.passMicros;
+  engines = std::move(other445.engines);
+  __isset = other445.__isset;
+}
+FleetLoad& FleetLoad::operator=(const FleetLoad& other446) {
+  open = other446.open;
+  passMicros = other446.passMicros;
+  engines = other446.engines;
+  __isset = other446.__isset;
+  return *this;
+}
+FleetLoad& FleetLoad::operator=(FleetLoad&& other447) noexcept {
+  open = other447.open;
+  passMicros = other447.passMicros;
+  engines = std::move(other447.engines);
+  __isset = other447.__isset;
+  return *this;
+}
+void FleetLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetLoad(";
+  out << "open=" << to_string(open);
+  out << ", " << "passMicros=" << to_string(passMicros);
+  out << ", " << "engines=" << to_string(engines);
+  out << ")";
+}
+
+
 StateGroup::~StateGroup() noexcept {
 }
 
@@ -13443,14 +13841,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->ranges.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size448;
+            ::apache::thrift::protocol::TType _etype451;
+            xfer += iprot->readListBegin(_etype451, _size448);
+            this->ranges.resize(_size448);
+            uint32_t _i452;
+            for (_i452 = 0; _i452 < _size448; ++_i452)
             {
-              xfer += this->ranges[_i438].read(iprot);
+              xfer += this->ranges[_i452].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13479,14 +13877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size439;
-            ::apache::thrift::protocol::TType _etype442;
-            xfer += iprot->readListBegin(_etype442, _size439);
-            this->maps.resize(_size439);
-            uint32_t _i443;
-            for (_i443 = 0; _i443 < _size439; ++_i443)
+            uint32_t _size453;
+            ::apache::thrift::protocol::TType _etype456;
+            xfer += iprot->readListBegin(_etype456, _size453);
+            this->maps.resize(_size453);
+            uint32_t _i457;
+            for (_i457 = 0; _i457 < _size453; ++_i457)
             {
-              xfer += this->maps[_i443].read(iprot);
+              xfer += this->maps[_i457].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13571,10 +13969,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter444;
-    for (_iter444 = this->ranges.begin(); _iter444 != this->ranges.end(); ++_iter444)
+    std::vector<StepRange> ::const_iterator _iter458;
+    for (_iter458 = this->ranges.begin(); _iter458 != this->ranges.end(); ++_iter458)
     {
-      xfer += (*_iter444).write(oprot);
+      xfer += (*_iter458).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13591,10 +13989,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter445;
-    for (_iter445 = this->maps.begin(); _iter445 != this->maps.end(); ++_iter445)
+    std::vector<ExpertMap> ::const_iterator _iter459;
+    for (_iter459 = this->maps.begin(); _iter459 != this->maps.end(); ++_iter459)
     {
-      xfer += (*_iter445).write(oprot);
+      xfer += (*_iter459).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13646,66 +14044,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other446) {
-  name = other446.name;
-  shape = other446.shape;
-  ranges = other446.ranges;
-  proposed = other446.proposed;
-  highestMap = other446.highestMap;
-  maps = other446.maps;
-  pinned = other446.pinned;
-  changedMap = other446.changedMap;
-  reason = other446.reason;
-  bytes = other446.bytes;
-  bytesMoved = other446.bytesMoved;
-  changes = other446.changes;
-  __isset = other446.__isset;
+StateGroup::StateGroup(const StateGroup& other460) {
+  name = other460.name;
+  shape = other460.shape;
+  ranges = other460.ranges;
+  proposed = other460.proposed;
+  highestMap = other460.highestMap;
+  maps = other460.maps;
+  pinned = other460.pinned;
+  changedMap = other460.changedMap;
+  reason = other460.reason;
+  bytes = other460.bytes;
+  bytesMoved = other460.bytesMoved;
+  changes = other460.changes;
+  __isset = other460.__isset;
 }
-StateGroup::StateGroup(StateGroup&& other447) noexcept {
-  name = std::move(other447.name);
-  shape = std::move(other447.shape);
-  ranges = std::move(other447.ranges);
-  proposed = other447.proposed;
-  highestMap = other447.highestMap;
-  maps = std::move(other447.maps);
-  pinned = other447.pinned;
-  changedMap = other447.changedMap;
-  reason = std::move(other447.reason);
-  bytes = other447.bytes;
-  bytesMoved = other447.bytesMoved;
-  changes = other447.changes;
-  __isset = other447.__isset;
+StateGroup::StateGroup(StateGroup&& other461) noexcept {
+  name = std::move(other461.name);
+  shape = std::move(other461.shape);
+  ranges = std::move(other461.ranges);
+  proposed = other461.proposed;
+  highestMap = other461.highestMap;
+  maps = std::move(other461.maps);
+  pinned = other461.pinned;
+  changedMap = other461.changedMap;
+  reason = std::move(other461.reason);
+  bytes = other461.bytes;
+  bytesMoved = other461.bytesMoved;
+  changes = other461.changes;
+  __isset = other461.__isset;
 }
-StateGroup& StateGroup::operator=(const StateGroup& other448) {
-  name = other448.name;
-  shape = other448.shape;
-  ranges = other448.ranges;
-  proposed = other448.proposed;
-  highestMap = other448.highestMap;
-  maps = other448.maps;
-  pinned = other448.pinned;
-  changedMap = other448.changedMap;
-  reason = other448.reason;
-  bytes = other448.bytes;
-  bytesMoved = other448.bytesMoved;
-  changes = other448.changes;
-  __isset = other448.__isset;
-  return *this;
-}
-StateGroup& StateGroup::operator=(StateGroup&& other449) noexcept {
-  name = std::move(other449.name);
-  shape = std::move(other449.shape);
-  ranges = std::move(other449.ranges);
-  proposed = other449.proposed;
-  highestMap = other449.highestMap;
-  maps = std::move(other449.maps);
-  pinned = other449.pinned;
-  changedMap = other449.changedMap;
-  reason = std::move(other449.reason);
-  bytes = other449.bytes;
-  bytesMoved = other449.bytesMoved;
-  changes = other449.changes;
-  __isset = other449.__isset;
+StateGroup& StateGroup::operator=(const StateGroup& other462) {
+  name = other462.name;
+  shape = other462.shape;
+  ranges = other462.ranges;
+  proposed = other462.proposed;
+  highestMap = other462.highestMap;
+  maps = other462.maps;
+  pinned = other462.pinned;
+  changedMap = other462.changedMap;
+  reason = other462.reason;
+  bytes = other462.bytes;
+  bytesMoved = other462.bytesMoved;
+  changes = other462.changes;
+  __isset = other462.__isset;
+  return *this;
+}
+StateGroup& StateGroup::operator=(StateGroup&& other463) noexcept {
+  name = std::move(other463.name);
+  shape = std::move(other463.shape);
+  ranges = std::move(other463.ranges);
+  proposed = other463.proposed;
+  highestMap = other463.highestMap;
+  maps = std::move(other463.maps);
+  pinned = other463.pinned;
+  changedMap = other463.changedMap;
+  reason = std::move(other463.reason);
+  bytes = other463.bytes;
+  bytesMoved = other463.bytesMoved;
+  changes = other463.changes;
+  __isset = other463.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -13853,34 +14251,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other450) {
-  version = other450.version;
-  changeId = other450.changeId;
-  author = other450.author;
-  sheetHash = other450.sheetHash;
-  __isset = other450.__isset;
+StateVersion::StateVersion(const StateVersion& other464) {
+  version = other464.version;
+  changeId = other464.changeId;
+  author = other464.author;
+  sheetHash = other464.sheetHash;
+  __isset = other464.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other451) noexcept {
-  version = other451.version;
-  changeId = std::move(other451.changeId);
-  author = std::move(other451.author);
-  sheetHash = other451.sheetHash;
-  __isset = other451.__isset;
+StateVersion::StateVersion(StateVersion&& other465) noexcept {
+  version = other465.version;
+  changeId = std::move(other465.changeId);
+  author = std::move(other465.author);
+  sheetHash = other465.sheetHash;
+  __isset = other465.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other452) {
-  version = other452.version;
-  changeId = other452.changeId;
-  author = other452.author;
-  sheetHash = other452.sheetHash;
-  __isset = other452.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other466) {
+  version = other466.version;
+  changeId = other466.changeId;
+  author = other466.author;
+  sheetHash = other466.sheetHash;
+  __isset = other466.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other453) noexcept {
-  version = other453.version;
-  changeId = std::move(other453.changeId);
-  author = std::move(other453.author);
-  sheetHash = other453.sheetHash;
-  __isset = other453.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other467) noexcept {
+  version = other467.version;
+  changeId = std::move(other467.changeId);
+  author = std::move(other467.author);
+  sheetHash = other467.sheetHash;
+  __isset = other467.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -14054,42 +14452,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other454) {
-  changeId = other454.changeId;
-  baseVersion = other454.baseVersion;
-  sheetHash = other454.sheetHash;
-  verdict = other454.verdict;
-  version = other454.version;
-  winner = other454.winner;
-  __isset = other454.__isset;
-}
-StateChange::StateChange(StateChange&& other455) noexcept {
-  changeId = std::move(other455.changeId);
-  baseVersion = other455.baseVersion;
-  sheetHash = other455.sheetHash;
-  verdict = other455.verdict;
-  version = other455.version;
-  winner = std::move(other455.winner);
-  __isset = other455.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other456) {
-  changeId = other456.changeId;
-  baseVersion = other456.baseVersion;
-  sheetHash = other456.sheetHash;
-  verdict = other456.verdict;
-  version = other456.version;
-  winner = other456.winner;
-  __isset = other456.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other457) noexcept {
-  changeId = std::move(other457.changeId);
-  baseVersion = other457.baseVersion;
-  sheetHash = other457.sheetHash;
-  verdict = other457.verdict;
-  version = other457.version;
-  winner = std::move(other457.winner);
-  __isset = other457.__isset;
+StateChange::StateChange(const StateChange& other468) {
+  changeId = other468.changeId;
+  baseVersion = other468.baseVersion;
+  sheetHash = other468.sheetHash;
+  verdict = other468.verdict;
+  version = other468.version;
+  winner = other468.winner;
+  __isset = other468.__isset;
+}
+StateChange::StateChange(StateChange&& other469) noexcept {
+  changeId = std::move(other469.changeId);
+  baseVersion = other469.baseVersion;
+  sheetHash = other469.sheetHash;
+  verdict = other469.verdict;
+  version = other469.version;
+  winner = std::move(other469.winner);
+  __isset = other469.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other470) {
+  changeId = other470.changeId;
+  baseVersion = other470.baseVersion;
+  sheetHash = other470.sheetHash;
+  verdict = other470.verdict;
+  version = other470.version;
+  winner = other470.winner;
+  __isset = other470.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other471) noexcept {
+  changeId = std::move(other471.changeId);
+  baseVersion = other471.baseVersion;
+  sheetHash = other471.sheetHash;
+  verdict = other471.verdict;
+  version = other471.version;
+  winner = std::move(other471.winner);
+  __isset = other471.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -14350,62 +14748,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other458) {
-  member = other458.member;
-  key = other458.key;
-  contentHash = other458.contentHash;
-  dispatch = other458.dispatch;
-  backend = other458.backend;
-  backendIncarnation = other458.backendIncarnation;
-  status = other458.status;
-  answerStored = other458.answerStored;
-  answerStatus = other458.answerStatus;
-  answerType = other458.answerType;
-  answer = other458.answer;
-  __isset = other458.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other459) noexcept {
-  member = std::move(other459.member);
-  key = std::move(other459.key);
-  contentHash = other459.contentHash;
-  dispatch = std::move(other459.dispatch);
-  backend = std::move(other459.backend);
-  backendIncarnation = other459.backendIncarnation;
-  status = other459.status;
-  answerStored = other459.answerStored;
-  answerStatus = other459.answerStatus;
-  answerType = std::move(other459.answerType);
-  answer = std::move(other459.answer);
-  __isset = other459.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other460) {
-  member = other460.member;
-  key = other460.key;
-  contentHash = other460.contentHash;
-  dispatch = other460.dispatch;
-  backend = other460.backend;
-  backendIncarnation = other460.backendIncarnation;
-  status = other460.status;
-  answerStored = other460.answerStored;
-  answerStatus = other460.answerStatus;
-  answerType = other460.answerType;
-  answer = other460.answer;
-  __isset = other460.__isset;
-  return *this;
-}
-StateRecord& StateRecord::operator=(StateRecord&& other461) noexcept {
-  member = std::move(other461.member);
-  key = std::move(other461.key);
-  contentHash = other461.contentHash;
-  dispatch = std::move(other461.dispatch);
-  backend = std::move(other461.backend);
-  backendIncarnation = other461.backendIncarnation;
-  status = other461.status;
-  answerStored = other461.answerStored;
-  answerStatus = other461.answerStatus;
-  answerType = std::move(other461.answerType);
-  answer = std::move(other461.answer);
-  __isset = other461.__isset;
+StateRecord::StateRecord(const StateRecord& other472) {
+  member = other472.member;
+  key = other472.key;
+  contentHash = other472.contentHash;
+  dispatch = other472.dispatch;
+  backend = other472.backend;
+  backendIncarnation = other472.backendIncarnation;
+  status = other472.status;
+  answerStored = other472.answerStored;
+  answerStatus = other472.answerStatus;
+  answerType = other472.answerType;
+  answer = other472.answer;
+  __isset = other472.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other473) noexcept {
+  member = std::move(other473.member);
+  key = std::move(other473.key);
+  contentHash = other473.contentHash;
+  dispatch = std::move(other473.dispatch);
+  backend = std::move(other473.backend);
+  backendIncarnation = other473.backendIncarnation;
+  status = other473.status;
+  answerStored = other473.answerStored;
+  answerStatus = other473.answerStatus;
+  answerType = std::move(other473.answerType);
+  answer = std::move(other473.answer);
+  __isset = other473.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other474) {
+  member = other474.member;
+  key = other474.key;
+  contentHash = other474.contentHash;
+  dispatch = other474.dispatch;
+  backend = other474.backend;
+  backendIncarnation = other474.backendIncarnation;
+  status = other474.status;
+  answerStored = other474.answerStored;
+  answerStatus = other474.answerStatus;
+  answerType = other474.answerType;
+  answer = other474.answer;
+  __isset = other474.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other475) noexcept {
+  member = std::move(other475.member);
+  key = std::move(other475.key);
+  contentHash = other475.contentHash;
+  dispatch = std::move(other475.dispatch);
+  backend = std::move(other475.backend);
+  backendIncarnation = other475.backendIncarnation;
+  status = other475.status;
+  answerStored = other475.answerStored;
+  answerStatus = other475.answerStatus;
+  answerType = std::move(other475.answerType);
+  answer = std::move(other475.answer);
+  __isset = other475.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -14535,30 +14933,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other462) {
-  token = other462.token;
-  order = other462.order;
-  status = other462.status;
-  __isset = other462.__isset;
+StateOrder::StateOrder(const StateOrder& other476) {
+  token = other476.token;
+  order = other476.order;
+  status = other476.status;
+  __isset = other476.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other463) noexcept {
-  token = other463.token;
-  order = std::move(other463.order);
-  status = other463.status;
-  __isset = other463.__isset;
+StateOrder::StateOrder(StateOrder&& other477) noexcept {
+  token = other477.token;
+  order = std::move(other477.order);
+  status = other477.status;
+  __isset = other477.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other464) {
-  token = other464.token;
-  order = other464.order;
-  status = other464.status;
-  __isset = other464.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other478) {
+  token = other478.token;
+  order = other478.order;
+  status = other478.status;
+  __isset = other478.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other465) noexcept {
-  token = other465.token;
-  order = std::move(other465.order);
-  status = other465.status;
-  __isset = other465.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other479) noexcept {
+  token = other479.token;
+  order = std::move(other479.order);
+  status = other479.status;
+  __isset = other479.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -14680,14 +15078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size466;
-            ::apache::thrift::protocol::TType _etype469;
-            xfer += iprot->readListBegin(_etype469, _size466);
-            this->replicas.resize(_size466);
-            uint32_t _i470;
-            for (_i470 = 0; _i470 < _size466; ++_i470)
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->replicas.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
             {
-              xfer += this->replicas[_i470].read(iprot);
+              xfer += this->replicas[_i484].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14716,14 +15114,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size471;
-            ::apache::thrift::protocol::TType _etype474;
-            xfer += iprot->readListBegin(_etype474, _size471);
-            this->versions.resize(_size471);
-            uint32_t _i475;
-            for (_i475 = 0; _i475 < _size471; ++_i475)
+            uint32_t _size485;
+            ::apache::thrift::protocol::TType _etype488;
+            xfer += iprot->readListBegin(_etype488, _size485);
+            this->versions.resize(_size485);
+            uint32_t _i489;
+            for (_i489 = 0; _i489 < _size485; ++_i489)
             {
-              xfer += this->versions[_i475].read(iprot);
+              xfer += this->versions[_i489].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14736,14 +15134,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size476;
-            ::apache::thrift::protocol::TType _etype479;
-            xfer += iprot->readListBegin(_etype479, _size476);
-            this->changes.resize(_size476);
-            uint32_t _i480;
-            for (_i480 = 0; _i480 < _size476; ++_i480)
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->changes.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
             {
-              xfer += this->changes[_i480].read(iprot);
+              xfer += this->changes[_i494].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14764,14 +15162,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size481;
-            ::apache::thrift::protocol::TType _etype484;
-            xfer += iprot->readListBegin(_etype484, _size481);
-            this->records.resize(_size481);
-            uint32_t _i485;
-            for (_i485 = 0; _i485 < _size481; ++_i485)
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->records.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
             {
-              xfer += this->records[_i485].read(iprot);
+              xfer += this->records[_i499].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14784,14 +15182,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size486;
-            ::apache::thrift::protocol::TType _etype489;
-            xfer += iprot->readListBegin(_etype489, _size486);
-            this->orders.resize(_size486);
-            uint32_t _i490;
-            for (_i490 = 0; _i490 < _size486; ++_i490)
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _etype503;
+            xfer += iprot->readListBegin(_etype503, _size500);
+            this->orders.resize(_size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
             {
-              xfer += this->orders[_i490].read(iprot);
+              xfer += this->orders[_i504].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14804,14 +15202,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size491;
-            ::apache::thrift::protocol::TType _etype494;
-            xfer += iprot->readListBegin(_etype494, _size491);
-            this->groups.resize(_size491);
-            uint32_t _i495;
-            for (_i495 = 0; _i495 < _size491; ++_i495)
+            uint32_t _size505;
+            ::apache::thrift::protocol::TType _etype508;
+            xfer += iprot->readListBegin(_etype508, _size505);
+            this->groups.resize(_size505);
+            uint32_t _i509;
+            for (_i509 = 0; _i509 < _size505; ++_i509)
             {
-              xfer += this->groups[_i495].read(iprot);
+              xfer += this->groups[_i509].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14852,10 +15250,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter496;
-    for (_iter496 = this->replicas.begin(); _iter496 != this->replicas.end(); ++_iter496)
+    std::vector<Replica> ::const_iterator _iter510;
+    for (_iter510 = this->replicas.begin(); _iter510 != this->replicas.end(); ++_iter510)
     {
-      xfer += (*_iter496).write(oprot);
+      xfer += (*_iter510).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14872,10 +15270,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter497;
-    for (_iter497 = this->versions.begin(); _iter497 != this->versions.end(); ++_iter497)
+    std::vector<StateVersion> ::const_iterator _iter511;
+    for (_iter511 = this->versions.begin(); _iter511 != this->versions.end(); ++_iter511)
     {
-      xfer += (*_iter497).write(oprot);
+      xfer += (*_iter511).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14884,10 +15282,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter498;
-    for (_iter498 = this->changes.begin(); _iter498 != this->changes.end(); ++_iter498)
+    std::vector<StateChange> ::const_iterator _iter512;
+    for (_iter512 = this->changes.begin(); _iter512 != this->changes.end(); ++_iter512)
     {
-      xfer += (*_iter498).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14900,10 +15298,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter499;
-    for (_iter499 = this->records.begin(); _iter499 != this->records.end(); ++_iter499)
+    std::vector<StateRecord> ::const_iterator _iter513;
+    for (_iter513 = this->records.begin(); _iter513 != this->records.end(); ++_iter513)
     {
-      xfer += (*_iter499).write(oprot);
+      xfer += (*_iter513).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14913,10 +15311,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter500;
-      for (_iter500 = this->orders.begin(); _iter500 != this->orders.end(); ++_iter500)
+      std::vector<StateOrder> ::const_iterator _iter514;
+      for (_iter514 = this->orders.begin(); _iter514 != this->orders.end(); ++_iter514)
       {
-        xfer += (*_iter500).write(oprot);
+        xfer += (*_iter514).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -14926,10 +15324,10 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter501;
-      for (_iter501 = this->groups.begin(); _iter501 != this->groups.end(); ++_iter501)
+      std::vector<StateGroup> ::const_iterator _iter515;
+      for (_iter515 = this->groups.begin(); _iter515 != this->groups.end(); ++_iter515)
       {
-        xfer += (*_iter501).write(oprot);
+        xfer += (*_iter515).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -14957,66 +15355,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other502) {
-  formatVersion = other502.formatVersion;
-  lastIndex = other502.lastIndex;
-  lastTerm = other502.lastTerm;
-  replicas = other502.replicas;
-  current = other502.current;
-  sheet = other502.sheet;
-  versions = other502.versions;
-  changes = other502.changes;
-  clockMicros = other502.clockMicros;
-  records = other502.records;
-  orders = other502.orders;
-  groups = other502.groups;
-  __isset = other502.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other503) noexcept {
-  formatVersion = other503.formatVersion;
-  lastIndex = other503.lastIndex;
-  lastTerm = other503.lastTerm;
-  replicas = std::move(other503.replicas);
-  current = std::move(other503.current);
-  sheet = std::move(other503.sheet);
-  versions = std::move(other503.versions);
-  changes = std::move(other503.changes);
-  clockMicros = other503.clockMicros;
-  records = std::move(other503.records);
-  orders = std::move(other503.orders);
-  groups = std::move(other503.groups);
-  __isset = other503.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other504) {
-  formatVersion = other504.formatVersion;
-  lastIndex = other504.lastIndex;
-  lastTerm = other504.lastTerm;
-  replicas = other504.replicas;
-  current = other504.current;
-  sheet = other504.sheet;
-  versions = other504.versions;
-  changes = other504.changes;
-  clockMicros = other504.clockMicros;
-  records = other504.records;
-  orders = other504.orders;
-  groups = other504.groups;
-  __isset = other504.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other505) noexcept {
-  formatVersion = other505.formatVersion;
-  lastIndex = other505.lastIndex;
-  lastTerm = other505.lastTerm;
-  replicas = std::move(other505.replicas);
-  current = std::move(other505.current);
-  sheet = std::move(other505.sheet);
-  versions = std::move(other505.versions);
-  changes = std::move(other505.changes);
-  clockMicros = other505.clockMicros;
-  records = std::move(other505.records);
-  orders = std::move(other505.orders);
-  groups = std::move(other505.groups);
-  __isset = other505.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other516) {
+  formatVersion = other516.formatVersion;
+  lastIndex = other516.lastIndex;
+  lastTerm = other516.lastTerm;
+  replicas = other516.replicas;
+  current = other516.current;
+  sheet = other516.sheet;
+  versions = other516.versions;
+  changes = other516.changes;
+  clockMicros = other516.clockMicros;
+  records = other516.records;
+  orders = other516.orders;
+  groups = other516.groups;
+  __isset = other516.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other517) noexcept {
+  formatVersion = other517.formatVersion;
+  lastIndex = other517.lastIndex;
+  lastTerm = other517.lastTerm;
+  replicas = std::move(other517.replicas);
+  current = std::move(other517.current);
+  sheet = std::move(other517.sheet);
+  versions = std::move(other517.versions);
+  changes = std::move(other517.changes);
+  clockMicros = other517.clockMicros;
+  records = std::move(other517.records);
+  orders = std::move(other517.orders);
+  groups = std::move(other517.groups);
+  __isset = other517.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other518) {
+  formatVersion = other518.formatVersion;
+  lastIndex = other518.lastIndex;
+  lastTerm = other518.lastTerm;
+  replicas = other518.replicas;
+  current = other518.current;
+  sheet = other518.sheet;
+  versions = other518.versions;
+  changes = other518.changes;
+  clockMicros = other518.clockMicros;
+  records = other518.records;
+  orders = other518.orders;
+  groups = other518.groups;
+  __isset = other518.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other519) noexcept {
+  formatVersion = other519.formatVersion;
+  lastIndex = other519.lastIndex;
+  lastTerm = other519.lastTerm;
+  replicas = std::move(other519.replicas);
+  current = std::move(other519.current);
+  sheet = std::move(other519.sheet);
+  versions = std::move(other519.versions);
+  changes = std::move(other519.changes);
+  clockMicros = other519.clockMicros;
+  records = std::move(other519.records);
+  orders = std::move(other519.orders);
+  groups = std::move(other519.groups);
+  __isset = other519.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -15130,26 +15528,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other506) noexcept {
-  protocolVersion = other506.protocolVersion;
-  messageType = other506.messageType;
-  __isset = other506.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other520) noexcept {
+  protocolVersion = other520.protocolVersion;
+  messageType = other520.messageType;
+  __isset = other520.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other507) noexcept {
-  protocolVersion = other507.protocolVersion;
-  messageType = other507.messageType;
-  __isset = other507.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other521) noexcept {
+  protocolVersion = other521.protocolVersion;
+  messageType = other521.messageType;
+  __isset = other521.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other508) noexcept {
-  protocolVersion = other508.protocolVersion;
-  messageType = other508.messageType;
-  __isset = other508.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other522) noexcept {
+  protocolVersion = other522.protocolVersion;
+  messageType = other522.messageType;
+  __isset = other522.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other509) noexcept {
-  protocolVersion = other509.protocolVersion;
-  messageType = other509.messageType;
-  __isset = other509.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other523) noexcept {
+  protocolVersion = other523.protocolVersion;
+  messageType = other523.messageType;
+  __isset = other523.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -169,6 +169,10 @@
 
 class EngineCommand;
 
+class EngineLoad;
+
+class FleetLoad;
+
 class StateGroup;
 
 class StateVersion;
@@ -4866,7 +4870,7 @@
 std::ostream& operator<<(std::ostream& out, const StepGrant& obj);
 
 typedef struct _EngineStatus__isset {
-  _EngineStatus__isset() : sequence(false), group(false), epoch(false), rank(false), ranks(false), open(false), step(false), mapVersion(false), preparedVersion(false), armedVersion(false), armedStep(false), heldStep(false), counts(false), experts(false), lastCommand(false), lastResult(false), uncertainMicros(false) {}
+  _EngineStatus__isset() : sequence(false), group(false), epoch(false), rank(false), ranks(false), open(false), step(false), mapVersion(false), preparedVersion(false), armedVersion(false), armedStep(false), heldStep(false), counts(false), experts(false), lastCommand(false), lastResult(false), uncertainMicros(false), address(false), running(false), waiting(false) {}
   bool sequence :1;
   bool group :1;
   bool epoch :1;
@@ -4884,6 +4888,9 @@
   bool lastCommand :1;
   bool lastResult :1;
   bool uncertainMicros :1;
+  bool address :1;
+  bool running :1;
+  bool waiting :1;
 } _EngineStatus__isset;
 
 class EngineStatus : public virtual ::apache::thrift::TBase {
@@ -4908,7 +4915,9 @@
                  heldStep(0),
                  lastCommand(0),
                  lastResult(0),
-                 uncertainMicros(0) {
+                 uncertainMicros(0),
+                 running(0),
+                 waiting(0) {
   }
 
   virtual ~EngineStatus() noexcept;
@@ -4929,6 +4938,9 @@
   int64_t lastCommand;
   int32_t lastResult;
   int64_t uncertainMicros;
+  Endpoint address;
+  int32_t running;
+  int32_t waiting;
 
   _EngineStatus__isset __isset;
 
@@ -4966,6 +4978,12 @@
 
   void __set_uncertainMicros(const int64_t val);
 
+  void __set_address(const Endpoint& val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
   bool operator == (const EngineStatus & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5002,6 +5020,12 @@
       return false;
     if (!(uncertainMicros == rhs.uncertainMicros))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
     return true;
   }
   bool operator != (const EngineStatus &rhs) const {
@@ -5178,6 +5202,129 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineCommand& obj);
 
+typedef struct _EngineLoad__isset {
+  _EngineLoad__isset() : address(false), running(false), waiting(false), ageMillis(false) {}
+  bool address :1;
+  bool running :1;
+  bool waiting :1;
+  bool ageMillis :1;
+} _EngineLoad__isset;
+
+class EngineLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineLoad(const EngineLoad&);
+  EngineLoad(EngineLoad&&) noexcept;
+  EngineLoad& operator=(const EngineLoad&);
+  EngineLoad& operator=(EngineLoad&&) noexcept;
+  EngineLoad() noexcept
+             : running(0),
+               waiting(0),
+               ageMillis(0) {
+  }
+
+  virtual ~EngineLoad() noexcept;
+  Endpoint address;
+  int32_t running;
+  int32_t waiting;
+  int32_t ageMillis;
+
+  _EngineLoad__isset __isset;
+
+  void __set_address(const Endpoint& val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_ageMillis(const int32_t val);
+
+  bool operator == (const EngineLoad & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineLoad &a, EngineLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
+
+typedef struct _FleetLoad__isset {
+  _FleetLoad__isset() : open(false), passMicros(false), engines(false) {}
+  bool open :1;
+  bool passMicros :1;
+  bool engines :1;
+} _FleetLoad__isset;
+
+class FleetLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetLoad(const FleetLoad&);
+  FleetLoad(FleetLoad&&) noexcept;
+  FleetLoad& operator=(const FleetLoad&);
+  FleetLoad& operator=(FleetLoad&&) noexcept;
+  FleetLoad() noexcept
+            : open(0),
+              passMicros(0) {
+  }
+
+  virtual ~FleetLoad() noexcept;
+  bool open;
+  int64_t passMicros;
+  std::vector<EngineLoad>  engines;
+
+  _FleetLoad__isset __isset;
+
+  void __set_open(const bool val);
+
+  void __set_passMicros(const int64_t val);
+
+  void __set_engines(const std::vector<EngineLoad> & val);
+
+  bool operator == (const FleetLoad & rhs) const
+  {
+    if (!(open == rhs.open))
+      return false;
+    if (!(passMicros == rhs.passMicros))
+      return false;
+    if (!(engines == rhs.engines))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetLoad &a, FleetLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetLoad& obj);
+
 typedef struct _StateGroup__isset {
   _StateGroup__isset() : name(false), shape(false), ranges(false), proposed(false), highestMap(false), maps(false), pinned(false), changedMap(false), reason(false), bytes(false), bytesMoved(false), changes(false) {}
   bool name :1;
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -31,6 +31,7 @@
   std::function<void(bool all_finished)> on_stop;
   std::function<void(const crash_report&)> on_crash_report;
   std::function<void(const publish_document&)> on_document;
+  std::function<void(const publish_fleet_load&)> on_fleet_load;
   std::function<void(bool up)> on_engine_status;
   std::function<void(std::shared_ptr<const store_batch>)> on_store;
   std::function<void(const proposal_finished&)> on_proposal;
@@ -199,6 +200,9 @@
   void Execute(const count_retry& e) { CountRetry(e.reason); }
   void Execute(const observe_latency& e) { ObserveLatency(e.which, e.cls, e.value); }
 
+  void Execute(const publish_fleet_load& e) {
+    if (hooks_.on_fleet_load) hooks_.on_fleet_load(e);
+  }
   void Execute(const publish_document& e) {
     if (hooks_.on_document) hooks_.on_document(e);
   }
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -159,6 +159,14 @@
   if (BufferedBytes() == 0) shutdown(socket_, SHUT_WR);
 }
 
+void tcp_connection::Reset() {
+  if (wsi_ == nullptr) return;
+  linger reset{1, 0};
+  setsockopt(socket_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  CloseFile(std::exchange(wsi_, nullptr));
+  ended_ = true;
+}
+
 void tcp_connection::SetReading(bool reading) {
   if (wsi_ != nullptr) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -63,6 +63,9 @@
   /// Closes this side after the buffered bytes have been written. Input is dropped from now on;
   /// `on_end` follows when the peer has closed too.
   void CloseAfterWrites();
+  /// Drops what the peer has not read yet. A peer that is held up must not find the request of a
+  /// caller that has left.
+  void Reset();
   /// Stops or resumes reading.
   void SetReading(bool reading);
 
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -99,6 +99,7 @@
   connection& c = *connections_.at(it->second);
   calls_.erase(it);
   c.call = {};
+  c.tcp->Reset();
   Remove(c);
 }
 
--- a/src/io/wire_engine.h
+++ b/src/io/wire_engine.h
@@ -24,6 +24,9 @@
   w.lastCommand = Signed(m.last_command);
   w.lastResult = EnumToWire(m.last_result);
   w.uncertainMicros = MicrosToWire(m.uncertain);
+  w.address = ToWire(m.address);
+  w.running = Signed(m.running);
+  w.waiting = Signed(m.waiting);
   return w;
 }
 
@@ -46,6 +49,9 @@
   m.last_command = Unsigned(w.lastCommand);
   m.last_result = EnumFromWire(w.lastResult, engine_order_result::kFailed, ok);
   m.uncertain = std::chrono::microseconds(w.uncertainMicros);
+  m.address = FromWire(w.address, ok);
+  m.running = Unsigned(w.running);
+  m.waiting = Unsigned(w.waiting);
   return m;
 }
 
@@ -89,6 +95,36 @@
   return m;
 }
 
+inline wire::EngineLoad ToWire(const fleet_engine_load& m) {
+  wire::EngineLoad w;
+  w.address = ToWire(m.address);
+  w.running = Signed(m.running);
+  w.waiting = Signed(m.waiting);
+  w.ageMillis = static_cast<std::int32_t>(m.age.count());
+  return w;
+}
+
+inline fleet_engine_load FromWire(const wire::EngineLoad& w, bool& ok) {
+  return {FromWire(w.address, ok), Unsigned(w.running), Unsigned(w.waiting),
+          std::chrono::milliseconds(w.ageMillis)};
+}
+
+inline wire::FleetLoad ToWire(const fleet_load& m) {
+  wire::FleetLoad w;
+  w.open = m.open;
+  w.passMicros = MicrosToWire(m.pass);
+  ListToWire(m.engines, w.engines);
+  return w;
+}
+
+inline fleet_load FromWire(const wire::FleetLoad& w, bool& ok) {
+  fleet_load m;
+  m.open = w.open;
+  m.pass = std::chrono::microseconds(w.passMicros);
+  ConvertList(w.engines, m.engines, [&](const wire::EngineLoad& e) { return FromWire(e, ok); });
+  return m;
+}
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_IO_WIRE_ENGINE_H_
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -110,6 +110,8 @@
       return "map-planned";
     case event_code::kEngineReportUnreadable:
       return "engine-report-unreadable";
+    case event_code::kMapWaiting:
+      return "map-waiting";
     case event_code::kForwardFinished:
       return "forward-finished";
     case event_code::kForwardRefused:
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -278,6 +278,9 @@
   15: i64 lastCommand
   16: i32 lastResult
   17: i64 uncertainMicros
+  18: Endpoint address
+  19: i32 running
+  20: i32 waiting
 }
 struct EngineStatusReply { 1: i64 sequence; 2: bool leads; 3: Endpoint leaderHint }
 struct EngineCommand {
@@ -292,6 +295,9 @@
   9: i32 ranks
 }
 
+struct EngineLoad { 1: Endpoint address; 2: i32 running; 3: i32 waiting; 4: i32 ageMillis }
+struct FleetLoad { 1: bool open; 2: i64 passMicros; 3: list<EngineLoad> engines }
+
 // Contents of a snapshot of the state machine.
 struct StateGroup {
   1: string name
