Choose engines from samples, and send experts that a new leader lacks

Entries that see the same report all chose the same engine. Change: a leader asks for experts that it lacks; an entry takes the least loaded of four engines drawn at random while that one has a free slot.

--- a/include/radishroute/engine_message.h
+++ b/include/radishroute/engine_message.h
@@ -82,6 +82,8 @@
   std::uint64_t sequence = 0;
   bool leads = false;
   endpoint leader_hint;
+  /// The leader does not know which experts the rank holds.
+  bool wants_experts = false;
 };
 
 enum class engine_operation : std::uint8_t {
--- a/include/radishroute/experts/map_switch.h
+++ b/include/radishroute/experts/map_switch.h
@@ -55,6 +55,8 @@
   bool Down(steady_time now) const;
   /// The group is known, at rest, and every rank has the same map.
   bool ReadyToChange(steady_time now) const;
+  /// Whether the experts that a rank holds now are not known.
+  bool NeedsExperts(std::uint32_t rank) const;
   std::uint64_t MapVersion() const;
   std::uint64_t NewestStep() const;
   /// Requests at each engine that was heard lately.
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -50,10 +50,14 @@
   reply.sequence = status.sequence;
   reply.leads = core.IsCurrent(ctx.now);
   reply.leader_hint = core.LeaderAddress();
-  ctx.Emit(send_message{link, reply});
-  if (!reply.leads || status.group.empty()) return;
+  if (!reply.leads || status.group.empty()) {
+    ctx.Emit(send_message{link, reply});
+    return;
+  }
   group& g = groups_[status.group];
   g.change.OnStatus(link, status, ctx.now);
+  reply.wants_experts = g.change.NeedsExperts(status.rank);
+  ctx.Emit(send_message{link, reply});
   if (g.change.Epoch() != g.epoch) {
     g.epoch = g.change.Epoch();
     g.plan_at = ctx.now + limits_.pause;
--- a/src/experts/engine_watch.cc
+++ b/src/experts/engine_watch.cc
@@ -123,6 +123,7 @@
 
 void engine_watch::Handle(link_id link, const engine_status_reply& m, reduce_context& ctx) {
   if (session_.Link() != link) return;
+  if (m.wants_experts) experts_fresh_ = !experts_.empty();
   if (m.leads) {
     session_.OnLeader(ctx);
   } else {
--- a/src/experts/map_switch.cc
+++ b/src/experts/map_switch.cc
@@ -53,6 +53,12 @@
   });
 }
 
+bool map_switch::NeedsExperts(std::uint32_t rank) const {
+  if (rank >= ranks_.size()) return false;
+  const rank_view& r = ranks_[rank];
+  return !r.experts_known || r.experts_version != r.status.map_version;
+}
+
 bool map_switch::Down(steady_time now) const {
   return std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_view& r) {
     return r.link && !r.status.open && now - r.heard <= limits_.fresh;
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace radishroute {
@@ -33,6 +34,21 @@
 // Spread between backend servers of equal load, below the effect of one request.
 constexpr double kTieBreak = 0.25;
 
+// All entries see the same reports, so that each would choose the same backend server until the
+// next one. Each chooses from a sample of its own instead.
+constexpr std::size_t kSampled = 4;
+
+struct candidate {
+  double score = 0;
+  const backend_view* view = nullptr;
+};
+
+const candidate& LeastOf(const std::vector<candidate>& candidates) {
+  return *std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const candidate& a, const candidate& b) { return a.score < b.score; });
+}
+
 std::chrono::milliseconds Avoidance(std::uint32_t failures) {
   auto doubled = kFirstAvoidance * (1U << std::min(failures, 8U)) / 2;
   return std::min<std::chrono::milliseconds>(doubled, kLongestAvoidance);
@@ -76,8 +92,7 @@
   auto pool = pools_.find(query.service);
   if (pool == pools_.end()) return std::nullopt;
   std::uniform_real_distribution<double> tie(0, kTieBreak);
-  const backend_view* best = nullptr;
-  double best_score = 0;
+  std::vector<candidate> candidates;
   for (const std::string& id : pool->second) {
     if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end()) {
       continue;
@@ -86,11 +101,18 @@
     double score = ExpectedLoad(b, now) + tie(random);
     if (!b.local) score += kRemoteZonePenalty;
     if (b.avoid_until > now) score += kAvoidedPenalty;
-    if (best != nullptr && score >= best_score) continue;
-    best = &b;
-    best_score = score;
+    candidates.push_back({score, &b});
+  }
+  if (candidates.empty()) return std::nullopt;
+  const backend_view* best = LeastOf(candidates).view;
+  if (candidates.size() > kSampled) {
+    std::vector<candidate> sampled;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sampled), kSampled,
+                random);
+    const backend_view* chosen = LeastOf(sampled).view;
+    // A full sample says nothing of the others.
+    if (ExpectedLoad(*chosen, now) < chosen->slots && chosen->avoid_until <= now) best = chosen;
   }
-  if (best == nullptr) return std::nullopt;
   return selection{best->id, best->address, ExpectedLoad(*best, now) + 1, best->slots};
 }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -75,9 +75,9 @@
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Reject(const forward_request& request, unsigned status,
-                                 refusal_reason reason,
-                                 std::optional<std::chrono::milliseconds> retry_after,
-                                 reduce_context& ctx) {
+                                            refusal_reason reason,
+                                            std::optional<std::chrono::milliseconds> retry_after,
+                                            reduce_context& ctx) {
   ctx.Emit(count_refusal{reason});
   ctx.Emit(forward_reject{request.exchange, status, reason, retry_after});
   ctx.Emit(write_log{{event_code::kForwardRefused,
@@ -90,7 +90,8 @@
 }
 
 template <backend_selector Selector, forward_admission Admission>
-std::string forwarder<Selector, Admission>::PickService(const route& via, random_source& random) const {
+std::string forwarder<Selector, Admission>::PickService(const route& via,
+                                                        random_source& random) const {
   std::uint64_t total = 0;
   for (const traffic_share& share : via.split) total += share.weight;
   std::uint64_t point = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
@@ -221,7 +222,8 @@
 }
 
 template <backend_selector Selector, forward_admission Admission>
-bool forwarder<Selector, Admission>::SendAgain(forwarded& f, retry_reason reason, reduce_context& ctx) {
+bool forwarder<Selector, Admission>::SendAgain(forwarded& f, retry_reason reason,
+                                               reduce_context& ctx) {
   if (!MayRepeat(f) || f.attempts >= f.via->attempts) return false;
   if (!retries_.TakeRetry(f.service, ctx.now)) {
     ctx.Emit(count{counter::kRetriesOverBudget});
@@ -239,7 +241,8 @@
 }
 
 template <backend_selector Selector, forward_admission Admission>
-void forwarder<Selector, Admission>::EndAttempt(forwarded& f, attempt_verdict verdict, reduce_context& ctx) {
+void forwarder<Selector, Admission>::EndAttempt(forwarded& f, attempt_verdict verdict,
+                                                reduce_context& ctx) {
   if (!f.current) return;
   selector_.OnDone(f.current->backend, verdict, ctx.now);
   attempts_.erase(f.current->id);
@@ -373,7 +376,8 @@
 }
 
 template <backend_selector Selector, forward_admission Admission>
-void forwarder<Selector, Admission>::GiveUp(forwarded& f, refusal_reason reason, reduce_context& ctx) {
+void forwarder<Selector, Admission>::GiveUp(forwarded& f, refusal_reason reason,
+                                            reduce_context& ctx) {
   exchange_id exchange = f.request->exchange;
   bool running = f.current.has_value();
   if (running) {
@@ -399,7 +403,7 @@
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Finish(forwarded& f, std::string_view outcome, unsigned status,
-                                 reduce_context& ctx) {
+                                            reduce_context& ctx) {
   priority_class cls = kPriorityClasses[std::min<std::size_t>(f.via->rank, 2)];
   if (f.first_byte) {
     auto first = std::chrono::duration_cast<std::chrono::microseconds>(*f.first_byte - f.received);
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -12983,6 +12983,10 @@
 void EngineStatusReply::__set_leaderHint(const Endpoint& val) {
   this->leaderHint = val;
 }
+
+void EngineStatusReply::__set_wantsExperts(const bool val) {
+  this->wantsExperts = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineStatusReply& obj)
 {
   obj.printTo(out);
@@ -13035,6 +13039,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsExperts);
+          this->__isset.wantsExperts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13064,6 +13076,10 @@
   xfer += this->leaderHint.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsExperts", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->wantsExperts);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13074,6 +13090,7 @@
   swap(a.sequence, b.sequence);
   swap(a.leads, b.leads);
   swap(a.leaderHint, b.leaderHint);
+  swap(a.wantsExperts, b.wantsExperts);
   swap(a.__isset, b.__isset);
 }
 
@@ -13081,18 +13098,21 @@
   sequence = other420.sequence;
   leads = other420.leads;
   leaderHint = other420.leaderHint;
+  wantsExperts = other420.wantsExperts;
   __isset = other420.__isset;
 }
 EngineStatusReply::EngineStatusReply(EngineStatusReply&& other421) noexcept {
   sequence = other421.sequence;
   leads = other421.leads;
   leaderHint = std::move(other421.leaderHint);
+  wantsExperts = other421.wantsExperts;
   __isset = other421.__isset;
 }
 EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other422) {
   sequence = other422.sequence;
   leads = other422.leads;
   leaderHint = other422.leaderHint;
+  wantsExperts = other422.wantsExperts;
   __isset = other422.__isset;
   return *this;
 }
@@ -13100,6 +13120,7 @@
   sequence = other423.sequence;
   leads = other423.leads;
   leaderHint = std::move(other423.leaderHint);
+  wantsExperts = other423.wantsExperts;
   __isset = other423.__isset;
   return *this;
 }
@@ -13109,6 +13130,7 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "leads=" << to_string(leads);
   out << ", " << "leaderHint=" << to_string(leaderHint);
+  out << ", " << "wantsExperts=" << to_string(wantsExperts);
   out << ")";
 }
 
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -5045,10 +5045,11 @@
 std::ostream& operator<<(std::ostream& out, const EngineStatus& obj);
 
 typedef struct _EngineStatusReply__isset {
-  _EngineStatusReply__isset() : sequence(false), leads(false), leaderHint(false) {}
+  _EngineStatusReply__isset() : sequence(false), leads(false), leaderHint(false), wantsExperts(false) {}
   bool sequence :1;
   bool leads :1;
   bool leaderHint :1;
+  bool wantsExperts :1;
 } _EngineStatusReply__isset;
 
 class EngineStatusReply : public virtual ::apache::thrift::TBase {
@@ -5060,13 +5061,15 @@
   EngineStatusReply& operator=(EngineStatusReply&&) noexcept;
   EngineStatusReply() noexcept
                     : sequence(0),
-                      leads(0) {
+                      leads(0),
+                      wantsExperts(0) {
   }
 
   virtual ~EngineStatusReply() noexcept;
   int64_t sequence;
   bool leads;
   Endpoint leaderHint;
+  bool wantsExperts;
 
   _EngineStatusReply__isset __isset;
 
@@ -5076,6 +5079,8 @@
 
   void __set_leaderHint(const Endpoint& val);
 
+  void __set_wantsExperts(const bool val);
+
   bool operator == (const EngineStatusReply & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5084,6 +5089,8 @@
       return false;
     if (!(leaderHint == rhs.leaderHint))
       return false;
+    if (!(wantsExperts == rhs.wantsExperts))
+      return false;
     return true;
   }
   bool operator != (const EngineStatusReply &rhs) const {
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -82,7 +82,7 @@
     wire_entry<91, group_grant, wire::StepGrant>,                   //
     wire_entry<100, engine_status, wire::EngineStatus>,             //
     wire_entry<101, engine_status_reply, wire::EngineStatusReply>,  //
-    wire_entry<102, engine_command, wire::EngineCommand>,     //
+    wire_entry<102, engine_command, wire::EngineCommand>,           //
     wire_entry<103, fleet_load, wire::FleetLoad>>;
 
 template <class Core, class... Entries>
--- a/src/io/wire_engine.h
+++ b/src/io/wire_engine.h
@@ -60,11 +60,12 @@
   w.sequence = Signed(m.sequence);
   w.leads = m.leads;
   w.leaderHint = ToWire(m.leader_hint);
+  w.wantsExperts = m.wants_experts;
   return w;
 }
 
 inline engine_status_reply FromWire(const wire::EngineStatusReply& w, bool& ok) {
-  return {Unsigned(w.sequence), w.leads, FromWire(w.leaderHint, ok)};
+  return {Unsigned(w.sequence), w.leads, FromWire(w.leaderHint, ok), w.wantsExperts};
 }
 
 inline wire::EngineCommand ToWire(const engine_command& m) {
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -282,7 +282,7 @@
   19: i32 running
   20: i32 waiting
 }
-struct EngineStatusReply { 1: i64 sequence; 2: bool leads; 3: Endpoint leaderHint }
+struct EngineStatusReply { 1: i64 sequence; 2: bool leads; 3: Endpoint leaderHint; 4: bool wantsExperts }
 struct EngineCommand {
   1: i64 term
   2: i64 number
