Copy fewer experts, and log answers to operators

Change: a change must save 12 in 100 of the expert work and a copy 1 in 100 of the cost of its layer, before 6 and 0.2. Each answer to an operator is logged.

--- a/include/radishroute/document_event.h
+++ b/include/radishroute/document_event.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "radishroute/discovery_message.h"
@@ -51,6 +52,8 @@
   kUnavailable,
 };
 
+std::string_view ToString(document_status status);
+
 /// Effect: answers an operator.
 struct document_answered {
   exchange_id exchange;
--- a/include/radishroute/experts/bounded_placement.h
+++ b/include/radishroute/experts/bounded_placement.h
@@ -13,7 +13,7 @@
 struct bounded_placement {
   std::uint32_t max_new_per_rank = 1;
   /// A change must lower the sum of squared loads by this share.
-  double min_gain = 0.002;
+  double min_gain = 0.01;
 
   layer_placement Plan(const group_shape& shape, const layer_placement& current,
                        expert_load load) const;
--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -28,7 +28,7 @@
   std::chrono::milliseconds load_period{100};
   std::size_t entries_per_period = 12;
   /// Share of a pass's expert work that a change must save.
-  double min_gain = 0.06;
+  double min_gain = 0.12;
   /// Choices that must have been counted before they are trusted, per expert.
   double min_choices_per_expert = 20;
 };
--- a/src/document_server.cc
+++ b/src/document_server.cc
@@ -1,7 +1,15 @@
 #include "radishroute/document_server.h"
 
+#include <array>
+
 namespace radishroute {
 
+std::string_view ToString(document_status status) {
+  constexpr std::array<std::string_view, 4> kNames = {"accepted", "found", "redirected",
+                                                      "unavailable"};
+  return kNames[static_cast<std::size_t>(status)];
+}
+
 void document_server::Answer(exchange_id exchange, document_status status, std::uint64_t version,
                              reduce_context& ctx) {
   document_answered answer;
--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -49,6 +49,11 @@
 
   void Execute(const document_answered& e) {
     std::string target = std::exchange(targets_[e.exchange], {});
+    WriteLog({event_code::kDocumentAnswered,
+              log_level::kInfo,
+              {{"status", std::string(ToString(e.status))},
+               {"version", std::to_string(e.version)},
+               {"leader", ToString(e.leader)}}});
     targets_.erase(e.exchange);
     switch (e.status) {
       case document_status::kAccepted:
