--- a/include/radishroute/forward/event_stream.h
+++ b/include/radishroute/forward/event_stream.h
@@ -20,8 +20,6 @@
   /// Whether a part of an event is held back.
   bool InEvent() const { return !partial_.empty(); }
   bool Overlong() const { return partial_.size() > kMaxEventBytes; }
-  /// The response ended: returns what was held back, which the backend server meant as it is.
-  std::string TakePartial() { return std::move(partial_); }
   /// Drops a part of an event that was cut off.
   void DropPartial() { partial_.clear(); }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -308,6 +308,11 @@
 void forwarder<Selector, Admission>::Handle(const upstream_answer_end& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
+  if (f->streams && f->events.InEvent()) {
+    // The connection was closed in order, but in the middle of an event.
+    Handle(upstream_call_failed{e.id, {upstream_stage::kAnswering, tcp_end_was_clean::kYes}}, ctx);
+    return;
+  }
   bool not_run = f->current->not_run;
   bool wrong_backend = f->current->wrong_backend;
   unsigned status = f->answer.status;
@@ -316,8 +321,6 @@
   EndAttempt(*f, verdict, ctx);
   if (!not_run) f->may_have_run = true;
   if (f->streams && status == 200 && !not_run) {
-    std::string rest = f->events.TakePartial();
-    if (!rest.empty()) ctx.Emit(forward_bytes{f->request->exchange, std::move(rest)});
     ctx.Emit(forward_end{f->request->exchange});
     Finish(*f, "served", status, ctx);
     return;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -205,6 +205,18 @@
   CHECK(f.All<forward_end>().size() == 1);
 }
 
+// Guards against an engine that closes in order in the middle of an event, without a length.
+TEST_CASE("a stream that ends in the middle of an event goes on elsewhere") {
+  forwarder_fixture f;
+  f.Request("/draft/1");
+  start_upstream first = f.Sent();
+  f.Answer(first.id, 200, false, "text/event-stream");
+  f.Handle(upstream_answer_bytes{first.id, "id: 1\ndata: a\n\nid: 2\nda"});
+  f.Handle(upstream_answer_end{first.id});
+  CHECK(f.All<forward_end>().empty());
+  CHECK(f.Sent().last_event == "1");
+}
+
 // Guards against a stream whose end looks complete although it was broken off for good.
 TEST_CASE("a stream that cannot go on is aborted") {
   forwarder_fixture f;
