--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -100,7 +100,9 @@
     std::visit(
         [this](auto&& specific) {
           using type = std::decay_t<decltype(specific)>;
-          if constexpr (std::is_constructible_v<event, type>) sink_(event(std::move(specific)));
+          if constexpr (std::is_constructible_v<event, type>) {
+            sink_(event(std::forward<decltype(specific)>(specific)));
+          }
         },
         std::move(call));
   }
