Mend findings of clang and the linter

Cause: clang 14 rejects a structured binding in a lambda, and two members were not used. Change: the address is bound first; the members are gone. Checked: clang's syntax check of the new sources.

--- a/include/radishroute/experts/engine_watch.h
+++ b/include/radishroute/experts/engine_watch.h
@@ -59,7 +59,6 @@
   /// Set while a read is under way.
   std::optional<steady_time> reading_since_;
   bool read_again_ = false;
-  bool choices_read_ = false;
   steady_time next_choices_;
   std::vector<std::int64_t> counted_;
   std::vector<std::int64_t> reported_;
@@ -67,7 +66,6 @@
   std::uint64_t experts_version_ = 0;
   std::uint64_t started_ = 0;
   std::uint64_t epoch_ = 0;
-  std::uint64_t map_version_ = 0;
   bool experts_wanted_ = true;
   bool experts_fresh_ = false;
   std::uint64_t highest_term_ = 0;
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -118,8 +118,9 @@
 
 void least_loaded_selector::OnFleetLoad(const fleet_load& fleet, steady_time now) {
   for (auto& [id, view] : backends_) {
-    auto same = [&](const fleet_engine_load& e) { return e.address == view.address; };
-    auto it = std::find_if(fleet.engines.begin(), fleet.engines.end(), same);
+    const endpoint& address = view.address;
+    auto it = std::find_if(fleet.engines.begin(), fleet.engines.end(),
+                           [&](const fleet_engine_load& e) { return e.address == address; });
     if (it == fleet.engines.end()) continue;
     view.others = it->running + it->waiting;
     view.others_at = now;
--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -74,8 +74,8 @@
   }
 
   static const http_parser_settings& Get() {
-    static const http_parser_settings kSettings = Make();
-    return kSettings;
+    static const http_parser_settings settings = Make();
+    return settings;
   }
 };
 
