Ask for the next writable callback after the current one has returned

Cause: libwebsockets clears a request for a writable callback when that callback returns, so a response that filled the socket's buffer more than once stalled. Change: within the callback the request is posted to the loop. The gateway test waits until a replaced controller votes before it kills another one; it had failed once where the group had no majority yet.

--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -36,7 +36,7 @@
     /// Both are called on the control thread.
     std::function<void(const proposal_finished&)> on_proposal;
     std::function<void(bool all_finished)> on_stop;
-    std::function<void(const publish_document&)> on_document;
+    std::function<void(const publish_document&)> on_document = {};
   };
 
   log_node(hello self, handlers on)
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -148,7 +148,18 @@
     output_.erase(0, written_);
     written_ = 0;
   }
-  lws_callback_on_writable(wsi_);
+  WaitUntilWritable();
+}
+
+void tcp_connection::WaitUntilWritable() {
+  if (!in_writable_) {
+    lws_callback_on_writable(wsi_);
+    return;
+  }
+  // libwebsockets clears a request for the next writable callback when this one returns.
+  loop_.Post([this, alive = alive_] {
+    if (*alive && wsi_ != nullptr) lws_callback_on_writable(wsi_);
+  });
 }
 
 void tcp_connection::CloseAfterWrites() {
@@ -199,6 +210,13 @@
 }
 
 void tcp_connection::OnWritable() {
+  std::shared_ptr<bool> alive = alive_;
+  in_writable_ = true;
+  ServeWritable();
+  if (*alive) in_writable_ = false;
+}
+
+void tcp_connection::ServeWritable() {
   if (!connected_) {
     int error = 0;
     socklen_t length = sizeof(error);
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -80,6 +80,8 @@
   void Detach();
   void OnReadable();
   void OnWritable();
+  void ServeWritable();
+  void WaitUntilWritable();
   void Flush();
   void End(tcp_end how);
   static int OnFile(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
@@ -91,6 +93,8 @@
   bool connected_ = false;
   bool ended_ = false;
   bool closing_ = false;
+  /// Set while the writable callback runs.
+  bool in_writable_ = false;
   std::string output_;
   std::size_t written_ = 0;
   /// False once this object is destroyed, which a handler may do while it runs.
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -166,6 +166,15 @@
                     {"Host": HOST, "Authorization": "Bearer " + key, "Request-Id": number,
                      "Deadline-Ms": "4000", "Tenant": "forged", "X-Extra": "kept"})
 
+    def voters(self, number):
+        """Voters that a controller knows, itself among them; zero if it is none."""
+        connection = http.client.HTTPConnection(self.hosts[number], self.admin_port, timeout=2)
+        connection.request("GET", "/voters", headers={"Authorization": "Bearer t"})
+        state = json.loads(connection.getresponse().read())
+        connection.close()
+        voters = [r["id"] for r in state["replicas"] if r["voting"]]
+        return len(voters) if state["voter"] in voters else 0
+
     def wait_for(self, what, check, seconds=10):
         end = time.time() + seconds
         while time.time() < end:
@@ -223,14 +232,41 @@
         for name in files:
             os.remove(os.path.join(root, name))
     d.start_controller(number, first_start=False)
-    d.wait_for("a new member", lambda: d.control_at(
-        d.hosts[number], "GET", "/config", None)[0] == 200)
+    # Until the new replica votes, the group has lost one of its tolerated losses.
+    d.wait_for("three voters", lambda: d.voters(number) == 3)
     d.cluster.processes["controller-2"].kill()
     d.cluster.processes["controller-2"].wait()
     status, body = d.control("GET", "/config")
     assert status == 200 and json.loads(body)["version"] == 5, body
 
 
+def hands_out_large_documents(d):
+    """Guards against a response that stalls when its reader takes it in many small parts."""
+    document = json.loads(config(7))
+    for number in range(6000):
+        document["routes"].append({**document["routes"][0], "pathPrefix": f"/extra-{number}/",
+                                   "name": f"extra-{number}" * 4})
+    text = json.dumps(document).encode()
+    assert len(text) > 1000000
+    assert d.control("PUT", "/config", text)[0] == 200
+    for host in d.hosts:
+        with socket.socket() as reader:
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            reader.settimeout(5)
+            try:
+                reader.connect((host, d.call_port))
+            except OSError:
+                continue
+            reader.sendall(b"GET /config HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            received = b""
+            while part := reader.recv(65536):
+                received += part
+            if received.startswith(b"HTTP/1.1 200"):
+                assert received.endswith(text), len(received)
+                return
+    raise AssertionError("no controller answered")
+
+
 def drains(d, engines):
     """Guards against an engine that leaves and is still sent requests."""
     d.register(engines[0], 90, "draining")
@@ -265,6 +301,7 @@
         replaces_a_lost_disk(d)
         for engine in engines:
             d.register(engine, 50)
+        hands_out_large_documents(d)
         drains(d, engines)
     print("gateway test passed")
 
