--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -18,8 +19,7 @@
   io_loop loop;
   std::unique_ptr<tcp_connection> connection;
   std::string received;
-  std::atomic<int> ends{0};
-  std::atomic<tcp_end> last_end{tcp_end::kClosed};
+  std::promise<tcp_end> ended;
   tcp_listener listener{loop, [this](int socket) { Accept(socket); }};
   std::string greeting;
   std::thread thread;
@@ -68,11 +68,7 @@
     connection =
         tcp_connection::Adopt(loop, socket, {},
                               {nullptr, [this](std::string_view bytes) { received.append(bytes); },
-                               [this](tcp_end how) {
-                                 last_end = how;
-                                 ++ends;
-                               },
-                               nullptr});
+                               [this](tcp_end how) { ended.set_value(how); }, nullptr});
     connection->Write(greeting);
     if (!greeting.empty()) connection->CloseAfterWrites();
   }
@@ -90,12 +86,6 @@
     REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     return client;
   }
-
-  void WaitForEnd() {
-    auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (ends == 0 && std::chrono::steady_clock::now() < until) std::this_thread::yield();
-    REQUIRE(ends == 1);
-  }
 };
 
 }  // namespace
@@ -127,8 +117,9 @@
     setsockopt(client, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
   }
   close(client);
-  server.WaitForEnd();
-  CHECK(server.last_end == expected);
+  auto end = server.ended.get_future();
+  REQUIRE(end.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  CHECK(end.get() == expected);
 }
 
 }  // namespace radishroute
