--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -20,7 +20,7 @@
          tenants + "}";
 }
 
-const std::string kRoute =
+const std::string one_route =
     R"({"host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":8000,"service":"s"})";
 
 std::error_code ErrorOf(const std::string& text) {
@@ -60,9 +60,9 @@
 
 // Guards against an invalid configuration that is acknowledged.
 TEST_CASE("a configuration that contradicts itself is invalid") {
-  CHECK(!ErrorOf(Document("[" + kRoute + "]")));
-  CHECK(ErrorOf(Document("[" + kRoute + "]").substr(0, 60)) == errc::kMalformedCall);
-  CHECK(ErrorOf(Document("[" + kRoute + "," + kRoute + "]")) == errc::kInvalidDeployment);
+  CHECK(!ErrorOf(Document("[" + one_route + "]")));
+  CHECK(ErrorOf(Document("[" + one_route + "]").substr(0, 60)) == errc::kMalformedCall);
+  CHECK(ErrorOf(Document("[" + one_route + "," + one_route + "]")) == errc::kInvalidDeployment);
   CHECK(ErrorOf(Document(R"([{"host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":0,)"
                          R"("service":"s"}])")));
   CHECK(ErrorOf(Document(R"([{"host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":9,)"
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -53,7 +53,7 @@
       sockaddr_in address{};
       address.sin_family = AF_INET;
       address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
       socklen_t length = sizeof(address);
       getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
       close(probe);
