Give a replica that has just been added time to answer

Cause: a leader of more than 30 s took a new learner, which had never answered, for one that had been silent since its own election, and removed it at once. A replaced controller so never became a voter, and the group lost its majority when the next one failed. Change: silence counts from the time the leader began to send to a replica. Checked: the new test fails without the change; unit tests passed.

--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -138,6 +138,8 @@
     bool in_flight = false;
     std::uint64_t in_flight_last = 0;
     steady_time in_flight_since;
+    /// When this leader began to send to the replica.
+    steady_time tracked_since;
     /// Latest `sent` time that the replica returned.
     steady_time acknowledged;
     std::shared_ptr<const log_snapshot> snapshot;
--- a/src/raft_proposals.cc
+++ b/src/raft_proposals.cc
@@ -42,7 +42,10 @@
   proposals_[index] = p;
   if (changes_replicas) {
     SyncLinks(ctx);
-    for (const replica& r : log_.Replicas()) progress_.try_emplace(r.id);
+    for (const replica& r : log_.Replicas()) {
+      auto [it, added] = progress_.try_emplace(r.id);
+      if (added) it->second.tracked_since = ctx.now;
+    }
   }
   ReplicateAll(false, ctx);
 }
@@ -148,8 +151,12 @@
 bool raft_core::IsSilent(const replica& r, std::chrono::milliseconds limit, steady_time now) const {
   auto it = progress_.find(r.id);
   if (r.id == self_) return false;
-  steady_time heard = it == progress_.end() ? leader_since_ : it->second.acknowledged;
-  return now - std::max(heard, leader_since_) > limit;
+  steady_time heard = leader_since_;
+  // A replica that has just been added has had no time to answer.
+  if (it != progress_.end()) {
+    heard = std::max({heard, it->second.tracked_since, it->second.acknowledged});
+  }
+  return now - heard > limit;
 }
 
 const replica* raft_core::SilentVoter(steady_time now) const {
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -166,6 +166,35 @@
   }
 }
 
+// Guards against a new replica that a leader of some age forgets as soon as it is added, and a
+// group that then stays without its third voter.
+TEST_CASE("a replica that asks to join an old leader's group replaces the lost one") {
+  raft_limits limits;
+  limits.max_voters = 3;
+  limits.forget_learner = milliseconds(3000);
+  raft_cluster cluster(7, 3, limits);
+  std::size_t leader = WaitForLeader(cluster);
+  cluster.Run(milliseconds(5000));
+  std::size_t lost = (leader + 1) % 3;
+  cluster.Crash(lost);
+  cluster.LoseDisk(lost);
+  cluster.Start(lost);
+  replica candidate = cluster.Replica(lost);
+  // It answers later than the leader looks at its replicas for the first time.
+  cluster.SetPaused(lost, true);
+  cluster.Deliver(*cluster.Leader(), message_received{{9999}, join_request{candidate}});
+  cluster.Run(milliseconds(600));
+  CHECK(FindReplica(cluster.Core(*cluster.Leader()).Log().Replicas(), candidate.id) != nullptr);
+  cluster.SetPaused(lost, false);
+  for (int i = 0; i < 10 && !IsVoter(cluster, candidate.id); ++i) {
+    cluster.Deliver(*cluster.Leader(), message_received{{9999}, join_request{candidate}});
+    cluster.Run(milliseconds(400));
+  }
+  CHECK(IsVoter(cluster, candidate.id));
+  cluster.Crash(*cluster.Leader());
+  CHECK(cluster.CommitOne(milliseconds(4000)));
+}
+
 // Guards against removing a voter that answers while the rest could not form a majority.
 TEST_CASE("a voter is not removed if the others could not commit") {
   raft_cluster cluster(7, 3);
