Remove what nothing reads, and share what stood twice

Change: one rank_state for an engine's report and a sidecar's status; one reader of documents and one of changed settings for three processes; header search moved to the core, where the forwarder had a rough copy of it; one status line; one order of announcements. Discovery by registration is a setting of its own instead of a timeout of 1 ms. Gone: how a connection ended, hooks, counters, hints and a bound on events that nothing used, and flags that follow from others. Controllers log deployment-applied now, as gateways did; decisions are meant to be unchanged, and no assertion of a test was touched.

--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -29,10 +29,11 @@
   std::chrono::milliseconds home_timeout_per_peer{250};
   std::chrono::minutes tombstone_retention{10};
   std::size_t max_records = 16384;
-  /// Not zero where backend servers register themselves at controllers: a record whose backend
-  /// server has not repeated its registration for this time is down. Changes then go from the
-  /// controller that heard them to all others and to every entry, and not by gossip.
-  std::chrono::milliseconds registration_timeout{0};
+  /// Backend servers register themselves at controllers. Changes then go from the controller that
+  /// heard them to all others and to every entry, and not by gossip.
+  bool registered = false;
+  /// Controllers: a backend server that has not repeated its registration for this time is down.
+  std::chrono::milliseconds registration_timeout{5000};
   /// Period in which controllers tell each other which registrations were repeated.
   std::chrono::milliseconds registration_exchange{1000};
 };
@@ -97,7 +98,7 @@
     bool to_controller = false;
   };
 
-  bool Registered() const { return limits_.registration_timeout.count() > 0; }
+  bool Registered() const { return limits_.registered; }
   void OnRegisteredLink(const link_opened& opened, reduce_context& ctx);
   bool AcceptRegistration(const announcement& record, bool heard_here, reduce_context& ctx);
   bool ClaimAddress(const announcement& record, directory_delta& changes, reduce_context& ctx);
--- a/include/radishroute/discovery_message.h
+++ b/include/radishroute/discovery_message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "radishroute/types.h"
@@ -33,6 +34,11 @@
   std::uint64_t home = 0;
 };
 
+/// Place of an announcement in the order of all announcements of its backend server.
+inline auto Version(const announcement& record) {
+  return std::tuple(record.incarnation, record.sequence);
+}
+
 /// New or changed announcements, sent to other entries.
 struct directory_delta {
   std::vector<announcement> records;
--- a/include/radishroute/engine_message.h
+++ b/include/radishroute/engine_message.h
@@ -25,9 +25,9 @@
   kFailed,
 };
 
-/// One rank of an expert-parallel group, as its sidecar reads it from the engine beside it.
-struct engine_status {
-  std::uint64_t sequence = 0;
+/// State of one rank of an expert-parallel group, read from its engine.
+struct rank_state {
+  /// Empty for an engine that is in no group.
   std::string group;
   /// Life of the group; a new one starts with map 0 and nothing prepared, armed or held.
   std::uint64_t epoch = 0;
@@ -44,6 +44,14 @@
   std::uint64_t armed_step = 0;
   /// Pass that does not begin until it is released; zero for none.
   std::uint64_t held_step = 0;
+  /// Requests that the engine runs, and those that wait in it.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+};
+
+/// What a sidecar tells the leader of the engine beside it.
+struct engine_status : rank_state {
+  std::uint64_t sequence = 0;
   /// How often each expert was chosen since the last status, by set; empty if not read.
   std::vector<std::int32_t> counts;
   /// Experts that this rank holds under `map_version`, by set, -1 for an empty place; empty if not
@@ -55,9 +63,6 @@
   std::chrono::microseconds uncertain{};
   /// Address at which the engine takes requests.
   endpoint address;
-  /// Requests that it runs, and those that wait in it.
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
 };
 
 /// Requests at one engine when its sidecar read it.
--- a/include/radishroute/experts/engine_event.h
+++ b/include/radishroute/experts/engine_event.h
@@ -12,21 +12,7 @@
 namespace radishroute {
 
 /// State of an engine as it reports it itself.
-struct engine_report {
-  /// Empty for an engine that is in no group.
-  std::string group;
-  std::uint64_t epoch = 0;
-  std::uint32_t rank = 0;
-  std::uint32_t ranks = 0;
-  bool open = false;
-  std::uint64_t step = 0;
-  std::uint64_t map_version = 0;
-  std::uint64_t prepared_version = 0;
-  std::uint64_t armed_version = 0;
-  std::uint64_t armed_step = 0;
-  std::uint64_t held_step = 0;
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
+struct engine_report : rank_state {
   /// Unix milliseconds of the engine's start.
   std::uint64_t started = 0;
 };
--- a/include/radishroute/forward/event_stream.h
+++ b/include/radishroute/forward/event_stream.h
@@ -9,9 +9,6 @@
 /// Cuts the body of a text/event-stream response into whole events.
 class event_stream {
  public:
-  /// An event that exceeds this length is not waited for; the stream then counts as broken.
-  static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
-
   /// Returns the bytes up to the end of the last whole event.
   std::string Feed(std::string_view bytes);
 
@@ -19,7 +16,6 @@
   const std::string& LastId() const { return last_id_; }
   /// Whether a part of an event is held back.
   bool InEvent() const { return !partial_.empty(); }
-  bool Overlong() const { return partial_.size() > kMaxEventBytes; }
   /// Drops a part of an event that was cut off.
   void DropPartial() { partial_.clear(); }
 
--- a/include/radishroute/forward/forward_event.h
+++ b/include/radishroute/forward/forward_event.h
@@ -11,6 +11,7 @@
 
 #include "radishroute/error.h"
 #include "radishroute/forward/deployment.h"
+#include "radishroute/http_header.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -38,11 +39,8 @@
   std::string body;
   /// Time that the caller waits.
   std::optional<std::chrono::milliseconds> time_left;
-  /// Prompt tokens and maximum of output tokens; zero if unknown.
+  /// Zero if unknown.
   std::uint32_t prompt_tokens = 0;
-  std::uint32_t max_output_tokens = 0;
-  /// The caller's estimate of the output, in tokens; zero if it gave none.
-  std::uint32_t expected_output_tokens = 0;
   /// Event after which a stream goes on; empty for the start.
   std::string last_event;
 };
@@ -65,8 +63,6 @@
   /// The request named another backend server than the one at this address.
   bool wrong_backend = false;
   std::optional<reported_load> load;
-  /// Time after which the backend server invites another attempt.
-  std::optional<std::chrono::milliseconds> retry_after;
 };
 
 /// How far an attempt had come when it failed.
@@ -83,14 +79,6 @@
 
 std::string_view ToString(upstream_stage stage);
 
-/// Whether the connection ended in order, not by a reset or a timeout.
-enum class tcp_end_was_clean : bool { kNo, kYes };
-
-struct upstream_failure {
-  upstream_stage stage = upstream_stage::kConnecting;
-  tcp_end_was_clean clean = tcp_end_was_clean::kNo;
-};
-
 // Events.
 
 struct forward_received {
@@ -118,7 +106,7 @@
 
 struct upstream_call_failed {
   upstream_id id;
-  upstream_failure failure;
+  upstream_stage stage = upstream_stage::kConnecting;
 };
 
 /// The control thread applied a deployment.
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -59,8 +59,6 @@
     upstream_id id;
     std::string backend;
     steady_time sent;
-    double load = 0;
-    bool begun = false;
     bool not_run = false;
     bool wrong_backend = false;
   };
@@ -81,8 +79,7 @@
     std::vector<std::string> tried;
     /// An ended attempt may have run the request.
     bool may_have_run = false;
-    /// The caller has the head of the response.
-    bool begun = false;
+    /// The response is passed on by whole events, or as it comes.
     bool streams = false;
     bool passes_through = false;
     std::optional<steady_time> first_byte;
@@ -90,6 +87,9 @@
     /// A response that is held until it is whole.
     backend_answer answer;
     std::string body;
+
+    /// The caller has the head of the response.
+    bool Begun() const { return streams || passes_through; }
   };
 
   using request_map = std::unordered_map<exchange_id, forwarded>;
--- a/include/radishroute/types.h
+++ b/include/radishroute/types.h
@@ -80,12 +80,6 @@
   auto operator<=>(const endpoint&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
-/// One header of an HTTP message.
-struct http_header {
-  std::string name;
-  std::string value;
-};
-
 std::string ToString(const endpoint& e);
 std::string ToString(const request_id& id);
 
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -9,6 +9,7 @@
 #include "cli/admin.h"
 #include "cli/commands.h"
 #include "cli/config_http.h"
+#include "cli/documents.h"
 #include "cli/group_http.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
@@ -16,7 +17,6 @@
 #include "cli/process.h"
 #include "io/control_api.h"
 #include "io/log_node.h"
-#include "platform/config_wire.h"
 #include "platform/control_wire.h"
 #include "radishroute/policies.h"
 
@@ -127,6 +127,7 @@
     control_state& control = node_.Thread().State().control;
     control.log->JoinBy(group_joiner(self, settings_.known_controllers));
     directory_limits limits;
+    limits.registered = true;
     limits.registration_timeout = settings_.registration_timeout;
     hello identity = MakeHello(settings_.common, process_role::kController);
     control.backends.emplace(identity.process, settings_.common.zone, work_sheet{},
@@ -139,22 +140,14 @@
 
   void OnDocument(const publish_document& d) {
     if (settings_.calls_listen.host.empty()) return;
-    deployment parsed;
-    if (auto error = platform::DecodeDeployment(*d.text, parsed)) {
-      WriteLog({event_code::kDeploymentRejected,
-                log_level::kError,
-                {{"version", std::to_string(d.version)}, {"error", error.message()}}});
-      return;
-    }
-    node_.Thread().Apply(deployment_published{std::make_shared<route_index>(std::move(parsed))});
+    auto routes = ReadDocument(d);
+    if (routes) node_.Thread().Apply(deployment_published{std::move(routes)});
   }
 
   // The other settings take effect at the next start.
   void OnSettings(const std::string& text) {
-    std::vector<settings_error> errors;
-    controller_settings changed = ParseControllerSettings(text, errors);
-    LogReload(settings_file_, errors);
-    if (errors.empty()) node_.Thread().Post(controllers_changed{changed.known_controllers});
+    auto changed = ReloadSettings(settings_file_, text, ParseControllerSettings);
+    if (changed) node_.Thread().Post(controllers_changed{changed->known_controllers});
   }
 
   void OnStop(bool finished) {
--- /dev/null
+++ b/src/cli/documents.cc
@@ -0,0 +1,27 @@
+#include "cli/documents.h"
+
+#include <string>
+#include <utility>
+
+#include "io/metrics.h"
+#include "platform/config_wire.h"
+
+namespace radishroute {
+
+std::shared_ptr<const route_index> ReadDocument(const publish_document& d) {
+  deployment parsed;
+  std::string version = std::to_string(d.version);
+  if (auto error = platform::DecodeDeployment(*d.text, parsed)) {
+    // Controllers check documents before they accept them.
+    WriteLog({event_code::kDeploymentRejected,
+              log_level::kError,
+              {{"version", version}, {"error", error.message()}}});
+    return nullptr;
+  }
+  WriteLog({event_code::kDeploymentApplied,
+            log_level::kInfo,
+            {{"version", version}, {"routes", std::to_string(parsed.routes.size())}}});
+  return std::make_shared<const route_index>(std::move(parsed));
+}
+
+}  // namespace radishroute
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -3,12 +3,12 @@
 #include <memory>
 
 #include "cli/commands.h"
+#include "cli/documents.h"
 #include "cli/load_settings.h"
 #include "cli/options.h"
 #include "cli/process.h"
 #include "io/forward_api.h"
 #include "io/node_thread.h"
-#include "platform/config_wire.h"
 #include "platform/http_wire.h"
 #include "radishroute/policies.h"
 
@@ -16,9 +16,6 @@
 
 namespace {
 
-// Entries only receive registrations; the controllers decide when one has expired.
-constexpr std::chrono::milliseconds kRegistrationsExpireAtControllers{1};
-
 // Left of the time to drain for closing the process itself.
 constexpr std::chrono::milliseconds kExitMargin{300};
 
@@ -71,7 +68,7 @@
     control_ = std::make_unique<node_thread<baseline_policies>>(self, hooks);
     control_state& control = control_->State().control;
     directory_limits limits;
-    limits.registration_timeout = kRegistrationsExpireAtControllers;
+    limits.registered = true;
     control.backends.emplace(self.process, settings_.common.zone, work_sheet{},
                              settings_.controllers, limits);
     config_client_settings config;
@@ -103,30 +100,17 @@
 
   // The other settings take effect at the next start.
   void OnSettings(const std::string& text) {
-    std::vector<settings_error> errors;
-    gateway_settings changed = ParseGatewaySettings(text, errors);
-    LogReload(settings_file_, errors);
-    if (errors.empty()) control_->Post(controllers_changed{changed.controllers});
+    auto changed = ReloadSettings(settings_file_, text, ParseGatewaySettings);
+    if (changed) control_->Post(controllers_changed{changed->controllers});
   }
 
   // On the control thread, so that reading a large document does not hold up requests.
   void OnDocument(const publish_document& d) {
-    deployment parsed;
-    std::error_code error = platform::DecodeDeployment(*d.text, parsed);
-    std::string version = std::to_string(d.version);
-    if (error) {
-      // Controllers check documents before they accept them.
-      WriteLog({event_code::kDeploymentRejected,
-                log_level::kError,
-                {{"version", version}, {"error", error.message()}}});
-      return;
-    }
-    request_bounds bounds = parsed.bounds;
-    WriteLog({event_code::kDeploymentApplied,
-              log_level::kInfo,
-              {{"version", version}, {"routes", std::to_string(parsed.routes.size())}}});
+    auto routes = ReadDocument(d);
+    if (!routes) return;
+    request_bounds bounds = routes->Deployment().bounds;
     traffic_->Loop().Post([this, bounds] { traffic_->Extension().SetBounds(bounds); });
-    traffic_->Post(deployment_published{std::make_shared<const route_index>(std::move(parsed))});
+    traffic_->Post(deployment_published{std::move(routes)});
   }
 
   gateway_settings settings_;
--- a/src/cli/load_settings.h
+++ b/src/cli/load_settings.h
@@ -40,6 +40,18 @@
   return settings;
 }
 
+/// Parses a changed settings file and logs the outcome; nothing if it has a fault.
+template <class Settings>
+std::optional<Settings> ReloadSettings(const std::string& file, const std::string& text,
+                                       Settings (*parse)(std::string_view,
+                                                         std::vector<settings_error>&)) {
+  std::vector<settings_error> errors;
+  Settings settings = parse(text, errors);
+  LogReload(file, errors);
+  if (!errors.empty()) return std::nullopt;
+  return settings;
+}
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_CLI_LOAD_SETTINGS_H_
--- a/src/cli/sidecar.cc
+++ b/src/cli/sidecar.cc
@@ -46,10 +46,8 @@
 
   // The other settings take effect at the next start.
   void OnSettings(const std::string& text) {
-    std::vector<settings_error> errors;
-    sidecar_settings changed = ParseSidecarSettings(text, errors);
-    LogReload(settings_file_, errors);
-    if (errors.empty()) thread_->Post(controllers_changed{changed.controllers});
+    auto changed = ReloadSettings(settings_file_, text, ParseSidecarSettings);
+    if (changed) thread_->Post(controllers_changed{changed->controllers});
   }
 
   sidecar_settings settings_;
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -20,8 +20,6 @@
 
 constexpr std::size_t kBeatsPerMessage = 64;
 
-auto Version(const announcement& record) { return std::tuple(record.incarnation, record.sequence); }
-
 // At the same version, the entry that supervised the agent knows better that it is gone.
 int Rank(backend_status status) {
   switch (status) {
@@ -59,7 +57,7 @@
     : self_(self),
       zone_(std::move(zone)),
       limits_(limits),
-      peers_(std::move(peers), limits.registration_timeout.count() > 0),
+      peers_(std::move(peers), limits.registered),
       is_controller_(role == process_role::kController),
       sheet_(std::move(initial)) {}
 
--- a/src/discovery_registration.cc
+++ b/src/discovery_registration.cc
@@ -1,4 +1,3 @@
-#include <tuple>
 #include <utility>
 
 #include "radishroute/discovery.h"
@@ -10,8 +9,6 @@
 
 namespace {
 
-auto Version(const announcement& record) { return std::tuple(record.incarnation, record.sequence); }
-
 // Whether two records differ in anything but the number of the registration.
 bool SameContent(const announcement& a, const announcement& b) {
   return a.incarnation == b.incarnation && a.status == b.status && a.zone == b.zone &&
--- a/src/experts/engine_watch.cc
+++ b/src/experts/engine_watch.cc
@@ -87,20 +87,8 @@
   if (!session_.Link() || report.group.empty()) return;
   engine_status status;
   status.sequence = ++sequence_;
-  status.group = report.group;
-  status.epoch = report.epoch;
-  status.rank = report.rank;
-  status.ranks = report.ranks;
-  status.open = report.open;
-  status.step = report.step;
-  status.map_version = report.map_version;
-  status.prepared_version = report.prepared_version;
-  status.armed_version = report.armed_version;
-  status.armed_step = report.armed_step;
-  status.held_step = report.held_step;
+  static_cast<rank_state&>(status) = report;
   status.address = engine_;
-  status.running = report.running;
-  status.waiting = report.waiting;
   if (!counted_.empty() && counted_ != reported_) {
     bool comparable = reported_.size() == counted_.size();
     for (std::size_t i = 0; comparable && i < counted_.size(); ++i) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <random>
 
+#include "radishroute/http_header.h"
+
 namespace radishroute {
 
 namespace {
@@ -48,11 +50,8 @@
 }
 
 bool IsEventStream(const backend_answer& answer) {
-  for (const http_header& header : answer.headers) {
-    bool type = header.name.size() == 12 && (header.name[0] == 'C' || header.name[0] == 'c');
-    if (type && header.value.starts_with("text/event-stream")) return true;
-  }
-  return false;
+  const std::string* type = FindHeader(answer.headers, "content-type");
+  return type != nullptr && type->starts_with("text/event-stream");
 }
 
 attempt_verdict VerdictOf(unsigned status) {
@@ -166,7 +165,7 @@
   if (f.attempts == 0 && !admission_.Admit(load, ctx.now, ctx.random)) {
     return refusal_reason::kQueueFull;
   }
-  f.current = attempt{{next_attempt_++}, chosen->backend, ctx.now, chosen->load};
+  f.current = attempt{{next_attempt_++}, chosen->backend, ctx.now};
   f.tried.push_back(chosen->backend);
   ++f.attempts;
   attempts_[f.current->id] = f.request->exchange;
@@ -180,7 +179,7 @@
   start.member = f.member;
   start.time_left = left;
   start.urgency = f.urgency;
-  start.last_event = f.begun ? f.events.LastId() : f.request->last_event;
+  start.last_event = f.Begun() ? f.events.LastId() : f.request->last_event;
   // A kept connection may be closed by the other side while the request is on its way, and whether
   // it was read then cannot be known.
   start.may_reuse_connection = f.via->kind != request_kind::kNonIdempotent;
@@ -255,7 +254,6 @@
   if (f == nullptr) return;
   attempt& a = *f->current;
   if (e.answer.load) selector_.OnLoad(a.backend, *e.answer.load, ctx.now);
-  a.begun = true;
   a.not_run = e.answer.not_run;
   a.wrong_backend = e.answer.wrong_backend;
   f->answer = e.answer;
@@ -263,18 +261,18 @@
   if (!f->first_byte && !a.not_run) f->first_byte = ctx.now;
   bool stream = f->via->kind == request_kind::kStreaming && e.answer.status == 200 && !a.not_run &&
                 IsEventStream(e.answer);
-  if (stream && !f->begun) BeginStream(*f, ctx);
+  if (stream && !f->Begun()) BeginStream(*f, ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::BeginStream(forwarded& f, reduce_context& ctx) {
-  f.begun = f.streams = true;
+  f.streams = true;
   ctx.Emit(forward_begin{f.request->exchange, f.answer.status, f.answer.headers, std::nullopt});
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::PassThrough(forwarded& f, reduce_context& ctx) {
-  f.begun = f.passes_through = true;
+  f.passes_through = true;
   ctx.Emit(forward_begin{f.request->exchange, f.answer.status, f.answer.headers, f.answer.length});
   ctx.Emit(forward_bytes{f.request->exchange, std::exchange(f.body, {})});
 }
@@ -291,7 +289,7 @@
     ctx.Emit(forward_bytes{f->request->exchange, e.bytes});
   } else {
     f->body.append(e.bytes);
-    if (f->body.size() > kMaxHeldBytes && !f->begun) PassThrough(*f, ctx);
+    if (f->body.size() > kMaxHeldBytes && !f->Begun()) PassThrough(*f, ctx);
   }
 }
 
@@ -310,7 +308,7 @@
   if (f == nullptr) return;
   if (f->streams && f->events.InEvent()) {
     // The connection was closed in order, but in the middle of an event.
-    Handle(upstream_call_failed{e.id, {upstream_stage::kAnswering, tcp_end_was_clean::kYes}}, ctx);
+    Handle(upstream_call_failed{e.id, upstream_stage::kAnswering}, ctx);
     return;
   }
   bool not_run = f->current->not_run;
@@ -335,7 +333,7 @@
   bool failed = not_run || unproven || status >= 500;
   retry_reason reason = not_run ? retry_reason::kRefusedByBackend : retry_reason::kEngineCrashed;
   if (failed && SendAgain(*f, reason, ctx)) return;
-  if (f->begun) {
+  if (f->Begun()) {
     // A stream that was to go on elsewhere.
     ctx.Emit(forward_abort{f->request->exchange});
     Finish(*f, "aborted", status, ctx);
@@ -357,12 +355,12 @@
 void forwarder<Selector, Admission>::Handle(const upstream_call_failed& e, reduce_context& ctx) {
   forwarded* f = Find(e.id);
   if (f == nullptr) return;
-  bool unsent = e.failure.stage == upstream_stage::kConnecting;
+  bool unsent = e.stage == upstream_stage::kConnecting;
   ctx.Emit(write_log{{event_code::kForwardAttemptFailed,
                       log_level::kInfo,
                       {{"request", f->request->id},
                        {"backend", f->current->backend},
-                       {"stage", std::string(ToString(e.failure.stage))},
+                       {"stage", std::string(ToString(e.stage))},
                        {"after_us", Micros(f->current->sent, ctx.now)}}}});
   EndAttempt(*f, attempt_verdict::kBroken, ctx);
   f->events.DropPartial();
@@ -387,7 +385,7 @@
     ctx.Emit(cancel_upstream{f.current->id});
     EndAttempt(f, attempt_verdict::kWithdrawn, ctx);
   }
-  if (f.begun) {
+  if (f.Begun()) {
     ctx.Emit(forward_abort{exchange});
     Finish(f, "aborted", f.answer.status, ctx);
     return;
--- a/src/io/engine_port.h
+++ b/src/io/engine_port.h
@@ -46,7 +46,7 @@
                 {[this](upstream_id id, http_head&& head) { calls_[id].status = head.status; },
                  [this](upstream_id id, std::string_view bytes) { calls_[id].body.append(bytes); },
                  [this](upstream_id id) { OnEnd(id); },
-                 [this](upstream_id id, upstream_failure why) { OnFailed(id, why); }}),
+                 [this](upstream_id id, upstream_stage stage) { OnFailed(id, stage); }}),
         timeouts_(loop, kCallTimeout / 4, [this] { CheckTimeouts(); }) {}
 
   void Execute(const read_engine_report&) {
@@ -83,11 +83,11 @@
     Deliver(node.mapped(), engine_order_result::kUnknown);
   }
 
-  void OnFailed(upstream_id id, upstream_failure why) {
+  void OnFailed(upstream_id id, upstream_stage stage) {
     auto node = calls_.extract(id);
     if (!node) return;
     node.mapped().status = 0;
-    bool unsent = why.stage == upstream_stage::kConnecting;
+    bool unsent = stage == upstream_stage::kConnecting;
     Deliver(node.mapped(), unsent ? engine_order_result::kFailed : engine_order_result::kUnknown);
   }
 
@@ -128,7 +128,7 @@
     }
     for (upstream_id id : late) {
       client_.Cancel(id);
-      OnFailed(id, {upstream_stage::kWaiting, tcp_end_was_clean::kNo});
+      OnFailed(id, upstream_stage::kWaiting);
     }
   }
 
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -52,8 +52,8 @@
                      sink_(upstream_answer_bytes{id, std::string(bytes)});
                    },
                    [this](upstream_id id) { sink_(upstream_answer_end{id}); },
-                   [this](upstream_id id, upstream_failure why) {
-                     sink_(upstream_call_failed{id, why});
+                   [this](upstream_id id, upstream_stage stage) {
+                     sink_(upstream_call_failed{id, stage});
                    }}) {}
 
   std::error_code Start(const endpoint& callers, const endpoint& probes) {
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -40,11 +40,8 @@
   /// kMalformedHttp if a message was incomplete.
   std::error_code Finish();
 
-  void SetMaxHeadBytes(std::size_t bytes) { max_head_bytes_ = bytes; }
-
   /// Whether a part of a message has been read and its end has not.
   bool InMessage() const { return in_message_; }
-  bool HeadRead() const { return head_read_; }
 
  private:
   struct callbacks;
--- a/src/io/http_message.cc
+++ b/src/io/http_message.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstring>
 
 namespace radishroute {
 
@@ -16,22 +15,8 @@
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
     "upgrade",    "expect",     "content-length"};
 
-char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
-
 }  // namespace
 
-bool EqualIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
-                                            [](char x, char y) { return Lower(x) == Lower(y); });
-}
-
-const std::string* FindHeader(const std::vector<http_header>& headers, std::string_view name) {
-  for (const http_header& header : headers) {
-    if (EqualIgnoringCase(header.name, name)) return &header.value;
-  }
-  return nullptr;
-}
-
 bool IsConnectionHeader(std::string_view name) {
   return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
                      [&](std::string_view known) { return EqualIgnoringCase(known, name); });
@@ -54,9 +39,11 @@
   out.append(name).append(": ").append(value).append("\r\n");
 }
 
-std::string_view ReasonPhrase(unsigned status) {
-  const char* phrase = http_status_str(static_cast<http_status>(status));
-  return std::strcmp(phrase, "<unknown>") == 0 ? "Unknown" : phrase;
+std::string StatusLine(unsigned status) {
+  std::string_view phrase = http_status_str(static_cast<http_status>(status));
+  if (phrase == "<unknown>") phrase = "Unknown";
+  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+  return line.append(phrase).append("\r\n");
 }
 
 }  // namespace radishroute
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "radishroute/types.h"
+#include "radishroute/http_header.h"
 
 namespace radishroute {
 
@@ -26,22 +26,17 @@
   bool expects_continue = false;
 };
 
-/// Value of the first header with this name in any case; null if there is none.
-const std::string* FindHeader(const std::vector<http_header>& headers, std::string_view name);
-
 /// Whether a header concerns one connection only and is therefore never forwarded.
 bool IsConnectionHeader(std::string_view name);
 
-bool EqualIgnoringCase(std::string_view a, std::string_view b);
-
 /// Seconds of the `timeout` parameter of a Keep-Alive header; absent if it has none.
 std::optional<std::uint32_t> KeepAliveSeconds(const http_head& head);
 
 /// Appends "Name: value" and the end of the line.
 void AppendHeader(std::string& out, std::string_view name, std::string_view value);
 
-/// Reason phrase of a status code.
-std::string_view ReasonPhrase(unsigned status);
+/// First line of a response.
+std::string StatusLine(unsigned status);
 
 }  // namespace radishroute
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -17,6 +17,7 @@
 
 #include "io/loop.h"
 #include "radishroute/error.h"
+#include "radishroute/http_header.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -80,10 +80,9 @@
   auto c = std::make_unique<connection>(*this, number);
   connection* raw = c.get();
   c->active = Now();
-  c->tcp =
-      tcp_connection::Adopt(loop_, socket, {},
-                            {nullptr, [this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
-                             [this, raw](tcp_end) { OnEnd(*raw); }, nullptr});
+  c->tcp = tcp_connection::Adopt(loop_, socket, {},
+                                 {[this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
+                                  [this, raw](tcp_end) { OnEnd(*raw); }});
   if (c->tcp) connections_.emplace(number, std::move(c));
 }
 
@@ -147,8 +146,7 @@
   buffered_bytes_ -= c.body.size();
   c.body.clear();
   if (on_.on_rejected) on_.on_rejected(status);
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(ReasonPhrase(status)).append("\r\n");
+  std::string out = StatusLine(status);
   AppendHeader(out, "Content-Length", "0");
   AppendHeader(out, "Connection", "close");
   out.append("\r\n");
@@ -194,8 +192,7 @@
   c->chunked = !length && !bodiless;
   c->length_left = length.value_or(0);
   c->close_after = c->close_after || draining_;
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(ReasonPhrase(status)).append("\r\n");
+  std::string out = StatusLine(status);
   for (const http_header& header : headers) AppendHeader(out, header.name, header.value);
   if (c->chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
   if (length && !bodiless) AppendHeader(out, "Content-Length", std::to_string(*length));
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -76,9 +76,6 @@
   /// Accepts no more connections and closes those without a request in progress.
   void CloseIdle();
 
-  std::size_t ConnectionCount() const { return connections_.size(); }
-  std::size_t OpenExchanges() const { return exchanges_.size(); }
-
  private:
   struct connection;
 
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -37,9 +37,9 @@
   SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.user_timeout.count()));
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-  int interval = static_cast<int>(options.probe_interval.count());
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+  auto probe_interval = static_cast<int>(options.probe_interval.count());
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_interval);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
@@ -226,14 +226,12 @@
     } else {
       connected_ = true;
       Flush();
-      if (on_.on_connected) on_.on_connected();
     }
   } else {
     bool had = BufferedBytes() > 0;
     Flush();
     bool drained = had && BufferedBytes() == 0;
     if (drained && closing_) shutdown(socket_, SHUT_WR);
-    if (drained && !closing_ && on_.on_drained) on_.on_drained();
   }
 }
 
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -41,15 +41,12 @@
 class tcp_connection {
  public:
   struct handlers {
-    std::function<void()> on_connected;
     std::function<void(std::string_view)> on_bytes;
     /// Called at most once and not after Close.
     std::function<void(tcp_end)> on_end;
-    /// Everything that was written has left the buffer of this process.
-    std::function<void()> on_drained;
   };
 
-  /// Starts to connect; ends in `on_connected` or `on_end`.
+  /// Starts to connect; ends in `on_end` if it fails.
   static std::unique_ptr<tcp_connection> Connect(io_loop& loop, const endpoint& to,
                                                  const tcp_options& options, handlers on);
   /// Takes over an accepted socket.
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -69,10 +69,9 @@
   auto c = std::make_unique<connection>(*this, number, to);
   connection* raw = c.get();
   c->since = Now();
-  c->tcp = tcp_connection::Connect(
-      loop_, to, {},
-      {nullptr, [this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
-       [this, raw](tcp_end how) { OnEnd(*raw, how); }, nullptr});
+  c->tcp = tcp_connection::Connect(loop_, to, {},
+                                   {[this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
+                                    [this, raw](tcp_end how) { OnEnd(*raw, how); }});
   if (!c->tcp) return nullptr;
   connections_.emplace(number, std::move(c));
   return raw;
@@ -82,7 +81,7 @@
   connection* c = call.may_reuse ? TakeIdle(call.to) : nullptr;
   if (c == nullptr) c = Open(call.to);
   if (c == nullptr) {
-    on_.on_failed(call.id, {upstream_stage::kConnecting, tcp_end_was_clean::kNo});
+    on_.on_failed(call.id, upstream_stage::kConnecting);
     return;
   }
   c->call = call.id;
@@ -114,7 +113,7 @@
     std::size_t used = c.decoder.Feed(bytes, error);
     if (c.removed) return;
     if (error) {
-      Fail(c, {upstream_stage::kMalformed, tcp_end_was_clean::kNo});
+      Fail(c, upstream_stage::kMalformed);
       return;
     }
     bytes.remove_prefix(used);
@@ -173,14 +172,14 @@
   upstream_stage stage = upstream_stage::kWaiting;
   if (how == tcp_end::kConnectFailed) stage = upstream_stage::kConnecting;
   if (c.answered) stage = upstream_stage::kAnswering;
-  Fail(c, {stage, clean ? tcp_end_was_clean::kYes : tcp_end_was_clean::kNo});
+  Fail(c, stage);
 }
 
-void upstream_client::Fail(connection& c, upstream_failure why) {
+void upstream_client::Fail(connection& c, upstream_stage stage) {
   upstream_id call = std::exchange(c.call, {});
   calls_.erase(call.value);
   Remove(c);
-  on_.on_failed(call, why);
+  on_.on_failed(call, stage);
 }
 
 void upstream_client::Remove(connection& c) {
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -48,7 +48,7 @@
     std::function<void(upstream_id, http_head&&)> on_head;
     std::function<void(upstream_id, std::string_view)> on_body;
     std::function<void(upstream_id)> on_end;
-    std::function<void(upstream_id, upstream_failure)> on_failed;
+    std::function<void(upstream_id, upstream_stage)> on_failed;
   };
 
   /// `identity_header` names the header that carries `upstream_call::request_id`.
@@ -62,8 +62,6 @@
   /// Closes the call's connection; no handler is called for it any more.
   void Cancel(upstream_id id);
 
-  std::size_t OpenConnections() const { return connections_.size(); }
-
  private:
   struct connection;
 
@@ -73,7 +71,7 @@
   void OnHead(connection& c, http_head&& head);
   void OnComplete(connection& c);
   void OnEnd(connection& c, tcp_end how);
-  void Fail(connection& c, upstream_failure why);
+  void Fail(connection& c, upstream_stage stage);
   void Remove(connection& c);
   void Sweep();
 
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -116,7 +116,7 @@
   start_upstream first = f.Sent();
   CHECK(!first.may_reuse_connection);
   SECTION("the connection broke") {
-    f.Handle(upstream_call_failed{first.id, {upstream_stage::kWaiting, tcp_end_was_clean::kNo}});
+    f.Handle(upstream_call_failed{first.id, upstream_stage::kWaiting});
     CHECK(f.All<start_upstream>().empty());
     CHECK(f.RejectedWith() == 502);
   }
@@ -150,7 +150,7 @@
     f.Handle(upstream_answer_end{first.id});
   }
   SECTION("not connected") {
-    f.Handle(upstream_call_failed{first.id, {upstream_stage::kConnecting, tcp_end_was_clean::kNo}});
+    f.Handle(upstream_call_failed{first.id, upstream_stage::kConnecting});
   }
   start_upstream second = f.Sent();
   CHECK(second.backend != first.backend);
@@ -180,7 +180,7 @@
   start_upstream sent = f.Sent();
   f.Answer(sent.id, 200);
   f.Handle(upstream_answer_bytes{sent.id, "half"});
-  f.Handle(upstream_call_failed{sent.id, {upstream_stage::kAnswering, tcp_end_was_clean::kNo}});
+  f.Handle(upstream_call_failed{sent.id, upstream_stage::kAnswering});
   CHECK(f.All<forward_begin>().empty());
   CHECK(f.RejectedWith() == 502);
 }
@@ -194,7 +194,7 @@
   CHECK(f.All<forward_begin>().size() == 1);
   f.Handle(upstream_answer_bytes{first.id, "id: 1\ndata: a\n\nid: 2\nda"});
   CHECK(f.All<forward_bytes>().front().bytes == "id: 1\ndata: a\n\n");
-  f.Handle(upstream_call_failed{first.id, {upstream_stage::kAnswering, tcp_end_was_clean::kNo}});
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
   start_upstream second = f.Sent();
   CHECK(second.last_event == "1");
   f.Answer(second.id, 200, false, "text/event-stream");
@@ -224,7 +224,7 @@
   for (int attempt = 0; attempt < 2; ++attempt) {
     start_upstream sent = f.Sent();
     f.Answer(sent.id, 200, false, "text/event-stream");
-    f.Handle(upstream_call_failed{sent.id, {upstream_stage::kAnswering, tcp_end_was_clean::kNo}});
+    f.Handle(upstream_call_failed{sent.id, upstream_stage::kAnswering});
   }
   CHECK(f.All<forward_abort>().size() == 1);
   CHECK(f.All<forward_end>().empty());
--- a/tests/registration_test.cc
+++ b/tests/registration_test.cc
@@ -30,6 +30,7 @@
 
   static directory_limits Limits() {
     directory_limits limits;
+    limits.registered = true;
     limits.registration_timeout = milliseconds(5000);
     return limits;
   }
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -65,10 +65,9 @@
   void Accept(int socket) {
     int small = 4096;
     setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
-    connection =
-        tcp_connection::Adopt(loop, socket, {},
-                              {nullptr, [this](std::string_view bytes) { received.append(bytes); },
-                               [this](tcp_end how) { ended.set_value(how); }, nullptr});
+    connection = tcp_connection::Adopt(loop, socket, {},
+                                       {[this](std::string_view bytes) { received.append(bytes); },
+                                        [this](tcp_end how) { ended.set_value(how); }});
     connection->Write(greeting);
     if (!greeting.empty()) connection->CloseAfterWrites();
   }
