Close connections after their last response in a drain

A stream that began before SIGTERM did not announce the end of its connection, so the next request came in on it 3.9 s after SIGTERM and was cut off at the end of the grace time. A process also ended without waiting for response bytes that it still held, and closed its log while other threads wrote to it.

Change: once no more connections are accepted, each connection is closed after the response in progress; a finished drain waits for buffered bytes; threads end before the log does.

Tests: both cases of stream_server_test.cc fail without the change.

--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -116,6 +116,8 @@
     node_.Thread().Post(drain_requested{std::chrono::steady_clock::now()});
     bool finished = latch_.Wait();
     LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    // No thread may log while the queue of lines is closed.
+    node_.Thread().Join();
     FlushLog();
     return finished ? kExitSuccess : kExitFailed;
   }
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -47,6 +47,9 @@
     traffic_->Post(drain_requested{system_clock_source().Now() + longest});
     bool finished = latch_.Wait();
     LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    // No thread may log while the queue of lines is closed.
+    traffic_->Join();
+    control_->Join();
     FlushLog();
     return finished ? kExitSuccess : kExitUnfinished;
   }
--- a/src/cli/sidecar.cc
+++ b/src/cli/sidecar.cc
@@ -37,6 +37,8 @@
     thread_->Post(drain_requested{system_clock_source().Now()});
     bool finished = latch_.Wait();
     LogProcessEvent(event_code::kProcessStopped, {{"finished", finished ? "yes" : "no"}});
+    // No thread may log while the queue of lines is closed.
+    thread_->Join();
     FlushLog();
     return finished ? kExitSuccess : kExitUnfinished;
   }
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -89,6 +89,7 @@
   }
   void Execute(const close_idle_callers&) { callers_.CloseIdle(); }
   void Drain() { callers_.Drain(); }
+  void WhenIdle(std::function<void()> done) { callers_.WhenWritten(std::move(done)); }
 
  private:
   static std::string Seconds(std::chrono::milliseconds time) {
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -156,8 +156,14 @@
   void Execute(const stop_process& e) {
     if (!hooks_.on_stop) return;
     bool finished = e.all_finished;
+    // The last response may still be waiting to be written.
+    if constexpr (requires(Adapter adapter) { adapter.WhenIdle([] {}); }) {
+      if (adapter_ && finished) {
+        adapter_->WhenIdle([this] { hooks_.on_stop(true); });
+        return;
+      }
+    }
     if (callers_ && finished) {
-      // The last response may still be waiting to be written.
       callers_->WhenIdle([this] { hooks_.on_stop(true); });
     } else {
       hooks_.on_stop(finished);
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -232,7 +232,8 @@
   exchanges_.erase(std::exchange(c.exchange, 0));
   c.begun = false;
   c.active = Now();
-  if (c.close_after) {
+  // A response that began before the drain did not announce the end of its connection.
+  if (c.close_after || closed_to_requests_) {
     CloseLater(c);
     return;
   }
@@ -256,6 +257,7 @@
 
 void stream_server::CloseIdle() {
   draining_ = true;
+  closed_to_requests_ = true;
   listener_.Stop();
   for (auto& [number, c] : connections_) {
     bool idle = c->exchange == 0 && !c->closing && !c->decoder.InMessage();
@@ -263,6 +265,19 @@
   }
 }
 
+void stream_server::WhenWritten(std::function<void()> done) {
+  on_written_ = std::move(done);
+  CheckWritten();
+}
+
+void stream_server::CheckWritten() {
+  if (!on_written_) return;
+  for (const auto& [number, c] : connections_) {
+    if (c->tcp->BufferedBytes() > 0) return;
+  }
+  std::exchange(on_written_, nullptr)();
+}
+
 void stream_server::Sweep() {
   removed_.clear();
   steady_time now = Now();
@@ -279,6 +294,7 @@
   }
   for (connection* c : idle) OnEnd(*c);
   for (connection* c : slow) Reject(*c, 408);
+  CheckWritten();
 }
 
 }  // namespace radishroute
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -73,8 +73,10 @@
 
   /// Each further response announces that its connection is closed after it.
   void Drain() { draining_ = true; }
-  /// Accepts no more connections and closes those without a request in progress.
+  /// Accepts no more connections and requests; each connection is closed after its response.
   void CloseIdle();
+  /// Calls `done` once all bytes of responses have been handed to the system.
+  void WhenWritten(std::function<void()> done);
 
  private:
   struct connection;
@@ -91,6 +93,7 @@
   void Send(connection& c, std::string_view bytes);
   void CloseLater(connection& c);
   void Remove(connection& c);
+  void CheckWritten();
   void Sweep();
   connection* Find(exchange_id id);
 
@@ -101,6 +104,8 @@
   std::uint64_t next_connection_ = 1;
   std::uint64_t next_exchange_ = 1;
   bool draining_ = false;
+  bool closed_to_requests_ = false;
+  std::function<void()> on_written_;
   std::size_t buffered_bytes_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
   /// Exchanges in progress, by number, with their connection's number.
--- /dev/null
+++ b/tests/stream_server_test.cc
@@ -0,0 +1,133 @@
+#include "io/stream_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "loopback_port.h"
+
+namespace radishroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A server on a loop of its own, and one client connection that the test plays.
+struct server_fixture {
+  server_fixture() {
+    static const lws_protocols protocols[] = {
+        tcp_connection::Protocol(), tcp_listener::Protocol(), WakeProtocol(), {}};
+    loop.CreateClientVhost(protocols);
+    server = std::make_unique<stream_server>(
+        loop, stream_server::handlers{[this](received_request&& r) { OnRequest(r); },
+                                      [](exchange_id) {}, nullptr});
+    std::uint16_t port = FreeLoopbackPort();
+    REQUIRE(!server->Start({"127.0.0.1", port}));
+    thread = std::thread([this] { loop.Run(); });
+    client = socket(AF_INET, SOCK_STREAM, 0);
+    int small = 4096;
+    setsockopt(client, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    timeval longest{3, 0};
+    setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  }
+
+  ~server_fixture() {
+    close(client);
+    loop.Stop();
+    thread.join();
+    server.reset();
+  }
+
+  void OnRequest(const received_request& r) {
+    ++requests;
+    if (requests == 1) first.set_value(r.exchange);
+  }
+
+  /// Runs a task on the loop's thread and waits for it.
+  void OnLoop(const std::function<void()>& task) {
+    std::promise<void> done;
+    loop.Post([&] {
+      task();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void Send(const std::string& text) {
+    REQUIRE(send(client, text.data(), text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  /// Whether the server closes the connection within the client's time.
+  bool ReadsToEnd() {
+    std::array<char, 4096> buffer;
+    ssize_t n = 0;
+    while ((n = recv(client, buffer.data(), buffer.size(), 0)) > 0) {
+      received.append(buffer.data(), static_cast<std::size_t>(n));
+    }
+    return n == 0;
+  }
+
+  io_loop loop;
+  std::unique_ptr<stream_server> server;
+  std::promise<exchange_id> first;
+  int requests = 0;
+  int client = -1;
+  std::string received;
+  std::thread thread;
+};
+
+}  // namespace
+
+// Guards against a request that is taken at the end of a drain and cut off when the process ends.
+TEST_CASE("a stream that outlives the start of a drain is the last of its connection") {
+  server_fixture f;
+  f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id exchange = f.first.get_future().get();
+  f.OnLoop([&] { f.server->Begin(exchange, 200, {}, std::nullopt); });
+  f.OnLoop([&] {
+    f.server->Drain();
+    f.server->CloseIdle();
+  });
+  f.OnLoop([&] {
+    f.server->Write(exchange, "x");
+    f.server->End(exchange);
+  });
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.ends_with("0\r\n\r\n"));
+  CHECK(f.requests == 1);
+}
+
+// Guards against a process that ends while the end of a long response is still in its buffer.
+TEST_CASE("the end of a drain waits for buffered bytes") {
+  server_fixture f;
+  f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id exchange = f.first.get_future().get();
+  std::string text(std::size_t{3} << 20, 'x');
+  std::promise<void> written;
+  auto done = written.get_future();
+  f.OnLoop([&] {
+    f.server->Drain();
+    f.server->CloseIdle();
+    f.server->Respond(exchange, 200, {}, text);
+    f.server->WhenWritten([&] { written.set_value(); });
+  });
+  CHECK(done.wait_for(50ms) == std::future_status::timeout);
+  CHECK(f.ReadsToEnd());
+  CHECK(done.wait_for(3s) == std::future_status::ready);
+  CHECK(f.received.size() > text.size());
+}
+
+}  // namespace radishroute
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <thread>
 
+#include "loopback_port.h"
+
 namespace radishroute {
 
 namespace {
@@ -26,7 +28,7 @@
 
   explicit tcp_fixture(std::string text) : greeting(std::move(text)) {
     static const lws_protocols protocols[] = {
-        tcp_connection::Protocol(), tcp_listener::Protocol(), Wake(), {}};
+        tcp_connection::Protocol(), tcp_listener::Protocol(), WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
     REQUIRE(!listener.Start({"127.0.0.1", Port()}));
     thread = std::thread([this] { loop.Run(); });
@@ -36,29 +38,8 @@
     thread.join();
   }
 
-  // Another adapter's protocol runs posted tasks in the program.
-  static lws_protocols Wake() {
-    lws_protocols protocol{};
-    protocol.name = "wake";
-    protocol.callback = [](lws* wsi, lws_callback_reasons reason, void*, void*, size_t) {
-      if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) io_loop::OnCancelled(wsi);
-      return 0;
-    };
-    return protocol;
-  }
-
   static std::uint16_t Port() {
-    static const std::uint16_t port = [] {
-      int probe = socket(AF_INET, SOCK_STREAM, 0);
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-      socklen_t length = sizeof(address);
-      getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length);
-      close(probe);
-      return ntohs(address.sin_port);
-    }();
+    static const std::uint16_t port = FreeLoopbackPort();
     return port;
   }
 
