Measure passes from their first word, and log what admission decides by

Change: the duration is taken between the moments at which passes are first heard of. A line forward-finished has the load, the capacity, the age of the view of loads and the duration of passes that admission used.

--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "radishroute/experts/map_switch.h"
+#include "radishroute/experts/pass_meter.h"
 #include "radishroute/forward/deployment.h"
 #include "radishroute/raft.h"
 #include "radishroute/reduce_context.h"
@@ -54,16 +55,12 @@
     steady_time decayed;
     steady_time plan_at;
     std::uint64_t epoch = 0;
-    /// For the duration of a pass.
-    std::uint64_t measured_step = 0;
-    steady_time measured_at;
-    std::chrono::microseconds pass{};
+    pass_meter passes;
     steady_time waiting_logged;
   };
 
   void AddCounts(group& g, const engine_status& status) const;
   void Decay(group& g, steady_time now) const;
-  void MeasurePass(group& g, steady_time now) const;
   void SendLoads(reduce_context& ctx);
   void Plan(const std::string& name, group& g, std::uint64_t term, reduce_context& ctx) const;
   void LogWaiting(const std::string& name, group& g, std::string_view reason,
--- a/include/radishroute/forward/admission.h
+++ b/include/radishroute/forward/admission.h
@@ -25,13 +25,23 @@
   bool came_back = false;
 };
 
+/// An answer and what it was decided by.
+struct admission_decision {
+  bool admitted = true;
+  /// Requests that the backend server may have at once; zero if nothing is known of it.
+  double capacity = 0;
+  /// Age of the leader's view of loads, and the duration of passes in it.
+  std::chrono::milliseconds load_age{};
+  std::chrono::microseconds pass{};
+};
+
 /// Decides whether a request is sent to a backend server now.
 template <class A>
 concept forward_admission = std::default_initializable<A> &&
     requires(A admission, const admission_query& query, std::shared_ptr<const fleet_load> load,
              random_source& random, steady_time now) {
   {admission.OnFleetLoad(load, now)};
-  { admission.Admit(query, now, random) } -> std::same_as<bool>;
+  { admission.Admit(query, now, random) } -> std::same_as<admission_decision>;
   { admission.GroupIsDown(now) } -> std::same_as<bool>;
 };
 
@@ -41,7 +51,7 @@
 class engine_model_admission {
  public:
   void OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now);
-  bool Admit(const admission_query& query, steady_time now, random_source& random);
+  admission_decision Admit(const admission_query& query, steady_time now, random_source& random);
   /// The leader knows that the group makes no passes.
   bool GroupIsDown(steady_time now) const;
 
@@ -60,7 +70,7 @@
 /// Admits everything; for comparisons.
 struct admit_all {
   void OnFleetLoad(const std::shared_ptr<const fleet_load>&, steady_time) {}
-  bool Admit(const admission_query&, steady_time, random_source&) { return true; }
+  admission_decision Admit(const admission_query&, steady_time, random_source&) { return {}; }
   bool GroupIsDown(steady_time) const { return false; }
 };
 
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -77,6 +77,9 @@
     std::uint32_t attempts = 0;
     std::uint32_t connect_failures = 0;
     std::vector<std::string> tried;
+    /// Admission of the first attempt, and the load that it expected there.
+    admission_decision decided_by;
+    double load = 0;
     /// An ended attempt may have run the request.
     bool may_have_run = false;
     /// The response is passed on by whole events, or as it comes.
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Long enough for several passes, short against the shifts of load.
-constexpr std::chrono::milliseconds kPassWindow{400};
-
 // A group that waits for long is worth a line now and then.
 constexpr std::chrono::seconds kWaitingLogPeriod{1};
 
@@ -56,6 +53,7 @@
   }
   group& g = groups_[status.group];
   g.change.OnStatus(link, status, ctx.now);
+  g.passes.OnStep(g.change.NewestStep(), ctx.now);
   reply.wants_experts = g.change.NeedsExperts(status.rank);
   ctx.Emit(send_message{link, reply});
   if (g.change.Epoch() != g.epoch) {
@@ -72,27 +70,14 @@
 
 void engine_groups::Handle(const link_closed& closed) { entries_.erase(closed.link); }
 
-void engine_groups::MeasurePass(group& g, steady_time now) const {
-  std::uint64_t step = g.change.NewestStep();
-  bool restarted = step < g.measured_step || g.measured_at == steady_time{};
-  if (!restarted && now - g.measured_at < kPassWindow) return;
-  if (!restarted && step > g.measured_step) {
-    auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - g.measured_at);
-    g.pass = elapsed / static_cast<std::int64_t>(step - g.measured_step);
-  }
-  g.measured_step = step;
-  g.measured_at = now;
-}
-
 void engine_groups::SendLoads(reduce_context& ctx) {
   if (ctx.now < next_loads_) return;
   std::size_t slowdown = 1 + entries_.size() / limits_.entries_per_period;
   next_loads_ = ctx.now + limits_.load_period * static_cast<int>(slowdown);
   for (auto& [name, g] : groups_) {
-    MeasurePass(g, ctx.now);
     fleet_load load;
     load.open = !g.change.Down(ctx.now);
-    load.pass = g.pass;
+    load.pass = g.passes.Pass();
     load.engines = g.change.Loads(ctx.now);
     for (link_id entry : entries_) ctx.Emit(send_message{entry, load});
   }
--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -71,16 +71,19 @@
   return capacity + waiting;
 }
 
-bool engine_model_admission::Admit(const admission_query& query, steady_time now,
-                                   random_source& random) {
-  if (query.engine == nullptr || query.engine->step.count() == 0) return true;
-  if (!Fresh(now)) return true;
-  double capacity = Capacity(*query.via, *query.engine, query.chosen.slots);
+admission_decision engine_model_admission::Admit(const admission_query& query, steady_time now,
+                                                 random_source& random) {
+  admission_decision decision;
+  if (query.engine == nullptr || query.engine->step.count() == 0 || !Fresh(now)) return decision;
+  decision.capacity = Capacity(*query.via, *query.engine, query.chosen.slots);
+  decision.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - heard_);
+  decision.pass = load_->pass;
   std::size_t rank = std::min<std::size_t>(query.via->rank, kRanks - 1);
   double room = query.came_back ? 0 : kRoomLeft[rank];
-  if (query.chosen.load <= capacity - room) return true;
-  if (query.chosen.load > capacity) return false;
-  return std::bernoulli_distribution(kFloorShare)(random);
+  if (query.chosen.load <= decision.capacity - room) return decision;
+  decision.admitted = query.chosen.load <= decision.capacity &&
+                      std::bernoulli_distribution(kFloorShare)(random);
+  return decision;
 }
 
 }  // namespace radishroute
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <random>
 
 #include "radishroute/http_header.h"
@@ -49,6 +50,12 @@
   return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(to - from).count());
 }
 
+std::string Tenths(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.1f", value);
+  return text;
+}
+
 bool IsEventStream(const backend_answer& answer) {
   const std::string* type = FindHeader(answer.headers, "content-type");
   return type != nullptr && type->starts_with("text/event-stream");
@@ -162,8 +169,10 @@
   }
   // What was admitted once is not refused for load when it goes on elsewhere.
   admission_query load{f.via, engine, *chosen, CameBack(f)};
-  if (f.attempts == 0 && !admission_.Admit(load, ctx.now, ctx.random)) {
-    return refusal_reason::kQueueFull;
+  if (f.attempts == 0) {
+    f.decided_by = admission_.Admit(load, ctx.now, ctx.random);
+    f.load = chosen->load;
+    if (!f.decided_by.admitted) return refusal_reason::kQueueFull;
   }
   f.current = attempt{{next_attempt_++}, chosen->backend, ctx.now};
   f.tried.push_back(chosen->backend);
@@ -427,6 +436,12 @@
                  {"first_us", f.first_byte ? Micros(f.received, *f.first_byte) : "none"},
                  {"total_us", Micros(f.received, ctx.now)},
                  {"config", std::to_string(f.routes->Version())}};
+  if (f.decided_by.capacity > 0) {
+    line.fields.push_back({"load", Tenths(f.load)});
+    line.fields.push_back({"capacity", Tenths(f.decided_by.capacity)});
+    line.fields.push_back({"load_age_ms", std::to_string(f.decided_by.load_age.count())});
+    line.fields.push_back({"pass_us", std::to_string(f.decided_by.pass.count())});
+  }
   ctx.Emit(write_log{std::move(line)});
   exchange_id exchange = f.request->exchange;
   give_up_.erase({f.give_up_at, exchange.value});
