Refuse requests while a group with running requests begins no pass

Change: the leader reports a group as closed when engines have running requests and no pass has begun for 500 ms.

Test: pass_meter_test.cc, a group without new passes is seen to be stalled until the next pass.

--- a/include/radishroute/experts/pass_meter.h
+++ b/include/radishroute/experts/pass_meter.h
@@ -15,6 +15,8 @@
   void OnStep(std::uint64_t step, steady_time now);
   /// Zero until it is known.
   std::chrono::microseconds Pass() const { return pass_; }
+  /// No pass has begun for so long that a group with running requests must be waiting for a rank.
+  bool Stalled(steady_time now) const;
 
  private:
   /// A pass, and when it was first heard of.
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -1,5 +1,6 @@
 #include "radishroute/experts/engine_groups.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
@@ -76,9 +77,14 @@
   next_loads_ = ctx.now + limits_.load_period * static_cast<int>(slowdown);
   for (auto& [name, g] : groups_) {
     fleet_load load;
-    load.open = !g.change.Down(ctx.now);
     load.pass = g.passes.Pass();
     load.engines = g.change.Loads(ctx.now);
+    // A group without requests makes no passes either.
+    bool busy = std::any_of(load.engines.begin(), load.engines.end(),
+                            [](const fleet_engine_load& e) { return e.running > 0; });
+    bool stalled = busy && g.passes.Stalled(ctx.now);
+    if (stalled) LogWaiting(name, g, "passes-stalled", ctx);
+    load.open = !stalled && !g.change.Down(ctx.now);
     for (link_id entry : entries_) ctx.Emit(send_message{entry, load});
   }
 }
--- a/src/experts/pass_meter.cc
+++ b/src/experts/pass_meter.cc
@@ -10,6 +10,10 @@
 // Without a new pass for this time, the group was idle or stalled meanwhile.
 constexpr std::chrono::milliseconds kIdleAfter{600};
 
+// Several times the longest pass that meets the target of any stream; a rank that is missing stops
+// the group for longer.
+constexpr std::chrono::milliseconds kStalledAfter{500};
+
 }  // namespace
 
 // Ranks are read at different times, so the first word of a pass comes soon after it has begun. The
@@ -29,4 +33,8 @@
   measured_ = newest_;
 }
 
+bool pass_meter::Stalled(steady_time now) const {
+  return newest_.step != 0 && now - newest_.at > kStalledAfter;
+}
+
 }  // namespace radishroute
--- a/tests/pass_meter_test.cc
+++ b/tests/pass_meter_test.cc
@@ -46,6 +46,21 @@
   CHECK(meter.Pass() == milliseconds(50));
 }
 
+// Guards against requests that are sent into a group that waits for a frozen rank, where they wait
+// until they are cut off.
+TEST_CASE("a group without new passes is seen to be stalled until the next pass") {
+  steady_time now{std::chrono::hours(1)};
+  pass_meter meter;
+  CHECK_FALSE(meter.Stalled(now));
+  for (std::uint64_t step = 1; step <= 10; ++step) meter.OnStep(step, now += milliseconds(130));
+  CHECK_FALSE(meter.Stalled(now + milliseconds(400)));
+  now += milliseconds(700);
+  meter.OnStep(10, now);
+  CHECK(meter.Stalled(now));
+  meter.OnStep(11, now);
+  CHECK_FALSE(meter.Stalled(now));
+}
+
 // Guards against steps of a former life of the group, which are higher than those of the new one.
 TEST_CASE("a restarted group is measured from its first pass") {
   steady_time now{std::chrono::hours(1)};
