--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -81,8 +81,8 @@
   std::size_t rank = std::min<std::size_t>(query.via->rank, kRanks - 1);
   double room = query.came_back ? 0 : kRoomLeft[rank];
   if (query.chosen.load <= decision.capacity - room) return decision;
-  decision.admitted = query.chosen.load <= decision.capacity &&
-                      std::bernoulli_distribution(kFloorShare)(random);
+  bool fits = query.chosen.load <= decision.capacity;
+  decision.admitted = fits && std::bernoulli_distribution(kFloorShare)(random);
   return decision;
 }
 
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -8,8 +8,8 @@
 
 namespace radishroute {
 
-// Guards against a connection that is freed by its own failure while it is still being opened, and
-// written to afterwards; the address sanitizer reports it.
+// Guards against a link that fails while it is still being opened and is not reported, so that its
+// owner waits for it forever.
 TEST_CASE("links to controllers that do not listen yet are reported as closed") {
   constexpr int kLinks = 50;
   static const lws_protocols protocols[] = {link_transport::Protocol(), {}};
