Write the stack of a process that ends by a fault

Change: a handler writes the signal and the frames to standard error; the process still ends by that signal.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -2,6 +2,7 @@
 #include <string_view>
 
 #include "cli/commands.h"
+#include "cli/fault_handler.h"
 #include "cli/process.h"
 
 namespace {
@@ -42,6 +43,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  radishroute::InstallFaultHandler();
   if (argc < 2) {
     PrintUsage(std::cerr);
     return radishroute::kExitUsage;
