Log why a process leaves its leader and when a configuration has reached all entries

A change was late at gateways, and the logs did not tell whether documents are too many bytes for the leader's link, are abandoned half way, or are sent more than once.

leader-left names the reason and the silence; config-distributed gives the documents and bytes that a version took and the time until every entry with a lease had applied it. No decision changes.

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -61,11 +61,22 @@
     std::uint64_t applied = 0;
   };
 
-  static void Push(link_id link, const config_document& config, reduce_context& ctx);
+  /// Pushes of one version to the entries, until all of them have applied it.
+  struct distribution {
+    std::uint64_t version = 0;
+    steady_time committed_at;
+    std::uint64_t pushes = 0;
+    std::uint64_t bytes = 0;
+  };
+
+  void Push(link_id link, const config_document& config, reduce_context& ctx);
+  void LogIfDistributed(reduce_context& ctx);
 
   std::optional<steady_time> leader_since_;
   /// Keyed by the entry's node name.
   std::map<std::string, lease> leases_;
+  /// The latest version that was committed while this controller led.
+  std::optional<distribution> distribution_;
 };
 
 }  // namespace radishroute
--- a/include/radishroute/leader_session.h
+++ b/include/radishroute/leader_session.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "radishroute/event.h"
@@ -41,6 +42,7 @@
 
  private:
   void ConnectTo(std::size_t index, reduce_context& ctx);
+  void LogLeaderLeft(std::string_view reason, reduce_context& ctx) const;
   void ScheduleRetry(std::size_t index, reduce_context& ctx);
 
   std::vector<endpoint> controllers_;
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -49,6 +49,8 @@
   kConfigLeaseLost = 603,
   kConfigLeaseGained = 604,
   kLeaderFound = 605,
+  kLeaderLeft = 606,
+  kConfigDistributed = 607,
   kOrderCommitted = 700,
   kOrderEnded = 701,
   kOrderFenceLearned = 702,
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -12,13 +12,38 @@
 void config_leases::StepDown() {
   leader_since_.reset();
   leases_.clear();
+  distribution_.reset();
 }
 
 void config_leases::Push(link_id link, const config_document& config, reduce_context& ctx) {
+  if (distribution_) {
+    ++distribution_->pushes;
+    distribution_->bytes += config.Sheet().size();
+  }
   ctx.Emit(
       send_message{link, config_push{config.Version(), config.Current().author, config.Sheet()}});
 }
 
+void config_leases::LogIfDistributed(reduce_context& ctx) {
+  if (!distribution_) return;
+  std::size_t entries = 0;
+  for (const auto& [node, held] : leases_) {
+    if (held.expires_at <= ctx.now) continue;
+    if (held.applied < distribution_->version) return;
+    ++entries;
+  }
+  auto after =
+      std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - distribution_->committed_at);
+  ctx.Emit(write_log{{event_code::kConfigDistributed,
+                      log_level::kInfo,
+                      {{"version", std::to_string(distribution_->version)},
+                       {"entries", std::to_string(entries)},
+                       {"pushes", std::to_string(distribution_->pushes)},
+                       {"bytes", std::to_string(distribution_->bytes)},
+                       {"after_ms", std::to_string(after.count())}}}});
+  distribution_.reset();
+}
+
 void config_leases::OnRenew(link_id link, const lease_renew& renew, const config_document& config,
                             const endpoint& leader_hint, reduce_context& ctx,
                             const std::vector<replica>& replicas) {
@@ -43,10 +68,12 @@
   bool outdated = grant.granted && renew.applied_version < config.Version();
   ctx.Emit(send_message{link, std::move(grant)});
   if (outdated) Push(link, config, ctx);
+  LogIfDistributed(ctx);
 }
 
 void config_leases::OnCommitted(const config_document& config, reduce_context& ctx) {
   if (!leader_since_) return;
+  distribution_ = distribution{config.Version(), ctx.now};
   for (const auto& [node, held] : leases_) {
     if (held.link.value != 0 && held.expires_at > ctx.now) Push(held.link, config, ctx);
   }
--- a/src/leader_session.cc
+++ b/src/leader_session.cc
@@ -44,6 +44,16 @@
   ctx.Emit(schedule_wakeup{*retry_at_});
 }
 
+void leader_session::LogLeaderLeft(std::string_view reason, reduce_context& ctx) const {
+  if (!confirmed_) return;
+  auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - last_response_);
+  ctx.Emit(write_log{{event_code::kLeaderLeft,
+                      log_level::kWarning,
+                      {{"address", ToString(controllers_[current_])},
+                       {"reason", std::string(reason)},
+                       {"silent_ms", std::to_string(silent.count())}}}});
+}
+
 // A new link to the same controller replaces the old one, whether `link_monitor` opened it because
 // the old one was silent, or another session of this process did. If two sessions each used only
 // their own link, they would close each other's in turn, and an agent with orders and a rank would
@@ -60,6 +70,7 @@
   bool current = link_ && closed.link == *link_;
   bool open_failed = opening_ && closed.link.value == 0 && closed.dialed == controllers_[current_];
   if (!current && !open_failed) return false;
+  LogLeaderLeft("link-closed", ctx);
   link_.reset();
   opening_ = false;
   confirmed_ = false;
@@ -83,11 +94,13 @@
     return false;
   }
   bool had_link = link_.has_value();
+  LogLeaderLeft("no-answer", ctx);
   ConnectTo((current_ + 1) % controllers_.size(), ctx);
   return had_link;
 }
 
 void leader_session::OnNotLeader(const endpoint& hint, reduce_context& ctx) {
+  LogLeaderLeft("not-leader", ctx);
   confirmed_ = false;
   last_response_ = ctx.now;
   if (!hint.host.empty()) AddController(hint);
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -82,6 +82,10 @@
       return "config-lease-gained";
     case event_code::kLeaderFound:
       return "leader-found";
+    case event_code::kLeaderLeft:
+      return "leader-left";
+    case event_code::kConfigDistributed:
+      return "config-distributed";
     case event_code::kOrderCommitted:
       return "order-committed";
     case event_code::kOrderEnded:
