Count the bytes of a message in transit as a sign of life

Callers on gateways with an older configuration were refused with 404 or sent to a former service, seconds after a change had been acknowledged (CONFIG).

Cause: a link and a leader were judged by whole messages. Heartbeats and answers to renewals wait behind a large document on the same link, so that a gateway dropped its leader in the middle of the transfer and began anew, in the worst case for good.

Change: the transport reports the arrival of a part of a message; link_monitor and every session with a leader count it.

Evidence: the tests of link_monitor and leader_session fail without it (trial with the two handlers empty).

--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -38,6 +38,9 @@
   void Handle(const process_started& started, reduce_context& ctx);
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
+  void Handle(const link_progressed& progressed, reduce_context& ctx) {
+    session_.OnProgress(progressed.link, ctx);
+  }
   void Handle(const timer_expired& timer, reduce_context& ctx);
   void Handle(const controllers_changed& changed, reduce_context& ctx);
   void Handle(const claim_submitted& submitted, reduce_context& ctx);
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -24,6 +24,7 @@
     drain_requested,          //
     link_opened,              //
     link_closed,              //
+    link_progressed,          //
     message_received,         //
     caller_request,           //
     caller_closed,            //
--- a/include/radishroute/experts/engine_watch.h
+++ b/include/radishroute/experts/engine_watch.h
@@ -38,6 +38,7 @@
   void Handle(const timer_expired& e, reduce_context& ctx);
   void Handle(const link_opened& e, reduce_context& ctx);
   void Handle(const link_closed& e, reduce_context& ctx);
+  void Handle(const link_progressed& e, reduce_context& ctx) { session_.OnProgress(e.link, ctx); }
   void Handle(const controllers_changed& e, reduce_context& ctx);
   void Handle(const drain_requested& e, reduce_context& ctx);
   void Handle(const engine_report_read& e, reduce_context& ctx);
--- a/include/radishroute/leader_session.h
+++ b/include/radishroute/leader_session.h
@@ -28,6 +28,10 @@
   bool OnClosed(const link_closed& closed, reduce_context& ctx);
   bool OnTimer(reduce_context& ctx);
 
+  /// A part of a message arrived. The leader's replies wait behind that message, so the session
+  /// does not give up the leader meanwhile.
+  void OnProgress(link_id link, reduce_context& ctx);
+
   /// The current controller replied that it is not the leader. `hint` is the leader's address, with
   /// an empty host if unknown.
   void OnNotLeader(const endpoint& hint, reduce_context& ctx);
--- a/include/radishroute/link_event.h
+++ b/include/radishroute/link_event.h
@@ -36,6 +36,11 @@
   std::error_code reason;
 };
 
+/// A part of a message arrived on a link; the rest of the message is still in transit.
+struct link_progressed {
+  link_id link;
+};
+
 struct message_received {
   link_id link;
   message body;
--- a/include/radishroute/link_monitor.h
+++ b/include/radishroute/link_monitor.h
@@ -33,6 +33,7 @@
   void Handle(const process_started& started, reduce_context& ctx);
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
+  void Handle(const link_progressed& progressed, reduce_context& ctx);
   void Handle(const message_received& received, reduce_context& ctx);
   void Handle(const timer_expired& timer, reduce_context& ctx);
 
@@ -50,6 +51,7 @@
     bool replacing = false;
   };
 
+  void OnReceived(link_id link, reduce_context& ctx);
   void Check(link_id id, monitored_link& link, reduce_context& ctx);
   void ScheduleNext(reduce_context& ctx);
 
--- a/include/radishroute/order_client.h
+++ b/include/radishroute/order_client.h
@@ -35,6 +35,9 @@
   void Handle(const timer_expired& timer, reduce_context& ctx);
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
+  void Handle(const link_progressed& progressed, reduce_context& ctx) {
+    leader_.OnProgress(progressed.link, ctx);
+  }
   void Handle(const drain_requested& drain, reduce_context& ctx);
   void Handle(const engine_order_finished& finished, reduce_context& ctx);
   void Handle(link_id link, const fence_reply& reply, reduce_context& ctx);
--- a/include/radishroute/rank_agent.h
+++ b/include/radishroute/rank_agent.h
@@ -23,6 +23,9 @@
   void Handle(const process_started& started, reduce_context& ctx);
   void Handle(const link_opened& opened, reduce_context& ctx);
   void Handle(const link_closed& closed, reduce_context& ctx);
+  void Handle(const link_progressed& progressed, reduce_context& ctx) {
+    session_.OnProgress(progressed.link, ctx);
+  }
   void Handle(const timer_expired& timer, reduce_context& ctx);
   void Handle(const rank_call_finished& finished, reduce_context& ctx);
   void Handle(link_id link, const group_grant& grant, reduce_context& ctx);
--- a/src/io/link.cc
+++ b/src/io/link.cc
@@ -167,6 +167,8 @@
     used += kFramePrefixBytes + length;
   }
   c.input.erase(0, used);
+  bool is_partial = !c.closing && c.peer_known && !c.input.empty();
+  if (is_partial) sink_(link_progressed{c.id});
   return 0;
 }
 
--- a/src/leader_session.cc
+++ b/src/leader_session.cc
@@ -99,6 +99,10 @@
   return had_link;
 }
 
+void leader_session::OnProgress(link_id link, reduce_context& ctx) {
+  if (link_ == link) last_response_ = ctx.now;
+}
+
 void leader_session::OnNotLeader(const endpoint& hint, reduce_context& ctx) {
   LogLeaderLeft("not-leader", ctx);
   confirmed_ = false;
--- a/src/link_monitor.cc
+++ b/src/link_monitor.cc
@@ -55,11 +55,20 @@
   if (dialed != dialed_links_.end() && dialed->second == closed.link) dialed_links_.erase(dialed);
 }
 
-void link_monitor::Handle(const message_received& received, reduce_context& ctx) {
-  auto it = links_.find(received.link);
+void link_monitor::OnReceived(link_id link, reduce_context& ctx) {
+  auto it = links_.find(link);
   if (it != links_.end()) it->second.last_received = ctx.now;
 }
 
+// Heartbeats wait behind a large message, so its bytes count as well.
+void link_monitor::Handle(const link_progressed& progressed, reduce_context& ctx) {
+  OnReceived(progressed.link, ctx);
+}
+
+void link_monitor::Handle(const message_received& received, reduce_context& ctx) {
+  OnReceived(received.link, ctx);
+}
+
 void link_monitor::RecordSentMessages(reduce_context& ctx) {
   for (const effect& e : ctx.effects) {
     const auto* sent = std::get_if<send_message>(&e);
--- a/tests/leader_session_test.cc
+++ b/tests/leader_session_test.cc
@@ -52,6 +52,28 @@
   CHECK(session.Link() == link_id{2});
 }
 
+// Guards against a session that gives up its leader because the leader's replies wait behind a
+// large message.
+TEST_CASE("a session keeps its leader while a large message arrives") {
+  fake_context fake;
+  leader_session session({controller_address, {"10.0.0.2", 9101}});
+  fake.Do([&](auto& ctx) { session.Start(ctx); });
+  bool first = fake.All<open_link>().at(0).address == controller_address;
+  link_opened opened = Opened(1);
+  if (!first) opened.dialed = {"10.0.0.2", 9101};
+  CHECK(session.OnOpened(opened));
+  fake.Do([&](auto& ctx) { session.OnLeader(ctx); });
+  for (int i = 0; i < 8; ++i) {
+    fake.Advance(400ms);
+    fake.Do([&](auto& ctx) { session.OnProgress({1}, ctx); });
+    fake.Do([&](auto& ctx) { session.OnTimer(ctx); });
+    CHECK(session.Confirmed());
+  }
+  fake.Advance(1500ms);
+  fake.Do([&](auto& ctx) { session.OnTimer(ctx); });
+  CHECK_FALSE(session.Confirmed());
+}
+
 // Guards against using a link that the session did not request.
 TEST_CASE("a session without a link ignores links opened by others") {
   fake_context fake;
--- a/tests/link_monitor_test.cc
+++ b/tests/link_monitor_test.cc
@@ -55,6 +55,18 @@
   CHECK(f.monitor.Size() == 0);
 }
 
+// Guards against dropping a link in the middle of a large message, which then starts from its
+// beginning.
+TEST_CASE("a link on which a large message arrives is not replaced") {
+  monitor_fixture f;
+  f.Open(1);
+  for (int i = 0; i < 8; ++i) {
+    f.Tick(milliseconds(400));
+    CHECK(f.fake.All<open_link>().empty());
+    f.fake.Do([&](auto& ctx) { f.monitor.Handle(link_progressed{{1}}, ctx); });
+  }
+}
+
 // Guards against replacing all links after a pause of this process.
 TEST_CASE("silence during a pause of this process is not counted") {
   monitor_fixture f;
