Apply any newer version at an entry that already serves

Callers met an old configuration for longer during a storm of changes: a version in transit was dropped on arrival if a still newer one was known, so that an entry whose transfers take longer than the pause between changes never applied any.

The rule that a lower version than the highest known one is not applied is needed only by an entry that has just started and must not serve under an outdated one. One that serves gains by each newer version; its lease stays invalid until it has the highest one.

Evidence: the new test fails with the former condition (applied 1, expected 2).

--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -81,7 +81,7 @@
   record_client records_;
   std::string sheet_;
   std::uint64_t applied_ = 0;
-  /// Highest version known to exist; lower versions are never applied.
+  /// Highest version known to exist; an entry that does not serve yet applies no lower one.
   std::uint64_t highest_known_version_ = 0;
   bool ready_ = false;
   steady_time lease_expires_at_ = steady_time::min();
--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -131,10 +131,13 @@
 }
 
 void config_client::Apply(std::uint64_t version, const std::string& sheet, reduce_context& ctx) {
-  if (version < highest_known_version_ || (ready_ && version <= applied_)) return;
+  // An entry that already serves under an older version gains by any newer one.
+  bool eligible = ready_ ? version > applied_ : version >= highest_known_version_;
+  if (!eligible) return;
+  highest_known_version_ = std::max(highest_known_version_, version);
   if (settings_.documents) {
     if (!CheckInvariant(version >= applied_, "configuration versions never decrease", ctx)) return;
-    applied_ = highest_known_version_ = version;
+    applied_ = version;
     sheet_ = sheet;
     ctx.Emit(publish_document{version, std::make_shared<const std::string>(sheet)});
     BecomeReady(ctx);
@@ -154,7 +157,6 @@
   }
   if (!CheckInvariant(version >= applied_, "configuration versions never decrease", ctx)) return;
   applied_ = version;
-  highest_known_version_ = version;
   sheet_ = sheet;
   entry.code = event_code::kConfigApplied;
   ctx.Emit(write_log{std::move(entry)});
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -246,6 +246,22 @@
   CHECK(report.InForceEverywhere());
 }
 
+// Guards against a running entry that waits for a version in transit while storms of changes make
+// each of them old.
+TEST_CASE("a running entry applies a newer version although a still newer one is known") {
+  client_fixture f;
+  f.OpenLink({1}, first_controller);
+  f.ReceiveGrant(f.LastSent<lease_renew>()->sequence, 1);
+  f.Receive({1}, config_push{1, "ayse", Sheet(100)});
+  f.ReceiveGrant(f.LastSent<lease_renew>()->sequence, 3);
+  f.Receive({1}, config_push{2, "ayse", Sheet(200)});
+  CHECK(f.client.AppliedVersion() == 2);
+  CHECK_FALSE(f.client.LeaseValid(f.clock.Now()));
+  f.Receive({1}, config_push{3, "ayse", Sheet(300)});
+  CHECK(f.client.AppliedVersion() == 3);
+  CHECK(f.client.LeaseValid(f.clock.Now()));
+}
+
 // Guards against unauthorized changes, invalid sheets in the log, and conflicts that are not
 // reported as such.
 TEST_CASE("operators change and query the configuration over HTTP") {
