Send an entry one document at a time and bound those in transit

Callers met an old configuration for seconds (CONFIG), and the leader stepped down in a core that nothing disturbed.

Cause: each commit was sent to all entries at once, and each renewal that crossed a document sent it again.

Change: an entry has at most one document in transit and gets the latest version next; all of them together have at most 1 MiB, so that heartbeats and replies wait a bounded time. A document that is not applied within 2 s makes room.

Evidence: three of the new tests fail with the former rule (40 documents at once instead of 4, a second copy for a renewal).

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -38,6 +38,11 @@
   /// Runs from the time the renewal was sent. With 3 s, a change is in force within the 8 s target
   /// even if a zone is lost, with time left for an election.
   static constexpr std::chrono::milliseconds kLeaseDuration{3000};
+  /// Documents that are in transit to all entries together. Bounds the time that the leader's
+  /// heartbeats and replies wait behind documents.
+  static constexpr std::size_t kMaxBytesInTransit = std::size_t{1} << 20;
+  /// A document that an entry has not applied after this time no longer counts as in transit.
+  static constexpr std::chrono::milliseconds kPushTimeout{2000};
 
   void BecomeLeader(steady_time now);
   void StepDown();
@@ -47,7 +52,8 @@
   void OnRenew(link_id link, const lease_renew& renew, const config_document& config,
                const endpoint& leader_hint, reduce_context& ctx,
                const std::vector<replica>& replicas = {});
-  /// Pushes a newly committed version to every entry with an unexpired lease.
+  /// Starts to push a newly committed version to the entries with an unexpired lease. Each entry
+  /// has at most one document in transit and gets the latest version next.
   void OnCommitted(const config_document& config, reduce_context& ctx);
   void OnClosed(link_id link);
 
@@ -59,23 +65,33 @@
     link_id link;
     steady_time expires_at;
     std::uint64_t applied = 0;
+    /// Latest version sent on `link`; zero if none.
+    std::uint64_t pushed = 0;
+    std::size_t pushed_bytes = 0;
+    steady_time pushed_at;
+
+    bool IsPushInTransit(steady_time now) const {
+      return pushed > applied && now - pushed_at < kPushTimeout;
+    }
   };
 
   /// Pushes of one version to the entries, until all of them have applied it.
   struct distribution {
     std::uint64_t version = 0;
-    steady_time committed_at;
+    /// Time of the commit, or at a new leader the time at which an entry was found outdated.
+    steady_time started_at;
     std::uint64_t pushes = 0;
     std::uint64_t bytes = 0;
   };
 
-  void Push(link_id link, const config_document& config, reduce_context& ctx);
+  void Push(lease& to, const config_document& config, reduce_context& ctx);
+  void PushToOutdated(const config_document& config, reduce_context& ctx);
   void LogIfDistributed(reduce_context& ctx);
 
   std::optional<steady_time> leader_since_;
   /// Keyed by the entry's node name.
   std::map<std::string, lease> leases_;
-  /// The latest version that was committed while this controller led.
+  /// Absent while every entry with a lease has the latest version.
   std::optional<distribution> distribution_;
 };
 
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -15,13 +15,39 @@
   distribution_.reset();
 }
 
-void config_leases::Push(link_id link, const config_document& config, reduce_context& ctx) {
+void config_leases::Push(lease& to, const config_document& config, reduce_context& ctx) {
+  std::size_t bytes = config.Sheet().size();
+  to.pushed = config.Version();
+  to.pushed_bytes = bytes;
+  to.pushed_at = ctx.now;
   if (distribution_) {
     ++distribution_->pushes;
-    distribution_->bytes += config.Sheet().size();
+    distribution_->bytes += bytes;
+  }
+  ctx.Emit(send_message{to.link,
+                        config_push{config.Version(), config.Current().author, config.Sheet()}});
+}
+
+// An entry renews its lease once it has applied a version, which makes room for the next push.
+void config_leases::PushToOutdated(const config_document& config, reduce_context& ctx) {
+  std::size_t in_transit = 0;
+  std::vector<lease*> outdated;
+  for (auto& [node, held] : leases_) {
+    if (held.link.value == 0 || held.expires_at <= ctx.now) continue;
+    if (held.IsPushInTransit(ctx.now)) {
+      in_transit += held.pushed_bytes;
+    } else if (held.applied < config.Version()) {
+      outdated.push_back(&held);
+    }
+  }
+  // An entry without any version must not serve yet.
+  std::stable_partition(outdated.begin(), outdated.end(),
+                        [](const lease* held) { return held->applied == 0; });
+  for (lease* held : outdated) {
+    if (in_transit > 0 && in_transit + config.Sheet().size() > kMaxBytesInTransit) break;
+    Push(*held, config, ctx);
+    in_transit += held->pushed_bytes;
   }
-  ctx.Emit(
-      send_message{link, config_push{config.Version(), config.Current().author, config.Sheet()}});
 }
 
 void config_leases::LogIfDistributed(reduce_context& ctx) {
@@ -33,7 +59,7 @@
     ++entries;
   }
   auto after =
-      std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - distribution_->committed_at);
+      std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - distribution_->started_at);
   ctx.Emit(write_log{{event_code::kConfigDistributed,
                       log_level::kInfo,
                       {{"version", std::to_string(distribution_->version)},
@@ -59,24 +85,29 @@
     for (const replica& r : replicas) grant.controllers.push_back(r.address);
     lease& held = leases_[renew.node];
     held.zone = renew.zone;
+    // A document that was in transit on another link is lost.
+    if (held.link != link) held.pushed = 0;
     held.link = link;
     // Later than the expiry at the entry, which runs from the sending of the renewal and subtracts
     // the clock drift.
     held.expires_at = ctx.now + kLeaseDuration;
     held.applied = renew.applied_version;
   }
-  bool outdated = grant.granted && renew.applied_version < config.Version();
+  bool granted = grant.granted;
   ctx.Emit(send_message{link, std::move(grant)});
-  if (outdated) Push(link, config, ctx);
+  if (!granted) return;
+  if (renew.applied_version < config.Version() && !distribution_) {
+    distribution_ = distribution{config.Version(), ctx.now};
+  }
+  if (!distribution_) return;
+  PushToOutdated(config, ctx);
   LogIfDistributed(ctx);
 }
 
 void config_leases::OnCommitted(const config_document& config, reduce_context& ctx) {
   if (!leader_since_) return;
   distribution_ = distribution{config.Version(), ctx.now};
-  for (const auto& [node, held] : leases_) {
-    if (held.link.value != 0 && held.expires_at > ctx.now) Push(held.link, config, ctx);
-  }
+  PushToOutdated(config, ctx);
 }
 
 void config_leases::OnClosed(link_id link) {
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
+#include <set>
+#include <vector>
 
 #include "cli/config_http.h"
+#include "fake_context.h"
 #include "radishroute/config_admin.h"
 #include "radishroute/config_client.h"
 #include "state_fixture.h"
@@ -262,6 +265,90 @@
   CHECK(f.client.LeaseValid(f.clock.Now()));
 }
 
+namespace {
+
+/// The leases of a leader whose documents do not compress, and the pushes of its last reduction.
+struct lease_fixture {
+  fake_context fake;
+  config_document config;
+  config_leases leases;
+
+  lease_fixture() { leases.BecomeLeader(fake.Now()); }
+
+  void Commit(std::uint64_t version, std::size_t bytes) {
+    config_change change{version, "v", "ayse", std::string(bytes, 'x'),
+                         config_precedence::kHighestVersion};
+    fake.Do([&](auto& ctx) {
+      config.Apply(change, ctx);
+      leases.OnCommitted(config, ctx);
+    });
+  }
+  void Renew(std::uint64_t entry, std::uint64_t applied) {
+    lease_renew renew{1, "e" + std::to_string(entry), "z1", applied, applied};
+    fake.Do([&](auto& ctx) { leases.OnRenew({entry}, renew, config, {}, ctx); });
+  }
+  std::size_t Pushes() const { return fake.Sent<config_push>().size(); }
+};
+
+}  // namespace
+
+// Guards against copies of one document on one link, and against a queue of documents that are old
+// on arrival.
+TEST_CASE("an entry has one document in transit and gets the latest version next") {
+  lease_fixture f;
+  f.Commit(1, 1000);
+  f.Renew(1, 0);
+  CHECK(f.Pushes() == 1);
+  // The renewal crosses the document.
+  f.Renew(1, 0);
+  CHECK(f.Pushes() == 0);
+  f.Commit(2, 1000);
+  CHECK(f.Pushes() == 0);
+  f.Commit(3, 1000);
+  CHECK(f.Pushes() == 0);
+  f.Renew(1, 1);
+  REQUIRE(f.Pushes() == 1);
+  CHECK(f.fake.Sent<config_push>()[0].second.version == 3);
+  f.Renew(1, 3);
+  CHECK(f.Pushes() == 0);
+  CHECK(f.fake.All<write_log>().size() == 1);
+}
+
+// Guards against a leader that fills its link with documents, so that its heartbeats come too late.
+TEST_CASE("documents in transit to all entries are bounded") {
+  lease_fixture f;
+  constexpr std::size_t kDocumentBytes = config_leases::kMaxBytesInTransit / 4;
+  for (std::uint64_t entry = 1; entry <= 40; ++entry) f.Renew(entry, 0);
+  f.Commit(1, kDocumentBytes);
+  CHECK(f.Pushes() == 4);
+  for (std::uint64_t entry = 1; entry <= 40; ++entry) f.Renew(entry, 0);
+  std::size_t delivered = 4;
+  // Entries apply in any order; each of them makes room for one more.
+  std::set<std::uint64_t> applied;
+  f.Renew(1, 1);
+  while (f.Pushes() > 0) {
+    REQUIRE(f.Pushes() == 1);
+    std::uint64_t next = f.fake.Sent<config_push>()[0].first.value;
+    CHECK(applied.insert(next).second);
+    ++delivered;
+    f.Renew(next, 1);
+  }
+  CHECK(delivered >= 37);
+}
+
+// Guards against an entry that has vanished and holds its share of the documents in transit for
+// good.
+TEST_CASE("a document that is not applied in time makes room and is sent again") {
+  lease_fixture f;
+  f.Renew(1, 0);
+  f.Renew(2, 0);
+  f.Commit(1, config_leases::kMaxBytesInTransit);
+  CHECK(f.Pushes() == 1);
+  f.fake.Advance(config_leases::kPushTimeout);
+  f.Renew(2, 0);
+  CHECK(f.Pushes() == 1);
+}
+
 // Guards against unauthorized changes, invalid sheets in the log, and conflicts that are not
 // reported as such.
 TEST_CASE("operators change and query the configuration over HTTP") {
