Let less urgent streams yield before passes get too long for urgent ones

Cause: admission let streams of every route in until a pass takes 0.85 of the target gap. All ranks make a pass together, so each stream anywhere lengthens the passes of all, and one longer pass makes a stream late. A flood of the least urgent streams thus made nearly every stream late, also the most urgent ones.

Change: routes of the second and third priority are admitted freely only while a pass takes 0.72 and 0.62 of the gap; beyond that 15 of 100 are, up to the capacity as before, so that none is starved.

--- a/include/radishroute/forward/admission.h
+++ b/include/radishroute/forward/admission.h
@@ -57,13 +57,12 @@
   /// Whether the leader reports that the engine group makes no forward passes.
   bool IsGroupDown(steady_time now) const;
 
-  /// Number of requests that one engine can have at once while this route's targets are met.
-  double Capacity(const route& matched_route, const engine_profile& engine,
-                  std::uint32_t slots) const;
+  /// Number of requests that one engine can have at once while this route's targets are met and a
+  /// forward pass takes at most `pass_share` of the target gap.
+  double Capacity(const route& matched_route, const engine_profile& engine, std::uint32_t slots,
+                  double pass_share) const;
 
  private:
-  static constexpr std::size_t kPriorities = 3;
-
   bool IsFresh(steady_time now) const;
 
   std::shared_ptr<const fleet_load> load_;
--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -17,17 +17,24 @@
 // pass, the prompt, and the first tokens.
 constexpr double kPassesToFirstToken = 2.5;
 
-// Share of the target gap that a forward pass may take; the rest is for prompts processed in
-// between.
-constexpr double kMaxPassShareOfGap = 0.85;
+// Share of the target gap that a forward pass may take, by priority; the rest is for prompts
+// processed in between and for passes that are longer than the mean. Each request on any engine
+// lengthens the passes of all, and one long pass makes a stream late, so less urgent routes yield
+// before the streams of urgent ones pause.
+constexpr std::array<double, 3> kMaxPassShareOfGap = {0.85, 0.72, 0.62};
+constexpr double kLargestPassShareOfGap = kMaxPassShareOfGap[0];
 
 // Capacity per engine, in requests, that routes of each priority leave free for more urgent ones.
 constexpr std::array<double, 3> kHeadroom = {0, 1, 2};
 
-// Probability that a less urgent request is admitted into that headroom, up to the engine's
-// capacity, so that a surge of urgent requests does not starve the less urgent ones.
+// Probability that a less urgent request is admitted beyond that, up to the engine's capacity, so
+// that a surge of urgent requests does not starve the less urgent ones.
 constexpr double kHeadroomAdmitProbability = 0.15;
 
+std::size_t PriorityIndex(const route& matched_route) {
+  return std::min<std::size_t>(matched_route.priority, kHeadroom.size() - 1);
+}
+
 }  // namespace
 
 void engine_model_admission::OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now) {
@@ -44,7 +51,7 @@
 }
 
 double engine_model_admission::Capacity(const route& matched_route, const engine_profile& engine,
-                                        std::uint32_t slots) const {
+                                        std::uint32_t slots, double pass_share) const {
   double steps = std::max(engine.steps_per_pass, 1U);
   auto pass_with = [&](double requests) {
     return real_seconds(engine.step + engine.step_per_request * requests) * steps;
@@ -61,7 +68,7 @@
     pass = pass_with(capacity) * slowdown;
     if (matched_route.target_gap.count() > 0) {
       real_seconds allowed =
-          real_seconds(matched_route.target_gap) * kMaxPassShareOfGap / (steps * slowdown);
+          real_seconds(matched_route.target_gap) * pass_share / (steps * slowdown);
       double max_running =
           (allowed - real_seconds(engine.step)) / real_seconds(engine.step_per_request);
       capacity = std::clamp(max_running, 2.0, capacity);
@@ -80,13 +87,18 @@
                                                  random_source& random) {
   admission_decision decision;
   if (query.engine == nullptr || query.engine->step.count() == 0 || !IsFresh(now)) return decision;
-  decision.capacity = Capacity(*query.matched_route, *query.engine, query.chosen.slots);
+  const route& matched_route = *query.matched_route;
+  std::size_t priority = PriorityIndex(matched_route);
+  decision.capacity =
+      Capacity(matched_route, *query.engine, query.chosen.slots, kLargestPassShareOfGap);
   decision.load_age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - load_received_at_);
   decision.pass = load_->pass;
-  std::size_t priority = std::min<std::size_t>(query.matched_route->priority, kPriorities - 1);
   double headroom = query.is_caller_retry ? 0 : kHeadroom[priority];
-  if (query.chosen.load <= decision.capacity - headroom) return decision;
+  double unreserved =
+      Capacity(matched_route, *query.engine, query.chosen.slots, kMaxPassShareOfGap[priority]) -
+      headroom;
+  if (query.chosen.load <= unreserved) return decision;
   bool fits = query.chosen.load <= decision.capacity;
   decision.admitted = fits && std::bernoulli_distribution(kHeadroomAdmitProbability)(random);
   return decision;
