--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -195,6 +195,8 @@
     close_idle_callers,       //
     stop_process,             //
     share_crash_report,       //
+    share_crash_evidence,     //
+    probe_backend,            //
     share_engine_status,      //
     probe_engine,             //
     store_log,                //
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -34,6 +34,8 @@
     engine_call_failed,       //
     routing_table_published,  //
     crash_report_shared,      //
+    crash_evidence_shared,    //
+    backend_probed,           //
     engine_status_changed,    //
     engine_probe_done,        //
     propose_command,          //
--- a/include/radishroute/forward/forward_event.h
+++ b/include/radishroute/forward/forward_event.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "radishroute/error.h"
@@ -41,6 +42,8 @@
   std::optional<std::chrono::milliseconds> time_left;
   /// Zero if unknown.
   std::uint32_t prompt_tokens = 0;
+  /// Hashes of the parts of the prompt that other requests may share, in order.
+  std::vector<fingerprint> prompt_parts;
   /// Id of the event after which a stream resumes; empty to start at the beginning.
   std::string last_event;
 };
@@ -109,6 +112,23 @@
   upstream_stage stage = upstream_stage::kConnecting;
 };
 
+enum class probe_result : std::uint8_t {
+  /// The backend server accepts connections.
+  kReachable,
+  /// Its machine refuses the connection: the process of the backend server has ended.
+  kRefused,
+  /// No answer within the connect timeout; it may only be cut off.
+  kUnknown,
+};
+
+std::string_view ToString(probe_result result);
+
+/// Answer to `probe_backend`.
+struct backend_probed {
+  std::string backend;
+  probe_result result = probe_result::kUnknown;
+};
+
 /// The control thread applied a deployment.
 struct deployment_published {
   std::shared_ptr<const route_index> routes;
@@ -136,6 +156,12 @@
   upstream_id id;
 };
 
+/// Opens a connection to a backend server and closes it again.
+struct probe_backend {
+  std::string backend;
+  endpoint address;
+};
+
 struct forward_begin {
   exchange_id exchange;
   unsigned status = 0;
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "radishroute/crash_attribution.h"
 #include "radishroute/event.h"
 #include "radishroute/forward/admission.h"
 #include "radishroute/forward/backend_selector.h"
@@ -45,6 +46,8 @@
   void Handle(const upstream_response_bytes& e, reduce_context& ctx);
   void Handle(const upstream_response_end& e, reduce_context& ctx);
   void Handle(const upstream_call_failed& e, reduce_context& ctx);
+  void Handle(const backend_probed& e, reduce_context& ctx);
+  void Handle(const crash_evidence_shared& e, reduce_context& ctx);
   void Handle(const deployment_published& e, reduce_context& ctx);
   void Handle(const routing_table_published& e, reduce_context& ctx);
   void Handle(const fleet_load_published& e, reduce_context& ctx);
@@ -59,7 +62,10 @@
   struct attempt {
     upstream_id id;
     std::string backend;
+    endpoint address;
     steady_time sent;
+    /// First byte of the response.
+    std::optional<steady_time> begun = std::nullopt;
     bool not_run = false;
     bool wrong_backend = false;
   };
@@ -71,6 +77,7 @@
     const route* matched_route = nullptr;
     std::string service;
     std::string member;
+    suspect_content content;
     std::uint32_t urgency = 5;
     steady_time received;
     steady_time deadline;
@@ -83,6 +90,8 @@
     double load = 0;
     /// An attempt that has ended may have run the request.
     bool may_have_run = false;
+    /// An answer to this request has proved that its content crashes no backend server.
+    bool content_cleared = false;
     /// The response is forwarded event by event (`is_streaming`), or in pieces as it arrives
     /// (`is_passthrough`).
     bool is_streaming = false;
@@ -97,6 +106,13 @@
     bool HasBegun() const { return is_streaming || is_passthrough; }
   };
 
+  /// A request whose connection to a backend server was lost as it began to be answered.
+  struct lost_request {
+    exchange_id exchange;
+    std::string id;
+    suspect_content content;
+  };
+
   using request_map = std::unordered_map<exchange_id, active_request>;
 
   void Refuse(const forward_request& request, unsigned status, refusal_reason reason,
@@ -109,6 +125,17 @@
                                        reduce_context& ctx) const;
   bool Retry(active_request& active, retry_reason reason, reduce_context& ctx);
   bool MayRetry(const active_request& active) const;
+  /// Retries a request whose connection was lost, or ends it.
+  void RetryAfterLoss(active_request& active, reduce_context& ctx);
+  /// Whether the request of an attempt may be the cause if its backend server crashes.
+  static bool MayBeCause(const attempt& current, steady_time now);
+  /// Finds out whether the backend server has crashed; a request that may be retried waits for it.
+  void ProbeAfterLoss(active_request& active, const attempt& lost, reduce_context& ctx);
+  void OnBackendCrashed(const std::string& backend, const std::vector<lost_request>& lost,
+                        reduce_context& ctx);
+  void RecordSuccess(active_request& active, reduce_context& ctx);
+  /// Logs content that became quarantined and ends requests that hold it.
+  void EnforceQuarantine(const crash_evidence& evidence, reduce_context& ctx);
   void BeginStream(active_request& active, reduce_context& ctx);
   void PassThrough(active_request& active, reduce_context& ctx);
   void SendBufferedResponse(active_request& active, reduce_context& ctx);
@@ -129,6 +156,9 @@
   std::uint64_t next_attempt_id_ = 1;
   request_map requests_;
   std::unordered_map<upstream_id, exchange_id> exchange_by_attempt_;
+  crash_attribution crashes_;
+  /// Requests lost at each backend server that is being probed, by its id.
+  std::unordered_map<std::string, std::vector<lost_request>> lost_requests_;
   std::set<std::pair<steady_time, std::uint64_t>> deadlines_;
   bool draining_ = false;
   /// Set once idle callers' connections are closed.
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "radishroute/config_message.h"
+#include "radishroute/crash_evidence.h"
 #include "radishroute/discovery_message.h"
 #include "radishroute/engine_message.h"
 #include "radishroute/failure_message.h"
@@ -50,6 +51,7 @@
     directory_digest,          //
     directory_pull,            //
     crash_report,              //
+    crash_evidence,            //
     entry_heartbeats,          //
     append_request,            //
     append_reply,              //
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -6,6 +6,7 @@
 #include "radishroute/announcer.h"
 #include "radishroute/config_client.h"
 #include "radishroute/controller_log.h"
+#include "radishroute/crash_relay.h"
 #include "radishroute/discovery.h"
 #include "radishroute/executions.h"
 #include "radishroute/experts/engine_watch.h"
@@ -27,6 +28,7 @@
   std::optional<order_client> orders;
   std::optional<rank_agent> rank;
   std::optional<engine_watch> engine;
+  std::optional<crash_relay> crashes;
 };
 
 /// State of one traffic thread: a shard of an entry's requests, or an agent's executions.
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -134,6 +134,7 @@
     hello identity = MakeHello(settings_.common, process_role::kController);
     control.backends.emplace(identity.process, settings_.common.zone, work_sheet{},
                              std::vector<endpoint>{}, limits, process_role::kController);
+    control.crashes.emplace(process_role::kController);
     wire_api& api =
         node_.Thread().Attach(node_.Thread().Loop(), settings_.calls_listen.port,
                               [this](event&& e) { node_.Thread().Apply(std::move(e)); });
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -68,6 +68,9 @@
       traffic_->Post(fleet_load_published{e.load});
     };
     hooks.on_document = [this](const publish_document& d) { OnDocument(d); };
+    hooks.on_crash_evidence = [this](const crash_evidence& e) {
+      traffic_->Post(crash_evidence_shared{e});
+    };
     control_ = std::make_unique<node_thread<baseline_policies>>(self, hooks);
     control_state& control = control_->State().control;
     directory_limits limits;
@@ -80,11 +83,15 @@
     config.controllers = config.peers = settings_.controllers;
     config.documents = true;
     control.config.emplace(std::move(config), *control.backends);
+    control.crashes.emplace(process_role::kEntry);
   }
 
   std::error_code BuildTraffic() {
     node_hooks hooks;
     hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
+    hooks.on_crash_evidence = [this](const crash_evidence& e) {
+      control_->Post(crash_evidence_shared{e});
+    };
     traffic_ =
         std::make_unique<traffic_thread>(MakeHello(settings_.common, process_role::kEntry), hooks);
     forwarder_settings forwarding;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -39,6 +39,10 @@
 constexpr std::uint32_t kRoutePriorities = 3;
 constexpr std::uint32_t kLeastUrgent = 9;
 
+// A backend server that crashes because of a request does so in the pass in which it begins to
+// write the answer. A stream that has lasted longer than this is not the cause.
+constexpr std::chrono::milliseconds kMaxTimeToCrash{500};
+
 // With less time left than this, a request cannot reach a backend server and return.
 constexpr std::chrono::milliseconds kMinAttemptTime{20};
 
@@ -58,6 +62,15 @@
   return text;
 }
 
+suspect_content ContentOf(const forward_request& request) {
+  std::uint64_t hash = StableHash(request.key);
+  for (const std::string* field :
+       {&request.method, &request.host, &request.target, &request.body}) {
+    hash = StableHash(*field, hash);
+  }
+  return {{hash}, request.prompt_parts};
+}
+
 bool IsEventStream(const backend_response& response) {
   const std::string* type = FindHeader(response.headers, "content-type");
   return type != nullptr && type->starts_with("text/event-stream");
@@ -75,6 +88,11 @@
   return kNames[static_cast<std::size_t>(stage)];
 }
 
+std::string_view ToString(probe_result result) {
+  constexpr std::array<std::string_view, 3> kNames = {"reachable", "refused", "unknown"};
+  return kNames[static_cast<std::size_t>(result)];
+}
+
 template <backend_selector Selector, forward_admission Admission>
 auto forwarder<Selector, Admission>::Find(upstream_id id) -> active_request* {
   auto it = exchange_by_attempt_.find(id);
@@ -135,8 +153,14 @@
     Refuse(request, 503, refusal_reason::kTooManyRequests, kRetryAfterFull, ctx);
     return;
   }
+  suspect_content content = ContentOf(request);
+  if (auto left = crashes_.QuarantinedFor(content, ctx.now)) {
+    Refuse(request, 503, refusal_reason::kQuarantined, left, ctx);
+    return;
+  }
   active_request active;
   active.request = e.request;
+  active.content = std::move(content);
   active.routes = routes_;
   active.matched_route = matched_route;
   active.service = PickService(*matched_route, ctx.random);
@@ -177,7 +201,7 @@
     active.load = chosen->load;
     if (!active.admission.admitted) return refusal_reason::kQueueFull;
   }
-  active.current = attempt{{next_attempt_id_++}, chosen->backend, ctx.now};
+  active.current = attempt{{next_attempt_id_++}, chosen->backend, chosen->address, ctx.now};
   active.tried_backends.push_back(chosen->backend);
   ++active.attempts;
   exchange_by_attempt_[active.current->id] = active.request->exchange;
@@ -272,6 +296,7 @@
   active->response = e.response;
   active->body.clear();
   if (!active->first_byte && !a.not_run) active->first_byte = ctx.now;
+  if (!a.not_run) a.begun = ctx.now;
   bool stream = active->matched_route->kind == request_kind::kStreaming &&
                 e.response.status == 200 && !a.not_run && IsEventStream(e.response);
   if (stream && !active->HasBegun()) BeginStream(*active, ctx);
@@ -296,6 +321,8 @@
 void forwarder<Selector, Admission>::Handle(const upstream_response_bytes& e, reduce_context& ctx) {
   active_request* active = Find(e.id);
   if (active == nullptr) return;
+  const auto& begun = active->current->begun;
+  if (begun && ctx.now - *begun > kMaxTimeToCrash) RecordSuccess(*active, ctx);
   bool stream_continues =
       active->is_streaming && active->response.status == 200 && !active->current->not_run;
   if (stream_continues) {
@@ -334,7 +361,10 @@
   attempt_result result = ResultForStatus(status);
   if (not_run) result = wrong_backend ? attempt_result::kWrongBackend : attempt_result::kFull;
   EndAttempt(*active, result, ctx);
-  if (!not_run) active->may_have_run = true;
+  if (!not_run) {
+    active->may_have_run = true;
+    if (status < 500) RecordSuccess(*active, ctx);
+  }
   if (active->is_streaming && status == 200 && !not_run) {
     ctx.Emit(forward_end{active->request->exchange});
     Finish(*active, "served", status, ctx);
@@ -374,12 +404,16 @@
   active_request* active = Find(e.id);
   if (active == nullptr) return;
   bool unsent = e.stage == upstream_stage::kConnecting;
-  ctx.Emit(write_log{{event_code::kForwardAttemptFailed,
-                      log_level::kInfo,
-                      {{"request", active->request->id},
-                       {"backend", active->current->backend},
-                       {"stage", std::string(ToString(e.stage))},
-                       {"after_us", ElapsedMicros(active->current->sent, ctx.now)}}}});
+  ctx.Emit(write_log{
+      {event_code::kForwardAttemptFailed,
+       log_level::kInfo,
+       {{"request", active->request->id},
+        {"backend", active->current->backend},
+        {"stage", std::string(ToString(e.stage))},
+        {"after_us", ElapsedMicros(active->current->sent, ctx.now)},
+        {"begun_us",
+         active->current->begun ? ElapsedMicros(*active->current->begun, ctx.now) : "none"}}}});
+  attempt lost = *active->current;
   EndAttempt(*active, attempt_result::kConnectionFailed, ctx);
   active->events.DiscardPartialEvent();
   active->body.clear();
@@ -387,11 +421,131 @@
     --active->attempts;
     bool may_reconnect = ++active->connect_failures <= kMaxConnectFailures;
     if (may_reconnect && MayRetry(*active) && Send(*active, ctx) == refusal_reason::kNone) return;
+    FailRequest(*active, refusal_reason::kNoBackend, ctx);
+    return;
+  }
+  active->may_have_run = true;
+  bool may_be_crash = e.stage == upstream_stage::kWaiting || e.stage == upstream_stage::kAnswering;
+  if (may_be_crash && MayBeCause(lost, ctx.now)) {
+    ProbeAfterLoss(*active, lost, ctx);
   } else {
-    active->may_have_run = true;
-    if (!active->is_passthrough && Retry(*active, retry_reason::kEngineCrashed, ctx)) return;
+    RetryAfterLoss(*active, ctx);
+  }
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::RetryAfterLoss(active_request& active, reduce_context& ctx) {
+  if (!active.is_passthrough && Retry(active, retry_reason::kEngineCrashed, ctx)) return;
+  FailRequest(active, refusal_reason::kNoBackend, ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+bool forwarder<Selector, Admission>::MayBeCause(const attempt& current, steady_time now) {
+  return !current.begun || now - *current.begun <= kMaxTimeToCrash;
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::ProbeAfterLoss(active_request& active, const attempt& lost,
+                                                    reduce_context& ctx) {
+  std::vector<lost_request>& requests = lost_requests_[lost.backend];
+  if (requests.empty()) ctx.Emit(probe_backend{lost.backend, lost.address});
+  requests.push_back({active.request->exchange, active.request->id, active.content});
+  bool retriable = MayRetry(active) && active.attempts < active.matched_route->max_attempts;
+  if (!retriable) FailRequest(active, refusal_reason::kNoBackend, ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const backend_probed& e, reduce_context& ctx) {
+  auto it = lost_requests_.find(e.backend);
+  if (it == lost_requests_.end()) return;
+  std::vector<lost_request> lost = std::move(it->second);
+  lost_requests_.erase(it);
+  bool crashed = e.result == probe_result::kRefused;
+  if (crashed) OnBackendCrashed(e.backend, lost, ctx);
+  for (const lost_request& request : lost) {
+    auto found = requests_.find(request.exchange);
+    if (found == requests_.end() || found->second.current) continue;
+    // A request that may be the cause would crash the next backend server as well.
+    if (crashed && !crashes_.IsTrusted(request.content, ctx.now)) {
+      FailRequest(found->second, refusal_reason::kNoBackend, ctx);
+    } else {
+      RetryAfterLoss(found->second, ctx);
+    }
+  }
+  ScheduleNext(ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::OnBackendCrashed(const std::string& backend,
+                                                      const std::vector<lost_request>& lost,
+                                                      reduce_context& ctx) {
+  ctx.Emit(count{counter::kEngineCrashes});
+  crash_evidence evidence;
+  for (const lost_request& request : lost) {
+    crash_evidence added = crashes_.OnCrash(request.content, ctx.now);
+    ctx.Emit(count{counter::kCrashCharges, added.crashes.size()});
+    bool trusted = crashes_.IsTrusted(request.content, ctx.now);
+    ctx.Emit(write_log{{event_code::kBackendCrashed,
+                        log_level::kWarning,
+                        {{"backend", backend},
+                         {"request", request.id},
+                         {"contents", std::to_string(request.content.prompt_parts.size() + 1)},
+                         {"charged", std::to_string(added.crashes.size())},
+                         {"trusted", trusted ? "yes" : "no"}}}});
+    evidence.crashes.insert(evidence.crashes.end(), added.crashes.begin(), added.crashes.end());
+    evidence.successes.insert(evidence.successes.end(), added.successes.begin(),
+                              added.successes.end());
+  }
+  if (evidence.Empty()) return;
+  ctx.Emit(share_crash_evidence{evidence});
+  EnforceQuarantine(evidence, ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::RecordSuccess(active_request& active, reduce_context& ctx) {
+  if (std::exchange(active.content_cleared, true)) return;
+  crash_evidence evidence = crashes_.OnSuccess(active.content, ctx.now);
+  if (evidence.Empty()) return;
+  for (const content_observation& o : evidence.successes) {
+    ctx.Emit(write_log{
+        {event_code::kContentReleased,
+         log_level::kInfo,
+         {{"content", std::to_string(o.content.value)}, {"request", active.request->id}}}});
+  }
+  ctx.Emit(count{counter::kSuspectsCleared, evidence.successes.size()});
+  ctx.Emit(share_crash_evidence{std::move(evidence)});
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const crash_evidence_shared& e, reduce_context& ctx) {
+  crash_evidence known = crashes_.KnownSuccesses(e.evidence, ctx.now);
+  crash_evidence added = crashes_.Merge(e.evidence, ctx.now);
+  if (!known.Empty()) ctx.Emit(share_crash_evidence{std::move(known)});
+  EnforceQuarantine(added, ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::EnforceQuarantine(const crash_evidence& evidence,
+                                                       reduce_context& ctx) {
+  bool any = false;
+  for (const content_observation& o : evidence.crashes) {
+    auto left = crashes_.QuarantinedFor(o.content, ctx.now);
+    if (!left) continue;
+    any = true;
+    ctx.Emit(write_log{{event_code::kContentQuarantined,
+                        log_level::kWarning,
+                        {{"content", std::to_string(o.content.value)},
+                         {"for_ms", std::to_string(left->count())}}}});
+  }
+  if (!any) return;
+  std::vector<exchange_id> affected;
+  for (const auto& [exchange, active] : requests_) {
+    bool may_crash = active.current && MayBeCause(*active.current, ctx.now);
+    if (may_crash && crashes_.QuarantinedFor(active.content, ctx.now)) affected.push_back(exchange);
+  }
+  for (exchange_id exchange : affected) {
+    FailRequest(requests_.at(exchange), refusal_reason::kQuarantined, ctx);
   }
-  FailRequest(*active, refusal_reason::kNoBackend, ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -3950,6 +3950,292 @@
 }
 
 
+ContentObservation::~ContentObservation() noexcept {
+}
+
+
+void ContentObservation::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void ContentObservation::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const ContentObservation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ContentObservation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ContentObservation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ContentObservation");
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ContentObservation &a, ContentObservation &b) {
+  using ::std::swap;
+  swap(a.content, b.content);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.__isset, b.__isset);
+}
+
+ContentObservation::ContentObservation(const ContentObservation& other144) noexcept {
+  content = other144.content;
+  ageMillis = other144.ageMillis;
+  __isset = other144.__isset;
+}
+ContentObservation::ContentObservation(ContentObservation&& other145) noexcept {
+  content = other145.content;
+  ageMillis = other145.ageMillis;
+  __isset = other145.__isset;
+}
+ContentObservation& ContentObservation::operator=(const ContentObservation& other146) noexcept {
+  content = other146.content;
+  ageMillis = other146.ageMillis;
+  __isset = other146.__isset;
+  return *this;
+}
+ContentObservation& ContentObservation::operator=(ContentObservation&& other147) noexcept {
+  content = other147.content;
+  ageMillis = other147.ageMillis;
+  __isset = other147.__isset;
+  return *this;
+}
+void ContentObservation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ContentObservation(";
+  out << "content=" << to_string(content);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ")";
+}
+
+
+CrashEvidence::~CrashEvidence() noexcept {
+}
+
+
+void CrashEvidence::__set_crashes(const std::vector<ContentObservation> & val) {
+  this->crashes = val;
+}
+
+void CrashEvidence::__set_successes(const std::vector<ContentObservation> & val) {
+  this->successes = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->crashes.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
+            {
+              xfer += this->crashes[_i152].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->successes.clear();
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->successes.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
+            {
+              xfer += this->successes[_i157].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.successes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvidence");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<ContentObservation> ::const_iterator _iter158;
+    for (_iter158 = this->crashes.begin(); _iter158 != this->crashes.end(); ++_iter158)
+    {
+      xfer += (*_iter158).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("successes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->successes.size()));
+    std::vector<ContentObservation> ::const_iterator _iter159;
+    for (_iter159 = this->successes.begin(); _iter159 != this->successes.end(); ++_iter159)
+    {
+      xfer += (*_iter159).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvidence &a, CrashEvidence &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.successes, b.successes);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvidence::CrashEvidence(const CrashEvidence& other160) {
+  crashes = other160.crashes;
+  successes = other160.successes;
+  __isset = other160.__isset;
+}
+CrashEvidence::CrashEvidence(CrashEvidence&& other161) noexcept {
+  crashes = std::move(other161.crashes);
+  successes = std::move(other161.successes);
+  __isset = other161.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other162) {
+  crashes = other162.crashes;
+  successes = other162.successes;
+  __isset = other162.__isset;
+  return *this;
+}
+CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other163) noexcept {
+  crashes = std::move(other163.crashes);
+  successes = std::move(other163.successes);
+  __isset = other163.__isset;
+  return *this;
+}
+void CrashEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvidence(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "successes=" << to_string(successes);
+  out << ")";
+}
+
+
 EntryBeat::~EntryBeat() noexcept {
 }
 
@@ -4042,26 +4328,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryBeat::EntryBeat(const EntryBeat& other144) noexcept {
-  node = other144.node;
-  value = other144.value;
-  __isset = other144.__isset;
+EntryBeat::EntryBeat(const EntryBeat& other164) noexcept {
+  node = other164.node;
+  value = other164.value;
+  __isset = other164.__isset;
 }
-EntryBeat::EntryBeat(EntryBeat&& other145) noexcept {
-  node = other145.node;
-  value = other145.value;
-  __isset = other145.__isset;
+EntryBeat::EntryBeat(EntryBeat&& other165) noexcept {
+  node = other165.node;
+  value = other165.value;
+  __isset = other165.__isset;
 }
-EntryBeat& EntryBeat::operator=(const EntryBeat& other146) noexcept {
-  node = other146.node;
-  value = other146.value;
-  __isset = other146.__isset;
+EntryBeat& EntryBeat::operator=(const EntryBeat& other166) noexcept {
+  node = other166.node;
+  value = other166.value;
+  __isset = other166.__isset;
   return *this;
 }
-EntryBeat& EntryBeat::operator=(EntryBeat&& other147) noexcept {
-  node = other147.node;
-  value = other147.value;
-  __isset = other147.__isset;
+EntryBeat& EntryBeat::operator=(EntryBeat&& other167) noexcept {
+  node = other167.node;
+  value = other167.value;
+  __isset = other167.__isset;
   return *this;
 }
 void EntryBeat::printTo(std::ostream& out) const {
@@ -4112,14 +4398,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->beats.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->beats.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->beats.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->beats[_i152].read(iprot);
+              xfer += this->beats[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4148,10 +4434,10 @@
   xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
-    std::vector<EntryBeat> ::const_iterator _iter153;
-    for (_iter153 = this->beats.begin(); _iter153 != this->beats.end(); ++_iter153)
+    std::vector<EntryBeat> ::const_iterator _iter173;
+    for (_iter173 = this->beats.begin(); _iter173 != this->beats.end(); ++_iter173)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4168,22 +4454,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryBeats::EntryBeats(const EntryBeats& other154) {
-  beats = other154.beats;
-  __isset = other154.__isset;
+EntryBeats::EntryBeats(const EntryBeats& other174) {
+  beats = other174.beats;
+  __isset = other174.__isset;
 }
-EntryBeats::EntryBeats(EntryBeats&& other155) noexcept {
-  beats = std::move(other155.beats);
-  __isset = other155.__isset;
+EntryBeats::EntryBeats(EntryBeats&& other175) noexcept {
+  beats = std::move(other175.beats);
+  __isset = other175.__isset;
 }
-EntryBeats& EntryBeats::operator=(const EntryBeats& other156) {
-  beats = other156.beats;
-  __isset = other156.__isset;
+EntryBeats& EntryBeats::operator=(const EntryBeats& other176) {
+  beats = other176.beats;
+  __isset = other176.__isset;
   return *this;
 }
-EntryBeats& EntryBeats::operator=(EntryBeats&& other157) noexcept {
-  beats = std::move(other157.beats);
-  __isset = other157.__isset;
+EntryBeats& EntryBeats::operator=(EntryBeats&& other177) noexcept {
+  beats = std::move(other177.beats);
+  __isset = other177.__isset;
   return *this;
 }
 void EntryBeats::printTo(std::ostream& out) const {
@@ -4337,38 +4623,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Replica::Replica(const Replica& other158) {
-  id = other158.id;
-  zone = other158.zone;
-  address = other158.address;
-  voting = other158.voting;
-  replaces = other158.replaces;
-  __isset = other158.__isset;
-}
-Replica::Replica(Replica&& other159) noexcept {
-  id = other159.id;
-  zone = std::move(other159.zone);
-  address = std::move(other159.address);
-  voting = other159.voting;
-  replaces = other159.replaces;
-  __isset = other159.__isset;
-}
-Replica& Replica::operator=(const Replica& other160) {
-  id = other160.id;
-  zone = other160.zone;
-  address = other160.address;
-  voting = other160.voting;
-  replaces = other160.replaces;
-  __isset = other160.__isset;
+Replica::Replica(const Replica& other178) {
+  id = other178.id;
+  zone = other178.zone;
+  address = other178.address;
+  voting = other178.voting;
+  replaces = other178.replaces;
+  __isset = other178.__isset;
+}
+Replica::Replica(Replica&& other179) noexcept {
+  id = other179.id;
+  zone = std::move(other179.zone);
+  address = std::move(other179.address);
+  voting = other179.voting;
+  replaces = other179.replaces;
+  __isset = other179.__isset;
+}
+Replica& Replica::operator=(const Replica& other180) {
+  id = other180.id;
+  zone = other180.zone;
+  address = other180.address;
+  voting = other180.voting;
+  replaces = other180.replaces;
+  __isset = other180.__isset;
   return *this;
 }
-Replica& Replica::operator=(Replica&& other161) noexcept {
-  id = other161.id;
-  zone = std::move(other161.zone);
-  address = std::move(other161.address);
-  voting = other161.voting;
-  replaces = other161.replaces;
-  __isset = other161.__isset;
+Replica& Replica::operator=(Replica&& other181) noexcept {
+  id = other181.id;
+  zone = std::move(other181.zone);
+  address = std::move(other181.address);
+  voting = other181.voting;
+  replaces = other181.replaces;
+  __isset = other181.__isset;
   return *this;
 }
 void Replica::printTo(std::ostream& out) const {
@@ -4437,18 +4723,18 @@
   (void) b;
 }
 
-NoOperation::NoOperation(const NoOperation& other162) noexcept {
-  (void) other162;
+NoOperation::NoOperation(const NoOperation& other182) noexcept {
+  (void) other182;
 }
-NoOperation::NoOperation(NoOperation&& other163) noexcept {
-  (void) other163;
+NoOperation::NoOperation(NoOperation&& other183) noexcept {
+  (void) other183;
 }
-NoOperation& NoOperation::operator=(const NoOperation& other164) noexcept {
-  (void) other164;
+NoOperation& NoOperation::operator=(const NoOperation& other184) noexcept {
+  (void) other184;
   return *this;
 }
-NoOperation& NoOperation::operator=(NoOperation&& other165) noexcept {
-  (void) other165;
+NoOperation& NoOperation::operator=(NoOperation&& other185) noexcept {
+  (void) other185;
   return *this;
 }
 void NoOperation::printTo(std::ostream& out) const {
@@ -4497,14 +4783,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->replicas.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->replicas.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->replicas[_i170].read(iprot);
+              xfer += this->replicas[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4533,10 +4819,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter171;
-    for (_iter171 = this->replicas.begin(); _iter171 != this->replicas.end(); ++_iter171)
+    std::vector<Replica> ::const_iterator _iter191;
+    for (_iter191 = this->replicas.begin(); _iter191 != this->replicas.end(); ++_iter191)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4553,22 +4839,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaChange::ReplicaChange(const ReplicaChange& other172) {
-  replicas = other172.replicas;
-  __isset = other172.__isset;
+ReplicaChange::ReplicaChange(const ReplicaChange& other192) {
+  replicas = other192.replicas;
+  __isset = other192.__isset;
 }
-ReplicaChange::ReplicaChange(ReplicaChange&& other173) noexcept {
-  replicas = std::move(other173.replicas);
-  __isset = other173.__isset;
+ReplicaChange::ReplicaChange(ReplicaChange&& other193) noexcept {
+  replicas = std::move(other193.replicas);
+  __isset = other193.__isset;
 }
-ReplicaChange& ReplicaChange::operator=(const ReplicaChange& other174) {
-  replicas = other174.replicas;
-  __isset = other174.__isset;
+ReplicaChange& ReplicaChange::operator=(const ReplicaChange& other194) {
+  replicas = other194.replicas;
+  __isset = other194.__isset;
   return *this;
 }
-ReplicaChange& ReplicaChange::operator=(ReplicaChange&& other175) noexcept {
-  replicas = std::move(other175.replicas);
-  __isset = other175.__isset;
+ReplicaChange& ReplicaChange::operator=(ReplicaChange&& other195) noexcept {
+  replicas = std::move(other195.replicas);
+  __isset = other195.__isset;
   return *this;
 }
 void ReplicaChange::printTo(std::ostream& out) const {
@@ -4724,38 +5010,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other176) {
-  baseVersion = other176.baseVersion;
-  changeId = other176.changeId;
-  author = other176.author;
-  sheet = other176.sheet;
-  precedence = other176.precedence;
-  __isset = other176.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other196) {
+  baseVersion = other196.baseVersion;
+  changeId = other196.changeId;
+  author = other196.author;
+  sheet = other196.sheet;
+  precedence = other196.precedence;
+  __isset = other196.__isset;
 }
-ConfigChange::ConfigChange(ConfigChange&& other177) noexcept {
-  baseVersion = other177.baseVersion;
-  changeId = std::move(other177.changeId);
-  author = std::move(other177.author);
-  sheet = std::move(other177.sheet);
-  precedence = other177.precedence;
-  __isset = other177.__isset;
+ConfigChange::ConfigChange(ConfigChange&& other197) noexcept {
+  baseVersion = other197.baseVersion;
+  changeId = std::move(other197.changeId);
+  author = std::move(other197.author);
+  sheet = std::move(other197.sheet);
+  precedence = other197.precedence;
+  __isset = other197.__isset;
 }
-ConfigChange& ConfigChange::operator=(const ConfigChange& other178) {
-  baseVersion = other178.baseVersion;
-  changeId = other178.changeId;
-  author = other178.author;
-  sheet = other178.sheet;
-  precedence = other178.precedence;
-  __isset = other178.__isset;
+ConfigChange& ConfigChange::operator=(const ConfigChange& other198) {
+  baseVersion = other198.baseVersion;
+  changeId = other198.changeId;
+  author = other198.author;
+  sheet = other198.sheet;
+  precedence = other198.precedence;
+  __isset = other198.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other179) noexcept {
-  baseVersion = other179.baseVersion;
-  changeId = std::move(other179.changeId);
-  author = std::move(other179.author);
-  sheet = std::move(other179.sheet);
-  precedence = other179.precedence;
-  __isset = other179.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other199) noexcept {
+  baseVersion = other199.baseVersion;
+  changeId = std::move(other199.changeId);
+  author = std::move(other199.author);
+  sheet = std::move(other199.sheet);
+  precedence = other199.precedence;
+  __isset = other199.__isset;
   return *this;
 }
 void ConfigChange::printTo(std::ostream& out) const {
@@ -4947,46 +5233,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordClaim::RecordClaim(const RecordClaim& other180) {
-  member = other180.member;
-  key = other180.key;
-  contentHash = other180.contentHash;
-  dispatchId = other180.dispatchId;
-  backend = other180.backend;
-  backendIncarnation = other180.backendIncarnation;
-  atMicros = other180.atMicros;
-  __isset = other180.__isset;
+RecordClaim::RecordClaim(const RecordClaim& other200) {
+  member = other200.member;
+  key = other200.key;
+  contentHash = other200.contentHash;
+  dispatchId = other200.dispatchId;
+  backend = other200.backend;
+  backendIncarnation = other200.backendIncarnation;
+  atMicros = other200.atMicros;
+  __isset = other200.__isset;
 }
-RecordClaim::RecordClaim(RecordClaim&& other181) noexcept {
-  member = std::move(other181.member);
-  key = std::move(other181.key);
-  contentHash = other181.contentHash;
-  dispatchId = std::move(other181.dispatchId);
-  backend = std::move(other181.backend);
-  backendIncarnation = other181.backendIncarnation;
-  atMicros = other181.atMicros;
-  __isset = other181.__isset;
+RecordClaim::RecordClaim(RecordClaim&& other201) noexcept {
+  member = std::move(other201.member);
+  key = std::move(other201.key);
+  contentHash = other201.contentHash;
+  dispatchId = std::move(other201.dispatchId);
+  backend = std::move(other201.backend);
+  backendIncarnation = other201.backendIncarnation;
+  atMicros = other201.atMicros;
+  __isset = other201.__isset;
 }
-RecordClaim& RecordClaim::operator=(const RecordClaim& other182) {
-  member = other182.member;
-  key = other182.key;
-  contentHash = other182.contentHash;
-  dispatchId = other182.dispatchId;
-  backend = other182.backend;
-  backendIncarnation = other182.backendIncarnation;
-  atMicros = other182.atMicros;
-  __isset = other182.__isset;
+RecordClaim& RecordClaim::operator=(const RecordClaim& other202) {
+  member = other202.member;
+  key = other202.key;
+  contentHash = other202.contentHash;
+  dispatchId = other202.dispatchId;
+  backend = other202.backend;
+  backendIncarnation = other202.backendIncarnation;
+  atMicros = other202.atMicros;
+  __isset = other202.__isset;
   return *this;
 }
-RecordClaim& RecordClaim::operator=(RecordClaim&& other183) noexcept {
-  member = std::move(other183.member);
-  key = std::move(other183.key);
-  contentHash = other183.contentHash;
-  dispatchId = std::move(other183.dispatchId);
-  backend = std::move(other183.backend);
-  backendIncarnation = other183.backendIncarnation;
-  atMicros = other183.atMicros;
-  __isset = other183.__isset;
+RecordClaim& RecordClaim::operator=(RecordClaim&& other203) noexcept {
+  member = std::move(other203.member);
+  key = std::move(other203.key);
+  contentHash = other203.contentHash;
+  dispatchId = std::move(other203.dispatchId);
+  backend = std::move(other203.backend);
+  backendIncarnation = other203.backendIncarnation;
+  atMicros = other203.atMicros;
+  __isset = other203.__isset;
   return *this;
 }
 void RecordClaim::printTo(std::ostream& out) const {
@@ -5180,46 +5466,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordOutcome::RecordOutcome(const RecordOutcome& other184) {
-  member = other184.member;
-  key = other184.key;
-  dispatchId = other184.dispatchId;
-  status = other184.status;
-  answerStatus = other184.answerStatus;
-  answerType = other184.answerType;
-  answer = other184.answer;
-  __isset = other184.__isset;
-}
-RecordOutcome::RecordOutcome(RecordOutcome&& other185) noexcept {
-  member = std::move(other185.member);
-  key = std::move(other185.key);
-  dispatchId = std::move(other185.dispatchId);
-  status = other185.status;
-  answerStatus = other185.answerStatus;
-  answerType = std::move(other185.answerType);
-  answer = std::move(other185.answer);
-  __isset = other185.__isset;
-}
-RecordOutcome& RecordOutcome::operator=(const RecordOutcome& other186) {
-  member = other186.member;
-  key = other186.key;
-  dispatchId = other186.dispatchId;
-  status = other186.status;
-  answerStatus = other186.answerStatus;
-  answerType = other186.answerType;
-  answer = other186.answer;
-  __isset = other186.__isset;
-  return *this;
-}
-RecordOutcome& RecordOutcome::operator=(RecordOutcome&& other187) noexcept {
-  member = std::move(other187.member);
-  key = std::move(other187.key);
-  dispatchId = std::move(other187.dispatchId);
-  status = other187.status;
-  answerStatus = other187.answerStatus;
-  answerType = std::move(other187.answerType);
-  answer = std::move(other187.answer);
-  __isset = other187.__isset;
+RecordOutcome::RecordOutcome(const RecordOutcome& other204) {
+  member = other204.member;
+  key = other204.key;
+  dispatchId = other204.dispatchId;
+  status = other204.status;
+  answerStatus = other204.answerStatus;
+  answerType = other204.answerType;
+  answer = other204.answer;
+  __isset = other204.__isset;
+}
+RecordOutcome::RecordOutcome(RecordOutcome&& other205) noexcept {
+  member = std::move(other205.member);
+  key = std::move(other205.key);
+  dispatchId = std::move(other205.dispatchId);
+  status = other205.status;
+  answerStatus = other205.answerStatus;
+  answerType = std::move(other205.answerType);
+  answer = std::move(other205.answer);
+  __isset = other205.__isset;
+}
+RecordOutcome& RecordOutcome::operator=(const RecordOutcome& other206) {
+  member = other206.member;
+  key = other206.key;
+  dispatchId = other206.dispatchId;
+  status = other206.status;
+  answerStatus = other206.answerStatus;
+  answerType = other206.answerType;
+  answer = other206.answer;
+  __isset = other206.__isset;
+  return *this;
+}
+RecordOutcome& RecordOutcome::operator=(RecordOutcome&& other207) noexcept {
+  member = std::move(other207.member);
+  key = std::move(other207.key);
+  dispatchId = std::move(other207.dispatchId);
+  status = other207.status;
+  answerStatus = other207.answerStatus;
+  answerType = std::move(other207.answerType);
+  answer = std::move(other207.answer);
+  __isset = other207.__isset;
   return *this;
 }
 void RecordOutcome::printTo(std::ostream& out) const {
@@ -5396,42 +5682,42 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderSubmission::OrderSubmission(const OrderSubmission& other188) {
-  changeId = other188.changeId;
-  author = other188.author;
-  backend = other188.backend;
-  kind = other188.kind;
-  name = other188.name;
-  bytes = other188.bytes;
-  __isset = other188.__isset;
-}
-OrderSubmission::OrderSubmission(OrderSubmission&& other189) noexcept {
-  changeId = std::move(other189.changeId);
-  author = std::move(other189.author);
-  backend = std::move(other189.backend);
-  kind = other189.kind;
-  name = std::move(other189.name);
-  bytes = other189.bytes;
-  __isset = other189.__isset;
-}
-OrderSubmission& OrderSubmission::operator=(const OrderSubmission& other190) {
-  changeId = other190.changeId;
-  author = other190.author;
-  backend = other190.backend;
-  kind = other190.kind;
-  name = other190.name;
-  bytes = other190.bytes;
-  __isset = other190.__isset;
-  return *this;
-}
-OrderSubmission& OrderSubmission::operator=(OrderSubmission&& other191) noexcept {
-  changeId = std::move(other191.changeId);
-  author = std::move(other191.author);
-  backend = std::move(other191.backend);
-  kind = other191.kind;
-  name = std::move(other191.name);
-  bytes = other191.bytes;
-  __isset = other191.__isset;
+OrderSubmission::OrderSubmission(const OrderSubmission& other208) {
+  changeId = other208.changeId;
+  author = other208.author;
+  backend = other208.backend;
+  kind = other208.kind;
+  name = other208.name;
+  bytes = other208.bytes;
+  __isset = other208.__isset;
+}
+OrderSubmission::OrderSubmission(OrderSubmission&& other209) noexcept {
+  changeId = std::move(other209.changeId);
+  author = std::move(other209.author);
+  backend = std::move(other209.backend);
+  kind = other209.kind;
+  name = std::move(other209.name);
+  bytes = other209.bytes;
+  __isset = other209.__isset;
+}
+OrderSubmission& OrderSubmission::operator=(const OrderSubmission& other210) {
+  changeId = other210.changeId;
+  author = other210.author;
+  backend = other210.backend;
+  kind = other210.kind;
+  name = other210.name;
+  bytes = other210.bytes;
+  __isset = other210.__isset;
+  return *this;
+}
+OrderSubmission& OrderSubmission::operator=(OrderSubmission&& other211) noexcept {
+  changeId = std::move(other211.changeId);
+  author = std::move(other211.author);
+  backend = std::move(other211.backend);
+  kind = other211.kind;
+  name = std::move(other211.name);
+  bytes = other211.bytes;
+  __isset = other211.__isset;
   return *this;
 }
 void OrderSubmission::printTo(std::ostream& out) const {
@@ -5539,26 +5825,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderCompletion::OrderCompletion(const OrderCompletion& other192) noexcept {
-  token = other192.token;
-  status = other192.status;
-  __isset = other192.__isset;
+OrderCompletion::OrderCompletion(const OrderCompletion& other212) noexcept {
+  token = other212.token;
+  status = other212.status;
+  __isset = other212.__isset;
 }
-OrderCompletion::OrderCompletion(OrderCompletion&& other193) noexcept {
-  token = other193.token;
-  status = other193.status;
-  __isset = other193.__isset;
+OrderCompletion::OrderCompletion(OrderCompletion&& other213) noexcept {
+  token = other213.token;
+  status = other213.status;
+  __isset = other213.__isset;
 }
-OrderCompletion& OrderCompletion::operator=(const OrderCompletion& other194) noexcept {
-  token = other194.token;
-  status = other194.status;
-  __isset = other194.__isset;
+OrderCompletion& OrderCompletion::operator=(const OrderCompletion& other214) noexcept {
+  token = other214.token;
+  status = other214.status;
+  __isset = other214.__isset;
   return *this;
 }
-OrderCompletion& OrderCompletion::operator=(OrderCompletion&& other195) noexcept {
-  token = other195.token;
-  status = other195.status;
-  __isset = other195.__isset;
+OrderCompletion& OrderCompletion::operator=(OrderCompletion&& other215) noexcept {
+  token = other215.token;
+  status = other215.status;
+  __isset = other215.__isset;
   return *this;
 }
 void OrderCompletion::printTo(std::ostream& out) const {
@@ -5696,34 +5982,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupShape::GroupShape(const GroupShape& other196) noexcept {
-  ranks = other196.ranks;
-  experts = other196.experts;
-  layers = other196.layers;
-  slotsPerRank = other196.slotsPerRank;
-  __isset = other196.__isset;
+GroupShape::GroupShape(const GroupShape& other216) noexcept {
+  ranks = other216.ranks;
+  experts = other216.experts;
+  layers = other216.layers;
+  slotsPerRank = other216.slotsPerRank;
+  __isset = other216.__isset;
 }
-GroupShape::GroupShape(GroupShape&& other197) noexcept {
-  ranks = other197.ranks;
-  experts = other197.experts;
-  layers = other197.layers;
-  slotsPerRank = other197.slotsPerRank;
-  __isset = other197.__isset;
+GroupShape::GroupShape(GroupShape&& other217) noexcept {
+  ranks = other217.ranks;
+  experts = other217.experts;
+  layers = other217.layers;
+  slotsPerRank = other217.slotsPerRank;
+  __isset = other217.__isset;
 }
-GroupShape& GroupShape::operator=(const GroupShape& other198) noexcept {
-  ranks = other198.ranks;
-  experts = other198.experts;
-  layers = other198.layers;
-  slotsPerRank = other198.slotsPerRank;
-  __isset = other198.__isset;
+GroupShape& GroupShape::operator=(const GroupShape& other218) noexcept {
+  ranks = other218.ranks;
+  experts = other218.experts;
+  layers = other218.layers;
+  slotsPerRank = other218.slotsPerRank;
+  __isset = other218.__isset;
   return *this;
 }
-GroupShape& GroupShape::operator=(GroupShape&& other199) noexcept {
-  ranks = other199.ranks;
-  experts = other199.experts;
-  layers = other199.layers;
-  slotsPerRank = other199.slotsPerRank;
-  __isset = other199.__isset;
+GroupShape& GroupShape::operator=(GroupShape&& other219) noexcept {
+  ranks = other219.ranks;
+  experts = other219.experts;
+  layers = other219.layers;
+  slotsPerRank = other219.slotsPerRank;
+  __isset = other219.__isset;
   return *this;
 }
 void GroupShape::printTo(std::ostream& out) const {
@@ -5948,54 +6234,54 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupChange::GroupChange(const GroupChange& other200) {
-  group = other200.group;
-  action = other200.action;
-  ranks = other200.ranks;
-  mapVersion = other200.mapVersion;
-  lastStep = other200.lastStep;
-  shape = other200.shape;
-  slots = other200.slots;
-  reason = other200.reason;
-  bytes = other200.bytes;
-  __isset = other200.__isset;
-}
-GroupChange::GroupChange(GroupChange&& other201) noexcept {
-  group = std::move(other201.group);
-  action = other201.action;
-  ranks = other201.ranks;
-  mapVersion = other201.mapVersion;
-  lastStep = other201.lastStep;
-  shape = std::move(other201.shape);
-  slots = std::move(other201.slots);
-  reason = std::move(other201.reason);
-  bytes = other201.bytes;
-  __isset = other201.__isset;
-}
-GroupChange& GroupChange::operator=(const GroupChange& other202) {
-  group = other202.group;
-  action = other202.action;
-  ranks = other202.ranks;
-  mapVersion = other202.mapVersion;
-  lastStep = other202.lastStep;
-  shape = other202.shape;
-  slots = other202.slots;
-  reason = other202.reason;
-  bytes = other202.bytes;
-  __isset = other202.__isset;
-  return *this;
-}
-GroupChange& GroupChange::operator=(GroupChange&& other203) noexcept {
-  group = std::move(other203.group);
-  action = other203.action;
-  ranks = other203.ranks;
-  mapVersion = other203.mapVersion;
-  lastStep = other203.lastStep;
-  shape = std::move(other203.shape);
-  slots = std::move(other203.slots);
-  reason = std::move(other203.reason);
-  bytes = other203.bytes;
-  __isset = other203.__isset;
+GroupChange::GroupChange(const GroupChange& other220) {
+  group = other220.group;
+  action = other220.action;
+  ranks = other220.ranks;
+  mapVersion = other220.mapVersion;
+  lastStep = other220.lastStep;
+  shape = other220.shape;
+  slots = other220.slots;
+  reason = other220.reason;
+  bytes = other220.bytes;
+  __isset = other220.__isset;
+}
+GroupChange::GroupChange(GroupChange&& other221) noexcept {
+  group = std::move(other221.group);
+  action = other221.action;
+  ranks = other221.ranks;
+  mapVersion = other221.mapVersion;
+  lastStep = other221.lastStep;
+  shape = std::move(other221.shape);
+  slots = std::move(other221.slots);
+  reason = std::move(other221.reason);
+  bytes = other221.bytes;
+  __isset = other221.__isset;
+}
+GroupChange& GroupChange::operator=(const GroupChange& other222) {
+  group = other222.group;
+  action = other222.action;
+  ranks = other222.ranks;
+  mapVersion = other222.mapVersion;
+  lastStep = other222.lastStep;
+  shape = other222.shape;
+  slots = other222.slots;
+  reason = other222.reason;
+  bytes = other222.bytes;
+  __isset = other222.__isset;
+  return *this;
+}
+GroupChange& GroupChange::operator=(GroupChange&& other223) noexcept {
+  group = std::move(other223.group);
+  action = other223.action;
+  ranks = other223.ranks;
+  mapVersion = other223.mapVersion;
+  lastStep = other223.lastStep;
+  shape = std::move(other223.shape);
+  slots = std::move(other223.slots);
+  reason = std::move(other223.reason);
+  bytes = other223.bytes;
+  __isset = other223.__isset;
   return *this;
 }
 void GroupChange::printTo(std::ostream& out) const {
@@ -6106,26 +6392,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupPin::GroupPin(const GroupPin& other204) {
-  group = other204.group;
-  pinned = other204.pinned;
-  __isset = other204.__isset;
+GroupPin::GroupPin(const GroupPin& other224) {
+  group = other224.group;
+  pinned = other224.pinned;
+  __isset = other224.__isset;
 }
-GroupPin::GroupPin(GroupPin&& other205) noexcept {
-  group = std::move(other205.group);
-  pinned = other205.pinned;
-  __isset = other205.__isset;
+GroupPin::GroupPin(GroupPin&& other225) noexcept {
+  group = std::move(other225.group);
+  pinned = other225.pinned;
+  __isset = other225.__isset;
 }
-GroupPin& GroupPin::operator=(const GroupPin& other206) {
-  group = other206.group;
-  pinned = other206.pinned;
-  __isset = other206.__isset;
+GroupPin& GroupPin::operator=(const GroupPin& other226) {
+  group = other226.group;
+  pinned = other226.pinned;
+  __isset = other226.__isset;
   return *this;
 }
-GroupPin& GroupPin::operator=(GroupPin&& other207) noexcept {
-  group = std::move(other207.group);
-  pinned = other207.pinned;
-  __isset = other207.__isset;
+GroupPin& GroupPin::operator=(GroupPin&& other227) noexcept {
+  group = std::move(other227.group);
+  pinned = other227.pinned;
+  __isset = other227.__isset;
   return *this;
 }
 void GroupPin::printTo(std::ostream& out) const {
@@ -6366,54 +6652,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other208) {
-  noOperation = other208.noOperation;
-  replicaChange = other208.replicaChange;
-  configChange = other208.configChange;
-  recordClaim = other208.recordClaim;
-  recordOutcome = other208.recordOutcome;
-  orderSubmission = other208.orderSubmission;
-  orderCompletion = other208.orderCompletion;
-  groupChange = other208.groupChange;
-  groupPin = other208.groupPin;
-  __isset = other208.__isset;
+Command::Command(const Command& other228) {
+  noOperation = other228.noOperation;
+  replicaChange = other228.replicaChange;
+  configChange = other228.configChange;
+  recordClaim = other228.recordClaim;
+  recordOutcome = other228.recordOutcome;
+  orderSubmission = other228.orderSubmission;
+  orderCompletion = other228.orderCompletion;
+  groupChange = other228.groupChange;
+  groupPin = other228.groupPin;
+  __isset = other228.__isset;
 }
-Command::Command(Command&& other209) noexcept {
-  noOperation = std::move(other209.noOperation);
-  replicaChange = std::move(other209.replicaChange);
-  configChange = std::move(other209.configChange);
-  recordClaim = std::move(other209.recordClaim);
-  recordOutcome = std::move(other209.recordOutcome);
-  orderSubmission = std::move(other209.orderSubmission);
-  orderCompletion = std::move(other209.orderCompletion);
-  groupChange = std::move(other209.groupChange);
-  groupPin = std::move(other209.groupPin);
-  __isset = other209.__isset;
+Command::Command(Command&& other229) noexcept {
+  noOperation = std::move(other229.noOperation);
+  replicaChange = std::move(other229.replicaChange);
+  configChange = std::move(other229.configChange);
+  recordClaim = std::move(other229.recordClaim);
+  recordOutcome = std::move(other229.recordOutcome);
+  orderSubmission = std::move(other229.orderSubmission);
+  orderCompletion = std::move(other229.orderCompletion);
+  groupChange = std::move(other229.groupChange);
+  groupPin = std::move(other229.groupPin);
+  __isset = other229.__isset;
 }
-Command& Command::operator=(const Command& other210) {
-  noOperation = other210.noOperation;
-  replicaChange = other210.replicaChange;
-  configChange = other210.configChange;
-  recordClaim = other210.recordClaim;
-  recordOutcome = other210.recordOutcome;
-  orderSubmission = other210.orderSubmission;
-  orderCompletion = other210.orderCompletion;
-  groupChange = other210.groupChange;
-  groupPin = other210.groupPin;
-  __isset = other210.__isset;
+Command& Command::operator=(const Command& other230) {
+  noOperation = other230.noOperation;
+  replicaChange = other230.replicaChange;
+  configChange = other230.configChange;
+  recordClaim = other230.recordClaim;
+  recordOutcome = other230.recordOutcome;
+  orderSubmission = other230.orderSubmission;
+  orderCompletion = other230.orderCompletion;
+  groupChange = other230.groupChange;
+  groupPin = other230.groupPin;
+  __isset = other230.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other211) noexcept {
-  noOperation = std::move(other211.noOperation);
-  replicaChange = std::move(other211.replicaChange);
-  configChange = std::move(other211.configChange);
-  recordClaim = std::move(other211.recordClaim);
-  recordOutcome = std::move(other211.recordOutcome);
-  orderSubmission = std::move(other211.orderSubmission);
-  orderCompletion = std::move(other211.orderCompletion);
-  groupChange = std::move(other211.groupChange);
-  groupPin = std::move(other211.groupPin);
-  __isset = other211.__isset;
+Command& Command::operator=(Command&& other231) noexcept {
+  noOperation = std::move(other231.noOperation);
+  replicaChange = std::move(other231.replicaChange);
+  configChange = std::move(other231.configChange);
+  recordClaim = std::move(other231.recordClaim);
+  recordOutcome = std::move(other231.recordOutcome);
+  orderSubmission = std::move(other231.orderSubmission);
+  orderCompletion = std::move(other231.orderCompletion);
+  groupChange = std::move(other231.groupChange);
+  groupPin = std::move(other231.groupPin);
+  __isset = other231.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -6541,30 +6827,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other212) {
-  term = other212.term;
-  index = other212.index;
-  body = other212.body;
-  __isset = other212.__isset;
+LogEntry::LogEntry(const LogEntry& other232) {
+  term = other232.term;
+  index = other232.index;
+  body = other232.body;
+  __isset = other232.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other213) noexcept {
-  term = other213.term;
-  index = other213.index;
-  body = std::move(other213.body);
-  __isset = other213.__isset;
+LogEntry::LogEntry(LogEntry&& other233) noexcept {
+  term = other233.term;
+  index = other233.index;
+  body = std::move(other233.body);
+  __isset = other233.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other214) {
-  term = other214.term;
-  index = other214.index;
-  body = other214.body;
-  __isset = other214.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other234) {
+  term = other234.term;
+  index = other234.index;
+  body = other234.body;
+  __isset = other234.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other215) noexcept {
-  term = other215.term;
-  index = other215.index;
-  body = std::move(other215.body);
-  __isset = other215.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other235) noexcept {
+  term = other235.term;
+  index = other235.index;
+  body = std::move(other235.body);
+  __isset = other235.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -6703,34 +6989,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RaftHeader::RaftHeader(const RaftHeader& other216) noexcept {
-  logGroup = other216.logGroup;
-  sender = other216.sender;
-  recipient = other216.recipient;
-  term = other216.term;
-  __isset = other216.__isset;
+RaftHeader::RaftHeader(const RaftHeader& other236) noexcept {
+  logGroup = other236.logGroup;
+  sender = other236.sender;
+  recipient = other236.recipient;
+  term = other236.term;
+  __isset = other236.__isset;
 }
-RaftHeader::RaftHeader(RaftHeader&& other217) noexcept {
-  logGroup = other217.logGroup;
-  sender = other217.sender;
-  recipient = other217.recipient;
-  term = other217.term;
-  __isset = other217.__isset;
+RaftHeader::RaftHeader(RaftHeader&& other237) noexcept {
+  logGroup = other237.logGroup;
+  sender = other237.sender;
+  recipient = other237.recipient;
+  term = other237.term;
+  __isset = other237.__isset;
 }
-RaftHeader& RaftHeader::operator=(const RaftHeader& other218) noexcept {
-  logGroup = other218.logGroup;
-  sender = other218.sender;
-  recipient = other218.recipient;
-  term = other218.term;
-  __isset = other218.__isset;
+RaftHeader& RaftHeader::operator=(const RaftHeader& other238) noexcept {
+  logGroup = other238.logGroup;
+  sender = other238.sender;
+  recipient = other238.recipient;
+  term = other238.term;
+  __isset = other238.__isset;
   return *this;
 }
-RaftHeader& RaftHeader::operator=(RaftHeader&& other219) noexcept {
-  logGroup = other219.logGroup;
-  sender = other219.sender;
-  recipient = other219.recipient;
-  term = other219.term;
-  __isset = other219.__isset;
+RaftHeader& RaftHeader::operator=(RaftHeader&& other239) noexcept {
+  logGroup = other239.logGroup;
+  sender = other239.sender;
+  recipient = other239.recipient;
+  term = other239.term;
+  __isset = other239.__isset;
   return *this;
 }
 void RaftHeader::printTo(std::ostream& out) const {
@@ -6843,14 +7129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->entries.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->entries.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += this->entries[_i224].read(iprot);
+              xfer += this->entries[_i244].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6899,10 +7185,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter225;
-    for (_iter225 = this->entries.begin(); _iter225 != this->entries.end(); ++_iter225)
+    std::vector<LogEntry> ::const_iterator _iter245;
+    for (_iter245 = this->entries.begin(); _iter245 != this->entries.end(); ++_iter245)
     {
-      xfer += (*_iter225).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6924,42 +7210,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other226) {
-  header = other226.header;
-  prevIndex = other226.prevIndex;
-  prevTerm = other226.prevTerm;
-  commit = other226.commit;
-  sentNanos = other226.sentNanos;
-  entries = other226.entries;
-  __isset = other226.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other227) noexcept {
-  header = std::move(other227.header);
-  prevIndex = other227.prevIndex;
-  prevTerm = other227.prevTerm;
-  commit = other227.commit;
-  sentNanos = other227.sentNanos;
-  entries = std::move(other227.entries);
-  __isset = other227.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other228) {
-  header = other228.header;
-  prevIndex = other228.prevIndex;
-  prevTerm = other228.prevTerm;
-  commit = other228.commit;
-  sentNanos = other228.sentNanos;
-  entries = other228.entries;
-  __isset = other228.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other246) {
+  header = other246.header;
+  prevIndex = other246.prevIndex;
+  prevTerm = other246.prevTerm;
+  commit = other246.commit;
+  sentNanos = other246.sentNanos;
+  entries = other246.entries;
+  __isset = other246.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other247) noexcept {
+  header = std::move(other247.header);
+  prevIndex = other247.prevIndex;
+  prevTerm = other247.prevTerm;
+  commit = other247.commit;
+  sentNanos = other247.sentNanos;
+  entries = std::move(other247.entries);
+  __isset = other247.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other248) {
+  header = other248.header;
+  prevIndex = other248.prevIndex;
+  prevTerm = other248.prevTerm;
+  commit = other248.commit;
+  sentNanos = other248.sentNanos;
+  entries = other248.entries;
+  __isset = other248.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other229) noexcept {
-  header = std::move(other229.header);
-  prevIndex = other229.prevIndex;
-  prevTerm = other229.prevTerm;
-  commit = other229.commit;
-  sentNanos = other229.sentNanos;
-  entries = std::move(other229.entries);
-  __isset = other229.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other249) noexcept {
+  header = std::move(other249.header);
+  prevIndex = other249.prevIndex;
+  prevTerm = other249.prevTerm;
+  commit = other249.commit;
+  sentNanos = other249.sentNanos;
+  entries = std::move(other249.entries);
+  __isset = other249.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7101,34 +7387,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other230) noexcept {
-  header = other230.header;
-  matched = other230.matched;
-  matchIndex = other230.matchIndex;
-  sentNanos = other230.sentNanos;
-  __isset = other230.__isset;
+AppendReply::AppendReply(const AppendReply& other250) noexcept {
+  header = other250.header;
+  matched = other250.matched;
+  matchIndex = other250.matchIndex;
+  sentNanos = other250.sentNanos;
+  __isset = other250.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other231) noexcept {
-  header = std::move(other231.header);
-  matched = other231.matched;
-  matchIndex = other231.matchIndex;
-  sentNanos = other231.sentNanos;
-  __isset = other231.__isset;
+AppendReply::AppendReply(AppendReply&& other251) noexcept {
+  header = std::move(other251.header);
+  matched = other251.matched;
+  matchIndex = other251.matchIndex;
+  sentNanos = other251.sentNanos;
+  __isset = other251.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other232) noexcept {
-  header = other232.header;
-  matched = other232.matched;
-  matchIndex = other232.matchIndex;
-  sentNanos = other232.sentNanos;
-  __isset = other232.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other252) noexcept {
+  header = other252.header;
+  matched = other252.matched;
+  matchIndex = other252.matchIndex;
+  sentNanos = other252.sentNanos;
+  __isset = other252.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other233) noexcept {
-  header = std::move(other233.header);
-  matched = other233.matched;
-  matchIndex = other233.matchIndex;
-  sentNanos = other233.sentNanos;
-  __isset = other233.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other253) noexcept {
+  header = std::move(other253.header);
+  matched = other253.matched;
+  matchIndex = other253.matchIndex;
+  sentNanos = other253.sentNanos;
+  __isset = other253.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -7268,34 +7554,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other234) noexcept {
-  header = other234.header;
-  preVote = other234.preVote;
-  lastIndex = other234.lastIndex;
-  lastTerm = other234.lastTerm;
-  __isset = other234.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other254) noexcept {
+  header = other254.header;
+  preVote = other254.preVote;
+  lastIndex = other254.lastIndex;
+  lastTerm = other254.lastTerm;
+  __isset = other254.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other235) noexcept {
-  header = std::move(other235.header);
-  preVote = other235.preVote;
-  lastIndex = other235.lastIndex;
-  lastTerm = other235.lastTerm;
-  __isset = other235.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other255) noexcept {
+  header = std::move(other255.header);
+  preVote = other255.preVote;
+  lastIndex = other255.lastIndex;
+  lastTerm = other255.lastTerm;
+  __isset = other255.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other236) noexcept {
-  header = other236.header;
-  preVote = other236.preVote;
-  lastIndex = other236.lastIndex;
-  lastTerm = other236.lastTerm;
-  __isset = other236.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other256) noexcept {
+  header = other256.header;
+  preVote = other256.preVote;
+  lastIndex = other256.lastIndex;
+  lastTerm = other256.lastTerm;
+  __isset = other256.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other237) noexcept {
-  header = std::move(other237.header);
-  preVote = other237.preVote;
-  lastIndex = other237.lastIndex;
-  lastTerm = other237.lastTerm;
-  __isset = other237.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other257) noexcept {
+  header = std::move(other257.header);
+  preVote = other257.preVote;
+  lastIndex = other257.lastIndex;
+  lastTerm = other257.lastTerm;
+  __isset = other257.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -7418,30 +7704,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other238) noexcept {
-  header = other238.header;
-  preVote = other238.preVote;
-  granted = other238.granted;
-  __isset = other238.__isset;
+VoteReply::VoteReply(const VoteReply& other258) noexcept {
+  header = other258.header;
+  preVote = other258.preVote;
+  granted = other258.granted;
+  __isset = other258.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other239) noexcept {
-  header = std::move(other239.header);
-  preVote = other239.preVote;
-  granted = other239.granted;
-  __isset = other239.__isset;
+VoteReply::VoteReply(VoteReply&& other259) noexcept {
+  header = std::move(other259.header);
+  preVote = other259.preVote;
+  granted = other259.granted;
+  __isset = other259.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other240) noexcept {
-  header = other240.header;
-  preVote = other240.preVote;
-  granted = other240.granted;
-  __isset = other240.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other260) noexcept {
+  header = other260.header;
+  preVote = other260.preVote;
+  granted = other260.granted;
+  __isset = other260.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other241) noexcept {
-  header = std::move(other241.header);
-  preVote = other241.preVote;
-  granted = other241.granted;
-  __isset = other241.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other261) noexcept {
+  header = std::move(other261.header);
+  preVote = other261.preVote;
+  granted = other261.granted;
+  __isset = other261.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -7549,14 +7835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->replicas.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->replicas.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += this->replicas[_i246].read(iprot);
+              xfer += this->replicas[_i266].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7637,10 +7923,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter247;
-    for (_iter247 = this->replicas.begin(); _iter247 != this->replicas.end(); ++_iter247)
+    std::vector<Replica> ::const_iterator _iter267;
+    for (_iter267 = this->replicas.begin(); _iter267 != this->replicas.end(); ++_iter267)
     {
-      xfer += (*_iter247).write(oprot);
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7685,54 +7971,54 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other248) {
-  header = other248.header;
-  index = other248.index;
-  snapshotTerm = other248.snapshotTerm;
-  replicas = other248.replicas;
-  total = other248.total;
-  hash = other248.hash;
-  offset = other248.offset;
-  bytes = other248.bytes;
-  sentNanos = other248.sentNanos;
-  __isset = other248.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other268) {
+  header = other268.header;
+  index = other268.index;
+  snapshotTerm = other268.snapshotTerm;
+  replicas = other268.replicas;
+  total = other268.total;
+  hash = other268.hash;
+  offset = other268.offset;
+  bytes = other268.bytes;
+  sentNanos = other268.sentNanos;
+  __isset = other268.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other249) noexcept {
-  header = std::move(other249.header);
-  index = other249.index;
-  snapshotTerm = other249.snapshotTerm;
-  replicas = std::move(other249.replicas);
-  total = other249.total;
-  hash = other249.hash;
-  offset = other249.offset;
-  bytes = std::move(other249.bytes);
-  sentNanos = other249.sentNanos;
-  __isset = other249.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other269) noexcept {
+  header = std::move(other269.header);
+  index = other269.index;
+  snapshotTerm = other269.snapshotTerm;
+  replicas = std::move(other269.replicas);
+  total = other269.total;
+  hash = other269.hash;
+  offset = other269.offset;
+  bytes = std::move(other269.bytes);
+  sentNanos = other269.sentNanos;
+  __isset = other269.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other250) {
-  header = other250.header;
-  index = other250.index;
-  snapshotTerm = other250.snapshotTerm;
-  replicas = other250.replicas;
-  total = other250.total;
-  hash = other250.hash;
-  offset = other250.offset;
-  bytes = other250.bytes;
-  sentNanos = other250.sentNanos;
-  __isset = other250.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other270) {
+  header = other270.header;
+  index = other270.index;
+  snapshotTerm = other270.snapshotTerm;
+  replicas = other270.replicas;
+  total = other270.total;
+  hash = other270.hash;
+  offset = other270.offset;
+  bytes = other270.bytes;
+  sentNanos = other270.sentNanos;
+  __isset = other270.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other251) noexcept {
-  header = std::move(other251.header);
-  index = other251.index;
-  snapshotTerm = other251.snapshotTerm;
-  replicas = std::move(other251.replicas);
-  total = other251.total;
-  hash = other251.hash;
-  offset = other251.offset;
-  bytes = std::move(other251.bytes);
-  sentNanos = other251.sentNanos;
-  __isset = other251.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other271) noexcept {
+  header = std::move(other271.header);
+  index = other271.index;
+  snapshotTerm = other271.snapshotTerm;
+  replicas = std::move(other271.replicas);
+  total = other271.total;
+  hash = other271.hash;
+  offset = other271.offset;
+  bytes = std::move(other271.bytes);
+  sentNanos = other271.sentNanos;
+  __isset = other271.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -7894,38 +8180,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other252) noexcept {
-  header = other252.header;
-  index = other252.index;
-  nextOffset = other252.nextOffset;
-  done = other252.done;
-  sentNanos = other252.sentNanos;
-  __isset = other252.__isset;
-}
-SnapshotReply::SnapshotReply(SnapshotReply&& other253) noexcept {
-  header = std::move(other253.header);
-  index = other253.index;
-  nextOffset = other253.nextOffset;
-  done = other253.done;
-  sentNanos = other253.sentNanos;
-  __isset = other253.__isset;
-}
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other254) noexcept {
-  header = other254.header;
-  index = other254.index;
-  nextOffset = other254.nextOffset;
-  done = other254.done;
-  sentNanos = other254.sentNanos;
-  __isset = other254.__isset;
-  return *this;
-}
-SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other255) noexcept {
-  header = std::move(other255.header);
-  index = other255.index;
-  nextOffset = other255.nextOffset;
-  done = other255.done;
-  sentNanos = other255.sentNanos;
-  __isset = other255.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other272) noexcept {
+  header = other272.header;
+  index = other272.index;
+  nextOffset = other272.nextOffset;
+  done = other272.done;
+  sentNanos = other272.sentNanos;
+  __isset = other272.__isset;
+}
+SnapshotReply::SnapshotReply(SnapshotReply&& other273) noexcept {
+  header = std::move(other273.header);
+  index = other273.index;
+  nextOffset = other273.nextOffset;
+  done = other273.done;
+  sentNanos = other273.sentNanos;
+  __isset = other273.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other274) noexcept {
+  header = other274.header;
+  index = other274.index;
+  nextOffset = other274.nextOffset;
+  done = other274.done;
+  sentNanos = other274.sentNanos;
+  __isset = other274.__isset;
+  return *this;
+}
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other275) noexcept {
+  header = std::move(other275.header);
+  index = other275.index;
+  nextOffset = other275.nextOffset;
+  done = other275.done;
+  sentNanos = other275.sentNanos;
+  __isset = other275.__isset;
   return *this;
 }
 void SnapshotReply::printTo(std::ostream& out) const {
@@ -8049,30 +8335,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other256) {
-  logGroup = other256.logGroup;
-  proposal = other256.proposal;
-  body = other256.body;
-  __isset = other256.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other276) {
+  logGroup = other276.logGroup;
+  proposal = other276.proposal;
+  body = other276.body;
+  __isset = other276.__isset;
 }
-ProposeRequest::ProposeRequest(ProposeRequest&& other257) noexcept {
-  logGroup = other257.logGroup;
-  proposal = other257.proposal;
-  body = std::move(other257.body);
-  __isset = other257.__isset;
+ProposeRequest::ProposeRequest(ProposeRequest&& other277) noexcept {
+  logGroup = other277.logGroup;
+  proposal = other277.proposal;
+  body = std::move(other277.body);
+  __isset = other277.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other258) {
-  logGroup = other258.logGroup;
-  proposal = other258.proposal;
-  body = other258.body;
-  __isset = other258.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other278) {
+  logGroup = other278.logGroup;
+  proposal = other278.proposal;
+  body = other278.body;
+  __isset = other278.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other259) noexcept {
-  logGroup = other259.logGroup;
-  proposal = other259.proposal;
-  body = std::move(other259.body);
-  __isset = other259.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other279) noexcept {
+  logGroup = other279.logGroup;
+  proposal = other279.proposal;
+  body = std::move(other279.body);
+  __isset = other279.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -8228,38 +8514,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other260) {
-  logGroup = other260.logGroup;
-  proposal = other260.proposal;
-  status = other260.status;
-  index = other260.index;
-  leader = other260.leader;
-  __isset = other260.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other280) {
+  logGroup = other280.logGroup;
+  proposal = other280.proposal;
+  status = other280.status;
+  index = other280.index;
+  leader = other280.leader;
+  __isset = other280.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other261) noexcept {
-  logGroup = other261.logGroup;
-  proposal = other261.proposal;
-  status = other261.status;
-  index = other261.index;
-  leader = std::move(other261.leader);
-  __isset = other261.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other281) noexcept {
+  logGroup = other281.logGroup;
+  proposal = other281.proposal;
+  status = other281.status;
+  index = other281.index;
+  leader = std::move(other281.leader);
+  __isset = other281.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other262) {
-  logGroup = other262.logGroup;
-  proposal = other262.proposal;
-  status = other262.status;
-  index = other262.index;
-  leader = other262.leader;
-  __isset = other262.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other282) {
+  logGroup = other282.logGroup;
+  proposal = other282.proposal;
+  status = other282.status;
+  index = other282.index;
+  leader = other282.leader;
+  __isset = other282.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other263) noexcept {
-  logGroup = other263.logGroup;
-  proposal = other263.proposal;
-  status = other263.status;
-  index = other263.index;
-  leader = std::move(other263.leader);
-  __isset = other263.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other283) noexcept {
+  logGroup = other283.logGroup;
+  proposal = other283.proposal;
+  status = other283.status;
+  index = other283.index;
+  leader = std::move(other283.leader);
+  __isset = other283.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -8349,22 +8635,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other264) {
-  candidate = other264.candidate;
-  __isset = other264.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other284) {
+  candidate = other284.candidate;
+  __isset = other284.__isset;
 }
-JoinRequest::JoinRequest(JoinRequest&& other265) noexcept {
-  candidate = std::move(other265.candidate);
-  __isset = other265.__isset;
+JoinRequest::JoinRequest(JoinRequest&& other285) noexcept {
+  candidate = std::move(other285.candidate);
+  __isset = other285.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other266) {
-  candidate = other266.candidate;
-  __isset = other266.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other286) {
+  candidate = other286.candidate;
+  __isset = other286.__isset;
   return *this;
 }
-JoinRequest& JoinRequest::operator=(JoinRequest&& other267) noexcept {
-  candidate = std::move(other267.candidate);
-  __isset = other267.__isset;
+JoinRequest& JoinRequest::operator=(JoinRequest&& other287) noexcept {
+  candidate = std::move(other287.candidate);
+  __isset = other287.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -8450,22 +8736,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinReply::JoinReply(const JoinReply& other268) {
-  leaderHint = other268.leaderHint;
-  __isset = other268.__isset;
+JoinReply::JoinReply(const JoinReply& other288) {
+  leaderHint = other288.leaderHint;
+  __isset = other288.__isset;
 }
-JoinReply::JoinReply(JoinReply&& other269) noexcept {
-  leaderHint = std::move(other269.leaderHint);
-  __isset = other269.__isset;
+JoinReply::JoinReply(JoinReply&& other289) noexcept {
+  leaderHint = std::move(other289.leaderHint);
+  __isset = other289.__isset;
 }
-JoinReply& JoinReply::operator=(const JoinReply& other270) {
-  leaderHint = other270.leaderHint;
-  __isset = other270.__isset;
+JoinReply& JoinReply::operator=(const JoinReply& other290) {
+  leaderHint = other290.leaderHint;
+  __isset = other290.__isset;
   return *this;
 }
-JoinReply& JoinReply::operator=(JoinReply&& other271) noexcept {
-  leaderHint = std::move(other271.leaderHint);
-  __isset = other271.__isset;
+JoinReply& JoinReply::operator=(JoinReply&& other291) noexcept {
+  leaderHint = std::move(other291.leaderHint);
+  __isset = other291.__isset;
   return *this;
 }
 void JoinReply::printTo(std::ostream& out) const {
@@ -8527,14 +8813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size272;
-            ::apache::thrift::protocol::TType _etype275;
-            xfer += iprot->readListBegin(_etype275, _size272);
-            this->entries.resize(_size272);
-            uint32_t _i276;
-            for (_i276 = 0; _i276 < _size272; ++_i276)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->entries.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->entries[_i276].read(iprot);
+              xfer += this->entries[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8567,10 +8853,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter277;
-    for (_iter277 = this->entries.begin(); _iter277 != this->entries.end(); ++_iter277)
+    std::vector<LogEntry> ::const_iterator _iter297;
+    for (_iter297 = this->entries.begin(); _iter297 != this->entries.end(); ++_iter297)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8588,26 +8874,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other278) {
-  truncateFrom = other278.truncateFrom;
-  entries = other278.entries;
-  __isset = other278.__isset;
+LogBatch::LogBatch(const LogBatch& other298) {
+  truncateFrom = other298.truncateFrom;
+  entries = other298.entries;
+  __isset = other298.__isset;
 }
-LogBatch::LogBatch(LogBatch&& other279) noexcept {
-  truncateFrom = other279.truncateFrom;
-  entries = std::move(other279.entries);
-  __isset = other279.__isset;
+LogBatch::LogBatch(LogBatch&& other299) noexcept {
+  truncateFrom = other299.truncateFrom;
+  entries = std::move(other299.entries);
+  __isset = other299.__isset;
 }
-LogBatch& LogBatch::operator=(const LogBatch& other280) {
-  truncateFrom = other280.truncateFrom;
-  entries = other280.entries;
-  __isset = other280.__isset;
+LogBatch& LogBatch::operator=(const LogBatch& other300) {
+  truncateFrom = other300.truncateFrom;
+  entries = other300.entries;
+  __isset = other300.__isset;
   return *this;
 }
-LogBatch& LogBatch::operator=(LogBatch&& other281) noexcept {
-  truncateFrom = other281.truncateFrom;
-  entries = std::move(other281.entries);
-  __isset = other281.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other301) noexcept {
+  truncateFrom = other301.truncateFrom;
+  entries = std::move(other301.entries);
+  __isset = other301.__isset;
   return *this;
 }
 void LogBatch::printTo(std::ostream& out) const {
@@ -8694,22 +8980,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other282) noexcept {
-  id = other282.id;
-  __isset = other282.__isset;
+VoterRecord::VoterRecord(const VoterRecord& other302) noexcept {
+  id = other302.id;
+  __isset = other302.__isset;
 }
-VoterRecord::VoterRecord(VoterRecord&& other283) noexcept {
-  id = other283.id;
-  __isset = other283.__isset;
+VoterRecord::VoterRecord(VoterRecord&& other303) noexcept {
+  id = other303.id;
+  __isset = other303.__isset;
 }
-VoterRecord& VoterRecord::operator=(const VoterRecord& other284) noexcept {
-  id = other284.id;
-  __isset = other284.__isset;
+VoterRecord& VoterRecord::operator=(const VoterRecord& other304) noexcept {
+  id = other304.id;
+  __isset = other304.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other285) noexcept {
-  id = other285.id;
-  __isset = other285.__isset;
+VoterRecord& VoterRecord::operator=(VoterRecord&& other305) noexcept {
+  id = other305.id;
+  __isset = other305.__isset;
   return *this;
 }
 void VoterRecord::printTo(std::ostream& out) const {
@@ -8812,26 +9098,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other286) noexcept {
-  term = other286.term;
-  votedFor = other286.votedFor;
-  __isset = other286.__isset;
+VoteRecord::VoteRecord(const VoteRecord& other306) noexcept {
+  term = other306.term;
+  votedFor = other306.votedFor;
+  __isset = other306.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other287) noexcept {
-  term = other287.term;
-  votedFor = other287.votedFor;
-  __isset = other287.__isset;
+VoteRecord::VoteRecord(VoteRecord&& other307) noexcept {
+  term = other307.term;
+  votedFor = other307.votedFor;
+  __isset = other307.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other288) noexcept {
-  term = other288.term;
-  votedFor = other288.votedFor;
-  __isset = other288.__isset;
+VoteRecord& VoteRecord::operator=(const VoteRecord& other308) noexcept {
+  term = other308.term;
+  votedFor = other308.votedFor;
+  __isset = other308.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other289) noexcept {
-  term = other289.term;
-  votedFor = other289.votedFor;
-  __isset = other289.__isset;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other309) noexcept {
+  term = other309.term;
+  votedFor = other309.votedFor;
+  __isset = other309.__isset;
   return *this;
 }
 void VoteRecord::printTo(std::ostream& out) const {
@@ -8910,14 +9196,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->replicas.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->replicas.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += this->replicas[_i294].read(iprot);
+              xfer += this->replicas[_i314].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8962,10 +9248,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter295;
-    for (_iter295 = this->replicas.begin(); _iter295 != this->replicas.end(); ++_iter295)
+    std::vector<Replica> ::const_iterator _iter315;
+    for (_iter315 = this->replicas.begin(); _iter315 != this->replicas.end(); ++_iter315)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter315).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8989,34 +9275,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other296) {
-  index = other296.index;
-  term = other296.term;
-  replicas = other296.replicas;
-  state = other296.state;
-  __isset = other296.__isset;
-}
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other297) noexcept {
-  index = other297.index;
-  term = other297.term;
-  replicas = std::move(other297.replicas);
-  state = std::move(other297.state);
-  __isset = other297.__isset;
-}
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other298) {
-  index = other298.index;
-  term = other298.term;
-  replicas = other298.replicas;
-  state = other298.state;
-  __isset = other298.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other316) {
+  index = other316.index;
+  term = other316.term;
+  replicas = other316.replicas;
+  state = other316.state;
+  __isset = other316.__isset;
+}
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other317) noexcept {
+  index = other317.index;
+  term = other317.term;
+  replicas = std::move(other317.replicas);
+  state = std::move(other317.state);
+  __isset = other317.__isset;
+}
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other318) {
+  index = other318.index;
+  term = other318.term;
+  replicas = other318.replicas;
+  state = other318.state;
+  __isset = other318.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other299) noexcept {
-  index = other299.index;
-  term = other299.term;
-  replicas = std::move(other299.replicas);
-  state = std::move(other299.state);
-  __isset = other299.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other319) noexcept {
+  index = other319.index;
+  term = other319.term;
+  replicas = std::move(other319.replicas);
+  state = std::move(other319.state);
+  __isset = other319.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -9207,46 +9493,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other300) {
-  proposal = other300.proposal;
-  member = other300.member;
-  key = other300.key;
-  contentHash = other300.contentHash;
-  dispatch = other300.dispatch;
-  backend = other300.backend;
-  backendIncarnation = other300.backendIncarnation;
-  __isset = other300.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other301) noexcept {
-  proposal = other301.proposal;
-  member = std::move(other301.member);
-  key = std::move(other301.key);
-  contentHash = other301.contentHash;
-  dispatch = std::move(other301.dispatch);
-  backend = std::move(other301.backend);
-  backendIncarnation = other301.backendIncarnation;
-  __isset = other301.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other302) {
-  proposal = other302.proposal;
-  member = other302.member;
-  key = other302.key;
-  contentHash = other302.contentHash;
-  dispatch = other302.dispatch;
-  backend = other302.backend;
-  backendIncarnation = other302.backendIncarnation;
-  __isset = other302.__isset;
-  return *this;
-}
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other303) noexcept {
-  proposal = other303.proposal;
-  member = std::move(other303.member);
-  key = std::move(other303.key);
-  contentHash = other303.contentHash;
-  dispatch = std::move(other303.dispatch);
-  backend = std::move(other303.backend);
-  backendIncarnation = other303.backendIncarnation;
-  __isset = other303.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other320) {
+  proposal = other320.proposal;
+  member = other320.member;
+  key = other320.key;
+  contentHash = other320.contentHash;
+  dispatch = other320.dispatch;
+  backend = other320.backend;
+  backendIncarnation = other320.backendIncarnation;
+  __isset = other320.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other321) noexcept {
+  proposal = other321.proposal;
+  member = std::move(other321.member);
+  key = std::move(other321.key);
+  contentHash = other321.contentHash;
+  dispatch = std::move(other321.dispatch);
+  backend = std::move(other321.backend);
+  backendIncarnation = other321.backendIncarnation;
+  __isset = other321.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other322) {
+  proposal = other322.proposal;
+  member = other322.member;
+  key = other322.key;
+  contentHash = other322.contentHash;
+  dispatch = other322.dispatch;
+  backend = other322.backend;
+  backendIncarnation = other322.backendIncarnation;
+  __isset = other322.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other323) noexcept {
+  proposal = other323.proposal;
+  member = std::move(other323.member);
+  key = std::move(other323.key);
+  contentHash = other323.contentHash;
+  dispatch = std::move(other323.dispatch);
+  backend = std::move(other323.backend);
+  backendIncarnation = other323.backendIncarnation;
+  __isset = other323.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -9457,50 +9743,50 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other304) {
-  proposal = other304.proposal;
-  member = other304.member;
-  key = other304.key;
-  dispatch = other304.dispatch;
-  status = other304.status;
-  answerStatus = other304.answerStatus;
-  answerType = other304.answerType;
-  answer = other304.answer;
-  __isset = other304.__isset;
-}
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other305) noexcept {
-  proposal = other305.proposal;
-  member = std::move(other305.member);
-  key = std::move(other305.key);
-  dispatch = std::move(other305.dispatch);
-  status = other305.status;
-  answerStatus = other305.answerStatus;
-  answerType = std::move(other305.answerType);
-  answer = std::move(other305.answer);
-  __isset = other305.__isset;
-}
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other306) {
-  proposal = other306.proposal;
-  member = other306.member;
-  key = other306.key;
-  dispatch = other306.dispatch;
-  status = other306.status;
-  answerStatus = other306.answerStatus;
-  answerType = other306.answerType;
-  answer = other306.answer;
-  __isset = other306.__isset;
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other324) {
+  proposal = other324.proposal;
+  member = other324.member;
+  key = other324.key;
+  dispatch = other324.dispatch;
+  status = other324.status;
+  answerStatus = other324.answerStatus;
+  answerType = other324.answerType;
+  answer = other324.answer;
+  __isset = other324.__isset;
+}
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other325) noexcept {
+  proposal = other325.proposal;
+  member = std::move(other325.member);
+  key = std::move(other325.key);
+  dispatch = std::move(other325.dispatch);
+  status = other325.status;
+  answerStatus = other325.answerStatus;
+  answerType = std::move(other325.answerType);
+  answer = std::move(other325.answer);
+  __isset = other325.__isset;
+}
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other326) {
+  proposal = other326.proposal;
+  member = other326.member;
+  key = other326.key;
+  dispatch = other326.dispatch;
+  status = other326.status;
+  answerStatus = other326.answerStatus;
+  answerType = other326.answerType;
+  answer = other326.answer;
+  __isset = other326.__isset;
   return *this;
 }
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other307) noexcept {
-  proposal = other307.proposal;
-  member = std::move(other307.member);
-  key = std::move(other307.key);
-  dispatch = std::move(other307.dispatch);
-  status = other307.status;
-  answerStatus = other307.answerStatus;
-  answerType = std::move(other307.answerType);
-  answer = std::move(other307.answer);
-  __isset = other307.__isset;
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other327) noexcept {
+  proposal = other327.proposal;
+  member = std::move(other327.member);
+  key = std::move(other327.key);
+  dispatch = std::move(other327.dispatch);
+  status = other327.status;
+  answerStatus = other327.answerStatus;
+  answerType = std::move(other327.answerType);
+  answer = std::move(other327.answer);
+  __isset = other327.__isset;
   return *this;
 }
 void OutcomeRequest::printTo(std::ostream& out) const {
@@ -9729,54 +10015,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other308) {
-  proposal = other308.proposal;
-  verdict = other308.verdict;
-  holder = other308.holder;
-  backend = other308.backend;
-  backendIncarnation = other308.backendIncarnation;
-  answerStored = other308.answerStored;
-  answerStatus = other308.answerStatus;
-  answerType = other308.answerType;
-  answer = other308.answer;
-  __isset = other308.__isset;
+RecordReply::RecordReply(const RecordReply& other328) {
+  proposal = other328.proposal;
+  verdict = other328.verdict;
+  holder = other328.holder;
+  backend = other328.backend;
+  backendIncarnation = other328.backendIncarnation;
+  answerStored = other328.answerStored;
+  answerStatus = other328.answerStatus;
+  answerType = other328.answerType;
+  answer = other328.answer;
+  __isset = other328.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other309) noexcept {
-  proposal = other309.proposal;
-  verdict = other309.verdict;
-  holder = std::move(other309.holder);
-  backend = std::move(other309.backend);
-  backendIncarnation = other309.backendIncarnation;
-  answerStored = other309.answerStored;
-  answerStatus = other309.answerStatus;
-  answerType = std::move(other309.answerType);
-  answer = std::move(other309.answer);
-  __isset = other309.__isset;
+RecordReply::RecordReply(RecordReply&& other329) noexcept {
+  proposal = other329.proposal;
+  verdict = other329.verdict;
+  holder = std::move(other329.holder);
+  backend = std::move(other329.backend);
+  backendIncarnation = other329.backendIncarnation;
+  answerStored = other329.answerStored;
+  answerStatus = other329.answerStatus;
+  answerType = std::move(other329.answerType);
+  answer = std::move(other329.answer);
+  __isset = other329.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other310) {
-  proposal = other310.proposal;
-  verdict = other310.verdict;
-  holder = other310.holder;
-  backend = other310.backend;
-  backendIncarnation = other310.backendIncarnation;
-  answerStored = other310.answerStored;
-  answerStatus = other310.answerStatus;
-  answerType = other310.answerType;
-  answer = other310.answer;
-  __isset = other310.__isset;
-  return *this;
-}
-RecordReply& RecordReply::operator=(RecordReply&& other311) noexcept {
-  proposal = other311.proposal;
-  verdict = other311.verdict;
-  holder = std::move(other311.holder);
-  backend = std::move(other311.backend);
-  backendIncarnation = other311.backendIncarnation;
-  answerStored = other311.answerStored;
-  answerStatus = other311.answerStatus;
-  answerType = std::move(other311.answerType);
-  answer = std::move(other311.answer);
-  __isset = other311.__isset;
+RecordReply& RecordReply::operator=(const RecordReply& other330) {
+  proposal = other330.proposal;
+  verdict = other330.verdict;
+  holder = other330.holder;
+  backend = other330.backend;
+  backendIncarnation = other330.backendIncarnation;
+  answerStored = other330.answerStored;
+  answerStatus = other330.answerStatus;
+  answerType = other330.answerType;
+  answer = other330.answer;
+  __isset = other330.__isset;
+  return *this;
+}
+RecordReply& RecordReply::operator=(RecordReply&& other331) noexcept {
+  proposal = other331.proposal;
+  verdict = other331.verdict;
+  holder = std::move(other331.holder);
+  backend = std::move(other331.backend);
+  backendIncarnation = other331.backendIncarnation;
+  answerStored = other331.answerStored;
+  answerStatus = other331.answerStatus;
+  answerType = std::move(other331.answerType);
+  answer = std::move(other331.answer);
+  __isset = other331.__isset;
   return *this;
 }
 void RecordReply::printTo(std::ostream& out) const {
@@ -9887,26 +10173,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other312) noexcept {
-  proposal = other312.proposal;
-  verdict = other312.verdict;
-  __isset = other312.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other332) noexcept {
+  proposal = other332.proposal;
+  verdict = other332.verdict;
+  __isset = other332.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other313) noexcept {
-  proposal = other313.proposal;
-  verdict = other313.verdict;
-  __isset = other313.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other333) noexcept {
+  proposal = other333.proposal;
+  verdict = other333.verdict;
+  __isset = other333.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other314) noexcept {
-  proposal = other314.proposal;
-  verdict = other314.verdict;
-  __isset = other314.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other334) noexcept {
+  proposal = other334.proposal;
+  verdict = other334.verdict;
+  __isset = other334.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other315) noexcept {
-  proposal = other315.proposal;
-  verdict = other315.verdict;
-  __isset = other315.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other335) noexcept {
+  proposal = other335.proposal;
+  verdict = other335.verdict;
+  __isset = other335.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -10061,38 +10347,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other316) {
-  sequence = other316.sequence;
-  node = other316.node;
-  zone = other316.zone;
-  appliedVersion = other316.appliedVersion;
-  heardVersion = other316.heardVersion;
-  __isset = other316.__isset;
+LeaseRenew::LeaseRenew(const LeaseRenew& other336) {
+  sequence = other336.sequence;
+  node = other336.node;
+  zone = other336.zone;
+  appliedVersion = other336.appliedVersion;
+  heardVersion = other336.heardVersion;
+  __isset = other336.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other317) noexcept {
-  sequence = other317.sequence;
-  node = std::move(other317.node);
-  zone = std::move(other317.zone);
-  appliedVersion = other317.appliedVersion;
-  heardVersion = other317.heardVersion;
-  __isset = other317.__isset;
+LeaseRenew::LeaseRenew(LeaseRenew&& other337) noexcept {
+  sequence = other337.sequence;
+  node = std::move(other337.node);
+  zone = std::move(other337.zone);
+  appliedVersion = other337.appliedVersion;
+  heardVersion = other337.heardVersion;
+  __isset = other337.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other318) {
-  sequence = other318.sequence;
-  node = other318.node;
-  zone = other318.zone;
-  appliedVersion = other318.appliedVersion;
-  heardVersion = other318.heardVersion;
-  __isset = other318.__isset;
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other338) {
+  sequence = other338.sequence;
+  node = other338.node;
+  zone = other338.zone;
+  appliedVersion = other338.appliedVersion;
+  heardVersion = other338.heardVersion;
+  __isset = other338.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other319) noexcept {
-  sequence = other319.sequence;
-  node = std::move(other319.node);
-  zone = std::move(other319.zone);
-  appliedVersion = other319.appliedVersion;
-  heardVersion = other319.heardVersion;
-  __isset = other319.__isset;
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other339) noexcept {
+  sequence = other339.sequence;
+  node = std::move(other339.node);
+  zone = std::move(other339.zone);
+  appliedVersion = other339.appliedVersion;
+  heardVersion = other339.heardVersion;
+  __isset = other339.__isset;
   return *this;
 }
 void LeaseRenew::printTo(std::ostream& out) const {
@@ -10207,14 +10493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controllers.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->controllers.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->controllers.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->controllers[_i324].read(iprot);
+              xfer += this->controllers[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10264,10 +10550,10 @@
     xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controllers.size()));
-      std::vector<Endpoint> ::const_iterator _iter325;
-      for (_iter325 = this->controllers.begin(); _iter325 != this->controllers.end(); ++_iter325)
+      std::vector<Endpoint> ::const_iterator _iter345;
+      for (_iter345 = this->controllers.begin(); _iter345 != this->controllers.end(); ++_iter345)
       {
-        xfer += (*_iter325).write(oprot);
+        xfer += (*_iter345).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -10289,42 +10575,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other326) {
-  sequence = other326.sequence;
-  granted = other326.granted;
-  leaderHint = other326.leaderHint;
-  durationMicros = other326.durationMicros;
-  version = other326.version;
-  controllers = other326.controllers;
-  __isset = other326.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other346) {
+  sequence = other346.sequence;
+  granted = other346.granted;
+  leaderHint = other346.leaderHint;
+  durationMicros = other346.durationMicros;
+  version = other346.version;
+  controllers = other346.controllers;
+  __isset = other346.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other327) noexcept {
-  sequence = other327.sequence;
-  granted = other327.granted;
-  leaderHint = std::move(other327.leaderHint);
-  durationMicros = other327.durationMicros;
-  version = other327.version;
-  controllers = std::move(other327.controllers);
-  __isset = other327.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other347) noexcept {
+  sequence = other347.sequence;
+  granted = other347.granted;
+  leaderHint = std::move(other347.leaderHint);
+  durationMicros = other347.durationMicros;
+  version = other347.version;
+  controllers = std::move(other347.controllers);
+  __isset = other347.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other328) {
-  sequence = other328.sequence;
-  granted = other328.granted;
-  leaderHint = other328.leaderHint;
-  durationMicros = other328.durationMicros;
-  version = other328.version;
-  controllers = other328.controllers;
-  __isset = other328.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other348) {
+  sequence = other348.sequence;
+  granted = other348.granted;
+  leaderHint = other348.leaderHint;
+  durationMicros = other348.durationMicros;
+  version = other348.version;
+  controllers = other348.controllers;
+  __isset = other348.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other329) noexcept {
-  sequence = other329.sequence;
-  granted = other329.granted;
-  leaderHint = std::move(other329.leaderHint);
-  durationMicros = other329.durationMicros;
-  version = other329.version;
-  controllers = std::move(other329.controllers);
-  __isset = other329.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other349) noexcept {
+  sequence = other349.sequence;
+  granted = other349.granted;
+  leaderHint = std::move(other349.leaderHint);
+  durationMicros = other349.durationMicros;
+  version = other349.version;
+  controllers = std::move(other349.controllers);
+  __isset = other349.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -10449,30 +10735,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other330) {
-  version = other330.version;
-  author = other330.author;
-  sheet = other330.sheet;
-  __isset = other330.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other350) {
+  version = other350.version;
+  author = other350.author;
+  sheet = other350.sheet;
+  __isset = other350.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other331) noexcept {
-  version = other331.version;
-  author = std::move(other331.author);
-  sheet = std::move(other331.sheet);
-  __isset = other331.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other351) noexcept {
+  version = other351.version;
+  author = std::move(other351.author);
+  sheet = std::move(other351.sheet);
+  __isset = other351.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other332) {
-  version = other332.version;
-  author = other332.author;
-  sheet = other332.sheet;
-  __isset = other332.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other352) {
+  version = other352.version;
+  author = other352.author;
+  sheet = other352.sheet;
+  __isset = other352.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other333) noexcept {
-  version = other333.version;
-  author = std::move(other333.author);
-  sheet = std::move(other333.sheet);
-  __isset = other333.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other353) noexcept {
+  version = other353.version;
+  author = std::move(other353.author);
+  sheet = std::move(other353.sheet);
+  __isset = other353.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -10560,22 +10846,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other334) noexcept {
-  sequence = other334.sequence;
-  __isset = other334.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other354) noexcept {
+  sequence = other354.sequence;
+  __isset = other354.__isset;
 }
-VersionQuery::VersionQuery(VersionQuery&& other335) noexcept {
-  sequence = other335.sequence;
-  __isset = other335.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other355) noexcept {
+  sequence = other355.sequence;
+  __isset = other355.__isset;
 }
-VersionQuery& VersionQuery::operator=(const VersionQuery& other336) noexcept {
-  sequence = other336.sequence;
-  __isset = other336.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other356) noexcept {
+  sequence = other356.sequence;
+  __isset = other356.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other337) noexcept {
-  sequence = other337.sequence;
-  __isset = other337.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other357) noexcept {
+  sequence = other357.sequence;
+  __isset = other357.__isset;
   return *this;
 }
 void VersionQuery::printTo(std::ostream& out) const {
@@ -10712,34 +10998,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other338) {
-  sequence = other338.sequence;
-  version = other338.version;
-  sheet = other338.sheet;
-  zone = other338.zone;
-  __isset = other338.__isset;
+VersionReply::VersionReply(const VersionReply& other358) {
+  sequence = other358.sequence;
+  version = other358.version;
+  sheet = other358.sheet;
+  zone = other358.zone;
+  __isset = other358.__isset;
 }
-VersionReply::VersionReply(VersionReply&& other339) noexcept {
-  sequence = other339.sequence;
-  version = other339.version;
-  sheet = std::move(other339.sheet);
-  zone = std::move(other339.zone);
-  __isset = other339.__isset;
+VersionReply::VersionReply(VersionReply&& other359) noexcept {
+  sequence = other359.sequence;
+  version = other359.version;
+  sheet = std::move(other359.sheet);
+  zone = std::move(other359.zone);
+  __isset = other359.__isset;
 }
-VersionReply& VersionReply::operator=(const VersionReply& other340) {
-  sequence = other340.sequence;
-  version = other340.version;
-  sheet = other340.sheet;
-  zone = other340.zone;
-  __isset = other340.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other360) {
+  sequence = other360.sequence;
+  version = other360.version;
+  sheet = other360.sheet;
+  zone = other360.zone;
+  __isset = other360.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other341) noexcept {
-  sequence = other341.sequence;
-  version = other341.version;
-  sheet = std::move(other341.sheet);
-  zone = std::move(other341.zone);
-  __isset = other341.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other361) noexcept {
+  sequence = other361.sequence;
+  version = other361.version;
+  sheet = std::move(other361.sheet);
+  zone = std::move(other361.zone);
+  __isset = other361.__isset;
   return *this;
 }
 void VersionReply::printTo(std::ostream& out) const {
@@ -10862,30 +11148,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceQuery::FenceQuery(const FenceQuery& other342) {
-  sequence = other342.sequence;
-  backend = other342.backend;
-  agentIncarnation = other342.agentIncarnation;
-  __isset = other342.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other362) {
+  sequence = other362.sequence;
+  backend = other362.backend;
+  agentIncarnation = other362.agentIncarnation;
+  __isset = other362.__isset;
 }
-FenceQuery::FenceQuery(FenceQuery&& other343) noexcept {
-  sequence = other343.sequence;
-  backend = std::move(other343.backend);
-  agentIncarnation = other343.agentIncarnation;
-  __isset = other343.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other363) noexcept {
+  sequence = other363.sequence;
+  backend = std::move(other363.backend);
+  agentIncarnation = other363.agentIncarnation;
+  __isset = other363.__isset;
 }
-FenceQuery& FenceQuery::operator=(const FenceQuery& other344) {
-  sequence = other344.sequence;
-  backend = other344.backend;
-  agentIncarnation = other344.agentIncarnation;
-  __isset = other344.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other364) {
+  sequence = other364.sequence;
+  backend = other364.backend;
+  agentIncarnation = other364.agentIncarnation;
+  __isset = other364.__isset;
   return *this;
 }
-FenceQuery& FenceQuery::operator=(FenceQuery&& other345) noexcept {
-  sequence = other345.sequence;
-  backend = std::move(other345.backend);
-  agentIncarnation = other345.agentIncarnation;
-  __isset = other345.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other365) noexcept {
+  sequence = other365.sequence;
+  backend = std::move(other365.backend);
+  agentIncarnation = other365.agentIncarnation;
+  __isset = other365.__isset;
   return *this;
 }
 void FenceQuery::printTo(std::ostream& out) const {
@@ -11041,38 +11327,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceReply::FenceReply(const FenceReply& other346) {
-  sequence = other346.sequence;
-  agentIncarnation = other346.agentIncarnation;
-  granted = other346.granted;
-  leaderHint = other346.leaderHint;
-  fence = other346.fence;
-  __isset = other346.__isset;
-}
-FenceReply::FenceReply(FenceReply&& other347) noexcept {
-  sequence = other347.sequence;
-  agentIncarnation = other347.agentIncarnation;
-  granted = other347.granted;
-  leaderHint = std::move(other347.leaderHint);
-  fence = other347.fence;
-  __isset = other347.__isset;
-}
-FenceReply& FenceReply::operator=(const FenceReply& other348) {
-  sequence = other348.sequence;
-  agentIncarnation = other348.agentIncarnation;
-  granted = other348.granted;
-  leaderHint = other348.leaderHint;
-  fence = other348.fence;
-  __isset = other348.__isset;
-  return *this;
-}
-FenceReply& FenceReply::operator=(FenceReply&& other349) noexcept {
-  sequence = other349.sequence;
-  agentIncarnation = other349.agentIncarnation;
-  granted = other349.granted;
-  leaderHint = std::move(other349.leaderHint);
-  fence = other349.fence;
-  __isset = other349.__isset;
+FenceReply::FenceReply(const FenceReply& other366) {
+  sequence = other366.sequence;
+  agentIncarnation = other366.agentIncarnation;
+  granted = other366.granted;
+  leaderHint = other366.leaderHint;
+  fence = other366.fence;
+  __isset = other366.__isset;
+}
+FenceReply::FenceReply(FenceReply&& other367) noexcept {
+  sequence = other367.sequence;
+  agentIncarnation = other367.agentIncarnation;
+  granted = other367.granted;
+  leaderHint = std::move(other367.leaderHint);
+  fence = other367.fence;
+  __isset = other367.__isset;
+}
+FenceReply& FenceReply::operator=(const FenceReply& other368) {
+  sequence = other368.sequence;
+  agentIncarnation = other368.agentIncarnation;
+  granted = other368.granted;
+  leaderHint = other368.leaderHint;
+  fence = other368.fence;
+  __isset = other368.__isset;
+  return *this;
+}
+FenceReply& FenceReply::operator=(FenceReply&& other369) noexcept {
+  sequence = other369.sequence;
+  agentIncarnation = other369.agentIncarnation;
+  granted = other369.granted;
+  leaderHint = std::move(other369.leaderHint);
+  fence = other369.fence;
+  __isset = other369.__isset;
   return *this;
 }
 void FenceReply::printTo(std::ostream& out) const {
@@ -11230,38 +11516,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FencedOrder::FencedOrder(const FencedOrder& other350) {
-  backend = other350.backend;
-  token = other350.token;
-  kind = other350.kind;
-  name = other350.name;
-  bytes = other350.bytes;
-  __isset = other350.__isset;
-}
-FencedOrder::FencedOrder(FencedOrder&& other351) noexcept {
-  backend = std::move(other351.backend);
-  token = other351.token;
-  kind = other351.kind;
-  name = std::move(other351.name);
-  bytes = other351.bytes;
-  __isset = other351.__isset;
-}
-FencedOrder& FencedOrder::operator=(const FencedOrder& other352) {
-  backend = other352.backend;
-  token = other352.token;
-  kind = other352.kind;
-  name = other352.name;
-  bytes = other352.bytes;
-  __isset = other352.__isset;
-  return *this;
-}
-FencedOrder& FencedOrder::operator=(FencedOrder&& other353) noexcept {
-  backend = std::move(other353.backend);
-  token = other353.token;
-  kind = other353.kind;
-  name = std::move(other353.name);
-  bytes = other353.bytes;
-  __isset = other353.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other370) {
+  backend = other370.backend;
+  token = other370.token;
+  kind = other370.kind;
+  name = other370.name;
+  bytes = other370.bytes;
+  __isset = other370.__isset;
+}
+FencedOrder::FencedOrder(FencedOrder&& other371) noexcept {
+  backend = std::move(other371.backend);
+  token = other371.token;
+  kind = other371.kind;
+  name = std::move(other371.name);
+  bytes = other371.bytes;
+  __isset = other371.__isset;
+}
+FencedOrder& FencedOrder::operator=(const FencedOrder& other372) {
+  backend = other372.backend;
+  token = other372.token;
+  kind = other372.kind;
+  name = other372.name;
+  bytes = other372.bytes;
+  __isset = other372.__isset;
+  return *this;
+}
+FencedOrder& FencedOrder::operator=(FencedOrder&& other373) noexcept {
+  backend = std::move(other373.backend);
+  token = other373.token;
+  kind = other373.kind;
+  name = std::move(other373.name);
+  bytes = other373.bytes;
+  __isset = other373.__isset;
   return *this;
 }
 void FencedOrder::printTo(std::ostream& out) const {
@@ -11385,30 +11671,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderReply::OrderReply(const OrderReply& other354) {
-  backend = other354.backend;
-  token = other354.token;
-  status = other354.status;
-  __isset = other354.__isset;
+OrderReply::OrderReply(const OrderReply& other374) {
+  backend = other374.backend;
+  token = other374.token;
+  status = other374.status;
+  __isset = other374.__isset;
 }
-OrderReply::OrderReply(OrderReply&& other355) noexcept {
-  backend = std::move(other355.backend);
-  token = other355.token;
-  status = other355.status;
-  __isset = other355.__isset;
+OrderReply::OrderReply(OrderReply&& other375) noexcept {
+  backend = std::move(other375.backend);
+  token = other375.token;
+  status = other375.status;
+  __isset = other375.__isset;
 }
-OrderReply& OrderReply::operator=(const OrderReply& other356) {
-  backend = other356.backend;
-  token = other356.token;
-  status = other356.status;
-  __isset = other356.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other376) {
+  backend = other376.backend;
+  token = other376.token;
+  status = other376.status;
+  __isset = other376.__isset;
   return *this;
 }
-OrderReply& OrderReply::operator=(OrderReply&& other357) noexcept {
-  backend = std::move(other357.backend);
-  token = other357.token;
-  status = other357.status;
-  __isset = other357.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other377) noexcept {
+  backend = std::move(other377.backend);
+  token = other377.token;
+  status = other377.status;
+  __isset = other377.__isset;
   return *this;
 }
 void OrderReply::printTo(std::ostream& out) const {
@@ -11530,30 +11816,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRange::StepRange(const StepRange& other358) noexcept {
-  mapVersion = other358.mapVersion;
-  first = other358.first;
-  last = other358.last;
-  __isset = other358.__isset;
+StepRange::StepRange(const StepRange& other378) noexcept {
+  mapVersion = other378.mapVersion;
+  first = other378.first;
+  last = other378.last;
+  __isset = other378.__isset;
 }
-StepRange::StepRange(StepRange&& other359) noexcept {
-  mapVersion = other359.mapVersion;
-  first = other359.first;
-  last = other359.last;
-  __isset = other359.__isset;
+StepRange::StepRange(StepRange&& other379) noexcept {
+  mapVersion = other379.mapVersion;
+  first = other379.first;
+  last = other379.last;
+  __isset = other379.__isset;
 }
-StepRange& StepRange::operator=(const StepRange& other360) noexcept {
-  mapVersion = other360.mapVersion;
-  first = other360.first;
-  last = other360.last;
-  __isset = other360.__isset;
+StepRange& StepRange::operator=(const StepRange& other380) noexcept {
+  mapVersion = other380.mapVersion;
+  first = other380.first;
+  last = other380.last;
+  __isset = other380.__isset;
   return *this;
 }
-StepRange& StepRange::operator=(StepRange&& other361) noexcept {
-  mapVersion = other361.mapVersion;
-  first = other361.first;
-  last = other361.last;
-  __isset = other361.__isset;
+StepRange& StepRange::operator=(StepRange&& other381) noexcept {
+  mapVersion = other381.mapVersion;
+  first = other381.first;
+  last = other381.last;
+  __isset = other381.__isset;
   return *this;
 }
 void StepRange::printTo(std::ostream& out) const {
@@ -11658,26 +11944,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ExpertMap::ExpertMap(const ExpertMap& other362) {
-  version = other362.version;
-  slots = other362.slots;
-  __isset = other362.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other382) {
+  version = other382.version;
+  slots = other382.slots;
+  __isset = other382.__isset;
 }
-ExpertMap::ExpertMap(ExpertMap&& other363) noexcept {
-  version = other363.version;
-  slots = std::move(other363.slots);
-  __isset = other363.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other383) noexcept {
+  version = other383.version;
+  slots = std::move(other383.slots);
+  __isset = other383.__isset;
 }
-ExpertMap& ExpertMap::operator=(const ExpertMap& other364) {
-  version = other364.version;
-  slots = other364.slots;
-  __isset = other364.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other384) {
+  version = other384.version;
+  slots = other384.slots;
+  __isset = other384.__isset;
   return *this;
 }
-ExpertMap& ExpertMap::operator=(ExpertMap&& other365) noexcept {
-  version = other365.version;
-  slots = std::move(other365.slots);
-  __isset = other365.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other385) noexcept {
+  version = other385.version;
+  slots = std::move(other385.slots);
+  __isset = other385.__isset;
   return *this;
 }
 void ExpertMap::printTo(std::ostream& out) const {
@@ -11832,14 +12118,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loaded.clear();
-            uint32_t _size366;
-            ::apache::thrift::protocol::TType _etype369;
-            xfer += iprot->readListBegin(_etype369, _size366);
-            this->loaded.resize(_size366);
-            uint32_t _i370;
-            for (_i370 = 0; _i370 < _size366; ++_i370)
+            uint32_t _size386;
+            ::apache::thrift::protocol::TType _etype389;
+            xfer += iprot->readListBegin(_etype389, _size386);
+            this->loaded.resize(_size386);
+            uint32_t _i390;
+            for (_i390 = 0; _i390 < _size386; ++_i390)
             {
-              xfer += iprot->readI64(this->loaded[_i370]);
+              xfer += iprot->readI64(this->loaded[_i390]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11868,14 +12154,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size371;
-            ::apache::thrift::protocol::TType _etype374;
-            xfer += iprot->readListBegin(_etype374, _size371);
-            this->cells.resize(_size371);
-            uint32_t _i375;
-            for (_i375 = 0; _i375 < _size371; ++_i375)
+            uint32_t _size391;
+            ::apache::thrift::protocol::TType _etype394;
+            xfer += iprot->readListBegin(_etype394, _size391);
+            this->cells.resize(_size391);
+            uint32_t _i395;
+            for (_i395 = 0; _i395 < _size391; ++_i395)
             {
-              xfer += iprot->readI32(this->cells[_i375]);
+              xfer += iprot->readI32(this->cells[_i395]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11888,14 +12174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size376;
-            ::apache::thrift::protocol::TType _etype379;
-            xfer += iprot->readListBegin(_etype379, _size376);
-            this->counts.resize(_size376);
-            uint32_t _i380;
-            for (_i380 = 0; _i380 < _size376; ++_i380)
+            uint32_t _size396;
+            ::apache::thrift::protocol::TType _etype399;
+            xfer += iprot->readListBegin(_etype399, _size396);
+            this->counts.resize(_size396);
+            uint32_t _i400;
+            for (_i400 = 0; _i400 < _size396; ++_i400)
             {
-              xfer += iprot->readI32(this->counts[_i380]);
+              xfer += iprot->readI32(this->counts[_i400]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11960,10 +12246,10 @@
   xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
-    std::vector<int64_t> ::const_iterator _iter381;
-    for (_iter381 = this->loaded.begin(); _iter381 != this->loaded.end(); ++_iter381)
+    std::vector<int64_t> ::const_iterator _iter401;
+    for (_iter401 = this->loaded.begin(); _iter401 != this->loaded.end(); ++_iter401)
     {
-      xfer += oprot->writeI64((*_iter381));
+      xfer += oprot->writeI64((*_iter401));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11980,10 +12266,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
-    std::vector<int32_t> ::const_iterator _iter382;
-    for (_iter382 = this->cells.begin(); _iter382 != this->cells.end(); ++_iter382)
+    std::vector<int32_t> ::const_iterator _iter402;
+    for (_iter402 = this->cells.begin(); _iter402 != this->cells.end(); ++_iter402)
     {
-      xfer += oprot->writeI32((*_iter382));
+      xfer += oprot->writeI32((*_iter402));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11992,10 +12278,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter383;
-    for (_iter383 = this->counts.begin(); _iter383 != this->counts.end(); ++_iter383)
+    std::vector<int32_t> ::const_iterator _iter403;
+    for (_iter403 = this->counts.begin(); _iter403 != this->counts.end(); ++_iter403)
     {
-      xfer += oprot->writeI32((*_iter383));
+      xfer += oprot->writeI32((*_iter403));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12028,70 +12314,70 @@
   swap(a.__isset, b.__isset);
 }
 
-RankReport::RankReport(const RankReport& other384) {
-  sequence = other384.sequence;
-  group = other384.group;
-  shape = other384.shape;
-  rank = other384.rank;
-  incarnation = other384.incarnation;
-  step = other384.step;
-  granted = other384.granted;
-  loaded = other384.loaded;
-  window = other384.window;
-  windowMicros = other384.windowMicros;
-  cells = other384.cells;
-  counts = other384.counts;
-  windowSteps = other384.windowSteps;
-  __isset = other384.__isset;
-}
-RankReport::RankReport(RankReport&& other385) noexcept {
-  sequence = other385.sequence;
-  group = std::move(other385.group);
-  shape = std::move(other385.shape);
-  rank = other385.rank;
-  incarnation = other385.incarnation;
-  step = other385.step;
-  granted = other385.granted;
-  loaded = std::move(other385.loaded);
-  window = other385.window;
-  windowMicros = other385.windowMicros;
-  cells = std::move(other385.cells);
-  counts = std::move(other385.counts);
-  windowSteps = other385.windowSteps;
-  __isset = other385.__isset;
-}
-RankReport& RankReport::operator=(const RankReport& other386) {
-  sequence = other386.sequence;
-  group = other386.group;
-  shape = other386.shape;
-  rank = other386.rank;
-  incarnation = other386.incarnation;
-  step = other386.step;
-  granted = other386.granted;
-  loaded = other386.loaded;
-  window = other386.window;
-  windowMicros = other386.windowMicros;
-  cells = other386.cells;
-  counts = other386.counts;
-  windowSteps = other386.windowSteps;
-  __isset = other386.__isset;
-  return *this;
-}
-RankReport& RankReport::operator=(RankReport&& other387) noexcept {
-  sequence = other387.sequence;
-  group = std::move(other387.group);
-  shape = std::move(other387.shape);
-  rank = other387.rank;
-  incarnation = other387.incarnation;
-  step = other387.step;
-  granted = other387.granted;
-  loaded = std::move(other387.loaded);
-  window = other387.window;
-  windowMicros = other387.windowMicros;
-  cells = std::move(other387.cells);
-  counts = std::move(other387.counts);
-  windowSteps = other387.windowSteps;
-  __isset = other387.__isset;
+RankReport::RankReport(const RankReport& other404) {
+  sequence = other404.sequence;
+  group = other404.group;
+  shape = other404.shape;
+  rank = other404.rank;
+  incarnation = other404.incarnation;
+  step = other404.step;
+  granted = other404.granted;
+  loaded = other404.loaded;
+  window = other404.window;
+  windowMicros = other404.windowMicros;
+  cells = other404.cells;
+  counts = other404.counts;
+  windowSteps = other404.windowSteps;
+  __isset = other404.__isset;
+}
+RankReport::RankReport(RankReport&& other405) noexcept {
+  sequence = other405.sequence;
+  group = std::move(other405.group);
+  shape = std::move(other405.shape);
+  rank = other405.rank;
+  incarnation = other405.incarnation;
+  step = other405.step;
+  granted = other405.granted;
+  loaded = std::move(other405.loaded);
+  window = other405.window;
+  windowMicros = other405.windowMicros;
+  cells = std::move(other405.cells);
+  counts = std::move(other405.counts);
+  windowSteps = other405.windowSteps;
+  __isset = other405.__isset;
+}
+RankReport& RankReport::operator=(const RankReport& other406) {
+  sequence = other406.sequence;
+  group = other406.group;
+  shape = other406.shape;
+  rank = other406.rank;
+  incarnation = other406.incarnation;
+  step = other406.step;
+  granted = other406.granted;
+  loaded = other406.loaded;
+  window = other406.window;
+  windowMicros = other406.windowMicros;
+  cells = other406.cells;
+  counts = other406.counts;
+  windowSteps = other406.windowSteps;
+  __isset = other406.__isset;
+  return *this;
+}
+RankReport& RankReport::operator=(RankReport&& other407) noexcept {
+  sequence = other407.sequence;
+  group = std::move(other407.group);
+  shape = std::move(other407.shape);
+  rank = other407.rank;
+  incarnation = other407.incarnation;
+  step = other407.step;
+  granted = other407.granted;
+  loaded = std::move(other407.loaded);
+  window = other407.window;
+  windowMicros = other407.windowMicros;
+  cells = std::move(other407.cells);
+  counts = std::move(other407.counts);
+  windowSteps = other407.windowSteps;
+  __isset = other407.__isset;
   return *this;
 }
 void RankReport::printTo(std::ostream& out) const {
@@ -12213,14 +12499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size388;
-            ::apache::thrift::protocol::TType _etype391;
-            xfer += iprot->readListBegin(_etype391, _size388);
-            this->ranges.resize(_size388);
-            uint32_t _i392;
-            for (_i392 = 0; _i392 < _size388; ++_i392)
+            uint32_t _size408;
+            ::apache::thrift::protocol::TType _etype411;
+            xfer += iprot->readListBegin(_etype411, _size408);
+            this->ranges.resize(_size408);
+            uint32_t _i412;
+            for (_i412 = 0; _i412 < _size408; ++_i412)
             {
-              xfer += this->ranges[_i392].read(iprot);
+              xfer += this->ranges[_i412].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12249,14 +12535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->maps.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size413;
+            ::apache::thrift::protocol::TType _etype416;
+            xfer += iprot->readListBegin(_etype416, _size413);
+            this->maps.resize(_size413);
+            uint32_t _i417;
+            for (_i417 = 0; _i417 < _size413; ++_i417)
             {
-              xfer += this->maps[_i397].read(iprot);
+              xfer += this->maps[_i417].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12301,10 +12587,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter398;
-    for (_iter398 = this->ranges.begin(); _iter398 != this->ranges.end(); ++_iter398)
+    std::vector<StepRange> ::const_iterator _iter418;
+    for (_iter418 = this->ranges.begin(); _iter418 != this->ranges.end(); ++_iter418)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter418).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12321,10 +12607,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter399;
-    for (_iter399 = this->maps.begin(); _iter399 != this->maps.end(); ++_iter399)
+    std::vector<ExpertMap> ::const_iterator _iter419;
+    for (_iter419 = this->maps.begin(); _iter419 != this->maps.end(); ++_iter419)
     {
-      xfer += (*_iter399).write(oprot);
+      xfer += (*_iter419).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12348,50 +12634,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StepGrant::StepGrant(const StepGrant& other400) {
-  sequence = other400.sequence;
-  group = other400.group;
-  leads = other400.leads;
-  leaderHint = other400.leaderHint;
-  ranges = other400.ranges;
-  loadMap = other400.loadMap;
-  droppableThrough = other400.droppableThrough;
-  maps = other400.maps;
-  __isset = other400.__isset;
-}
-StepGrant::StepGrant(StepGrant&& other401) noexcept {
-  sequence = other401.sequence;
-  group = std::move(other401.group);
-  leads = other401.leads;
-  leaderHint = std::move(other401.leaderHint);
-  ranges = std::move(other401.ranges);
-  loadMap = other401.loadMap;
-  droppableThrough = other401.droppableThrough;
-  maps = std::move(other401.maps);
-  __isset = other401.__isset;
-}
-StepGrant& StepGrant::operator=(const StepGrant& other402) {
-  sequence = other402.sequence;
-  group = other402.group;
-  leads = other402.leads;
-  leaderHint = other402.leaderHint;
-  ranges = other402.ranges;
-  loadMap = other402.loadMap;
-  droppableThrough = other402.droppableThrough;
-  maps = other402.maps;
-  __isset = other402.__isset;
-  return *this;
-}
-StepGrant& StepGrant::operator=(StepGrant&& other403) noexcept {
-  sequence = other403.sequence;
-  group = std::move(other403.group);
-  leads = other403.leads;
-  leaderHint = std::move(other403.leaderHint);
-  ranges = std::move(other403.ranges);
-  loadMap = other403.loadMap;
-  droppableThrough = other403.droppableThrough;
-  maps = std::move(other403.maps);
-  __isset = other403.__isset;
+StepGrant::StepGrant(const StepGrant& other420) {
+  sequence = other420.sequence;
+  group = other420.group;
+  leads = other420.leads;
+  leaderHint = other420.leaderHint;
+  ranges = other420.ranges;
+  loadMap = other420.loadMap;
+  droppableThrough = other420.droppableThrough;
+  maps = other420.maps;
+  __isset = other420.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other421) noexcept {
+  sequence = other421.sequence;
+  group = std::move(other421.group);
+  leads = other421.leads;
+  leaderHint = std::move(other421.leaderHint);
+  ranges = std::move(other421.ranges);
+  loadMap = other421.loadMap;
+  droppableThrough = other421.droppableThrough;
+  maps = std::move(other421.maps);
+  __isset = other421.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other422) {
+  sequence = other422.sequence;
+  group = other422.group;
+  leads = other422.leads;
+  leaderHint = other422.leaderHint;
+  ranges = other422.ranges;
+  loadMap = other422.loadMap;
+  droppableThrough = other422.droppableThrough;
+  maps = other422.maps;
+  __isset = other422.__isset;
+  return *this;
+}
+StepGrant& StepGrant::operator=(StepGrant&& other423) noexcept {
+  sequence = other423.sequence;
+  group = std::move(other423.group);
+  leads = other423.leads;
+  leaderHint = std::move(other423.leaderHint);
+  ranges = std::move(other423.ranges);
+  loadMap = other423.loadMap;
+  droppableThrough = other423.droppableThrough;
+  maps = std::move(other423.maps);
+  __isset = other423.__isset;
   return *this;
 }
 void StepGrant::printTo(std::ostream& out) const {
@@ -12620,14 +12906,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->counts.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->counts.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += iprot->readI32(this->counts[_i408]);
+              xfer += iprot->readI32(this->counts[_i428]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12640,14 +12926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->experts.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->experts.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
             {
-              xfer += iprot->readI32(this->experts[_i413]);
+              xfer += iprot->readI32(this->experts[_i433]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12772,10 +13058,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter414;
-    for (_iter414 = this->counts.begin(); _iter414 != this->counts.end(); ++_iter414)
+    std::vector<int32_t> ::const_iterator _iter434;
+    for (_iter434 = this->counts.begin(); _iter434 != this->counts.end(); ++_iter434)
     {
-      xfer += oprot->writeI32((*_iter414));
+      xfer += oprot->writeI32((*_iter434));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12784,10 +13070,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter415;
-    for (_iter415 = this->experts.begin(); _iter415 != this->experts.end(); ++_iter415)
+    std::vector<int32_t> ::const_iterator _iter435;
+    for (_iter435 = this->experts.begin(); _iter435 != this->experts.end(); ++_iter435)
     {
-      xfer += oprot->writeI32((*_iter415));
+      xfer += oprot->writeI32((*_iter435));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12847,98 +13133,98 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other416) {
-  sequence = other416.sequence;
-  group = other416.group;
-  epoch = other416.epoch;
-  rank = other416.rank;
-  ranks = other416.ranks;
-  open = other416.open;
-  step = other416.step;
-  mapVersion = other416.mapVersion;
-  preparedVersion = other416.preparedVersion;
-  armedVersion = other416.armedVersion;
-  armedStep = other416.armedStep;
-  heldStep = other416.heldStep;
-  counts = other416.counts;
-  experts = other416.experts;
-  lastCommand = other416.lastCommand;
-  lastResult = other416.lastResult;
-  uncertainMicros = other416.uncertainMicros;
-  address = other416.address;
-  running = other416.running;
-  waiting = other416.waiting;
-  __isset = other416.__isset;
-}
-EngineStatus::EngineStatus(EngineStatus&& other417) noexcept {
-  sequence = other417.sequence;
-  group = std::move(other417.group);
-  epoch = other417.epoch;
-  rank = other417.rank;
-  ranks = other417.ranks;
-  open = other417.open;
-  step = other417.step;
-  mapVersion = other417.mapVersion;
-  preparedVersion = other417.preparedVersion;
-  armedVersion = other417.armedVersion;
-  armedStep = other417.armedStep;
-  heldStep = other417.heldStep;
-  counts = std::move(other417.counts);
-  experts = std::move(other417.experts);
-  lastCommand = other417.lastCommand;
-  lastResult = other417.lastResult;
-  uncertainMicros = other417.uncertainMicros;
-  address = std::move(other417.address);
-  running = other417.running;
-  waiting = other417.waiting;
-  __isset = other417.__isset;
-}
-EngineStatus& EngineStatus::operator=(const EngineStatus& other418) {
-  sequence = other418.sequence;
-  group = other418.group;
-  epoch = other418.epoch;
-  rank = other418.rank;
-  ranks = other418.ranks;
-  open = other418.open;
-  step = other418.step;
-  mapVersion = other418.mapVersion;
-  preparedVersion = other418.preparedVersion;
-  armedVersion = other418.armedVersion;
-  armedStep = other418.armedStep;
-  heldStep = other418.heldStep;
-  counts = other418.counts;
-  experts = other418.experts;
-  lastCommand = other418.lastCommand;
-  lastResult = other418.lastResult;
-  uncertainMicros = other418.uncertainMicros;
-  address = other418.address;
-  running = other418.running;
-  waiting = other418.waiting;
-  __isset = other418.__isset;
-  return *this;
-}
-EngineStatus& EngineStatus::operator=(EngineStatus&& other419) noexcept {
-  sequence = other419.sequence;
-  group = std::move(other419.group);
-  epoch = other419.epoch;
-  rank = other419.rank;
-  ranks = other419.ranks;
-  open = other419.open;
-  step = other419.step;
-  mapVersion = other419.mapVersion;
-  preparedVersion = other419.preparedVersion;
-  armedVersion = other419.armedVersion;
-  armedStep = other419.armedStep;
-  heldStep = other419.heldStep;
-  counts = std::move(other419.counts);
-  experts = std::move(other419.experts);
-  lastCommand = other419.lastCommand;
-  lastResult = other419.lastResult;
-  uncertainMicros = other419.uncertainMicros;
-  address = std::move(other419.address);
-  running = other419.running;
-  waiting = other419.waiting;
-  __isset = other419.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other436) {
+  sequence = other436.sequence;
+  group = other436.group;
+  epoch = other436.epoch;
+  rank = other436.rank;
+  ranks = other436.ranks;
+  open = other436.open;
+  step = other436.step;
+  mapVersion = other436.mapVersion;
+  preparedVersion = other436.preparedVersion;
+  armedVersion = other436.armedVersion;
+  armedStep = other436.armedStep;
+  heldStep = other436.heldStep;
+  counts = other436.counts;
+  experts = other436.experts;
+  lastCommand = other436.lastCommand;
+  lastResult = other436.lastResult;
+  uncertainMicros = other436.uncertainMicros;
+  address = other436.address;
+  running = other436.running;
+  waiting = other436.waiting;
+  __isset = other436.__isset;
+}
+EngineStatus::EngineStatus(EngineStatus&& other437) noexcept {
+  sequence = other437.sequence;
+  group = std::move(other437.group);
+  epoch = other437.epoch;
+  rank = other437.rank;
+  ranks = other437.ranks;
+  open = other437.open;
+  step = other437.step;
+  mapVersion = other437.mapVersion;
+  preparedVersion = other437.preparedVersion;
+  armedVersion = other437.armedVersion;
+  armedStep = other437.armedStep;
+  heldStep = other437.heldStep;
+  counts = std::move(other437.counts);
+  experts = std::move(other437.experts);
+  lastCommand = other437.lastCommand;
+  lastResult = other437.lastResult;
+  uncertainMicros = other437.uncertainMicros;
+  address = std::move(other437.address);
+  running = other437.running;
+  waiting = other437.waiting;
+  __isset = other437.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other438) {
+  sequence = other438.sequence;
+  group = other438.group;
+  epoch = other438.epoch;
+  rank = other438.rank;
+  ranks = other438.ranks;
+  open = other438.open;
+  step = other438.step;
+  mapVersion = other438.mapVersion;
+  preparedVersion = other438.preparedVersion;
+  armedVersion = other438.armedVersion;
+  armedStep = other438.armedStep;
+  heldStep = other438.heldStep;
+  counts = other438.counts;
+  experts = other438.experts;
+  lastCommand = other438.lastCommand;
+  lastResult = other438.lastResult;
+  uncertainMicros = other438.uncertainMicros;
+  address = other438.address;
+  running = other438.running;
+  waiting = other438.waiting;
+  __isset = other438.__isset;
+  return *this;
+}
+EngineStatus& EngineStatus::operator=(EngineStatus&& other439) noexcept {
+  sequence = other439.sequence;
+  group = std::move(other439.group);
+  epoch = other439.epoch;
+  rank = other439.rank;
+  ranks = other439.ranks;
+  open = other439.open;
+  step = other439.step;
+  mapVersion = other439.mapVersion;
+  preparedVersion = other439.preparedVersion;
+  armedVersion = other439.armedVersion;
+  armedStep = other439.armedStep;
+  heldStep = other439.heldStep;
+  counts = std::move(other439.counts);
+  experts = std::move(other439.experts);
+  lastCommand = other439.lastCommand;
+  lastResult = other439.lastResult;
+  uncertainMicros = other439.uncertainMicros;
+  address = std::move(other439.address);
+  running = other439.running;
+  waiting = other439.waiting;
+  __isset = other439.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -13094,34 +13380,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatusReply::EngineStatusReply(const EngineStatusReply& other420) {
-  sequence = other420.sequence;
-  leads = other420.leads;
-  leaderHint = other420.leaderHint;
-  wantsExperts = other420.wantsExperts;
-  __isset = other420.__isset;
+EngineStatusReply::EngineStatusReply(const EngineStatusReply& other440) {
+  sequence = other440.sequence;
+  leads = other440.leads;
+  leaderHint = other440.leaderHint;
+  wantsExperts = other440.wantsExperts;
+  __isset = other440.__isset;
 }
-EngineStatusReply::EngineStatusReply(EngineStatusReply&& other421) noexcept {
-  sequence = other421.sequence;
-  leads = other421.leads;
-  leaderHint = std::move(other421.leaderHint);
-  wantsExperts = other421.wantsExperts;
-  __isset = other421.__isset;
+EngineStatusReply::EngineStatusReply(EngineStatusReply&& other441) noexcept {
+  sequence = other441.sequence;
+  leads = other441.leads;
+  leaderHint = std::move(other441.leaderHint);
+  wantsExperts = other441.wantsExperts;
+  __isset = other441.__isset;
 }
-EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other422) {
-  sequence = other422.sequence;
-  leads = other422.leads;
-  leaderHint = other422.leaderHint;
-  wantsExperts = other422.wantsExperts;
-  __isset = other422.__isset;
+EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other442) {
+  sequence = other442.sequence;
+  leads = other442.leads;
+  leaderHint = other442.leaderHint;
+  wantsExperts = other442.wantsExperts;
+  __isset = other442.__isset;
   return *this;
 }
-EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other423) noexcept {
-  sequence = other423.sequence;
-  leads = other423.leads;
-  leaderHint = std::move(other423.leaderHint);
-  wantsExperts = other423.wantsExperts;
-  __isset = other423.__isset;
+EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other443) noexcept {
+  sequence = other443.sequence;
+  leads = other443.leads;
+  leaderHint = std::move(other443.leaderHint);
+  wantsExperts = other443.wantsExperts;
+  __isset = other443.__isset;
   return *this;
 }
 void EngineStatusReply::printTo(std::ostream& out) const {
@@ -13254,14 +13540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->experts.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size444;
+            ::apache::thrift::protocol::TType _etype447;
+            xfer += iprot->readListBegin(_etype447, _size444);
+            this->experts.resize(_size444);
+            uint32_t _i448;
+            for (_i448 = 0; _i448 < _size444; ++_i448)
             {
-              xfer += iprot->readI32(this->experts[_i428]);
+              xfer += iprot->readI32(this->experts[_i448]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13330,10 +13616,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter429;
-    for (_iter429 = this->experts.begin(); _iter429 != this->experts.end(); ++_iter429)
+    std::vector<int32_t> ::const_iterator _iter449;
+    for (_iter449 = this->experts.begin(); _iter449 != this->experts.end(); ++_iter449)
     {
-      xfer += oprot->writeI32((*_iter429));
+      xfer += oprot->writeI32((*_iter449));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13366,54 +13652,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineCommand::EngineCommand(const EngineCommand& other430) {
-  term = other430.term;
-  number = other430.number;
-  epoch = other430.epoch;
-  operation = other430.operation;
-  mapVersion = other430.mapVersion;
-  step = other430.step;
-  experts = other430.experts;
-  sets = other430.sets;
-  ranks = other430.ranks;
-  __isset = other430.__isset;
-}
-EngineCommand::EngineCommand(EngineCommand&& other431) noexcept {
-  term = other431.term;
-  number = other431.number;
-  epoch = other431.epoch;
-  operation = other431.operation;
-  mapVersion = other431.mapVersion;
-  step = other431.step;
-  experts = std::move(other431.experts);
-  sets = other431.sets;
-  ranks = other431.ranks;
-  __isset = other431.__isset;
-}
-EngineCommand& EngineCommand::operator=(const EngineCommand& other432) {
-  term = other432.term;
-  number = other432.number;
-  epoch = other432.epoch;
-  operation = other432.operation;
-  mapVersion = other432.mapVersion;
-  step = other432.step;
-  experts = other432.experts;
-  sets = other432.sets;
-  ranks = other432.ranks;
-  __isset = other432.__isset;
-  return *this;
-}
-EngineCommand& EngineCommand::operator=(EngineCommand&& other433) noexcept {
-  term = other433.term;
-  number = other433.number;
-  epoch = other433.epoch;
-  operation = other433.operation;
-  mapVersion = other433.mapVersion;
-  step = other433.step;
-  experts = std::move(other433.experts);
-  sets = other433.sets;
-  ranks = other433.ranks;
-  __isset = other433.__isset;
+EngineCommand::EngineCommand(const EngineCommand& other450) {
+  term = other450.term;
+  number = other450.number;
+  epoch = other450.epoch;
+  operation = other450.operation;
+  mapVersion = other450.mapVersion;
+  step = other450.step;
+  experts = other450.experts;
+  sets = other450.sets;
+  ranks = other450.ranks;
+  __isset = other450.__isset;
+}
+EngineCommand::EngineCommand(EngineCommand&& other451) noexcept {
+  term = other451.term;
+  number = other451.number;
+  epoch = other451.epoch;
+  operation = other451.operation;
+  mapVersion = other451.mapVersion;
+  step = other451.step;
+  experts = std::move(other451.experts);
+  sets = other451.sets;
+  ranks = other451.ranks;
+  __isset = other451.__isset;
+}
+EngineCommand& EngineCommand::operator=(const EngineCommand& other452) {
+  term = other452.term;
+  number = other452.number;
+  epoch = other452.epoch;
+  operation = other452.operation;
+  mapVersion = other452.mapVersion;
+  step = other452.step;
+  experts = other452.experts;
+  sets = other452.sets;
+  ranks = other452.ranks;
+  __isset = other452.__isset;
+  return *this;
+}
+EngineCommand& EngineCommand::operator=(EngineCommand&& other453) noexcept {
+  term = other453.term;
+  number = other453.number;
+  epoch = other453.epoch;
+  operation = other453.operation;
+  mapVersion = other453.mapVersion;
+  step = other453.step;
+  experts = std::move(other453.experts);
+  sets = other453.sets;
+  ranks = other453.ranks;
+  __isset = other453.__isset;
   return *this;
 }
 void EngineCommand::printTo(std::ostream& out) const {
@@ -13558,34 +13844,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other434) {
-  address = other434.address;
-  running = other434.running;
-  waiting = other434.waiting;
-  ageMillis = other434.ageMillis;
-  __isset = other434.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other454) {
+  address = other454.address;
+  running = other454.running;
+  waiting = other454.waiting;
+  ageMillis = other454.ageMillis;
+  __isset = other454.__isset;
 }
-EngineLoad::EngineLoad(EngineLoad&& other435) noexcept {
-  address = std::move(other435.address);
-  running = other435.running;
-  waiting = other435.waiting;
-  ageMillis = other435.ageMillis;
-  __isset = other435.__isset;
+EngineLoad::EngineLoad(EngineLoad&& other455) noexcept {
+  address = std::move(other455.address);
+  running = other455.running;
+  waiting = other455.waiting;
+  ageMillis = other455.ageMillis;
+  __isset = other455.__isset;
 }
-EngineLoad& EngineLoad::operator=(const EngineLoad& other436) {
-  address = other436.address;
-  running = other436.running;
-  waiting = other436.waiting;
-  ageMillis = other436.ageMillis;
-  __isset = other436.__isset;
+EngineLoad& EngineLoad::operator=(const EngineLoad& other456) {
+  address = other456.address;
+  running = other456.running;
+  waiting = other456.waiting;
+  ageMillis = other456.ageMillis;
+  __isset = other456.__isset;
   return *this;
 }
-EngineLoad& EngineLoad::operator=(EngineLoad&& other437) noexcept {
-  address = std::move(other437.address);
-  running = other437.running;
-  waiting = other437.waiting;
-  ageMillis = other437.ageMillis;
-  __isset = other437.__isset;
+EngineLoad& EngineLoad::operator=(EngineLoad&& other457) noexcept {
+  address = std::move(other457.address);
+  running = other457.running;
+  waiting = other457.waiting;
+  ageMillis = other457.ageMillis;
+  __isset = other457.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -13662,14 +13948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size438;
-            ::apache::thrift::protocol::TType _etype441;
-            xfer += iprot->readListBegin(_etype441, _size438);
-            this->engines.resize(_size438);
-            uint32_t _i442;
-            for (_i442 = 0; _i442 < _size438; ++_i442)
+            uint32_t _size458;
+            ::apache::thrift::protocol::TType _etype461;
+            xfer += iprot->readListBegin(_etype461, _size458);
+            this->engines.resize(_size458);
+            uint32_t _i462;
+            for (_i462 = 0; _i462 < _size458; ++_i462)
             {
-              xfer += this->engines[_i442].read(iprot);
+              xfer += this->engines[_i462].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13706,10 +13992,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineLoad> ::const_iterator _iter443;
-    for (_iter443 = this->engines.begin(); _iter443 != this->engines.end(); ++_iter443)
+    std::vector<EngineLoad> ::const_iterator _iter463;
+    for (_iter463 = this->engines.begin(); _iter463 != this->engines.end(); ++_iter463)
     {
-      xfer += (*_iter443).write(oprot);
+      xfer += (*_iter463).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13728,30 +14014,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetLoad::FleetLoad(const FleetLoad& other444) {
-  open = other444.open;
-  passMicros = other444.passMicros;
-  engines = other444.engines;
-  __isset = other444.__isset;
+FleetLoad::FleetLoad(const FleetLoad& other464) {
+  open = other464.open;
+  passMicros = other464.passMicros;
+  engines = other464.engines;
+  __isset = other464.__isset;
 }
-FleetLoad::FleetLoad(FleetLoad&& other445) noexcept {
-  open = other445.open;
-  passMicros = other445.passMicros;
-  engines = std::move(other445.engines);
-  __isset = other445.__isset;
+FleetLoad::FleetLoad(FleetLoad&& other465) noexcept {
+  open = other465.open;
+  passMicros = other465.passMicros;
+  engines = std::move(other465.engines);
+  __isset = other465.__isset;
 }
-FleetLoad& FleetLoad::operator=(const FleetLoad& other446) {
-  open = other446.open;
-  passMicros = other446.passMicros;
-  engines = other446.engines;
-  __isset = other446.__isset;
+FleetLoad& FleetLoad::operator=(const FleetLoad& other466) {
+  open = other466.open;
+  passMicros = other466.passMicros;
+  engines = other466.engines;
+  __isset = other466.__isset;
   return *this;
 }
-FleetLoad& FleetLoad::operator=(FleetLoad&& other447) noexcept {
-  open = other447.open;
-  passMicros = other447.passMicros;
-  engines = std::move(other447.engines);
-  __isset = other447.__isset;
+FleetLoad& FleetLoad::operator=(FleetLoad&& other467) noexcept {
+  open = other467.open;
+  passMicros = other467.passMicros;
+  engines = std::move(other467.engines);
+  __isset = other467.__isset;
   return *this;
 }
 void FleetLoad::printTo(std::ostream& out) const {
@@ -13863,14 +14149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size448;
-            ::apache::thrift::protocol::TType _etype451;
-            xfer += iprot->readListBegin(_etype451, _size448);
-            this->ranges.resize(_size448);
-            uint32_t _i452;
-            for (_i452 = 0; _i452 < _size448; ++_i452)
+            uint32_t _size468;
+            ::apache::thrift::protocol::TType _etype471;
+            xfer += iprot->readListBegin(_etype471, _size468);
+            this->ranges.resize(_size468);
+            uint32_t _i472;
+            for (_i472 = 0; _i472 < _size468; ++_i472)
             {
-              xfer += this->ranges[_i452].read(iprot);
+              xfer += this->ranges[_i472].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13899,14 +14185,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size453;
-            ::apache::thrift::protocol::TType _etype456;
-            xfer += iprot->readListBegin(_etype456, _size453);
-            this->maps.resize(_size453);
-            uint32_t _i457;
-            for (_i457 = 0; _i457 < _size453; ++_i457)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _etype476;
+            xfer += iprot->readListBegin(_etype476, _size473);
+            this->maps.resize(_size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              xfer += this->maps[_i457].read(iprot);
+              xfer += this->maps[_i477].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13991,10 +14277,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter458;
-    for (_iter458 = this->ranges.begin(); _iter458 != this->ranges.end(); ++_iter458)
+    std::vector<StepRange> ::const_iterator _iter478;
+    for (_iter478 = this->ranges.begin(); _iter478 != this->ranges.end(); ++_iter478)
     {
-      xfer += (*_iter458).write(oprot);
+      xfer += (*_iter478).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14011,10 +14297,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter459;
-    for (_iter459 = this->maps.begin(); _iter459 != this->maps.end(); ++_iter459)
+    std::vector<ExpertMap> ::const_iterator _iter479;
+    for (_iter479 = this->maps.begin(); _iter479 != this->maps.end(); ++_iter479)
     {
-      xfer += (*_iter459).write(oprot);
+      xfer += (*_iter479).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14066,66 +14352,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other460) {
-  name = other460.name;
-  shape = other460.shape;
-  ranges = other460.ranges;
-  proposed = other460.proposed;
-  highestMap = other460.highestMap;
-  maps = other460.maps;
-  pinned = other460.pinned;
-  changedMap = other460.changedMap;
-  reason = other460.reason;
-  bytes = other460.bytes;
-  bytesMoved = other460.bytesMoved;
-  changes = other460.changes;
-  __isset = other460.__isset;
-}
-StateGroup::StateGroup(StateGroup&& other461) noexcept {
-  name = std::move(other461.name);
-  shape = std::move(other461.shape);
-  ranges = std::move(other461.ranges);
-  proposed = other461.proposed;
-  highestMap = other461.highestMap;
-  maps = std::move(other461.maps);
-  pinned = other461.pinned;
-  changedMap = other461.changedMap;
-  reason = std::move(other461.reason);
-  bytes = other461.bytes;
-  bytesMoved = other461.bytesMoved;
-  changes = other461.changes;
-  __isset = other461.__isset;
-}
-StateGroup& StateGroup::operator=(const StateGroup& other462) {
-  name = other462.name;
-  shape = other462.shape;
-  ranges = other462.ranges;
-  proposed = other462.proposed;
-  highestMap = other462.highestMap;
-  maps = other462.maps;
-  pinned = other462.pinned;
-  changedMap = other462.changedMap;
-  reason = other462.reason;
-  bytes = other462.bytes;
-  bytesMoved = other462.bytesMoved;
-  changes = other462.changes;
-  __isset = other462.__isset;
-  return *this;
-}
-StateGroup& StateGroup::operator=(StateGroup&& other463) noexcept {
-  name = std::move(other463.name);
-  shape = std::move(other463.shape);
-  ranges = std::move(other463.ranges);
-  proposed = other463.proposed;
-  highestMap = other463.highestMap;
-  maps = std::move(other463.maps);
-  pinned = other463.pinned;
-  changedMap = other463.changedMap;
-  reason = std::move(other463.reason);
-  bytes = other463.bytes;
-  bytesMoved = other463.bytesMoved;
-  changes = other463.changes;
-  __isset = other463.__isset;
+StateGroup::StateGroup(const StateGroup& other480) {
+  name = other480.name;
+  shape = other480.shape;
+  ranges = other480.ranges;
+  proposed = other480.proposed;
+  highestMap = other480.highestMap;
+  maps = other480.maps;
+  pinned = other480.pinned;
+  changedMap = other480.changedMap;
+  reason = other480.reason;
+  bytes = other480.bytes;
+  bytesMoved = other480.bytesMoved;
+  changes = other480.changes;
+  __isset = other480.__isset;
+}
+StateGroup::StateGroup(StateGroup&& other481) noexcept {
+  name = std::move(other481.name);
+  shape = std::move(other481.shape);
+  ranges = std::move(other481.ranges);
+  proposed = other481.proposed;
+  highestMap = other481.highestMap;
+  maps = std::move(other481.maps);
+  pinned = other481.pinned;
+  changedMap = other481.changedMap;
+  reason = std::move(other481.reason);
+  bytes = other481.bytes;
+  bytesMoved = other481.bytesMoved;
+  changes = other481.changes;
+  __isset = other481.__isset;
+}
+StateGroup& StateGroup::operator=(const StateGroup& other482) {
+  name = other482.name;
+  shape = other482.shape;
+  ranges = other482.ranges;
+  proposed = other482.proposed;
+  highestMap = other482.highestMap;
+  maps = other482.maps;
+  pinned = other482.pinned;
+  changedMap = other482.changedMap;
+  reason = other482.reason;
+  bytes = other482.bytes;
+  bytesMoved = other482.bytesMoved;
+  changes = other482.changes;
+  __isset = other482.__isset;
+  return *this;
+}
+StateGroup& StateGroup::operator=(StateGroup&& other483) noexcept {
+  name = std::move(other483.name);
+  shape = std::move(other483.shape);
+  ranges = std::move(other483.ranges);
+  proposed = other483.proposed;
+  highestMap = other483.highestMap;
+  maps = std::move(other483.maps);
+  pinned = other483.pinned;
+  changedMap = other483.changedMap;
+  reason = std::move(other483.reason);
+  bytes = other483.bytes;
+  bytesMoved = other483.bytesMoved;
+  changes = other483.changes;
+  __isset = other483.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -14273,34 +14559,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other464) {
-  version = other464.version;
-  changeId = other464.changeId;
-  author = other464.author;
-  sheetHash = other464.sheetHash;
-  __isset = other464.__isset;
+StateVersion::StateVersion(const StateVersion& other484) {
+  version = other484.version;
+  changeId = other484.changeId;
+  author = other484.author;
+  sheetHash = other484.sheetHash;
+  __isset = other484.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other465) noexcept {
-  version = other465.version;
-  changeId = std::move(other465.changeId);
-  author = std::move(other465.author);
-  sheetHash = other465.sheetHash;
-  __isset = other465.__isset;
+StateVersion::StateVersion(StateVersion&& other485) noexcept {
+  version = other485.version;
+  changeId = std::move(other485.changeId);
+  author = std::move(other485.author);
+  sheetHash = other485.sheetHash;
+  __isset = other485.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other466) {
-  version = other466.version;
-  changeId = other466.changeId;
-  author = other466.author;
-  sheetHash = other466.sheetHash;
-  __isset = other466.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other486) {
+  version = other486.version;
+  changeId = other486.changeId;
+  author = other486.author;
+  sheetHash = other486.sheetHash;
+  __isset = other486.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other467) noexcept {
-  version = other467.version;
-  changeId = std::move(other467.changeId);
-  author = std::move(other467.author);
-  sheetHash = other467.sheetHash;
-  __isset = other467.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other487) noexcept {
+  version = other487.version;
+  changeId = std::move(other487.changeId);
+  author = std::move(other487.author);
+  sheetHash = other487.sheetHash;
+  __isset = other487.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -14474,42 +14760,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other468) {
-  changeId = other468.changeId;
-  baseVersion = other468.baseVersion;
-  sheetHash = other468.sheetHash;
-  verdict = other468.verdict;
-  version = other468.version;
-  winner = other468.winner;
-  __isset = other468.__isset;
-}
-StateChange::StateChange(StateChange&& other469) noexcept {
-  changeId = std::move(other469.changeId);
-  baseVersion = other469.baseVersion;
-  sheetHash = other469.sheetHash;
-  verdict = other469.verdict;
-  version = other469.version;
-  winner = std::move(other469.winner);
-  __isset = other469.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other470) {
-  changeId = other470.changeId;
-  baseVersion = other470.baseVersion;
-  sheetHash = other470.sheetHash;
-  verdict = other470.verdict;
-  version = other470.version;
-  winner = other470.winner;
-  __isset = other470.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other471) noexcept {
-  changeId = std::move(other471.changeId);
-  baseVersion = other471.baseVersion;
-  sheetHash = other471.sheetHash;
-  verdict = other471.verdict;
-  version = other471.version;
-  winner = std::move(other471.winner);
-  __isset = other471.__isset;
+StateChange::StateChange(const StateChange& other488) {
+  changeId = other488.changeId;
+  baseVersion = other488.baseVersion;
+  sheetHash = other488.sheetHash;
+  verdict = other488.verdict;
+  version = other488.version;
+  winner = other488.winner;
+  __isset = other488.__isset;
+}
+StateChange::StateChange(StateChange&& other489) noexcept {
+  changeId = std::move(other489.changeId);
+  baseVersion = other489.baseVersion;
+  sheetHash = other489.sheetHash;
+  verdict = other489.verdict;
+  version = other489.version;
+  winner = std::move(other489.winner);
+  __isset = other489.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other490) {
+  changeId = other490.changeId;
+  baseVersion = other490.baseVersion;
+  sheetHash = other490.sheetHash;
+  verdict = other490.verdict;
+  version = other490.version;
+  winner = other490.winner;
+  __isset = other490.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other491) noexcept {
+  changeId = std::move(other491.changeId);
+  baseVersion = other491.baseVersion;
+  sheetHash = other491.sheetHash;
+  verdict = other491.verdict;
+  version = other491.version;
+  winner = std::move(other491.winner);
+  __isset = other491.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -14770,62 +15056,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other472) {
-  member = other472.member;
-  key = other472.key;
-  contentHash = other472.contentHash;
-  dispatch = other472.dispatch;
-  backend = other472.backend;
-  backendIncarnation = other472.backendIncarnation;
-  status = other472.status;
-  answerStored = other472.answerStored;
-  answerStatus = other472.answerStatus;
-  answerType = other472.answerType;
-  answer = other472.answer;
-  __isset = other472.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other473) noexcept {
-  member = std::move(other473.member);
-  key = std::move(other473.key);
-  contentHash = other473.contentHash;
-  dispatch = std::move(other473.dispatch);
-  backend = std::move(other473.backend);
-  backendIncarnation = other473.backendIncarnation;
-  status = other473.status;
-  answerStored = other473.answerStored;
-  answerStatus = other473.answerStatus;
-  answerType = std::move(other473.answerType);
-  answer = std::move(other473.answer);
-  __isset = other473.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other474) {
-  member = other474.member;
-  key = other474.key;
-  contentHash = other474.contentHash;
-  dispatch = other474.dispatch;
-  backend = other474.backend;
-  backendIncarnation = other474.backendIncarnation;
-  status = other474.status;
-  answerStored = other474.answerStored;
-  answerStatus = other474.answerStatus;
-  answerType = other474.answerType;
-  answer = other474.answer;
-  __isset = other474.__isset;
-  return *this;
-}
-StateRecord& StateRecord::operator=(StateRecord&& other475) noexcept {
-  member = std::move(other475.member);
-  key = std::move(other475.key);
-  contentHash = other475.contentHash;
-  dispatch = std::move(other475.dispatch);
-  backend = std::move(other475.backend);
-  backendIncarnation = other475.backendIncarnation;
-  status = other475.status;
-  answerStored = other475.answerStored;
-  answerStatus = other475.answerStatus;
-  answerType = std::move(other475.answerType);
-  answer = std::move(other475.answer);
-  __isset = other475.__isset;
+StateRecord::StateRecord(const StateRecord& other492) {
+  member = other492.member;
+  key = other492.key;
+  contentHash = other492.contentHash;
+  dispatch = other492.dispatch;
+  backend = other492.backend;
+  backendIncarnation = other492.backendIncarnation;
+  status = other492.status;
+  answerStored = other492.answerStored;
+  answerStatus = other492.answerStatus;
+  answerType = other492.answerType;
+  answer = other492.answer;
+  __isset = other492.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other493) noexcept {
+  member = std::move(other493.member);
+  key = std::move(other493.key);
+  contentHash = other493.contentHash;
+  dispatch = std::move(other493.dispatch);
+  backend = std::move(other493.backend);
+  backendIncarnation = other493.backendIncarnation;
+  status = other493.status;
+  answerStored = other493.answerStored;
+  answerStatus = other493.answerStatus;
+  answerType = std::move(other493.answerType);
+  answer = std::move(other493.answer);
+  __isset = other493.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other494) {
+  member = other494.member;
+  key = other494.key;
+  contentHash = other494.contentHash;
+  dispatch = other494.dispatch;
+  backend = other494.backend;
+  backendIncarnation = other494.backendIncarnation;
+  status = other494.status;
+  answerStored = other494.answerStored;
+  answerStatus = other494.answerStatus;
+  answerType = other494.answerType;
+  answer = other494.answer;
+  __isset = other494.__isset;
+  return *this;
+}
+StateRecord& StateRecord::operator=(StateRecord&& other495) noexcept {
+  member = std::move(other495.member);
+  key = std::move(other495.key);
+  contentHash = other495.contentHash;
+  dispatch = std::move(other495.dispatch);
+  backend = std::move(other495.backend);
+  backendIncarnation = other495.backendIncarnation;
+  status = other495.status;
+  answerStored = other495.answerStored;
+  answerStatus = other495.answerStatus;
+  answerType = std::move(other495.answerType);
+  answer = std::move(other495.answer);
+  __isset = other495.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -14955,30 +15241,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other476) {
-  token = other476.token;
-  order = other476.order;
-  status = other476.status;
-  __isset = other476.__isset;
+StateOrder::StateOrder(const StateOrder& other496) {
+  token = other496.token;
+  order = other496.order;
+  status = other496.status;
+  __isset = other496.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other477) noexcept {
-  token = other477.token;
-  order = std::move(other477.order);
-  status = other477.status;
-  __isset = other477.__isset;
+StateOrder::StateOrder(StateOrder&& other497) noexcept {
+  token = other497.token;
+  order = std::move(other497.order);
+  status = other497.status;
+  __isset = other497.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other478) {
-  token = other478.token;
-  order = other478.order;
-  status = other478.status;
-  __isset = other478.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other498) {
+  token = other498.token;
+  order = other498.order;
+  status = other498.status;
+  __isset = other498.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other479) noexcept {
-  token = other479.token;
-  order = std::move(other479.order);
-  status = other479.status;
-  __isset = other479.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other499) noexcept {
+  token = other499.token;
+  order = std::move(other499.order);
+  status = other499.status;
+  __isset = other499.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -15100,14 +15386,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->replicas.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _etype503;
+            xfer += iprot->readListBegin(_etype503, _size500);
+            this->replicas.resize(_size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
             {
-              xfer += this->replicas[_i484].read(iprot);
+              xfer += this->replicas[_i504].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15136,14 +15422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size485;
-            ::apache::thrift::protocol::TType _etype488;
-            xfer += iprot->readListBegin(_etype488, _size485);
-            this->versions.resize(_size485);
-            uint32_t _i489;
-            for (_i489 = 0; _i489 < _size485; ++_i489)
+            uint32_t _size505;
+            ::apache::thrift::protocol::TType _etype508;
+            xfer += iprot->readListBegin(_etype508, _size505);
+            this->versions.resize(_size505);
+            uint32_t _i509;
+            for (_i509 = 0; _i509 < _size505; ++_i509)
             {
-              xfer += this->versions[_i489].read(iprot);
+              xfer += this->versions[_i509].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15156,14 +15442,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size490;
-            ::apache::thrift::protocol::TType _etype493;
-            xfer += iprot->readListBegin(_etype493, _size490);
-            this->changes.resize(_size490);
-            uint32_t _i494;
-            for (_i494 = 0; _i494 < _size490; ++_i494)
+            uint32_t _size510;
+            ::apache::thrift::protocol::TType _etype513;
+            xfer += iprot->readListBegin(_etype513, _size510);
+            this->changes.resize(_size510);
+            uint32_t _i514;
+            for (_i514 = 0; _i514 < _size510; ++_i514)
             {
-              xfer += this->changes[_i494].read(iprot);
+              xfer += this->changes[_i514].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15184,14 +15470,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->records.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->records.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += this->records[_i499].read(iprot);
+              xfer += this->records[_i519].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15204,14 +15490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size500;
-            ::apache::thrift::protocol::TType _etype503;
-            xfer += iprot->readListBegin(_etype503, _size500);
-            this->orders.resize(_size500);
-            uint32_t _i504;
-            for (_i504 = 0; _i504 < _size500; ++_i504)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->orders.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += this->orders[_i504].read(iprot);
+              xfer += this->orders[_i524].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15224,14 +15510,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size505;
-            ::apache::thrift::protocol::TType _etype508;
-            xfer += iprot->readListBegin(_etype508, _size505);
-            this->groups.resize(_size505);
-            uint32_t _i509;
-            for (_i509 = 0; _i509 < _size505; ++_i509)
+            uint32_t _size525;
+            ::apache::thrift::protocol::TType _etype528;
+            xfer += iprot->readListBegin(_etype528, _size525);
+            this->groups.resize(_size525);
+            uint32_t _i529;
+            for (_i529 = 0; _i529 < _size525; ++_i529)
             {
-              xfer += this->groups[_i509].read(iprot);
+              xfer += this->groups[_i529].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15272,10 +15558,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter510;
-    for (_iter510 = this->replicas.begin(); _iter510 != this->replicas.end(); ++_iter510)
+    std::vector<Replica> ::const_iterator _iter530;
+    for (_iter530 = this->replicas.begin(); _iter530 != this->replicas.end(); ++_iter530)
     {
-      xfer += (*_iter510).write(oprot);
+      xfer += (*_iter530).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15292,10 +15578,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter511;
-    for (_iter511 = this->versions.begin(); _iter511 != this->versions.end(); ++_iter511)
+    std::vector<StateVersion> ::const_iterator _iter531;
+    for (_iter531 = this->versions.begin(); _iter531 != this->versions.end(); ++_iter531)
     {
-      xfer += (*_iter511).write(oprot);
+      xfer += (*_iter531).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15304,10 +15590,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter512;
-    for (_iter512 = this->changes.begin(); _iter512 != this->changes.end(); ++_iter512)
+    std::vector<StateChange> ::const_iterator _iter532;
+    for (_iter532 = this->changes.begin(); _iter532 != this->changes.end(); ++_iter532)
     {
-      xfer += (*_iter512).write(oprot);
+      xfer += (*_iter532).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15320,10 +15606,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter513;
-    for (_iter513 = this->records.begin(); _iter513 != this->records.end(); ++_iter513)
+    std::vector<StateRecord> ::const_iterator _iter533;
+    for (_iter533 = this->records.begin(); _iter533 != this->records.end(); ++_iter533)
     {
-      xfer += (*_iter513).write(oprot);
+      xfer += (*_iter533).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15333,10 +15619,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter514;
-      for (_iter514 = this->orders.begin(); _iter514 != this->orders.end(); ++_iter514)
+      std::vector<StateOrder> ::const_iterator _iter534;
+      for (_iter534 = this->orders.begin(); _iter534 != this->orders.end(); ++_iter534)
       {
-        xfer += (*_iter514).write(oprot);
+        xfer += (*_iter534).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -15346,10 +15632,10 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter515;
-      for (_iter515 = this->groups.begin(); _iter515 != this->groups.end(); ++_iter515)
+      std::vector<StateGroup> ::const_iterator _iter535;
+      for (_iter535 = this->groups.begin(); _iter535 != this->groups.end(); ++_iter535)
       {
-        xfer += (*_iter515).write(oprot);
+        xfer += (*_iter535).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
