@@ -15377,66 +15663,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other516) {
-  formatVersion = other516.formatVersion;
-  lastIndex = other516.lastIndex;
-  lastTerm = other516.lastTerm;
-  replicas = other516.replicas;
-  current = other516.current;
-  sheet = other516.sheet;
-  versions = other516.versions;
-  changes = other516.changes;
-  clockMicros = other516.clockMicros;
-  records = other516.records;
-  orders = other516.orders;
-  groups = other516.groups;
-  __isset = other516.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other517) noexcept {
-  formatVersion = other517.formatVersion;
-  lastIndex = other517.lastIndex;
-  lastTerm = other517.lastTerm;
-  replicas = std::move(other517.replicas);
-  current = std::move(other517.current);
-  sheet = std::move(other517.sheet);
-  versions = std::move(other517.versions);
-  changes = std::move(other517.changes);
-  clockMicros = other517.clockMicros;
-  records = std::move(other517.records);
-  orders = std::move(other517.orders);
-  groups = std::move(other517.groups);
-  __isset = other517.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other518) {
-  formatVersion = other518.formatVersion;
-  lastIndex = other518.lastIndex;
-  lastTerm = other518.lastTerm;
-  replicas = other518.replicas;
-  current = other518.current;
-  sheet = other518.sheet;
-  versions = other518.versions;
-  changes = other518.changes;
-  clockMicros = other518.clockMicros;
-  records = other518.records;
-  orders = other518.orders;
-  groups = other518.groups;
-  __isset = other518.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other519) noexcept {
-  formatVersion = other519.formatVersion;
-  lastIndex = other519.lastIndex;
-  lastTerm = other519.lastTerm;
-  replicas = std::move(other519.replicas);
-  current = std::move(other519.current);
-  sheet = std::move(other519.sheet);
-  versions = std::move(other519.versions);
-  changes = std::move(other519.changes);
-  clockMicros = other519.clockMicros;
-  records = std::move(other519.records);
-  orders = std::move(other519.orders);
-  groups = std::move(other519.groups);
-  __isset = other519.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other536) {
+  formatVersion = other536.formatVersion;
+  lastIndex = other536.lastIndex;
+  lastTerm = other536.lastTerm;
+  replicas = other536.replicas;
+  current = other536.current;
+  sheet = other536.sheet;
+  versions = other536.versions;
+  changes = other536.changes;
+  clockMicros = other536.clockMicros;
+  records = other536.records;
+  orders = other536.orders;
+  groups = other536.groups;
+  __isset = other536.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other537) noexcept {
+  formatVersion = other537.formatVersion;
+  lastIndex = other537.lastIndex;
+  lastTerm = other537.lastTerm;
+  replicas = std::move(other537.replicas);
+  current = std::move(other537.current);
+  sheet = std::move(other537.sheet);
+  versions = std::move(other537.versions);
+  changes = std::move(other537.changes);
+  clockMicros = other537.clockMicros;
+  records = std::move(other537.records);
+  orders = std::move(other537.orders);
+  groups = std::move(other537.groups);
+  __isset = other537.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other538) {
+  formatVersion = other538.formatVersion;
+  lastIndex = other538.lastIndex;
+  lastTerm = other538.lastTerm;
+  replicas = other538.replicas;
+  current = other538.current;
+  sheet = other538.sheet;
+  versions = other538.versions;
+  changes = other538.changes;
+  clockMicros = other538.clockMicros;
+  records = other538.records;
+  orders = other538.orders;
+  groups = other538.groups;
+  __isset = other538.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other539) noexcept {
+  formatVersion = other539.formatVersion;
+  lastIndex = other539.lastIndex;
+  lastTerm = other539.lastTerm;
+  replicas = std::move(other539.replicas);
+  current = std::move(other539.current);
+  sheet = std::move(other539.sheet);
+  versions = std::move(other539.versions);
+  changes = std::move(other539.changes);
+  clockMicros = other539.clockMicros;
+  records = std::move(other539.records);
+  orders = std::move(other539.orders);
+  groups = std::move(other539.groups);
+  __isset = other539.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -15550,26 +15836,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other520) noexcept {
-  protocolVersion = other520.protocolVersion;
-  messageType = other520.messageType;
-  __isset = other520.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other540) noexcept {
+  protocolVersion = other540.protocolVersion;
+  messageType = other540.messageType;
+  __isset = other540.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other521) noexcept {
-  protocolVersion = other521.protocolVersion;
-  messageType = other521.messageType;
-  __isset = other521.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other541) noexcept {
+  protocolVersion = other541.protocolVersion;
+  messageType = other541.messageType;
+  __isset = other541.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other522) noexcept {
-  protocolVersion = other522.protocolVersion;
-  messageType = other522.messageType;
-  __isset = other522.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other542) noexcept {
+  protocolVersion = other542.protocolVersion;
+  messageType = other542.messageType;
+  __isset = other542.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other523) noexcept {
-  protocolVersion = other523.protocolVersion;
-  messageType = other523.messageType;
-  __isset = other523.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other543) noexcept {
+  protocolVersion = other543.protocolVersion;
+  messageType = other543.messageType;
+  __isset = other543.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -69,6 +69,10 @@
 
 class CrashReport;
 
+class ContentObservation;
+
+class CrashEvidence;
+
 class EntryBeat;
 
 class EntryBeats;
@@ -1680,6 +1684,108 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
+typedef struct _ContentObservation__isset {
+  _ContentObservation__isset() : content(false), ageMillis(false) {}
+  bool content :1;
+  bool ageMillis :1;
+} _ContentObservation__isset;
+
+class ContentObservation : public virtual ::apache::thrift::TBase {
+ public:
+
+  ContentObservation(const ContentObservation&) noexcept;
+  ContentObservation(ContentObservation&&) noexcept;
+  ContentObservation& operator=(const ContentObservation&) noexcept;
+  ContentObservation& operator=(ContentObservation&&) noexcept;
+  ContentObservation() noexcept
+                     : content(0),
+                       ageMillis(0) {
+  }
+
+  virtual ~ContentObservation() noexcept;
+  int64_t content;
+  int64_t ageMillis;
+
+  _ContentObservation__isset __isset;
+
+  void __set_content(const int64_t val);
+
+  void __set_ageMillis(const int64_t val);
+
+  bool operator == (const ContentObservation & rhs) const
+  {
+    if (!(content == rhs.content))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const ContentObservation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ContentObservation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ContentObservation &a, ContentObservation &b);
+
+std::ostream& operator<<(std::ostream& out, const ContentObservation& obj);
+
+typedef struct _CrashEvidence__isset {
+  _CrashEvidence__isset() : crashes(false), successes(false) {}
+  bool crashes :1;
+  bool successes :1;
+} _CrashEvidence__isset;
+
+class CrashEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashEvidence(const CrashEvidence&);
+  CrashEvidence(CrashEvidence&&) noexcept;
+  CrashEvidence& operator=(const CrashEvidence&);
+  CrashEvidence& operator=(CrashEvidence&&) noexcept;
+  CrashEvidence() noexcept {
+  }
+
+  virtual ~CrashEvidence() noexcept;
+  std::vector<ContentObservation>  crashes;
+  std::vector<ContentObservation>  successes;
+
+  _CrashEvidence__isset __isset;
+
+  void __set_crashes(const std::vector<ContentObservation> & val);
+
+  void __set_successes(const std::vector<ContentObservation> & val);
+
+  bool operator == (const CrashEvidence & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(successes == rhs.successes))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashEvidence &a, CrashEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj);
+
 typedef struct _EntryBeat__isset {
   _EntryBeat__isset() : node(false), value(false) {}
   bool node :1;
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -75,6 +75,11 @@
         {e.id, e.address, Wire::EncodeRequest(e), e.request->id, e.may_reuse_connection});
   }
   void Execute(const cancel_upstream& e) { backends_.Cancel(e.id); }
+  void Execute(const probe_backend& e) {
+    backends_.Probe(e.address, [this, backend = e.backend](probe_result result) {
+      sink_(backend_probed{backend, result});
+    });
+  }
   void Execute(const forward_begin& e) {
     callers_.Begin(e.exchange, e.status, e.headers, e.length);
   }
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -30,6 +30,7 @@
   std::function<bool(const request_id&, event)> on_deliver;
   std::function<void(bool all_finished)> on_stop;
   std::function<void(const crash_report&)> on_crash_report;
+  std::function<void(const crash_evidence&)> on_crash_evidence;
   std::function<void(const publish_document&)> on_document;
   std::function<void(const publish_fleet_load&)> on_fleet_load;
   std::function<void(bool up)> on_engine_status;
@@ -172,6 +173,9 @@
   void Execute(const share_crash_report& e) {
     if (hooks_.on_crash_report) hooks_.on_crash_report(e.report);
   }
+  void Execute(const share_crash_evidence& e) {
+    if (hooks_.on_crash_evidence) hooks_.on_crash_evidence(e.evidence);
+  }
   void Execute(const share_engine_status& e) {
     if (hooks_.on_engine_status) hooks_.on_engine_status(e.up);
   }
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -225,7 +225,9 @@
       End(tcp_end::kConnectFailed);
     } else {
       connected_ = true;
-      Flush();
+      std::shared_ptr<bool> alive = alive_;
+      if (on_.on_connected) on_.on_connected();
+      if (*alive) Flush();
     }
   } else {
     bool had = BufferedBytes() > 0;
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -44,6 +44,8 @@
     std::function<void(std::string_view)> on_bytes;
     /// Called at most once and not after Close.
     std::function<void(tcp_end)> on_end;
+    /// Optional; called once a connection that this side opened is established.
+    std::function<void()> on_connected = nullptr;
   };
 
   /// Starts to connect; ends in `on_end` if it fails.
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -1,6 +1,7 @@
 #include "io/upstream_client.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace radishroute {
@@ -102,6 +103,30 @@
   Remove(c);
 }
 
+void upstream_client::Probe(const endpoint& to, std::function<void(probe_result)> done) {
+  std::uint64_t number = next_probe_++;
+  // A machine answers for a process that has ended by a reset; one that is cut off does not answer.
+  tcp_connection::handlers on{[](std::string_view) {},
+                              [this, number](tcp_end) { EndProbe(number, probe_result::kRefused); },
+                              [this, number] { EndProbe(number, probe_result::kReachable); }};
+  auto tcp = tcp_connection::Connect(loop_, to, {}, std::move(on));
+  if (!tcp) {
+    done(errno == ECONNREFUSED ? probe_result::kRefused : probe_result::kUnknown);
+    return;
+  }
+  probes_.emplace(number, probe{std::move(tcp), Now(), std::move(done)});
+}
+
+void upstream_client::EndProbe(std::uint64_t number, probe_result result) {
+  auto it = probes_.find(number);
+  if (it == probes_.end()) return;
+  auto done = std::move(it->second.done);
+  // The connection may be the caller of this function.
+  ended_probes_.push_back(std::move(it->second.tcp));
+  probes_.erase(it);
+  done(result);
+}
+
 void upstream_client::OnBytes(connection& c, std::string_view bytes) {
   while (!c.removed && !bytes.empty()) {
     if (c.call.value == 0) {
@@ -193,7 +218,13 @@
 
 void upstream_client::Sweep() {
   removed_.clear();
+  ended_probes_.clear();
   steady_time now = Now();
+  std::vector<std::uint64_t> unanswered;
+  for (const auto& [number, p] : probes_) {
+    if (now - p.since > limits_.connect_timeout) unanswered.push_back(number);
+  }
+  for (std::uint64_t number : unanswered) EndProbe(number, probe_result::kUnknown);
   std::vector<connection*> late;
   std::vector<connection*> unused;
   for (auto& [number, c] : connections_) {
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -61,6 +61,8 @@
   void Start(upstream_call call);
   /// Closes the call's connection; no handler is called for it any more.
   void Cancel(upstream_id id);
+  /// Opens a connection of its own and closes it again.
+  void Probe(const endpoint& to, std::function<void(probe_result)> done);
 
  private:
   struct connection;
@@ -73,8 +75,15 @@
   void OnEnd(connection& c, tcp_end how);
   void Fail(connection& c, upstream_stage stage);
   void Remove(connection& c);
+  void EndProbe(std::uint64_t number, probe_result result);
   void Sweep();
 
+  struct probe {
+    std::unique_ptr<tcp_connection> tcp;
+    steady_time since;
+    std::function<void(probe_result)> done;
+  };
+
   io_loop& loop_;
   std::string identity_header_;
   handlers on_;
@@ -85,6 +94,10 @@
   /// Numbers of idle connections, the most recently used last.
   std::map<endpoint, std::vector<std::uint64_t>> idle_;
   std::vector<std::unique_ptr<connection>> removed_;
+  std::uint64_t next_probe_ = 1;
+  std::unordered_map<std::uint64_t, probe> probes_;
+  /// Freed by the next sweep.
+  std::vector<std::unique_ptr<tcp_connection>> ended_probes_;
   periodic_task sweep_;
 };
 
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -55,6 +55,7 @@
     wire_entry<17, directory_pull, wire::DirectoryPull>,            //
     wire_entry<18, crash_report, wire::CrashReport>,                //
     wire_entry<19, entry_heartbeats, wire::EntryBeats>,             //
+    wire_entry<20, crash_evidence, wire::CrashEvidence>,            //
     wire_entry<30, append_request, wire::AppendRequest>,            //
     wire_entry<31, append_reply, wire::AppendReply>,                //
     wire_entry<32, vote_request, wire::VoteRequest>,                //
--- a/src/io/wire_failure.h
+++ b/src/io/wire_failure.h
@@ -31,6 +31,32 @@
   return m;
 }
 
+inline wire::ContentObservation ToWire(const content_observation& o) {
+  wire::ContentObservation w;
+  w.content = Signed(o.content.value);
+  w.ageMillis = o.age.count();
+  return w;
+}
+
+inline content_observation FromWire(const wire::ContentObservation& w, bool& ok) {
+  if (w.ageMillis < 0) ok = false;
+  return {{Unsigned(w.content)}, std::chrono::milliseconds(w.ageMillis)};
+}
+
+inline wire::CrashEvidence ToWire(const crash_evidence& m) {
+  wire::CrashEvidence w;
+  ListToWire(m.crashes, w.crashes);
+  ListToWire(m.successes, w.successes);
+  return w;
+}
+
+inline crash_evidence FromWire(const wire::CrashEvidence& w, bool& ok) {
+  crash_evidence m;
+  ConvertList(w.crashes, m.crashes, [&](const auto& o) { return FromWire(o, ok); });
+  ConvertList(w.successes, m.successes, [&](const auto& o) { return FromWire(o, ok); });
+  return m;
+}
+
 inline wire::EntryBeats ToWire(const entry_heartbeats& m) {
   wire::EntryBeats w;
   for (const entry_heartbeat& beat : m.beats) {
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -124,6 +124,12 @@
       return "forward-retried";
     case event_code::kForwardAttemptFailed:
       return "forward-attempt-failed";
+    case event_code::kBackendCrashed:
+      return "backend-crashed";
+    case event_code::kContentQuarantined:
+      return "content-quarantined";
+    case event_code::kContentReleased:
+      return "content-released";
     case event_code::kDeploymentApplied:
       return "deployment-applied";
     case event_code::kDeploymentRejected:
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -34,6 +34,7 @@
   visit(state.control.orders);
   visit(state.control.rank);
   visit(state.control.engine);
+  visit(state.control.crashes);
   visit(state.traffic.requests);
   visit(state.traffic.executions);
   visit(state.traffic.forwarding);
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -97,6 +97,11 @@
     return errors.front().status;
   }
 
+  /// The probe after a lost connection shows that the engine has not crashed.
+  void ConfirmAlive(const start_upstream& call) {
+    Handle(backend_probed{call.backend, probe_result::kReachable});
+  }
+
   void BeginResponse(upstream_id id, unsigned status, bool not_run = false,
                      const std::string& type = "text/plain") {
     backend_response response;
@@ -198,6 +203,7 @@
   f.Handle(upstream_response_bytes{first.id, "id: 1\ndata: a\n\nid: 2\nda"});
   CHECK(f.All<forward_bytes>().front().bytes == "id: 1\ndata: a\n\n");
   f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+  f.ConfirmAlive(first);
   start_upstream second = f.SingleSentRequest();
   CHECK(second.last_event == "1");
   f.BeginResponse(second.id, 200, false, "text/event-stream");
@@ -218,6 +224,8 @@
   f.Handle(upstream_response_bytes{first.id, "id: 1\ndata: a\n\nid: 2\nda"});
   f.Handle(upstream_response_end{first.id});
   CHECK(f.All<forward_end>().empty());
+  f.ConfirmAlive(first);
+  CHECK(f.All<forward_end>().empty());
   CHECK(f.SingleSentRequest().last_event == "1");
 }
 
@@ -226,11 +234,13 @@
 TEST_CASE("a stream that cannot be resumed is aborted") {
   forwarder_fixture f;
   f.SendRequest("/draft/1");
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    start_upstream sent = f.SingleSentRequest();
-    f.BeginResponse(sent.id, 200, false, "text/event-stream");
-    f.Handle(upstream_call_failed{sent.id, upstream_stage::kAnswering});
-  }
+  start_upstream first = f.SingleSentRequest();
+  f.BeginResponse(first.id, 200, false, "text/event-stream");
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+  f.ConfirmAlive(first);
+  start_upstream second = f.SingleSentRequest();
+  f.BeginResponse(second.id, 200, false, "text/event-stream");
+  f.Handle(upstream_call_failed{second.id, upstream_stage::kAnswering});
   CHECK(f.All<forward_abort>().size() == 1);
   CHECK(f.All<forward_end>().empty());
   CHECK(f.requests.Size() == 0);
@@ -319,4 +329,111 @@
   CHECK(f.All<stop_process>().front().all_finished);
 }
 
+namespace {
+
+constexpr fingerprint kDeadlyPart{7};
+
+/// A forwarder whose requests have prompts with shared parts.
+struct crash_fixture : forwarder_fixture {
+  start_upstream SendPrompt(std::vector<fingerprint> parts, const std::string& body = "one") {
+    auto r = std::make_shared<forward_request>();
+    r->exchange = {next_exchange++};
+    r->method = "POST";
+    r->target = r->path = "/draft/1";
+    r->host = "h";
+    r->key = "key";
+    r->body = body;
+    r->time_left = milliseconds(8000);
+    r->prompt_parts = std::move(parts);
+    Handle(forward_received{r});
+    auto sent = All<start_upstream>();
+    return sent.empty() ? start_upstream{} : sent.front();
+  }
+  /// The engine of a request crashes before it has answered.
+  void CrashEngine(const start_upstream& call) {
+    Handle(upstream_call_failed{call.id, upstream_stage::kWaiting});
+    auto probes = All<probe_backend>();
+    REQUIRE(probes.size() == 1);
+    Handle(backend_probed{probes[0].backend, probe_result::kRefused});
+  }
+};
+
+}  // namespace
+
+// Guards against a prompt part that crashes one engine after the other, in requests that are never
+// alike.
+TEST_CASE("a prompt part that was at two crashes reaches no engine any more") {
+  crash_fixture f;
+  f.CrashEngine(f.SendPrompt({{1}, kDeadlyPart}, "one"));
+  // The request itself does not go to a second engine.
+  CHECK(f.All<start_upstream>().empty());
+  CHECK(f.ErrorStatus() == 502);
+  f.fake.Advance(milliseconds(5000));
+  f.CrashEngine(f.SendPrompt({{2}, kDeadlyPart}, "two"));
+  REQUIRE(f.All<share_crash_evidence>().size() == 1);
+  f.SendPrompt({{3}, kDeadlyPart}, "three");
+  CHECK(f.All<start_upstream>().empty());
+  CHECK(f.ErrorStatus() == 503);
+  CHECK(f.All<send_error_response>()[0].reason == refusal_reason::kQuarantined);
+  CHECK(f.All<send_error_response>()[0].retry_after > milliseconds(0));
+  // Requests that share the other part are served.
+  f.SendPrompt({{1}}, "four");
+  CHECK(f.All<start_upstream>().size() == 1);
+}
+
+// Guards against sending a request to a second engine before it is known whether it crashed the
+// first one.
+TEST_CASE("a request whose connection broke is retried once its engine is known to live") {
+  crash_fixture f;
+  start_upstream first = f.SendPrompt({{1}});
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kWaiting});
+  CHECK(f.All<start_upstream>().empty());
+  REQUIRE(f.All<probe_backend>().size() == 1);
+  probe_result result = GENERATE(probe_result::kReachable, probe_result::kUnknown);
+  f.Handle(backend_probed{first.backend, result});
+  CHECK(f.SingleSentRequest().backend != first.backend);
+  CHECK(f.All<share_crash_evidence>().empty());
+}
+
+// Guards against charging streams that an engine had written for long when another request crashed
+// it.
+TEST_CASE("a stream that had lasted when its engine crashed is resumed and not charged") {
+  crash_fixture f;
+  start_upstream first = f.SendPrompt({{1}});
+  f.BeginResponse(first.id, 200, false, "text/event-stream");
+  f.fake.Advance(milliseconds(800));
+  f.Handle(upstream_response_bytes{first.id, "id: 1\ndata: a\n\n"});
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+  CHECK(f.All<probe_backend>().empty());
+  CHECK(f.SingleSentRequest().last_event == "1");
+}
+
+// Guards against a quarantine that comes too late for requests that wait in engines.
+TEST_CASE("requests in engines' queues are withdrawn when their content is quarantined") {
+  crash_fixture f;
+  start_upstream waiting = f.SendPrompt({kDeadlyPart}, "one");
+  crash_evidence evidence;
+  evidence.crashes = {{kDeadlyPart, milliseconds(4000)}, {kDeadlyPart, milliseconds(0)}};
+  f.Handle(crash_evidence_shared{evidence});
+  REQUIRE(f.All<cancel_upstream>().size() == 1);
+  CHECK(f.All<cancel_upstream>()[0].id == waiting.id);
+  // It may have run, so the caller is not told that it has not.
+  CHECK(f.ErrorStatus() == 502);
+}
+
+// Guards against refusing sound requests for good because they were beside the one that crashes
+// engines.
+TEST_CASE("an answer clears the content of its request and tells the other processes") {
+  crash_fixture f;
+  f.CrashEngine(f.SendPrompt({{1}, kDeadlyPart}, "one"));
+  f.fake.Advance(milliseconds(3000));
+  start_upstream sound = f.SendPrompt({{1}}, "two");
+  f.BeginResponse(sound.id, 200);
+  f.Handle(upstream_response_end{sound.id});
+  auto shared = f.All<share_crash_evidence>();
+  REQUIRE(shared.size() == 1);
+  REQUIRE(shared[0].evidence.successes.size() == 1);
+  CHECK(shared[0].evidence.successes[0].content == fingerprint{1});
+}
+
 }  // namespace radishroute
--- /dev/null
+++ b/tests/upstream_client_test.cc
@@ -0,0 +1,117 @@
+#include "io/upstream_client.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "loopback_port.h"
+
+namespace radishroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A client on a loop of its own, and a backend server that the test plays on a plain socket.
+struct client_fixture {
+  client_fixture() {
+    static const lws_protocols protocols[] = {tcp_connection::Protocol(), WakeProtocol(), {}};
+    loop.CreateClientVhost(protocols);
+    client = std::make_unique<upstream_client>(
+        loop, "Request-Id",
+        upstream_client::handlers{
+            [this](upstream_id id, http_head&& head) {
+              Record(std::to_string(id.value) + " head " + std::to_string(head.status));
+            },
+            [this](upstream_id id, std::string_view bytes) {
+              Record(std::to_string(id.value) + " body " + std::string(bytes));
+            },
+            [this](upstream_id id) { Record(std::to_string(id.value) + " end"); },
+            [this](upstream_id id, upstream_stage stage) {
+              Record(std::to_string(id.value) + " failed " + std::string(ToString(stage)));
+            }});
+    listener = socket(AF_INET, SOCK_STREAM, 0);
+    address = {"127.0.0.1", FreeLoopbackPort()};
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(address.port);
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int yes = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    REQUIRE(listen(listener, 4) == 0);
+    thread = std::thread([this] { loop.Run(); });
+  }
+
+  ~client_fixture() {
+    if (backend >= 0) close(backend);
+    close(listener);
+    loop.Stop();
+    thread.join();
+    client.reset();
+  }
+
+  void Record(std::string line) {
+    std::lock_guard lock(mutex);
+    events.push_back(std::move(line));
+    changed.notify_all();
+  }
+
+  std::string NextEvent() {
+    std::unique_lock lock(mutex);
+    if (!changed.wait_for(lock, 3s, [this] { return !events.empty(); })) return "nothing";
+    std::string event = std::move(events.front());
+    events.pop_front();
+    return event;
+  }
+
+  void Call(std::uint64_t id, const std::string& request_id) {
+    loop.Post([this, id, request_id] {
+      client->Start({{id}, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", request_id, true});
+    });
+  }
+
+  /// Accepts the client's connection unless it is kept from an earlier call, and reads a request.
+  void ReadRequest() {
+    if (backend < 0) backend = accept(listener, nullptr, nullptr);
+    std::array<char, 4096> buffer;
+    REQUIRE(recv(backend, buffer.data(), buffer.size(), 0) > 0);
+  }
+
+  io_loop loop;
+  std::unique_ptr<upstream_client> client;
+  endpoint address;
+  int listener = -1;
+  int backend = -1;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<std::string> events;
+  std::thread thread;
+};
+
+}  // namespace
+
+// Guards against a crash that is not noticed, or a silent machine that is taken for one.
+TEST_CASE("a probe tells a backend server that has ended from one that lives") {
+  client_fixture f;
+  auto probe = [&](const endpoint& to) {
+    f.loop.Post([&f, to] {
+      f.client->Probe(to, [&f](probe_result result) { f.Record(std::string(ToString(result))); });
+    });
+    return f.NextEvent();
+  };
+  CHECK(probe(f.address) == "reachable");
+  CHECK(probe({"127.0.0.1", FreeLoopbackPort()}) == "refused");
+}
+
+}  // namespace radishroute
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -74,6 +74,8 @@
 
 struct CrashCharge { 1: i64 content; 2: i64 source; 3: i32 sequence; 4: i64 ageMillis }
 struct CrashReport { 1: list<CrashCharge> charges; 2: list<i64> cleared }
+struct ContentObservation { 1: i64 content; 2: i64 ageMillis }
+struct CrashEvidence { 1: list<ContentObservation> crashes; 2: list<ContentObservation> successes }
 struct EntryBeat { 1: i64 node; 2: i64 value }
 struct EntryBeats { 1: list<EntryBeat> beats }
 
