Take no response without an identity for one to a later request

Operators of systems like ours report an engine that wrote an earlier refusal once more on a kept connection: callers were told 'not run' for requests that had run (REFUSED), or these ran twice (TWICE).

Could it happen here: a repeated refusal that names its request was dropped before, as its identity differs. One without an identity was taken for the answer to the present request, which for a stream that may not be resumed broke both rules. Requests that must not be repeated have a connection of their own and were not concerned.

Change: once a response on a connection has named its request, one that names none fails the attempt as malformed, so that the request counts as one that may have run.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -34,6 +34,8 @@
   std::string request_id;
   /// The response that is being read belongs to another request and is dropped.
   bool foreign = false;
+  /// An earlier response on this connection carried its request's identity.
+  bool names_requests = false;
   bool answered = false;
   bool keep_alive = true;
   bool removed = false;
@@ -151,6 +153,13 @@
   const std::string* id = FindHeader(head.headers, identity_header_);
   c.foreign = id != nullptr && !c.request_id.empty() && *id != c.request_id;
   if (c.foreign || c.call.value == 0) return;
+  // A response to an earlier request that is sent once more; the one to this request may follow.
+  if (id == nullptr && c.names_requests) {
+    c.foreign = true;
+    Fail(c, upstream_stage::kMalformed);
+    return;
+  }
+  c.names_requests = c.names_requests || id != nullptr;
   c.answered = true;
   c.keep_alive = head.keep_alive;
   auto seconds = KeepAliveSeconds(head);
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -88,6 +88,20 @@
     REQUIRE(recv(backend, buffer.data(), buffer.size(), 0) > 0);
   }
 
+  void Respond(const std::string& text) { send(backend, text.data(), text.size(), MSG_NOSIGNAL); }
+
+  /// Sends a text again and again until the client closes. Returns the bytes that were sent.
+  std::size_t RespondWithoutEnd(const std::string& text) {
+    std::size_t sent = 0;
+    constexpr std::size_t kMost = std::size_t{64} << 20;
+    while (sent < kMost) {
+      ssize_t n = send(backend, text.data(), text.size(), MSG_NOSIGNAL);
+      if (n <= 0) break;
+      sent += static_cast<std::size_t>(n);
+    }
+    return sent;
+  }
+
   io_loop loop;
   std::unique_ptr<upstream_client> client;
   endpoint address;
@@ -99,8 +113,46 @@
   std::thread thread;
 };
 
+constexpr const char* kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+
 }  // namespace
 
+// Guards against telling a caller 'not run' because an engine repeated its answer to an earlier
+// request.
+TEST_CASE("a refusal of an earlier request on a kept connection is not taken for the present one") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  f.Respond(std::string(kRefusal) + "Request-Id: first\r\n\r\n");
+  CHECK(f.NextEvent() == "1 head 503");
+  CHECK(f.NextEvent() == "1 end");
+  f.Call(2, "second");
+  f.ReadRequest();
+  SECTION("the refusal names its request") {
+    f.Respond(std::string(kRefusal) + "Request-Id: first\r\n\r\n");
+    f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: second\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(f.NextEvent() == "2 head 200");
+    CHECK(f.NextEvent() == "2 body ok");
+    CHECK(f.NextEvent() == "2 end");
+  }
+  SECTION("the refusal names no request") {
+    f.Respond(std::string(kRefusal) + "\r\n");
+    CHECK(f.NextEvent() == "2 failed malformed");
+  }
+}
+
+// Guards against bytes that are no answer and never end, which would fill the memory.
+TEST_CASE("a head without end is given up") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  f.Respond("HTTP/1.1 200 OK\r\nX: ");
+  std::size_t sent = f.RespondWithoutEnd(std::string(16384, 'x'));
+  CHECK(sent < (std::size_t{16} << 20));
+  CHECK(f.NextEvent() == "1 failed malformed");
+}
+
 // Guards against a crash that is not noticed, or a silent machine that is taken for one.
 TEST_CASE("a probe tells a backend server that has ended from one that lives") {
   client_fixture f;
