Continue a stream only with a stream

Could it happen here: errors with a status of 400 and more were not passed on, and the caller's connection was closed. A response with 200 that is no stream of events was passed on as a part of the stream, and its end ended the stream.

Change: an attempt remembers whether its response is a stream; only that is passed on to a caller whose stream has begun.

--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -68,6 +68,8 @@
     std::optional<steady_time> begun = std::nullopt;
     bool not_run = false;
     bool wrong_backend = false;
+    /// The response is a stream of events and no error.
+    bool is_stream = false;
   };
 
   struct active_request {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -297,9 +297,9 @@
   active->body.clear();
   if (!active->first_byte && !a.not_run) active->first_byte = ctx.now;
   if (!a.not_run) a.begun = ctx.now;
-  bool stream = active->matched_route->kind == request_kind::kStreaming &&
+  a.is_stream = active->matched_route->kind == request_kind::kStreaming &&
                 e.response.status == 200 && !a.not_run && IsEventStream(e.response);
-  if (stream && !active->HasBegun()) BeginStream(*active, ctx);
+  if (a.is_stream && !active->HasBegun()) BeginStream(*active, ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
@@ -323,9 +323,7 @@
   if (active == nullptr) return;
   const auto& begun = active->current->begun;
   if (begun && ctx.now - *begun > kMaxTimeToCrash) RecordSuccess(*active, ctx);
-  bool stream_continues =
-      active->is_streaming && active->response.status == 200 && !active->current->not_run;
-  if (stream_continues) {
+  if (active->is_streaming && active->current->is_stream) {
     std::string events = active->events.Feed(e.bytes);
     if (!events.empty()) ctx.Emit(forward_bytes{active->request->exchange, std::move(events)});
   } else if (active->is_passthrough) {
@@ -357,6 +355,7 @@
   }
   bool not_run = active->current->not_run;
   bool wrong_backend = active->current->wrong_backend;
+  bool is_stream = active->current->is_stream;
   unsigned status = active->response.status;
   attempt_result result = ResultForStatus(status);
   if (not_run) result = wrong_backend ? attempt_result::kWrongBackend : attempt_result::kFull;
@@ -365,7 +364,7 @@
     active->may_have_run = true;
     if (status < 500) RecordSuccess(*active, ctx);
   }
-  if (active->is_streaming && status == 200 && !not_run) {
+  if (active->is_streaming && is_stream) {
     ctx.Emit(forward_end{active->request->exchange});
     Finish(*active, "served", status, ctx);
     return;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -246,6 +246,27 @@
   CHECK(f.requests.Size() == 0);
 }
 
+// Guards against an error of the next engine, or its head, in the middle of a caller's stream.
+TEST_CASE("a response that is no stream does not continue one") {
+  forwarder_fixture f;
+  f.SendRequest("/draft/1");
+  start_upstream first = f.SingleSentRequest();
+  f.BeginResponse(first.id, 200, false, "text/event-stream");
+  f.Handle(upstream_response_bytes{first.id, "id: 1\ndata: a\n\n"});
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+  f.ConfirmAlive(first);
+  start_upstream second = f.SingleSentRequest();
+  unsigned status = GENERATE(200U, 400U, 500U, 503U);
+  f.BeginResponse(second.id, status, false, "application/json");
+  CHECK(f.All<forward_begin>().empty());
+  f.Handle(upstream_response_bytes{second.id, "{\"error\": 1}\n\n"});
+  CHECK(f.All<forward_bytes>().empty());
+  f.Handle(upstream_response_end{second.id});
+  CHECK(f.All<forward_bytes>().empty());
+  CHECK(f.All<forward_end>().empty());
+  CHECK(f.All<forward_abort>().size() == 1);
+}
+
 // Guards against forwarding requests with unknown routes or API keys to a backend server.
 TEST_CASE("requests with unknown routes or API keys are refused") {
   forwarder_fixture f;
