Give up an answer whose event or error has no end

An event without an end, and an error on a stream that had begun, were buffered without a bound: some seconds of that fill the 160 MB of a gateway. A sidecar buffered the report of its engine likewise.

Change: an event of more than 1 MiB, an error of more than 256 KiB on a stream that has begun, and a report of more than 4 MiB end the attempt as malformed and close its connection.

Evidence: the new test fails before (8 MiB buffered and going on). The bound of the sidecar has no test of its own.

--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -140,6 +140,7 @@
   void EnforceQuarantine(const crash_evidence& evidence, reduce_context& ctx);
   void BeginStream(active_request& active, reduce_context& ctx);
   void PassThrough(active_request& active, reduce_context& ctx);
+  void GiveUpAttempt(active_request& active, reduce_context& ctx);
   void SendBufferedResponse(active_request& active, reduce_context& ctx);
   void EndAttempt(active_request& active, attempt_result result, reduce_context& ctx);
   void FailRequest(active_request& active, refusal_reason reason, reduce_context& ctx);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -326,14 +326,28 @@
   if (active->is_streaming && active->current->is_stream) {
     std::string events = active->events.Feed(e.bytes);
     if (!events.empty()) ctx.Emit(forward_bytes{active->request->exchange, std::move(events)});
+    if (active->events.IsOversized()) GiveUpAttempt(*active, ctx);
   } else if (active->is_passthrough) {
     ctx.Emit(forward_bytes{active->request->exchange, e.bytes});
   } else {
     active->body.append(e.bytes);
-    if (active->body.size() > kMaxBufferedBytes && !active->HasBegun()) PassThrough(*active, ctx);
+    if (active->body.size() <= kMaxBufferedBytes) return;
+    if (active->HasBegun()) {
+      GiveUpAttempt(*active, ctx);
+    } else {
+      PassThrough(*active, ctx);
+    }
   }
 }
 
+// The bytes of the response are no answer and may have no end.
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::GiveUpAttempt(active_request& active, reduce_context& ctx) {
+  upstream_id id = active.current->id;
+  ctx.Emit(cancel_upstream{id});
+  Handle(upstream_call_failed{id, upstream_stage::kMalformed}, ctx);
+}
+
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::SendBufferedResponse(active_request& active,
                                                           reduce_context& ctx) {
--- a/src/io/engine_port.h
+++ b/src/io/engine_port.h
@@ -38,13 +38,15 @@
   /// The engine is on the same machine and answers within milliseconds; an answer that takes
   /// longer is lost.
   static constexpr std::chrono::milliseconds kCallTimeout{100};
+  /// Reports and counts are smaller than this; more bytes are no answer and may have no end.
+  static constexpr std::size_t kMaxBodyBytes = std::size_t{4} << 20;
 
   engine_port(io_loop& loop, endpoint engine, event_sink sink)
       : engine_(std::move(engine)),
         sink_(std::move(sink)),
         client_(loop, {},
                 {[this](upstream_id id, http_head&& head) { calls_[id].status = head.status; },
-                 [this](upstream_id id, std::string_view bytes) { calls_[id].body.append(bytes); },
+                 [this](upstream_id id, std::string_view bytes) { OnBody(id, bytes); },
                  [this](upstream_id id) { OnEnd(id); },
                  [this](upstream_id id, upstream_stage stage) { OnFailed(id, stage); }}),
         timeouts_(loop, kCallTimeout / 4, [this] { CheckTimeouts(); }) {}
@@ -77,6 +79,14 @@
     client_.Start({id, engine_, std::move(bytes), {}, may_reuse});
   }
 
+  void OnBody(upstream_id id, std::string_view bytes) {
+    std::string& body = calls_[id].body;
+    body.append(bytes);
+    if (body.size() <= kMaxBodyBytes) return;
+    client_.Cancel(id);
+    OnFailed(id, upstream_stage::kMalformed);
+  }
+
   void OnEnd(upstream_id id) {
     auto node = calls_.extract(id);
     if (!node) return;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -267,6 +267,30 @@
   CHECK(f.All<forward_abort>().size() == 1);
 }
 
+// Guards against bytes that are no answer and never end, which would fill the memory.
+TEST_CASE("an event or an error without end is given up") {
+  forwarder_fixture f;
+  f.SendRequest("/draft/1");
+  start_upstream sent = f.SingleSentRequest();
+  bool is_event = GENERATE(true, false);
+  f.BeginResponse(sent.id, 200, false, "text/event-stream");
+  if (!is_event) {
+    f.Handle(upstream_call_failed{sent.id, upstream_stage::kMalformed});
+    sent = f.SingleSentRequest();
+    f.BeginResponse(sent.id, 500, false, "text/plain");
+  }
+  std::size_t received = 0;
+  constexpr std::size_t kMost = std::size_t{8} << 20;
+  do {
+    f.Handle(upstream_response_bytes{sent.id, std::string(16384, 'x')});
+    received += 16384;
+  } while (f.All<cancel_upstream>().empty() && received < kMost);
+  CHECK(received < kMost);
+  CHECK(f.All<forward_bytes>().empty());
+  if (is_event) CHECK(f.All<start_upstream>().size() == 1);
+  if (!is_event) CHECK(f.All<forward_abort>().size() == 1);
+}
+
 // Guards against forwarding requests with unknown routes or API keys to a backend server.
 TEST_CASE("requests with unknown routes or API keys are refused") {
   forwarder_fixture f;
