Drop observed content with open crashes last

Change: the order in which records are dropped begins with those without open crashes.

Evidence: the new test plays a flood of other content; it failed before, since the quarantined content was gone.

--- a/include/radishroute/crash_attribution.h
+++ b/include/radishroute/crash_attribution.h
@@ -2,13 +2,13 @@
 #define RADISHROUTE_CRASH_ATTRIBUTION_H_
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "radishroute/clock.h"
@@ -74,15 +74,29 @@
     std::size_t OpenCrashes() const;
   };
 
-  record& Touch(fingerprint content, steady_time now);
+  /// Position in the order in which records are dropped.
+  struct use_key {
+    /// Content with open crashes is dropped last, whatever else is observed meanwhile.
+    bool has_open_crashes = false;
+    steady_time last_used;
+    fingerprint content;
+    auto operator<=>(const use_key&) const = default;
+  };
+
+  static use_key KeyOf(fingerprint content, const record& r) {
+    return {r.OpenCrashes() > 0, r.last_used, content};
+  }
+  void DropExpired(steady_time now);
+  /// Calls `change` with the record of the content, which is created if needed.
+  template <class Change>
+  void Update(fingerprint content, steady_time now, Change change);
   bool AddCrash(fingerprint content, steady_time at, steady_time now);
   bool AddSuccess(fingerprint content, steady_time at, steady_time now);
   const record* Find(fingerprint content, steady_time now) const;
 
   crash_attribution_limits limits_;
   std::unordered_map<fingerprint, record> records_;
-  /// The keys of `records_`, the least recently used first.
-  std::set<std::pair<steady_time, fingerprint>> by_use_;
+  std::set<use_key> by_use_;
 };
 
 }  // namespace radishroute
--- a/src/crash_attribution.cc
+++ b/src/crash_attribution.cc
@@ -27,22 +27,33 @@
   return static_cast<std::size_t>(crashes.end() - first_open);
 }
 
-crash_attribution::record& crash_attribution::Touch(fingerprint content, steady_time now) {
-  auto evict_oldest = [this] {
-    records_.erase(by_use_.begin()->second);
-    by_use_.erase(by_use_.begin());
-  };
-  while (!by_use_.empty() && by_use_.begin()->first + limits_.retention <= now) evict_oldest();
+void crash_attribution::DropExpired(steady_time now) {
+  for (bool open : {false, true}) {
+    auto oldest = by_use_.lower_bound({open, steady_time::min(), {}});
+    while (oldest != by_use_.end() && oldest->has_open_crashes == open &&
+           oldest->last_used + limits_.retention <= now) {
+      records_.erase(oldest->content);
+      oldest = by_use_.erase(oldest);
+    }
+  }
+}
+
+template <class Change>
+void crash_attribution::Update(fingerprint content, steady_time now, Change change) {
+  DropExpired(now);
   auto it = records_.find(content);
   if (it != records_.end()) {
-    by_use_.erase({it->second.last_used, content});
+    by_use_.erase(KeyOf(content, it->second));
   } else {
-    while (records_.size() >= limits_.max_contents) evict_oldest();
+    while (records_.size() >= limits_.max_contents) {
+      records_.erase(by_use_.begin()->content);
+      by_use_.erase(by_use_.begin());
+    }
     it = records_.emplace(content, record{}).first;
   }
+  change(it->second);
   it->second.last_used = now;
-  by_use_.emplace(now, content);
-  return it->second;
+  by_use_.insert(KeyOf(content, it->second));
 }
 
 const crash_attribution::record* crash_attribution::Find(fingerprint content,
@@ -55,13 +66,17 @@
 // Returns whether the crash was new and is not refuted by a later success.
 bool crash_attribution::AddCrash(fingerprint content, steady_time at, steady_time now) {
   if (now - at >= limits_.retention) return false;
-  record& r = Touch(content, now);
-  for (steady_time known : r.crashes) {
-    if (std::chrono::abs(known - at) < limits_.crash_interval) return false;
-  }
-  r.crashes.insert(std::upper_bound(r.crashes.begin(), r.crashes.end(), at), at);
-  if (r.crashes.size() > kMaxCrashes) r.crashes.erase(r.crashes.begin());
-  return !r.last_success || *r.last_success < at;
+  bool is_new = false;
+  Update(content, now, [&](record& r) {
+    bool known = std::any_of(r.crashes.begin(), r.crashes.end(), [&](steady_time other) {
+      return std::chrono::abs(other - at) < limits_.crash_interval;
+    });
+    if (known) return;
+    r.crashes.insert(std::upper_bound(r.crashes.begin(), r.crashes.end(), at), at);
+    if (r.crashes.size() > kMaxCrashes) r.crashes.erase(r.crashes.begin());
+    is_new = !r.last_success || *r.last_success < at;
+  });
+  return is_new;
 }
 
 // Returns whether the success changes what is concluded from the known crashes.
@@ -72,11 +87,14 @@
       at - *known->last_success < kSuccessResolution) {
     return false;
   }
-  record& r = Touch(content, now);
-  std::size_t open = r.OpenCrashes();
-  bool first = !r.last_success;
-  r.last_success = std::max(r.last_success.value_or(at), at);
-  return open > 0 && (first || r.OpenCrashes() != open);
+  bool is_relevant = false;
+  Update(content, now, [&](record& r) {
+    std::size_t open = r.OpenCrashes();
+    bool first = !r.last_success;
+    r.last_success = std::max(r.last_success.value_or(at), at);
+    is_relevant = open > 0 && (first || r.OpenCrashes() != open);
+  });
+  return is_relevant;
 }
 
 crash_evidence crash_attribution::OnSuccess(const suspect_content& content, steady_time now) {
@@ -168,11 +186,12 @@
   crash_evidence evidence;
   // The most recently used first, as there may be more than fit into one message.
   for (auto it = by_use_.rbegin(); it != by_use_.rend(); ++it) {
-    const record* r = Find(it->second, now);
-    if (r == nullptr || r->OpenCrashes() == 0) continue;
+    if (!it->has_open_crashes) break;
+    const record* r = Find(it->content, now);
+    if (r == nullptr) continue;
     if (evidence.crashes.size() + r->crashes.size() > limits_.max_reported) break;
-    for (steady_time at : r->crashes) evidence.crashes.push_back({it->second, Age(at, now)});
-    if (r->last_success) evidence.successes.push_back({it->second, Age(*r->last_success, now)});
+    for (steady_time at : r->crashes) evidence.crashes.push_back({it->content, Age(at, now)});
+    if (r->last_success) evidence.successes.push_back({it->content, Age(*r->last_success, now)});
   }
   return evidence;
 }
--- a/tests/crash_attribution_test.cc
+++ b/tests/crash_attribution_test.cc
@@ -118,6 +118,21 @@
   CHECK(known.Snapshot(steady_time(1h)).crashes.size() <= limits.max_reported);
 }
 
+// Guards against content that is forgotten, and crashes engines again, because much other content
+// comes.
+TEST_CASE("quarantined content outlasts a flood of other content") {
+  crash_attribution_limits limits;
+  limits.max_contents = 100;
+  crash_attribution known(limits);
+  known.OnCrash(Content(100, {kDeadly}), steady_time(1h));
+  known.OnCrash(Content(101, {kDeadly}), steady_time(1h + 5s));
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    known.OnSuccess(Content(5000 + i, {fingerprint{20000 + i}}), steady_time(1h + 10s));
+  }
+  CHECK(known.Size() == 100);
+  CHECK(known.QuarantinedFor(kDeadly, steady_time(1h + 10s)));
+}
+
 namespace {
 
 /// Entries and controllers that are linked to each other, without any delay.
