Take test ports below those of outgoing connections

Ports came from the range that the system gives to outgoing connections, so that any connection can take one while its process restarts.

Change: ports are drawn from 15000 to 31999.

--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,10 +22,20 @@
 """
 
 
+# Below the ports that systems give to outgoing connections, which could take the port of a process
+# while it restarts.
+PORTS = range(15000, 32000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def free_address():
