Capture no structured binding in a test's lambda

clang 14, which the linter and the fuzz targets use, refuses to capture a structured binding; g++ accepts it. Found by the linter's run on the changed files, which shows no other finding.

--- a/tests/crash_attribution_test.cc
+++ b/tests/crash_attribution_test.cc
@@ -209,8 +209,9 @@
 
   // Delivers what one relay sent or shared in its last reduction.
   void Deliver(std::size_t from, const fake_context& effects, bool is_controller = false) {
-    for (const auto& [link, evidence] : effects.Sent<crash_evidence>()) {
-      std::size_t to = link.value - 1;
+    for (const auto& sent : effects.Sent<crash_evidence>()) {
+      std::size_t to = sent.first.value - 1;
+      const crash_evidence& evidence = sent.second;
       fake_context fake = Fake();
       if (is_controller) {
         fake.Do([&](auto& ctx) { entries_[to].relay.Handle(LinkOf(from), evidence, ctx); });
