Keep suspended entries from delaying a change at the others

What callers could see: a change that is in force late at healthy gateways while others are suspended or cut off (CONFIG).

Cause: a document that a suspended entry does not read counted towards the 1 MiB in transit for 2 s, and the same entries came first again after that. With 62 KB a document, 16 suspended entries hold the whole bound. Class: a shared limit that a peer which does not answer can use up.

Change: a document counts towards the bound for 300 ms; it is sent again after 2 s, as before. Among outdated entries those that renewed their lease last come first, after those without any version.

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -41,7 +41,10 @@
   /// Documents that are in transit to all entries together. Bounds the time that the leader's
   /// heartbeats and replies wait behind documents.
   static constexpr std::size_t kMaxBytesInTransit = std::size_t{1} << 20;
-  /// A document that an entry has not applied after this time no longer counts as in transit.
+  /// A document that an entry has not applied after this time does not count towards that bound: it
+  /// waits for a VM that is suspended or cut off.
+  static constexpr std::chrono::milliseconds kStalledAfter{300};
+  /// A document that an entry has not applied after this time is sent again.
   static constexpr std::chrono::milliseconds kPushTimeout{2000};
 
   void BecomeLeader(steady_time now);
@@ -70,7 +73,7 @@
     std::size_t pushed_bytes = 0;
     steady_time pushed_at;
 
-    bool IsPushInTransit(steady_time now) const {
+    bool AwaitsPush(steady_time now) const {
       return pushed > applied && now - pushed_at < kPushTimeout;
     }
   };
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -34,15 +34,18 @@
   std::vector<lease*> outdated;
   for (auto& [node, held] : leases_) {
     if (held.link.value == 0 || held.expires_at <= ctx.now) continue;
-    if (held.IsPushInTransit(ctx.now)) {
-      in_transit += held.pushed_bytes;
+    if (held.AwaitsPush(ctx.now)) {
+      if (ctx.now - held.pushed_at < kStalledAfter) in_transit += held.pushed_bytes;
     } else if (held.applied < config.Version()) {
       outdated.push_back(&held);
     }
   }
-  // An entry without any version must not serve yet.
-  std::stable_partition(outdated.begin(), outdated.end(),
-                        [](const lease* held) { return held->applied == 0; });
+  // An entry without any version must not serve yet. Of the others, one that has renewed its lease
+  // recently is the least likely to be suspended or cut off.
+  std::sort(outdated.begin(), outdated.end(), [](const lease* a, const lease* b) {
+    return std::make_pair(a->applied != 0, b->expires_at) <
+           std::make_pair(b->applied != 0, a->expires_at);
+  });
   for (lease* held : outdated) {
     if (in_transit > 0 && in_transit + config.Sheet().size() > kMaxBytesInTransit) break;
     Push(*held, config, ctx);
