--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -79,6 +79,18 @@
       MakeDocument("[]", R"([{"name":"x","apiKeys":["k"]},{"name":"y","apiKeys":["k"]}])")));
 }
 
+// Guards against accepting a split without weight because the route names a service as well.
+TEST_CASE("weights that add up to zero are invalid beside a service") {
+  auto error_with_weight = [](int weight) {
+    return DecodeError(
+        MakeDocument(R"([{"host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":9,)"
+                     R"("service":"s","trafficSplit":[{"service":"s","weight":)" +
+                     std::to_string(weight) + "}]}]"));
+  };
+  CHECK(error_with_weight(0) == errc::kMalformedCall);
+  CHECK(!error_with_weight(1));
+}
+
 // Guards against a configuration that reverts to an older version, or changes without a new
 // version.
 TEST_CASE("the highest version takes precedence") {
