Keep a connection only after a response that names its request

What callers could see: "not run, try again" for a request that an engine runs (REFUSED), if an engine that does not name the request in a refusal writes that refusal once more on a kept connection.

Cause: a response without an identity was told from an earlier one only if an earlier response on the connection had one. Where the first refusal had none either, or its request had no identity, nothing told the two apart.

Change: a connection is kept only after a response that names its request, and is not reused for a request without an identity.

Evidence: the new test failed before (the second call was sent on the same connection) and passes now.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -34,8 +34,8 @@
   std::string request_id;
   /// The response that is being read belongs to another request and is dropped.
   bool foreign = false;
-  /// An earlier response on this connection carried its request's identity.
-  bool names_requests = false;
+  /// An earlier request was answered on this connection, by a response that named it.
+  bool reused = false;
   bool answered = false;
   bool keep_alive = true;
   bool removed = false;
@@ -81,13 +81,17 @@
 }
 
 void upstream_client::Start(upstream_call call) {
-  connection* c = call.may_reuse ? TakeIdle(call.to) : nullptr;
-  if (c == nullptr) c = Open(call.to);
+  // Without an identity, a late response to an earlier request could not be told from its own.
+  bool may_reuse = call.may_reuse && !call.request_id.empty();
+  connection* c = may_reuse ? TakeIdle(call.to) : nullptr;
+  bool reused = c != nullptr;
+  if (!reused) c = Open(call.to);
   if (c == nullptr) {
     on_.on_failed(call.id, upstream_stage::kConnecting);
     return;
   }
   c->call = call.id;
+  c->reused = reused;
   c->request_id = std::move(call.request_id);
   c->answered = c->foreign = false;
   c->keep_alive = true;
@@ -154,14 +158,13 @@
   c.foreign = id != nullptr && !c.request_id.empty() && *id != c.request_id;
   if (c.foreign || c.call.value == 0) return;
   // A response to an earlier request that is sent once more; the one to this request may follow.
-  if (id == nullptr && c.names_requests) {
+  if (id == nullptr && c.reused) {
     c.foreign = true;
     Fail(c, upstream_stage::kMalformed);
     return;
   }
-  c.names_requests = c.names_requests || id != nullptr;
   c.answered = true;
-  c.keep_alive = head.keep_alive;
+  c.keep_alive = head.keep_alive && id != nullptr && *id == c.request_id;
   auto seconds = KeepAliveSeconds(head);
   std::chrono::milliseconds usable = limits_.idle_timeout;
   if (seconds) {
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -49,6 +49,8 @@
     int yes = 1;
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
     REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    timeval patience{3, 0};
+    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
     REQUIRE(listen(listener, 4) == 0);
     thread = std::thread([this] { loop.Run(); });
   }
@@ -81,6 +83,13 @@
     });
   }
 
+  /// Accepts the client's next connection.
+  void AcceptAgain() {
+    close(backend);
+    backend = accept(listener, nullptr, nullptr);
+    REQUIRE(backend >= 0);
+  }
+
   /// Accepts the client's connection unless it is kept from an earlier call, and reads a request.
   void ReadRequest() {
     if (backend < 0) backend = accept(listener, nullptr, nullptr);
@@ -142,6 +151,33 @@
   }
 }
 
+// Guards against the same where the earlier answer did not name its request either, so that nothing
+// tells the two apart.
+TEST_CASE("a connection is kept only after a response that names its request") {
+  client_fixture f;
+  std::string first = "first";
+  std::string named;
+  SECTION("the engine names no request") {}
+  SECTION("the request has no identity") {
+    first.clear();
+    named = "Request-Id: other\r\n";
+  }
+  f.Call(1, first);
+  f.ReadRequest();
+  f.Respond(std::string(kRefusal) + named + "\r\n");
+  CHECK(f.NextEvent() == "1 head 503");
+  CHECK(f.NextEvent() == "1 end");
+  f.Call(2, "second");
+  // On the first connection, this would answer the second request.
+  f.Respond(std::string(kRefusal) + "\r\n");
+  f.AcceptAgain();
+  f.ReadRequest();
+  f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: second\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(f.NextEvent() == "2 head 200");
+  CHECK(f.NextEvent() == "2 body ok");
+  CHECK(f.NextEvent() == "2 end");
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("a head without end is given up") {
   client_fixture f;
