Retry a stream that must not run twice on a new connection

What callers could see: a stream that cannot be resumed runs at two engines (TWICE) or is refused while it runs (REFUSED), if an engine refuses its first attempt, gets the retry on the same connection, and writes the refusal once more.

Cause: both attempts have the same identity, so that the identity does not tell their responses apart. Requests of non-idempotent routes have a connection each; streams that cannot be resumed were treated like repeatable ones.

Change: a retry of such a stream may not reuse a connection. `IsRepeatable` now says in one place which requests may run twice.

Evidence: the new test failed before and passes now, for a stream that can be resumed and for one that cannot.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -76,6 +76,11 @@
   return type != nullptr && type->starts_with("text/event-stream");
 }
 
+bool IsRepeatable(const route& matched_route) {
+  bool resumable = matched_route.kind == request_kind::kStreaming && matched_route.resumable;
+  return matched_route.kind == request_kind::kIdempotent || resumable;
+}
+
 attempt_result ResultForStatus(unsigned status) {
   return status >= 500 ? attempt_result::kServerError : attempt_result::kServed;
 }
@@ -217,8 +222,11 @@
   start.urgency = active.urgency;
   start.last_event = active.HasBegun() ? active.events.LastEventId() : active.request->last_event;
   // The peer may close a persistent connection while the request is in transit; then it is unknown
-  // whether the request was read.
-  start.may_reuse_connection = active.matched_route->kind != request_kind::kNonIdempotent;
+  // whether the request was read. On the connection of an earlier attempt, that attempt's response
+  // could come once more.
+  bool is_retry = active.tried_backends.size() > 1;
+  start.may_reuse_connection = active.matched_route->kind != request_kind::kNonIdempotent &&
+                               (IsRepeatable(*active.matched_route) || !is_retry);
   ctx.Emit(std::move(start));
   return refusal_reason::kNone;
 }
@@ -246,15 +254,7 @@
 
 template <backend_selector Selector, forward_admission Admission>
 bool forwarder<Selector, Admission>::MayRetry(const active_request& active) const {
-  switch (active.matched_route->kind) {
-    case request_kind::kIdempotent:
-      return true;
-    case request_kind::kNonIdempotent:
-      return !active.may_have_run;
-    case request_kind::kStreaming:
-      return !active.may_have_run || active.matched_route->resumable;
-  }
-  return false;
+  return !active.may_have_run || IsRepeatable(*active.matched_route);
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -166,6 +166,21 @@
   CHECK(f.ErrorStatus() == 503);
 }
 
+// Guards against taking an engine's first refusal of a stream, written once more, for its answer to
+// the next attempt: both name the same request.
+TEST_CASE("a stream that must not run twice is retried on a new connection") {
+  deployment d = MakeDeployment();
+  bool resumable = GENERATE(false, true);
+  d.routes[2].resumable = resumable;
+  forwarder_fixture f(d);
+  f.SendRequest("/draft/1");
+  start_upstream first = f.SingleSentRequest();
+  CHECK(first.may_reuse_connection);
+  f.BeginResponse(first.id, 503, true);
+  f.Handle(upstream_response_end{first.id});
+  CHECK(f.SingleSentRequest().may_reuse_connection == resumable);
+}
+
 // Guards against failing an idempotent request after a server error, although it may be retried.
 TEST_CASE("an idempotent request is retried once after a failure") {
   forwarder_fixture f;
