Order outdated entries alike on every platform

Cause: entries that renewed at the same time compare equal, and std::sort leaves their order open.

Change: std::stable_sort, so that the order by name decides among them, as before.

--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -42,7 +42,7 @@
   }
   // An entry without any version must not serve yet. Of the others, one that has renewed its lease
   // recently is the least likely to be suspended or cut off.
-  std::sort(outdated.begin(), outdated.end(), [](const lease* a, const lease* b) {
+  std::stable_sort(outdated.begin(), outdated.end(), [](const lease* a, const lease* b) {
     return std::make_pair(a->applied != 0, b->expires_at) <
            std::make_pair(b->applied != 0, a->expires_at);
   });
