Serve other connections while one peer sends without end

What callers could see: a gateway that stands still, for all callers, as long as an engine or a caller sends faster than its bytes are handled.

Cause: a readable connection was read until a read came back short. A peer that keeps the socket's buffer full is never short; a connection that is closing read on in the same way. Timers, deadlines among them, wait meanwhile.

Change: at most 16 reads of 16 KiB in turn, then the loop goes on; the rest is still readable.

Evidence: the new test, 8 MiB from a peer that sends faster than they are handled and a task posted after the first bytes, passes.

--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -22,6 +22,10 @@
 // for long bodies.
 constexpr std::size_t kReadBytes = 16 * 1024;
 
+// Reads from one connection before the loop serves the others; a peer may send faster than its
+// bytes are handled, without end.
+constexpr int kMaxReadsInTurn = 16;
+
 // A burst of new callers waits here until the loop accepts them; a full queue costs each of them
 // seconds, until its opening packet is repeated.
 constexpr int kAcceptQueue = 1024;
@@ -193,7 +197,7 @@
 void tcp_connection::OnReadable() {
   std::shared_ptr<bool> alive = alive_;
   std::array<char, kReadBytes> buffer;
-  for (;;) {
+  for (int reads = 0; reads < kMaxReadsInTurn; ++reads) {
     ssize_t n = recv(socket_, buffer.data(), buffer.size(), 0);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -5,7 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <future>
 #include <string>
 #include <thread>
@@ -20,7 +23,9 @@
 struct tcp_fixture {
   io_loop loop;
   std::unique_ptr<tcp_connection> connection;
-  std::string received;
+  std::atomic<std::size_t> received = 0;
+  /// Time that the handler takes for the bytes of one read.
+  std::chrono::milliseconds handling{0};
   std::promise<tcp_end> ended;
   tcp_listener listener{loop, [this](int socket) { Accept(socket); }};
   std::string greeting;
@@ -47,12 +52,17 @@
     int small = 4096;
     setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
     connection = tcp_connection::Adopt(loop, socket, {},
-                                       {[this](std::string_view bytes) { received.append(bytes); },
+                                       {[this](std::string_view bytes) { OnBytes(bytes); },
                                         [this](tcp_end how) { ended.set_value(how); }});
     connection->Write(greeting);
     if (!greeting.empty()) connection->CloseAfterWrites();
   }
 
+  void OnBytes(std::string_view bytes) {
+    std::this_thread::sleep_for(handling);
+    received += bytes.size();
+  }
+
   int Connect() {
     int client = socket(AF_INET, SOCK_STREAM, 0);
     int small = 4096;
@@ -84,6 +94,21 @@
   CHECK(received == text.size());
 }
 
+// Guards against a peer whose bytes have no end and that keeps the loop from all other connections.
+TEST_CASE("a peer that sends faster than its bytes are handled does not hold the loop") {
+  tcp_fixture server("");
+  server.handling = std::chrono::milliseconds(1);
+  const std::string text(std::size_t{8} << 20, 'x');
+  int client = server.Connect();
+  std::thread sender([&] { send(client, text.data(), text.size(), MSG_NOSIGNAL); });
+  while (server.received == 0) std::this_thread::sleep_for(server.handling);
+  std::promise<std::size_t> received_before;
+  server.loop.Post([&] { received_before.set_value(server.received); });
+  CHECK(received_before.get_future().get() < text.size() / 2);
+  sender.join();
+  close(client);
+}
+
 // Guards against a response without a length that was reset and passes for a whole one.
 TEST_CASE("an orderly end is told from a reset") {
   tcp_fixture server("");
