Give up an engine that sends bytes without end before its response

What callers could see: a request that waits until its deadline while its engine sends interim responses, or the body of a response to an earlier request, without end.

Cause: only the head and the body of the response itself were bounded; what is skipped before it was not.

Change: at most 1 MiB is skipped for a request; then the attempt fails as malformed, and the connection is closed.

Evidence: the new test failed before in both cases (64 MiB sent and nothing reported) and passes now.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -37,6 +37,8 @@
   /// An earlier request was answered on this connection, by a response that named it.
   bool reused = false;
   bool answered = false;
+  /// Bytes since the request was sent that did not belong to its response.
+  std::size_t skipped_bytes = 0;
   bool keep_alive = true;
   bool removed = false;
   steady_time since;
@@ -94,6 +96,7 @@
   c->reused = reused;
   c->request_id = std::move(call.request_id);
   c->answered = c->foreign = false;
+  c->skipped_bytes = 0;
   c->keep_alive = true;
   calls_[call.id.value] = c->number;
   c->tcp->Write(call.bytes);
@@ -143,7 +146,8 @@
     std::error_code error;
     std::size_t used = c.decoder.Feed(bytes, error);
     if (c.removed) return;
-    if (error) {
+    if (c.call.value != 0 && !c.answered) c.skipped_bytes += used;
+    if (error || c.skipped_bytes > limits_.max_skipped_bytes) {
       Fail(c, upstream_stage::kMalformed);
       return;
     }
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -39,6 +39,8 @@
   std::chrono::milliseconds idle_margin{500};
   std::size_t max_idle_per_backend = 32;
   std::size_t max_head_bytes = 64 * 1024;
+  /// Bytes before a response: interim responses and responses to other requests.
+  std::size_t max_skipped_bytes = std::size_t{1} << 20;
 };
 
 /// HTTP/1.1 client that hands on responses as they come and keeps connections open.
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -189,6 +189,28 @@
   CHECK(f.NextEvent() == "1 failed malformed");
 }
 
+// Guards against the same before the response, which would hold the request until its deadline.
+TEST_CASE("bytes without end before a response are given up") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n");
+  CHECK(f.NextEvent() == "1 head 200");
+  CHECK(f.NextEvent() == "1 end");
+  f.Call(2, "second");
+  f.ReadRequest();
+  std::string repeated;
+  SECTION("a body of an earlier request") {
+    f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 1000000000\r\n\r\n");
+    repeated.assign(16384, 'x');
+  }
+  SECTION("interim responses") {
+    while (repeated.size() < 16384) repeated += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  CHECK(f.RespondWithoutEnd(repeated) < (std::size_t{16} << 20));
+  CHECK(f.NextEvent() == "2 failed malformed");
+}
+
 // Guards against a crash that is not noticed, or a silent machine that is taken for one.
 TEST_CASE("a probe tells a backend server that has ended from one that lives") {
   client_fixture f;
