Let calls without an identity share a connection again

They read reports and counts, which may be read twice.

Change: the rule holds only for a client whose calls have an identity.

Evidence: the new test failed before (the second call came on another connection) and passes now.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -49,6 +49,7 @@
                                  upstream_client_limits limits)
     : loop_(loop),
       identity_header_(std::move(identity_header)),
+      names_requests_(!identity_header_.empty()),
       on_(std::move(on)),
       limits_(limits),
       sweep_(loop, kSweepInterval, [this] { Sweep(); }) {}
@@ -84,7 +85,7 @@
 
 void upstream_client::Start(upstream_call call) {
   // Without an identity, a late response to an earlier request could not be told from its own.
-  bool may_reuse = call.may_reuse && !call.request_id.empty();
+  bool may_reuse = call.may_reuse && (!names_requests_ || !call.request_id.empty());
   connection* c = may_reuse ? TakeIdle(call.to) : nullptr;
   bool reused = c != nullptr;
   if (!reused) c = Open(call.to);
@@ -158,7 +159,8 @@
 void upstream_client::OnHead(connection& c, http_head&& head) {
   // Interim responses come before the response itself.
   if (head.status < 200) return;
-  const std::string* id = FindHeader(head.headers, identity_header_);
+  const std::string* id =
+      names_requests_ ? FindHeader(head.headers, identity_header_) : &c.request_id;
   c.foreign = id != nullptr && !c.request_id.empty() && *id != c.request_id;
   if (c.foreign || c.call.value == 0) return;
   // A response to an earlier request that is sent once more; the one to this request may follow.
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -53,7 +53,8 @@
     std::function<void(upstream_id, upstream_stage)> on_failed;
   };
 
-  /// `identity_header` names the header that carries `upstream_call::request_id`.
+  /// `identity_header` names the header that carries `upstream_call::request_id`. It is empty if
+  /// the calls have no identity; any of them may then get the response to an earlier one.
   upstream_client(io_loop& loop, std::string identity_header, handlers on,
                   upstream_client_limits limits = {});
   ~upstream_client();
@@ -88,6 +89,7 @@
 
   io_loop& loop_;
   std::string identity_header_;
+  bool names_requests_;
   handlers on_;
   upstream_client_limits limits_;
   std::uint64_t next_connection_ = 1;
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -24,11 +24,11 @@
 
 /// A client on a loop of its own, and a backend server that the test plays on a plain socket.
 struct client_fixture {
-  client_fixture() {
+  explicit client_fixture(const std::string& identity_header = "Request-Id") {
     static const lws_protocols protocols[] = {tcp_connection::Protocol(), WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
     client = std::make_unique<upstream_client>(
-        loop, "Request-Id",
+        loop, identity_header,
         upstream_client::handlers{
             [this](upstream_id id, http_head&& head) {
               Record(std::to_string(id.value) + " head " + std::to_string(head.status));
@@ -178,6 +178,20 @@
   CHECK(f.NextEvent() == "2 end");
 }
 
+// Guards against a new connection for each report that a sidecar reads.
+TEST_CASE("calls without an identity share a connection") {
+  client_fixture f("");
+  for (std::uint64_t call = 1; call <= 3; ++call) {
+    f.Call(call, "");
+    f.ReadRequest();
+    f.Respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    std::string number = std::to_string(call);
+    CHECK(f.NextEvent() == number + " head 200");
+    CHECK(f.NextEvent() == number + " body ok");
+    CHECK(f.NextEvent() == number + " end");
+  }
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("a head without end is given up") {
   client_fixture f;
