Block the stop signals of a daemon first thing

Cause: the signals were blocked after the options and settings were read and the log was opened. Until then SIGHUP and SIGTERM end a process. Most of that time, some 10 ms, passes in the dynamic loader, before main.

Change: main blocks them for every daemon before it runs the subcommand, in one place.

What the loader takes remains.

--- a/src/cli/load_settings.h
+++ b/src/cli/load_settings.h
@@ -20,7 +20,7 @@
   options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>());
 }
 
-/// Reads the settings of a daemon and prepares the process for it: logging, signals, libwebsockets.
+/// Reads the settings of a daemon and prepares the process for it: logging, libwebsockets.
 /// Prints every fault and returns nothing if there is one.
 template <class Settings>
 std::optional<Settings> LoadSettings(const cxxopts::ParseResult& parsed,
@@ -35,7 +35,6 @@
   Settings settings = parse(ReadFile(file).value_or(""), errors);
   if (PrintErrors(file, errors)) return std::nullopt;
   ConfigureLogging(settings.common.log.file, settings.common.log.level);
-  BlockStopSignals();
   QuietLibwebsockets();
   return settings;
 }
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -11,14 +11,16 @@
   std::string_view name;
   std::string_view summary;
   int (*run)(int, char**);
+  /// Runs until a signal asks it to stop.
+  bool is_daemon = false;
 };
 
 constexpr subcommand kSubcommands[] = {
-    {"entry", "accept callers' requests and route them", radishroute::RunEntry},
-    {"agent", "run the work of one backend server", radishroute::RunAgent},
-    {"gateway", "forward callers' HTTP requests to backend servers", radishroute::RunGateway},
-    {"sidecar", "read an engine and give it the leader's orders", radishroute::RunSidecar},
-    {"controller", "run one replica of the log", radishroute::RunController},
+    {"entry", "accept callers' requests and route them", radishroute::RunEntry, true},
+    {"agent", "run the work of one backend server", radishroute::RunAgent, true},
+    {"gateway", "forward callers' HTTP requests to backend servers", radishroute::RunGateway, true},
+    {"sidecar", "read an engine and give it the leader's orders", radishroute::RunSidecar, true},
+    {"controller", "run one replica of the log", radishroute::RunController, true},
     {"voter", "list or change the replicas of the log", radishroute::RunVoter},
     {"apply", "put a sheet in force as a new configuration version", radishroute::RunApply},
     {"status", "show the state of the controllers", radishroute::RunStatus},
@@ -26,7 +28,7 @@
     {"order", "give an engine a fenced order", radishroute::RunOrder},
     {"pin", "keep the expert map of a group, or allow changes again", radishroute::RunPin},
     {"check", "validate settings or a sheet", radishroute::RunCheck},
-    {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine},
+    {"engine", "run a stand-in for an engine or a service", radishroute::RunEngine, true},
     {"load", "send requests and check every answer", radishroute::RunLoad},
 };
 
@@ -54,7 +56,10 @@
     return radishroute::kExitSuccess;
   }
   for (const subcommand& command : kSubcommands) {
-    if (command.name == name) return command.run(argc - 1, argv + 1);
+    if (command.name != name) continue;
+    // Before anything else: until then, a signal ends the process at once.
+    if (command.is_daemon) radishroute::BlockStopSignals();
+    return command.run(argc - 1, argv + 1);
   }
   std::cerr << "unknown subcommand: " << name << "\n";
   PrintUsage(std::cerr);
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -148,7 +148,6 @@
   int exit = kExitSuccess;
   auto options = ParseEngineOptions(argc, argv, exit);
   if (!options) return exit;
-  BlockStopSignals();
   QuietLibwebsockets();
   if (options->kind == stand_in_kind::kRank) return RunRank(*options);
   engine_process process(*options);
