Give out each test port once

It stays free until its process listens, so that two processes of one deployment got the same: 21425 stands in the settings of agent-b3 and of service-b0.

Change: the ports are shuffled once and each is given out once.

--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -25,11 +25,13 @@
 # Below the ports that systems give to outgoing connections, which could take the port of a process
 # while it restarts.
 PORTS = range(15000, 32000)
+# Each is given out once, as it stays free until its process listens.
+unused_ports = random.SystemRandom().sample(PORTS, len(PORTS))
 
 
 def free_port():
     while True:
-        port = random.SystemRandom().choice(PORTS)
+        port = unused_ports.pop()
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
