Reject registrations that cannot come from the engine they name

Cause: an entry of another writer under the id of a live engine, with a number near 2^64, was taken for the newest, and the true registrations after it changed nothing. One with a start in the future took the address of a live engine over.

Change: a start later than ten minutes from now by the time of day, and more registrations than one each 100 ms since the start (and 10,000), are out of reach. One incarnation keeps its address, zone and service. Such registrations get 400, a counter and a log line, and change nothing.

Open: an entry under a live engine's id or address whose start is a little later is still taken for a new incarnation until the true engine restarts.

--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -37,6 +37,13 @@
   std::chrono::milliseconds registration_timeout{5000};
   /// Period at which controllers tell each other which registrations were repeated.
   std::chrono::milliseconds registration_exchange{1000};
+  /// A registration is rejected if its backend server started later than this from now, by the
+  /// time of day.
+  std::chrono::minutes max_clock_difference{10};
+  /// Registrations that a backend server can have sent: this many, and one for each interval since
+  /// its start.
+  std::uint64_t registration_allowance = 10000;
+  std::chrono::milliseconds min_registration_interval{100};
 };
 
 /// Directory of backend servers on an entry's control thread. Entries gossip changes and reconcile
@@ -100,6 +107,8 @@
   };
 
   bool UsesRegistration() const { return limits_.use_registration; }
+  bool IsPlausible(const announcement& record, wall_time wall) const;
+  bool KeepsIdentity(const announcement& record) const;
   void OnPushLinkOpened(const link_opened& opened, reduce_context& ctx);
   bool AcceptRegistration(const announcement& record, bool received_directly, reduce_context& ctx);
   bool ResolveAddressConflict(const announcement& record, directory_delta& changes,
--- a/include/radishroute/document_event.h
+++ b/include/radishroute/document_event.h
@@ -67,6 +67,8 @@
 /// Effect: responds to a backend server's registration.
 struct registration_answered {
   exchange_id exchange;
+  /// False if the registration cannot come from the backend server that it names.
+  bool accepted = true;
 };
 
 /// Effect: passes an applied document to the traffic threads.
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -59,9 +59,10 @@
   kMapBytesMoved,
   kRankReportsRefused,
   kRankCallsFailed,
+  kRegistrationsRejected,
 };
 
-inline constexpr std::size_t kCounterCount = 50;
+inline constexpr std::size_t kCounterCount = 51;
 
 std::string_view ToString(counter c);
 
--- a/src/discovery_registration.cc
+++ b/src/discovery_registration.cc
@@ -17,8 +17,43 @@
          a.concurrency_limit == b.concurrency_limit;
 }
 
+void RejectRegistration(const backend_registered& registered, std::string_view reason,
+                        reduce_context& ctx) {
+  const announcement& record = registered.record;
+  ctx.Emit(count{counter::kRegistrationsRejected});
+  ctx.Emit(write_log{{event_code::kRegistrationRejected,
+                      log_level::kWarning,
+                      {{"backend", record.backend},
+                       {"address", ToString(record.traffic_address)},
+                       {"incarnation", std::to_string(record.incarnation)},
+                       {"sequence", std::to_string(record.sequence)},
+                       {"reason", std::string(reason)}}}});
+  ctx.Emit(registration_answered{registered.exchange, false});
+}
+
 }  // namespace
 
+// Whoever claims a start in the future, or a number of registrations beyond reach, would be taken
+// for newer than every true registration that follows.
+bool directory::IsPlausible(const announcement& record, wall_time wall) const {
+  auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(wall.time_since_epoch());
+  auto latest_start =
+      static_cast<std::uint64_t>((since_epoch + limits_.max_clock_difference).count());
+  if (record.incarnation > latest_start) return false;
+  std::uint64_t longest_life = latest_start - record.incarnation;
+  auto interval = static_cast<std::uint64_t>(limits_.min_registration_interval.count());
+  return record.sequence <= limits_.registration_allowance + longest_life / interval;
+}
+
+// One incarnation of a backend server keeps its address, zone and service.
+bool directory::KeepsIdentity(const announcement& record) const {
+  auto it = records_.find(record.backend);
+  if (it == records_.end() || it->second.incarnation != record.incarnation) return true;
+  const announcement& known = it->second;
+  return known.traffic_address == record.traffic_address && known.zone == record.zone &&
+         known.models == record.models;
+}
+
 void directory::OnPushLinkOpened(const link_opened& opened, reduce_context& ctx) {
   bool dialed_controller =
       !opened.dialed.host.empty() && opened.peer.role == process_role::kController;
@@ -100,6 +135,14 @@
 }
 
 void directory::Handle(const backend_registered& registered, reduce_context& ctx) {
+  if (!IsPlausible(registered.record, ctx.wall)) {
+    RejectRegistration(registered, "implausible", ctx);
+    return;
+  }
+  if (!KeepsIdentity(registered.record)) {
+    RejectRegistration(registered, "changed-identity", ctx);
+    return;
+  }
   announcement record = registered.record;
   record.home = self_.node;
   directory_delta changes;
--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -76,7 +76,7 @@
 
   void Execute(const registration_answered& e) {
     targets_.erase(e.exchange);
-    Respond(e.exchange, 200, "{}");
+    Respond(e.exchange, e.accepted ? 200 : 400, "{}");
   }
 
  private:
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -130,6 +130,12 @@
       return "content-quarantined";
     case event_code::kContentReleased:
       return "content-released";
+    case event_code::kBackendDraining:
+      return "backend-draining";
+    case event_code::kBackendWithheld:
+      return "backend-withheld";
+    case event_code::kResponseHeaderUnreadable:
+      return "response-header-unreadable";
     case event_code::kDeploymentApplied:
       return "deployment-applied";
     case event_code::kDeploymentRejected:
@@ -138,6 +144,8 @@
       return "document-answered";
     case event_code::kCallRejected:
       return "call-rejected";
+    case event_code::kRegistrationRejected:
+      return "registration-rejected";
     case event_code::kSettingsReloaded:
       return "settings-reloaded";
     case event_code::kGroupUnpinned:
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -54,7 +54,8 @@
                                                                   "maps_activated",
                                                                   "map_bytes_moved",
                                                                   "rank_reports_refused",
-                                                                  "rank_calls_failed"};
+                                                                  "rank_calls_failed",
+                                                                  "registrations_rejected"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/tests/registration_test.cc
+++ b/tests/registration_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "fake_context.h"
 #include "platform/control_wire.h"
@@ -120,6 +121,37 @@
   CHECK(f.CountSentTo({20}) == 1);
 }
 
+// Guards against an entry of another writer that shadows the true registrations of a live engine,
+// or takes its address.
+TEST_CASE("a registration out of reach or with another identity changes nothing") {
+  registration_fixture f;
+  auto now = std::chrono::duration_cast<milliseconds>(manual_clock().WallNow().time_since_epoch());
+  auto born = static_cast<std::uint64_t>((now - std::chrono::minutes(5)).count());
+  f.Register(MakeRecord("e1", born, 40));
+  REQUIRE(f.controller.Status("e1") == backend_status::kUp);
+  auto rejected = [&](const announcement& odd) {
+    f.Register(odd);
+    auto answers = f.fake.All<registration_answered>();
+    return answers.size() == 1 && !answers.front().accepted && f.CountSentTo({20}) == 0;
+  };
+  constexpr std::uint64_t kHighest = std::numeric_limits<std::uint64_t>::max();
+  auto year = static_cast<std::uint64_t>(milliseconds(std::chrono::hours(24 * 365)).count());
+  CHECK(rejected(MakeRecord("e1", born, kHighest)));
+  CHECK(rejected(MakeRecord("e1", born, 1000000)));
+  CHECK(rejected(MakeRecord("e1", born, 41, backend_status::kUp, 81)));
+  CHECK(rejected(MakeRecord("e1", kHighest, 1)));
+  CHECK(rejected(MakeRecord("e1", born + year, 1)));
+  CHECK(rejected(MakeRecord("other", kHighest, 1)));
+  CHECK(rejected(MakeRecord("other", born + year, 1)));
+  announcement moved = MakeRecord("e1", born, 41);
+  moved.models = {"unknown"};
+  CHECK(rejected(moved));
+  CHECK(f.controller.Status("e1") == backend_status::kUp);
+  f.Register(MakeRecord("e1", born, 41, backend_status::kLeaving));
+  CHECK(f.controller.Status("e1") == backend_status::kLeaving);
+  CHECK(f.CountSentTo({20}) == 1);
+}
+
 // Guards against accepting malformed registrations from other clients as engines.
 TEST_CASE("a malformed registration is rejected") {
   announcement out;
