Keep requests from engines that leave or name a time to come back

Cause: engines say in each response that they are leaving (Server-Leaving), and in refusals how long they want nothing (Retry-After). Nothing read either, so requests reached them in between. The end of a leaving engine was charged to the content of its requests as a crash.

Change: withheld_backends keeps both by incarnation; selection, retries and resumed streams leave such engines out whatever the directory says. If all engines of a service have named a time, callers are refused at once with the earliest. Other gateways are not told: the registration tells them, with its own bound. Selection samples the pool without a walk over all engines, and takes a load report over in linear time. A forced end of a drain is kept apart from an orderly one.

--- a/include/radishroute/forward/backend_selector.h
+++ b/include/radishroute/forward/backend_selector.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -13,6 +14,7 @@
 #include "radishroute/clock.h"
 #include "radishroute/engine_message.h"
 #include "radishroute/forward/forward_event.h"
+#include "radishroute/forward/withheld_backends.h"
 #include "radishroute/policy.h"
 #include "radishroute/routing_table.h"
 
@@ -39,8 +41,13 @@
   std::uint32_t urgency = 5;
   /// Backend servers that this request was already sent to.
   std::span<const std::string> excluded;
+  /// Backend servers that get no requests now.
+  const withheld_backends& withheld;
 };
 
+/// Whether the backend server may be selected.
+bool IsEligible(const selection_query& query, const std::string& backend, steady_time now);
+
 /// A selected backend server and its expected load, including this request.
 struct selected_backend {
   std::string backend;
@@ -102,11 +109,22 @@
   void OnDone(const std::string& backend, attempt_result result, steady_time now);
 
  private:
+  using candidate_list = std::vector<const backend_state*>;
+
   static double ExpectedLoad(const backend_state& b, steady_time now);
+  /// Load used for comparisons; `random` breaks ties.
+  static double Score(const backend_state& b, steady_time now, random_source& random);
+  static const backend_state* LeastLoaded(const candidate_list& candidates, steady_time now,
+                                          random_source& random);
+  /// Some eligible backend servers at random; fewer than asked if the pool has few of them.
+  static candidate_list Sample(const candidate_list& from, const selection_query& query,
+                               steady_time now, random_source& random);
 
   string_map<backend_state> backends_;
-  /// Ids of backend servers, by service.
-  string_map<std::vector<std::string>> pools_;
+  /// Backend servers by service; they point into `backends_`.
+  string_map<candidate_list> pools_;
+  /// Listed backend servers by address; one that has left may share it with its successor.
+  std::multimap<endpoint, backend_state*> by_address_;
 };
 
 /// Selects the backend servers in turn. Baseline for comparisons.
--- a/include/radishroute/forward/forward_event.h
+++ b/include/radishroute/forward/forward_event.h
@@ -66,6 +66,12 @@
   /// The request was addressed to a different backend server than the one at this address.
   bool wrong_backend = false;
   std::optional<reported_load> load;
+  /// The backend server takes no new requests because it is about to end.
+  bool leaving = false;
+  /// Time for which the backend server, which refused the request, wants none from this process.
+  std::optional<std::chrono::milliseconds> retry_after;
+  /// The response has a time to come back that cannot be read.
+  bool retry_after_unreadable = false;
 };
 
 /// Stage at which an attempt failed.
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -19,6 +19,7 @@
 #include "radishroute/forward/event_stream.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/forward/shared_retry_budget.h"
+#include "radishroute/forward/withheld_backends.h"
 #include "radishroute/reduce_context.h"
 
 namespace radishroute {
@@ -117,6 +118,9 @@
 
   using request_map = std::unordered_map<exchange_id, active_request>;
 
+  /// Takes in what the response says about the backend server itself.
+  void NoteBackendState(const attempt& current, const std::string& request,
+                        const backend_response& response, reduce_context& ctx);
   void Refuse(const forward_request& request, unsigned status, refusal_reason reason,
               std::optional<std::chrono::milliseconds> retry_after, reduce_context& ctx);
   std::string PickService(const route& matched_route, random_source& random) const;
@@ -153,6 +157,7 @@
   forwarder_settings settings_;
   Selector selector_;
   Admission admission_;
+  withheld_backends withheld_;
   shared_retry_budget retries_;
   std::shared_ptr<const route_index> routes_;
   bool directory_known_ = false;
@@ -167,6 +172,8 @@
   /// Set once idle callers' connections are closed.
   bool idle_callers_closed_ = false;
   bool stop_requested_ = false;
+  /// The deadline has passed, and the process ends whatever is in progress.
+  bool stop_forced_ = false;
   steady_time drain_notice_end_;
   steady_time drain_deadline_;
 };
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -39,16 +39,8 @@
 // without sampling they would all select the same backend server until the next report.
 constexpr std::size_t kSampleSize = 4;
 
-struct candidate {
-  double score = 0;
-  const backend_state* state = nullptr;
-};
-
-const candidate& LeastLoaded(const std::vector<candidate>& candidates) {
-  return *std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const candidate& a, const candidate& b) { return a.score < b.score; });
-}
+// Draws for one sample before all backend servers are looked at instead.
+constexpr std::size_t kMaxDraws = 4 * kSampleSize;
 
 std::chrono::milliseconds AvoidanceTime(std::uint32_t failures) {
   auto doubled = kInitialAvoidance * (1U << std::min(failures, 8U)) / 2;
@@ -57,8 +49,14 @@
 
 }  // namespace
 
+bool IsEligible(const selection_query& query, const std::string& backend, steady_time now) {
+  auto tried = std::find(query.excluded.begin(), query.excluded.end(), backend);
+  return tried == query.excluded.end() && !query.withheld.Contains(backend, now);
+}
+
 void least_loaded_selector::OnTable(const routing_table& table, const std::string& zone) {
   pools_.clear();
+  by_address_.clear();
   for (auto& [id, state] : backends_) state.listed = false;
   for (const auto& [service, pool] : table.pools) {
     for (const auto* indexes : {&pool.local, &pool.remote}) {
@@ -73,7 +71,8 @@
         state.slots = std::max(record.concurrency_limit, 1U);
         state.local = record.zone == zone;
         state.listed = true;
-        pools_[service].push_back(record.backend);
+        pools_[service].push_back(&state);
+        by_address_.emplace(state.address, &state);
       }
     }
   }
@@ -87,47 +86,73 @@
   return b.in_flight + b.reported * std::exp2(-std::max(age, 0.0));
 }
 
+double least_loaded_selector::Score(const backend_state& b, steady_time now,
+                                    random_source& random) {
+  double score =
+      ExpectedLoad(b, now) + std::uniform_real_distribution<double>(0, kMaxJitter)(random);
+  if (!b.local) score += kRemoteZonePenalty;
+  if (b.avoid_until > now) score += kAvoidedPenalty;
+  return score;
+}
+
+const backend_state* least_loaded_selector::LeastLoaded(const candidate_list& candidates,
+                                                        steady_time now, random_source& random) {
+  const backend_state* best = nullptr;
+  double best_score = 0;
+  for (const backend_state* candidate : candidates) {
+    double score = Score(*candidate, now, random);
+    if (best == nullptr || score < best_score) {
+      best = candidate;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+auto least_loaded_selector::Sample(const candidate_list& from, const selection_query& query,
+                                   steady_time now, random_source& random) -> candidate_list {
+  candidate_list sampled;
+  std::uniform_int_distribution<std::size_t> draw(0, from.size() - 1);
+  for (std::size_t i = 0; i < kMaxDraws && sampled.size() < kSampleSize; ++i) {
+    const backend_state* candidate = from[draw(random)];
+    bool drawn = std::find(sampled.begin(), sampled.end(), candidate) != sampled.end();
+    if (!drawn && IsEligible(query, candidate->id, now)) sampled.push_back(candidate);
+  }
+  return sampled;
+}
+
 std::optional<selected_backend> least_loaded_selector::Choose(const selection_query& query,
                                                               steady_time now,
                                                               random_source& random) const {
-  auto pool = pools_.find(query.service);
-  if (pool == pools_.end()) return std::nullopt;
-  std::uniform_real_distribution<double> jitter(0, kMaxJitter);
-  std::vector<candidate> candidates;
-  for (const std::string& id : pool->second) {
-    if (std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end()) {
-      continue;
-    }
-    const backend_state& state = backends_.find(id)->second;
-    double score = ExpectedLoad(state, now) + jitter(random);
-    if (!state.local) score += kRemoteZonePenalty;
-    if (state.avoid_until > now) score += kAvoidedPenalty;
-    candidates.push_back({score, &state});
-  }
-  if (candidates.empty()) return std::nullopt;
-  const backend_state* best = LeastLoaded(candidates).state;
-  if (candidates.size() > kSampleSize) {
-    std::vector<candidate> sampled;
-    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sampled), kSampleSize,
-                random);
-    const backend_state* chosen = LeastLoaded(sampled).state;
-    // If all sampled backend servers are full, others may still have free slots.
-    if (ExpectedLoad(*chosen, now) < chosen->slots && chosen->avoid_until <= now) best = chosen;
+  auto found = pools_.find(query.service);
+  if (found == pools_.end() || found->second.empty()) return std::nullopt;
+  const candidate_list& all = found->second;
+  const backend_state* best = nullptr;
+  if (all.size() > kSampleSize) best = LeastLoaded(Sample(all, query, now, random), now, random);
+  // If all sampled backend servers are full, others may still have free slots.
+  bool has_room =
+      best != nullptr && ExpectedLoad(*best, now) < best->slots && best->avoid_until <= now;
+  if (!has_room) {
+    candidate_list eligible;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(eligible),
+                 [&](const backend_state* b) { return IsEligible(query, b->id, now); });
+    best = LeastLoaded(eligible, now, random);
   }
+  if (best == nullptr) return std::nullopt;
   return selected_backend{best->id, best->address, ExpectedLoad(*best, now) + 1, best->slots};
 }
 
 void least_loaded_selector::OnFleetLoad(const fleet_load& fleet, steady_time now) {
-  for (auto& [id, state] : backends_) {
-    const endpoint& address = state.address;
-    auto it = std::find_if(fleet.engines.begin(), fleet.engines.end(),
-                           [&](const fleet_engine_load& e) { return e.address == address; });
-    if (it == fleet.engines.end()) continue;
-    state.reported = it->running + it->waiting;
-    state.reported_at = now;
-    state.report_is_total = true;
-    // Requests sent since the previous report may be in transit, or too recent for this report.
-    state.unreported = std::exchange(state.sent_since_report, 0);
+  for (const fleet_engine_load& engine : fleet.engines) {
+    auto [first, last] = by_address_.equal_range(engine.address);
+    for (auto it = first; it != last; ++it) {
+      backend_state& state = *it->second;
+      state.reported = engine.running + engine.waiting;
+      state.reported_at = now;
+      state.report_is_total = true;
+      // Requests sent since the previous report may be in transit, or too recent for this report.
+      state.unreported = std::exchange(state.sent_since_report, 0);
+    }
   }
 }
 
@@ -195,14 +220,13 @@
 }
 
 std::optional<selected_backend> round_robin_selector::Choose(const selection_query& query,
-                                                             steady_time, random_source&) {
+                                                             steady_time now, random_source&) {
   auto it = pools_.find(query.service);
   if (it == pools_.end()) return std::nullopt;
   pool& p = it->second;
   for (std::size_t i = 0; i < p.backends.size(); ++i) {
     const selected_backend& candidate = p.backends[p.next++ % p.backends.size()];
-    auto tried = std::find(query.excluded.begin(), query.excluded.end(), candidate.backend);
-    if (tried == query.excluded.end()) return candidate;
+    if (IsEligible(query, candidate.backend, now)) return candidate;
   }
   return std::nullopt;
 }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -190,9 +190,12 @@
 refusal_reason forwarder<Selector, Admission>::Send(active_request& active, reduce_context& ctx) {
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(active.deadline - ctx.now);
   if (left < kMinAttemptTime) return refusal_reason::kDeadlinePassed;
-  selection_query query{active.service, active.urgency, active.tried_backends};
+  selection_query query{active.service, active.urgency, active.tried_backends, withheld_};
   auto chosen = selector_.Choose(query, ctx.now, ctx.random);
-  if (!chosen) return refusal_reason::kNoBackend;
+  if (!chosen) {
+    bool returns = withheld_.NextReturn(active.service, ctx.now).has_value();
+    return returns ? refusal_reason::kBackendsFull : refusal_reason::kNoBackend;
+  }
   const service* target = active.routes->FindService(active.service);
   bool has_engine = target != nullptr && target->engine;
   const engine_profile* engine = has_engine ? &*target->engine : nullptr;
@@ -238,13 +241,18 @@
          *active.request->time_left < active.matched_route->timeout * kMinFirstAttemptShare;
 }
 
-// Callers retry once, within a third of their remaining time. A group that is down takes seconds to
-// recover, and an overload lasts as long, so a later retry is more likely to succeed. The random
-// spread prevents refused callers from retrying all at once.
+// Backend servers that have named the time from which they take requests again are believed.
+// Otherwise callers retry once, within a third of their remaining time. A group that is down takes
+// seconds to recover, and an overload lasts as long, so a later retry is more likely to succeed.
+// The random spread prevents refused callers from retrying all at once.
 template <backend_selector Selector, forward_admission Admission>
 std::chrono::milliseconds forwarder<Selector, Admission>::RetryAfter(const active_request& active,
                                                                      refusal_reason reason,
                                                                      reduce_context& ctx) const {
+  auto next_return = withheld_.NextReturn(active.service, ctx.now);
+  if (reason == refusal_reason::kBackendsFull && next_return) {
+    return std::chrono::ceil<std::chrono::milliseconds>(*next_return - ctx.now);
+  }
   bool is_lasting = reason == refusal_reason::kNoBackend || reason == refusal_reason::kQueueFull;
   if (active.matched_route->kind != request_kind::kStreaming || !is_lasting) return kRetryAfterFull;
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(active.deadline - ctx.now);
@@ -291,6 +299,7 @@
   if (active == nullptr) return;
   attempt& a = *active->current;
   if (e.response.load) selector_.OnLoad(a.backend, *e.response.load, ctx.now);
+  NoteBackendState(a, active->request->id, e.response, ctx);
   a.not_run = e.response.not_run;
   a.wrong_backend = e.response.wrong_backend;
   active->response = e.response;
@@ -302,6 +311,34 @@
   if (a.is_stream && !active->HasBegun()) BeginStream(*active, ctx);
 }
 
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::NoteBackendState(const attempt& current,
+                                                      const std::string& request,
+                                                      const backend_response& response,
+                                                      reduce_context& ctx) {
+  // A response that was sent by another backend server at the address says nothing about this one.
+  if (response.wrong_backend) return;
+  if (response.leaving && withheld_.OnLeaving(current.backend, ctx.now)) {
+    ctx.Emit(write_log{{event_code::kBackendDraining,
+                        log_level::kInfo,
+                        {{"backend", current.backend}, {"request", request}}}});
+  }
+  if (response.retry_after_unreadable) {
+    ctx.Emit(write_log{
+        {event_code::kResponseHeaderUnreadable,
+         log_level::kWarning,
+         {{"backend", current.backend}, {"request", request}, {"header", "retry-after"}}}});
+  }
+  if (!response.not_run || !response.retry_after) return;
+  auto kept = withheld_.OnRetryAfter(current.backend, *response.retry_after, ctx.now);
+  ctx.Emit(write_log{{event_code::kBackendWithheld,
+                      kept == *response.retry_after ? log_level::kInfo : log_level::kWarning,
+                      {{"backend", current.backend},
+                       {"request", request},
+                       {"asked_ms", std::to_string(response.retry_after->count())},
+                       {"for_ms", std::to_string(kept.count())}}}});
+}
+
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::BeginStream(active_request& active, reduce_context& ctx) {
   active.is_streaming = true;
@@ -438,7 +475,10 @@
     return;
   }
   active->may_have_run = true;
-  bool may_be_crash = e.stage == upstream_stage::kWaiting || e.stage == upstream_stage::kAnswering;
+  // A backend server that is leaving ends its last connections when it exits.
+  bool may_be_crash =
+      (e.stage == upstream_stage::kWaiting || e.stage == upstream_stage::kAnswering) &&
+      !withheld_.HasLeft(lost.backend);
   if (may_be_crash && MayBeCause(lost, ctx.now)) {
     ProbeAfterLoss(*active, lost, ctx);
   } else {
@@ -648,8 +688,9 @@
 }
 
 template <backend_selector Selector, forward_admission Admission>
-void forwarder<Selector, Admission>::Handle(const routing_table_published& e, reduce_context&) {
+void forwarder<Selector, Admission>::Handle(const routing_table_published& e, reduce_context& ctx) {
   directory_known_ = directory_known_ || e.table->directory_known;
+  withheld_.OnTable(e.table, ctx.now);
   selector_.OnTable(*e.table, settings_.zone);
 }
 
@@ -681,17 +722,21 @@
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::CheckDrained(reduce_context& ctx) {
-  if (!draining_ || stop_requested_ || ctx.now < drain_notice_end_) return;
+  if (!draining_ || stop_forced_ || ctx.now < drain_notice_end_) return;
   if (!std::exchange(idle_callers_closed_, true)) ctx.Emit(close_idle_callers{});
-  if (!requests_.empty() && ctx.now < drain_deadline_) return;
+  bool late = ctx.now >= drain_deadline_;
+  if (!late && (stop_requested_ || !requests_.empty())) return;
+  // The process may still be reading or writing the last requests until the deadline.
+  bool finished = requests_.empty() && !stop_requested_;
   stop_requested_ = true;
-  ctx.Emit(stop_process{requests_.empty()});
+  stop_forced_ = late;
+  ctx.Emit(stop_process{finished});
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::ScheduleNext(reduce_context& ctx) const {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
-  if (draining_ && !stop_requested_) {
+  if (draining_ && !stop_forced_) {
     ctx.Emit(schedule_wakeup{ctx.now < drain_notice_end_ ? drain_notice_end_ : drain_deadline_});
   }
 }
