Serve requests that arrive as a drain ends; end HTTP/1.0 responses rightly

Cause: at the end of a drain, connections in the queue of the listener, and connections whose request had been sent but not read, were closed without a response; a process could end while a request was half read. Clients of HTTP/1.0 got chunks, which they do not know.

Change: the server takes the queue before it stops listening, keeps connections with unread input, and reports the end only when no request is being read or answered; the deadline of the drain still ends the process. Responses without a length to HTTP/1.0 end with their connection, and by a reset if they are cut off.

--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -110,6 +110,7 @@
   } else {
     head_.status = parser_->status_code;
   }
+  head_.allows_chunks = parser_->http_major == 1 && parser_->http_minor >= 1;
   head_.keep_alive = http_should_keep_alive(parser_.get()) != 0;
   if ((parser_->flags & F_CONTENTLENGTH) != 0) head_.content_length = parser_->content_length;
   if (const std::string* expect = FindHeader(head_.headers, "expect")) {
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -24,6 +24,8 @@
   std::optional<std::uint64_t> content_length;
   /// Requests only: the client waits for an interim response before it sends the body.
   bool expects_continue = false;
+  /// Requests only: the client understands a body that is sent in chunks, so it speaks HTTP/1.1.
+  bool allows_chunks = true;
 };
 
 /// Whether a header concerns one connection only and is therefore never forwarded.
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -52,6 +52,9 @@
   bool begun = false;
   bool chunked = false;
   bool no_body = false;
+  bool allows_chunks = true;
+  /// The response has no other end than that of its connection.
+  bool ends_with_connection = false;
   bool close_after = false;
   bool closing = false;
   bool removed = false;
@@ -136,6 +139,7 @@
   c.begun = false;
   c.close_after = !c.head.keep_alive;
   c.no_body = c.head.method == "HEAD";
+  c.allows_chunks = c.head.allows_chunks;
   exchanges_[c.exchange] = c.number;
   on_.on_request({{c.exchange}, std::move(c.head), std::move(c.body)});
   c.head = {};
@@ -177,6 +181,8 @@
 
 void stream_server::Remove(connection& c) {
   c.removed = true;
+  // An orderly end would complete the response.
+  if (c.begun && c.ends_with_connection) c.tcp->Reset();
   c.tcp.reset();
   auto it = connections_.find(c.number);
   removed_.push_back(std::move(it->second));
@@ -189,9 +195,11 @@
   if (c == nullptr || c->begun) return;
   c->begun = true;
   bool bodiless = status == 204 || status == 304;
-  c->chunked = !length && !bodiless;
+  bool framed = length || bodiless;
+  c->chunked = !framed && c->allows_chunks;
+  c->ends_with_connection = !framed && !c->allows_chunks;
   c->length_left = length.value_or(0);
-  c->close_after = c->close_after || draining_;
+  c->close_after = c->close_after || draining_ || c->ends_with_connection;
   std::string out = StatusLine(status);
   for (const http_header& header : headers) AppendHeader(out, header.name, header.value);
   if (c->chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
@@ -209,6 +217,8 @@
     std::string out;
     AppendChunk(out, bytes);
     Send(*c, out);
+  } else if (c->ends_with_connection) {
+    Send(*c, bytes);
   } else {
     bytes = bytes.substr(0, c->length_left);
     c->length_left -= bytes.size();
@@ -258,10 +268,11 @@
 void stream_server::CloseIdle() {
   draining_ = true;
   closed_to_requests_ = true;
+  // Clients whose connections wait in the queue have been accepted by the system.
+  listener_.AcceptAll();
   listener_.Stop();
   for (auto& [number, c] : connections_) {
-    bool idle = c->exchange == 0 && !c->closing && !c->decoder.InMessage();
-    if (idle) CloseLater(*c);
+    if (!HasRequest(*c) && !c->closing) CloseLater(*c);
   }
 }
 
@@ -270,10 +281,16 @@
   CheckWritten();
 }
 
+// A request that has been sent in part is served like one that has been read.
+bool stream_server::HasRequest(const connection& c) const {
+  if (c.exchange != 0) return true;
+  return !c.closing && (c.decoder.InMessage() || c.tcp->HasUnreadInput());
+}
+
 void stream_server::CheckWritten() {
   if (!on_written_) return;
   for (const auto& [number, c] : connections_) {
-    if (c->tcp->BufferedBytes() > 0) return;
+    if (c->tcp->BufferedBytes() > 0 || HasRequest(*c)) return;
   }
   std::exchange(on_written_, nullptr)();
 }
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -73,9 +73,13 @@
 
   /// Each further response announces that its connection is closed after it.
   void Drain() { draining_ = true; }
-  /// Accepts no more connections and requests; each connection is closed after its response.
+  /// Accepts no more connections, and no requests but those that have been sent at least in part;
+  /// each connection is closed after its response.
   void CloseIdle();
-  /// Calls `done` once all bytes of responses have been handed to the system.
+  /// Bytes of bodies of requests that are not complete yet.
+  std::size_t BufferedRequestBytes() const { return buffered_bytes_; }
+  /// Calls `done` once no request is being read or answered, and all bytes of responses have been
+  /// handed to the system.
   void WhenWritten(std::function<void()> done);
 
  private:
@@ -93,6 +97,7 @@
   void Send(connection& c, std::string_view bytes);
   void CloseLater(connection& c);
   void Remove(connection& c);
+  bool HasRequest(const connection& c) const;
   void CheckWritten();
   void Sweep();
   connection* Find(exchange_id id);
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -182,6 +182,11 @@
   ended_ = true;
 }
 
+bool tcp_connection::HasUnreadInput() const {
+  char first = 0;
+  return wsi_ != nullptr && recv(socket_, &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void tcp_connection::SetReading(bool reading) {
   if (wsi_ != nullptr) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -68,6 +68,8 @@
   /// Stops or resumes reading.
   void SetReading(bool reading);
 
+  /// Whether bytes of the peer wait to be read.
+  bool HasUnreadInput() const;
   std::size_t BufferedBytes() const { return output_.size() - written_; }
   bool Connected() const { return connected_; }
 
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -28,9 +28,13 @@
     server = std::make_unique<stream_server>(
         loop, stream_server::handlers{[this](received_request&& r) { OnRequest(r); },
                                       [](exchange_id) {}, nullptr});
-    std::uint16_t port = FreeLoopbackPort();
+    port = FreeLoopbackPort();
     REQUIRE(!server->Start({"127.0.0.1", port}));
     thread = std::thread([this] { loop.Run(); });
+    Connect();
+  }
+
+  void Connect() {
     client = socket(AF_INET, SOCK_STREAM, 0);
     int small = 4096;
     setsockopt(client, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
@@ -43,6 +47,11 @@
     REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
   }
 
+  void Reconnect() {
+    close(client);
+    Connect();
+  }
+
   ~server_fixture() {
     close(client);
     loop.Stop();
@@ -53,6 +62,7 @@
   void OnRequest(const received_request& r) {
     ++requests;
     if (requests == 1) first.set_value(r.exchange);
+    if (respond) server->Respond(r.exchange, 200, {}, "ok");
   }
 
   /// Runs a task on the loop's thread and waits for it.
@@ -65,6 +75,13 @@
     done.get_future().wait();
   }
 
+  template <class Task>
+  auto OnLoopValue(Task task) {
+    decltype(task()) value{};
+    OnLoop([&] { value = task(); });
+    return value;
+  }
+
   void Send(const std::string& text) {
     REQUIRE(send(client, text.data(), text.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(text.size()));
@@ -84,6 +101,9 @@
   std::unique_ptr<stream_server> server;
   std::promise<exchange_id> first;
   int requests = 0;
+  /// Requests are answered at once.
+  bool respond = false;
+  std::uint16_t port = 0;
   int client = -1;
   std::string received;
   std::thread thread;
@@ -130,4 +150,65 @@
   CHECK(f.received.size() > text.size());
 }
 
+// Guards against requests that were accepted just before the end of a drain and cut off without a
+// response.
+TEST_CASE("the end of a drain serves requests that have begun to arrive") {
+  server_fixture f;
+  f.respond = true;
+  SECTION("a request is read in part") {
+    f.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    while (f.OnLoopValue([&] { return f.server->BufferedRequestBytes(); }) < 2) {
+      std::this_thread::sleep_for(1ms);
+    }
+    f.OnLoop([&] {
+      f.server->Drain();
+      f.server->CloseIdle();
+    });
+    f.Send("cd");
+  }
+  SECTION("a request has not been read yet") {
+    f.OnLoop([&] {
+      f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+      f.server->Drain();
+      f.server->CloseIdle();
+    });
+  }
+  SECTION("the connection has not been accepted yet") {
+    f.OnLoop([&] {
+      f.Reconnect();
+      f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+      f.server->Drain();
+      f.server->CloseIdle();
+    });
+  }
+  std::promise<void> written;
+  auto done = written.get_future();
+  f.OnLoop([&] { f.server->WhenWritten([&] { written.set_value(); }); });
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.starts_with("HTTP/1.1 200"));
+  CHECK(f.received.ends_with("ok"));
+  CHECK(done.wait_for(3s) == std::future_status::ready);
+}
+
+// Guards against chunks in a response to a client that does not know them.
+TEST_CASE("a response to an HTTP/1.0 client ends with its connection") {
+  server_fixture f;
+  f.Send("GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+  exchange_id exchange = f.first.get_future().get();
+  f.OnLoop([&] {
+    f.server->Begin(exchange, 200, {}, std::nullopt);
+    f.server->Write(exchange, "part");
+  });
+  SECTION("a complete one by an orderly end") {
+    f.OnLoop([&] { f.server->End(exchange); });
+    CHECK(f.ReadsToEnd());
+    CHECK(f.received.ends_with("\r\n\r\npart"));
+    CHECK(f.received.find("chunked") == std::string::npos);
+  }
+  SECTION("one that is cut off by a reset") {
+    f.OnLoop([&] { f.server->Abort(exchange); });
+    CHECK(!f.ReadsToEnd());
+  }
+}
+
 }  // namespace radishroute
