Test responses that stop in their head and streams that stall

Cause: other operators saw a 200 with an empty body after an engine had stopped in its head, and stalled streams that never ended.

Change: tests only. A response cut at any byte, by each framing, is not complete; an engine that stops in its head has failed; a stream that gets bytes but no event ends at its deadline, and a slow one with events does not end before.

--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -282,6 +282,28 @@
   CHECK(f.All<forward_abort>().size() == 1);
 }
 
+// Guards against a stalled stream that bytes now and then keep open for ever, and against cutting a
+// slow but sound one.
+TEST_CASE("a stalled stream ends at its deadline, a slow one does not end before") {
+  forwarder_fixture f;
+  exchange_id exchange = f.SendRequest("/draft/1");
+  upstream_id id = f.SingleSentRequest().id;
+  f.BeginResponse(id, 200, false, "text/event-stream");
+  bool stalled = GENERATE(true, false);
+  for (int second = 1; second < 8; ++second) {
+    f.fake.Advance(milliseconds(1000));
+    f.Handle(upstream_response_bytes{id, stalled ? "x" : "id: 1\ndata: a\n\n"});
+    CHECK(f.All<forward_bytes>().size() == (stalled ? 0U : 1U));
+    f.Handle(timer_expired{});
+    CHECK(f.All<forward_abort>().empty());
+  }
+  f.fake.Advance(milliseconds(1000));
+  f.Handle(timer_expired{});
+  CHECK(f.All<cancel_upstream>().size() == 1);
+  REQUIRE(f.All<forward_abort>().size() == 1);
+  CHECK(f.All<forward_abort>().front().exchange == exchange);
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("an event or an error without end is given up") {
   forwarder_fixture f;
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -144,4 +144,27 @@
   CHECK(fixture.error == errc::kMalformedHttp);
 }
 
+// Guards against a response that stopped in its head or its body and counts as a complete one with
+// an empty or short body.
+TEST_CASE("a response that stops at any byte before its end is not complete") {
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  const std::string with_length = start + "Content-Length: 5\r\n\r\nabcde";
+  const std::string with_chunks =
+      start + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+  const std::string to_the_end = start + "Connection: close\r\n\r\n";
+  const std::string feeds_only = "HTTP/1.1 200 OK\nRequest-Id: a\n\n";
+  for (const std::string& response : {with_length, with_chunks, to_the_end, feeds_only}) {
+    for (std::size_t step : {std::size_t{1}, response.size()}) {
+      for (std::size_t end = 1; end < response.size(); ++end) {
+        INFO(response.substr(0, end));
+        decoder_fixture fixture(http_side::kResponse);
+        fixture.Feed(response.substr(0, end), step);
+        bool complete = !fixture.error && !fixture.decoder.Finish();
+        CHECK(!complete);
+        for (const decoded_message& message : fixture.messages) CHECK(!message.complete);
+      }
+    }
+  }
+}
+
 }  // namespace radishroute
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "loopback_port.h"
 
@@ -192,6 +193,26 @@
   }
 }
 
+// Guards against a response that is complete for the caller although the engine stopped in its
+// head.
+TEST_CASE("a response whose engine stops in the head has failed") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  SECTION("in the status line") { f.Respond("HTTP/1.1 200 O"); }
+  SECTION("in a header") { f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Le"); }
+  SECTION("before the blank line") { f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\n"); }
+  SECTION("within the blank line") { f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r"); }
+  SECTION("after an interim response") {
+    f.Respond("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n");
+  }
+  SECTION("after the response to another request") {
+    f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nok");
+  }
+  close(std::exchange(f.backend, -1));
+  CHECK(f.NextEvent() == "1 failed waiting");
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("a head without end is given up") {
   client_fixture f;
