Pass loads on to entries through one controller of each zone

Cause: the leader sent the loads of all engines to all entries, with a period that grows by 0.1 s for each 12 entries: 0.9 s at 98, 4.9 s at 580. Decisions rested on reports of that age, or on none.

Change: the leader sends to one controller of each other zone, which passes the loads on to the entries of its zone; entries of zones without one get them from the leader. Every entry gets them directly now and then, since a relay may not reach it. A message for several links is encoded once. The period grows with the receivers of one sender only.

--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -113,6 +113,10 @@
     engines_.OnStatus(link, m, Core(), ctx);
   }
 
+  void Handle(link_id link, const fleet_load& m, reduce_context& ctx) {
+    engines_.OnRelayedLoad(link, m, ctx);
+  }
+
   void Handle(const deployment_published& e, reduce_context&) { engines_.OnDeployment(*e.routes); }
 
   void Handle(const controllers_changed& e, reduce_context&) {
@@ -202,6 +206,9 @@
     log_.Machine().Groups() = group_server(settings);
   }
 
+  /// Sets the availability zone of this process; must be called before the first event.
+  void SetZone(std::string zone) { engines_.SetZone(std::move(zone)); }
+
   /// For a replica that joins its group by itself; must be called before the first event.
   void SetGroupJoiner(group_joiner joiner) { joiner_.emplace(std::move(joiner)); }
 
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -32,6 +32,12 @@
   message body;
 };
 
+/// Sends one message on several links; it is encoded once.
+struct broadcast_message {
+  std::vector<link_id> links;
+  message body;
+};
+
 /// Opens a link; results in `link_opened` or `link_closed` with the same address.
 struct open_link {
   endpoint address;
@@ -171,6 +177,7 @@
 /// All effects that a reducer can emit. The event loop carries them out after each reduction.
 using effect_variant = std::variant<  //
     send_message,                     //
+    broadcast_message,                //
     open_link,                        //
     close_link,                       //
     schedule_wakeup,                  //
--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -5,8 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "radishroute/experts/map_switch.h"
@@ -25,10 +25,10 @@
   std::chrono::milliseconds change_interval{400};
   /// Half-life of the weight of counts; the popularity of experts shifts within seconds.
   std::chrono::milliseconds half_life{600};
-  /// Period of load messages to entries, and the number of entries up to which it applies; with
-  /// more entries the period grows, to bound the leader's work.
+  /// Period of load messages, and the number of receivers up to which it applies; with more of
+  /// them the period grows, to bound the sender's work.
   std::chrono::milliseconds load_period{100};
-  std::size_t entries_per_period = 12;
+  std::size_t receivers_per_period = 24;
   /// Minimum share of the expert work of a forward pass that a change must save, measured by the
   /// mean skew of rank loads.
   double min_gain = 0.12;
@@ -45,6 +45,10 @@
   void OnStatus(link_id link, const engine_status& status, const raft_core& core,
                 reduce_context& ctx);
   void OnDeployment(const route_index& routes);
+  /// Passes on loads that the leader sends to one controller of each availability zone.
+  void OnRelayedLoad(link_id from, const fleet_load& load, reduce_context& ctx) const;
+  /// Sets the availability zone of this process; must be called before the first event.
+  void SetZone(std::string zone) { zone_ = std::move(zone); }
   void Handle(const link_opened& opened);
   void Handle(const link_closed& closed);
   /// Must be called after each event.
@@ -64,6 +68,8 @@
 
   void AddCounts(group_state& group, const engine_status& status) const;
   void Decay(group_state& group, steady_time now) const;
+  /// Receivers of this period's load messages.
+  std::vector<link_id> LoadReceivers(steady_time now);
   void SendLoads(reduce_context& ctx);
   void Plan(const std::string& name, group_state& group, std::uint64_t term,
             reduce_context& ctx) const;
@@ -77,7 +83,12 @@
   steady_time next_tick_;
   steady_time next_loads_;
   std::uint64_t term_ = 0;
-  std::set<link_id> entries_;
+  std::string zone_;
+  /// Availability zone of the peer at the other end of each link.
+  std::map<link_id, std::string> entries_;
+  std::map<link_id, std::string> controllers_;
+  /// Next load message to every entry, in case a relay does not reach it.
+  steady_time next_direct_loads_;
 };
 
 }  // namespace radishroute
--- a/src/io/link.cc
+++ b/src/io/link.cc
@@ -107,6 +107,10 @@
     CountMetric(counter::kFramesRejected);
     return;
   }
+  WriteLater(c);
+}
+
+void link_transport::WriteLater(connection& c) {
   if (c.output.size() - c.written > kMaxBacklogBytes) {
     Reject(c, event_code::kLinkRejected, errc::kTimeout);
     return;
@@ -119,6 +123,20 @@
   if (it != connections_.end() && !it->second->closing) QueueFrame(*it->second, m);
 }
 
+void link_transport::Broadcast(const std::vector<link_id>& links, const message& m) {
+  std::string frame;
+  if (EncodeFrame(m, frame)) {
+    CountMetric(counter::kFramesRejected);
+    return;
+  }
+  for (link_id link : links) {
+    auto it = connections_.find(link.value);
+    if (it == connections_.end() || it->second->closing) continue;
+    it->second->output.append(frame);
+    WriteLater(*it->second);
+  }
+}
+
 void link_transport::Close(link_id link) {
   auto it = connections_.find(link.value);
   if (it == connections_.end()) return;
--- a/src/io/link.h
+++ b/src/io/link.h
@@ -33,6 +33,8 @@
   /// Ends in a link_opened or link_closed event.
   void Open(const endpoint& address);
   void Send(link_id link, const message& m);
+  /// Sends one message on several links; links that are closed are left out.
+  void Broadcast(const std::vector<link_id>& links, const message& m);
   void Close(link_id link);
 
   static lws_protocols Protocol();
@@ -47,6 +49,8 @@
   void OnClosed(connection& c, std::error_code reason);
   static connection* Adopt(lws* wsi);
   void QueueFrame(connection& c, const message& m);
+  /// Writes the buffered output when the socket takes it; closes a link with too much of it.
+  void WriteLater(connection& c);
   void Reject(connection& c, event_code code, std::error_code reason);
 
   io_loop& loop_;
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -132,6 +132,7 @@
 
  private:
   void Execute(const send_message& e) { links_.Send(e.link, e.body); }
+  void Execute(const broadcast_message& e) { links_.Broadcast(e.links, e.body); }
   void Execute(const open_link& e) { links_.Open(e.address); }
   void Execute(const close_link& e) { links_.Close(e.link); }
   void Execute(const schedule_wakeup& e) { loop_.WakeAt(e.at); }
--- a/src/link_monitor.cc
+++ b/src/link_monitor.cc
@@ -70,11 +70,15 @@
 }
 
 void link_monitor::RecordSentMessages(reduce_context& ctx) {
-  for (const effect& e : ctx.effects) {
-    const auto* sent = std::get_if<send_message>(&e);
-    if (sent == nullptr) continue;
-    auto it = links_.find(sent->link);
+  auto record = [&](link_id link) {
+    auto it = links_.find(link);
     if (it != links_.end()) it->second.last_sent = ctx.now;
+  };
+  for (const effect& e : ctx.effects) {
+    if (const auto* sent = std::get_if<send_message>(&e)) record(sent->link);
+    const auto* broadcast = std::get_if<broadcast_message>(&e);
+    if (broadcast == nullptr) continue;
+    for (link_id link : broadcast->links) record(link);
   }
 }
 
