Keep the choice of receivers of loads in a class of its own

Cause: which links get the loads was decided inside engine_groups, which only a leader of a log can drive, so no test reached it.

--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "radishroute/experts/load_fanout.h"
 #include "radishroute/experts/map_switch.h"
 #include "radishroute/experts/pass_meter.h"
 #include "radishroute/forward/deployment.h"
@@ -25,10 +26,6 @@
   std::chrono::milliseconds change_interval{400};
   /// Half-life of the weight of counts; the popularity of experts shifts within seconds.
   std::chrono::milliseconds half_life{600};
-  /// Period of load messages, and the number of receivers up to which it applies; with more of
-  /// them the period grows, to bound the sender's work.
-  std::chrono::milliseconds load_period{100};
-  std::size_t receivers_per_period = 24;
   /// Minimum share of the expert work of a forward pass that a change must save, measured by the
   /// mean skew of rank loads.
   double min_gain = 0.12;
@@ -48,9 +45,9 @@
   /// Passes on loads that the leader sends to one controller of each availability zone.
   void OnRelayedLoad(link_id from, const fleet_load& load, reduce_context& ctx) const;
   /// Sets the availability zone of this process; must be called before the first event.
-  void SetZone(std::string zone) { zone_ = std::move(zone); }
-  void Handle(const link_opened& opened);
-  void Handle(const link_closed& closed);
+  void SetZone(std::string zone) { fanout_.SetZone(std::move(zone)); }
+  void Handle(const link_opened& opened) { fanout_.Handle(opened); }
+  void Handle(const link_closed& closed) { fanout_.Handle(closed); }
   /// Must be called after each event.
   void OnProgress(const raft_core& core, reduce_context& ctx);
 
@@ -68,8 +65,6 @@
 
   void AddCounts(group_state& group, const engine_status& status) const;
   void Decay(group_state& group, steady_time now) const;
-  /// Receivers of this period's load messages.
-  std::vector<link_id> LoadReceivers(steady_time now);
   void SendLoads(reduce_context& ctx);
   void Plan(const std::string& name, group_state& group, std::uint64_t term,
             reduce_context& ctx) const;
@@ -81,14 +76,8 @@
   /// Profile of the expert-parallel engines; at most one service has such engines.
   std::optional<engine_profile> profile_;
   steady_time next_tick_;
-  steady_time next_loads_;
   std::uint64_t term_ = 0;
-  std::string zone_;
-  /// Availability zone of the peer at the other end of each link.
-  std::map<link_id, std::string> entries_;
-  std::map<link_id, std::string> controllers_;
-  /// Next load message to every entry, in case a relay does not reach it.
-  steady_time next_direct_loads_;
+  load_fanout fanout_;
 };
 
 }  // namespace radishroute
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -65,57 +65,14 @@
   group.change.Advance(core.Term(), ctx);
 }
 
-void engine_groups::Handle(const link_opened& opened) {
-  if (opened.peer.role == process_role::kEntry) entries_[opened.link] = opened.peer.zone;
-  if (opened.peer.role == process_role::kController) controllers_[opened.link] = opened.peer.zone;
-}
-
-void engine_groups::Handle(const link_closed& closed) {
-  entries_.erase(closed.link);
-  controllers_.erase(closed.link);
-}
-
 void engine_groups::OnRelayedLoad(link_id from, const fleet_load& load, reduce_context& ctx) const {
-  if (!controllers_.contains(from)) return;
-  std::vector<link_id> receivers;
-  for (const auto& [link, zone] : entries_) {
-    if (zone == zone_) receivers.push_back(link);
-  }
+  std::vector<link_id> receivers = fanout_.RelayReceivers(from);
   if (!receivers.empty()) ctx.Emit(broadcast_message{std::move(receivers), load});
 }
 
-// The work of one sender for the loads of all entries grows with their number, and the age of the
-// loads with it. So one controller of each other zone passes them on to the entries of its zone.
-// Now and then every entry gets them directly, since a relay may not reach it.
-std::vector<link_id> engine_groups::LoadReceivers(steady_time now) {
-  auto period = [&](std::size_t receivers) {
-    auto slowdown = 1 + receivers / limits_.receivers_per_period;
-    return limits_.load_period * static_cast<int>(slowdown);
-  };
-  std::map<std::string, link_id> relays;
-  for (const auto& [link, zone] : controllers_) {
-    if (zone != zone_) relays.emplace(zone, link);
-  }
-  bool all_directly = now >= next_direct_loads_;
-  if (all_directly) next_direct_loads_ = now + period(2 * entries_.size());
-  std::vector<link_id> receivers;
-  for (const auto& [zone, link] : relays) receivers.push_back(link);
-  for (const auto& [link, zone] : entries_) {
-    if (all_directly || !relays.contains(zone)) receivers.push_back(link);
-  }
-  std::size_t usual = receivers.size();
-  if (all_directly) {
-    usual = relays.size() + static_cast<std::size_t>(std::count_if(
-                                entries_.begin(), entries_.end(),
-                                [&](const auto& entry) { return !relays.contains(entry.second); }));
-  }
-  next_loads_ = now + period(usual);
-  return receivers;
-}
-
 void engine_groups::SendLoads(reduce_context& ctx) {
-  if (ctx.now < next_loads_) return;
-  std::vector<link_id> receivers = LoadReceivers(ctx.now);
+  std::vector<link_id> receivers = fanout_.Receivers(ctx.now);
+  if (receivers.empty()) return;
   for (auto& [name, group] : groups_) {
     fleet_load load;
     load.pass = group.meter.MeanPassDuration();
@@ -126,7 +83,7 @@
     bool stalled = busy && group.meter.IsStalled(ctx.now);
     if (stalled) LogWaiting(name, group, "passes-stalled", ctx);
     load.open = !stalled && !group.change.AnyRankDown(ctx.now);
-    if (!receivers.empty()) ctx.Emit(broadcast_message{receivers, std::move(load)});
+    ctx.Emit(broadcast_message{receivers, std::move(load)});
   }
 }
 
