--- a/tests/withheld_backends_test.cc
+++ b/tests/withheld_backends_test.cc
@@ -279,7 +279,8 @@
   CHECK(decode(503, {{"Retry-After", "99999999999999999999"}}).retry_after ==
         std::chrono::hours(24));
   CHECK(!decode(200, {{"Retry-After", "2"}}).retry_after);
-  for (const char* unreadable : {"", "soon", "-1", "nan", "1 2", "Sat, 05 Dec 2026 07:00:00 GMT"}) {
+  for (const char* unreadable :
+       {"", "soon", "-1", "-1e999", "nan", "1 2", "Sat, 05 Dec 2026 07:00:00 GMT"}) {
     INFO(unreadable);
     backend_response response = decode(503, {{"Retry-After", unreadable}});
     CHECK(!response.retry_after);
