--- a/tests/withheld_backends_test.cc
+++ b/tests/withheld_backends_test.cc
@@ -120,6 +120,7 @@
   /// Backend servers that get the next `count` requests, which run side by side.
   std::set<std::string> ServedBy(int count) {
     std::vector<start_upstream> calls;
+    calls.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) calls.push_back(Send());
     std::set<std::string> backends;
     for (const start_upstream& call : calls) {
