End the processes of a review script when it is ended itself

Cause: a script that is ended by SIGTERM left its processes running. Change: SIGTERM ends the script by way of its clean-up.

--- a/review/harness.py
+++ b/review/harness.py
@@ -342,6 +342,8 @@
     if not os.path.exists(PROGRAM):
         print("target/radishroute is missing: run the build of the deploy file first")
         sys.exit(COULD_NOT_RUN)
+    # An end from outside ends the processes, too.
+    signal.signal(signal.SIGTERM, lambda *unused: sys.exit(COULD_NOT_RUN))
     record = Record(folder)
     deployment = Deployment(record, gateways=gateways)
 
