Write a log anew after a failed write

Cause: the first error of a write kept a replica out of its group until the process restarted, in raft_core::Fail and in log_storage::Write, and nothing restarts a process that runs.

Why this works: a replica has promised only what was synced, so it may follow in memory. The new segment takes its name by a rename after its sync and drops all earlier ones by its first record, so a power loss leaves the old log or the new one. A controller waits at its start for a disk that refuses writes.

Two tests asserted the fault: a replica whose write failed once was to stay out of the group for good, and a group with two of them was to have no leader. They now hold the disk in error for as long, check the same, and then that the replicas take part again.

--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -43,6 +43,8 @@
   kStorageFailed = 507,
   kLogTailTruncated = 508,
   kVoterCreated = 509,
+  kStorageRecovered = 510,
+  kSegmentNotRemoved = 511,
   kConfigApplied = 600,
   kConfigRejected = 601,
   kRecordContradiction = 602,
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -33,6 +33,7 @@
   kAnswerBytesForgotten,
   kEngineCrashes,
   kEngineStalls,
+  kStorageFailures,
   kCrashCharges,
   kSuspectsCleared,
   kDirectoryDeltasSent,
@@ -62,7 +63,7 @@
   kRegistrationsRejected,
 };
 
-inline constexpr std::size_t kCounterCount = 51;
+inline constexpr std::size_t kCounterCount = 52;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -66,6 +66,8 @@
   std::chrono::milliseconds voter_timeout{2500};
   /// A learner that has not replied for this time is removed.
   std::chrono::milliseconds learner_timeout{30000};
+  /// After a failed write, the log is written anew in this interval until that succeeds.
+  std::chrono::milliseconds storage_retry_delay{250};
 };
 
 enum class raft_role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -123,7 +125,9 @@
   endpoint LeaderAddress() const;
   std::uint64_t CommitIndex() const { return commit_index_; }
   std::uint64_t AppliedIndex() const { return applied_index_; }
-  std::error_code Failure() const { return failure_; }
+  /// Why this replica takes no part in the group: an error of its storage, which ends once the log
+  /// has been written anew, or a broken invariant, which is final.
+  std::error_code Failure() const { return failure_ ? failure_ : storage_error_; }
   const raft_log& Log() const { return log_; }
   /// Highest index that a replica is known to have synced; 0 if unknown. Leader only.
   std::uint64_t MatchIndex(voter_id id) const;
@@ -174,7 +178,11 @@
   bool Accepts(const raft_header& header) const;
   raft_header MakeHeader(voter_id to) const;
   void Send(const replica& to, message m, reduce_context& ctx);
+  void Reply(link_id link, message m, reduce_context& ctx);
   void SendAfterSync(link_id link, message m, reduce_context& ctx);
+  void OnStorageFailed(std::error_code error, reduce_context& ctx);
+  void OnStorageRecovered(reduce_context& ctx);
+  store_batch WholeLog() const;
   void SetTermAndVote(std::uint64_t term, voter_id vote, reduce_context& ctx);
   void AppendToLog(log_entry entry);
   void TruncateLog(std::uint64_t index, reduce_context& ctx);
@@ -224,6 +232,9 @@
   std::uint32_t log_group_ = 0;
   voter_id self_;
   std::error_code failure_;
+  /// Error of the last write; unset once the whole log has been written anew.
+  std::error_code storage_error_;
+  steady_time storage_retry_at_;
 
   // Persistent state: synced before any message that depends on it is sent.
   std::uint64_t term_ = 0;
--- a/include/radishroute/raft_event.h
+++ b/include/radishroute/raft_event.h
@@ -67,6 +67,8 @@
   std::vector<log_entry> entries;
   /// Entries below this index may be deleted.
   std::uint64_t keep_from = 0;
+  /// The batch is the replica's whole state. It goes to new files, which replace those on disk.
+  bool rewrite = false;
 };
 
 /// Effect: writes and syncs a batch, then delivers `log_stored`.
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
+#include <utility>
 
 #include "cli/admin.h"
 #include "cli/commands.h"
@@ -26,6 +27,9 @@
 
 constexpr const char* kJson = "application/json";
 
+// Time between two attempts to open a data folder on a disk that refuses writes.
+constexpr std::chrono::milliseconds kOpenRetryInterval{250};
+
 bool ReadVoterId(const nlohmann::json& body, const char* key, voter_id& out) {
   if (!body.contains(key) || !body[key].is_string()) return false;
   const auto& text = body[key].get_ref<const std::string&>();
@@ -98,9 +102,7 @@
 
   int Run(bool bootstrap) {
     replica self{{}, settings_.common.zone, settings_.control_advertise, true, {}};
-    std::error_code error =
-        node_.Open(settings_.data, self, settings_.control_listen, bootstrap, LimitsOf(settings_),
-                   {settings_.first_start, settings_.known_controllers});
+    std::error_code error = OpenLog(self, bootstrap);
     if (!error) node_.Thread().State().control.log->ConfigureGroups(settings_.groups);
     if (!error && !settings_.calls_listen.host.empty()) error = ServeCalls(self);
     if (!error) error = admin_.Start(settings_.admin_listen);
@@ -125,6 +127,21 @@
  private:
   using wire_api = control_api<platform::control_wire>;
 
+  // A disk that refuses writes may have room again, so it does not end the process.
+  std::error_code OpenLog(const replica& self, bool bootstrap) {
+    bool logged = false;
+    for (;;) {
+      std::error_code error =
+          node_.Open(settings_.data, self, settings_.control_listen, bootstrap, LimitsOf(settings_),
+                     {settings_.first_start, settings_.known_controllers});
+      if (error != errc::kDiskFull && error != errc::kSyncFailed) return error;
+      if (!std::exchange(logged, true)) {
+        WriteLog({event_code::kStorageFailed, log_level::kError, {{"error", error.message()}}});
+      }
+      if (StopSignalWithin(kOpenRetryInterval)) return error;
+    }
+  }
+
   std::error_code ServeCalls(const replica& self) {
     control_state& control = node_.Thread().State().control;
     control.log->SetZone(settings_.common.zone);
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -56,6 +56,15 @@
   }
 }
 
+bool StopSignalWithin(std::chrono::milliseconds longest) {
+  sigset_t signals = StopSignals();
+  auto seconds = std::chrono::duration_cast<std::chrono::seconds>(longest);
+  auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(longest - seconds);
+  timespec interval{seconds.count(), rest.count()};
+  int received = sigtimedwait(&signals, nullptr, &interval);
+  return received > 0 && received != SIGHUP;
+}
+
 void stop_latch::Report(std::size_t thread, bool all_finished) {
   std::lock_guard lock(mutex_);
   std::uint64_t bit = std::uint64_t{1} << thread;
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -34,6 +34,9 @@
 void WaitForStopSignal(const std::string& settings_file,
                        const std::function<void(const std::string&)>& on_change);
 
+/// Waits at most for `longest`; true if SIGTERM or SIGINT arrived.
+bool StopSignalWithin(std::chrono::milliseconds longest);
+
 /// Counts threads that report that they have stopped.
 class stop_latch {
  public:
--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -61,14 +61,15 @@
     recovered_log recovered;
     if (auto error = storage->Open(recovered)) return error;
     LogOpened(*storage, recovered);
-    bool empty = recovered.term == 0 && recovered.entries.empty() && !recovered.snapshot;
-    if (bootstrap && !empty) return errc::kFolderInUse;
+    bool no_log = recovered.entries.empty() && !recovered.snapshot;
+    if (bootstrap && !(no_log && recovered.term == 0)) return errc::kFolderInUse;
     if (bootstrap) {
       replica first = self;
       first.id = recovered.self;
       if (auto error = Bootstrap(*storage, {first}, recovered)) return error;
     }
-    if (founder && empty) {
+    // A first batch of which a full disk took only a part leaves its term without its entry.
+    if (founder && no_log && recovered.term <= 1 && recovered.voted_for == voter_id{}) {
       std::vector<replica> founders;
       for (const endpoint& address : group.founders) {
         founders.push_back({FounderId(address), {}, address, true, {}});
--- a/src/io/log_storage.h
+++ b/src/io/log_storage.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "io/data_folder.h"
+#include "io/metrics.h"
 #include "io/storage_record.h"
 #include "radishroute/error.h"
 #include "radishroute/raft_event.h"
@@ -41,9 +42,14 @@
     return ReadFolder(out);
   }
 
-  /// Writes and syncs a batch. Errors: kDiskFull, kSyncFailed; each later call then fails too.
+  /// Writes and syncs a batch. Errors: kDiskFull, kSyncFailed; each later call then fails too,
+  /// until a batch with `rewrite` has been written.
   std::error_code Write(const store_batch& batch) {
-    if (!failure_) failure_ = WriteBatch(batch);
+    if (batch.rewrite) {
+      failure_ = Rewrite(batch);
+    } else if (!failure_) {
+      failure_ = WriteBatch(batch);
+    }
     return failure_;
   }
 
@@ -65,7 +71,10 @@
   static constexpr const char* kVoterFile = "voter";
   static constexpr const char* kVoteFile = "vote";
   static constexpr const char* kSnapshotFile = "snapshot";
+  static constexpr const char* kNewSegmentFile = "segment.new";
   static constexpr std::string_view kSegmentPrefix = "segment-";
+  /// Longest group of entries in a record of a rewritten log.
+  static constexpr std::size_t kRewriteRecordBytes = std::size_t{4} << 20;
   static constexpr std::size_t kSegmentDigits = 12;
 
   static std::string SegmentName(std::uint64_t number) {
@@ -146,11 +155,26 @@
     return {};
   }
 
+  // Segments before one that drops all of them do not count, and may end with what a failed write
+  // has left.
   std::error_code ReadSegments(recovered_log& out) {
-    for (std::size_t i = 0; i < segments_.size(); ++i) {
-      if (i > 0 && segments_[i].number != segments_[i - 1].number + 1) return errc::kLogCorrupt;
-      bool last = i + 1 == segments_.size();
-      if (auto failed = ReadSegment(segments_[i], last, out)) return failed;
+    std::vector<std::string> contents;
+    std::size_t first = segments_.size();
+    while (first > 0) {
+      bool adjacent =
+          first == segments_.size() || segments_[first].number == segments_[first - 1].number + 1;
+      if (!adjacent) return errc::kLogCorrupt;
+      std::optional<std::string> bytes;
+      if (auto failed = folder_.Read(SegmentName(segments_[first - 1].number), bytes))
+        return failed;
+      if (!bytes) return errc::kFolderUnusable;
+      --first;
+      contents.push_back(std::move(*bytes));
+      if (DropsEarlierSegments(contents.back())) break;
+    }
+    for (std::size_t i = first; i < segments_.size(); ++i) {
+      std::string bytes = std::move(contents[segments_.size() - 1 - i]);
+      if (auto failed = ReadSegment(segments_[i], bytes, out)) return failed;
     }
     if (!segments_.empty()) {
       std::string name = SegmentName(segments_.back().number);
@@ -163,12 +187,17 @@
     return AppendToSegment(EncodePayload(log_batch{1, {}}), 0);
   }
 
-  std::error_code ReadSegment(segment& s, bool last, recovered_log& out) {
+  static bool DropsEarlierSegments(std::string_view bytes) {
+    record_scan scan = ScanRecords(bytes);
+    log_batch first;
+    return !scan.payloads.empty() && !DecodePayload(scan.payloads.front(), first) &&
+           first.truncate_from == 1;
+  }
+
+  std::error_code ReadSegment(segment& s, std::string_view bytes, recovered_log& out) {
     std::string name = SegmentName(s.number);
-    std::optional<std::string> bytes;
-    if (auto failed = folder_.Read(name, bytes)) return failed;
-    if (!bytes) return errc::kFolderUnusable;
-    record_scan scan = ScanRecords(*bytes);
+    bool last = s.number == segments_.back().number;
+    record_scan scan = ScanRecords(bytes);
     if (scan.result == scan_result::kDamaged) return errc::kLogCorrupt;
     // A segment is started only after the one before it is synced.
     if (scan.result == scan_result::kTorn && !last) return errc::kLogCorrupt;
@@ -176,7 +205,7 @@
       if (auto failed = ReadBatch(payload, s, out)) return failed;
     }
     s.bytes = scan.valid_bytes;
-    truncated_bytes_ += bytes->size() - scan.valid_bytes;
+    truncated_bytes_ += bytes.size() - scan.valid_bytes;
     if (scan.result != scan_result::kTorn) return {};
     std::optional<file_type> file;
     if (auto failed = folder_.OpenToAppend(name, file)) return failed;
@@ -214,7 +243,53 @@
       std::uint64_t last = batch.entries.empty() ? 0 : batch.entries.back().index;
       if (auto error = AppendToSegment(EncodePayload(batch), last)) return error;
     }
-    return batch.keep_from == 0 ? std::error_code() : DeleteSegmentsBefore(batch.keep_from);
+    RemoveSegmentsWhile([&](const segment& s) { return s.last_index < batch.keep_from; });
+    return {};
+  }
+
+  // Nothing that a failed write may have touched is synced again or relied on. The new segment
+  // holds the whole log and appears under its name at once, so that a power loss leaves either the
+  // old segments or one that takes their place.
+  std::error_code Rewrite(const store_batch& batch) {
+    vote_record vote{batch.term, batch.voted_for};
+    if (auto error = ReplaceFile(kVoteFile, EncodePayload(vote))) return error;
+    if (batch.snapshot) {
+      if (auto error = ReplaceFile(kSnapshotFile, EncodePayload(*batch.snapshot))) return error;
+    }
+    segment rewritten{NextNumber(), 0, 0};
+    std::optional<file_type> file;
+    if (auto error = folder_.Create(kNewSegmentFile, file)) return error;
+    if (auto error = AppendWholeLog(batch, *file, rewritten)) return error;
+    if (auto error = file->Sync()) return error;
+    if (auto error = folder_.Rename(kNewSegmentFile, SegmentName(rewritten.number))) return error;
+    segments_.push_back(rewritten);
+    if (auto error = folder_.Sync()) return error;
+    active_ = std::move(file);
+    roll_ = false;
+    RemoveSegmentsWhile([](const segment&) { return true; });
+    return {};
+  }
+
+  // The first record drops what earlier segments hold.
+  static std::error_code AppendWholeLog(const store_batch& batch, file_type& file, segment& s) {
+    log_batch part{1, {}};
+    std::size_t bytes = 0;
+    auto append_part = [&] {
+      std::string record;
+      AppendRecord(EncodePayload(part), record);
+      part = {};
+      bytes = 0;
+      s.bytes += record.size();
+      return file.Append(record);
+    };
+    for (const log_entry& entry : batch.entries) {
+      part.entries.push_back(entry);
+      s.last_index = entry.index;
+      bytes += ApproximateSize(entry.body);
+      if (bytes < kRewriteRecordBytes) continue;
+      if (auto error = append_part()) return error;
+    }
+    return append_part();
   }
 
   std::error_code AppendToSegment(const std::string& payload, std::uint64_t last_index) {
@@ -231,8 +306,10 @@
     return active_->Sync();
   }
 
+  std::uint64_t NextNumber() const { return segments_.empty() ? 1 : segments_.back().number + 1; }
+
   std::error_code StartSegment() {
-    std::uint64_t number = segments_.empty() ? 1 : segments_.back().number + 1;
+    std::uint64_t number = NextNumber();
     if (auto error = folder_.Create(SegmentName(number), active_)) return error;
     segments_.push_back({number, 0, 0});
     return folder_.Sync();
@@ -250,13 +327,24 @@
     return folder_.Sync();
   }
 
-  std::error_code DeleteSegmentsBefore(std::uint64_t index) {
-    // Oldest first and never the active one, so that the files left are always consecutive.
-    while (segments_.size() > 1 && segments_.front().last_index < index) {
-      folder_.Remove(SegmentName(segments_.front().number));
+  // Oldest first and never the active one. A failure leaves files that are not needed, so it is no
+  // failure of the batch: the next removal tries again.
+  template <class Predicate>
+  void RemoveSegmentsWhile(Predicate is_unneeded) {
+    while (segments_.size() > 1 && is_unneeded(segments_.front())) {
+      std::string name = SegmentName(segments_.front().number);
+      if (auto error = folder_.Remove(name)) {
+        LogNotRemoved(name, error);
+        return;
+      }
       segments_.erase(segments_.begin());
     }
-    return {};
+  }
+
+  static void LogNotRemoved(const std::string& name, std::error_code error) {
+    WriteLog({event_code::kSegmentNotRemoved,
+              log_level::kWarning,
+              {{"file", name}, {"error", error.message()}}});
   }
 
   Folder folder_;
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -68,6 +68,10 @@
       return "storage-failed";
     case event_code::kLogTailTruncated:
       return "log-tail-truncated";
+    case event_code::kStorageRecovered:
+      return "storage-recovered";
+    case event_code::kSegmentNotRemoved:
+      return "segment-not-removed";
     case event_code::kVoterCreated:
       return "voter-created";
     case event_code::kConfigApplied:
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -29,6 +29,7 @@
                                                                   "answer_bytes_forgotten",
                                                                   "engine_crashes",
                                                                   "engine_stalls",
+                                                                  "storage_failures",
                                                                   "crash_charges",
                                                                   "suspects_cleared",
                                                                   "directory_deltas_sent",
--- a/src/raft.cc
+++ b/src/raft.cc
@@ -47,20 +47,65 @@
 }
 
 void raft_core::Fail(std::error_code error, reduce_context& ctx) {
-  if (failure_) return;
   failure_ = error;
   ctx.Emit(write_log{{event_code::kStorageFailed,
                       log_level::kError,
                       {{"log_group", std::to_string(log_group_)},
                        {"voter", std::to_string(self_.value)},
                        {"error", error.message()}}}});
-  // Messages that depend on the failed sync must never be sent.
   deferred_.clear();
   role_ = raft_role::kFollower;
   leader_ = {};
   FinishAllProposals(ctx);
 }
 
+// What the failed write has left on disk is unknown, and a second sync of the same file may succeed
+// although its data is lost. Until the whole log is in new files, this replica therefore neither
+// votes, leads nor acknowledges anything. It has promised nothing that was not synced before, so it
+// may keep following in memory.
+void raft_core::OnStorageFailed(std::error_code error, reduce_context& ctx) {
+  bool failed_before = static_cast<bool>(storage_error_);
+  storage_error_ = error;
+  storing_sequence_ = 0;
+  storage_retry_at_ = ctx.now + limits_.storage_retry_delay;
+  ctx.Emit(schedule_wakeup{storage_retry_at_});
+  // Messages that depend on the failed sync must never be sent.
+  deferred_.clear();
+  ctx.Emit(count{counter::kStorageFailures});
+  if (failed_before) return;
+  ctx.Emit(write_log{{event_code::kStorageFailed,
+                      log_level::kError,
+                      {{"log_group", std::to_string(log_group_)},
+                       {"voter", std::to_string(self_.value)},
+                       {"error", error.message()}}}});
+  if (role_ != raft_role::kFollower) BecomeFollower(term_, ctx);
+}
+
+void raft_core::OnStorageRecovered(reduce_context& ctx) {
+  storage_error_ = {};
+  ctx.Emit(write_log{{event_code::kStorageRecovered,
+                      log_level::kInfo,
+                      {{"log_group", std::to_string(log_group_)},
+                       {"voter", std::to_string(self_.value)},
+                       {"last", std::to_string(synced_index_)}}}});
+  ResetElectionTimer(ctx);
+  ScheduleWakeup(ctx);
+}
+
+store_batch raft_core::WholeLog() const {
+  store_batch batch;
+  batch.rewrite = true;
+  batch.write_vote = true;
+  batch.term = term_;
+  batch.voted_for = voted_for_;
+  batch.snapshot = log_.Snapshot();
+  batch.truncate_from = 1;
+  for (std::uint64_t i = log_.BaseIndex() + 1; i <= log_.LastIndex(); ++i) {
+    batch.entries.push_back(log_.At(i));
+  }
+  return batch;
+}
+
 bool raft_core::Accepts(const raft_header& header) const {
   return !failure_ && header.log_group == log_group_ && header.to == self_ && header.from != self_;
 }
@@ -77,7 +122,14 @@
   ctx.Emit(send_message{it->second.link, std::move(m)});
 }
 
+// A replica whose storage failed counts as lost, so that it is replaced if that lasts.
+void raft_core::Reply(link_id link, message m, reduce_context& ctx) {
+  if (!storage_error_) ctx.Emit(send_message{link, std::move(m)});
+}
+
 void raft_core::SendAfterSync(link_id link, message m, reduce_context& ctx) {
+  // Whatever is not acknowledged is sent again.
+  if (storage_error_) return;
   if (has_pending_) {
     deferred_.emplace_back(next_sequence_, send_message{link, std::move(m)});
   } else if (storing_sequence_ != 0) {
@@ -121,7 +173,13 @@
 }
 
 void raft_core::Flush(reduce_context& ctx) {
-  if (storing_sequence_ != 0 || !has_pending_ || failure_) return;
+  if (storing_sequence_ != 0 || failure_) return;
+  if (storage_error_) {
+    if (ctx.now < storage_retry_at_) return;
+    pending_batch_ = WholeLog();
+    has_pending_ = true;
+  }
+  if (!has_pending_) return;
   storing_sequence_ = next_sequence_++;
   storing_last_index_ = log_.LastIndex();
   auto batch = std::make_shared<store_batch>(std::move(pending_batch_));
@@ -135,7 +193,7 @@
 void raft_core::Handle(const log_stored& e, reduce_context& ctx) {
   if (failure_ || e.log_group != log_group_ || e.sequence != storing_sequence_) return;
   if (e.error) {
-    Fail(e.error, ctx);
+    OnStorageFailed(e.error, ctx);
     return;
   }
   synced_index_ = std::max(synced_index_, storing_last_index_);
@@ -145,6 +203,7 @@
   for (auto it = deferred_.begin(); it != ready; ++it) ctx.Emit(std::move(it->second));
   deferred_.erase(deferred_.begin(), ready);
   storing_sequence_ = 0;
+  if (storage_error_) OnStorageRecovered(ctx);
   // A candidate's vote for itself counts only once it is synced.
   bool vote_synced = !(has_pending_ && pending_batch_.write_vote);
   if (role_ == raft_role::kCandidate && vote_synced) {
@@ -180,13 +239,14 @@
     if (ctx.now >= next_heartbeat_) OnHeartbeatTimer(ctx);
   } else if (ctx.now >= election_deadline_) {
     ResetElectionTimer(ctx);
-    if (IsSelfVoter()) StartPreVote(ctx);
+    if (IsSelfVoter() && !storage_error_) StartPreVote(ctx);
   }
   ScheduleWakeup(ctx);
 }
 
 void raft_core::ScheduleWakeup(reduce_context& ctx) {
   steady_time wakeup = role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_;
+  if (storage_error_ && storing_sequence_ == 0) wakeup = std::min(wakeup, storage_retry_at_);
   for (const auto& [address, peer] : links_) {
     if (peer.link.value == 0 && !peer.opening) wakeup = std::min(wakeup, peer.reconnect_at);
   }
--- a/src/raft_election.cc
+++ b/src/raft_election.cc
@@ -90,6 +90,7 @@
 
 void raft_core::Handle(link_id link, const vote_request& m, reduce_context& ctx) {
   if (!Accepts(m.header)) return;
+  if (storage_error_) return;
   bool vote_withheld = role_ == raft_role::kLeader || ctx.now < no_votes_until_;
   if (!vote_withheld && !m.pre_vote && m.header.term > term_) BecomeFollower(m.header.term, ctx);
   bool term_eligible = m.pre_vote ? m.header.term > term_ : m.header.term == term_;
--- a/src/raft_replication.cc
+++ b/src/raft_replication.cc
@@ -112,7 +112,7 @@
   reply.sent = m.sent;
   if (m.header.term < term_) {
     reply.header = MakeHeader(m.header.from);
-    ctx.Emit(send_message{link, reply});
+    Reply(link, reply, ctx);
     return;
   }
   if (!RecognizeLeader(m.header, ctx)) return;
@@ -125,7 +125,7 @@
     // Skips all entries of the conflicting term; entries up to the commit index always match.
     std::uint64_t hint = prev_term ? log_.FirstIndexOfTerm(m.prev_index) - 1 : log_.LastIndex();
     reply.match_index = std::max(std::min(hint, m.prev_index - 1), commit_index_);
-    ctx.Emit(send_message{link, reply});
+    Reply(link, reply, ctx);
     return;
   }
   std::uint64_t replicas_before = log_.ReplicasIndex();
@@ -136,11 +136,11 @@
   reply.matched = true;
   reply.match_index = last;
   if (last <= synced_index_) {
-    ctx.Emit(send_message{link, reply});
+    Reply(link, reply, ctx);
   } else if (m.entries.empty()) {
     // A heartbeat is acknowledged at once, so that the leader keeps its lease when a disk is slow.
     reply.match_index = synced_index_;
-    ctx.Emit(send_message{link, reply});
+    Reply(link, reply, ctx);
   } else {
     SendAfterSync(link, reply, ctx);
   }
@@ -191,7 +191,7 @@
   if (m.header.term >= term_ && !RecognizeLeader(m.header, ctx)) return;
   reply.header = MakeHeader(m.header.from);
   if (m.header.term < term_) {
-    ctx.Emit(send_message{link, reply});
+    Reply(link, reply, ctx);
     return;
   }
   if (m.index <= commit_index_) {
@@ -216,7 +216,7 @@
     incoming_state_.clear();
   }
   reply.next_offset = incoming_state_.size();
-  ctx.Emit(send_message{link, reply});
+  Reply(link, reply, ctx);
 }
 
 void raft_core::InstallSnapshot(const snapshot_chunk& m, reduce_context& ctx) {
--- a/tests/raft_cluster.cc
+++ b/tests/raft_cluster.cc
@@ -52,9 +52,7 @@
   state.paused = false;
   state.held_events.clear();
   if (state.storing) {
-    // A batch has one step each for the vote, the snapshot, the truncation and each entry.
-    std::uniform_int_distribution<std::size_t> steps(0, state.storing->entries.size() + 3);
-    Store(state, *state.storing, steps(random_));
+    StorePart(state, *state.storing);
     state.storing.reset();
   }
   std::vector<link_id> lost;
@@ -79,6 +77,12 @@
   for (event& e : held_events) Deliver(node, std::move(e));
 }
 
+void raft_cluster::StorePart(node_state& state, const store_batch& batch) {
+  // A batch has one step each for the vote, the snapshot, the truncation and each entry.
+  std::uniform_int_distribution<std::size_t> steps(0, batch.entries.size() + 3);
+  Store(state, batch, steps(random_));
+}
+
 void raft_cluster::Store(node_state& state, const store_batch& batch, std::size_t steps) {
   std::size_t done = 0;
   auto next = [&] { return done++ < steps; };
@@ -88,6 +92,11 @@
   }
   if (next() && batch.snapshot) state.disk.snapshot = batch.snapshot;
   auto& entries = state.disk.entries;
+  if (batch.rewrite) {
+    // The new log replaces the old one at once.
+    if (next()) entries = batch.entries;
+    return;
+  }
   if (next() && batch.truncate_from != 0) {
     std::erase_if(entries, [&](const log_entry& e) { return e.index >= batch.truncate_from; });
   }
@@ -138,8 +147,12 @@
   effect_list effects;
   reduce_context ctx{now_, wall_time{}, random_, effects};
   if (auto* stored = std::get_if<log_stored>(&e); stored != nullptr && state.storing) {
-    stored->error = std::exchange(state.sync_error, {});
-    if (!stored->error) Store(state, *state.storing, std::numeric_limits<std::size_t>::max());
+    stored->error = state.disk_error;
+    if (stored->error) {
+      StorePart(state, *state.storing);
+    } else {
+      Store(state, *state.storing, std::numeric_limits<std::size_t>::max());
+    }
     state.storing.reset();
   }
   auto handle = [&](const auto&... arguments) {
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -74,7 +74,9 @@
   /// Drops all messages from one replica to another.
   void Block(std::size_t from, std::size_t to) { blocked_.insert({from, to}); }
   void UnblockAll() { blocked_.clear(); }
-  void FailNextSync(std::size_t node, std::error_code error) { nodes_[node].sync_error = error; }
+  /// All writes of a replica fail with `error` until it is reset. What a failed write was to store
+  /// is on the disk up to a random step.
+  void SetDiskError(std::size_t node, std::error_code error) { nodes_[node].disk_error = error; }
 
   std::optional<std::size_t> Leader() const;
   bool IsRunning(std::size_t node) const { return nodes_[node].log.has_value(); }
@@ -112,7 +114,7 @@
     std::uint64_t incarnation = 0;
     bool paused = false;
     std::vector<event> held_events;
-    std::error_code sync_error;
+    std::error_code disk_error;
     std::optional<steady_time> wake_at;
   };
   struct queued_event {
@@ -130,6 +132,7 @@
   void OpenLink(std::size_t node, const endpoint& address);
   void CloseLink(link_id link);
   void Store(node_state& state, const store_batch& batch, std::size_t steps);
+  void StorePart(node_state& state, const store_batch& batch);
   void CheckLogEvent(std::size_t node, const log_event& e);
   void CheckVoteReply(std::size_t node, const message& m);
 
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "radishroute/error.h"
 #include "raft_cluster.h"
 
 namespace radishroute {
@@ -87,6 +88,14 @@
       case 14:
         ReplaceDisk(node);
         break;
+      case 15:
+      case 16:
+        cluster_.SetDiskError(node, errc::kDiskFull);
+        break;
+      case 17:
+      case 18:
+        for (node = 0; node < cluster_.Size(); ++node) cluster_.SetDiskError(node, {});
+        break;
       default:
         RequestReplacement();
         break;
@@ -124,6 +133,7 @@
     for (std::size_t i = 0; i < cluster_.Size(); ++i) {
       if (!cluster_.IsRunning(i)) cluster_.Start(i);
       cluster_.SetPaused(i, false);
+      cluster_.SetDiskError(i, {});
     }
     for (int i = 0; i < 100 && lost_disk_ && cluster_.failure.empty(); ++i) {
       cluster_.Run(milliseconds(200));
@@ -155,7 +165,8 @@
 }  // namespace
 
 // Guards against lost commits, double votes and two leaders under message delay, loss, duplication
-// and reordering, crashes with lost writes, one-way partitions, pauses and replaced disks.
+// and reordering, crashes with lost writes, failed writes, one-way partitions, pauses and replaced
+// disks.
 TEST_CASE("random runs of a log group keep the invariants") {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     INFO("seed " << seed);
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -76,7 +76,7 @@
   std::size_t leader = WaitForLeader(cluster);
   cluster.Run(milliseconds(200));
   for (std::size_t i = 0; i < 3; ++i) {
-    if (i != leader) cluster.FailNextSync(i, errc::kSyncFailed);
+    if (i != leader) cluster.SetDiskError(i, errc::kSyncFailed);
   }
   proposal_id id = cluster.Propose(leader);
   cluster.Run(milliseconds(300));
@@ -84,13 +84,15 @@
   cluster.Run(milliseconds(3000));
   CHECK(cluster.Result(id)->status == proposal_status::kUnknown);
   CHECK_FALSE(cluster.Leader().has_value());
+  for (std::size_t i = 0; i < 3; ++i) cluster.SetDiskError(i, {});
+  CHECK(cluster.CommitOne(milliseconds(3000)));
 }
 
 // Guards against a replica that votes or leads after a failed sync, for example on a full disk.
 TEST_CASE("a replica neither votes nor leads after a storage failure") {
   raft_cluster cluster(3, 3);
   std::size_t leader = WaitForLeader(cluster);
-  cluster.FailNextSync(leader, errc::kDiskFull);
+  cluster.SetDiskError(leader, errc::kDiskFull);
   cluster.Propose(leader);
   REQUIRE(cluster.CommitOne(milliseconds(4000)));
   CHECK(*cluster.Leader() != leader);
@@ -98,6 +100,61 @@
   CHECK(cluster.Core(leader).Role() == raft_role::kFollower);
   cluster.Crash(*cluster.Leader());
   CHECK_FALSE(cluster.CommitOne(milliseconds(3000)));
+  CHECK(cluster.Core(leader).Role() == raft_role::kFollower);
+}
+
+// Guards against a replica that stays out of the group after its disk has room again, so that two
+// full disks, one after the other, leave no majority.
+TEST_CASE("disks that are full one after another leave a group that commits") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::size_t size : {3, 5}) {
+      raft_cluster cluster(seed, size);
+      std::size_t first = WaitForLeader(cluster);
+      for (std::size_t i = 0; i < 2 * size; ++i) {
+        INFO("seed " << seed << ", size " << size << ", disk " << i);
+        // The leader's disk comes first; a leader and a follower fail at other steps.
+        std::size_t node = (first + i) % size;
+        cluster.SetDiskError(node, seed % 2 == 0 ? errc::kDiskFull : errc::kSyncFailed);
+        REQUIRE(cluster.CommitOne(milliseconds(4000)));
+        cluster.Run(milliseconds(1000));
+        cluster.SetDiskError(node, {});
+        cluster.Run(milliseconds(1000));
+        REQUIRE_FALSE(cluster.Core(node).Failure());
+        REQUIRE(cluster.failure == "");
+      }
+      // Each replica is needed now: the smallest majority is the first half and one more.
+      for (std::size_t i = size / 2 + 1; i < size; ++i) cluster.Crash((first + i) % size);
+      CHECK(cluster.CommitOne(milliseconds(5000)));
+      CHECK(cluster.failure == "");
+    }
+  }
+}
+
+// Guards against an acknowledgement that a replica gives for entries that its disk has lost: after
+// the recovery it loses power and must still have all that was committed with its help.
+TEST_CASE("a replica acknowledges nothing between a failed write and its recovery") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    raft_cluster cluster(seed, 3);
+    std::size_t leader = WaitForLeader(cluster);
+    std::size_t failed = (leader + 1) % 3;
+    cluster.Crash((leader + 2) % 3);
+    cluster.SetDiskError(failed, errc::kSyncFailed);
+    proposal_id id = cluster.Propose(leader);
+    cluster.Run(milliseconds(20 * static_cast<int>(seed)));
+    INFO("seed " << seed);
+    CHECK_FALSE(cluster.Result(id).has_value());
+    cluster.SetDiskError(failed, {});
+    REQUIRE(cluster.CommitOne(milliseconds(5000)));
+    std::string state = cluster.Machine(*cluster.Leader()).State();
+    // Only the replica whose write had failed and the one that was down all the while are left.
+    cluster.Crash(failed);
+    cluster.Crash(leader);
+    cluster.Start(failed);
+    cluster.Start((leader + 2) % 3);
+    REQUIRE(cluster.CommitOne(milliseconds(5000)));
+    CHECK(cluster.Machine(*cluster.Leader()).State().starts_with(state));
+    CHECK(cluster.failure == "");
+  }
 }
 
 // Guards against a paused leader that still considers its lease valid when it resumes.
@@ -286,10 +343,22 @@
   vote_request m;
   m.header = {0, {98}, cluster.Replica(voter).id, cluster.Core(voter).Term() + 5};
   m.last_term = m.header.term;
-  cluster.FailNextSync(voter, errc::kSyncFailed);
+  cluster.SetDiskError(voter, errc::kSyncFailed);
+  cluster.Deliver(voter, message_received{{1}, m});
+  cluster.Run(milliseconds(20));
+  CHECK(cluster.SentVote(voter, m.header.term) == voter_id{});
+  // Nor is it sent while the disk keeps failing, and not to another candidate afterwards.
+  cluster.Deliver(voter, message_received{{1}, m});
+  cluster.Run(milliseconds(1000));
+  CHECK(cluster.SentVote(voter, m.header.term) == voter_id{});
+  cluster.SetDiskError(voter, {});
+  cluster.Run(milliseconds(400));
+  CHECK_FALSE(cluster.Core(voter).Failure());
+  m.header.from = {99};
   cluster.Deliver(voter, message_received{{1}, m});
   cluster.Run(milliseconds(20));
   CHECK(cluster.SentVote(voter, m.header.term) == voter_id{});
+  CHECK(cluster.failure == "");
 }
 
 // Guards against a restarted voter that helps to elect a leader while the old one holds its lease.
