Read a log of which a power loss undid the removal of segments

With one more disk lost, as the deployment has to bear, the acknowledged configuration was gone and nothing was served.

Cause: segments were removed one after the other without a sync of the folder. A power loss keeps or undoes each removal by itself, and the reader took the gap between those that were left for a lost segment.

Why this works: the newest segments without a gap are the log.

--- a/src/io/log_storage.h
+++ b/src/io/log_storage.h
@@ -155,15 +155,16 @@
     return {};
   }
 
-  // Segments before one that drops all of them do not count, and may end with what a failed write
-  // has left.
+  // Only the newest segments without a gap count, from the last one on that drops all before it. A
+  // power loss may undo the removal of any older ones, with gaps between them; `raft_log` checks
+  // that those that count follow the snapshot.
   std::error_code ReadSegments(recovered_log& out) {
     std::vector<std::string> contents;
     std::size_t first = segments_.size();
     while (first > 0) {
       bool adjacent =
           first == segments_.size() || segments_[first].number == segments_[first - 1].number + 1;
-      if (!adjacent) return errc::kLogCorrupt;
+      if (!adjacent) break;
       std::optional<std::string> bytes;
       if (auto failed = folder_.Read(SegmentName(segments_[first - 1].number), bytes))
         return failed;
@@ -331,6 +332,7 @@
   // failure of the batch: the next removal tries again.
   template <class Predicate>
   void RemoveSegmentsWhile(Predicate is_unneeded) {
+    std::size_t before = segments_.size();
     while (segments_.size() > 1 && is_unneeded(segments_.front())) {
       std::string name = SegmentName(segments_.front().number);
       if (auto error = folder_.Remove(name)) {
@@ -339,6 +341,8 @@
       }
       segments_.erase(segments_.begin());
     }
+    if (segments_.size() == before) return;
+    if (auto error = folder_.Sync()) LogNotRemoved("", error);
   }
 
   static void LogNotRemoved(const std::string& name, std::error_code error) {
