--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -45,6 +45,8 @@
   kVoterCreated = 509,
   kStorageRecovered = 510,
   kSegmentNotRemoved = 511,
+  kSnapshotRefused = 512,
+  kPeerMessageRefused = 513,
   kConfigApplied = 600,
   kConfigRejected = 601,
   kRecordContradiction = 602,
--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -27,6 +27,7 @@
                                             reduce_context& ctx) {
   {machine.Apply(entry, ctx)};
   { const_machine.Snapshot() } -> std::same_as<std::string>;
+  // Leaves the machine as it was if the state cannot be read.
   { machine.Restore(state) } -> std::same_as<std::error_code>;
 };
 
@@ -106,17 +107,16 @@
   /// Next committed entry that has not been applied, or null. Valid until the next call of Handle.
   const log_entry* NextToApply() const;
   void OnApplied(reduce_context& ctx);
-  /// Snapshot received from a leader, to replace the state machine's state; returned once, then
-  /// null.
-  std::shared_ptr<const log_snapshot> TakeInstalledSnapshot() {
-    return std::exchange(installed_snapshot_, nullptr);
-  }
+  /// Whole snapshot of a leader that waits for InstallSnapshot or RefuseSnapshot, or null.
+  std::shared_ptr<const log_snapshot> ReceivedSnapshot() const { return received_snapshot_; }
+  /// Replaces the log by the received snapshot, whose state the state machine has taken over.
+  void InstallSnapshot(reduce_context& ctx);
+  /// Drops the received snapshot, whose state cannot be read.
+  void RefuseSnapshot(std::error_code error, reduce_context& ctx);
   bool IsSnapshotDue() const;
   void Compact(std::string state, reduce_context& ctx);
   /// Emits the pending changes as one `store_log`, unless an earlier one has not finished.
   void Flush(reduce_context& ctx);
-  /// Stops this replica from voting and leading until the process restarts.
-  void Fail(std::error_code error, reduce_context& ctx);
 
   raft_role Role() const { return role_; }
   voter_id Self() const { return self_; }
@@ -175,6 +175,8 @@
 
   // raft.cc
   bool CheckInvariant(bool holds, std::string_view invariant, reduce_context& ctx);
+  bool CheckMessage(bool holds, std::string_view rule, const raft_header& header,
+                    reduce_context& ctx) const;
   bool Accepts(const raft_header& header) const;
   raft_header MakeHeader(voter_id to) const;
   void Send(const replica& to, message m, reduce_context& ctx);
@@ -215,7 +217,6 @@
   void SetCommit(std::uint64_t index, reduce_context& ctx);
   void AdvanceCommit(reduce_context& ctx);
   progress* RecordReply(const raft_header& header, steady_time sent, reduce_context& ctx);
-  void InstallSnapshot(const snapshot_chunk& m, reduce_context& ctx);
 
   // raft_proposals.cc
   void Propose(const proposal& p, command body, reduce_context& ctx);
@@ -245,7 +246,6 @@
   voter_id leader_;
   std::uint64_t commit_index_ = 0;
   std::uint64_t applied_index_ = 0;
-  std::shared_ptr<const log_snapshot> installed_snapshot_;
   steady_time election_deadline_;
   steady_time no_votes_until_;
   std::set<voter_id> votes_;
@@ -261,6 +261,10 @@
   std::uint64_t incoming_snapshot_index_ = 0;
   std::uint64_t incoming_snapshot_term_ = 0;
   std::string incoming_state_;
+  std::shared_ptr<const log_snapshot> received_snapshot_;
+  /// Where and how the received snapshot is acknowledged.
+  link_id snapshot_link_;
+  snapshot_reply snapshot_reply_;
 
   // Storage: one batch is written at a time; changes made meanwhile collect in the next one.
   store_batch pending_batch_;
@@ -324,8 +328,12 @@
 
  private:
   void ApplyCommitted(reduce_context& ctx) {
-    if (auto snapshot = core_.TakeInstalledSnapshot()) {
-      if (std::error_code error = machine_.Restore(snapshot->state)) core_.Fail(error, ctx);
+    if (auto snapshot = core_.ReceivedSnapshot()) {
+      if (std::error_code error = machine_.Restore(snapshot->state)) {
+        core_.RefuseSnapshot(error, ctx);
+      } else {
+        core_.InstallSnapshot(ctx);
+      }
     }
     while (const log_entry* entry = core_.NextToApply()) {
       machine_.Apply(*entry, ctx);
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -72,6 +72,10 @@
       return "storage-recovered";
     case event_code::kSegmentNotRemoved:
       return "segment-not-removed";
+    case event_code::kSnapshotRefused:
+      return "snapshot-refused";
+    case event_code::kPeerMessageRefused:
+      return "peer-message-refused";
     case event_code::kVoterCreated:
       return "voter-created";
     case event_code::kConfigApplied:
--- a/src/raft.cc
+++ b/src/raft.cc
@@ -7,6 +7,13 @@
 
 namespace radishroute {
 
+namespace {
+
+// No group reaches this term by elections; a replica that took over a greater one could start none.
+constexpr std::uint64_t kMaxTerm = std::uint64_t{1} << 62;
+
+}  // namespace
+
 std::string_view ToString(raft_role role) {
   constexpr std::array<std::string_view, 4> kNames = {"follower", "pre-candidate", "candidate",
                                                       "leader"};
@@ -46,19 +53,6 @@
   return false;
 }
 
-void raft_core::Fail(std::error_code error, reduce_context& ctx) {
-  failure_ = error;
-  ctx.Emit(write_log{{event_code::kStorageFailed,
-                      log_level::kError,
-                      {{"log_group", std::to_string(log_group_)},
-                       {"voter", std::to_string(self_.value)},
-                       {"error", error.message()}}}});
-  deferred_.clear();
-  role_ = raft_role::kFollower;
-  leader_ = {};
-  FinishAllProposals(ctx);
-}
-
 // What the failed write has left on disk is unknown, and a second sync of the same file may succeed
 // although its data is lost. Until the whole log is in new files, this replica therefore neither
 // votes, leads nor acknowledges anything. It has promised nothing that was not synced before, so it
@@ -106,8 +100,22 @@
   return batch;
 }
 
+// Another replica's message must not end this process: it is dropped, and its sender takes this
+// replica for lost.
+bool raft_core::CheckMessage(bool holds, std::string_view rule, const raft_header& header,
+                             reduce_context& ctx) const {
+  if (holds) return true;
+  ctx.Emit(write_log{{event_code::kPeerMessageRefused,
+                      log_level::kError,
+                      {{"rule", std::string(rule)},
+                       {"from", std::to_string(header.from.value)},
+                       {"term", std::to_string(header.term)}}}});
+  return false;
+}
+
 bool raft_core::Accepts(const raft_header& header) const {
-  return !failure_ && header.log_group == log_group_ && header.to == self_ && header.from != self_;
+  return !failure_ && header.log_group == log_group_ && header.to == self_ &&
+         header.from != self_ && header.term <= kMaxTerm;
 }
 
 raft_header raft_core::MakeHeader(voter_id to) const { return {log_group_, self_, to, term_}; }
--- a/src/raft_election.cc
+++ b/src/raft_election.cc
@@ -52,9 +52,8 @@
   if (header.term > term_ || role_ == raft_role::kPreCandidate || role_ == raft_role::kCandidate) {
     BecomeFollower(header.term, ctx);
   }
-  if (!CheckInvariant(role_ != raft_role::kLeader, "one leader in a term", ctx)) return false;
   bool same = leader_ == voter_id{} || leader_ == header.from;
-  if (!CheckInvariant(same, "one leader in a term", ctx)) return false;
+  if (!CheckMessage(same, "one leader in a term", header, ctx)) return false;
   leader_ = header.from;
   no_votes_until_ = ctx.now + limits_.election_timeout_min;
   ResetElectionTimer(ctx);
--- a/src/raft_replication.cc
+++ b/src/raft_replication.cc
@@ -85,20 +85,26 @@
 
 bool raft_core::MergeEntries(const append_request& m, reduce_context& ctx) {
   std::uint64_t expected = m.prev_index;
+  bool consecutive = std::all_of(m.entries.begin(), m.entries.end(), [&](const log_entry& entry) {
+    return entry.index == ++expected && entry.term <= m.header.term;
+  });
+  if (!CheckMessage(consecutive, "appended entries are consecutive", m.header, ctx)) return false;
   for (const log_entry& entry : m.entries) {
-    if (!CheckInvariant(entry.index == ++expected && entry.term <= m.header.term,
-                        "appended entries are consecutive", ctx)) {
-      return false;
-    }
     auto term = log_.TermAt(entry.index);
     if (term && *term == entry.term) {
       bool same = entry.index <= log_.BaseIndex() ||
                   log_.At(entry.index).body.index() == entry.body.index();
-      if (!CheckInvariant(same, "equal index and term mean equal entries", ctx)) return false;
+      if (!CheckMessage(same, "equal index and term mean equal entries", m.header, ctx)) {
+        return false;
+      }
       continue;
     }
     // A committed entry that is not in the log is part of the snapshot.
     if (!term && entry.index <= commit_index_) continue;
+    if (!CheckMessage(entry.index > commit_index_, "committed entries match the leader's", m.header,
+                      ctx)) {
+      return false;
+    }
     if (term) TruncateLog(entry.index, ctx);
     if (failure_) return false;
     AppendToLog(entry);
@@ -120,7 +126,9 @@
   auto prev_term = log_.TermAt(m.prev_index);
   bool committed = m.prev_index <= commit_index_;
   bool matches = prev_term ? *prev_term == m.prev_term : committed;
-  if (!CheckInvariant(matches || !committed, "committed entries match the leader's", ctx)) return;
+  if (!CheckMessage(matches || !committed, "committed entries match the leader's", m.header, ctx)) {
+    return;
+  }
   if (!matches) {
     // Skips all entries of the conflicting term; entries up to the commit index always match.
     std::uint64_t hint = prev_term ? log_.FirstIndexOfTerm(m.prev_index) - 1 : log_.LastIndex();
@@ -167,8 +175,8 @@
   progress* p = RecordReply(m.header, m.sent, ctx);
   if (p == nullptr) return;
   if (m.matched) {
-    if (!CheckInvariant(m.match_index <= log_.LastIndex(),
-                        "match index is not beyond the leader's last index", ctx)) {
+    if (!CheckMessage(m.match_index <= log_.LastIndex(),
+                      "match index is not beyond the leader's last index", m.header, ctx)) {
       return;
     }
     p->match_index = std::max(p->match_index, m.match_index);
@@ -208,9 +216,13 @@
   if (m.offset == incoming_state_.size()) incoming_state_.append(m.bytes);
   if (incoming_state_.size() >= m.total) {
     if (incoming_state_.size() == m.total && StableHash(incoming_state_) == m.hash) {
-      InstallSnapshot(m, ctx);
+      // Acknowledged once the state machine has taken it over.
+      received_snapshot_ = std::make_shared<log_snapshot>(
+          log_snapshot{m.index, m.snapshot_term, m.replicas, std::exchange(incoming_state_, {})});
+      incoming_snapshot_index_ = 0;
       reply.done = true;
-      SendAfterSync(link, reply, ctx);
+      snapshot_link_ = link;
+      snapshot_reply_ = reply;
       return;
     }
     incoming_state_.clear();
@@ -219,27 +231,30 @@
   Reply(link, reply, ctx);
 }
 
-void raft_core::InstallSnapshot(const snapshot_chunk& m, reduce_context& ctx) {
-  auto snapshot = std::make_shared<log_snapshot>();
-  snapshot->index = m.index;
-  snapshot->term = m.snapshot_term;
-  snapshot->replicas = m.replicas;
-  snapshot->state = std::exchange(incoming_state_, {});
-  incoming_snapshot_index_ = 0;
+void raft_core::InstallSnapshot(reduce_context& ctx) {
+  std::shared_ptr<const log_snapshot> snapshot = std::exchange(received_snapshot_, nullptr);
   log_.Reset(snapshot);
-  commit_index_ = applied_index_ = m.index;
-  installed_snapshot_ = snapshot;
+  commit_index_ = applied_index_ = snapshot->index;
+  ctx.Emit(write_log{{event_code::kSnapshotInstalled,
+                      log_level::kInfo,
+                      {{"index", std::to_string(snapshot->index)},
+                       {"bytes", std::to_string(snapshot->state.size())}}}});
   // The snapshot replaces all entries on disk.
   pending_batch_.entries.clear();
   pending_batch_.truncate_from = 1;
+  pending_batch_.keep_from = snapshot->index + 1;
   pending_batch_.snapshot = std::move(snapshot);
-  pending_batch_.keep_from = m.index + 1;
   has_pending_ = true;
   storing_last_index_ = synced_index_ = 0;
   UpdateLinks(ctx);
-  ctx.Emit(write_log{{event_code::kSnapshotInstalled,
-                      log_level::kInfo,
-                      {{"index", std::to_string(m.index)}, {"bytes", std::to_string(m.total)}}}});
+  SendAfterSync(snapshot_link_, snapshot_reply_, ctx);
+}
+
+void raft_core::RefuseSnapshot(std::error_code error, reduce_context& ctx) {
+  auto snapshot = std::exchange(received_snapshot_, nullptr);
+  ctx.Emit(write_log{{event_code::kSnapshotRefused,
+                      log_level::kError,
+                      {{"index", std::to_string(snapshot->index)}, {"error", error.message()}}}});
 }
 
 void raft_core::Handle(link_id, const snapshot_reply& m, reduce_context& ctx) {
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -22,15 +22,17 @@
 }
 
 std::error_code state_machine::Load(snapshot_state state) {
-  bool loaded = config_.Load(std::move(state.config)) && records_.Load(std::move(state.records)) &&
-                orders_.Load(std::move(state.orders)) && groups_.Load(std::move(state.groups));
-  if (!loaded) {
-    *this = state_machine(records_.Limits());
-    return errc::kSnapshotCorrupt;
-  }
-  last_index_ = state.last_index;
-  last_term_ = state.last_term;
-  replicas_ = std::move(state.replicas);
+  // A state that cannot be read leaves this one as it is.
+  state_machine loaded(records_.Limits());
+  bool valid = loaded.config_.Load(std::move(state.config)) &&
+               loaded.records_.Load(std::move(state.records)) &&
+               loaded.orders_.Load(std::move(state.orders)) &&
+               loaded.groups_.Load(std::move(state.groups));
+  if (!valid) return errc::kSnapshotCorrupt;
+  loaded.last_index_ = state.last_index;
+  loaded.last_term_ = state.last_term;
+  loaded.replicas_ = std::move(state.replicas);
+  *this = std::move(loaded);
   return {};
 }
 
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "radishroute/error.h"
 #include "radishroute/event.h"
 #include "radishroute/raft.h"
 
@@ -25,11 +26,14 @@
 /// Fake state machine whose state is the list of applied change ids.
 class fake_state_machine {
  public:
+  static constexpr const char* kUnreadableState = "unreadable";
+
   explicit fake_state_machine(applied_record* record = nullptr) : record_(record) {}
 
   void Apply(const log_entry& entry, reduce_context& ctx);
   std::string Snapshot() const { return state_; }
   std::error_code Restore(std::string_view state) {
+    if (state == kUnreadableState) return errc::kSnapshotCorrupt;
     state_ = state;
     return {};
   }
