Resume a stream after the last event that its caller has

Cause: once the head of the response had been sent, the id came from the events of this response alone. None had come whole, so the stream began anew. Events without an id of their own led to the same.

Why this works: the splitter of events starts from the id that the caller named, so it knows at any time the last event that the caller has. A stream whose last event has no id is not resumed but ended.

--- a/include/radishroute/forward/event_stream.h
+++ b/include/radishroute/forward/event_stream.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace radishroute {
 
@@ -13,11 +14,16 @@
   /// Events are smaller than this; more bytes without an end are no event.
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
 
+  /// `last_event` is the id of the event after which the caller asked the stream to go on, if any.
+  explicit event_stream_splitter(std::string last_event = {}) : last_id_(std::move(last_event)) {}
+
   /// Appends received bytes. Returns the buffered bytes up to the end of the last complete event.
   std::string Feed(std::string_view bytes);
 
-  /// Id of the last complete event that has one; empty if there is none.
+  /// Id of the last event that the caller has; empty if it has none, or none with an id.
   const std::string& LastEventId() const { return last_id_; }
+  /// Whether a stream after `LastEventId` neither repeats nor leaves out an event of this one.
+  bool CanResume() const { return can_resume_; }
   /// Whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
   /// Whether more is buffered than any event has.
@@ -26,8 +32,11 @@
   void DiscardPartialEvent() { partial_.clear(); }
 
  private:
+  void ReadIds(std::string_view events);
+
   std::string partial_;
   std::string last_id_;
+  bool can_resume_ = true;
 };
 
 }  // namespace radishroute
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -165,6 +165,7 @@
   }
   active_request active;
   active.request = e.request;
+  active.events = event_stream_splitter(request.last_event);
   active.content = std::move(content);
   active.routes = routes_;
   active.matched_route = matched_route;
@@ -223,7 +224,7 @@
   start.member = active.member;
   start.time_left = left;
   start.urgency = active.urgency;
-  start.last_event = active.HasBegun() ? active.events.LastEventId() : active.request->last_event;
+  start.last_event = active.events.LastEventId();
   // The peer may close a persistent connection while the request is in transit; then it is unknown
   // whether the request was read. On the connection of an earlier attempt, that attempt's response
   // could come once more.
@@ -262,7 +263,8 @@
 
 template <backend_selector Selector, forward_admission Admission>
 bool forwarder<Selector, Admission>::MayRetry(const active_request& active) const {
-  return !active.may_have_run || IsRepeatable(*active.matched_route);
+  if (!active.may_have_run) return true;
+  return IsRepeatable(*active.matched_route) && active.events.CanResume();
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -68,13 +68,15 @@
     fake.Do([&](auto& ctx) { requests.Handle(e, ctx); });
   }
 
-  exchange_id SendRequest(const std::string& path, const std::string& key = "key") {
+  exchange_id SendRequest(const std::string& path, const std::string& key = "key",
+                          const std::string& last_event = "") {
     auto r = std::make_shared<forward_request>();
     r->exchange = {next_exchange++};
     r->method = "POST";
     r->target = r->path = path;
     r->host = "h";
     r->key = key;
+    r->last_event = last_event;
     r->time_left = milliseconds(8000);
     Handle(forward_received{r});
     return r->exchange;
@@ -244,6 +246,48 @@
   CHECK(f.SingleSentRequest().last_event == "1");
 }
 
+// Guards against events that come twice, when a stream that its caller resumed breaks off at any
+// point: before its head, its first event, or after some.
+TEST_CASE("a stream that its caller resumed goes on after the last event that the caller has") {
+  forwarder_fixture f;
+  f.SendRequest("/draft/1", "key", "5");
+  start_upstream first = f.SingleSentRequest();
+  CHECK(first.last_event == "5");
+  std::string expected = "5";
+  SECTION("before the head") {}
+  SECTION("after the head") { f.BeginResponse(first.id, 200, false, "text/event-stream"); }
+  SECTION("within the first event") {
+    f.BeginResponse(first.id, 200, false, "text/event-stream");
+    f.Handle(upstream_response_bytes{first.id, "id: 6\nda"});
+  }
+  SECTION("after a comment") {
+    f.BeginResponse(first.id, 200, false, "text/event-stream");
+    f.Handle(upstream_response_bytes{first.id, ": wait\n\n"});
+  }
+  SECTION("after an event") {
+    f.BeginResponse(first.id, 200, false, "text/event-stream");
+    f.Handle(upstream_response_bytes{first.id, "id: 6\r\ndata: f\r\n\r\nid: 7"});
+    expected = "6";
+  }
+  f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+  f.ConfirmAlive(first);
+  CHECK(f.SingleSentRequest().last_event == expected);
+}
+
+// Guards against events that come twice, when the last one that the caller has cannot be named.
+TEST_CASE("a stream whose last event has no id is not resumed") {
+  for (const char* events : {"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n", "id:\ndata: a\n\n"}) {
+    forwarder_fixture f;
+    f.SendRequest("/draft/1");
+    start_upstream first = f.SingleSentRequest();
+    f.BeginResponse(first.id, 200, false, "text/event-stream");
+    f.Handle(upstream_response_bytes{first.id, events});
+    f.Handle(upstream_call_failed{first.id, upstream_stage::kAnswering});
+    CHECK(f.All<start_upstream>().empty());
+    CHECK(f.All<forward_abort>().size() == 1);
+  }
+}
+
 // Guards against an interrupted stream that looks complete to the caller, because its response is
 // ended normally after the last attempt has failed.
 TEST_CASE("a stream that cannot be resumed is aborted") {
