Fail a call whose connection ends with another request's answer

Cause: the end of a connection completed an answer without a length that belonged to an earlier request. It was dropped, as it has to be, but then the connection was removed while its call stayed, neither ended nor failed. The call's deadline looked for the connection.

Why this works: after the end of its connection, a call that the last response did not complete has failed, as one that may have run. A cancellation of a call without a connection does nothing.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -106,8 +106,10 @@
 void upstream_client::Cancel(upstream_id id) {
   auto it = calls_.find(id.value);
   if (it == calls_.end()) return;
-  connection& c = *connections_.at(it->second);
+  auto found = connections_.find(it->second);
   calls_.erase(it);
+  if (found == connections_.end()) return;
+  connection& c = *found->second;
   c.call = {};
   c.tcp->Reset();
   Remove(c);
@@ -207,11 +209,14 @@
     return;
   }
   bool clean = how == tcp_end::kClosed;
-  if (clean && c.decoder.InMessage() && !c.decoder.Finish()) {
-    if (!c.removed) Remove(c);
+  // The end of the connection completes a response without a length. If that one belonged to
+  // another request, this call has had none.
+  bool completed = clean && c.decoder.InMessage() && !c.decoder.Finish();
+  if (c.removed) return;
+  if (completed && c.call.value == 0) {
+    Remove(c);
     return;
   }
-  if (c.removed) return;
   upstream_stage stage = upstream_stage::kWaiting;
   if (how == tcp_end::kConnectFailed) stage = upstream_stage::kConnecting;
   if (c.answered) stage = upstream_stage::kAnswering;
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -91,6 +91,9 @@
     REQUIRE(backend >= 0);
   }
 
+  /// Ends the client's connection in order.
+  void CloseBackend() { close(std::exchange(backend, -1)); }
+
   /// Accepts the client's connection unless it is kept from an earlier call, and reads a request.
   void ReadRequest() {
     if (backend < 0) backend = accept(listener, nullptr, nullptr);
@@ -152,6 +155,39 @@
   }
 }
 
+// Guards against a call that never ends, and whose cancellation ends the process, when an answer of
+// an earlier request takes its place and the connection ends at any point of it.
+TEST_CASE("a call fails when its connection ends after an answer to an earlier request") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n";
+  f.Respond(head + "Content-Length: 2\r\n\r\nok");
+  CHECK(f.NextEvent() == "1 head 200");
+  CHECK(f.NextEvent() == "1 body ok");
+  CHECK(f.NextEvent() == "1 end");
+  f.Call(2, "second");
+  f.ReadRequest();
+  SECTION("without a length") { f.Respond(head + "\r\nok"); }
+  SECTION("without a length or a body") { f.Respond(head + "\r\n"); }
+  SECTION("of a stream without a length") {
+    f.Respond(head + "Content-Type: text/event-stream\r\n\r\nid: 1\n\n");
+  }
+  SECTION("whole, with a length") { f.Respond(head + "Content-Length: 2\r\n\r\nok"); }
+  SECTION("cut off") { f.Respond(head + "Content-Length: 2\r\n\r\no"); }
+  SECTION("in chunks, cut off") { f.Respond(head + "Transfer-Encoding: chunked\r\n\r\n2\r\no"); }
+  SECTION("within its head") { f.Respond(head); }
+  SECTION("an interim response") { f.Respond("HTTP/1.1 103 Early Hints\r\n\r\n"); }
+  SECTION("nothing") {}
+  f.CloseBackend();
+  CHECK(f.NextEvent() == "2 failed waiting");
+  f.loop.Post([&f] {
+    f.client->Cancel({2});
+    f.Record("cancelled");
+  });
+  CHECK(f.NextEvent() == "cancelled");
+}
+
 // Guards against the same where the earlier answer did not name its request either, so that nothing
 // tells the two apart.
 TEST_CASE("a connection is kept only after a response that names its request") {
