Refuse late requests of a planned stop and answer the last ones

What callers saw (an operator's report): in a planned stop of a gateway, requests on open connections that came late in the grace were passed on and cut off at its end with no answer, among them requests that must not be repeated.

Cause: a draining gateway took each request until it closed its idle connections, whatever time the request had, and ended at its deadline with whatever was in progress.

Evidence: forwarder_test "a draining forwarder refuses requests that may not end before it does" and "requests in progress at the end of a drain are answered before the process ends"; the code before took the requests and emitted no answers.

Why this works: a non-idempotent request is taken during a drain only if its deadline lies before the end; another one if half of its time does, since it can be sent again. Others get 503 at once and a short time to come back, as their callers' next connection leads to another gateway. 0.2 s before the end all requests in progress are answered, with 502 if they may have run, and what was written is handed to the system first.

--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -172,6 +172,8 @@
 /// Stops the process, which has no work left after a drain request.
 struct stop_process {
   bool all_finished = true;
+  /// Whether output that waits to be written is written first.
+  bool flush = all_finished;
 };
 
 /// All effects that a reducer can emit. The event loop carries them out after each reduction.
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -31,6 +31,8 @@
   /// Time for which a draining process still accepts requests, until the load balancer in front of
   /// it has noticed the drain.
   std::chrono::milliseconds drain_notice{2500};
+  /// Time at the end of a drain that is left for writing the last answers.
+  std::chrono::milliseconds drain_answer_time{200};
 };
 
 /// Lifecycle of callers' HTTP requests that are forwarded directly to backend servers. A request of
@@ -127,6 +129,8 @@
   /// Starts an attempt. Returns kNone, or the reason why no attempt was started.
   refusal_reason Send(active_request& active, reduce_context& ctx);
   bool IsCallerRetry(const active_request& active) const;
+  /// Whether a request that arrives during a drain can be expected to end before the process does.
+  bool EndsWithinDrain(const route& matched_route, steady_time deadline, steady_time now) const;
   std::chrono::milliseconds RetryAfter(const active_request& active, refusal_reason reason,
                                        reduce_context& ctx) const;
   bool Retry(active_request& active, retry_reason reason, reduce_context& ctx);
@@ -151,6 +155,8 @@
   void Finish(active_request& active, std::string_view outcome, unsigned status,
               reduce_context& ctx);
   void ScheduleNext(reduce_context& ctx) const;
+  /// Answers all requests in progress, at the end of a drain.
+  void EndUnfinished(reduce_context& ctx);
   void CheckDrained(reduce_context& ctx);
   active_request* Find(upstream_id id);
 
@@ -174,7 +180,10 @@
   bool stop_requested_ = false;
   /// The deadline has passed, and the process ends whatever is in progress.
   bool stop_forced_ = false;
+  /// A request was still in progress at the end of the drain.
+  bool unfinished_at_stop_ = false;
   steady_time drain_notice_end_;
+  steady_time drain_answer_at_;
   steady_time drain_deadline_;
 };
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -35,6 +35,14 @@
 // the directory within this time.
 constexpr std::chrono::milliseconds kRetryAfterStart{500};
 
+// Retry-After of a process that is about to end. The callers' next connection leads to another
+// process; the time spreads them less than it delays them.
+constexpr std::chrono::milliseconds kRetryAfterDrain{100};
+
+// Share of its time that a request needs at least. Most repeatable requests end long before their
+// deadline, and one that is cut off can be sent again.
+constexpr double kMinRepeatableShare = 0.5;
+
 // Urgency has ten values; each member priority spans three of them, one per route priority.
 constexpr std::uint32_t kRoutePriorities = 3;
 constexpr std::uint32_t kLeastUrgent = 9;
@@ -163,6 +171,13 @@
     Refuse(request, 503, refusal_reason::kQuarantined, left, ctx);
     return;
   }
+  auto timeout = request.time_left ? std::min(*request.time_left, matched_route->timeout)
+                                   : matched_route->timeout;
+  steady_time deadline = ctx.now + timeout;
+  if (draining_ && !EndsWithinDrain(*matched_route, deadline, ctx.now)) {
+    Refuse(request, 503, refusal_reason::kDraining, kRetryAfterDrain, ctx);
+    return;
+  }
   active_request active;
   active.request = e.request;
   active.events = event_stream_splitter(request.last_event);
@@ -173,9 +188,7 @@
   if (member != nullptr) active.member = member->name;
   active.urgency = Urgency(*matched_route, member);
   active.received = ctx.now;
-  auto timeout = request.time_left ? std::min(*request.time_left, matched_route->timeout)
-                                   : matched_route->timeout;
-  active.deadline = ctx.now + timeout;
+  active.deadline = deadline;
   retries_.OnRequest(active.service, ctx.now);
   auto [it, added] = requests_.emplace(request.exchange, std::move(active));
   deadlines_.emplace(it->second.deadline, request.exchange.value);
@@ -235,6 +248,15 @@
   return refusal_reason::kNone;
 }
 
+// A non-idempotent request that is cut off leaves its caller with an unknown outcome, so it is
+// taken only if the process outlives its deadline.
+template <backend_selector Selector, forward_admission Admission>
+bool forwarder<Selector, Admission>::EndsWithinDrain(const route& matched_route,
+                                                     steady_time deadline, steady_time now) const {
+  double share = IsRepeatable(matched_route) ? kMinRepeatableShare : 1.0;
+  return now + (deadline - now) * share <= drain_answer_at_;
+}
+
 // A caller that retries has waited for the Retry-After time, so it has less time left.
 template <backend_selector Selector, forward_admission Admission>
 bool forwarder<Selector, Admission>::IsCallerRetry(const active_request& active) const {
@@ -708,16 +730,29 @@
     active_request& active = requests_.at({deadlines_.begin()->second});
     FailRequest(active, refusal_reason::kDeadlinePassed, ctx);
   }
+  if (draining_ && ctx.now >= drain_answer_at_) EndUnfinished(ctx);
   CheckDrained(ctx);
   ScheduleNext(ctx);
 }
 
+// An answer tells the caller that the request may have run; a closed connection tells nothing.
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::EndUnfinished(reduce_context& ctx) {
+  std::vector<exchange_id> unfinished;
+  for (const auto& [exchange, active] : requests_) unfinished.push_back(exchange);
+  unfinished_at_stop_ = unfinished_at_stop_ || !unfinished.empty();
+  for (exchange_id exchange : unfinished) {
+    FailRequest(requests_.at(exchange), refusal_reason::kDraining, ctx);
+  }
+}
+
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const drain_requested& e, reduce_context& ctx) {
   if (draining_) return;
   draining_ = true;
   drain_notice_end_ = ctx.now + settings_.drain_notice;
   drain_deadline_ = e.deadline;
+  drain_answer_at_ = e.deadline - settings_.drain_answer_time;
   ctx.Emit(drain_connections{});
   ScheduleNext(ctx);
 }
@@ -729,17 +764,20 @@
   bool late = ctx.now >= drain_deadline_;
   if (!late && (stop_requested_ || !requests_.empty())) return;
   // The process may still be reading or writing the last requests until the deadline.
-  bool finished = requests_.empty() && !stop_requested_;
+  bool finished = requests_.empty() && !stop_requested_ && !unfinished_at_stop_;
   stop_requested_ = true;
   stop_forced_ = late;
-  ctx.Emit(stop_process{finished});
+  ctx.Emit(stop_process{finished, !late});
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::ScheduleNext(reduce_context& ctx) const {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
   if (draining_ && !stop_forced_) {
-    ctx.Emit(schedule_wakeup{ctx.now < drain_notice_end_ ? drain_notice_end_ : drain_deadline_});
+    steady_time next = drain_deadline_;
+    if (ctx.now < drain_answer_at_) next = drain_answer_at_;
+    if (ctx.now < drain_notice_end_) next = std::min(next, drain_notice_end_);
+    ctx.Emit(schedule_wakeup{next});
   }
 }
 
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -160,13 +160,13 @@
     bool finished = e.all_finished;
     // The last response may still be waiting to be written.
     if constexpr (requires(Adapter adapter) { adapter.WhenIdle([] {}); }) {
-      if (adapter_ && finished) {
-        adapter_->WhenIdle([this] { hooks_.on_stop(true); });
+      if (adapter_ && e.flush) {
+        adapter_->WhenIdle([this, finished] { hooks_.on_stop(finished); });
         return;
       }
     }
-    if (callers_ && finished) {
-      callers_->WhenIdle([this] { hooks_.on_stop(true); });
+    if (callers_ && e.flush) {
+      callers_->WhenIdle([this, finished] { hooks_.on_stop(finished); });
     } else {
       hooks_.on_stop(finished);
     }
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -455,6 +455,76 @@
   CHECK(f.All<stop_process>().front().all_finished);
 }
 
+// Guards against requests that come late in a planned stop, are passed on, and are cut off without
+// an answer when the process ends.
+TEST_CASE("a draining forwarder refuses requests that may not end before it does") {
+  struct late_request {
+    const char* path;
+    int after;
+    bool taken;
+  };
+  // All have 8 s left, and the process ends 8 s after the signal.
+  for (const late_request& r : {late_request{"/book/1", 0, false},
+                                {"/book/1", 2200, false},
+                                {"/book/1", 7900, false},
+                                {"/look/1", 2200, true},
+                                {"/look/1", 3700, true},
+                                {"/look/1", 3900, false},
+                                {"/draft/1", 3700, true},
+                                {"/draft/1", 3900, false},
+                                {"/draft/1", 7900, false}}) {
+    forwarder_fixture f;
+    f.SendRequest("/look/1");
+    f.Handle(drain_requested{f.fake.Now() + milliseconds(8000)});
+    f.fake.Advance(milliseconds(r.after));
+    f.SendRequest(r.path);
+    INFO(r.path << " after " << r.after << " ms");
+    CHECK(f.All<start_upstream>().size() == (r.taken ? 1 : 0));
+    if (r.taken) continue;
+    CHECK(f.ErrorStatus() == 503);
+    CHECK(f.All<send_error_response>().front().retry_after);
+  }
+  // A short request is taken as long as its deadline lies before the end.
+  deployment d = MakeDeployment();
+  d.routes[1].timeout = milliseconds(1000);
+  forwarder_fixture f(d);
+  f.Handle(drain_requested{f.fake.Now() + milliseconds(8000)});
+  f.fake.Advance(milliseconds(2400));
+  f.SendRequest("/book/1");
+  CHECK(f.All<start_upstream>().size() == 1);
+}
+
+// Guards against connections that are closed without an answer at the end of a planned stop.
+TEST_CASE("requests in progress at the end of a drain are answered before the process ends") {
+  forwarder_fixture f;
+  f.SendRequest("/book/1");
+  start_upstream booking = f.SingleSentRequest();
+  f.SendRequest("/draft/1");
+  start_upstream stream = f.SingleSentRequest();
+  f.BeginResponse(stream.id, 200, false, "text/event-stream");
+  f.SendRequest("/look/1");
+  f.Handle(drain_requested{f.fake.Now() + milliseconds(7000)});
+  f.fake.Advance(milliseconds(6700));
+  f.Handle(timer_expired{});
+  CHECK(f.All<send_error_response>().empty());
+  f.fake.Advance(milliseconds(100));
+  f.Handle(timer_expired{});
+  // Both may have run. A stream that has begun has no other end than that of its connection.
+  REQUIRE(f.All<send_error_response>().size() == 2);
+  for (const send_error_response& e : f.All<send_error_response>()) CHECK(e.status == 502);
+  CHECK(f.All<forward_abort>().size() == 1);
+  CHECK(f.All<cancel_upstream>().size() == 3);
+  CHECK(f.requests.Size() == 0);
+  REQUIRE(f.All<stop_process>().size() == 1);
+  CHECK_FALSE(f.All<stop_process>().front().all_finished);
+  CHECK(f.All<stop_process>().front().flush);
+  // Output that cannot be written does not keep the process.
+  f.fake.Advance(milliseconds(200));
+  f.Handle(timer_expired{});
+  REQUIRE(f.All<stop_process>().size() == 1);
+  CHECK_FALSE(f.All<stop_process>().front().flush);
+}
+
 namespace {
 
 constexpr fingerprint kDeadlyPart{7};
