Leave a connection alone that its rejection has ended

A caller that left more than 4 MiB of its response unread and then sent a request that is rejected ended the gateway: the bytes of the rejection pass the bound of unread bytes, which removes the connection, and Reject went on with the connection's socket, which was gone.

Evidence: stream_server_test "a rejected request of a client that is cut off ends its connection only" (the process of the test ended before).

--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -155,7 +155,7 @@
   AppendHeader(out, "Connection", "close");
   out.append("\r\n");
   Send(c, out);
-  CloseLater(c);
+  if (!c.removed) CloseLater(c);
 }
 
 void stream_server::Send(connection& c, std::string_view bytes) {
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -62,6 +62,7 @@
   void OnRequest(const received_request& r) {
     ++requests;
     if (requests == 1) first.set_value(r.exchange);
+    if (requests == 2) second.set_value(r.exchange);
     if (respond) server->Respond(r.exchange, 200, {}, "ok");
   }
 
@@ -100,6 +101,7 @@
   io_loop loop;
   std::unique_ptr<stream_server> server;
   std::promise<exchange_id> first;
+  std::promise<exchange_id> second;
   int requests = 0;
   /// Requests are answered at once.
   bool respond = false;
@@ -211,4 +213,24 @@
   }
 }
 
+// Guards against the end of the process by a client that does not read and then sends a request
+// that is rejected.
+TEST_CASE("a rejected request of a client that is cut off ends its connection only") {
+  server_fixture f;
+  client_limits limits;
+  limits.max_unsent_bytes = SIZE_MAX;
+  f.OnLoop([&] { f.server->SetLimits(limits); });
+  f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id id = f.first.get_future().get();
+  f.OnLoop([&] {
+    f.server->Respond(id, 200, {}, std::string(std::size_t{16} << 20, 'x'));
+    limits.max_unsent_bytes = 1;
+    f.server->SetLimits(limits);
+  });
+  f.Send("no request\r\n\r\n");
+  f.Reconnect();
+  f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(f.second.get_future().wait_for(3s) == std::future_status::ready);
+}
+
 }  // namespace radishroute
