Bound what many faulty engines and slow callers can fill together

An operator reported a machine that ran out of memory on the endless bytes of a faulty engine; the requests of other clients ended with it.

Parts of responses that wait for their rest, unread bytes of callers and bodies of requests in progress are now bounded together. Beyond the bound the largest one is given up, so that the answers of sound engines and the callers that read are not the ones to go; a further request is refused with 503, as it has not run.

Evidence: the two new cases of forwarder_test and the one of stream_server_test; the code before gives nothing up in them.

--- a/include/radishroute/forward/event_stream.h
+++ b/include/radishroute/forward/event_stream.h
@@ -26,6 +26,8 @@
   bool CanResume() const { return can_resume_; }
   /// Whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
+  /// Bytes of the incomplete event that is buffered.
+  std::size_t PartialBytes() const { return partial_.size(); }
   /// Whether more is buffered than any event has.
   bool IsOversized() const { return partial_.size() > kMaxEventBytes; }
   /// Discards the buffered part of an event whose rest will not arrive.
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -28,6 +28,11 @@
   std::string zone;
   retry_budget_limits retries;
   std::size_t max_requests = 4000;
+  /// Bodies of all requests in progress; a further one is refused.
+  std::size_t max_request_bytes = std::size_t{32} << 20;
+  /// Parts of responses of all requests that wait for their rest. Beyond it, the attempt with the
+  /// most of them is given up.
+  std::size_t max_response_bytes = std::size_t{24} << 20;
   /// Time for which a draining process still accepts requests, until the load balancer in front of
   /// it has noticed the drain.
   std::chrono::milliseconds drain_notice{2500};
@@ -106,6 +111,10 @@
     /// Head and body of a response that is buffered until it is complete.
     backend_response response;
     std::string body;
+    /// Bytes of the response that were counted in `response_bytes_`.
+    std::size_t counted_bytes = 0;
+
+    std::size_t BufferedBytes() const { return body.size() + events.PartialBytes(); }
 
     /// Whether the head of the response was sent to the caller.
     bool HasBegun() const { return is_streaming || is_passthrough; }
@@ -149,6 +158,8 @@
   void BeginStream(active_request& active, reduce_context& ctx);
   void PassThrough(active_request& active, reduce_context& ctx);
   void GiveUpAttempt(active_request& active, reduce_context& ctx);
+  /// Counts what is buffered of the response, and bounds it over all requests.
+  void CountBuffered(active_request& active, reduce_context& ctx);
   void SendBufferedResponse(active_request& active, reduce_context& ctx);
   void EndAttempt(active_request& active, attempt_result result, reduce_context& ctx);
   void FailRequest(active_request& active, refusal_reason reason, reduce_context& ctx);
@@ -169,6 +180,9 @@
   bool directory_known_ = false;
   std::uint64_t next_attempt_id_ = 1;
   request_map requests_;
+  /// Bodies of the requests in progress.
+  std::size_t request_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
   std::unordered_map<upstream_id, exchange_id> exchange_by_attempt_;
   crash_attribution crashes_;
   /// Requests lost at each backend server that is being probed, by its id.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -162,7 +162,9 @@
       return;
     }
   }
-  if (requests_.size() >= settings_.max_requests) {
+  bool too_many = requests_.size() >= settings_.max_requests ||
+                  request_bytes_ + request.body.size() > settings_.max_request_bytes;
+  if (too_many) {
     Refuse(request, 503, refusal_reason::kTooManyRequests, kRetryAfterFull, ctx);
     return;
   }
@@ -191,6 +193,7 @@
   active.deadline = deadline;
   retries_.OnRequest(active.service, ctx.now);
   auto [it, added] = requests_.emplace(request.exchange, std::move(active));
+  request_bytes_ += request.body.size();
   deadlines_.emplace(it->second.deadline, request.exchange.value);
   refusal_reason refused = Send(it->second, ctx);
   if (refused != refusal_reason::kNone) {
@@ -387,18 +390,35 @@
   if (active->is_streaming && active->current->is_stream) {
     std::string events = active->events.Feed(e.bytes);
     if (!events.empty()) ctx.Emit(forward_bytes{active->request->exchange, std::move(events)});
-    if (active->events.IsOversized()) GiveUpAttempt(*active, ctx);
+    if (active->events.IsOversized()) return GiveUpAttempt(*active, ctx);
   } else if (active->is_passthrough) {
     ctx.Emit(forward_bytes{active->request->exchange, e.bytes});
   } else {
     active->body.append(e.bytes);
-    if (active->body.size() <= kMaxBufferedBytes) return;
-    if (active->HasBegun()) {
-      GiveUpAttempt(*active, ctx);
-    } else {
+    if (active->body.size() > kMaxBufferedBytes) {
+      if (active->HasBegun()) return GiveUpAttempt(*active, ctx);
       PassThrough(*active, ctx);
     }
   }
+  CountBuffered(*active, ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::CountBuffered(active_request& active, reduce_context& ctx) {
+  response_bytes_ -= active.counted_bytes;
+  active.counted_bytes = active.BufferedBytes();
+  response_bytes_ += active.counted_bytes;
+  if (response_bytes_ <= settings_.max_response_bytes) return;
+  // Counts of responses that were dropped meanwhile are out of date.
+  response_bytes_ = 0;
+  active_request* largest = nullptr;
+  for (auto& [exchange, other] : requests_) {
+    other.counted_bytes = other.BufferedBytes();
+    response_bytes_ += other.counted_bytes;
+    bool larger = largest == nullptr || other.counted_bytes > largest->counted_bytes;
+    if (other.current && larger) largest = &other;
+  }
+  if (response_bytes_ > settings_.max_response_bytes) GiveUpAttempt(*largest, ctx);
 }
 
 // The bytes of the response are no answer and may have no end.
@@ -687,6 +707,8 @@
   }
   ctx.Emit(write_log{std::move(line)});
   exchange_id exchange = active.request->exchange;
+  request_bytes_ -= active.request->body.size();
+  response_bytes_ -= active.counted_bytes;
   deadlines_.erase({active.deadline, exchange.value});
   requests_.erase(exchange);
   CheckDrained(ctx);
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "io/metrics.h"
 #include "radishroute/error.h"
 
 namespace radishroute {
@@ -60,6 +61,8 @@
   bool removed = false;
   bool parsing = false;
   std::size_t length_left = 0;
+  /// Bytes of responses that the system had not taken when they were last counted.
+  std::size_t unsent_bytes = 0;
   steady_time active;
 };
 
@@ -160,7 +163,29 @@
 
 void stream_server::Send(connection& c, std::string_view bytes) {
   c.tcp->Write(bytes);
-  if (c.tcp->BufferedBytes() > limits_.max_unsent_bytes) OnEnd(c);
+  if (c.tcp->BufferedBytes() > limits_.max_unsent_bytes) {
+    OnEnd(c);
+    return;
+  }
+  CountUnsent(c);
+  if (unsent_bytes_ > limits_.max_total_unsent_bytes) CutSlowestClient();
+}
+
+void stream_server::CountUnsent(connection& c) {
+  unsent_bytes_ -= c.unsent_bytes;
+  c.unsent_bytes = c.tcp->BufferedBytes();
+  unsent_bytes_ += c.unsent_bytes;
+}
+
+void stream_server::CutSlowestClient() {
+  connection* slowest = nullptr;
+  for (auto& [number, c] : connections_) {
+    CountUnsent(*c);
+    if (slowest == nullptr || c->unsent_bytes > slowest->unsent_bytes) slowest = c.get();
+  }
+  if (unsent_bytes_ <= limits_.max_total_unsent_bytes) return;
+  CountMetric(counter::kSlowCallersCut);
+  OnEnd(*slowest);
 }
 
 void stream_server::CloseLater(connection& c) {
@@ -181,6 +206,7 @@
 
 void stream_server::Remove(connection& c) {
   c.removed = true;
+  unsent_bytes_ -= std::exchange(c.unsent_bytes, 0);
   // An orderly end would complete the response.
   if (c.begun && c.ends_with_connection) c.tcp->Reset();
   c.tcp.reset();
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -34,9 +34,11 @@
   std::chrono::milliseconds head_timeout{3000};
   std::chrono::milliseconds idle_timeout{15000};
   /// All bodies that are being read together; a further one is refused with 503.
-  std::size_t max_buffered_bytes = std::size_t{64} << 20;
-  /// A client that takes less than this from its response is cut off.
+  std::size_t max_buffered_bytes = std::size_t{32} << 20;
+  /// A client that leaves more than this of its response unread is cut off.
   std::size_t max_unsent_bytes = std::size_t{4} << 20;
+  /// Unread bytes of all clients together. Beyond it, the client with the most is cut off.
+  std::size_t max_total_unsent_bytes = std::size_t{24} << 20;
 };
 
 /// HTTP/1.1 server that hands on heads and bodies unchanged and streams responses.
@@ -95,6 +97,8 @@
   void OnEnd(connection& c);
   void FinishResponse(connection& c);
   void Send(connection& c, std::string_view bytes);
+  void CountUnsent(connection& c);
+  void CutSlowestClient();
   void CloseLater(connection& c);
   void Remove(connection& c);
   bool HasRequest(const connection& c) const;
@@ -112,6 +116,8 @@
   bool closed_to_requests_ = false;
   std::function<void()> on_written_;
   std::size_t buffered_bytes_ = 0;
+  /// Sum of the connections' `unsent_bytes`.
+  std::size_t unsent_bytes_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
   /// Exchanges in progress, by number, with their connection's number.
   std::unordered_map<std::uint64_t, std::uint64_t> exchanges_;
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -37,7 +37,7 @@
 /// A forwarder with two backend servers, and a fake context that records its effects.
 struct forwarder_fixture {
   fake_context fake;
-  forwarder<least_loaded_selector, engine_model_admission> requests{Settings()};
+  forwarder<least_loaded_selector, engine_model_admission> requests;
   std::uint64_t next_exchange = 1;
 
   static forwarder_settings Settings() {
@@ -47,7 +47,8 @@
     return settings;
   }
 
-  explicit forwarder_fixture(deployment d = MakeDeployment()) {
+  explicit forwarder_fixture(deployment d = MakeDeployment(), forwarder_settings s = Settings())
+      : requests(std::move(s)) {
     auto table = std::make_shared<routing_table>();
     table->directory_known = true;
     for (int i = 0; i < 2; ++i) {
@@ -455,6 +456,63 @@
   CHECK(f.All<stop_process>().front().all_finished);
 }
 
+// Guards against memory that runs out when engines send bytes that are no answers, without end, to
+// many requests at once; the answers of sound engines must not be the ones that are given up.
+TEST_CASE("responses without end are bounded over all requests") {
+  constexpr std::size_t kPart = 20 * 1024;
+  for (const char* path : {"/look/1", "/draft/1"}) {
+    forwarder_settings settings = forwarder_fixture::Settings();
+    settings.max_response_bytes = 10 * kPart;
+    forwarder_fixture f(MakeDeployment(), settings);
+    f.SendRequest("/look/1");
+    start_upstream sound = f.SingleSentRequest();
+    f.BeginResponse(sound.id, 200);
+    f.Handle(upstream_response_bytes{sound.id, std::string(kPart / 2, 'a')});
+    std::vector<upstream_id> calls;
+    for (int i = 0; i < 5; ++i) {
+      f.SendRequest(path);
+      calls.push_back(f.SingleSentRequest().id);
+      f.BeginResponse(calls.back(), 200, false, "text/event-stream");
+    }
+    std::size_t given_up = 0;
+    for (int round = 0; round < 12; ++round) {
+      for (upstream_id id : calls) {
+        f.Handle(upstream_response_bytes{id, std::string(kPart, 'x')});
+        given_up += f.All<cancel_upstream>().size();
+        for (const cancel_upstream& c : f.All<cancel_upstream>()) CHECK(c.id != sound.id);
+      }
+    }
+    CHECK(given_up == 5);
+    f.Handle(upstream_response_end{sound.id});
+    CHECK(f.All<forward_end>().size() == 1);
+  }
+}
+
+// Guards against memory that runs out on the bodies of requests that engines are slow to answer.
+TEST_CASE("bodies of requests in progress are bounded together") {
+  forwarder_settings settings = forwarder_fixture::Settings();
+  settings.max_request_bytes = 1000;
+  forwarder_fixture f(MakeDeployment(), settings);
+  auto send = [&f](std::size_t bytes) {
+    auto r = std::make_shared<forward_request>();
+    r->exchange = {f.next_exchange++};
+    r->path = "/look/1";
+    r->host = "h";
+    r->key = "key";
+    r->body.assign(bytes, 'b');
+    f.Handle(forward_received{r});
+  };
+  send(600);
+  start_upstream first = f.SingleSentRequest();
+  send(600);
+  CHECK(f.ErrorStatus() == 503);
+  CHECK(f.All<send_error_response>().front().retry_after);
+  f.BeginResponse(first.id, 200);
+  f.Handle(upstream_response_end{first.id});
+  send(600);
+  CHECK(f.All<start_upstream>().size() == 1);
+}
+
 // Guards against requests that come late in a planned stop, are passed on, and are cut off without
 // an answer when the process ends.
 TEST_CASE("a draining forwarder refuses requests that may not end before it does") {
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -27,7 +27,7 @@
     loop.CreateClientVhost(protocols);
     server = std::make_unique<stream_server>(
         loop, stream_server::handlers{[this](received_request&& r) { OnRequest(r); },
-                                      [](exchange_id) {}, nullptr});
+                                      [this](exchange_id id) { closed.push_back(id); }, nullptr});
     port = FreeLoopbackPort();
     REQUIRE(!server->Start({"127.0.0.1", port}));
     thread = std::thread([this] { loop.Run(); });
@@ -103,6 +103,7 @@
   std::promise<exchange_id> first;
   std::promise<exchange_id> second;
   int requests = 0;
+  std::vector<exchange_id> closed;
   /// Requests are answered at once.
   bool respond = false;
   std::uint16_t port = 0;
@@ -213,12 +214,42 @@
   }
 }
 
+// Guards against memory that runs out when many clients leave their responses unread, each below
+// its own bound, and against cutting off one that has little to read.
+TEST_CASE("unread responses are bounded over all clients") {
+  server_fixture f;
+  client_limits limits;
+  limits.max_unsent_bytes = SIZE_MAX;
+  limits.max_total_unsent_bytes = std::size_t{4} << 20;
+  f.OnLoop([&] { f.server->SetLimits(limits); });
+  f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id slow = f.first.get_future().get();
+  int other = f.client;
+  f.Connect();
+  f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id slower = f.second.get_future().get();
+  f.OnLoop([&] {
+    f.server->Begin(slow, 200, {}, std::nullopt);
+    f.server->Begin(slower, 200, {}, std::nullopt);
+    std::string part(std::size_t{1} << 20, 'x');
+    for (int i = 0; i < 100 && f.closed.empty(); ++i) {
+      f.server->Write(slower, part);
+      f.server->Write(slower, part);
+      f.server->Write(slow, part);
+    }
+  });
+  REQUIRE(f.closed.size() == 1);
+  CHECK(f.closed.front() == slower);
+  close(other);
+}
+
 // Guards against the end of the process by a client that does not read and then sends a request
 // that is rejected.
 TEST_CASE("a rejected request of a client that is cut off ends its connection only") {
   server_fixture f;
   client_limits limits;
   limits.max_unsent_bytes = SIZE_MAX;
+  limits.max_total_unsent_bytes = SIZE_MAX;
   f.OnLoop([&] { f.server->SetLimits(limits); });
   f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   exchange_id id = f.first.get_future().get();
