Keep to a share of the connections that a backend server accepts

Cause: maxConns was read and never used. Each gateway kept up to 32 idle connections to an engine and opened as many more as it had requests; an engine resets those beyond its limit, with the requests on them.

Why this works: the leader counts the entries with a link to it and tells them with the loads of the engines. Each keeps to an equal share of nine tenths of the limit, idle connections included. Before the leader has told, eight entries are assumed.

--- a/include/radishroute/engine_message.h
+++ b/include/radishroute/engine_message.h
@@ -80,6 +80,8 @@
   /// Recent mean duration of a pass; zero if unknown.
   std::chrono::microseconds pass{};
   std::vector<fleet_engine_load> engines;
+  /// Entries that the leader knows; zero if the sender does not say.
+  std::uint32_t entries = 0;
 };
 
 struct engine_status_reply {
--- a/include/radishroute/experts/load_fanout.h
+++ b/include/radishroute/experts/load_fanout.h
@@ -35,12 +35,13 @@
   std::vector<link_id> Receivers(steady_time now);
   /// At another controller: links that get the loads that came from `from`.
   std::vector<link_id> RelayReceivers(link_id from) const;
+  /// Number of entries with a link to this process.
+  std::size_t EntryCount() const;
 
  private:
   using links_by_zone = std::map<std::string, std::vector<link_id>>;
 
   std::chrono::milliseconds PeriodFor(std::size_t receivers) const;
-  std::size_t EntryCount() const;
 
   load_fanout_limits limits_;
   std::string zone_;
--- a/include/radishroute/forward/backend_selector.h
+++ b/include/radishroute/forward/backend_selector.h
@@ -43,6 +43,8 @@
   std::span<const std::string> excluded;
   /// Backend servers that get no requests now.
   const withheld_backends& withheld;
+  /// Attempts of this process that one backend server may have in progress; zero for no limit.
+  std::uint32_t max_in_flight = 0;
 };
 
 /// Whether the backend server may be selected.
@@ -112,6 +114,7 @@
   using candidate_list = std::vector<const backend_state*>;
 
   static double ExpectedLoad(const backend_state& b, steady_time now);
+  static bool MayGet(const selection_query& query, const backend_state& b, steady_time now);
   /// Load used for comparisons; `random` breaks ties.
   static double Score(const backend_state& b, steady_time now, random_source& random);
   static const backend_state* LeastLoaded(const candidate_list& candidates, steady_time now,
--- a/include/radishroute/forward/forward_event.h
+++ b/include/radishroute/forward/forward_event.h
@@ -156,6 +156,8 @@
   std::uint32_t urgency = 5;
   std::string last_event;
   bool may_reuse_connection = true;
+  /// Connections that this process may have to the backend server; zero for no limit.
+  std::uint32_t max_connections = 0;
 };
 
 struct cancel_upstream {
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -67,6 +67,9 @@
   std::size_t Size() const { return requests_.size(); }
 
  private:
+  /// Used until the leader has told the number.
+  static constexpr std::uint32_t kAssumedEntries = 8;
+
   struct attempt {
     upstream_id id;
     std::string backend;
@@ -137,6 +140,8 @@
   std::string PickService(const route& matched_route, random_source& random) const;
   /// Starts an attempt. Returns kNone, or the reason why no attempt was started.
   refusal_reason Send(active_request& active, reduce_context& ctx);
+  /// Connections to one backend server of a service that this process may have.
+  std::uint32_t MaxConnections(const service* target) const;
   bool IsCallerRetry(const active_request& active) const;
   /// Whether a request that arrives during a drain can be expected to end before the process does.
   bool EndsWithinDrain(const route& matched_route, steady_time deadline, steady_time now) const;
@@ -178,6 +183,8 @@
   shared_retry_budget retries_;
   std::shared_ptr<const route_index> routes_;
   bool directory_known_ = false;
+  /// Processes that forward to the same backend servers, as the leader last counted them.
+  std::uint32_t entries_ = kAssumedEntries;
   std::uint64_t next_attempt_id_ = 1;
   request_map requests_;
   /// Bodies of the requests in progress.
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -77,6 +77,7 @@
     fleet_load load;
     load.pass = group.meter.MeanPassDuration();
     load.engines = group.change.EngineLoads(ctx.now);
+    load.entries = static_cast<std::uint32_t>(fanout_.EntryCount());
     // A group without requests makes no passes, but is not stalled.
     bool busy = std::any_of(load.engines.begin(), load.engines.end(),
                             [](const fleet_engine_load& e) { return e.running > 0; });
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -86,6 +86,12 @@
   return b.in_flight + b.reported * std::exp2(-std::max(age, 0.0));
 }
 
+bool least_loaded_selector::MayGet(const selection_query& query, const backend_state& b,
+                                   steady_time now) {
+  bool has_connection = query.max_in_flight == 0 || b.in_flight < query.max_in_flight;
+  return has_connection && IsEligible(query, b.id, now);
+}
+
 double least_loaded_selector::Score(const backend_state& b, steady_time now,
                                     random_source& random) {
   double score =
@@ -116,7 +122,7 @@
   for (std::size_t i = 0; i < kMaxDraws && sampled.size() < kSampleSize; ++i) {
     const backend_state* candidate = from[draw(random)];
     bool drawn = std::find(sampled.begin(), sampled.end(), candidate) != sampled.end();
-    if (!drawn && IsEligible(query, candidate->id, now)) sampled.push_back(candidate);
+    if (!drawn && MayGet(query, *candidate, now)) sampled.push_back(candidate);
   }
   return sampled;
 }
@@ -135,7 +141,7 @@
   if (!has_room) {
     candidate_list eligible;
     std::copy_if(all.begin(), all.end(), std::back_inserter(eligible),
-                 [&](const backend_state* b) { return IsEligible(query, b->id, now); });
+                 [&](const backend_state* b) { return MayGet(query, *b, now); });
     best = LeastLoaded(eligible, now, random);
   }
   if (best == nullptr) return std::nullopt;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -43,6 +43,10 @@
 // deadline, and one that is cut off can be sent again.
 constexpr double kMinRepeatableShare = 0.5;
 
+// Share of a backend server's connections that all processes together use. The rest is for probes,
+// and for connections that one side has closed already.
+constexpr double kUsableConnections = 0.9;
+
 // Urgency has ten values; each member priority spans three of them, one per route priority.
 constexpr std::uint32_t kRoutePriorities = 3;
 constexpr std::uint32_t kLeastUrgent = 9;
@@ -207,13 +211,17 @@
 refusal_reason forwarder<Selector, Admission>::Send(active_request& active, reduce_context& ctx) {
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(active.deadline - ctx.now);
   if (left < kMinAttemptTime) return refusal_reason::kDeadlinePassed;
-  selection_query query{active.service, active.urgency, active.tried_backends, withheld_};
+  const service* target = active.routes->FindService(active.service);
+  std::uint32_t max_connections = MaxConnections(target);
+  selection_query query{active.service, active.urgency, active.tried_backends, withheld_,
+                        max_connections};
   auto chosen = selector_.Choose(query, ctx.now, ctx.random);
   if (!chosen) {
-    bool returns = withheld_.NextReturn(active.service, ctx.now).has_value();
-    return returns ? refusal_reason::kBackendsFull : refusal_reason::kNoBackend;
+    query.max_in_flight = 0;
+    bool full = withheld_.NextReturn(active.service, ctx.now).has_value() ||
+                selector_.Choose(query, ctx.now, ctx.random).has_value();
+    return full ? refusal_reason::kBackendsFull : refusal_reason::kNoBackend;
   }
-  const service* target = active.routes->FindService(active.service);
   bool has_engine = target != nullptr && target->engine;
   const engine_profile* engine = has_engine ? &*target->engine : nullptr;
   if (engine != nullptr && engine->expert_sets > 0 && admission_.IsGroupDown(ctx.now)) {
@@ -240,6 +248,7 @@
   start.member = active.member;
   start.time_left = left;
   start.urgency = active.urgency;
+  start.max_connections = max_connections;
   start.last_event = active.events.LastEventId();
   // The peer may close a persistent connection while the request is in transit; then it is unknown
   // whether the request was read. On the connection of an earlier attempt, that attempt's response
@@ -251,6 +260,15 @@
   return refusal_reason::kNone;
 }
 
+// A backend server resets connections beyond its limit, with the requests on them. The limit counts
+// those of all processes, so each of them keeps to an equal share.
+template <backend_selector Selector, forward_admission Admission>
+std::uint32_t forwarder<Selector, Admission>::MaxConnections(const service* target) const {
+  if (target == nullptr || target->max_connections == 0) return 0;
+  auto share = static_cast<std::uint32_t>(target->max_connections * kUsableConnections / entries_);
+  return std::max(share, 1U);
+}
+
 // A non-idempotent request that is cut off leaves its caller with an unknown outcome, so it is
 // taken only if the process outlives its deadline.
 template <backend_selector Selector, forward_admission Admission>
@@ -742,6 +760,7 @@
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const fleet_load_published& e, reduce_context& ctx) {
+  if (e.load->entries > 0) entries_ = e.load->entries;
   selector_.OnFleetLoad(*e.load, ctx.now);
   admission_.OnFleetLoad(e.load, ctx.now);
 }
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -13900,6 +13900,10 @@
 void FleetLoad::__set_engines(const std::vector<EngineLoad> & val) {
   this->engines = val;
 }
+
+void FleetLoad::__set_entries(const int32_t val) {
+  this->entries = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetLoad& obj)
 {
   obj.printTo(out);
@@ -13964,6 +13968,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14001,6 +14013,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14011,6 +14027,7 @@
   swap(a.open, b.open);
   swap(a.passMicros, b.passMicros);
   swap(a.engines, b.engines);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
@@ -14018,18 +14035,21 @@
   open = other464.open;
   passMicros = other464.passMicros;
   engines = other464.engines;
+  entries = other464.entries;
   __isset = other464.__isset;
 }
 FleetLoad::FleetLoad(FleetLoad&& other465) noexcept {
   open = other465.open;
   passMicros = other465.passMicros;
   engines = std::move(other465.engines);
+  entries = other465.entries;
   __isset = other465.__isset;
 }
 FleetLoad& FleetLoad::operator=(const FleetLoad& other466) {
   open = other466.open;
   passMicros = other466.passMicros;
   engines = other466.engines;
+  entries = other466.entries;
   __isset = other466.__isset;
   return *this;
 }
@@ -14037,6 +14057,7 @@
   open = other467.open;
   passMicros = other467.passMicros;
   engines = std::move(other467.engines);
+  entries = other467.entries;
   __isset = other467.__isset;
   return *this;
 }
@@ -14046,6 +14067,7 @@
   out << "open=" << to_string(open);
   out << ", " << "passMicros=" << to_string(passMicros);
   out << ", " << "engines=" << to_string(engines);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -5381,10 +5381,11 @@
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
 
 typedef struct _FleetLoad__isset {
-  _FleetLoad__isset() : open(false), passMicros(false), engines(false) {}
+  _FleetLoad__isset() : open(false), passMicros(false), engines(false), entries(false) {}
   bool open :1;
   bool passMicros :1;
   bool engines :1;
+  bool entries :1;
 } _FleetLoad__isset;
 
 class FleetLoad : public virtual ::apache::thrift::TBase {
@@ -5396,13 +5397,15 @@
   FleetLoad& operator=(FleetLoad&&) noexcept;
   FleetLoad() noexcept
             : open(0),
-              passMicros(0) {
+              passMicros(0),
+              entries(0) {
   }
 
   virtual ~FleetLoad() noexcept;
   bool open;
   int64_t passMicros;
   std::vector<EngineLoad>  engines;
+  int32_t entries;
 
   _FleetLoad__isset __isset;
 
@@ -5412,6 +5415,8 @@
 
   void __set_engines(const std::vector<EngineLoad> & val);
 
+  void __set_entries(const int32_t val);
+
   bool operator == (const FleetLoad & rhs) const
   {
     if (!(open == rhs.open))
@@ -5420,6 +5425,8 @@
       return false;
     if (!(engines == rhs.engines))
       return false;
+    if (!(entries == rhs.entries))
+      return false;
     return true;
   }
   bool operator != (const FleetLoad &rhs) const {
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -71,8 +71,8 @@
   }
 
   void Execute(const start_upstream& e) {
-    backends_.Start(
-        {e.id, e.address, Wire::EncodeRequest(e), e.request->id, e.may_reuse_connection});
+    backends_.Start({e.id, e.address, Wire::EncodeRequest(e), e.request->id, e.may_reuse_connection,
+                     e.max_connections});
   }
   void Execute(const cancel_upstream& e) { backends_.Cancel(e.id); }
   void Execute(const probe_backend& e) {
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -39,6 +39,7 @@
   bool answered = false;
   /// Bytes since the request was sent that did not belong to its response.
   std::size_t skipped_bytes = 0;
+  std::size_t max_connections = 0;
   bool keep_alive = true;
   bool removed = false;
   steady_time since;
@@ -80,15 +81,31 @@
                                     [this, raw](tcp_end how) { OnEnd(*raw, how); }});
   if (!c->tcp) return nullptr;
   connections_.emplace(number, std::move(c));
+  ++open_[to];
   return raw;
 }
 
+void upstream_client::MakeRoom(const endpoint& to, std::size_t limit) {
+  auto it = idle_.find(to);
+  if (it == idle_.end()) return;
+  auto open = open_.find(to);
+  while (open != open_.end() && open->second >= limit && !it->second.empty()) {
+    auto oldest = connections_.find(it->second.front());
+    it->second.erase(it->second.begin());
+    if (oldest != connections_.end()) Remove(*oldest->second);
+    open = open_.find(to);
+  }
+}
+
 void upstream_client::Start(upstream_call call) {
   // Without an identity, a late response to an earlier request could not be told from its own.
   bool may_reuse = call.may_reuse && (!names_requests_ || !call.request_id.empty());
   connection* c = may_reuse ? TakeIdle(call.to) : nullptr;
   bool reused = c != nullptr;
-  if (!reused) c = Open(call.to);
+  if (!reused) {
+    if (call.max_connections > 0) MakeRoom(call.to, call.max_connections);
+    c = Open(call.to);
+  }
   if (c == nullptr) {
     on_.on_failed(call.id, upstream_stage::kConnecting);
     return;
@@ -98,6 +115,7 @@
   c->request_id = std::move(call.request_id);
   c->answered = c->foreign = false;
   c->skipped_bytes = 0;
+  c->max_connections = call.max_connections;
   c->keep_alive = true;
   calls_[call.id.value] = c->number;
   c->tcp->Write(call.bytes);
@@ -192,7 +210,8 @@
   steady_time now = Now();
   // A request that was answered before it was sent in full leaves the connection in its middle.
   bool whole = c.tcp->BufferedBytes() == 0;
-  if (whole && c.keep_alive && c.reusable_until > now &&
+  bool has_room = c.max_connections == 0 || open_[c.to] <= c.max_connections;
+  if (whole && has_room && c.keep_alive && c.reusable_until > now &&
       idle.size() < limits_.max_idle_per_backend) {
     c.reusable_until = std::min(c.reusable_until, now + limits_.idle_timeout);
     idle.push_back(c.number);
@@ -237,6 +256,8 @@
   auto it = connections_.find(c.number);
   removed_.push_back(std::move(it->second));
   connections_.erase(it);
+  auto open = open_.find(c.to);
+  if (--open->second == 0) open_.erase(open);
 }
 
 void upstream_client::Sweep() {
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -27,6 +27,9 @@
   std::string request_id;
   /// May be sent on a connection that was used before.
   bool may_reuse = true;
+  /// Connections to this backend server, idle ones included; zero for no limit. The caller bounds
+  /// those in use.
+  std::size_t max_connections = 0;
 };
 
 struct upstream_client_limits {
@@ -72,6 +75,8 @@
 
   connection* TakeIdle(const endpoint& to);
   connection* Open(const endpoint& to);
+  /// Closes idle connections to a backend server until there are fewer than `limit`.
+  void MakeRoom(const endpoint& to, std::size_t limit);
   void OnBytes(connection& c, std::string_view bytes);
   void OnHead(connection& c, http_head&& head);
   void OnComplete(connection& c);
@@ -97,6 +102,8 @@
   std::unordered_map<std::uint64_t, std::uint64_t> calls_;
   /// Numbers of idle connections, the most recently used last.
   std::map<endpoint, std::vector<std::uint64_t>> idle_;
+  /// Number of connections to each backend server.
+  std::map<endpoint, std::size_t> open_;
   std::vector<std::unique_ptr<connection>> removed_;
   std::uint64_t next_probe_ = 1;
   std::unordered_map<std::uint64_t, probe> probes_;
--- a/src/io/wire_engine.h
+++ b/src/io/wire_engine.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROUTE_IO_WIRE_ENGINE_H_
 #define RADISHROUTE_IO_WIRE_ENGINE_H_
 
+#include <algorithm>
+
 #include "io/wire_basic.h"
 
 namespace radishroute {
@@ -115,6 +117,7 @@
   w.open = m.open;
   w.passMicros = MicrosToWire(m.pass);
   ListToWire(m.engines, w.engines);
+  w.entries = static_cast<std::int32_t>(m.entries);
   return w;
 }
 
@@ -123,6 +126,7 @@
   m.open = w.open;
   m.pass = std::chrono::microseconds(w.passMicros);
   ConvertList(w.engines, m.engines, [&](const wire::EngineLoad& e) { return FromWire(e, ok); });
+  m.entries = static_cast<std::uint32_t>(std::max(w.entries, 0));
   return m;
 }
 
--- a/tests/backend_selector_test.cc
+++ b/tests/backend_selector_test.cc
@@ -85,4 +85,27 @@
   for (const auto& [backend, count] : requests) CHECK(count <= 3);
 }
 
+// Guards against more connections to one backend server than this process may have.
+TEST_CASE("a backend server gets no more attempts than its limit, sampled or not") {
+  int engines = GENERATE(2, 130);
+  least_loaded_selector selector;
+  selector.OnTable(MakeTable(engines), kZone);
+  fake_context fake;
+  withheld_backends withheld;
+  random_source random{7};
+  std::map<std::string, int> attempts;
+  selection_query query{"draft", 5, {}, withheld, 3};
+  for (int i = 0; i < 3 * engines; ++i) {
+    auto chosen = selector.Choose(query, fake.Now(), random);
+    REQUIRE(chosen);
+    selector.OnSent(chosen->backend, fake.Now());
+    CHECK(++attempts[chosen->backend] <= 3);
+  }
+  CHECK_FALSE(selector.Choose(query, fake.Now(), random));
+  selector.OnDone("engine-0", attempt_result::kCancelled, fake.Now());
+  auto chosen = selector.Choose(query, fake.Now(), random);
+  REQUIRE(chosen);
+  CHECK(chosen->backend == "engine-0");
+}
+
 }  // namespace radishroute
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -456,6 +456,44 @@
   CHECK(f.All<stop_process>().front().all_finished);
 }
 
+// Guards against more connections to a backend server than it accepts from all processes together:
+// it resets those beyond its limit, with the requests on them.
+TEST_CASE("a process keeps to its share of a backend server's connections") {
+  deployment d = MakeDeployment();
+  d.services[0].max_connections = 49;
+  forwarder_fixture f(d);
+  auto count = [&](std::uint32_t entries) {
+    auto load = std::make_shared<fleet_load>();
+    load->open = true;
+    load->entries = entries;
+    f.Handle(fleet_load_published{load});
+  };
+  count(20);
+  std::vector<start_upstream> sent;
+  // Nine tenths of 49 connections are two for each of 20 processes, at each of two engines.
+  for (int i = 0; i < 4; ++i) {
+    f.SendRequest("/book/1");
+    sent.push_back(f.SingleSentRequest());
+    CHECK(sent.back().max_connections == 2);
+  }
+  f.SendRequest("/book/1");
+  CHECK(f.All<start_upstream>().empty());
+  REQUIRE(f.ErrorStatus() == 503);
+  CHECK(f.All<send_error_response>().front().reason == refusal_reason::kBackendsFull);
+  CHECK(f.All<send_error_response>().front().retry_after);
+  f.BeginResponse(sent[0].id, 200);
+  f.Handle(upstream_response_end{sent[0].id});
+  f.SendRequest("/book/1");
+  CHECK(f.SingleSentRequest().backend == sent[0].backend);
+  // The share grows when processes leave, and is one connection at least.
+  count(7);
+  f.SendRequest("/book/1");
+  CHECK(f.SingleSentRequest().max_connections == 6);
+  count(1000);
+  f.SendRequest("/book/1");
+  CHECK(f.ErrorStatus() == 503);
+}
+
 // Guards against memory that runs out when engines send bytes that are no answers, without end, to
 // many requests at once; the answers of sound engines must not be the ones that are given up.
 TEST_CASE("responses without end are bounded over all requests") {
--- a/tests/load_fanout_test.cc
+++ b/tests/load_fanout_test.cc
@@ -86,4 +86,12 @@
   }
 }
 
+// Guards against entries that each take a share of a limit as if there were fewer or more of them.
+TEST_CASE("the leader counts the entries that have a link to it") {
+  controller_fixture f(12);
+  CHECK(f.fanout.EntryCount() == 12);
+  f.fanout.Handle(link_closed{f.entries.begin()->first, {}, {}});
+  CHECK(f.fanout.EntryCount() == 11);
+}
+
 }  // namespace radishroute
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -215,6 +215,36 @@
   CHECK(f.NextEvent() == "2 end");
 }
 
+// Guards against idle connections that count towards a backend server's limit while a request has
+// to have a new one.
+TEST_CASE("idle connections make room for a new one") {
+  client_fixture f;
+  auto call = [&f](std::uint64_t id, bool may_reuse) {
+    f.loop.Post([&f, id, may_reuse] {
+      std::string name = std::to_string(id);
+      f.client->Start({{id}, f.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", name, may_reuse, 1});
+    });
+  };
+  auto respond = [&f](const std::string& name) {
+    f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: " + name + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(f.NextEvent() == name + " head 200");
+    CHECK(f.NextEvent() == name + " end");
+  };
+  call(1, true);
+  f.ReadRequest();
+  respond("1");
+  call(2, false);
+  std::array<char, 16> buffer;
+  CHECK(recv(f.backend, buffer.data(), buffer.size(), 0) == 0);
+  f.AcceptAgain();
+  f.ReadRequest();
+  respond("2");
+  // The one connection is kept, and used again.
+  call(3, true);
+  f.ReadRequest();
+  respond("3");
+}
+
 // Guards against a new connection for each report that a sidecar reads.
 TEST_CASE("calls without an identity share a connection") {
   client_fixture f("");
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -298,7 +298,7 @@
 }
 
 struct EngineLoad { 1: Endpoint address; 2: i32 running; 3: i32 waiting; 4: i32 ageMillis }
-struct FleetLoad { 1: bool open; 2: i64 passMicros; 3: list<EngineLoad> engines }
+struct FleetLoad { 1: bool open; 2: i64 passMicros; 3: list<EngineLoad> engines; 4: i32 entries }
 
 // Contents of a snapshot of the state machine.
 struct StateGroup {
