Add disks, stops in turn and broken streams to the platform's soak

The soak had no fault of a disk, no planned stops in series, and engines that answered well or not at all. Controllers now meet disks that refuse writes while they vote, all gateways are stopped in turn, engines break off within an event, send an earlier answer once more and send bytes without end, and callers resume streams elsewhere.

--- a/tests/e2e/platform_soak.py
+++ b/tests/e2e/platform_soak.py
@@ -1,14 +1,17 @@
 """Runs controllers and gateways as processes under random faults and checks the promises to callers.
 
-    platform_soak.py PROGRAM [--seed N] [--seconds S]
+    platform_soak.py PROGRAM [--seed N] [--seconds S] [--gateways N] [--callers N]
 
-Engines and callers are stand-ins in this process. Callers use their connections until these are gone.
-Stops, kills, pauses, restarts and changes of the configuration follow each other and overlap.
+Engines and callers are stand-ins in this process. Callers use their connections until these are gone,
+and resume streams that broke off. Stops, also of all gateways in turn, kills, pauses, restarts, disks
+that refuse writes and changes of the configuration follow each other and overlap. Engines refuse,
+crash, break off within an event, send an earlier answer once more, and send bytes without end.
 """
 
 import argparse
 import http.client
 import json
+import os
 import random
 import signal
 import socket
@@ -32,6 +35,15 @@
 DEADLY_PART = "dead"
 # Requests after the fifth crash that may still reach an engine.
 MAX_CRASHES = 8
+# Memory of a gateway's machine.
+MAX_MEMORY_MB = 160
+# Files that a controller writes under these names first; as links to a full device they refuse it.
+NEW_FILES = ["vote.new", "snapshot.new", "segment.new"]
+SLOW_SECONDS = 2.5
+
+
+def stream_text(first, last):
+    return "".join(f"id: {e}\ndata: {e}\n\n" for e in range(first, last + 1)).encode()
 
 
 def reset(connection):
@@ -87,23 +99,37 @@
     def serve(self, connection):
         try:
             reader = connection.makefile("rb")
+            earlier = b""
             while line := reader.readline():
                 headers = http.client.parse_headers(reader)
                 reader.read(int(headers.get("Content-Length", 0)))
-                self.answer(connection, line.split()[1].decode(), headers)
+                earlier = self.answer(connection, line.split()[1].decode(), headers, earlier)
         except (OSError, ValueError):
             pass
         finally:
             with self.lock:
                 self.connections.discard(connection)
+            connection.close()
 
-    def answer(self, connection, path, headers):
+    def answer(self, connection, path, headers, earlier):
+        """Answers a request; returns the answer without a length, if it can be sent once more."""
         number = headers.get("Request-Id", "")
-        if self.soak.random.random() < 0.02:
+        luck = self.soak.random.random()
+        if luck < 0.02:
             connection.sendall(f"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: {number}\r\n"
                                "Content-Length: 0\r\n\r\n".encode())
-            return
+            return b""
         self.soak.on_run(number, path)
+        if earlier and luck < 0.04:
+            self.soak.count("earlier answer sent once more")
+            connection.sendall(earlier)
+            raise OSError
+        if luck > 0.997:
+            self.soak.count("bytes without end")
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\n".encode()
+            connection.sendall(head + (b"\r\n" if luck > 0.998 else b"X: "))
+            while True:
+                connection.sendall(b"x" * 65536)
         if DEADLY_PART + ":" in headers.get("Prompt-Prefix", ""):
             time.sleep(0.02)
             self.soak.on_crash()
@@ -113,15 +139,22 @@
             start = int(headers.get("Last-Event-Id", 0)) + 1
             connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\nContent-Type: "
                                "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+            last = self.soak.random.randrange(start, EVENTS + 1) if luck > 0.9 else 0
             for event in range(start, EVENTS + 1):
-                text = f"id: {event}\ndata: {number}\n\n"
+                text = f"id: {event}\ndata: {event}\n\n"
+                if event == last:
+                    connection.sendall(f"{len(text):x}\r\n{text[:7]}".encode())
+                    reset(connection)
+                    raise OSError
                 connection.sendall(f"{len(text):x}\r\n{text}\r\n".encode())
                 time.sleep(0.02)
             connection.sendall(b"0\r\n\r\n")
         else:
-            time.sleep(0.01)
+            time.sleep(SLOW_SECONDS if path.startswith("/book/slow/") else 0.01)
             connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\nContent-Length: "
                                f"{len(number)}\r\n\r\n{number}".encode())
+            return f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\n\r\n{number}".encode()
+        return b""
 
 
 class Gateway:
@@ -144,6 +177,8 @@
         # Since when no fault has touched it; its expected end.
         self.started = self.calm_since = time.time()
         self.expected = None
+        # Nothing but planned stops has happened to this process.
+        self.only_planned = True
         self.may_end_by_hup = False
 
     def signal(self, which):
@@ -151,7 +186,19 @@
         if self.process.poll() is None:
             self.process.send_signal(which)
 
+    def check_memory(self):
+        try:
+            with open(f"/proc/{self.process.pid}/status") as file:
+                lines = dict(line.split(":", 1) for line in file)
+        except OSError:
+            return
+        memory = int(lines.get("VmRSS", "0 kB").split()[0]) // 1024
+        self.soak.most_memory = max(self.soak.most_memory, memory)
+        if memory > MAX_MEMORY_MB:
+            self.soak.violation(f"{self.name} takes {memory} MB")
+
     def tend(self):
+        self.check_memory()
         code = self.process.poll()
         if code is None:
             return
@@ -163,8 +210,9 @@
 
 
 class Soak:
-    def __init__(self, cluster, seed):
+    def __init__(self, cluster, seed, gateways=GATEWAYS, callers=CALLERS):
         self.cluster, self.random = cluster, random.Random(seed)
+        self.gateway_count, self.caller_count, self.most_memory = gateways, callers, 0
         self.deployment = Deployment(cluster)
         self.lock = threading.Lock()
         self.stopping = False
@@ -226,12 +274,21 @@
         calm = time.time() - gateway.calm_since > STABILITY
         if added and not stream and choice.random() < 0.3:
             path = f"/book/v{added[-1]}/1"
+        elif not stream and choice.random() < 0.05:
+            path = "/book/slow/1"
+        process, planned = gateway.process, gateway.only_planned
         try:
             connection.request("POST", path, body=b"x", headers=headers)
             response = connection.getresponse()
             body = response.read()
+        except http.client.IncompleteRead as broken:
+            self.count("answer broken off")
+            if stream and not deadly:
+                self.resume(gateway, headers, broken.partial, choice)
+            return False
         except (OSError, http.client.HTTPException):
             self.count("connection lost")
+            self.check_lost(number, stream, gateway, process, planned)
             return False
         self.count(str(response.status))
         self.check(number, stream, response.status, body)
@@ -239,6 +296,42 @@
             self.violation(f"CONFIG: {number} {path} got {response.status} from {gateway.name}")
         return response.getheader("Connection") != "close"
 
+    def resume(self, gateway, headers, got, choice):
+        """Takes up a stream at another gateway after the last whole event that came."""
+        events = got[:got.rfind(b"\n\n") + 2] if b"\n\n" in got else b""
+        last = events.count(b"\n\n")
+        if events != stream_text(1, last):
+            self.violation(f"ORDER: {headers['Request-Id']} got {got[:200]!r}")
+        others = [g for g in self.gateways if g is not gateway] or [gateway]
+        connection = http.client.HTTPConnection("127.0.0.1", choice.choice(others).front, timeout=8)
+        number = self.number()
+        headers = {**headers, "Request-Id": number, "Prompt-Prefix": f"{number}:100"}
+        if last:
+            headers["Last-Event-Id"] = str(last)
+        try:
+            connection.request("POST", "/stream/1", body=b"x", headers=headers)
+            response = connection.getresponse()
+            body, whole = response.read(), True
+        except http.client.IncompleteRead as broken:
+            body, whole = broken.partial, False
+        except (OSError, http.client.HTTPException):
+            return
+        finally:
+            connection.close()
+        self.count("resumed" if whole else "resumed and broken off")
+        expected = stream_text(last + 1, EVENTS)
+        # An end may be cut off, but nothing may be missing before it or come twice.
+        held = body == expected if whole else expected.startswith(body)
+        if response.status == 200 and not held:
+            self.violation(f"ORDER: {number} resumed after {last} got {body[:200]!r}")
+
+    def check_lost(self, number, stream, gateway, process, planned):
+        """A request that was passed on is answered unless something else than a planned stop came."""
+        time.sleep(0.05)
+        untouched = planned and gateway.process is process and gateway.only_planned
+        if untouched and not stream and number in self.runs:
+            self.violation(f"LOST: {number} was passed on by {gateway.name} and got no answer")
+
     def check(self, number, stream, status, body):
         if status in (408, 421, 429, 503):
             self.not_run.append((number, stream))
@@ -246,7 +339,7 @@
             return
         expected = number.encode()
         if stream:
-            expected = "".join(f"id: {e}\ndata: {number}\n\n" for e in range(1, EVENTS + 1)).encode()
+            expected = stream_text(1, EVENTS)
         if body != expected:
             self.violation(f"MIXED or ORDER: {number} got {body[:200]!r}")
 
@@ -255,7 +348,7 @@
     def change_until_stopped(self):
         while not self.stopping:
             version = self.version + 1
-            prefixes = ["/book/", f"/book/v{version}/", f"/book/v{version - 1}/"]
+            prefixes = ["/book/", "/book/slow/", f"/book/v{version}/", f"/book/v{version - 1}/"]
             if self.acknowledged:
                 prefixes += [f"/book/v{v}/" for v, _ in self.acknowledged[-6:]]
             routes = [{"name": p, "host": HOST, "pathPrefix": p, "kind": "non_idempotent",
@@ -297,16 +390,21 @@
     # Faults.
 
     def fault(self):
-        kind = self.random.choice(["drain", "kill", "pause", "hup", "controller", "freeze", "engine"])
+        kind = self.random.choice(["drain", "kill", "pause", "hup", "controller", "freeze", "engine",
+                                   "roll", "disk"])
         gateway = self.random.choice(self.gateways)
         self.count("fault " + kind)
         # A signal before the process waits for it ends the process, which serves nobody yet.
         young = time.time() - gateway.started < START_TIME
         if kind == "drain":
-            gateway.expected = gateway.expected or ("killed" if young else "drained")
-            gateway.signal(signal.SIGTERM)
+            self.drain(gateway, young)
+        elif kind == "roll":
+            threading.Thread(target=self.drain_in_turn, daemon=True).start()
+        elif kind == "disk":
+            self.refuse_writes(self.random.randrange(3))
         elif kind == "kill":
             gateway.expected = "killed"
+            gateway.only_planned = False
             gateway.signal(signal.SIGKILL)
         elif kind == "pause":
             self.pause(gateway.process, gateway)
@@ -329,9 +427,41 @@
             for each in self.gateways:
                 each.calm_since = time.time() + 1.5
 
+    def drain(self, gateway, young):
+        gateway.expected = gateway.expected or ("killed" if young else "drained")
+        gateway.only_planned = gateway.only_planned and not young
+        gateway.signal(signal.SIGTERM)
+
+    def drain_in_turn(self):
+        for gateway in list(self.gateways):
+            if self.stopping:
+                return
+            self.drain(gateway, time.time() - gateway.started < START_TIME)
+            time.sleep(0.4)
+
+    def refuse_writes(self, number):
+        """Makes a controller's disk full for a while, and has the controllers vote meanwhile."""
+        folder = os.path.join(self.deployment.dir, f"data-{number}")
+        for name in NEW_FILES:
+            path = os.path.join(folder, name)
+            if not os.path.lexists(path):
+                os.symlink("/dev/full", path)
+        self.pause(self.cluster.processes[f"controller-{(number + 1) % 3}"], None)
+        for each in self.gateways:
+            each.calm_since = time.time() + 4
+
+        def free():
+            for name in NEW_FILES:
+                path = os.path.join(folder, name)
+                if os.path.islink(path):
+                    os.unlink(path)
+        threading.Timer(1 + self.random.random() * 2, free).start()
+
     def pause(self, process, gateway):
         if process.poll() is not None:
             return
+        if gateway is not None:
+            gateway.only_planned = False
         process.send_signal(signal.SIGSTOP)
 
         def resume():
@@ -346,11 +476,11 @@
         for number in range(3):
             d.start_controller(number)
         self.engines = [Engine(self, n) for n in range(ENGINES)]
-        self.gateways = [Gateway(self, n) for n in range(GATEWAYS)]
+        self.gateways = [Gateway(self, n) for n in range(self.gateway_count)]
         threads = [threading.Thread(target=self.change_until_stopped, daemon=True),
                    threading.Thread(target=self.register_until_stopped, daemon=True)]
         threads += [threading.Thread(target=self.call_until_stopped, daemon=True,
-                                     args=(self.random.random(),)) for _ in range(CALLERS)]
+                                     args=(self.random.random(),)) for _ in range(self.caller_count)]
         for thread in threads:
             thread.start()
         end = time.time() + seconds
@@ -383,12 +513,14 @@
     parser.add_argument("program")
     parser.add_argument("--seed", type=int, default=int(time.time()))
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
+    parser.add_argument("--callers", type=int, default=CALLERS)
     options = parser.parse_args(arguments)
     with Cluster(options.program) as cluster:
-        soak = Soak(cluster, options.seed)
+        soak = Soak(cluster, options.seed, options.gateways, options.callers)
         soak.run(options.seconds)
     print(f"seed {options.seed}: {sum(soak.runs.values())} runs, {soak.crashes} crashes, "
-          f"{len(soak.acknowledged)} versions, {soak.counts}")
+          f"{len(soak.acknowledged)} versions, {soak.most_memory} MB, {soak.counts}")
     for text in soak.violations:
         print("violation:", text)
     if soak.violations:
