Log why a replica knows no leader

Their logs cannot tell voters that are unreachable from voters that are gone for good, from a disk that refuses writes, or from replicas that are no members any more.

A replica that has known no leader for 2 s now logs its term and role, whether it has a vote, the voters, how many of them it has a link to, the end of its log and an error of its storage, every 2 s.

Evidence: raft_test "a replica that knows no leader logs its state now and then".

--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -47,6 +47,7 @@
   kSegmentNotRemoved = 511,
   kSnapshotRefused = 512,
   kPeerMessageRefused = 513,
+  kLeaderMissing = 514,
   kConfigApplied = 600,
   kConfigRejected = 601,
   kRecordContradiction = 602,
--- a/include/radishroute/raft.h
+++ b/include/radishroute/raft.h
@@ -67,6 +67,8 @@
   std::chrono::milliseconds voter_timeout{2500};
   /// A learner that has not replied for this time is removed.
   std::chrono::milliseconds learner_timeout{30000};
+  /// Interval at which a replica logs that it knows no leader.
+  std::chrono::milliseconds leader_missing_interval{2000};
   /// After a failed write, the log is written anew in this interval until that succeeds.
   std::chrono::milliseconds storage_retry_delay{250};
 };
@@ -190,6 +192,7 @@
   void TruncateLog(std::uint64_t index, reduce_context& ctx);
   void UpdateLinks(reduce_context& ctx);
   void MaintainLinks(reduce_context& ctx);
+  void LogMissingLeader(reduce_context& ctx);
   void ScheduleWakeup(reduce_context& ctx);
   bool IsSelfVoter() const;
   bool IsMajority(std::size_t count) const;
@@ -247,6 +250,8 @@
   std::uint64_t commit_index_ = 0;
   std::uint64_t applied_index_ = 0;
   steady_time election_deadline_;
+  /// When a leader was known last, or its absence was logged.
+  steady_time leader_noted_at_;
   steady_time no_votes_until_;
   std::set<voter_id> votes_;
 
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -76,6 +76,8 @@
       return "snapshot-refused";
     case event_code::kPeerMessageRefused:
       return "peer-message-refused";
+    case event_code::kLeaderMissing:
+      return "leader-missing";
     case event_code::kVoterCreated:
       return "voter-created";
     case event_code::kConfigApplied:
--- a/src/raft.cc
+++ b/src/raft.cc
@@ -225,6 +225,7 @@
   // A reply sent before the restart may still support a leader's lease, so no vote is granted until
   // that lease has expired.
   no_votes_until_ = ctx.now + limits_.election_timeout_min;
+  leader_noted_at_ = ctx.now;
   ctx.Emit(write_log{{event_code::kVoterStarted,
                       log_level::kInfo,
                       {{"log_group", std::to_string(log_group_)},
@@ -243,6 +244,7 @@
 void raft_core::Handle(const timer_expired&, reduce_context& ctx) {
   if (failure_) return;
   MaintainLinks(ctx);
+  LogMissingLeader(ctx);
   if (role_ == raft_role::kLeader) {
     if (ctx.now >= next_heartbeat_) OnHeartbeatTimer(ctx);
   } else if (ctx.now >= election_deadline_) {
@@ -296,6 +298,29 @@
   }
 }
 
+// The state that tells apart why a group has no leader: voters that cannot be reached, voters that
+// are gone for good, a disk that refuses writes, or a replica that is no member any more.
+void raft_core::LogMissingLeader(reduce_context& ctx) {
+  if (leader_ != voter_id{}) leader_noted_at_ = ctx.now;
+  if (ctx.now - leader_noted_at_ < limits_.leader_missing_interval) return;
+  leader_noted_at_ = ctx.now;
+  std::size_t linked = 0;
+  for (const replica& r : log_.Replicas()) {
+    auto it = links_.find(r.address);
+    if (r.voting && it != links_.end() && it->second.link.value != 0) ++linked;
+  }
+  ctx.Emit(write_log{{event_code::kLeaderMissing,
+                      log_level::kWarning,
+                      {{"term", std::to_string(term_)},
+                       {"role", std::string(ToString(role_))},
+                       {"votes", IsSelfVoter() ? "yes" : "no"},
+                       {"voters", std::to_string(VoterCount(log_.Replicas()))},
+                       {"linked", std::to_string(linked)},
+                       {"last", std::to_string(log_.LastIndex())},
+                       {"commit", std::to_string(commit_index_)},
+                       {"error", storage_error_ ? storage_error_.message() : "none"}}}});
+}
+
 void raft_core::Handle(const link_opened& e, reduce_context& ctx) {
   auto it = links_.find(e.dialed);
   if (it == links_.end() || failure_) return;
--- a/tests/raft_cluster.cc
+++ b/tests/raft_cluster.cc
@@ -199,6 +199,7 @@
       e.code == event_code::kInvariantViolated || e.code == event_code::kPeerMessageRefused;
   if (violated) failure = "invariant: " + e.fields[0].value;
   if (e.code == event_code::kSnapshotInstalled) ++snapshots_installed;
+  if (e.code == event_code::kLeaderMissing) leader_missing.push_back(e);
   if (e.code != event_code::kLeaderElected) return;
   auto [it, added] = leaders_.emplace(std::stoull(e.fields[0].value), e.fields[1].value);
   if (!added && it->second != e.fields[1].value) failure = "two leaders in a term";
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -108,6 +108,7 @@
   std::string failure;
   std::size_t store_count = 0;
   std::size_t snapshots_installed = 0;
+  std::vector<log_event> leader_missing;
 
  private:
   struct node_state {
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -504,4 +504,25 @@
   CHECK(cluster.CommitOne(milliseconds(1000)));
 }
 
+// Guards against a group without a leader whose logs do not tell why.
+TEST_CASE("a replica that knows no leader logs its state now and then") {
+  raft_cluster cluster(18, 3);
+  std::size_t leader = WaitForLeader(cluster);
+  std::size_t left = (leader + 1) % 3;
+  cluster.Run(milliseconds(5000));
+  CHECK(cluster.leader_missing.empty());
+  cluster.Crash(leader);
+  cluster.Crash((leader + 2) % 3);
+  SECTION("voters are gone") {}
+  SECTION("its disk refuses writes") { cluster.SetDiskError(left, errc::kDiskFull); }
+  cluster.Run(milliseconds(9000));
+  REQUIRE(cluster.leader_missing.size() >= 3);
+  CHECK(cluster.leader_missing.size() <= 4);
+  std::string fields;
+  for (const log_field& f : cluster.leader_missing.back().fields) {
+    fields += f.key + "=" + f.value + " ";
+  }
+  CHECK(fields.find("votes=yes voters=3 linked=0") != std::string::npos);
+}
+
 }  // namespace radishroute
