Deliver the result of a write although the queue is full

The end of a write and of a plan went back to the control thread through its bounded queue. With 65,536 events waiting it was dropped, and the replica would have waited for that write, and acknowledged nothing, until its process restarted.

The results of operations that a thread has started itself are delivered without the bound: one write and one plan of a group are under way at a time. A batch that the storage thread refuses fails at once on the control thread.

Evidence: loop_test "the result of an operation is delivered although the queue is full".

--- a/src/io/log_node.h
+++ b/src/io/log_node.h
@@ -79,10 +79,10 @@
     auto& log = thread_->State().control.log;
     log.emplace(0, limits);
     if (auto error = log->Load(std::move(recovered))) return error;
-    storage_ = std::make_unique<storage_thread>(std::move(storage),
-                                                [this](log_stored done) { thread_->Post(done); });
+    storage_ = std::make_unique<storage_thread>(
+        std::move(storage), [this](log_stored done) { thread_->PostCompletion(done); });
     plans_ = std::make_unique<plan_thread>(
-        [this](placement_planned done) { thread_->Post(std::move(done)); });
+        [this](placement_planned done) { thread_->PostCompletion(std::move(done)); });
     return thread_->Links().Listen(listen);
   }
 
@@ -103,7 +103,7 @@
     };
     hooks.on_store = [this](std::shared_ptr<const store_batch> batch) {
       log_stored refused{batch->log_group, batch->sequence, errc::kSyncFailed};
-      if (!storage_->Post(std::move(batch))) thread_->Post(refused);
+      if (!storage_->Post(std::move(batch))) thread_->Apply(refused);
     };
     hooks.on_plan = [this](std::shared_ptr<const plan_request> request) {
       // A group has one plan under way, so a full queue means more groups than the table holds.
--- a/src/io/loop.cc
+++ b/src/io/loop.cc
@@ -54,6 +54,14 @@
   return true;
 }
 
+void io_loop::PostCompletion(task t) {
+  {
+    std::lock_guard lock(mutex_);
+    posted_.push_back(std::move(t));
+  }
+  lws_cancel_service(context_);
+}
+
 void io_loop::RunPosted() {
   std::vector<task> tasks;
   {
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -48,6 +48,10 @@
   /// Runs a task on the loop's thread; false if the queue is full. Callable from any thread.
   bool Post(task t);
 
+  /// Runs the end of an operation that this loop has started on another thread. Never refused: the
+  /// operations under way are bounded themselves, and nothing would end one whose result is lost.
+  void PostCompletion(task t);
+
   /// Calls `on_timer` at `at` unless an earlier time is already set.
   void WakeAt(steady_time at);
   void SetTimerHandler(task on_timer) { on_timer_ = std::move(on_timer); }
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -98,6 +98,12 @@
     return false;
   }
 
+  /// Delivers the result of an operation that this thread has started on another one.
+  void PostCompletion(event e) {
+    auto shared = std::make_shared<event>(std::move(e));
+    loop_.PostCompletion([this, shared] { Apply(std::move(*shared)); });
+  }
+
   /// Starts the thread; its first event is process_started.
   void Start() {
     thread_ = std::thread([this] {
