--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -35,8 +35,8 @@
 // the directory within this time.
 constexpr std::chrono::milliseconds kRetryAfterStart{500};
 
-// Retry-After of a process that is about to end. The callers' next connection leads to another
-// process; the time spreads them less than it delays them.
+// Retry-After of a process that is about to end: the callers' next connection leads to another one,
+// which can serve them now.
 constexpr std::chrono::milliseconds kRetryAfterDrain{100};
 
 // Share of its time that a request needs at least. Most repeatable requests end long before their
@@ -436,7 +436,8 @@
     bool larger = largest == nullptr || other.counted_bytes > largest->counted_bytes;
     if (other.current && larger) largest = &other;
   }
-  if (response_bytes_ > settings_.max_response_bytes) GiveUpAttempt(*largest, ctx);
+  bool over = response_bytes_ > settings_.max_response_bytes;
+  if (over && largest != nullptr) GiveUpAttempt(*largest, ctx);
 }
 
 // The bytes of the response are no answer and may have no end.
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -183,7 +183,7 @@
     CountUnsent(*c);
     if (slowest == nullptr || c->unsent_bytes > slowest->unsent_bytes) slowest = c.get();
   }
-  if (unsent_bytes_ <= limits_.max_total_unsent_bytes) return;
+  if (slowest == nullptr || unsent_bytes_ <= limits_.max_total_unsent_bytes) return;
   CountMetric(counter::kSlowCallersCut);
   OnEnd(*slowest);
 }
