Replace invalid UTF-8 in the answers to operators

An entry whose zone is no valid UTF-8 ended a controller when an operator asked for the state of a change: the JSON library throws when it writes such a text, and nothing catches it. Found by reading, among the ways in which bytes of a peer end a process.

--- a/src/cli/admin_http.cc
+++ b/src/cli/admin_http.cc
@@ -6,8 +6,12 @@
 
 namespace radishroute {
 
+std::string JsonText(const nlohmann::json& value) {
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 http_answer ErrorAnswer(unsigned status, std::string_view type) {
-  return {status, nlohmann::json{{"error", type}}.dump()};
+  return {status, JsonText({{"error", type}})};
 }
 
 bool Authorized(const http_request& request, const std::string& token) {
--- a/src/cli/admin_http.h
+++ b/src/cli/admin_http.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_CLI_ADMIN_HTTP_H_
 #define RADISHROUTE_CLI_ADMIN_HTTP_H_
 
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,9 @@
   std::string body;
 };
 
+/// Text of an answer. Invalid UTF-8, which the name of a peer's zone may hold, is replaced.
+std::string JsonText(const nlohmann::json& value);
+
 /// Answer with {"error": TYPE}.
 http_answer ErrorAnswer(unsigned status, std::string_view type);
 
--- a/src/cli/config_http.cc
+++ b/src/cli/config_http.cc
@@ -72,10 +72,10 @@
     faults.push_back({{"row", e.row}, {"column", e.column}, {"expected", e.expected}});
   }
   if (!faults.empty()) {
-    return {422, json{{"error", "sheet-invalid"}, {"faults", faults}}.dump()};
+    return {422, JsonText(json{{"error", "sheet-invalid"}, {"faults", faults}})};
   }
   if (!backend.propose(std::move(change))) return ErrorAnswer(421, "not-leader");
-  return {202, json{{"state", "pending"}}.dump()};
+  return {202, JsonText(json{{"state", "pending"}})};
 }
 
 }  // namespace
@@ -94,11 +94,11 @@
     if (backend.groups != nullptr) {
       status["groups"] = GroupsToJson(backend.groups->Report(backend.state->Groups()));
     }
-    return http_answer{200, status.dump()};
+    return http_answer{200, JsonText(status)};
   }
   if (request.path.size() <= kChanges.size() + 1) return ErrorAnswer(404, "no-such-change");
   std::string id = request.path.substr(kChanges.size() + 1);
-  return http_answer{200, ToJson(ReportChange(*backend.state, *backend.leases, id, now)).dump()};
+  return http_answer{200, JsonText(ToJson(ReportChange(*backend.state, *backend.leases, id, now)))};
 }
 
 }  // namespace radishroute
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -268,7 +268,7 @@
   }
 
   void Reply(exchange_id exchange, unsigned status, const nlohmann::json& body) {
-    server_->Respond(exchange, status, kJson, {}, body.dump() + "\n");
+    server_->Respond(exchange, status, kJson, {}, JsonText(body) + "\n");
   }
 
   controller_settings settings_;
--- a/src/cli/group_http.cc
+++ b/src/cli/group_http.cc
@@ -37,9 +37,9 @@
   const expert_group* group = backend.groups->Find(pin.group);
   if (group == nullptr) return ErrorAnswer(404, "no-such-group");
   // A repeated request ends here once the first one is applied.
-  if (group->pinned == pin.pinned) return {200, json{{"pinned", pin.pinned}}.dump()};
+  if (group->pinned == pin.pinned) return {200, JsonText(json{{"pinned", pin.pinned}})};
   if (!backend.propose(std::move(pin))) return ErrorAnswer(421, "not-leader");
-  return {202, json{{"state", "pending"}}.dump()};
+  return {202, JsonText(json{{"state", "pending"}})};
 }
 
 }  // namespace
--- a/src/cli/order_http.cc
+++ b/src/cli/order_http.cc
@@ -56,12 +56,12 @@
   const order_record* known = backend.orders->FindChange(submission.change_id);
   if (known != nullptr) {
     json report = ToJson(*known);
-    if (known->order == submission) return {200, report.dump()};
+    if (known->order == submission) return {200, JsonText(report)};
     report["error"] = "change-id-reused";
-    return {409, report.dump()};
+    return {409, JsonText(report)};
   }
   if (!backend.propose(std::move(submission))) return ErrorAnswer(421, "not-leader");
-  return {202, json{{"state", "proposed"}}.dump()};
+  return {202, JsonText(json{{"state", "proposed"}})};
 }
 
 }  // namespace
@@ -75,7 +75,7 @@
   if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
   json orders = json::array();
   for (const auto& [token, record] : backend.orders->Orders()) orders.push_back(ToJson(record));
-  return http_answer{200, json{{"orders", orders}}.dump()};
+  return http_answer{200, JsonText(json{{"orders", orders}})};
 }
 
 }  // namespace radishroute
--- a/tests/storage_failure_test.cc
+++ b/tests/storage_failure_test.cc
@@ -144,7 +144,7 @@
     stored_state before = state;
     REQUIRE_FALSE(storage.Write(batch));
     state.Add(batch);
-    // Each removal is a change of its own: the folder before them is tried with every subset.
+    // Each removal is a change of its own, so every subset of them may last.
     for (std::uint64_t bits = 0; bits < 256; ++bits) {
       INFO("bits " << bits << ", last entry "
                    << (state.entries.empty() ? 0 : state.entries.back().index));
