--- a/include/radishroute/command.h
+++ b/include/radishroute/command.h
@@ -94,6 +94,13 @@
   std::string answer;
 };
 
+/// Begins or ends the evacuation of an availability zone: while it lasts, its backend servers get
+/// no requests.
+struct zone_evacuation {
+  std::string zone;
+  bool evacuated = true;
+};
+
 /// A change of the replicated state; the body of a log entry.
 using command = std::variant<  //
     no_operation,              //
@@ -104,7 +111,8 @@
     order_submission,          //
     order_completion,
     group_change,  //
-    group_pin>;
+    group_pin,     //
+    zone_evacuation>;
 
 /// A log entry with its position.
 struct log_entry {
--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -49,6 +49,7 @@
   void Handle(link_id link, const fleet_load& load, reduce_context& ctx);
   void Handle(link_id link, const lease_grant& grant, reduce_context& ctx);
   void Handle(link_id link, const config_push& push, reduce_context& ctx);
+  void Handle(link_id link, const evacuation_notice& notice, reduce_context& ctx);
   void Handle(link_id link, const record_reply& reply, reduce_context& ctx);
   void Handle(link_id link, const outcome_reply& reply, reduce_context& ctx);
   void Handle(link_id link, const version_query& query, reduce_context& ctx);
@@ -65,11 +66,13 @@
   struct peer_config {
     std::uint64_t version = 0;
     std::string sheet;
+    evacuation_notice evacuations;
   };
 
   void Renew(reduce_context& ctx);
   void Apply(std::uint64_t version, const std::string& sheet, reduce_context& ctx);
   void BecomeReady(reduce_context& ctx);
+  void ApplyEvacuations(const evacuation_notice& notice, reduce_context& ctx);
   void PublishLease(reduce_context& ctx);
   void PollPeers(reduce_context& ctx);
   void AdoptPeerConfig(reduce_context& ctx);
@@ -84,6 +87,8 @@
   /// Highest version known to exist; an entry that does not serve yet applies no lower one.
   std::uint64_t highest_known_version_ = 0;
   bool ready_ = false;
+  /// Absent until a leader, or a replica that answers instead of it, has told the evacuations.
+  std::optional<std::uint64_t> evacuation_version_;
   steady_time lease_expires_at_ = steady_time::min();
   bool logged_lease_valid_ = false;
   std::uint64_t next_sequence_ = 1;
--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -32,6 +32,13 @@
   std::vector<zone_report> zones;
 };
 
+/// Version of the evacuations that an entry has applied, as of its latest renewal.
+struct evacuation_report {
+  std::string node;
+  std::string zone;
+  std::uint64_t version = 0;
+};
+
 /// Configuration leases granted by this controller while it is the leader.
 class config_leases {
  public:
@@ -54,13 +61,18 @@
   /// that has not applied it.
   void OnRenew(link_id link, const lease_renew& renew, const config_document& config,
                const endpoint& leader_hint, reduce_context& ctx,
-               const std::vector<replica>& replicas = {});
+               const std::vector<replica>& replicas = {},
+               const evacuation_notice& evacuations = {});
   /// Starts to push a newly committed version to the entries with an unexpired lease. Each entry
   /// has at most one document in transit and gets the latest version next.
   void OnCommitted(const config_document& config, reduce_context& ctx);
+  /// Tells all entries with an unexpired lease at once; later grants repeat it.
+  void OnEvacuationsChanged(const evacuation_notice& evacuations, reduce_context& ctx) const;
   void OnClosed(link_id link);
 
   in_force_report Report(std::uint64_t version, steady_time now) const;
+  /// Entries with an unexpired lease.
+  std::vector<evacuation_report> EvacuationReport(steady_time now) const;
 
  private:
   struct lease {
@@ -68,6 +80,7 @@
     link_id link;
     steady_time expires_at;
     std::uint64_t applied = 0;
+    std::uint64_t evacuation_version = 0;
     /// Latest version sent on `link`; zero if none.
     std::uint64_t pushed = 0;
     std::size_t pushed_bytes = 0;
--- a/include/radishroute/config_message.h
+++ b/include/radishroute/config_message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "radishroute/types.h"
+#include "radishroute/zone_evacuations.h"
 
 namespace radishroute {
 
@@ -18,6 +19,8 @@
   std::uint64_t applied_version = 0;
   /// Highest version that the entry knows to exist, applied or not.
   std::uint64_t highest_known_version = 0;
+  /// Version of the evacuations that the entry has applied.
+  std::uint64_t evacuation_version = 0;
 };
 
 /// Response to a renewal. If not granted, `leader_hint` names the leader if it is known.
@@ -31,6 +34,7 @@
   std::uint64_t version = 0;
   /// All controllers that the leader knows.
   std::vector<endpoint> controllers = {};
+  evacuation_notice evacuations = {};
 };
 
 /// Sends the current configuration to an entry.
@@ -50,6 +54,7 @@
   std::uint64_t version = 0;
   std::string sheet;
   std::string zone;
+  evacuation_notice evacuations = {};
 };
 
 }  // namespace radishroute
--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -8,9 +8,11 @@
 #include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "radishroute/config_leases.h"
 #include "radishroute/document_server.h"
+#include "radishroute/evacuation_server.h"
 #include "radishroute/experts/engine_groups.h"
 #include "radishroute/group_joiner.h"
 #include "radishroute/group_server.h"
@@ -27,6 +29,7 @@
  public:
   void Apply(const log_entry& entry, reduce_context& ctx) {
     std::uint64_t version = state_.Config().Version();
+    std::uint64_t evacuations = state_.Evacuations().Version();
     apply_result result = state_.Apply(entry, ctx);
     records_.OnApplied(entry, result, state_.Records(), ctx);
     orders_.OnApplied(entry, state_.Orders(), ctx);
@@ -35,6 +38,7 @@
       leases_.OnCommitted(state_.Config(), ctx);
       PublishDocument(ctx);
     }
+    if (state_.Evacuations().Version() != evacuations) OnEvacuationsChanged(entry, ctx);
   }
 
   std::string Snapshot() const { return state_.Snapshot(); }
@@ -55,6 +59,17 @@
   const group_server& Groups() const { return groups_; }
 
  private:
+  void OnEvacuationsChanged(const log_entry& entry, reduce_context& ctx) {
+    leases_.OnEvacuationsChanged(state_.Evacuations().Save(), ctx);
+    const auto* order = std::get_if<zone_evacuation>(&entry.body);
+    if (order == nullptr) return;
+    ctx.Emit(write_log{{event_code::kEvacuationsChanged,
+                        log_level::kInfo,
+                        {{"zone", order->zone},
+                         {"evacuated", order->evacuated ? "yes" : "no"},
+                         {"version", std::to_string(entry.index)}}}});
+  }
+
   replicated_state<Codec> state_;
   record_server records_;
   order_server orders_;
@@ -128,6 +143,11 @@
     UpdateRole(ctx);
   }
 
+  void Handle(const zone_evacuation_submitted& e, reduce_context& ctx) {
+    evacuations_.OnSubmitted(e, log_, ctx);
+    UpdateRole(ctx);
+  }
+
   void Handle(const document_requested& e, reduce_context& ctx) {
     documents_.OnRequested(e, log_, ctx);
     UpdateRole(ctx);
@@ -137,7 +157,9 @@
   // controller, so every replica replies.
   void Handle(link_id link, const version_query& m, reduce_context& ctx) {
     const config_document& config = State().Config();
-    ctx.Emit(send_message{link, version_reply{m.sequence, config.Version(), config.Sheet(), {}}});
+    ctx.Emit(send_message{
+        link, version_reply{
+                  m.sequence, config.Version(), config.Sheet(), {}, State().Evacuations().Save()}});
   }
 
   void Handle(link_id link, const claim_request& m, reduce_context& ctx) {
@@ -177,7 +199,7 @@
       return;
     }
     log_.Machine().Leases().OnRenew(link, m, State().Config(), Core().LeaderAddress(), ctx,
-                                    Core().Log().Replicas());
+                                    Core().Log().Replicas(), State().Evacuations().Save());
   }
 
   void Handle(link_id link, const fence_query& m, reduce_context& ctx) {
@@ -206,6 +228,10 @@
     log_.Machine().Groups() = group_server(settings);
   }
 
+  /// Sets the availability zones that evacuation orders may name; must be called before the first
+  /// event.
+  void SetKnownZones(std::vector<std::string> zones) { evacuations_.SetZones(std::move(zones)); }
+
   /// Sets the availability zone of this process; must be called before the first event.
   void SetZone(std::string zone) { engines_.SetZone(std::move(zone)); }
 
@@ -215,6 +241,7 @@
  private:
   void UpdateRole(reduce_context& ctx) {
     documents_.OnProgress(Core(), State().Config(), ctx);
+    evacuations_.OnProgress(Core(), ctx);
     if (joiner_) joiner_->OnProgress(Core(), ctx);
     engines_.OnProgress(Core(), ctx);
     bool is_leader = Core().Role() == raft_role::kLeader && !Core().Failure();
@@ -235,6 +262,7 @@
 
   replicated_log<controller_state<Codec>> log_;
   document_server documents_;
+  evacuation_server evacuations_;
   engine_groups engines_;
   std::optional<group_joiner> joiner_;
   bool serving_ = false;
--- a/include/radishroute/discovery_message.h
+++ b/include/radishroute/discovery_message.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_DISCOVERY_MESSAGE_H_
 #define RADISHROUTE_DISCOVERY_MESSAGE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -33,6 +34,9 @@
   /// Node number of the home entry, which received this announcement from the agent itself; set by
   /// that entry.
   std::uint64_t home = 0;
+  /// Remaining time in which the backend server tolerates only a low rate of requests after its
+  /// start; zero if it is warm. At the time of the announcement.
+  std::chrono::milliseconds cold_remaining{};
 };
 
 /// Orders the announcements of one backend server; the newest has the greatest key.
--- a/include/radishroute/document_event.h
+++ b/include/radishroute/document_event.h
@@ -9,6 +9,7 @@
 
 #include "radishroute/discovery_message.h"
 #include "radishroute/types.h"
+#include "radishroute/zone_evacuations.h"
 
 namespace radishroute {
 
@@ -24,6 +25,17 @@
   exchange_id exchange;
 };
 
+/// Event: an operator begins or ends the evacuation of an availability zone.
+struct zone_evacuation_submitted {
+  exchange_id exchange;
+  zone_evacuation order;
+};
+
+/// Event for traffic threads: the evacuated availability zones that are in force.
+struct evacuations_published {
+  evacuation_notice evacuations;
+};
+
 /// Event: a backend server registers itself or renews its registration.
 struct backend_registered {
   exchange_id exchange;
@@ -64,6 +76,33 @@
   endpoint leader;
 };
 
+enum class evacuation_status : std::uint8_t {
+  /// The order is committed, or it was in force already.
+  kAccepted,
+  /// Another controller is the leader.
+  kRedirected,
+  /// No leader is known, or the outcome is unknown.
+  kUnavailable,
+  /// No backend server has registered from this zone, and it is not evacuated.
+  kUnknownZone,
+};
+
+std::string_view ToString(evacuation_status status);
+
+/// Effect: responds to an operator's evacuation order.
+struct evacuation_answered {
+  exchange_id exchange;
+  evacuation_status status = evacuation_status::kUnavailable;
+  zone_evacuation order;
+  /// If redirected, the leader's address for links between processes of the system.
+  endpoint leader;
+};
+
+/// Effect: passes the evacuated availability zones to the traffic threads.
+struct publish_evacuations {
+  evacuation_notice evacuations;
+};
+
 /// Effect: responds to a backend server's registration.
 struct registration_answered {
   exchange_id exchange;
--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -213,6 +213,8 @@
     start_engine_order,               //
     cancel_engine_order,              //
     document_answered,                //
+    evacuation_answered,              //
+    publish_evacuations,              //
     registration_answered,            //
     publish_document,                 //
     read_engine_report,               //
--- a/include/radishroute/engine_message.h
+++ b/include/radishroute/engine_message.h
@@ -75,6 +75,13 @@
 
 /// State of an expert-parallel group, sent by the leader to every entry.
 struct fleet_load {
+  /// Name and incarnation of the group.
+  std::string group;
+  std::uint64_t epoch = 0;
+  /// Term of the leader and number of the report within that term. Reports that overtake each other
+  /// on relayed paths are ordered by them.
+  std::uint64_t term = 0;
+  std::uint64_t sequence = 0;
   /// False while the group runs no passes because a rank is missing.
   bool open = false;
   /// Recent mean duration of a pass; zero if unknown.
--- a/include/radishroute/event.h
+++ b/include/radishroute/event.h
@@ -48,6 +48,8 @@
     engine_order_finished,           //
     document_submitted,              //
     document_requested,              //
+    zone_evacuation_submitted,       //
+    evacuations_published,           //
     backend_registered,              //
     backend_withdrawn,               //
     controllers_changed,             //
--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -61,11 +61,14 @@
     std::uint64_t epoch = 0;
     pass_meter meter;
     steady_time waiting_logged_at;
+    /// Number of the latest load report.
+    std::uint64_t load_sequence = 0;
   };
 
   void AddCounts(group_state& group, const engine_status& status) const;
   void Decay(group_state& group, steady_time now) const;
   void SendLoads(reduce_context& ctx);
+  fleet_load MakeLoad(const std::string& name, group_state& group, reduce_context& ctx) const;
   void Plan(const std::string& name, group_state& group, std::uint64_t term,
             reduce_context& ctx) const;
   void LogWaiting(const std::string& name, group_state& group, std::string_view reason,
--- a/include/radishroute/forward/admission.h
+++ b/include/radishroute/forward/admission.h
@@ -12,6 +12,7 @@
 #include "radishroute/engine_message.h"
 #include "radishroute/forward/backend_selector.h"
 #include "radishroute/forward/deployment.h"
+#include "radishroute/forward/group_loads.h"
 
 namespace radishroute {
 
@@ -30,8 +31,8 @@
   bool admitted = true;
   /// Requests that the backend server may have at once; zero if its capacity is unknown.
   double capacity = 0;
-  /// Age of the leader's latest load report, and the mean duration of a forward pass that it
-  /// contains.
+  /// Age of the leader's latest load report of the engine's group, and the mean duration of a
+  /// forward pass that it contains.
   std::chrono::milliseconds load_age{};
   std::chrono::microseconds pass{};
 };
@@ -41,9 +42,9 @@
 concept forward_admission = std::default_initializable<A> &&
     requires(A admission, const admission_query& query, std::shared_ptr<const fleet_load> load,
              random_source& random, steady_time now) {
-  {admission.OnFleetLoad(load, now)};
+  { admission.OnFleetLoad(load, now) } -> std::same_as<bool>;
   { admission.Admit(query, now, random) } -> std::same_as<admission_decision>;
-  { admission.IsGroupDown(now) } -> std::same_as<bool>;
+  { admission.IsGroupDown(query.chosen.address, now) } -> std::same_as<bool>;
 };
 
 /// Admits a request to an engine only if the route's targets for the first token and for the gaps
@@ -52,28 +53,26 @@
 /// of the less urgent requests is admitted into that headroom, so that they are not starved.
 class engine_model_admission {
  public:
-  void OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now);
+  /// Returns false if a newer report of the group is known.
+  bool OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now);
   admission_decision Admit(const admission_query& query, steady_time now, random_source& random);
-  /// Whether the leader reports that the engine group makes no forward passes.
-  bool IsGroupDown(steady_time now) const;
+  /// Whether the leader reports that the group of this engine makes no forward passes.
+  bool IsGroupDown(const endpoint& engine, steady_time now) const;
 
   /// Number of requests that one engine can have at once while this route's targets are met and a
   /// forward pass takes at most `pass_share` of the target gap.
-  double Capacity(const route& matched_route, const engine_profile& engine, std::uint32_t slots,
-                  double pass_share) const;
+  static double Capacity(const route& matched_route, const engine_profile& engine,
+                         std::uint32_t slots, double pass_share, const group_load* group);
 
  private:
-  bool IsFresh(steady_time now) const;
-
-  std::shared_ptr<const fleet_load> load_;
-  steady_time load_received_at_;
+  group_loads loads_;
 };
 
 /// Admits every request. Baseline for comparisons.
 struct admit_all {
-  void OnFleetLoad(const std::shared_ptr<const fleet_load>&, steady_time) {}
+  bool OnFleetLoad(const std::shared_ptr<const fleet_load>&, steady_time) { return true; }
   admission_decision Admit(const admission_query&, steady_time, random_source&) { return {}; }
-  bool IsGroupDown(steady_time) const { return false; }
+  bool IsGroupDown(const endpoint&, steady_time) const { return false; }
 };
 
 static_assert(forward_admission<engine_model_admission>);
--- a/include/radishroute/forward/backend_selector.h
+++ b/include/radishroute/forward/backend_selector.h
@@ -13,6 +13,7 @@
 
 #include "radishroute/clock.h"
 #include "radishroute/engine_message.h"
+#include "radishroute/forward/cold_backends.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/forward/withheld_backends.h"
 #include "radishroute/policy.h"
@@ -45,6 +46,8 @@
   const withheld_backends& withheld;
   /// Attempts of this process that one backend server may have in progress; zero for no limit.
   std::uint32_t max_in_flight = 0;
+  /// Limits the requests to cold backend servers; null for no limit.
+  const cold_backends* cold = nullptr;
 };
 
 /// Whether the backend server may be selected.
@@ -93,6 +96,8 @@
   std::uint32_t sent_since_report = 0;
   /// The last report came from the leader, which counts the requests of all processes.
   bool report_is_total = false;
+  /// According to the last report, the group of this engine makes no forward passes.
+  bool group_down = false;
   std::uint32_t failures = 0;
   steady_time avoid_until;
 };
--- a/include/radishroute/forward/deployment.h
+++ b/include/radishroute/forward/deployment.h
@@ -84,6 +84,10 @@
   /// Connections that one backend server accepts from all callers together; zero for no limit.
   std::uint32_t max_connections = 0;
   std::optional<engine_profile> engine;
+  /// Time after its start during traffic in which a backend server is cold, and the requests per
+  /// second that it tolerates then from all gateways together; zero if it is never cold.
+  std::chrono::milliseconds cold_duration = {};
+  double cold_requests_per_second = 0;
 };
 
 /// Limits on the size of callers' requests and the time to receive them.
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -58,6 +58,7 @@
   void Handle(const crash_evidence_shared& e, reduce_context& ctx);
   void Handle(const deployment_published& e, reduce_context& ctx);
   void Handle(const routing_table_published& e, reduce_context& ctx);
+  void Handle(const evacuations_published& e, reduce_context& ctx);
   void Handle(const fleet_load_published& e, reduce_context& ctx);
   void Handle(const timer_expired& e, reduce_context& ctx);
   void Handle(const drain_requested& e, reduce_context& ctx);
@@ -159,6 +160,11 @@
                         reduce_context& ctx);
   void RecordSuccess(active_request& active, reduce_context& ctx);
   /// Logs content that became quarantined and ends requests that hold it.
+  /// Gives the selector the backend servers outside evacuated availability zones.
+  void PublishEligible(reduce_context& ctx);
+  /// Tells what the configuration says of cold backend servers.
+  void UpdateColdProfiles();
+  static void LogCold(const std::vector<cold_backend>& marked, reduce_context& ctx);
   void EnforceQuarantine(const crash_evidence& evidence, reduce_context& ctx);
   void BeginStream(active_request& active, reduce_context& ctx);
   void PassThrough(active_request& active, reduce_context& ctx);
@@ -180,6 +186,10 @@
   Selector selector_;
   Admission admission_;
   withheld_backends withheld_;
+  cold_backends cold_;
+  /// Table with the backend servers of all zones.
+  std::shared_ptr<const routing_table> table_;
+  std::set<std::string> evacuated_zones_;
   shared_retry_budget retries_;
   std::shared_ptr<const route_index> routes_;
   bool directory_known_ = false;
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -87,7 +87,14 @@
   kDocumentAnswered = 812,
   kCallRejected = 813,
   kRegistrationRejected = 814,
+  kEvacuationAnswered = 815,
+  kEvacuationsChanged = 816,
+  kEvacuationsApplied = 817,
+  kBackendCold = 818,
+  kRequestQueued = 819,
   kSettingsReloaded = 820,
+  kConnectionEvicted = 821,
+  kCapacityChanged = 822,
   kInvariantViolated = 900,
 };
 
--- a/include/radishroute/message.h
+++ b/include/radishroute/message.h
@@ -72,6 +72,7 @@
     config_push,                       //
     version_query,                     //
     version_reply,                     //
+    evacuation_notice,                 //
     fence_query,                       //
     fence_reply,                       //
     fenced_order,                      //
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -61,9 +61,18 @@
   kRankReportsRefused,
   kRankCallsFailed,
   kRegistrationsRejected,
+  kEvacuationsCommitted,
+  kColdBackendsSkipped,
+  kRequestsQueued,
+  kQueuedRequestsSent,
+  kQueuedRequestsRefused,
+  kFleetLoadsOutdated,
+  kConnectionsEvicted,
+  kRequestsOverBudget,
+  kCapacityChanges,
 };
 
-inline constexpr std::size_t kCounterCount = 52;
+inline constexpr std::size_t kCounterCount = 61;
 
 std::string_view ToString(counter c);
 
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -111,6 +111,8 @@
   bool first_start = false;
   /// Number of voters in the Raft group; further replicas are learners until they replace one.
   std::uint32_t voters = 5;
+  /// Availability zones that operators may evacuate; if empty, any name is accepted.
+  std::vector<std::string> zones;
   /// A backend server that has not repeated its registration for this time is down.
   std::chrono::milliseconds registration_timeout{5000};
 };
--- a/include/radishroute/state_machine.h
+++ b/include/radishroute/state_machine.h
@@ -15,6 +15,7 @@
 #include "radishroute/expert_groups.h"
 #include "radishroute/order_table.h"
 #include "radishroute/records.h"
+#include "radishroute/zone_evacuations.h"
 
 namespace radishroute {
 
@@ -27,6 +28,7 @@
   records_image records;
   std::vector<order_record> orders;
   groups_image groups;
+  evacuation_notice evacuations = {};
 };
 
 /// Encodes and decodes snapshots. Decode returns kSnapshotCorrupt for any invalid input.
@@ -55,6 +57,7 @@
   const record_table& Records() const { return records_; }
   const order_table& Orders() const { return orders_; }
   const group_table& Groups() const { return groups_; }
+  const zone_evacuations& Evacuations() const { return evacuations_; }
   const std::vector<replica>& Replicas() const { return replicas_; }
   std::uint64_t LastIndex() const { return last_index_; }
   std::uint64_t LastTerm() const { return last_term_; }
@@ -92,6 +95,10 @@
   apply_result ApplyBody(const group_pin& pin, reduce_context& ctx) {
     return groups_.Apply(pin, ctx);
   }
+  apply_result ApplyBody(const zone_evacuation& order, reduce_context&) {
+    evacuations_.Apply(order, last_index_);
+    return {};
+  }
 
   std::uint64_t last_index_ = 0;
   std::uint64_t last_term_ = 0;
@@ -100,6 +107,7 @@
   record_table records_;
   order_table orders_;
   group_table groups_;
+  zone_evacuations evacuations_;
 };
 
 /// Adds the snapshot interface that the log requires, with a codec chosen by the caller.
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -145,6 +145,7 @@
   std::error_code ServeCalls(const replica& self) {
     control_state& control = node_.Thread().State().control;
     control.log->SetZone(settings_.common.zone);
+    control.log->SetKnownZones(settings_.zones);
     control.log->SetGroupJoiner(group_joiner(self, settings_.known_controllers));
     directory_limits limits;
     limits.use_registration = true;
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -67,6 +67,10 @@
     hooks.on_fleet_load = [this](const publish_fleet_load& e) {
       traffic_->Post(fleet_load_published{e.load});
     };
+    hooks.on_evacuations = [this](const publish_evacuations& e) {
+      // A full queue must not lose it: the same version is not published again.
+      traffic_->PostCompletion(evacuations_published{e.evacuations});
+    };
     hooks.on_document = [this](const publish_document& d) { OnDocument(d); };
     hooks.on_crash_evidence = [this](const crash_evidence& e) {
       traffic_->Post(crash_evidence_shared{e});
--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -74,8 +74,9 @@
   renewals_[sequence] = ctx.now;
   if (renewals_.size() > kMaxRenewalsInFlight) renewals_.erase(renewals_.begin());
   next_renewal_ = ctx.now + kRenewInterval;
-  ctx.Emit(send_message{*session_.Link(), lease_renew{sequence, settings_.node, settings_.zone,
-                                                      applied_, highest_known_version_}});
+  ctx.Emit(send_message{*session_.Link(),
+                        lease_renew{sequence, settings_.node, settings_.zone, applied_,
+                                    highest_known_version_, evacuation_version_.value_or(0)}});
   ctx.Emit(schedule_wakeup{next_renewal_});
 }
 
@@ -92,6 +93,7 @@
   bool new_leader = !session_.Confirmed();
   session_.OnLeader(ctx);
   Handle(controllers_changed{grant.controllers}, ctx);
+  ApplyEvacuations(grant.evacuations, ctx);
   highest_known_version_ = std::max(highest_known_version_, grant.version);
   lease_expires_at_ =
       std::max(lease_expires_at_, sent + grant.duration - grant.duration / kDriftDivisor);
@@ -103,6 +105,27 @@
   if (new_leader) records_.OnLeader(link, ctx);
 }
 
+void config_client::Handle(link_id link, const evacuation_notice& notice, reduce_context& ctx) {
+  if (session_.Link() != link) return;
+  ApplyEvacuations(notice, ctx);
+  // The leader learns from the renewal which version is in force here.
+  Renew(ctx);
+}
+
+// Notices may arrive late or repeated; the log index of the last change orders them.
+void config_client::ApplyEvacuations(const evacuation_notice& notice, reduce_context& ctx) {
+  if (evacuation_version_ && notice.version <= *evacuation_version_) return;
+  evacuation_version_ = notice.version;
+  std::string zones;
+  for (const std::string& zone : notice.zones) zones.append(zones.empty() ? "" : ",").append(zone);
+  if (notice.version > 0) {
+    ctx.Emit(write_log{{event_code::kEvacuationsApplied,
+                        log_level::kInfo,
+                        {{"version", std::to_string(notice.version)}, {"zones", zones}}}});
+  }
+  ctx.Emit(publish_evacuations{notice});
+}
+
 void config_client::Handle(link_id, const fleet_load& load, reduce_context& ctx) {
   ctx.Emit(publish_fleet_load{std::make_shared<const fleet_load>(load)});
 }
@@ -194,7 +217,7 @@
   bool eligible = settings_.documents || reply.zone == settings_.zone;
   if (ready_ || !peers_asked_ || !eligible) return;
   highest_known_version_ = std::max(highest_known_version_, reply.version);
-  peer_configs_[link] = {reply.version, reply.sheet};
+  peer_configs_[link] = {reply.version, reply.sheet, reply.evacuations};
   ctx.Emit(schedule_wakeup{ctx.now + kPeerReplyTimeout});
 }
 
@@ -207,6 +230,7 @@
     return;
   }
   peer_config chosen = newest->second;
+  for (const auto& [link, peer] : peer_configs_) ApplyEvacuations(peer.evacuations, ctx);
   if (chosen.version == 0) {
     backends_.SetSheet(0, settings_.initial, ctx);
     BecomeReady(ctx);
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -75,7 +75,8 @@
 
 void config_leases::OnRenew(link_id link, const lease_renew& renew, const config_document& config,
                             const endpoint& leader_hint, reduce_context& ctx,
-                            const std::vector<replica>& replicas) {
+                            const std::vector<replica>& replicas,
+                            const evacuation_notice& evacuations) {
   lease_grant grant;
   grant.sequence = renew.sequence;
   grant.leader_hint = leader_hint;
@@ -85,6 +86,7 @@
   if (grant.granted) {
     grant.duration = kLeaseDuration;
     grant.version = config.Version();
+    grant.evacuations = evacuations;
     for (const replica& r : replicas) grant.controllers.push_back(r.address);
     lease& held = leases_[renew.node];
     held.zone = renew.zone;
@@ -95,6 +97,7 @@
     // the clock drift.
     held.expires_at = ctx.now + kLeaseDuration;
     held.applied = renew.applied_version;
+    held.evacuation_version = renew.evacuation_version;
   }
   bool granted = grant.granted;
   ctx.Emit(send_message{link, std::move(grant)});
@@ -113,6 +116,24 @@
   PushToOutdated(config, ctx);
 }
 
+void config_leases::OnEvacuationsChanged(const evacuation_notice& evacuations,
+                                         reduce_context& ctx) const {
+  if (!leader_since_) return;
+  std::vector<link_id> links;
+  for (const auto& [node, held] : leases_) {
+    if (held.link.value != 0 && held.expires_at > ctx.now) links.push_back(held.link);
+  }
+  if (!links.empty()) ctx.Emit(broadcast_message{std::move(links), evacuations});
+}
+
+std::vector<evacuation_report> config_leases::EvacuationReport(steady_time now) const {
+  std::vector<evacuation_report> report;
+  for (const auto& [node, held] : leases_) {
+    if (held.expires_at > now) report.push_back({node, held.zone, held.evacuation_version});
+  }
+  return report;
+}
+
 void config_leases::OnClosed(link_id link) {
   for (auto& [node, held] : leases_) {
     if (held.link == link) held.link = {};
--- a/src/discovery_registration.cc
+++ b/src/discovery_registration.cc
@@ -10,11 +10,18 @@
 
 namespace {
 
-// Whether two records differ in anything but the sequence number of the registration.
+// A remaining time that only runs down is known; one that has grown or ended is a change.
+bool SameColdness(const announcement& known, const announcement& update) {
+  if (update.cold_remaining.count() == 0) return known.cold_remaining.count() == 0;
+  return update.cold_remaining <= known.cold_remaining;
+}
+
+// Whether an update differs from the known record in anything but the sequence number of the
+// registration.
 bool SameContent(const announcement& a, const announcement& b) {
-  return a.incarnation == b.incarnation && a.status == b.status && a.zone == b.zone &&
-         a.traffic_address == b.traffic_address && a.models == b.models && a.version == b.version &&
-         a.concurrency_limit == b.concurrency_limit;
+  return SameColdness(b, a) && a.incarnation == b.incarnation && a.status == b.status &&
+         a.zone == b.zone && a.traffic_address == b.traffic_address && a.models == b.models &&
+         a.version == b.version && a.concurrency_limit == b.concurrency_limit;
 }
 
 void RejectRegistration(const backend_registered& registered, std::string_view reason,
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -74,20 +74,29 @@
   std::vector<link_id> receivers = fanout_.Receivers(ctx.now);
   if (receivers.empty()) return;
   for (auto& [name, group] : groups_) {
-    fleet_load load;
-    load.pass = group.meter.MeanPassDuration();
-    load.engines = group.change.EngineLoads(ctx.now);
-    load.entries = static_cast<std::uint32_t>(fanout_.EntryCount());
-    // A group without requests makes no passes, but is not stalled.
-    bool busy = std::any_of(load.engines.begin(), load.engines.end(),
-                            [](const fleet_engine_load& e) { return e.running > 0; });
-    bool stalled = busy && group.meter.IsStalled(ctx.now);
-    if (stalled) LogWaiting(name, group, "passes-stalled", ctx);
-    load.open = !stalled && !group.change.AnyRankDown(ctx.now);
-    ctx.Emit(broadcast_message{receivers, std::move(load)});
+    ctx.Emit(broadcast_message{receivers, MakeLoad(name, group, ctx)});
   }
 }
 
+fleet_load engine_groups::MakeLoad(const std::string& name, group_state& group,
+                                   reduce_context& ctx) const {
+  fleet_load load;
+  load.group = name;
+  load.epoch = group.change.Epoch();
+  load.term = term_;
+  load.sequence = ++group.load_sequence;
+  load.pass = group.meter.MeanPassDuration();
+  load.engines = group.change.EngineLoads(ctx.now);
+  load.entries = static_cast<std::uint32_t>(fanout_.EntryCount());
+  // A group without requests makes no passes, but is not stalled.
+  bool busy = std::any_of(load.engines.begin(), load.engines.end(),
+                          [](const fleet_engine_load& e) { return e.running > 0; });
+  bool stalled = busy && group.meter.IsStalled(ctx.now);
+  if (stalled) LogWaiting(name, group, "passes-stalled", ctx);
+  load.open = !stalled && !group.change.AnyRankDown(ctx.now);
+  return load;
+}
+
 void engine_groups::OnProgress(const raft_core& core, reduce_context& ctx) {
   bool leads = core.IsReadyLeader(ctx.now);
   if (!leads || term_ != core.Term()) {
--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -10,9 +10,6 @@
 
 using real_seconds = std::chrono::duration<double>;
 
-// The leader sends load reports several times a second; an older report says little about queues.
-constexpr std::chrono::milliseconds kMaxLoadAge{1000};
-
 // Forward passes until the first token of a request that finds a free slot: the rest of the current
 // pass, the prompt, and the first tokens.
 constexpr double kPassesToFirstToken = 2.5;
@@ -37,34 +34,29 @@
 
 }  // namespace
 
-void engine_model_admission::OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now) {
-  load_ = std::move(load);
-  load_received_at_ = now;
-}
-
-bool engine_model_admission::IsFresh(steady_time now) const {
-  return load_ != nullptr && now - load_received_at_ <= kMaxLoadAge;
+bool engine_model_admission::OnFleetLoad(std::shared_ptr<const fleet_load> load, steady_time now) {
+  return loads_.OnFleetLoad(std::move(load), now);
 }
 
-bool engine_model_admission::IsGroupDown(steady_time now) const {
-  return IsFresh(now) && !load_->open;
+bool engine_model_admission::IsGroupDown(const endpoint& engine, steady_time now) const {
+  const group_load* group = loads_.Find(engine);
+  return group != nullptr && group->IsDown(now);
 }
 
 double engine_model_admission::Capacity(const route& matched_route, const engine_profile& engine,
-                                        std::uint32_t slots, double pass_share) const {
+                                        std::uint32_t slots, double pass_share,
+                                        const group_load* group) {
   double steps = std::max(engine.steps_per_pass, 1U);
   auto pass_with = [&](double requests) {
     return real_seconds(engine.step + engine.step_per_request * requests) * steps;
   };
   double capacity = slots;
   real_seconds pass = pass_with(capacity);
-  if (load_ != nullptr && load_->pass.count() > 0 && !load_->engines.empty()) {
+  if (group != nullptr && group->report->pass.count() > 0 && !group->report->engines.empty()) {
     // The slowest rank determines the duration of the group's passes; the configured profile does
     // not show this.
-    double running = 0;
-    for (const fleet_engine_load& e : load_->engines) running += e.running;
-    running /= static_cast<double>(load_->engines.size());
-    double slowdown = std::max(1.0, real_seconds(load_->pass) / pass_with(running));
+    double slowdown =
+        std::max(1.0, real_seconds(group->report->pass) / pass_with(group->mean_running));
     pass = pass_with(capacity) * slowdown;
     if (matched_route.target_gap.count() > 0) {
       real_seconds allowed =
@@ -86,18 +78,19 @@
 admission_decision engine_model_admission::Admit(const admission_query& query, steady_time now,
                                                  random_source& random) {
   admission_decision decision;
-  if (query.engine == nullptr || query.engine->step.count() == 0 || !IsFresh(now)) return decision;
+  const group_load* group = loads_.Find(query.chosen.address);
+  bool known = group != nullptr && group->IsFresh(now);
+  if (query.engine == nullptr || query.engine->step.count() == 0 || !known) return decision;
   const route& matched_route = *query.matched_route;
   std::size_t priority = PriorityIndex(matched_route);
   decision.capacity =
-      Capacity(matched_route, *query.engine, query.chosen.slots, kLargestPassShareOfGap);
-  decision.load_age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - load_received_at_);
-  decision.pass = load_->pass;
+      Capacity(matched_route, *query.engine, query.chosen.slots, kLargestPassShareOfGap, group);
+  decision.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - group->received);
+  decision.pass = group->report->pass;
   double headroom = query.is_caller_retry ? 0 : kHeadroom[priority];
-  double unreserved =
-      Capacity(matched_route, *query.engine, query.chosen.slots, kMaxPassShareOfGap[priority]) -
-      headroom;
+  double unreserved = Capacity(matched_route, *query.engine, query.chosen.slots,
+                               kMaxPassShareOfGap[priority], group) -
+                      headroom;
   if (query.chosen.load <= unreserved) return decision;
   bool fits = query.chosen.load <= decision.capacity;
   decision.admitted = fits && std::bernoulli_distribution(kHeadroomAdmitProbability)(random);
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -51,7 +51,8 @@
 
 bool IsEligible(const selection_query& query, const std::string& backend, steady_time now) {
   auto tried = std::find(query.excluded.begin(), query.excluded.end(), backend);
-  return tried == query.excluded.end() && !query.withheld.Contains(backend, now);
+  if (tried != query.excluded.end() || query.withheld.Contains(backend, now)) return false;
+  return query.cold == nullptr || query.cold->MaySend(backend, now);
 }
 
 void least_loaded_selector::OnTable(const routing_table& table, const std::string& zone) {
@@ -89,7 +90,8 @@
 bool least_loaded_selector::MayGet(const selection_query& query, const backend_state& b,
                                    steady_time now) {
   bool has_connection = query.max_in_flight == 0 || b.in_flight < query.max_in_flight;
-  return has_connection && IsEligible(query, b.id, now);
+  bool is_down = b.group_down && now - b.reported_at <= kMaxReportAge;
+  return has_connection && !is_down && IsEligible(query, b.id, now);
 }
 
 double least_loaded_selector::Score(const backend_state& b, steady_time now,
@@ -156,6 +158,7 @@
       state.reported = engine.running + engine.waiting;
       state.reported_at = now;
       state.report_is_total = true;
+      state.group_down = !fleet.open;
       // Requests sent since the previous report may be in transit, or too recent for this report.
       state.unreported = std::exchange(state.sent_since_report, 0);
     }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -213,18 +213,21 @@
   if (left < kMinAttemptTime) return refusal_reason::kDeadlinePassed;
   const service* target = active.routes->FindService(active.service);
   std::uint32_t max_connections = MaxConnections(target);
-  selection_query query{active.service, active.urgency, active.tried_backends, withheld_,
-                        max_connections};
+  selection_query query{active.service, active.urgency,  active.tried_backends,
+                        withheld_,      max_connections, &cold_};
   auto chosen = selector_.Choose(query, ctx.now, ctx.random);
   if (!chosen) {
     query.max_in_flight = 0;
-    bool full = withheld_.NextReturn(active.service, ctx.now).has_value() ||
+    bool cold = cold_.NextTurn(active.service, ctx.now).has_value();
+    if (cold) ctx.Emit(count{counter::kColdBackendsSkipped});
+    bool full = cold || withheld_.NextReturn(active.service, ctx.now).has_value() ||
                 selector_.Choose(query, ctx.now, ctx.random).has_value();
     return full ? refusal_reason::kBackendsFull : refusal_reason::kNoBackend;
   }
   bool has_engine = target != nullptr && target->engine;
   const engine_profile* engine = has_engine ? &*target->engine : nullptr;
-  if (engine != nullptr && engine->expert_sets > 0 && admission_.IsGroupDown(ctx.now)) {
+  if (engine != nullptr && engine->expert_sets > 0 &&
+      admission_.IsGroupDown(chosen->address, ctx.now)) {
     return refusal_reason::kNoBackend;
   }
   // A request that was admitted once is not refused for load when it is retried.
@@ -239,6 +242,7 @@
   ++active.attempts;
   exchange_by_attempt_[active.current->id] = active.request->exchange;
   selector_.OnSent(chosen->backend, ctx.now);
+  cold_.OnSent(chosen->backend, ctx.now);
   ctx.Emit(count{counter::kDispatchesSent});
   start_upstream start;
   start.id = active.current->id;
@@ -749,21 +753,84 @@
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const deployment_published& e, reduce_context&) {
   // Within one incarnation of a process, the version never decreases.
-  if (routes_ == nullptr || e.routes->Version() > routes_->Version()) routes_ = e.routes;
+  if (routes_ != nullptr && e.routes->Version() <= routes_->Version()) return;
+  routes_ = e.routes;
+  UpdateColdProfiles();
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::UpdateColdProfiles() {
+  cold_backends::profiles profiles;
+  for (const service& s : routes_->Deployment().services) {
+    if (s.cold_requests_per_second <= 0) continue;
+    profiles[s.name] = {s.cold_duration, s.cold_requests_per_second};
+  }
+  cold_.SetProfiles(std::move(profiles));
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const routing_table_published& e, reduce_context& ctx) {
   directory_known_ = directory_known_ || e.table->directory_known;
+  table_ = e.table;
   withheld_.OnTable(e.table, ctx.now);
-  selector_.OnTable(*e.table, settings_.zone);
+  LogCold(cold_.OnTable(*e.table, ctx.now, ctx.random), ctx);
+  PublishEligible(ctx);
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::LogCold(const std::vector<cold_backend>& marked,
+                                             reduce_context& ctx) {
+  for (const cold_backend& cold : marked) {
+    ctx.Emit(write_log{{event_code::kBackendCold,
+                        log_level::kInfo,
+                        {{"backend", cold.backend},
+                         {"for_ms", std::to_string(cold.remaining.count())},
+                         {"source", std::string(cold.source)}}}});
+  }
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::PublishEligible(reduce_context&) {
+  if (table_ == nullptr) return;
+  if (evacuated_zones_.empty()) {
+    selector_.OnTable(*table_, settings_.zone);
+    return;
+  }
+  routing_table eligible = *table_;
+  auto is_evacuated = [&](std::uint32_t index) {
+    return evacuated_zones_.contains(eligible.backends[index].zone);
+  };
+  for (auto& [service, pool] : eligible.pools) {
+    std::erase_if(pool.local, is_evacuated);
+    std::erase_if(pool.remote, is_evacuated);
+  }
+  selector_.OnTable(eligible, settings_.zone);
+}
+
+// Streams in progress in an evacuated zone complete. The backend servers of a zone that returns may
+// have become cold in the meantime.
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::Handle(const evacuations_published& e, reduce_context& ctx) {
+  std::set<std::string> zones(e.evacuations.zones.begin(), e.evacuations.zones.end());
+  std::swap(zones, evacuated_zones_);
+  for (const std::string& zone : zones) {
+    if (evacuated_zones_.contains(zone) || table_ == nullptr) continue;
+    LogCold(cold_.OnZoneReturned(zone, *table_, ctx.now, ctx.random), ctx);
+  }
+  PublishEligible(ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const fleet_load_published& e, reduce_context& ctx) {
-  if (e.load->entries > 0) entries_ = e.load->entries;
+  if (e.load->entries > 0) {
+    entries_ = e.load->entries;
+    cold_.SetProcesses(entries_);
+  }
+  if (!admission_.OnFleetLoad(e.load, ctx.now)) {
+    ctx.Emit(count{counter::kFleetLoadsOutdated});
+    return;
+  }
   selector_.OnFleetLoad(*e.load, ctx.now);
-  admission_.OnFleetLoad(e.load, ctx.now);
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -2860,6 +2860,11 @@
   this->home = val;
 __isset.home = true;
 }
+
+void Announcement::__set_coldMillis(const int32_t val) {
+  this->coldMillis = val;
+__isset.coldMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const Announcement& obj)
 {
   obj.printTo(out);
@@ -3024,6 +3029,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldMillis);
+          this->__isset.coldMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3114,6 +3127,11 @@
     xfer += oprot->writeI64(this->home);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.coldMillis) {
+    xfer += oprot->writeFieldBegin("coldMillis", ::apache::thrift::protocol::T_I32, 15);
+    xfer += oprot->writeI32(this->coldMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3135,6 +3153,7 @@
   swap(a.concurrencyLimit, b.concurrencyLimit);
   swap(a.checksFencing, b.checksFencing);
   swap(a.home, b.home);
+  swap(a.coldMillis, b.coldMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -3153,6 +3172,7 @@
   concurrencyLimit = other96.concurrencyLimit;
   checksFencing = other96.checksFencing;
   home = other96.home;
+  coldMillis = other96.coldMillis;
   __isset = other96.__isset;
 }
 Announcement::Announcement(Announcement&& other97) noexcept {
@@ -3170,6 +3190,7 @@
   concurrencyLimit = other97.concurrencyLimit;
   checksFencing = other97.checksFencing;
   home = other97.home;
+  coldMillis = other97.coldMillis;
   __isset = other97.__isset;
 }
 Announcement& Announcement::operator=(const Announcement& other98) {
@@ -3187,6 +3208,7 @@
   concurrencyLimit = other98.concurrencyLimit;
   checksFencing = other98.checksFencing;
   home = other98.home;
+  coldMillis = other98.coldMillis;
   __isset = other98.__isset;
   return *this;
 }
@@ -3205,6 +3227,7 @@
   concurrencyLimit = other99.concurrencyLimit;
   checksFencing = other99.checksFencing;
   home = other99.home;
+  coldMillis = other99.coldMillis;
   __isset = other99.__isset;
   return *this;
 }
@@ -3225,6 +3248,7 @@
   out << ", " << "concurrencyLimit=" << to_string(concurrencyLimit);
   out << ", " << "checksFencing=" << to_string(checksFencing);
   out << ", " << "home="; (__isset.home ? (out << to_string(home)) : (out << "<null>"));
+  out << ", " << "coldMillis="; (__isset.coldMillis ? (out << to_string(coldMillis)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6423,6 +6447,129 @@
 }
 
 
+ZoneEvacuation::~ZoneEvacuation() noexcept {
+}
+
+
+void ZoneEvacuation::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneEvacuation::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneEvacuation");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneEvacuation &a, ZoneEvacuation &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.evacuated, b.evacuated);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneEvacuation::ZoneEvacuation(const ZoneEvacuation& other228) {
+  zone = other228.zone;
+  evacuated = other228.evacuated;
+  __isset = other228.__isset;
+}
+ZoneEvacuation::ZoneEvacuation(ZoneEvacuation&& other229) noexcept {
+  zone = std::move(other229.zone);
+  evacuated = other229.evacuated;
+  __isset = other229.__isset;
+}
+ZoneEvacuation& ZoneEvacuation::operator=(const ZoneEvacuation& other230) {
+  zone = other230.zone;
+  evacuated = other230.evacuated;
+  __isset = other230.__isset;
+  return *this;
+}
+ZoneEvacuation& ZoneEvacuation::operator=(ZoneEvacuation&& other231) noexcept {
+  zone = std::move(other231.zone);
+  evacuated = other231.evacuated;
+  __isset = other231.__isset;
+  return *this;
+}
+void ZoneEvacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneEvacuation(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "evacuated=" << to_string(evacuated);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -6471,6 +6618,11 @@
   this->groupPin = val;
 __isset.groupPin = true;
 }
+
+void Command::__set_zoneEvacuation(const ZoneEvacuation& val) {
+  this->zoneEvacuation = val;
+__isset.zoneEvacuation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -6571,6 +6723,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->zoneEvacuation.read(iprot);
+          this->__isset.zoneEvacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6633,6 +6793,11 @@
     xfer += this->groupPin.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.zoneEvacuation) {
+    xfer += oprot->writeFieldBegin("zoneEvacuation", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->zoneEvacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6649,57 +6814,62 @@
   swap(a.orderCompletion, b.orderCompletion);
   swap(a.groupChange, b.groupChange);
   swap(a.groupPin, b.groupPin);
+  swap(a.zoneEvacuation, b.zoneEvacuation);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other228) {
-  noOperation = other228.noOperation;
-  replicaChange = other228.replicaChange;
-  configChange = other228.configChange;
-  recordClaim = other228.recordClaim;
-  recordOutcome = other228.recordOutcome;
-  orderSubmission = other228.orderSubmission;
-  orderCompletion = other228.orderCompletion;
-  groupChange = other228.groupChange;
-  groupPin = other228.groupPin;
-  __isset = other228.__isset;
+Command::Command(const Command& other232) {
+  noOperation = other232.noOperation;
+  replicaChange = other232.replicaChange;
+  configChange = other232.configChange;
+  recordClaim = other232.recordClaim;
+  recordOutcome = other232.recordOutcome;
+  orderSubmission = other232.orderSubmission;
+  orderCompletion = other232.orderCompletion;
+  groupChange = other232.groupChange;
+  groupPin = other232.groupPin;
+  zoneEvacuation = other232.zoneEvacuation;
+  __isset = other232.__isset;
 }
-Command::Command(Command&& other229) noexcept {
-  noOperation = std::move(other229.noOperation);
-  replicaChange = std::move(other229.replicaChange);
-  configChange = std::move(other229.configChange);
-  recordClaim = std::move(other229.recordClaim);
-  recordOutcome = std::move(other229.recordOutcome);
-  orderSubmission = std::move(other229.orderSubmission);
-  orderCompletion = std::move(other229.orderCompletion);
-  groupChange = std::move(other229.groupChange);
-  groupPin = std::move(other229.groupPin);
-  __isset = other229.__isset;
+Command::Command(Command&& other233) noexcept {
+  noOperation = std::move(other233.noOperation);
+  replicaChange = std::move(other233.replicaChange);
+  configChange = std::move(other233.configChange);
+  recordClaim = std::move(other233.recordClaim);
+  recordOutcome = std::move(other233.recordOutcome);
+  orderSubmission = std::move(other233.orderSubmission);
+  orderCompletion = std::move(other233.orderCompletion);
+  groupChange = std::move(other233.groupChange);
+  groupPin = std::move(other233.groupPin);
+  zoneEvacuation = std::move(other233.zoneEvacuation);
+  __isset = other233.__isset;
 }
-Command& Command::operator=(const Command& other230) {
-  noOperation = other230.noOperation;
-  replicaChange = other230.replicaChange;
-  configChange = other230.configChange;
-  recordClaim = other230.recordClaim;
-  recordOutcome = other230.recordOutcome;
-  orderSubmission = other230.orderSubmission;
-  orderCompletion = other230.orderCompletion;
-  groupChange = other230.groupChange;
-  groupPin = other230.groupPin;
-  __isset = other230.__isset;
+Command& Command::operator=(const Command& other234) {
+  noOperation = other234.noOperation;
+  replicaChange = other234.replicaChange;
+  configChange = other234.configChange;
+  recordClaim = other234.recordClaim;
+  recordOutcome = other234.recordOutcome;
+  orderSubmission = other234.orderSubmission;
+  orderCompletion = other234.orderCompletion;
+  groupChange = other234.groupChange;
+  groupPin = other234.groupPin;
+  zoneEvacuation = other234.zoneEvacuation;
+  __isset = other234.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other231) noexcept {
-  noOperation = std::move(other231.noOperation);
-  replicaChange = std::move(other231.replicaChange);
-  configChange = std::move(other231.configChange);
-  recordClaim = std::move(other231.recordClaim);
-  recordOutcome = std::move(other231.recordOutcome);
-  orderSubmission = std::move(other231.orderSubmission);
-  orderCompletion = std::move(other231.orderCompletion);
-  groupChange = std::move(other231.groupChange);
-  groupPin = std::move(other231.groupPin);
-  __isset = other231.__isset;
+Command& Command::operator=(Command&& other235) noexcept {
+  noOperation = std::move(other235.noOperation);
+  replicaChange = std::move(other235.replicaChange);
+  configChange = std::move(other235.configChange);
+  recordClaim = std::move(other235.recordClaim);
+  recordOutcome = std::move(other235.recordOutcome);
+  orderSubmission = std::move(other235.orderSubmission);
+  orderCompletion = std::move(other235.orderCompletion);
+  groupChange = std::move(other235.groupChange);
+  groupPin = std::move(other235.groupPin);
+  zoneEvacuation = std::move(other235.zoneEvacuation);
+  __isset = other235.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -6714,6 +6884,7 @@
   out << ", " << "orderCompletion="; (__isset.orderCompletion ? (out << to_string(orderCompletion)) : (out << "<null>"));
   out << ", " << "groupChange="; (__isset.groupChange ? (out << to_string(groupChange)) : (out << "<null>"));
   out << ", " << "groupPin="; (__isset.groupPin ? (out << to_string(groupPin)) : (out << "<null>"));
+  out << ", " << "zoneEvacuation="; (__isset.zoneEvacuation ? (out << to_string(zoneEvacuation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6827,30 +6998,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other232) {
-  term = other232.term;
-  index = other232.index;
-  body = other232.body;
-  __isset = other232.__isset;
+LogEntry::LogEntry(const LogEntry& other236) {
+  term = other236.term;
+  index = other236.index;
+  body = other236.body;
+  __isset = other236.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other233) noexcept {
-  term = other233.term;
-  index = other233.index;
-  body = std::move(other233.body);
-  __isset = other233.__isset;
+LogEntry::LogEntry(LogEntry&& other237) noexcept {
+  term = other237.term;
+  index = other237.index;
+  body = std::move(other237.body);
+  __isset = other237.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other234) {
-  term = other234.term;
-  index = other234.index;
-  body = other234.body;
-  __isset = other234.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other238) {
+  term = other238.term;
+  index = other238.index;
+  body = other238.body;
+  __isset = other238.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other235) noexcept {
-  term = other235.term;
-  index = other235.index;
-  body = std::move(other235.body);
-  __isset = other235.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other239) noexcept {
+  term = other239.term;
+  index = other239.index;
+  body = std::move(other239.body);
+  __isset = other239.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -6989,34 +7160,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RaftHeader::RaftHeader(const RaftHeader& other236) noexcept {
-  logGroup = other236.logGroup;
-  sender = other236.sender;
-  recipient = other236.recipient;
-  term = other236.term;
-  __isset = other236.__isset;
-}
-RaftHeader::RaftHeader(RaftHeader&& other237) noexcept {
-  logGroup = other237.logGroup;
-  sender = other237.sender;
-  recipient = other237.recipient;
-  term = other237.term;
-  __isset = other237.__isset;
-}
-RaftHeader& RaftHeader::operator=(const RaftHeader& other238) noexcept {
-  logGroup = other238.logGroup;
-  sender = other238.sender;
-  recipient = other238.recipient;
-  term = other238.term;
-  __isset = other238.__isset;
+RaftHeader::RaftHeader(const RaftHeader& other240) noexcept {
+  logGroup = other240.logGroup;
+  sender = other240.sender;
+  recipient = other240.recipient;
+  term = other240.term;
+  __isset = other240.__isset;
+}
+RaftHeader::RaftHeader(RaftHeader&& other241) noexcept {
+  logGroup = other241.logGroup;
+  sender = other241.sender;
+  recipient = other241.recipient;
+  term = other241.term;
+  __isset = other241.__isset;
+}
+RaftHeader& RaftHeader::operator=(const RaftHeader& other242) noexcept {
+  logGroup = other242.logGroup;
+  sender = other242.sender;
+  recipient = other242.recipient;
+  term = other242.term;
+  __isset = other242.__isset;
   return *this;
 }
-RaftHeader& RaftHeader::operator=(RaftHeader&& other239) noexcept {
-  logGroup = other239.logGroup;
-  sender = other239.sender;
-  recipient = other239.recipient;
-  term = other239.term;
-  __isset = other239.__isset;
+RaftHeader& RaftHeader::operator=(RaftHeader&& other243) noexcept {
+  logGroup = other243.logGroup;
+  sender = other243.sender;
+  recipient = other243.recipient;
+  term = other243.term;
+  __isset = other243.__isset;
   return *this;
 }
 void RaftHeader::printTo(std::ostream& out) const {
@@ -7129,14 +7300,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size240;
-            ::apache::thrift::protocol::TType _etype243;
-            xfer += iprot->readListBegin(_etype243, _size240);
-            this->entries.resize(_size240);
-            uint32_t _i244;
-            for (_i244 = 0; _i244 < _size240; ++_i244)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->entries.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->entries[_i244].read(iprot);
+              xfer += this->entries[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7185,10 +7356,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter245;
-    for (_iter245 = this->entries.begin(); _iter245 != this->entries.end(); ++_iter245)
+    std::vector<LogEntry> ::const_iterator _iter249;
+    for (_iter249 = this->entries.begin(); _iter249 != this->entries.end(); ++_iter249)
     {
-      xfer += (*_iter245).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7210,42 +7381,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other246) {
-  header = other246.header;
-  prevIndex = other246.prevIndex;
-  prevTerm = other246.prevTerm;
-  commit = other246.commit;
-  sentNanos = other246.sentNanos;
-  entries = other246.entries;
-  __isset = other246.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other247) noexcept {
-  header = std::move(other247.header);
-  prevIndex = other247.prevIndex;
-  prevTerm = other247.prevTerm;
-  commit = other247.commit;
-  sentNanos = other247.sentNanos;
-  entries = std::move(other247.entries);
-  __isset = other247.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other248) {
-  header = other248.header;
-  prevIndex = other248.prevIndex;
-  prevTerm = other248.prevTerm;
-  commit = other248.commit;
-  sentNanos = other248.sentNanos;
-  entries = other248.entries;
-  __isset = other248.__isset;
-  return *this;
-}
-AppendRequest& AppendRequest::operator=(AppendRequest&& other249) noexcept {
-  header = std::move(other249.header);
-  prevIndex = other249.prevIndex;
-  prevTerm = other249.prevTerm;
-  commit = other249.commit;
-  sentNanos = other249.sentNanos;
-  entries = std::move(other249.entries);
-  __isset = other249.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other250) {
+  header = other250.header;
+  prevIndex = other250.prevIndex;
+  prevTerm = other250.prevTerm;
+  commit = other250.commit;
+  sentNanos = other250.sentNanos;
+  entries = other250.entries;
+  __isset = other250.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other251) noexcept {
+  header = std::move(other251.header);
+  prevIndex = other251.prevIndex;
+  prevTerm = other251.prevTerm;
+  commit = other251.commit;
+  sentNanos = other251.sentNanos;
+  entries = std::move(other251.entries);
+  __isset = other251.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other252) {
+  header = other252.header;
+  prevIndex = other252.prevIndex;
+  prevTerm = other252.prevTerm;
+  commit = other252.commit;
+  sentNanos = other252.sentNanos;
+  entries = other252.entries;
+  __isset = other252.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other253) noexcept {
+  header = std::move(other253.header);
+  prevIndex = other253.prevIndex;
+  prevTerm = other253.prevTerm;
+  commit = other253.commit;
+  sentNanos = other253.sentNanos;
+  entries = std::move(other253.entries);
+  __isset = other253.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7387,34 +7558,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other250) noexcept {
-  header = other250.header;
-  matched = other250.matched;
-  matchIndex = other250.matchIndex;
-  sentNanos = other250.sentNanos;
-  __isset = other250.__isset;
+AppendReply::AppendReply(const AppendReply& other254) noexcept {
+  header = other254.header;
+  matched = other254.matched;
+  matchIndex = other254.matchIndex;
+  sentNanos = other254.sentNanos;
+  __isset = other254.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other251) noexcept {
-  header = std::move(other251.header);
-  matched = other251.matched;
-  matchIndex = other251.matchIndex;
-  sentNanos = other251.sentNanos;
-  __isset = other251.__isset;
+AppendReply::AppendReply(AppendReply&& other255) noexcept {
+  header = std::move(other255.header);
+  matched = other255.matched;
+  matchIndex = other255.matchIndex;
+  sentNanos = other255.sentNanos;
+  __isset = other255.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other252) noexcept {
-  header = other252.header;
-  matched = other252.matched;
-  matchIndex = other252.matchIndex;
-  sentNanos = other252.sentNanos;
-  __isset = other252.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other256) noexcept {
+  header = other256.header;
+  matched = other256.matched;
+  matchIndex = other256.matchIndex;
+  sentNanos = other256.sentNanos;
+  __isset = other256.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other253) noexcept {
-  header = std::move(other253.header);
-  matched = other253.matched;
-  matchIndex = other253.matchIndex;
-  sentNanos = other253.sentNanos;
-  __isset = other253.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other257) noexcept {
+  header = std::move(other257.header);
+  matched = other257.matched;
+  matchIndex = other257.matchIndex;
+  sentNanos = other257.sentNanos;
+  __isset = other257.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -7554,34 +7725,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other254) noexcept {
-  header = other254.header;
-  preVote = other254.preVote;
-  lastIndex = other254.lastIndex;
-  lastTerm = other254.lastTerm;
-  __isset = other254.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other258) noexcept {
+  header = other258.header;
+  preVote = other258.preVote;
+  lastIndex = other258.lastIndex;
+  lastTerm = other258.lastTerm;
+  __isset = other258.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other255) noexcept {
-  header = std::move(other255.header);
-  preVote = other255.preVote;
-  lastIndex = other255.lastIndex;
-  lastTerm = other255.lastTerm;
-  __isset = other255.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other259) noexcept {
+  header = std::move(other259.header);
+  preVote = other259.preVote;
+  lastIndex = other259.lastIndex;
+  lastTerm = other259.lastTerm;
+  __isset = other259.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other256) noexcept {
-  header = other256.header;
-  preVote = other256.preVote;
-  lastIndex = other256.lastIndex;
-  lastTerm = other256.lastTerm;
-  __isset = other256.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other260) noexcept {
+  header = other260.header;
+  preVote = other260.preVote;
+  lastIndex = other260.lastIndex;
+  lastTerm = other260.lastTerm;
+  __isset = other260.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other257) noexcept {
-  header = std::move(other257.header);
-  preVote = other257.preVote;
-  lastIndex = other257.lastIndex;
-  lastTerm = other257.lastTerm;
-  __isset = other257.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other261) noexcept {
+  header = std::move(other261.header);
+  preVote = other261.preVote;
+  lastIndex = other261.lastIndex;
+  lastTerm = other261.lastTerm;
+  __isset = other261.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -7704,30 +7875,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other258) noexcept {
-  header = other258.header;
-  preVote = other258.preVote;
-  granted = other258.granted;
-  __isset = other258.__isset;
+VoteReply::VoteReply(const VoteReply& other262) noexcept {
+  header = other262.header;
+  preVote = other262.preVote;
+  granted = other262.granted;
+  __isset = other262.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other259) noexcept {
-  header = std::move(other259.header);
-  preVote = other259.preVote;
-  granted = other259.granted;
-  __isset = other259.__isset;
+VoteReply::VoteReply(VoteReply&& other263) noexcept {
+  header = std::move(other263.header);
+  preVote = other263.preVote;
+  granted = other263.granted;
+  __isset = other263.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other260) noexcept {
-  header = other260.header;
-  preVote = other260.preVote;
-  granted = other260.granted;
-  __isset = other260.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other264) noexcept {
+  header = other264.header;
+  preVote = other264.preVote;
+  granted = other264.granted;
+  __isset = other264.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other261) noexcept {
-  header = std::move(other261.header);
-  preVote = other261.preVote;
-  granted = other261.granted;
-  __isset = other261.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other265) noexcept {
+  header = std::move(other265.header);
+  preVote = other265.preVote;
+  granted = other265.granted;
+  __isset = other265.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -7835,14 +8006,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->replicas.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->replicas.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->replicas[_i266].read(iprot);
+              xfer += this->replicas[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7923,10 +8094,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter267;
-    for (_iter267 = this->replicas.begin(); _iter267 != this->replicas.end(); ++_iter267)
+    std::vector<Replica> ::const_iterator _iter271;
+    for (_iter271 = this->replicas.begin(); _iter271 != this->replicas.end(); ++_iter271)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter271).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7971,54 +8142,54 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other268) {
-  header = other268.header;
-  index = other268.index;
-  snapshotTerm = other268.snapshotTerm;
-  replicas = other268.replicas;
-  total = other268.total;
-  hash = other268.hash;
-  offset = other268.offset;
-  bytes = other268.bytes;
-  sentNanos = other268.sentNanos;
-  __isset = other268.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other269) noexcept {
-  header = std::move(other269.header);
-  index = other269.index;
-  snapshotTerm = other269.snapshotTerm;
-  replicas = std::move(other269.replicas);
-  total = other269.total;
-  hash = other269.hash;
-  offset = other269.offset;
-  bytes = std::move(other269.bytes);
-  sentNanos = other269.sentNanos;
-  __isset = other269.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other270) {
-  header = other270.header;
-  index = other270.index;
-  snapshotTerm = other270.snapshotTerm;
-  replicas = other270.replicas;
-  total = other270.total;
-  hash = other270.hash;
-  offset = other270.offset;
-  bytes = other270.bytes;
-  sentNanos = other270.sentNanos;
-  __isset = other270.__isset;
-  return *this;
-}
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other271) noexcept {
-  header = std::move(other271.header);
-  index = other271.index;
-  snapshotTerm = other271.snapshotTerm;
-  replicas = std::move(other271.replicas);
-  total = other271.total;
-  hash = other271.hash;
-  offset = other271.offset;
-  bytes = std::move(other271.bytes);
-  sentNanos = other271.sentNanos;
-  __isset = other271.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other272) {
+  header = other272.header;
+  index = other272.index;
+  snapshotTerm = other272.snapshotTerm;
+  replicas = other272.replicas;
+  total = other272.total;
+  hash = other272.hash;
+  offset = other272.offset;
+  bytes = other272.bytes;
+  sentNanos = other272.sentNanos;
+  __isset = other272.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other273) noexcept {
+  header = std::move(other273.header);
+  index = other273.index;
+  snapshotTerm = other273.snapshotTerm;
+  replicas = std::move(other273.replicas);
+  total = other273.total;
+  hash = other273.hash;
+  offset = other273.offset;
+  bytes = std::move(other273.bytes);
+  sentNanos = other273.sentNanos;
+  __isset = other273.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other274) {
+  header = other274.header;
+  index = other274.index;
+  snapshotTerm = other274.snapshotTerm;
+  replicas = other274.replicas;
+  total = other274.total;
+  hash = other274.hash;
+  offset = other274.offset;
+  bytes = other274.bytes;
+  sentNanos = other274.sentNanos;
+  __isset = other274.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other275) noexcept {
+  header = std::move(other275.header);
+  index = other275.index;
+  snapshotTerm = other275.snapshotTerm;
+  replicas = std::move(other275.replicas);
+  total = other275.total;
+  hash = other275.hash;
+  offset = other275.offset;
+  bytes = std::move(other275.bytes);
+  sentNanos = other275.sentNanos;
+  __isset = other275.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -8180,38 +8351,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other272) noexcept {
-  header = other272.header;
-  index = other272.index;
-  nextOffset = other272.nextOffset;
-  done = other272.done;
-  sentNanos = other272.sentNanos;
-  __isset = other272.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other276) noexcept {
+  header = other276.header;
+  index = other276.index;
+  nextOffset = other276.nextOffset;
+  done = other276.done;
+  sentNanos = other276.sentNanos;
+  __isset = other276.__isset;
 }
-SnapshotReply::SnapshotReply(SnapshotReply&& other273) noexcept {
-  header = std::move(other273.header);
-  index = other273.index;
-  nextOffset = other273.nextOffset;
-  done = other273.done;
-  sentNanos = other273.sentNanos;
-  __isset = other273.__isset;
+SnapshotReply::SnapshotReply(SnapshotReply&& other277) noexcept {
+  header = std::move(other277.header);
+  index = other277.index;
+  nextOffset = other277.nextOffset;
+  done = other277.done;
+  sentNanos = other277.sentNanos;
+  __isset = other277.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other274) noexcept {
-  header = other274.header;
-  index = other274.index;
-  nextOffset = other274.nextOffset;
-  done = other274.done;
-  sentNanos = other274.sentNanos;
-  __isset = other274.__isset;
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other278) noexcept {
+  header = other278.header;
+  index = other278.index;
+  nextOffset = other278.nextOffset;
+  done = other278.done;
+  sentNanos = other278.sentNanos;
+  __isset = other278.__isset;
   return *this;
 }
-SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other275) noexcept {
-  header = std::move(other275.header);
-  index = other275.index;
-  nextOffset = other275.nextOffset;
-  done = other275.done;
-  sentNanos = other275.sentNanos;
-  __isset = other275.__isset;
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other279) noexcept {
+  header = std::move(other279.header);
+  index = other279.index;
+  nextOffset = other279.nextOffset;
+  done = other279.done;
+  sentNanos = other279.sentNanos;
+  __isset = other279.__isset;
   return *this;
 }
 void SnapshotReply::printTo(std::ostream& out) const {
@@ -8335,30 +8506,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other276) {
-  logGroup = other276.logGroup;
-  proposal = other276.proposal;
-  body = other276.body;
-  __isset = other276.__isset;
-}
-ProposeRequest::ProposeRequest(ProposeRequest&& other277) noexcept {
-  logGroup = other277.logGroup;
-  proposal = other277.proposal;
-  body = std::move(other277.body);
-  __isset = other277.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other280) {
+  logGroup = other280.logGroup;
+  proposal = other280.proposal;
+  body = other280.body;
+  __isset = other280.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other278) {
-  logGroup = other278.logGroup;
-  proposal = other278.proposal;
-  body = other278.body;
-  __isset = other278.__isset;
+ProposeRequest::ProposeRequest(ProposeRequest&& other281) noexcept {
+  logGroup = other281.logGroup;
+  proposal = other281.proposal;
+  body = std::move(other281.body);
+  __isset = other281.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other282) {
+  logGroup = other282.logGroup;
+  proposal = other282.proposal;
+  body = other282.body;
+  __isset = other282.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other279) noexcept {
-  logGroup = other279.logGroup;
-  proposal = other279.proposal;
-  body = std::move(other279.body);
-  __isset = other279.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other283) noexcept {
+  logGroup = other283.logGroup;
+  proposal = other283.proposal;
+  body = std::move(other283.body);
+  __isset = other283.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -8514,38 +8685,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other280) {
-  logGroup = other280.logGroup;
-  proposal = other280.proposal;
-  status = other280.status;
-  index = other280.index;
-  leader = other280.leader;
-  __isset = other280.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other284) {
+  logGroup = other284.logGroup;
+  proposal = other284.proposal;
+  status = other284.status;
+  index = other284.index;
+  leader = other284.leader;
+  __isset = other284.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other281) noexcept {
-  logGroup = other281.logGroup;
-  proposal = other281.proposal;
-  status = other281.status;
-  index = other281.index;
-  leader = std::move(other281.leader);
-  __isset = other281.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other285) noexcept {
+  logGroup = other285.logGroup;
+  proposal = other285.proposal;
+  status = other285.status;
+  index = other285.index;
+  leader = std::move(other285.leader);
+  __isset = other285.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other282) {
-  logGroup = other282.logGroup;
-  proposal = other282.proposal;
-  status = other282.status;
-  index = other282.index;
-  leader = other282.leader;
-  __isset = other282.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other286) {
+  logGroup = other286.logGroup;
+  proposal = other286.proposal;
+  status = other286.status;
+  index = other286.index;
+  leader = other286.leader;
+  __isset = other286.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other283) noexcept {
-  logGroup = other283.logGroup;
-  proposal = other283.proposal;
-  status = other283.status;
-  index = other283.index;
-  leader = std::move(other283.leader);
-  __isset = other283.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other287) noexcept {
+  logGroup = other287.logGroup;
+  proposal = other287.proposal;
+  status = other287.status;
+  index = other287.index;
+  leader = std::move(other287.leader);
+  __isset = other287.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -8635,22 +8806,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other284) {
-  candidate = other284.candidate;
-  __isset = other284.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other288) {
+  candidate = other288.candidate;
+  __isset = other288.__isset;
 }
-JoinRequest::JoinRequest(JoinRequest&& other285) noexcept {
-  candidate = std::move(other285.candidate);
-  __isset = other285.__isset;
+JoinRequest::JoinRequest(JoinRequest&& other289) noexcept {
+  candidate = std::move(other289.candidate);
+  __isset = other289.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other286) {
-  candidate = other286.candidate;
-  __isset = other286.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other290) {
+  candidate = other290.candidate;
+  __isset = other290.__isset;
   return *this;
 }
-JoinRequest& JoinRequest::operator=(JoinRequest&& other287) noexcept {
-  candidate = std::move(other287.candidate);
-  __isset = other287.__isset;
+JoinRequest& JoinRequest::operator=(JoinRequest&& other291) noexcept {
+  candidate = std::move(other291.candidate);
+  __isset = other291.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -8736,22 +8907,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinReply::JoinReply(const JoinReply& other288) {
-  leaderHint = other288.leaderHint;
-  __isset = other288.__isset;
+JoinReply::JoinReply(const JoinReply& other292) {
+  leaderHint = other292.leaderHint;
+  __isset = other292.__isset;
 }
-JoinReply::JoinReply(JoinReply&& other289) noexcept {
-  leaderHint = std::move(other289.leaderHint);
-  __isset = other289.__isset;
+JoinReply::JoinReply(JoinReply&& other293) noexcept {
+  leaderHint = std::move(other293.leaderHint);
+  __isset = other293.__isset;
 }
-JoinReply& JoinReply::operator=(const JoinReply& other290) {
-  leaderHint = other290.leaderHint;
-  __isset = other290.__isset;
+JoinReply& JoinReply::operator=(const JoinReply& other294) {
+  leaderHint = other294.leaderHint;
+  __isset = other294.__isset;
   return *this;
 }
-JoinReply& JoinReply::operator=(JoinReply&& other291) noexcept {
-  leaderHint = std::move(other291.leaderHint);
-  __isset = other291.__isset;
+JoinReply& JoinReply::operator=(JoinReply&& other295) noexcept {
+  leaderHint = std::move(other295.leaderHint);
+  __isset = other295.__isset;
   return *this;
 }
 void JoinReply::printTo(std::ostream& out) const {
@@ -8813,14 +8984,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->entries.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->entries.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->entries[_i296].read(iprot);
+              xfer += this->entries[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8853,10 +9024,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter297;
-    for (_iter297 = this->entries.begin(); _iter297 != this->entries.end(); ++_iter297)
+    std::vector<LogEntry> ::const_iterator _iter301;
+    for (_iter301 = this->entries.begin(); _iter301 != this->entries.end(); ++_iter301)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8874,26 +9045,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other298) {
-  truncateFrom = other298.truncateFrom;
-  entries = other298.entries;
-  __isset = other298.__isset;
+LogBatch::LogBatch(const LogBatch& other302) {
+  truncateFrom = other302.truncateFrom;
+  entries = other302.entries;
+  __isset = other302.__isset;
 }
-LogBatch::LogBatch(LogBatch&& other299) noexcept {
-  truncateFrom = other299.truncateFrom;
-  entries = std::move(other299.entries);
-  __isset = other299.__isset;
+LogBatch::LogBatch(LogBatch&& other303) noexcept {
+  truncateFrom = other303.truncateFrom;
+  entries = std::move(other303.entries);
+  __isset = other303.__isset;
 }
-LogBatch& LogBatch::operator=(const LogBatch& other300) {
-  truncateFrom = other300.truncateFrom;
-  entries = other300.entries;
-  __isset = other300.__isset;
+LogBatch& LogBatch::operator=(const LogBatch& other304) {
+  truncateFrom = other304.truncateFrom;
+  entries = other304.entries;
+  __isset = other304.__isset;
   return *this;
 }
-LogBatch& LogBatch::operator=(LogBatch&& other301) noexcept {
-  truncateFrom = other301.truncateFrom;
-  entries = std::move(other301.entries);
-  __isset = other301.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other305) noexcept {
+  truncateFrom = other305.truncateFrom;
+  entries = std::move(other305.entries);
+  __isset = other305.__isset;
   return *this;
 }
 void LogBatch::printTo(std::ostream& out) const {
@@ -8980,22 +9151,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterRecord::VoterRecord(const VoterRecord& other302) noexcept {
-  id = other302.id;
-  __isset = other302.__isset;
+VoterRecord::VoterRecord(const VoterRecord& other306) noexcept {
+  id = other306.id;
+  __isset = other306.__isset;
 }
-VoterRecord::VoterRecord(VoterRecord&& other303) noexcept {
-  id = other303.id;
-  __isset = other303.__isset;
+VoterRecord::VoterRecord(VoterRecord&& other307) noexcept {
+  id = other307.id;
+  __isset = other307.__isset;
 }
-VoterRecord& VoterRecord::operator=(const VoterRecord& other304) noexcept {
-  id = other304.id;
-  __isset = other304.__isset;
+VoterRecord& VoterRecord::operator=(const VoterRecord& other308) noexcept {
+  id = other308.id;
+  __isset = other308.__isset;
   return *this;
 }
-VoterRecord& VoterRecord::operator=(VoterRecord&& other305) noexcept {
-  id = other305.id;
-  __isset = other305.__isset;
+VoterRecord& VoterRecord::operator=(VoterRecord&& other309) noexcept {
+  id = other309.id;
+  __isset = other309.__isset;
   return *this;
 }
 void VoterRecord::printTo(std::ostream& out) const {
@@ -9098,26 +9269,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRecord::VoteRecord(const VoteRecord& other306) noexcept {
-  term = other306.term;
-  votedFor = other306.votedFor;
-  __isset = other306.__isset;
+VoteRecord::VoteRecord(const VoteRecord& other310) noexcept {
+  term = other310.term;
+  votedFor = other310.votedFor;
+  __isset = other310.__isset;
 }
-VoteRecord::VoteRecord(VoteRecord&& other307) noexcept {
-  term = other307.term;
-  votedFor = other307.votedFor;
-  __isset = other307.__isset;
+VoteRecord::VoteRecord(VoteRecord&& other311) noexcept {
+  term = other311.term;
+  votedFor = other311.votedFor;
+  __isset = other311.__isset;
 }
-VoteRecord& VoteRecord::operator=(const VoteRecord& other308) noexcept {
-  term = other308.term;
-  votedFor = other308.votedFor;
-  __isset = other308.__isset;
+VoteRecord& VoteRecord::operator=(const VoteRecord& other312) noexcept {
+  term = other312.term;
+  votedFor = other312.votedFor;
+  __isset = other312.__isset;
   return *this;
 }
-VoteRecord& VoteRecord::operator=(VoteRecord&& other309) noexcept {
-  term = other309.term;
-  votedFor = other309.votedFor;
-  __isset = other309.__isset;
+VoteRecord& VoteRecord::operator=(VoteRecord&& other313) noexcept {
+  term = other313.term;
+  votedFor = other313.votedFor;
+  __isset = other313.__isset;
   return *this;
 }
 void VoteRecord::printTo(std::ostream& out) const {
@@ -9196,14 +9367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->replicas.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->replicas.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->replicas[_i314].read(iprot);
+              xfer += this->replicas[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9248,10 +9419,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter315;
-    for (_iter315 = this->replicas.begin(); _iter315 != this->replicas.end(); ++_iter315)
+    std::vector<Replica> ::const_iterator _iter319;
+    for (_iter319 = this->replicas.begin(); _iter319 != this->replicas.end(); ++_iter319)
     {
-      xfer += (*_iter315).write(oprot);
+      xfer += (*_iter319).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9275,34 +9446,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRecord::SnapshotRecord(const SnapshotRecord& other316) {
-  index = other316.index;
-  term = other316.term;
-  replicas = other316.replicas;
-  state = other316.state;
-  __isset = other316.__isset;
+SnapshotRecord::SnapshotRecord(const SnapshotRecord& other320) {
+  index = other320.index;
+  term = other320.term;
+  replicas = other320.replicas;
+  state = other320.state;
+  __isset = other320.__isset;
 }
-SnapshotRecord::SnapshotRecord(SnapshotRecord&& other317) noexcept {
-  index = other317.index;
-  term = other317.term;
-  replicas = std::move(other317.replicas);
-  state = std::move(other317.state);
-  __isset = other317.__isset;
+SnapshotRecord::SnapshotRecord(SnapshotRecord&& other321) noexcept {
+  index = other321.index;
+  term = other321.term;
+  replicas = std::move(other321.replicas);
+  state = std::move(other321.state);
+  __isset = other321.__isset;
 }
-SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other318) {
-  index = other318.index;
-  term = other318.term;
-  replicas = other318.replicas;
-  state = other318.state;
-  __isset = other318.__isset;
+SnapshotRecord& SnapshotRecord::operator=(const SnapshotRecord& other322) {
+  index = other322.index;
+  term = other322.term;
+  replicas = other322.replicas;
+  state = other322.state;
+  __isset = other322.__isset;
   return *this;
 }
-SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other319) noexcept {
-  index = other319.index;
-  term = other319.term;
-  replicas = std::move(other319.replicas);
-  state = std::move(other319.state);
-  __isset = other319.__isset;
+SnapshotRecord& SnapshotRecord::operator=(SnapshotRecord&& other323) noexcept {
+  index = other323.index;
+  term = other323.term;
+  replicas = std::move(other323.replicas);
+  state = std::move(other323.state);
+  __isset = other323.__isset;
   return *this;
 }
 void SnapshotRecord::printTo(std::ostream& out) const {
@@ -9493,46 +9664,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other320) {
-  proposal = other320.proposal;
-  member = other320.member;
-  key = other320.key;
-  contentHash = other320.contentHash;
-  dispatch = other320.dispatch;
-  backend = other320.backend;
-  backendIncarnation = other320.backendIncarnation;
-  __isset = other320.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other324) {
+  proposal = other324.proposal;
+  member = other324.member;
+  key = other324.key;
+  contentHash = other324.contentHash;
+  dispatch = other324.dispatch;
+  backend = other324.backend;
+  backendIncarnation = other324.backendIncarnation;
+  __isset = other324.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other321) noexcept {
-  proposal = other321.proposal;
-  member = std::move(other321.member);
-  key = std::move(other321.key);
-  contentHash = other321.contentHash;
-  dispatch = std::move(other321.dispatch);
-  backend = std::move(other321.backend);
-  backendIncarnation = other321.backendIncarnation;
-  __isset = other321.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other325) noexcept {
+  proposal = other325.proposal;
+  member = std::move(other325.member);
+  key = std::move(other325.key);
+  contentHash = other325.contentHash;
+  dispatch = std::move(other325.dispatch);
+  backend = std::move(other325.backend);
+  backendIncarnation = other325.backendIncarnation;
+  __isset = other325.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other322) {
-  proposal = other322.proposal;
-  member = other322.member;
-  key = other322.key;
-  contentHash = other322.contentHash;
-  dispatch = other322.dispatch;
-  backend = other322.backend;
-  backendIncarnation = other322.backendIncarnation;
-  __isset = other322.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other326) {
+  proposal = other326.proposal;
+  member = other326.member;
+  key = other326.key;
+  contentHash = other326.contentHash;
+  dispatch = other326.dispatch;
+  backend = other326.backend;
+  backendIncarnation = other326.backendIncarnation;
+  __isset = other326.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other323) noexcept {
-  proposal = other323.proposal;
-  member = std::move(other323.member);
-  key = std::move(other323.key);
-  contentHash = other323.contentHash;
-  dispatch = std::move(other323.dispatch);
-  backend = std::move(other323.backend);
-  backendIncarnation = other323.backendIncarnation;
-  __isset = other323.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other327) noexcept {
+  proposal = other327.proposal;
+  member = std::move(other327.member);
+  key = std::move(other327.key);
+  contentHash = other327.contentHash;
+  dispatch = std::move(other327.dispatch);
+  backend = std::move(other327.backend);
+  backendIncarnation = other327.backendIncarnation;
+  __isset = other327.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -9743,50 +9914,50 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other324) {
-  proposal = other324.proposal;
-  member = other324.member;
-  key = other324.key;
-  dispatch = other324.dispatch;
-  status = other324.status;
-  answerStatus = other324.answerStatus;
-  answerType = other324.answerType;
-  answer = other324.answer;
-  __isset = other324.__isset;
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other328) {
+  proposal = other328.proposal;
+  member = other328.member;
+  key = other328.key;
+  dispatch = other328.dispatch;
+  status = other328.status;
+  answerStatus = other328.answerStatus;
+  answerType = other328.answerType;
+  answer = other328.answer;
+  __isset = other328.__isset;
 }
-OutcomeRequest::OutcomeRequest(OutcomeRequest&& other325) noexcept {
-  proposal = other325.proposal;
-  member = std::move(other325.member);
-  key = std::move(other325.key);
-  dispatch = std::move(other325.dispatch);
-  status = other325.status;
-  answerStatus = other325.answerStatus;
-  answerType = std::move(other325.answerType);
-  answer = std::move(other325.answer);
-  __isset = other325.__isset;
+OutcomeRequest::OutcomeRequest(OutcomeRequest&& other329) noexcept {
+  proposal = other329.proposal;
+  member = std::move(other329.member);
+  key = std::move(other329.key);
+  dispatch = std::move(other329.dispatch);
+  status = other329.status;
+  answerStatus = other329.answerStatus;
+  answerType = std::move(other329.answerType);
+  answer = std::move(other329.answer);
+  __isset = other329.__isset;
 }
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other326) {
-  proposal = other326.proposal;
-  member = other326.member;
-  key = other326.key;
-  dispatch = other326.dispatch;
-  status = other326.status;
-  answerStatus = other326.answerStatus;
-  answerType = other326.answerType;
-  answer = other326.answer;
-  __isset = other326.__isset;
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other330) {
+  proposal = other330.proposal;
+  member = other330.member;
+  key = other330.key;
+  dispatch = other330.dispatch;
+  status = other330.status;
+  answerStatus = other330.answerStatus;
+  answerType = other330.answerType;
+  answer = other330.answer;
+  __isset = other330.__isset;
   return *this;
 }
-OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other327) noexcept {
-  proposal = other327.proposal;
-  member = std::move(other327.member);
-  key = std::move(other327.key);
-  dispatch = std::move(other327.dispatch);
-  status = other327.status;
-  answerStatus = other327.answerStatus;
-  answerType = std::move(other327.answerType);
-  answer = std::move(other327.answer);
-  __isset = other327.__isset;
+OutcomeRequest& OutcomeRequest::operator=(OutcomeRequest&& other331) noexcept {
+  proposal = other331.proposal;
+  member = std::move(other331.member);
+  key = std::move(other331.key);
+  dispatch = std::move(other331.dispatch);
+  status = other331.status;
+  answerStatus = other331.answerStatus;
+  answerType = std::move(other331.answerType);
+  answer = std::move(other331.answer);
+  __isset = other331.__isset;
   return *this;
 }
 void OutcomeRequest::printTo(std::ostream& out) const {
@@ -10015,54 +10186,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordReply::RecordReply(const RecordReply& other328) {
-  proposal = other328.proposal;
-  verdict = other328.verdict;
-  holder = other328.holder;
-  backend = other328.backend;
-  backendIncarnation = other328.backendIncarnation;
-  answerStored = other328.answerStored;
-  answerStatus = other328.answerStatus;
-  answerType = other328.answerType;
-  answer = other328.answer;
-  __isset = other328.__isset;
+RecordReply::RecordReply(const RecordReply& other332) {
+  proposal = other332.proposal;
+  verdict = other332.verdict;
+  holder = other332.holder;
+  backend = other332.backend;
+  backendIncarnation = other332.backendIncarnation;
+  answerStored = other332.answerStored;
+  answerStatus = other332.answerStatus;
+  answerType = other332.answerType;
+  answer = other332.answer;
+  __isset = other332.__isset;
 }
-RecordReply::RecordReply(RecordReply&& other329) noexcept {
-  proposal = other329.proposal;
-  verdict = other329.verdict;
-  holder = std::move(other329.holder);
-  backend = std::move(other329.backend);
-  backendIncarnation = other329.backendIncarnation;
-  answerStored = other329.answerStored;
-  answerStatus = other329.answerStatus;
-  answerType = std::move(other329.answerType);
-  answer = std::move(other329.answer);
-  __isset = other329.__isset;
+RecordReply::RecordReply(RecordReply&& other333) noexcept {
+  proposal = other333.proposal;
+  verdict = other333.verdict;
+  holder = std::move(other333.holder);
+  backend = std::move(other333.backend);
+  backendIncarnation = other333.backendIncarnation;
+  answerStored = other333.answerStored;
+  answerStatus = other333.answerStatus;
+  answerType = std::move(other333.answerType);
+  answer = std::move(other333.answer);
+  __isset = other333.__isset;
 }
-RecordReply& RecordReply::operator=(const RecordReply& other330) {
-  proposal = other330.proposal;
-  verdict = other330.verdict;
-  holder = other330.holder;
-  backend = other330.backend;
-  backendIncarnation = other330.backendIncarnation;
-  answerStored = other330.answerStored;
-  answerStatus = other330.answerStatus;
-  answerType = other330.answerType;
-  answer = other330.answer;
-  __isset = other330.__isset;
+RecordReply& RecordReply::operator=(const RecordReply& other334) {
+  proposal = other334.proposal;
+  verdict = other334.verdict;
+  holder = other334.holder;
+  backend = other334.backend;
+  backendIncarnation = other334.backendIncarnation;
+  answerStored = other334.answerStored;
+  answerStatus = other334.answerStatus;
+  answerType = other334.answerType;
+  answer = other334.answer;
+  __isset = other334.__isset;
   return *this;
 }
-RecordReply& RecordReply::operator=(RecordReply&& other331) noexcept {
-  proposal = other331.proposal;
-  verdict = other331.verdict;
-  holder = std::move(other331.holder);
-  backend = std::move(other331.backend);
-  backendIncarnation = other331.backendIncarnation;
-  answerStored = other331.answerStored;
-  answerStatus = other331.answerStatus;
-  answerType = std::move(other331.answerType);
-  answer = std::move(other331.answer);
-  __isset = other331.__isset;
+RecordReply& RecordReply::operator=(RecordReply&& other335) noexcept {
+  proposal = other335.proposal;
+  verdict = other335.verdict;
+  holder = std::move(other335.holder);
+  backend = std::move(other335.backend);
+  backendIncarnation = other335.backendIncarnation;
+  answerStored = other335.answerStored;
+  answerStatus = other335.answerStatus;
+  answerType = std::move(other335.answerType);
+  answer = std::move(other335.answer);
+  __isset = other335.__isset;
   return *this;
 }
 void RecordReply::printTo(std::ostream& out) const {
@@ -10173,26 +10344,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other332) noexcept {
-  proposal = other332.proposal;
-  verdict = other332.verdict;
-  __isset = other332.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other336) noexcept {
+  proposal = other336.proposal;
+  verdict = other336.verdict;
+  __isset = other336.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other333) noexcept {
-  proposal = other333.proposal;
-  verdict = other333.verdict;
-  __isset = other333.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other337) noexcept {
+  proposal = other337.proposal;
+  verdict = other337.verdict;
+  __isset = other337.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other334) noexcept {
-  proposal = other334.proposal;
-  verdict = other334.verdict;
-  __isset = other334.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other338) noexcept {
+  proposal = other338.proposal;
+  verdict = other338.verdict;
+  __isset = other338.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other335) noexcept {
-  proposal = other335.proposal;
-  verdict = other335.verdict;
-  __isset = other335.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other339) noexcept {
+  proposal = other339.proposal;
+  verdict = other339.verdict;
+  __isset = other339.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -10204,6 +10375,149 @@
 }
 
 
+EvacuationNotice::~EvacuationNotice() noexcept {
+}
+
+
+void EvacuationNotice::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void EvacuationNotice::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuationNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->zones.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
+            {
+              xfer += iprot->readString(this->zones[_i344]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationNotice");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter345;
+    for (_iter345 = this->zones.begin(); _iter345 != this->zones.end(); ++_iter345)
+    {
+      xfer += oprot->writeString((*_iter345));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationNotice &a, EvacuationNotice &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuationNotice::EvacuationNotice(const EvacuationNotice& other346) {
+  version = other346.version;
+  zones = other346.zones;
+  __isset = other346.__isset;
+}
+EvacuationNotice::EvacuationNotice(EvacuationNotice&& other347) noexcept {
+  version = other347.version;
+  zones = std::move(other347.zones);
+  __isset = other347.__isset;
+}
+EvacuationNotice& EvacuationNotice::operator=(const EvacuationNotice& other348) {
+  version = other348.version;
+  zones = other348.zones;
+  __isset = other348.__isset;
+  return *this;
+}
+EvacuationNotice& EvacuationNotice::operator=(EvacuationNotice&& other349) noexcept {
+  version = other349.version;
+  zones = std::move(other349.zones);
+  __isset = other349.__isset;
+  return *this;
+}
+void EvacuationNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationNotice(";
+  out << "version=" << to_string(version);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
 LeaseRenew::~LeaseRenew() noexcept {
 }
 
@@ -10227,6 +10541,11 @@
 void LeaseRenew::__set_heardVersion(const int64_t val) {
   this->heardVersion = val;
 }
+
+void LeaseRenew::__set_evacuationVersion(const int64_t val) {
+  this->evacuationVersion = val;
+__isset.evacuationVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
 {
   obj.printTo(out);
@@ -10295,6 +10614,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationVersion);
+          this->__isset.evacuationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10332,6 +10659,11 @@
   xfer += oprot->writeI64(this->heardVersion);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuationVersion) {
+    xfer += oprot->writeFieldBegin("evacuationVersion", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->evacuationVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10344,41 +10676,46 @@
   swap(a.zone, b.zone);
   swap(a.appliedVersion, b.appliedVersion);
   swap(a.heardVersion, b.heardVersion);
+  swap(a.evacuationVersion, b.evacuationVersion);
   swap(a.__isset, b.__isset);
 }
 
-LeaseRenew::LeaseRenew(const LeaseRenew& other336) {
-  sequence = other336.sequence;
-  node = other336.node;
-  zone = other336.zone;
-  appliedVersion = other336.appliedVersion;
-  heardVersion = other336.heardVersion;
-  __isset = other336.__isset;
+LeaseRenew::LeaseRenew(const LeaseRenew& other350) {
+  sequence = other350.sequence;
+  node = other350.node;
+  zone = other350.zone;
+  appliedVersion = other350.appliedVersion;
+  heardVersion = other350.heardVersion;
+  evacuationVersion = other350.evacuationVersion;
+  __isset = other350.__isset;
 }
-LeaseRenew::LeaseRenew(LeaseRenew&& other337) noexcept {
-  sequence = other337.sequence;
-  node = std::move(other337.node);
-  zone = std::move(other337.zone);
-  appliedVersion = other337.appliedVersion;
-  heardVersion = other337.heardVersion;
-  __isset = other337.__isset;
+LeaseRenew::LeaseRenew(LeaseRenew&& other351) noexcept {
+  sequence = other351.sequence;
+  node = std::move(other351.node);
+  zone = std::move(other351.zone);
+  appliedVersion = other351.appliedVersion;
+  heardVersion = other351.heardVersion;
+  evacuationVersion = other351.evacuationVersion;
+  __isset = other351.__isset;
 }
-LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other338) {
-  sequence = other338.sequence;
-  node = other338.node;
-  zone = other338.zone;
-  appliedVersion = other338.appliedVersion;
-  heardVersion = other338.heardVersion;
-  __isset = other338.__isset;
+LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other352) {
+  sequence = other352.sequence;
+  node = other352.node;
+  zone = other352.zone;
+  appliedVersion = other352.appliedVersion;
+  heardVersion = other352.heardVersion;
+  evacuationVersion = other352.evacuationVersion;
+  __isset = other352.__isset;
   return *this;
 }
-LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other339) noexcept {
-  sequence = other339.sequence;
-  node = std::move(other339.node);
-  zone = std::move(other339.zone);
-  appliedVersion = other339.appliedVersion;
-  heardVersion = other339.heardVersion;
-  __isset = other339.__isset;
+LeaseRenew& LeaseRenew::operator=(LeaseRenew&& other353) noexcept {
+  sequence = other353.sequence;
+  node = std::move(other353.node);
+  zone = std::move(other353.zone);
+  appliedVersion = other353.appliedVersion;
+  heardVersion = other353.heardVersion;
+  evacuationVersion = other353.evacuationVersion;
+  __isset = other353.__isset;
   return *this;
 }
 void LeaseRenew::printTo(std::ostream& out) const {
@@ -10389,6 +10726,7 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "appliedVersion=" << to_string(appliedVersion);
   out << ", " << "heardVersion=" << to_string(heardVersion);
+  out << ", " << "evacuationVersion="; (__isset.evacuationVersion ? (out << to_string(evacuationVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10421,6 +10759,11 @@
   this->controllers = val;
 __isset.controllers = true;
 }
+
+void LeaseGrant::__set_evacuations(const EvacuationNotice& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
 {
   obj.printTo(out);
@@ -10493,14 +10836,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controllers.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->controllers.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size354;
+            ::apache::thrift::protocol::TType _etype357;
+            xfer += iprot->readListBegin(_etype357, _size354);
+            this->controllers.resize(_size354);
+            uint32_t _i358;
+            for (_i358 = 0; _i358 < _size354; ++_i358)
             {
-              xfer += this->controllers[_i344].read(iprot);
+              xfer += this->controllers[_i358].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10509,6 +10852,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10550,15 +10901,20 @@
     xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controllers.size()));
-      std::vector<Endpoint> ::const_iterator _iter345;
-      for (_iter345 = this->controllers.begin(); _iter345 != this->controllers.end(); ++_iter345)
+      std::vector<Endpoint> ::const_iterator _iter359;
+      for (_iter359 = this->controllers.begin(); _iter359 != this->controllers.end(); ++_iter359)
       {
-        xfer += (*_iter345).write(oprot);
+        xfer += (*_iter359).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10572,45 +10928,50 @@
   swap(a.durationMicros, b.durationMicros);
   swap(a.version, b.version);
   swap(a.controllers, b.controllers);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other346) {
-  sequence = other346.sequence;
-  granted = other346.granted;
-  leaderHint = other346.leaderHint;
-  durationMicros = other346.durationMicros;
-  version = other346.version;
-  controllers = other346.controllers;
-  __isset = other346.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other360) {
+  sequence = other360.sequence;
+  granted = other360.granted;
+  leaderHint = other360.leaderHint;
+  durationMicros = other360.durationMicros;
+  version = other360.version;
+  controllers = other360.controllers;
+  evacuations = other360.evacuations;
+  __isset = other360.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other347) noexcept {
-  sequence = other347.sequence;
-  granted = other347.granted;
-  leaderHint = std::move(other347.leaderHint);
-  durationMicros = other347.durationMicros;
-  version = other347.version;
-  controllers = std::move(other347.controllers);
-  __isset = other347.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other361) noexcept {
+  sequence = other361.sequence;
+  granted = other361.granted;
+  leaderHint = std::move(other361.leaderHint);
+  durationMicros = other361.durationMicros;
+  version = other361.version;
+  controllers = std::move(other361.controllers);
+  evacuations = std::move(other361.evacuations);
+  __isset = other361.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other348) {
-  sequence = other348.sequence;
-  granted = other348.granted;
-  leaderHint = other348.leaderHint;
-  durationMicros = other348.durationMicros;
-  version = other348.version;
-  controllers = other348.controllers;
-  __isset = other348.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other362) {
+  sequence = other362.sequence;
+  granted = other362.granted;
+  leaderHint = other362.leaderHint;
+  durationMicros = other362.durationMicros;
+  version = other362.version;
+  controllers = other362.controllers;
+  evacuations = other362.evacuations;
+  __isset = other362.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other349) noexcept {
-  sequence = other349.sequence;
-  granted = other349.granted;
-  leaderHint = std::move(other349.leaderHint);
-  durationMicros = other349.durationMicros;
-  version = other349.version;
-  controllers = std::move(other349.controllers);
-  __isset = other349.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other363) noexcept {
+  sequence = other363.sequence;
+  granted = other363.granted;
+  leaderHint = std::move(other363.leaderHint);
+  durationMicros = other363.durationMicros;
+  version = other363.version;
+  controllers = std::move(other363.controllers);
+  evacuations = std::move(other363.evacuations);
+  __isset = other363.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -10622,6 +10983,7 @@
   out << ", " << "durationMicros=" << to_string(durationMicros);
   out << ", " << "version=" << to_string(version);
   out << ", " << "controllers="; (__isset.controllers ? (out << to_string(controllers)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10735,30 +11097,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other350) {
-  version = other350.version;
-  author = other350.author;
-  sheet = other350.sheet;
-  __isset = other350.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other364) {
+  version = other364.version;
+  author = other364.author;
+  sheet = other364.sheet;
+  __isset = other364.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other351) noexcept {
-  version = other351.version;
-  author = std::move(other351.author);
-  sheet = std::move(other351.sheet);
-  __isset = other351.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other365) noexcept {
+  version = other365.version;
+  author = std::move(other365.author);
+  sheet = std::move(other365.sheet);
+  __isset = other365.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other352) {
-  version = other352.version;
-  author = other352.author;
-  sheet = other352.sheet;
-  __isset = other352.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other366) {
+  version = other366.version;
+  author = other366.author;
+  sheet = other366.sheet;
+  __isset = other366.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other353) noexcept {
-  version = other353.version;
-  author = std::move(other353.author);
-  sheet = std::move(other353.sheet);
-  __isset = other353.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other367) noexcept {
+  version = other367.version;
+  author = std::move(other367.author);
+  sheet = std::move(other367.sheet);
+  __isset = other367.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -10846,22 +11208,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other354) noexcept {
-  sequence = other354.sequence;
-  __isset = other354.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other368) noexcept {
+  sequence = other368.sequence;
+  __isset = other368.__isset;
 }
-VersionQuery::VersionQuery(VersionQuery&& other355) noexcept {
-  sequence = other355.sequence;
-  __isset = other355.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other369) noexcept {
+  sequence = other369.sequence;
+  __isset = other369.__isset;
 }
-VersionQuery& VersionQuery::operator=(const VersionQuery& other356) noexcept {
-  sequence = other356.sequence;
-  __isset = other356.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other370) noexcept {
+  sequence = other370.sequence;
+  __isset = other370.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other357) noexcept {
-  sequence = other357.sequence;
-  __isset = other357.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other371) noexcept {
+  sequence = other371.sequence;
+  __isset = other371.__isset;
   return *this;
 }
 void VersionQuery::printTo(std::ostream& out) const {
@@ -10891,6 +11253,11 @@
 void VersionReply::__set_zone(const std::string& val) {
   this->zone = val;
 }
+
+void VersionReply::__set_evacuations(const EvacuationNotice& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const VersionReply& obj)
 {
   obj.printTo(out);
@@ -10951,6 +11318,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10984,6 +11359,11 @@
   xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10995,37 +11375,42 @@
   swap(a.version, b.version);
   swap(a.sheet, b.sheet);
   swap(a.zone, b.zone);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other358) {
-  sequence = other358.sequence;
-  version = other358.version;
-  sheet = other358.sheet;
-  zone = other358.zone;
-  __isset = other358.__isset;
+VersionReply::VersionReply(const VersionReply& other372) {
+  sequence = other372.sequence;
+  version = other372.version;
+  sheet = other372.sheet;
+  zone = other372.zone;
+  evacuations = other372.evacuations;
+  __isset = other372.__isset;
 }
-VersionReply::VersionReply(VersionReply&& other359) noexcept {
-  sequence = other359.sequence;
-  version = other359.version;
-  sheet = std::move(other359.sheet);
-  zone = std::move(other359.zone);
-  __isset = other359.__isset;
+VersionReply::VersionReply(VersionReply&& other373) noexcept {
+  sequence = other373.sequence;
+  version = other373.version;
+  sheet = std::move(other373.sheet);
+  zone = std::move(other373.zone);
+  evacuations = std::move(other373.evacuations);
+  __isset = other373.__isset;
 }
-VersionReply& VersionReply::operator=(const VersionReply& other360) {
-  sequence = other360.sequence;
-  version = other360.version;
-  sheet = other360.sheet;
-  zone = other360.zone;
-  __isset = other360.__isset;
+VersionReply& VersionReply::operator=(const VersionReply& other374) {
+  sequence = other374.sequence;
+  version = other374.version;
+  sheet = other374.sheet;
+  zone = other374.zone;
+  evacuations = other374.evacuations;
+  __isset = other374.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other361) noexcept {
-  sequence = other361.sequence;
-  version = other361.version;
-  sheet = std::move(other361.sheet);
-  zone = std::move(other361.zone);
-  __isset = other361.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other375) noexcept {
+  sequence = other375.sequence;
+  version = other375.version;
+  sheet = std::move(other375.sheet);
+  zone = std::move(other375.zone);
+  evacuations = std::move(other375.evacuations);
+  __isset = other375.__isset;
   return *this;
 }
 void VersionReply::printTo(std::ostream& out) const {
@@ -11035,6 +11420,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "sheet=" << to_string(sheet);
   out << ", " << "zone=" << to_string(zone);
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11148,30 +11534,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceQuery::FenceQuery(const FenceQuery& other362) {
-  sequence = other362.sequence;
-  backend = other362.backend;
-  agentIncarnation = other362.agentIncarnation;
-  __isset = other362.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other376) {
+  sequence = other376.sequence;
+  backend = other376.backend;
+  agentIncarnation = other376.agentIncarnation;
+  __isset = other376.__isset;
 }
-FenceQuery::FenceQuery(FenceQuery&& other363) noexcept {
-  sequence = other363.sequence;
-  backend = std::move(other363.backend);
-  agentIncarnation = other363.agentIncarnation;
-  __isset = other363.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other377) noexcept {
+  sequence = other377.sequence;
+  backend = std::move(other377.backend);
+  agentIncarnation = other377.agentIncarnation;
+  __isset = other377.__isset;
 }
-FenceQuery& FenceQuery::operator=(const FenceQuery& other364) {
-  sequence = other364.sequence;
-  backend = other364.backend;
-  agentIncarnation = other364.agentIncarnation;
-  __isset = other364.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other378) {
+  sequence = other378.sequence;
+  backend = other378.backend;
+  agentIncarnation = other378.agentIncarnation;
+  __isset = other378.__isset;
   return *this;
 }
-FenceQuery& FenceQuery::operator=(FenceQuery&& other365) noexcept {
-  sequence = other365.sequence;
-  backend = std::move(other365.backend);
-  agentIncarnation = other365.agentIncarnation;
-  __isset = other365.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other379) noexcept {
+  sequence = other379.sequence;
+  backend = std::move(other379.backend);
+  agentIncarnation = other379.agentIncarnation;
+  __isset = other379.__isset;
   return *this;
 }
 void FenceQuery::printTo(std::ostream& out) const {
@@ -11327,38 +11713,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceReply::FenceReply(const FenceReply& other366) {
-  sequence = other366.sequence;
-  agentIncarnation = other366.agentIncarnation;
-  granted = other366.granted;
-  leaderHint = other366.leaderHint;
-  fence = other366.fence;
-  __isset = other366.__isset;
+FenceReply::FenceReply(const FenceReply& other380) {
+  sequence = other380.sequence;
+  agentIncarnation = other380.agentIncarnation;
+  granted = other380.granted;
+  leaderHint = other380.leaderHint;
+  fence = other380.fence;
+  __isset = other380.__isset;
 }
-FenceReply::FenceReply(FenceReply&& other367) noexcept {
-  sequence = other367.sequence;
-  agentIncarnation = other367.agentIncarnation;
-  granted = other367.granted;
-  leaderHint = std::move(other367.leaderHint);
-  fence = other367.fence;
-  __isset = other367.__isset;
+FenceReply::FenceReply(FenceReply&& other381) noexcept {
+  sequence = other381.sequence;
+  agentIncarnation = other381.agentIncarnation;
+  granted = other381.granted;
+  leaderHint = std::move(other381.leaderHint);
+  fence = other381.fence;
+  __isset = other381.__isset;
 }
-FenceReply& FenceReply::operator=(const FenceReply& other368) {
-  sequence = other368.sequence;
-  agentIncarnation = other368.agentIncarnation;
-  granted = other368.granted;
-  leaderHint = other368.leaderHint;
-  fence = other368.fence;
-  __isset = other368.__isset;
+FenceReply& FenceReply::operator=(const FenceReply& other382) {
+  sequence = other382.sequence;
+  agentIncarnation = other382.agentIncarnation;
+  granted = other382.granted;
+  leaderHint = other382.leaderHint;
+  fence = other382.fence;
+  __isset = other382.__isset;
   return *this;
 }
-FenceReply& FenceReply::operator=(FenceReply&& other369) noexcept {
-  sequence = other369.sequence;
-  agentIncarnation = other369.agentIncarnation;
-  granted = other369.granted;
-  leaderHint = std::move(other369.leaderHint);
-  fence = other369.fence;
-  __isset = other369.__isset;
+FenceReply& FenceReply::operator=(FenceReply&& other383) noexcept {
+  sequence = other383.sequence;
+  agentIncarnation = other383.agentIncarnation;
+  granted = other383.granted;
+  leaderHint = std::move(other383.leaderHint);
+  fence = other383.fence;
+  __isset = other383.__isset;
   return *this;
 }
 void FenceReply::printTo(std::ostream& out) const {
@@ -11516,38 +11902,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FencedOrder::FencedOrder(const FencedOrder& other370) {
-  backend = other370.backend;
-  token = other370.token;
-  kind = other370.kind;
-  name = other370.name;
-  bytes = other370.bytes;
-  __isset = other370.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other384) {
+  backend = other384.backend;
+  token = other384.token;
+  kind = other384.kind;
+  name = other384.name;
+  bytes = other384.bytes;
+  __isset = other384.__isset;
 }
-FencedOrder::FencedOrder(FencedOrder&& other371) noexcept {
-  backend = std::move(other371.backend);
-  token = other371.token;
-  kind = other371.kind;
-  name = std::move(other371.name);
-  bytes = other371.bytes;
-  __isset = other371.__isset;
+FencedOrder::FencedOrder(FencedOrder&& other385) noexcept {
+  backend = std::move(other385.backend);
+  token = other385.token;
+  kind = other385.kind;
+  name = std::move(other385.name);
+  bytes = other385.bytes;
+  __isset = other385.__isset;
 }
-FencedOrder& FencedOrder::operator=(const FencedOrder& other372) {
-  backend = other372.backend;
-  token = other372.token;
-  kind = other372.kind;
-  name = other372.name;
-  bytes = other372.bytes;
-  __isset = other372.__isset;
+FencedOrder& FencedOrder::operator=(const FencedOrder& other386) {
+  backend = other386.backend;
+  token = other386.token;
+  kind = other386.kind;
+  name = other386.name;
+  bytes = other386.bytes;
+  __isset = other386.__isset;
   return *this;
 }
-FencedOrder& FencedOrder::operator=(FencedOrder&& other373) noexcept {
-  backend = std::move(other373.backend);
-  token = other373.token;
-  kind = other373.kind;
-  name = std::move(other373.name);
-  bytes = other373.bytes;
-  __isset = other373.__isset;
+FencedOrder& FencedOrder::operator=(FencedOrder&& other387) noexcept {
+  backend = std::move(other387.backend);
+  token = other387.token;
+  kind = other387.kind;
+  name = std::move(other387.name);
+  bytes = other387.bytes;
+  __isset = other387.__isset;
   return *this;
 }
 void FencedOrder::printTo(std::ostream& out) const {
@@ -11671,30 +12057,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderReply::OrderReply(const OrderReply& other374) {
-  backend = other374.backend;
-  token = other374.token;
-  status = other374.status;
-  __isset = other374.__isset;
+OrderReply::OrderReply(const OrderReply& other388) {
+  backend = other388.backend;
+  token = other388.token;
+  status = other388.status;
+  __isset = other388.__isset;
 }
-OrderReply::OrderReply(OrderReply&& other375) noexcept {
-  backend = std::move(other375.backend);
-  token = other375.token;
-  status = other375.status;
-  __isset = other375.__isset;
+OrderReply::OrderReply(OrderReply&& other389) noexcept {
+  backend = std::move(other389.backend);
+  token = other389.token;
+  status = other389.status;
+  __isset = other389.__isset;
 }
-OrderReply& OrderReply::operator=(const OrderReply& other376) {
-  backend = other376.backend;
-  token = other376.token;
-  status = other376.status;
-  __isset = other376.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other390) {
+  backend = other390.backend;
+  token = other390.token;
+  status = other390.status;
+  __isset = other390.__isset;
   return *this;
 }
-OrderReply& OrderReply::operator=(OrderReply&& other377) noexcept {
-  backend = std::move(other377.backend);
-  token = other377.token;
-  status = other377.status;
-  __isset = other377.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other391) noexcept {
+  backend = std::move(other391.backend);
+  token = other391.token;
+  status = other391.status;
+  __isset = other391.__isset;
   return *this;
 }
 void OrderReply::printTo(std::ostream& out) const {
@@ -11816,30 +12202,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRange::StepRange(const StepRange& other378) noexcept {
-  mapVersion = other378.mapVersion;
-  first = other378.first;
-  last = other378.last;
-  __isset = other378.__isset;
+StepRange::StepRange(const StepRange& other392) noexcept {
+  mapVersion = other392.mapVersion;
+  first = other392.first;
+  last = other392.last;
+  __isset = other392.__isset;
 }
-StepRange::StepRange(StepRange&& other379) noexcept {
-  mapVersion = other379.mapVersion;
-  first = other379.first;
-  last = other379.last;
-  __isset = other379.__isset;
+StepRange::StepRange(StepRange&& other393) noexcept {
+  mapVersion = other393.mapVersion;
+  first = other393.first;
+  last = other393.last;
+  __isset = other393.__isset;
 }
-StepRange& StepRange::operator=(const StepRange& other380) noexcept {
-  mapVersion = other380.mapVersion;
-  first = other380.first;
-  last = other380.last;
-  __isset = other380.__isset;
+StepRange& StepRange::operator=(const StepRange& other394) noexcept {
+  mapVersion = other394.mapVersion;
+  first = other394.first;
+  last = other394.last;
+  __isset = other394.__isset;
   return *this;
 }
-StepRange& StepRange::operator=(StepRange&& other381) noexcept {
-  mapVersion = other381.mapVersion;
-  first = other381.first;
-  last = other381.last;
-  __isset = other381.__isset;
+StepRange& StepRange::operator=(StepRange&& other395) noexcept {
+  mapVersion = other395.mapVersion;
+  first = other395.first;
+  last = other395.last;
+  __isset = other395.__isset;
   return *this;
 }
 void StepRange::printTo(std::ostream& out) const {
@@ -11944,26 +12330,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ExpertMap::ExpertMap(const ExpertMap& other382) {
-  version = other382.version;
-  slots = other382.slots;
-  __isset = other382.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other396) {
+  version = other396.version;
+  slots = other396.slots;
+  __isset = other396.__isset;
 }
-ExpertMap::ExpertMap(ExpertMap&& other383) noexcept {
-  version = other383.version;
-  slots = std::move(other383.slots);
-  __isset = other383.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other397) noexcept {
+  version = other397.version;
+  slots = std::move(other397.slots);
+  __isset = other397.__isset;
 }
-ExpertMap& ExpertMap::operator=(const ExpertMap& other384) {
-  version = other384.version;
-  slots = other384.slots;
-  __isset = other384.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other398) {
+  version = other398.version;
+  slots = other398.slots;
+  __isset = other398.__isset;
   return *this;
 }
-ExpertMap& ExpertMap::operator=(ExpertMap&& other385) noexcept {
-  version = other385.version;
-  slots = std::move(other385.slots);
-  __isset = other385.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other399) noexcept {
+  version = other399.version;
+  slots = std::move(other399.slots);
+  __isset = other399.__isset;
   return *this;
 }
 void ExpertMap::printTo(std::ostream& out) const {
@@ -12118,14 +12504,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loaded.clear();
-            uint32_t _size386;
-            ::apache::thrift::protocol::TType _etype389;
-            xfer += iprot->readListBegin(_etype389, _size386);
-            this->loaded.resize(_size386);
-            uint32_t _i390;
-            for (_i390 = 0; _i390 < _size386; ++_i390)
+            uint32_t _size400;
+            ::apache::thrift::protocol::TType _etype403;
+            xfer += iprot->readListBegin(_etype403, _size400);
+            this->loaded.resize(_size400);
+            uint32_t _i404;
+            for (_i404 = 0; _i404 < _size400; ++_i404)
             {
-              xfer += iprot->readI64(this->loaded[_i390]);
+              xfer += iprot->readI64(this->loaded[_i404]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12154,14 +12540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->cells.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->cells.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += iprot->readI32(this->cells[_i395]);
+              xfer += iprot->readI32(this->cells[_i409]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12174,14 +12560,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->counts.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->counts.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += iprot->readI32(this->counts[_i400]);
+              xfer += iprot->readI32(this->counts[_i414]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12246,10 +12632,10 @@
   xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
-    std::vector<int64_t> ::const_iterator _iter401;
-    for (_iter401 = this->loaded.begin(); _iter401 != this->loaded.end(); ++_iter401)
+    std::vector<int64_t> ::const_iterator _iter415;
+    for (_iter415 = this->loaded.begin(); _iter415 != this->loaded.end(); ++_iter415)
     {
-      xfer += oprot->writeI64((*_iter401));
+      xfer += oprot->writeI64((*_iter415));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12266,10 +12652,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
-    std::vector<int32_t> ::const_iterator _iter402;
-    for (_iter402 = this->cells.begin(); _iter402 != this->cells.end(); ++_iter402)
+    std::vector<int32_t> ::const_iterator _iter416;
+    for (_iter416 = this->cells.begin(); _iter416 != this->cells.end(); ++_iter416)
     {
-      xfer += oprot->writeI32((*_iter402));
+      xfer += oprot->writeI32((*_iter416));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12278,10 +12664,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter403;
-    for (_iter403 = this->counts.begin(); _iter403 != this->counts.end(); ++_iter403)
+    std::vector<int32_t> ::const_iterator _iter417;
+    for (_iter417 = this->counts.begin(); _iter417 != this->counts.end(); ++_iter417)
     {
-      xfer += oprot->writeI32((*_iter403));
+      xfer += oprot->writeI32((*_iter417));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12314,70 +12700,70 @@
   swap(a.__isset, b.__isset);
 }
 
-RankReport::RankReport(const RankReport& other404) {
-  sequence = other404.sequence;
-  group = other404.group;
-  shape = other404.shape;
-  rank = other404.rank;
-  incarnation = other404.incarnation;
-  step = other404.step;
-  granted = other404.granted;
-  loaded = other404.loaded;
-  window = other404.window;
-  windowMicros = other404.windowMicros;
-  cells = other404.cells;
-  counts = other404.counts;
-  windowSteps = other404.windowSteps;
-  __isset = other404.__isset;
-}
-RankReport::RankReport(RankReport&& other405) noexcept {
-  sequence = other405.sequence;
-  group = std::move(other405.group);
-  shape = std::move(other405.shape);
-  rank = other405.rank;
-  incarnation = other405.incarnation;
-  step = other405.step;
-  granted = other405.granted;
-  loaded = std::move(other405.loaded);
-  window = other405.window;
-  windowMicros = other405.windowMicros;
-  cells = std::move(other405.cells);
-  counts = std::move(other405.counts);
-  windowSteps = other405.windowSteps;
-  __isset = other405.__isset;
-}
-RankReport& RankReport::operator=(const RankReport& other406) {
-  sequence = other406.sequence;
-  group = other406.group;
-  shape = other406.shape;
-  rank = other406.rank;
-  incarnation = other406.incarnation;
-  step = other406.step;
-  granted = other406.granted;
-  loaded = other406.loaded;
-  window = other406.window;
-  windowMicros = other406.windowMicros;
-  cells = other406.cells;
-  counts = other406.counts;
-  windowSteps = other406.windowSteps;
-  __isset = other406.__isset;
-  return *this;
-}
-RankReport& RankReport::operator=(RankReport&& other407) noexcept {
-  sequence = other407.sequence;
-  group = std::move(other407.group);
-  shape = std::move(other407.shape);
-  rank = other407.rank;
-  incarnation = other407.incarnation;
-  step = other407.step;
-  granted = other407.granted;
-  loaded = std::move(other407.loaded);
-  window = other407.window;
-  windowMicros = other407.windowMicros;
-  cells = std::move(other407.cells);
-  counts = std::move(other407.counts);
-  windowSteps = other407.windowSteps;
-  __isset = other407.__isset;
+RankReport::RankReport(const RankReport& other418) {
+  sequence = other418.sequence;
+  group = other418.group;
+  shape = other418.shape;
+  rank = other418.rank;
+  incarnation = other418.incarnation;
+  step = other418.step;
+  granted = other418.granted;
+  loaded = other418.loaded;
+  window = other418.window;
+  windowMicros = other418.windowMicros;
+  cells = other418.cells;
+  counts = other418.counts;
+  windowSteps = other418.windowSteps;
+  __isset = other418.__isset;
+}
+RankReport::RankReport(RankReport&& other419) noexcept {
+  sequence = other419.sequence;
+  group = std::move(other419.group);
+  shape = std::move(other419.shape);
+  rank = other419.rank;
+  incarnation = other419.incarnation;
+  step = other419.step;
+  granted = other419.granted;
+  loaded = std::move(other419.loaded);
+  window = other419.window;
+  windowMicros = other419.windowMicros;
+  cells = std::move(other419.cells);
+  counts = std::move(other419.counts);
+  windowSteps = other419.windowSteps;
+  __isset = other419.__isset;
+}
+RankReport& RankReport::operator=(const RankReport& other420) {
+  sequence = other420.sequence;
+  group = other420.group;
+  shape = other420.shape;
+  rank = other420.rank;
+  incarnation = other420.incarnation;
+  step = other420.step;
+  granted = other420.granted;
+  loaded = other420.loaded;
+  window = other420.window;
+  windowMicros = other420.windowMicros;
+  cells = other420.cells;
+  counts = other420.counts;
+  windowSteps = other420.windowSteps;
+  __isset = other420.__isset;
+  return *this;
+}
+RankReport& RankReport::operator=(RankReport&& other421) noexcept {
+  sequence = other421.sequence;
+  group = std::move(other421.group);
+  shape = std::move(other421.shape);
+  rank = other421.rank;
+  incarnation = other421.incarnation;
+  step = other421.step;
+  granted = other421.granted;
+  loaded = std::move(other421.loaded);
+  window = other421.window;
+  windowMicros = other421.windowMicros;
+  cells = std::move(other421.cells);
+  counts = std::move(other421.counts);
+  windowSteps = other421.windowSteps;
+  __isset = other421.__isset;
   return *this;
 }
 void RankReport::printTo(std::ostream& out) const {
@@ -12499,14 +12885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size408;
-            ::apache::thrift::protocol::TType _etype411;
-            xfer += iprot->readListBegin(_etype411, _size408);
-            this->ranges.resize(_size408);
-            uint32_t _i412;
-            for (_i412 = 0; _i412 < _size408; ++_i412)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->ranges.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += this->ranges[_i412].read(iprot);
+              xfer += this->ranges[_i426].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12535,14 +12921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size413;
-            ::apache::thrift::protocol::TType _etype416;
-            xfer += iprot->readListBegin(_etype416, _size413);
-            this->maps.resize(_size413);
-            uint32_t _i417;
-            for (_i417 = 0; _i417 < _size413; ++_i417)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->maps.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->maps[_i417].read(iprot);
+              xfer += this->maps[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12587,10 +12973,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter418;
-    for (_iter418 = this->ranges.begin(); _iter418 != this->ranges.end(); ++_iter418)
+    std::vector<StepRange> ::const_iterator _iter432;
+    for (_iter432 = this->ranges.begin(); _iter432 != this->ranges.end(); ++_iter432)
     {
-      xfer += (*_iter418).write(oprot);
+      xfer += (*_iter432).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12607,10 +12993,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter419;
-    for (_iter419 = this->maps.begin(); _iter419 != this->maps.end(); ++_iter419)
+    std::vector<ExpertMap> ::const_iterator _iter433;
+    for (_iter433 = this->maps.begin(); _iter433 != this->maps.end(); ++_iter433)
     {
-      xfer += (*_iter419).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12634,50 +13020,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StepGrant::StepGrant(const StepGrant& other420) {
-  sequence = other420.sequence;
-  group = other420.group;
-  leads = other420.leads;
-  leaderHint = other420.leaderHint;
-  ranges = other420.ranges;
-  loadMap = other420.loadMap;
-  droppableThrough = other420.droppableThrough;
-  maps = other420.maps;
-  __isset = other420.__isset;
-}
-StepGrant::StepGrant(StepGrant&& other421) noexcept {
-  sequence = other421.sequence;
-  group = std::move(other421.group);
-  leads = other421.leads;
-  leaderHint = std::move(other421.leaderHint);
-  ranges = std::move(other421.ranges);
-  loadMap = other421.loadMap;
-  droppableThrough = other421.droppableThrough;
-  maps = std::move(other421.maps);
-  __isset = other421.__isset;
+StepGrant::StepGrant(const StepGrant& other434) {
+  sequence = other434.sequence;
+  group = other434.group;
+  leads = other434.leads;
+  leaderHint = other434.leaderHint;
+  ranges = other434.ranges;
+  loadMap = other434.loadMap;
+  droppableThrough = other434.droppableThrough;
+  maps = other434.maps;
+  __isset = other434.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other435) noexcept {
+  sequence = other435.sequence;
+  group = std::move(other435.group);
+  leads = other435.leads;
+  leaderHint = std::move(other435.leaderHint);
+  ranges = std::move(other435.ranges);
+  loadMap = other435.loadMap;
+  droppableThrough = other435.droppableThrough;
+  maps = std::move(other435.maps);
+  __isset = other435.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other436) {
+  sequence = other436.sequence;
+  group = other436.group;
+  leads = other436.leads;
+  leaderHint = other436.leaderHint;
+  ranges = other436.ranges;
+  loadMap = other436.loadMap;
+  droppableThrough = other436.droppableThrough;
+  maps = other436.maps;
+  __isset = other436.__isset;
+  return *this;
 }
-StepGrant& StepGrant::operator=(const StepGrant& other422) {
-  sequence = other422.sequence;
-  group = other422.group;
-  leads = other422.leads;
-  leaderHint = other422.leaderHint;
-  ranges = other422.ranges;
-  loadMap = other422.loadMap;
-  droppableThrough = other422.droppableThrough;
-  maps = other422.maps;
-  __isset = other422.__isset;
-  return *this;
-}
-StepGrant& StepGrant::operator=(StepGrant&& other423) noexcept {
-  sequence = other423.sequence;
-  group = std::move(other423.group);
-  leads = other423.leads;
-  leaderHint = std::move(other423.leaderHint);
-  ranges = std::move(other423.ranges);
-  loadMap = other423.loadMap;
-  droppableThrough = other423.droppableThrough;
-  maps = std::move(other423.maps);
-  __isset = other423.__isset;
+StepGrant& StepGrant::operator=(StepGrant&& other437) noexcept {
+  sequence = other437.sequence;
+  group = std::move(other437.group);
+  leads = other437.leads;
+  leaderHint = std::move(other437.leaderHint);
+  ranges = std::move(other437.ranges);
+  loadMap = other437.loadMap;
+  droppableThrough = other437.droppableThrough;
+  maps = std::move(other437.maps);
+  __isset = other437.__isset;
   return *this;
 }
 void StepGrant::printTo(std::ostream& out) const {
@@ -12906,14 +13292,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->counts.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->counts.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += iprot->readI32(this->counts[_i428]);
+              xfer += iprot->readI32(this->counts[_i442]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12926,14 +13312,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size429;
-            ::apache::thrift::protocol::TType _etype432;
-            xfer += iprot->readListBegin(_etype432, _size429);
-            this->experts.resize(_size429);
-            uint32_t _i433;
-            for (_i433 = 0; _i433 < _size429; ++_i433)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->experts.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              xfer += iprot->readI32(this->experts[_i433]);
+              xfer += iprot->readI32(this->experts[_i447]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13058,10 +13444,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter434;
-    for (_iter434 = this->counts.begin(); _iter434 != this->counts.end(); ++_iter434)
+    std::vector<int32_t> ::const_iterator _iter448;
+    for (_iter448 = this->counts.begin(); _iter448 != this->counts.end(); ++_iter448)
     {
-      xfer += oprot->writeI32((*_iter434));
+      xfer += oprot->writeI32((*_iter448));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13070,10 +13456,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter435;
-    for (_iter435 = this->experts.begin(); _iter435 != this->experts.end(); ++_iter435)
+    std::vector<int32_t> ::const_iterator _iter449;
+    for (_iter449 = this->experts.begin(); _iter449 != this->experts.end(); ++_iter449)
     {
-      xfer += oprot->writeI32((*_iter435));
+      xfer += oprot->writeI32((*_iter449));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13133,98 +13519,98 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other436) {
-  sequence = other436.sequence;
-  group = other436.group;
-  epoch = other436.epoch;
-  rank = other436.rank;
-  ranks = other436.ranks;
-  open = other436.open;
-  step = other436.step;
-  mapVersion = other436.mapVersion;
-  preparedVersion = other436.preparedVersion;
-  armedVersion = other436.armedVersion;
-  armedStep = other436.armedStep;
-  heldStep = other436.heldStep;
-  counts = other436.counts;
-  experts = other436.experts;
-  lastCommand = other436.lastCommand;
-  lastResult = other436.lastResult;
-  uncertainMicros = other436.uncertainMicros;
-  address = other436.address;
-  running = other436.running;
-  waiting = other436.waiting;
-  __isset = other436.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other450) {
+  sequence = other450.sequence;
+  group = other450.group;
+  epoch = other450.epoch;
+  rank = other450.rank;
+  ranks = other450.ranks;
+  open = other450.open;
+  step = other450.step;
+  mapVersion = other450.mapVersion;
+  preparedVersion = other450.preparedVersion;
+  armedVersion = other450.armedVersion;
+  armedStep = other450.armedStep;
+  heldStep = other450.heldStep;
+  counts = other450.counts;
+  experts = other450.experts;
+  lastCommand = other450.lastCommand;
+  lastResult = other450.lastResult;
+  uncertainMicros = other450.uncertainMicros;
+  address = other450.address;
+  running = other450.running;
+  waiting = other450.waiting;
+  __isset = other450.__isset;
 }
-EngineStatus::EngineStatus(EngineStatus&& other437) noexcept {
-  sequence = other437.sequence;
-  group = std::move(other437.group);
-  epoch = other437.epoch;
-  rank = other437.rank;
-  ranks = other437.ranks;
-  open = other437.open;
-  step = other437.step;
-  mapVersion = other437.mapVersion;
-  preparedVersion = other437.preparedVersion;
-  armedVersion = other437.armedVersion;
-  armedStep = other437.armedStep;
-  heldStep = other437.heldStep;
-  counts = std::move(other437.counts);
-  experts = std::move(other437.experts);
-  lastCommand = other437.lastCommand;
-  lastResult = other437.lastResult;
-  uncertainMicros = other437.uncertainMicros;
-  address = std::move(other437.address);
-  running = other437.running;
-  waiting = other437.waiting;
-  __isset = other437.__isset;
+EngineStatus::EngineStatus(EngineStatus&& other451) noexcept {
+  sequence = other451.sequence;
+  group = std::move(other451.group);
+  epoch = other451.epoch;
+  rank = other451.rank;
+  ranks = other451.ranks;
+  open = other451.open;
+  step = other451.step;
+  mapVersion = other451.mapVersion;
+  preparedVersion = other451.preparedVersion;
+  armedVersion = other451.armedVersion;
+  armedStep = other451.armedStep;
+  heldStep = other451.heldStep;
+  counts = std::move(other451.counts);
+  experts = std::move(other451.experts);
+  lastCommand = other451.lastCommand;
+  lastResult = other451.lastResult;
+  uncertainMicros = other451.uncertainMicros;
+  address = std::move(other451.address);
+  running = other451.running;
+  waiting = other451.waiting;
+  __isset = other451.__isset;
+}
+EngineStatus& EngineStatus::operator=(const EngineStatus& other452) {
+  sequence = other452.sequence;
+  group = other452.group;
+  epoch = other452.epoch;
+  rank = other452.rank;
+  ranks = other452.ranks;
+  open = other452.open;
+  step = other452.step;
+  mapVersion = other452.mapVersion;
+  preparedVersion = other452.preparedVersion;
+  armedVersion = other452.armedVersion;
+  armedStep = other452.armedStep;
+  heldStep = other452.heldStep;
+  counts = other452.counts;
+  experts = other452.experts;
+  lastCommand = other452.lastCommand;
+  lastResult = other452.lastResult;
+  uncertainMicros = other452.uncertainMicros;
+  address = other452.address;
+  running = other452.running;
+  waiting = other452.waiting;
+  __isset = other452.__isset;
+  return *this;
 }
-EngineStatus& EngineStatus::operator=(const EngineStatus& other438) {
-  sequence = other438.sequence;
-  group = other438.group;
-  epoch = other438.epoch;
-  rank = other438.rank;
-  ranks = other438.ranks;
-  open = other438.open;
-  step = other438.step;
-  mapVersion = other438.mapVersion;
-  preparedVersion = other438.preparedVersion;
-  armedVersion = other438.armedVersion;
-  armedStep = other438.armedStep;
-  heldStep = other438.heldStep;
-  counts = other438.counts;
-  experts = other438.experts;
-  lastCommand = other438.lastCommand;
-  lastResult = other438.lastResult;
-  uncertainMicros = other438.uncertainMicros;
-  address = other438.address;
-  running = other438.running;
-  waiting = other438.waiting;
-  __isset = other438.__isset;
-  return *this;
-}
-EngineStatus& EngineStatus::operator=(EngineStatus&& other439) noexcept {
-  sequence = other439.sequence;
-  group = std::move(other439.group);
-  epoch = other439.epoch;
-  rank = other439.rank;
-  ranks = other439.ranks;
-  open = other439.open;
-  step = other439.step;
-  mapVersion = other439.mapVersion;
-  preparedVersion = other439.preparedVersion;
-  armedVersion = other439.armedVersion;
-  armedStep = other439.armedStep;
-  heldStep = other439.heldStep;
-  counts = std::move(other439.counts);
-  experts = std::move(other439.experts);
-  lastCommand = other439.lastCommand;
-  lastResult = other439.lastResult;
-  uncertainMicros = other439.uncertainMicros;
-  address = std::move(other439.address);
-  running = other439.running;
-  waiting = other439.waiting;
-  __isset = other439.__isset;
+EngineStatus& EngineStatus::operator=(EngineStatus&& other453) noexcept {
+  sequence = other453.sequence;
+  group = std::move(other453.group);
+  epoch = other453.epoch;
+  rank = other453.rank;
+  ranks = other453.ranks;
+  open = other453.open;
+  step = other453.step;
+  mapVersion = other453.mapVersion;
+  preparedVersion = other453.preparedVersion;
+  armedVersion = other453.armedVersion;
+  armedStep = other453.armedStep;
+  heldStep = other453.heldStep;
+  counts = std::move(other453.counts);
+  experts = std::move(other453.experts);
+  lastCommand = other453.lastCommand;
+  lastResult = other453.lastResult;
+  uncertainMicros = other453.uncertainMicros;
+  address = std::move(other453.address);
+  running = other453.running;
+  waiting = other453.waiting;
+  __isset = other453.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -13380,34 +13766,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatusReply::EngineStatusReply(const EngineStatusReply& other440) {
-  sequence = other440.sequence;
-  leads = other440.leads;
-  leaderHint = other440.leaderHint;
-  wantsExperts = other440.wantsExperts;
-  __isset = other440.__isset;
+EngineStatusReply::EngineStatusReply(const EngineStatusReply& other454) {
+  sequence = other454.sequence;
+  leads = other454.leads;
+  leaderHint = other454.leaderHint;
+  wantsExperts = other454.wantsExperts;
+  __isset = other454.__isset;
 }
-EngineStatusReply::EngineStatusReply(EngineStatusReply&& other441) noexcept {
-  sequence = other441.sequence;
-  leads = other441.leads;
-  leaderHint = std::move(other441.leaderHint);
-  wantsExperts = other441.wantsExperts;
-  __isset = other441.__isset;
+EngineStatusReply::EngineStatusReply(EngineStatusReply&& other455) noexcept {
+  sequence = other455.sequence;
+  leads = other455.leads;
+  leaderHint = std::move(other455.leaderHint);
+  wantsExperts = other455.wantsExperts;
+  __isset = other455.__isset;
 }
-EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other442) {
-  sequence = other442.sequence;
-  leads = other442.leads;
-  leaderHint = other442.leaderHint;
-  wantsExperts = other442.wantsExperts;
-  __isset = other442.__isset;
+EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other456) {
+  sequence = other456.sequence;
+  leads = other456.leads;
+  leaderHint = other456.leaderHint;
+  wantsExperts = other456.wantsExperts;
+  __isset = other456.__isset;
   return *this;
 }
-EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other443) noexcept {
-  sequence = other443.sequence;
-  leads = other443.leads;
-  leaderHint = std::move(other443.leaderHint);
-  wantsExperts = other443.wantsExperts;
-  __isset = other443.__isset;
+EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other457) noexcept {
+  sequence = other457.sequence;
+  leads = other457.leads;
+  leaderHint = std::move(other457.leaderHint);
+  wantsExperts = other457.wantsExperts;
+  __isset = other457.__isset;
   return *this;
 }
 void EngineStatusReply::printTo(std::ostream& out) const {
@@ -13540,14 +13926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size444;
-            ::apache::thrift::protocol::TType _etype447;
-            xfer += iprot->readListBegin(_etype447, _size444);
-            this->experts.resize(_size444);
-            uint32_t _i448;
-            for (_i448 = 0; _i448 < _size444; ++_i448)
+            uint32_t _size458;
+            ::apache::thrift::protocol::TType _etype461;
+            xfer += iprot->readListBegin(_etype461, _size458);
+            this->experts.resize(_size458);
+            uint32_t _i462;
+            for (_i462 = 0; _i462 < _size458; ++_i462)
             {
-              xfer += iprot->readI32(this->experts[_i448]);
+              xfer += iprot->readI32(this->experts[_i462]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13616,10 +14002,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter449;
-    for (_iter449 = this->experts.begin(); _iter449 != this->experts.end(); ++_iter449)
+    std::vector<int32_t> ::const_iterator _iter463;
+    for (_iter463 = this->experts.begin(); _iter463 != this->experts.end(); ++_iter463)
     {
-      xfer += oprot->writeI32((*_iter449));
+      xfer += oprot->writeI32((*_iter463));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13652,54 +14038,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineCommand::EngineCommand(const EngineCommand& other450) {
-  term = other450.term;
-  number = other450.number;
-  epoch = other450.epoch;
-  operation = other450.operation;
-  mapVersion = other450.mapVersion;
-  step = other450.step;
-  experts = other450.experts;
-  sets = other450.sets;
-  ranks = other450.ranks;
-  __isset = other450.__isset;
+EngineCommand::EngineCommand(const EngineCommand& other464) {
+  term = other464.term;
+  number = other464.number;
+  epoch = other464.epoch;
+  operation = other464.operation;
+  mapVersion = other464.mapVersion;
+  step = other464.step;
+  experts = other464.experts;
+  sets = other464.sets;
+  ranks = other464.ranks;
+  __isset = other464.__isset;
 }
-EngineCommand::EngineCommand(EngineCommand&& other451) noexcept {
-  term = other451.term;
-  number = other451.number;
-  epoch = other451.epoch;
-  operation = other451.operation;
-  mapVersion = other451.mapVersion;
-  step = other451.step;
-  experts = std::move(other451.experts);
-  sets = other451.sets;
-  ranks = other451.ranks;
-  __isset = other451.__isset;
+EngineCommand::EngineCommand(EngineCommand&& other465) noexcept {
+  term = other465.term;
+  number = other465.number;
+  epoch = other465.epoch;
+  operation = other465.operation;
+  mapVersion = other465.mapVersion;
+  step = other465.step;
+  experts = std::move(other465.experts);
+  sets = other465.sets;
+  ranks = other465.ranks;
+  __isset = other465.__isset;
 }
-EngineCommand& EngineCommand::operator=(const EngineCommand& other452) {
-  term = other452.term;
-  number = other452.number;
-  epoch = other452.epoch;
-  operation = other452.operation;
-  mapVersion = other452.mapVersion;
-  step = other452.step;
-  experts = other452.experts;
-  sets = other452.sets;
-  ranks = other452.ranks;
-  __isset = other452.__isset;
+EngineCommand& EngineCommand::operator=(const EngineCommand& other466) {
+  term = other466.term;
+  number = other466.number;
+  epoch = other466.epoch;
+  operation = other466.operation;
+  mapVersion = other466.mapVersion;
+  step = other466.step;
+  experts = other466.experts;
+  sets = other466.sets;
+  ranks = other466.ranks;
+  __isset = other466.__isset;
   return *this;
 }
-EngineCommand& EngineCommand::operator=(EngineCommand&& other453) noexcept {
-  term = other453.term;
-  number = other453.number;
-  epoch = other453.epoch;
-  operation = other453.operation;
-  mapVersion = other453.mapVersion;
-  step = other453.step;
-  experts = std::move(other453.experts);
-  sets = other453.sets;
-  ranks = other453.ranks;
-  __isset = other453.__isset;
+EngineCommand& EngineCommand::operator=(EngineCommand&& other467) noexcept {
+  term = other467.term;
+  number = other467.number;
+  epoch = other467.epoch;
+  operation = other467.operation;
+  mapVersion = other467.mapVersion;
+  step = other467.step;
+  experts = std::move(other467.experts);
+  sets = other467.sets;
+  ranks = other467.ranks;
+  __isset = other467.__isset;
   return *this;
 }
 void EngineCommand::printTo(std::ostream& out) const {
@@ -13844,34 +14230,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other454) {
-  address = other454.address;
-  running = other454.running;
-  waiting = other454.waiting;
-  ageMillis = other454.ageMillis;
-  __isset = other454.__isset;
-}
-EngineLoad::EngineLoad(EngineLoad&& other455) noexcept {
-  address = std::move(other455.address);
-  running = other455.running;
-  waiting = other455.waiting;
-  ageMillis = other455.ageMillis;
-  __isset = other455.__isset;
-}
-EngineLoad& EngineLoad::operator=(const EngineLoad& other456) {
-  address = other456.address;
-  running = other456.running;
-  waiting = other456.waiting;
-  ageMillis = other456.ageMillis;
-  __isset = other456.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other468) {
+  address = other468.address;
+  running = other468.running;
+  waiting = other468.waiting;
+  ageMillis = other468.ageMillis;
+  __isset = other468.__isset;
+}
+EngineLoad::EngineLoad(EngineLoad&& other469) noexcept {
+  address = std::move(other469.address);
+  running = other469.running;
+  waiting = other469.waiting;
+  ageMillis = other469.ageMillis;
+  __isset = other469.__isset;
+}
+EngineLoad& EngineLoad::operator=(const EngineLoad& other470) {
+  address = other470.address;
+  running = other470.running;
+  waiting = other470.waiting;
+  ageMillis = other470.ageMillis;
+  __isset = other470.__isset;
   return *this;
 }
-EngineLoad& EngineLoad::operator=(EngineLoad&& other457) noexcept {
-  address = std::move(other457.address);
-  running = other457.running;
-  waiting = other457.waiting;
-  ageMillis = other457.ageMillis;
-  __isset = other457.__isset;
+EngineLoad& EngineLoad::operator=(EngineLoad&& other471) noexcept {
+  address = std::move(other471.address);
+  running = other471.running;
+  waiting = other471.waiting;
+  ageMillis = other471.ageMillis;
+  __isset = other471.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -13904,6 +14290,26 @@
 void FleetLoad::__set_entries(const int32_t val) {
   this->entries = val;
 }
+
+void FleetLoad::__set_group(const std::string& val) {
+  this->group = val;
+__isset.group = true;
+}
+
+void FleetLoad::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
+
+void FleetLoad::__set_term(const int64_t val) {
+  this->term = val;
+__isset.term = true;
+}
+
+void FleetLoad::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetLoad& obj)
 {
   obj.printTo(out);
@@ -13952,14 +14358,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size458;
-            ::apache::thrift::protocol::TType _etype461;
-            xfer += iprot->readListBegin(_etype461, _size458);
-            this->engines.resize(_size458);
-            uint32_t _i462;
-            for (_i462 = 0; _i462 < _size458; ++_i462)
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->engines.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
             {
-              xfer += this->engines[_i462].read(iprot);
+              xfer += this->engines[_i476].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13976,6 +14382,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14004,10 +14442,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineLoad> ::const_iterator _iter463;
-    for (_iter463 = this->engines.begin(); _iter463 != this->engines.end(); ++_iter463)
+    std::vector<EngineLoad> ::const_iterator _iter477;
+    for (_iter477 = this->engines.begin(); _iter477 != this->engines.end(); ++_iter477)
     {
-      xfer += (*_iter463).write(oprot);
+      xfer += (*_iter477).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14017,6 +14455,26 @@
   xfer += oprot->writeI32(this->entries);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.group) {
+    xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->group);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.term) {
+    xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->term);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14028,37 +14486,57 @@
   swap(a.passMicros, b.passMicros);
   swap(a.engines, b.engines);
   swap(a.entries, b.entries);
+  swap(a.group, b.group);
+  swap(a.epoch, b.epoch);
+  swap(a.term, b.term);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-FleetLoad::FleetLoad(const FleetLoad& other464) {
-  open = other464.open;
-  passMicros = other464.passMicros;
-  engines = other464.engines;
-  entries = other464.entries;
-  __isset = other464.__isset;
-}
-FleetLoad::FleetLoad(FleetLoad&& other465) noexcept {
-  open = other465.open;
-  passMicros = other465.passMicros;
-  engines = std::move(other465.engines);
-  entries = other465.entries;
-  __isset = other465.__isset;
-}
-FleetLoad& FleetLoad::operator=(const FleetLoad& other466) {
-  open = other466.open;
-  passMicros = other466.passMicros;
-  engines = other466.engines;
-  entries = other466.entries;
-  __isset = other466.__isset;
+FleetLoad::FleetLoad(const FleetLoad& other478) {
+  open = other478.open;
+  passMicros = other478.passMicros;
+  engines = other478.engines;
+  entries = other478.entries;
+  group = other478.group;
+  epoch = other478.epoch;
+  term = other478.term;
+  sequence = other478.sequence;
+  __isset = other478.__isset;
+}
+FleetLoad::FleetLoad(FleetLoad&& other479) noexcept {
+  open = other479.open;
+  passMicros = other479.passMicros;
+  engines = std::move(other479.engines);
+  entries = other479.entries;
+  group = std::move(other479.group);
+  epoch = other479.epoch;
+  term = other479.term;
+  sequence = other479.sequence;
+  __isset = other479.__isset;
+}
+FleetLoad& FleetLoad::operator=(const FleetLoad& other480) {
+  open = other480.open;
+  passMicros = other480.passMicros;
+  engines = other480.engines;
+  entries = other480.entries;
+  group = other480.group;
+  epoch = other480.epoch;
+  term = other480.term;
+  sequence = other480.sequence;
+  __isset = other480.__isset;
   return *this;
 }
-FleetLoad& FleetLoad::operator=(FleetLoad&& other467) noexcept {
-  open = other467.open;
-  passMicros = other467.passMicros;
-  engines = std::move(other467.engines);
-  entries = other467.entries;
-  __isset = other467.__isset;
+FleetLoad& FleetLoad::operator=(FleetLoad&& other481) noexcept {
+  open = other481.open;
+  passMicros = other481.passMicros;
+  engines = std::move(other481.engines);
+  entries = other481.entries;
+  group = std::move(other481.group);
+  epoch = other481.epoch;
+  term = other481.term;
+  sequence = other481.sequence;
+  __isset = other481.__isset;
   return *this;
 }
 void FleetLoad::printTo(std::ostream& out) const {
@@ -14068,6 +14546,10 @@
   out << ", " << "passMicros=" << to_string(passMicros);
   out << ", " << "engines=" << to_string(engines);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << ", " << "term="; (__isset.term ? (out << to_string(term)) : (out << "<null>"));
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14171,14 +14653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size468;
-            ::apache::thrift::protocol::TType _etype471;
-            xfer += iprot->readListBegin(_etype471, _size468);
-            this->ranges.resize(_size468);
-            uint32_t _i472;
-            for (_i472 = 0; _i472 < _size468; ++_i472)
+            uint32_t _size482;
+            ::apache::thrift::protocol::TType _etype485;
+            xfer += iprot->readListBegin(_etype485, _size482);
+            this->ranges.resize(_size482);
+            uint32_t _i486;
+            for (_i486 = 0; _i486 < _size482; ++_i486)
             {
-              xfer += this->ranges[_i472].read(iprot);
+              xfer += this->ranges[_i486].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14207,14 +14689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size473;
-            ::apache::thrift::protocol::TType _etype476;
-            xfer += iprot->readListBegin(_etype476, _size473);
-            this->maps.resize(_size473);
-            uint32_t _i477;
-            for (_i477 = 0; _i477 < _size473; ++_i477)
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->maps.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
             {
-              xfer += this->maps[_i477].read(iprot);
+              xfer += this->maps[_i491].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14299,10 +14781,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter478;
-    for (_iter478 = this->ranges.begin(); _iter478 != this->ranges.end(); ++_iter478)
+    std::vector<StepRange> ::const_iterator _iter492;
+    for (_iter492 = this->ranges.begin(); _iter492 != this->ranges.end(); ++_iter492)
     {
-      xfer += (*_iter478).write(oprot);
+      xfer += (*_iter492).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14319,10 +14801,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter479;
-    for (_iter479 = this->maps.begin(); _iter479 != this->maps.end(); ++_iter479)
+    std::vector<ExpertMap> ::const_iterator _iter493;
+    for (_iter493 = this->maps.begin(); _iter493 != this->maps.end(); ++_iter493)
     {
-      xfer += (*_iter479).write(oprot);
+      xfer += (*_iter493).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14374,66 +14856,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other480) {
-  name = other480.name;
-  shape = other480.shape;
-  ranges = other480.ranges;
-  proposed = other480.proposed;
-  highestMap = other480.highestMap;
-  maps = other480.maps;
-  pinned = other480.pinned;
-  changedMap = other480.changedMap;
-  reason = other480.reason;
-  bytes = other480.bytes;
-  bytesMoved = other480.bytesMoved;
-  changes = other480.changes;
-  __isset = other480.__isset;
+StateGroup::StateGroup(const StateGroup& other494) {
+  name = other494.name;
+  shape = other494.shape;
+  ranges = other494.ranges;
+  proposed = other494.proposed;
+  highestMap = other494.highestMap;
+  maps = other494.maps;
+  pinned = other494.pinned;
+  changedMap = other494.changedMap;
+  reason = other494.reason;
+  bytes = other494.bytes;
+  bytesMoved = other494.bytesMoved;
+  changes = other494.changes;
+  __isset = other494.__isset;
 }
-StateGroup::StateGroup(StateGroup&& other481) noexcept {
-  name = std::move(other481.name);
-  shape = std::move(other481.shape);
-  ranges = std::move(other481.ranges);
-  proposed = other481.proposed;
-  highestMap = other481.highestMap;
-  maps = std::move(other481.maps);
-  pinned = other481.pinned;
-  changedMap = other481.changedMap;
-  reason = std::move(other481.reason);
-  bytes = other481.bytes;
-  bytesMoved = other481.bytesMoved;
-  changes = other481.changes;
-  __isset = other481.__isset;
+StateGroup::StateGroup(StateGroup&& other495) noexcept {
+  name = std::move(other495.name);
+  shape = std::move(other495.shape);
+  ranges = std::move(other495.ranges);
+  proposed = other495.proposed;
+  highestMap = other495.highestMap;
+  maps = std::move(other495.maps);
+  pinned = other495.pinned;
+  changedMap = other495.changedMap;
+  reason = std::move(other495.reason);
+  bytes = other495.bytes;
+  bytesMoved = other495.bytesMoved;
+  changes = other495.changes;
+  __isset = other495.__isset;
+}
+StateGroup& StateGroup::operator=(const StateGroup& other496) {
+  name = other496.name;
+  shape = other496.shape;
+  ranges = other496.ranges;
+  proposed = other496.proposed;
+  highestMap = other496.highestMap;
+  maps = other496.maps;
+  pinned = other496.pinned;
+  changedMap = other496.changedMap;
+  reason = other496.reason;
+  bytes = other496.bytes;
+  bytesMoved = other496.bytesMoved;
+  changes = other496.changes;
+  __isset = other496.__isset;
+  return *this;
 }
-StateGroup& StateGroup::operator=(const StateGroup& other482) {
-  name = other482.name;
-  shape = other482.shape;
-  ranges = other482.ranges;
-  proposed = other482.proposed;
-  highestMap = other482.highestMap;
-  maps = other482.maps;
-  pinned = other482.pinned;
-  changedMap = other482.changedMap;
-  reason = other482.reason;
-  bytes = other482.bytes;
-  bytesMoved = other482.bytesMoved;
-  changes = other482.changes;
-  __isset = other482.__isset;
-  return *this;
-}
-StateGroup& StateGroup::operator=(StateGroup&& other483) noexcept {
-  name = std::move(other483.name);
-  shape = std::move(other483.shape);
-  ranges = std::move(other483.ranges);
-  proposed = other483.proposed;
-  highestMap = other483.highestMap;
-  maps = std::move(other483.maps);
-  pinned = other483.pinned;
-  changedMap = other483.changedMap;
-  reason = std::move(other483.reason);
-  bytes = other483.bytes;
-  bytesMoved = other483.bytesMoved;
-  changes = other483.changes;
-  __isset = other483.__isset;
+StateGroup& StateGroup::operator=(StateGroup&& other497) noexcept {
+  name = std::move(other497.name);
+  shape = std::move(other497.shape);
+  ranges = std::move(other497.ranges);
+  proposed = other497.proposed;
+  highestMap = other497.highestMap;
+  maps = std::move(other497.maps);
+  pinned = other497.pinned;
+  changedMap = other497.changedMap;
+  reason = std::move(other497.reason);
+  bytes = other497.bytes;
+  bytesMoved = other497.bytesMoved;
+  changes = other497.changes;
+  __isset = other497.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -14581,34 +15063,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other484) {
-  version = other484.version;
-  changeId = other484.changeId;
-  author = other484.author;
-  sheetHash = other484.sheetHash;
-  __isset = other484.__isset;
+StateVersion::StateVersion(const StateVersion& other498) {
+  version = other498.version;
+  changeId = other498.changeId;
+  author = other498.author;
+  sheetHash = other498.sheetHash;
+  __isset = other498.__isset;
 }
-StateVersion::StateVersion(StateVersion&& other485) noexcept {
-  version = other485.version;
-  changeId = std::move(other485.changeId);
-  author = std::move(other485.author);
-  sheetHash = other485.sheetHash;
-  __isset = other485.__isset;
+StateVersion::StateVersion(StateVersion&& other499) noexcept {
+  version = other499.version;
+  changeId = std::move(other499.changeId);
+  author = std::move(other499.author);
+  sheetHash = other499.sheetHash;
+  __isset = other499.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other486) {
-  version = other486.version;
-  changeId = other486.changeId;
-  author = other486.author;
-  sheetHash = other486.sheetHash;
-  __isset = other486.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other500) {
+  version = other500.version;
+  changeId = other500.changeId;
+  author = other500.author;
+  sheetHash = other500.sheetHash;
+  __isset = other500.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other487) noexcept {
-  version = other487.version;
-  changeId = std::move(other487.changeId);
-  author = std::move(other487.author);
-  sheetHash = other487.sheetHash;
-  __isset = other487.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other501) noexcept {
+  version = other501.version;
+  changeId = std::move(other501.changeId);
+  author = std::move(other501.author);
+  sheetHash = other501.sheetHash;
+  __isset = other501.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -14782,42 +15264,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other488) {
-  changeId = other488.changeId;
-  baseVersion = other488.baseVersion;
-  sheetHash = other488.sheetHash;
-  verdict = other488.verdict;
-  version = other488.version;
-  winner = other488.winner;
-  __isset = other488.__isset;
-}
-StateChange::StateChange(StateChange&& other489) noexcept {
-  changeId = std::move(other489.changeId);
-  baseVersion = other489.baseVersion;
-  sheetHash = other489.sheetHash;
-  verdict = other489.verdict;
-  version = other489.version;
-  winner = std::move(other489.winner);
-  __isset = other489.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other490) {
-  changeId = other490.changeId;
-  baseVersion = other490.baseVersion;
-  sheetHash = other490.sheetHash;
-  verdict = other490.verdict;
-  version = other490.version;
-  winner = other490.winner;
-  __isset = other490.__isset;
-  return *this;
-}
-StateChange& StateChange::operator=(StateChange&& other491) noexcept {
-  changeId = std::move(other491.changeId);
-  baseVersion = other491.baseVersion;
-  sheetHash = other491.sheetHash;
-  verdict = other491.verdict;
-  version = other491.version;
-  winner = std::move(other491.winner);
-  __isset = other491.__isset;
+StateChange::StateChange(const StateChange& other502) {
+  changeId = other502.changeId;
+  baseVersion = other502.baseVersion;
+  sheetHash = other502.sheetHash;
+  verdict = other502.verdict;
+  version = other502.version;
+  winner = other502.winner;
+  __isset = other502.__isset;
+}
+StateChange::StateChange(StateChange&& other503) noexcept {
+  changeId = std::move(other503.changeId);
+  baseVersion = other503.baseVersion;
+  sheetHash = other503.sheetHash;
+  verdict = other503.verdict;
+  version = other503.version;
+  winner = std::move(other503.winner);
+  __isset = other503.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other504) {
+  changeId = other504.changeId;
+  baseVersion = other504.baseVersion;
+  sheetHash = other504.sheetHash;
+  verdict = other504.verdict;
+  version = other504.version;
+  winner = other504.winner;
+  __isset = other504.__isset;
+  return *this;
+}
+StateChange& StateChange::operator=(StateChange&& other505) noexcept {
+  changeId = std::move(other505.changeId);
+  baseVersion = other505.baseVersion;
+  sheetHash = other505.sheetHash;
+  verdict = other505.verdict;
+  version = other505.version;
+  winner = std::move(other505.winner);
+  __isset = other505.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -15078,62 +15560,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other492) {
-  member = other492.member;
-  key = other492.key;
-  contentHash = other492.contentHash;
-  dispatch = other492.dispatch;
-  backend = other492.backend;
-  backendIncarnation = other492.backendIncarnation;
-  status = other492.status;
-  answerStored = other492.answerStored;
-  answerStatus = other492.answerStatus;
-  answerType = other492.answerType;
-  answer = other492.answer;
-  __isset = other492.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other493) noexcept {
-  member = std::move(other493.member);
-  key = std::move(other493.key);
-  contentHash = other493.contentHash;
-  dispatch = std::move(other493.dispatch);
-  backend = std::move(other493.backend);
-  backendIncarnation = other493.backendIncarnation;
-  status = other493.status;
-  answerStored = other493.answerStored;
-  answerStatus = other493.answerStatus;
-  answerType = std::move(other493.answerType);
-  answer = std::move(other493.answer);
-  __isset = other493.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other494) {
-  member = other494.member;
-  key = other494.key;
-  contentHash = other494.contentHash;
-  dispatch = other494.dispatch;
-  backend = other494.backend;
-  backendIncarnation = other494.backendIncarnation;
-  status = other494.status;
-  answerStored = other494.answerStored;
-  answerStatus = other494.answerStatus;
-  answerType = other494.answerType;
-  answer = other494.answer;
-  __isset = other494.__isset;
+StateRecord::StateRecord(const StateRecord& other506) {
+  member = other506.member;
+  key = other506.key;
+  contentHash = other506.contentHash;
+  dispatch = other506.dispatch;
+  backend = other506.backend;
+  backendIncarnation = other506.backendIncarnation;
+  status = other506.status;
+  answerStored = other506.answerStored;
+  answerStatus = other506.answerStatus;
+  answerType = other506.answerType;
+  answer = other506.answer;
+  __isset = other506.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other507) noexcept {
+  member = std::move(other507.member);
+  key = std::move(other507.key);
+  contentHash = other507.contentHash;
+  dispatch = std::move(other507.dispatch);
+  backend = std::move(other507.backend);
+  backendIncarnation = other507.backendIncarnation;
+  status = other507.status;
+  answerStored = other507.answerStored;
+  answerStatus = other507.answerStatus;
+  answerType = std::move(other507.answerType);
+  answer = std::move(other507.answer);
+  __isset = other507.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other508) {
+  member = other508.member;
+  key = other508.key;
+  contentHash = other508.contentHash;
+  dispatch = other508.dispatch;
+  backend = other508.backend;
+  backendIncarnation = other508.backendIncarnation;
+  status = other508.status;
+  answerStored = other508.answerStored;
+  answerStatus = other508.answerStatus;
+  answerType = other508.answerType;
+  answer = other508.answer;
+  __isset = other508.__isset;
   return *this;
 }
-StateRecord& StateRecord::operator=(StateRecord&& other495) noexcept {
-  member = std::move(other495.member);
-  key = std::move(other495.key);
-  contentHash = other495.contentHash;
-  dispatch = std::move(other495.dispatch);
-  backend = std::move(other495.backend);
-  backendIncarnation = other495.backendIncarnation;
-  status = other495.status;
-  answerStored = other495.answerStored;
-  answerStatus = other495.answerStatus;
-  answerType = std::move(other495.answerType);
-  answer = std::move(other495.answer);
-  __isset = other495.__isset;
+StateRecord& StateRecord::operator=(StateRecord&& other509) noexcept {
+  member = std::move(other509.member);
+  key = std::move(other509.key);
+  contentHash = other509.contentHash;
+  dispatch = std::move(other509.dispatch);
+  backend = std::move(other509.backend);
+  backendIncarnation = other509.backendIncarnation;
+  status = other509.status;
+  answerStored = other509.answerStored;
+  answerStatus = other509.answerStatus;
+  answerType = std::move(other509.answerType);
+  answer = std::move(other509.answer);
+  __isset = other509.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -15263,30 +15745,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other496) {
-  token = other496.token;
-  order = other496.order;
-  status = other496.status;
-  __isset = other496.__isset;
+StateOrder::StateOrder(const StateOrder& other510) {
+  token = other510.token;
+  order = other510.order;
+  status = other510.status;
+  __isset = other510.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other497) noexcept {
-  token = other497.token;
-  order = std::move(other497.order);
-  status = other497.status;
-  __isset = other497.__isset;
+StateOrder::StateOrder(StateOrder&& other511) noexcept {
+  token = other511.token;
+  order = std::move(other511.order);
+  status = other511.status;
+  __isset = other511.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other498) {
-  token = other498.token;
-  order = other498.order;
-  status = other498.status;
-  __isset = other498.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other512) {
+  token = other512.token;
+  order = other512.order;
+  status = other512.status;
+  __isset = other512.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other499) noexcept {
-  token = other499.token;
-  order = std::move(other499.order);
-  status = other499.status;
-  __isset = other499.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other513) noexcept {
+  token = other513.token;
+  order = std::move(other513.order);
+  status = other513.status;
+  __isset = other513.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -15352,6 +15834,11 @@
   this->groups = val;
 __isset.groups = true;
 }
+
+void StateSnapshot::__set_evacuations(const EvacuationNotice& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateSnapshot& obj)
 {
   obj.printTo(out);
@@ -15408,14 +15895,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size500;
-            ::apache::thrift::protocol::TType _etype503;
-            xfer += iprot->readListBegin(_etype503, _size500);
-            this->replicas.resize(_size500);
-            uint32_t _i504;
-            for (_i504 = 0; _i504 < _size500; ++_i504)
+            uint32_t _size514;
+            ::apache::thrift::protocol::TType _etype517;
+            xfer += iprot->readListBegin(_etype517, _size514);
+            this->replicas.resize(_size514);
+            uint32_t _i518;
+            for (_i518 = 0; _i518 < _size514; ++_i518)
             {
-              xfer += this->replicas[_i504].read(iprot);
+              xfer += this->replicas[_i518].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15444,14 +15931,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size505;
-            ::apache::thrift::protocol::TType _etype508;
-            xfer += iprot->readListBegin(_etype508, _size505);
-            this->versions.resize(_size505);
-            uint32_t _i509;
-            for (_i509 = 0; _i509 < _size505; ++_i509)
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->versions.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
             {
-              xfer += this->versions[_i509].read(iprot);
+              xfer += this->versions[_i523].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15464,14 +15951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size510;
-            ::apache::thrift::protocol::TType _etype513;
-            xfer += iprot->readListBegin(_etype513, _size510);
-            this->changes.resize(_size510);
-            uint32_t _i514;
-            for (_i514 = 0; _i514 < _size510; ++_i514)
+            uint32_t _size524;
+            ::apache::thrift::protocol::TType _etype527;
+            xfer += iprot->readListBegin(_etype527, _size524);
+            this->changes.resize(_size524);
+            uint32_t _i528;
+            for (_i528 = 0; _i528 < _size524; ++_i528)
             {
-              xfer += this->changes[_i514].read(iprot);
+              xfer += this->changes[_i528].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
