@@ -15492,14 +15979,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size515;
-            ::apache::thrift::protocol::TType _etype518;
-            xfer += iprot->readListBegin(_etype518, _size515);
-            this->records.resize(_size515);
-            uint32_t _i519;
-            for (_i519 = 0; _i519 < _size515; ++_i519)
+            uint32_t _size529;
+            ::apache::thrift::protocol::TType _etype532;
+            xfer += iprot->readListBegin(_etype532, _size529);
+            this->records.resize(_size529);
+            uint32_t _i533;
+            for (_i533 = 0; _i533 < _size529; ++_i533)
             {
-              xfer += this->records[_i519].read(iprot);
+              xfer += this->records[_i533].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15512,14 +15999,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size520;
-            ::apache::thrift::protocol::TType _etype523;
-            xfer += iprot->readListBegin(_etype523, _size520);
-            this->orders.resize(_size520);
-            uint32_t _i524;
-            for (_i524 = 0; _i524 < _size520; ++_i524)
+            uint32_t _size534;
+            ::apache::thrift::protocol::TType _etype537;
+            xfer += iprot->readListBegin(_etype537, _size534);
+            this->orders.resize(_size534);
+            uint32_t _i538;
+            for (_i538 = 0; _i538 < _size534; ++_i538)
             {
-              xfer += this->orders[_i524].read(iprot);
+              xfer += this->orders[_i538].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15532,14 +16019,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size525;
-            ::apache::thrift::protocol::TType _etype528;
-            xfer += iprot->readListBegin(_etype528, _size525);
-            this->groups.resize(_size525);
-            uint32_t _i529;
-            for (_i529 = 0; _i529 < _size525; ++_i529)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->groups.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += this->groups[_i529].read(iprot);
+              xfer += this->groups[_i543].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15548,6 +16035,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15580,10 +16075,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter530;
-    for (_iter530 = this->replicas.begin(); _iter530 != this->replicas.end(); ++_iter530)
+    std::vector<Replica> ::const_iterator _iter544;
+    for (_iter544 = this->replicas.begin(); _iter544 != this->replicas.end(); ++_iter544)
     {
-      xfer += (*_iter530).write(oprot);
+      xfer += (*_iter544).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15600,10 +16095,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter531;
-    for (_iter531 = this->versions.begin(); _iter531 != this->versions.end(); ++_iter531)
+    std::vector<StateVersion> ::const_iterator _iter545;
+    for (_iter545 = this->versions.begin(); _iter545 != this->versions.end(); ++_iter545)
     {
-      xfer += (*_iter531).write(oprot);
+      xfer += (*_iter545).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15612,10 +16107,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter532;
-    for (_iter532 = this->changes.begin(); _iter532 != this->changes.end(); ++_iter532)
+    std::vector<StateChange> ::const_iterator _iter546;
+    for (_iter546 = this->changes.begin(); _iter546 != this->changes.end(); ++_iter546)
     {
-      xfer += (*_iter532).write(oprot);
+      xfer += (*_iter546).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15628,10 +16123,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter533;
-    for (_iter533 = this->records.begin(); _iter533 != this->records.end(); ++_iter533)
+    std::vector<StateRecord> ::const_iterator _iter547;
+    for (_iter547 = this->records.begin(); _iter547 != this->records.end(); ++_iter547)
     {
-      xfer += (*_iter533).write(oprot);
+      xfer += (*_iter547).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15641,10 +16136,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter534;
-      for (_iter534 = this->orders.begin(); _iter534 != this->orders.end(); ++_iter534)
+      std::vector<StateOrder> ::const_iterator _iter548;
+      for (_iter548 = this->orders.begin(); _iter548 != this->orders.end(); ++_iter548)
       {
-        xfer += (*_iter534).write(oprot);
+        xfer += (*_iter548).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -15654,15 +16149,20 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter535;
-      for (_iter535 = this->groups.begin(); _iter535 != this->groups.end(); ++_iter535)
+      std::vector<StateGroup> ::const_iterator _iter549;
+      for (_iter549 = this->groups.begin(); _iter549 != this->groups.end(); ++_iter549)
       {
-        xfer += (*_iter535).write(oprot);
+        xfer += (*_iter549).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 26);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15682,69 +16182,74 @@
   swap(a.records, b.records);
   swap(a.orders, b.orders);
   swap(a.groups, b.groups);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other536) {
-  formatVersion = other536.formatVersion;
-  lastIndex = other536.lastIndex;
-  lastTerm = other536.lastTerm;
-  replicas = other536.replicas;
-  current = other536.current;
-  sheet = other536.sheet;
-  versions = other536.versions;
-  changes = other536.changes;
-  clockMicros = other536.clockMicros;
-  records = other536.records;
-  orders = other536.orders;
-  groups = other536.groups;
-  __isset = other536.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other537) noexcept {
-  formatVersion = other537.formatVersion;
-  lastIndex = other537.lastIndex;
-  lastTerm = other537.lastTerm;
-  replicas = std::move(other537.replicas);
-  current = std::move(other537.current);
-  sheet = std::move(other537.sheet);
-  versions = std::move(other537.versions);
-  changes = std::move(other537.changes);
-  clockMicros = other537.clockMicros;
-  records = std::move(other537.records);
-  orders = std::move(other537.orders);
-  groups = std::move(other537.groups);
-  __isset = other537.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other538) {
-  formatVersion = other538.formatVersion;
-  lastIndex = other538.lastIndex;
-  lastTerm = other538.lastTerm;
-  replicas = other538.replicas;
-  current = other538.current;
-  sheet = other538.sheet;
-  versions = other538.versions;
-  changes = other538.changes;
-  clockMicros = other538.clockMicros;
-  records = other538.records;
-  orders = other538.orders;
-  groups = other538.groups;
-  __isset = other538.__isset;
-  return *this;
-}
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other539) noexcept {
-  formatVersion = other539.formatVersion;
-  lastIndex = other539.lastIndex;
-  lastTerm = other539.lastTerm;
-  replicas = std::move(other539.replicas);
-  current = std::move(other539.current);
-  sheet = std::move(other539.sheet);
-  versions = std::move(other539.versions);
-  changes = std::move(other539.changes);
-  clockMicros = other539.clockMicros;
-  records = std::move(other539.records);
-  orders = std::move(other539.orders);
-  groups = std::move(other539.groups);
-  __isset = other539.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other550) {
+  formatVersion = other550.formatVersion;
+  lastIndex = other550.lastIndex;
+  lastTerm = other550.lastTerm;
+  replicas = other550.replicas;
+  current = other550.current;
+  sheet = other550.sheet;
+  versions = other550.versions;
+  changes = other550.changes;
+  clockMicros = other550.clockMicros;
+  records = other550.records;
+  orders = other550.orders;
+  groups = other550.groups;
+  evacuations = other550.evacuations;
+  __isset = other550.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other551) noexcept {
+  formatVersion = other551.formatVersion;
+  lastIndex = other551.lastIndex;
+  lastTerm = other551.lastTerm;
+  replicas = std::move(other551.replicas);
+  current = std::move(other551.current);
+  sheet = std::move(other551.sheet);
+  versions = std::move(other551.versions);
+  changes = std::move(other551.changes);
+  clockMicros = other551.clockMicros;
+  records = std::move(other551.records);
+  orders = std::move(other551.orders);
+  groups = std::move(other551.groups);
+  evacuations = std::move(other551.evacuations);
+  __isset = other551.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other552) {
+  formatVersion = other552.formatVersion;
+  lastIndex = other552.lastIndex;
+  lastTerm = other552.lastTerm;
+  replicas = other552.replicas;
+  current = other552.current;
+  sheet = other552.sheet;
+  versions = other552.versions;
+  changes = other552.changes;
+  clockMicros = other552.clockMicros;
+  records = other552.records;
+  orders = other552.orders;
+  groups = other552.groups;
+  evacuations = other552.evacuations;
+  __isset = other552.__isset;
+  return *this;
+}
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other553) noexcept {
+  formatVersion = other553.formatVersion;
+  lastIndex = other553.lastIndex;
+  lastTerm = other553.lastTerm;
+  replicas = std::move(other553.replicas);
+  current = std::move(other553.current);
+  sheet = std::move(other553.sheet);
+  versions = std::move(other553.versions);
+  changes = std::move(other553.changes);
+  clockMicros = other553.clockMicros;
+  records = std::move(other553.records);
+  orders = std::move(other553.orders);
+  groups = std::move(other553.groups);
+  evacuations = std::move(other553.evacuations);
+  __isset = other553.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -15762,6 +16267,7 @@
   out << ", " << "records=" << to_string(records);
   out << ", " << "orders="; (__isset.orders ? (out << to_string(orders)) : (out << "<null>"));
   out << ", " << "groups="; (__isset.groups ? (out << to_string(groups)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15858,26 +16364,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other540) noexcept {
-  protocolVersion = other540.protocolVersion;
-  messageType = other540.messageType;
-  __isset = other540.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other554) noexcept {
+  protocolVersion = other554.protocolVersion;
+  messageType = other554.messageType;
+  __isset = other554.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other541) noexcept {
-  protocolVersion = other541.protocolVersion;
-  messageType = other541.messageType;
-  __isset = other541.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other555) noexcept {
+  protocolVersion = other555.protocolVersion;
+  messageType = other555.messageType;
+  __isset = other555.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other542) noexcept {
-  protocolVersion = other542.protocolVersion;
-  messageType = other542.messageType;
-  __isset = other542.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other556) noexcept {
+  protocolVersion = other556.protocolVersion;
+  messageType = other556.messageType;
+  __isset = other556.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other543) noexcept {
-  protocolVersion = other543.protocolVersion;
-  messageType = other543.messageType;
-  __isset = other543.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other557) noexcept {
+  protocolVersion = other557.protocolVersion;
+  messageType = other557.messageType;
+  __isset = other557.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -99,6 +99,8 @@
 
 class GroupPin;
 
+class ZoneEvacuation;
+
 class Command;
 
 class LogEntry;
@@ -141,6 +143,8 @@
 
 class OutcomeReply;
 
+class EvacuationNotice;
+
 class LeaseRenew;
 
 class LeaseGrant;
@@ -1282,7 +1286,7 @@
 std::ostream& operator<<(std::ostream& out, const ResolveReply& obj);
 
 typedef struct _Announcement__isset {
-  _Announcement__isset() : backend(false), incarnation(false), sequence(false), status(false), kind(false), zone(false), trafficAddress(false), models(false), adapters(false), version(false), engineRole(false), concurrencyLimit(false), checksFencing(false), home(true) {}
+  _Announcement__isset() : backend(false), incarnation(false), sequence(false), status(false), kind(false), zone(false), trafficAddress(false), models(false), adapters(false), version(false), engineRole(false), concurrencyLimit(false), checksFencing(false), home(true), coldMillis(true) {}
   bool backend :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1297,6 +1301,7 @@
   bool concurrencyLimit :1;
   bool checksFencing :1;
   bool home :1;
+  bool coldMillis :1;
 } _Announcement__isset;
 
 class Announcement : public virtual ::apache::thrift::TBase {
@@ -1317,7 +1322,8 @@
                  engineRole(),
                  concurrencyLimit(0),
                  checksFencing(0),
-                 home(0LL) {
+                 home(0LL),
+                 coldMillis(0) {
   }
 
   virtual ~Announcement() noexcept;
@@ -1335,6 +1341,7 @@
   int32_t concurrencyLimit;
   bool checksFencing;
   int64_t home;
+  int32_t coldMillis;
 
   _Announcement__isset __isset;
 
@@ -1366,6 +1373,8 @@
 
   void __set_home(const int64_t val);
 
+  void __set_coldMillis(const int32_t val);
+
   bool operator == (const Announcement & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -1398,6 +1407,10 @@
       return false;
     else if (__isset.home && !(home == rhs.home))
       return false;
+    if (__isset.coldMillis != rhs.__isset.coldMillis)
+      return false;
+    else if (__isset.coldMillis && !(coldMillis == rhs.coldMillis))
+      return false;
     return true;
   }
   bool operator != (const Announcement &rhs) const {
@@ -2628,8 +2641,60 @@
 
 std::ostream& operator<<(std::ostream& out, const GroupPin& obj);
 
+typedef struct _ZoneEvacuation__isset {
+  _ZoneEvacuation__isset() : zone(false), evacuated(false) {}
+  bool zone :1;
+  bool evacuated :1;
+} _ZoneEvacuation__isset;
+
+class ZoneEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneEvacuation(const ZoneEvacuation&);
+  ZoneEvacuation(ZoneEvacuation&&) noexcept;
+  ZoneEvacuation& operator=(const ZoneEvacuation&);
+  ZoneEvacuation& operator=(ZoneEvacuation&&) noexcept;
+  ZoneEvacuation() noexcept
+                 : zone(),
+                   evacuated(0) {
+  }
+
+  virtual ~ZoneEvacuation() noexcept;
+  std::string zone;
+  bool evacuated;
+
+  _ZoneEvacuation__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_evacuated(const bool val);
+
+  bool operator == (const ZoneEvacuation & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneEvacuation &a, ZoneEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false), orderSubmission(false), orderCompletion(false), groupChange(false), groupPin(false) {}
+  _Command__isset() : noOperation(false), replicaChange(false), configChange(false), recordClaim(false), recordOutcome(false), orderSubmission(false), orderCompletion(false), groupChange(false), groupPin(false), zoneEvacuation(false) {}
   bool noOperation :1;
   bool replicaChange :1;
   bool configChange :1;
@@ -2639,6 +2704,7 @@
   bool orderCompletion :1;
   bool groupChange :1;
   bool groupPin :1;
+  bool zoneEvacuation :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2661,6 +2727,7 @@
   OrderCompletion orderCompletion;
   GroupChange groupChange;
   GroupPin groupPin;
+  ZoneEvacuation zoneEvacuation;
 
   _Command__isset __isset;
 
@@ -2682,6 +2749,8 @@
 
   void __set_groupPin(const GroupPin& val);
 
+  void __set_zoneEvacuation(const ZoneEvacuation& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.noOperation != rhs.__isset.noOperation)
@@ -2720,6 +2789,10 @@
       return false;
     else if (__isset.groupPin && !(groupPin == rhs.groupPin))
       return false;
+    if (__isset.zoneEvacuation != rhs.__isset.zoneEvacuation)
+      return false;
+    else if (__isset.zoneEvacuation && !(zoneEvacuation == rhs.zoneEvacuation))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -4061,13 +4134,65 @@
 
 std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
 
+typedef struct _EvacuationNotice__isset {
+  _EvacuationNotice__isset() : version(false), zones(false) {}
+  bool version :1;
+  bool zones :1;
+} _EvacuationNotice__isset;
+
+class EvacuationNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationNotice(const EvacuationNotice&);
+  EvacuationNotice(EvacuationNotice&&) noexcept;
+  EvacuationNotice& operator=(const EvacuationNotice&);
+  EvacuationNotice& operator=(EvacuationNotice&&) noexcept;
+  EvacuationNotice() noexcept
+                   : version(0) {
+  }
+
+  virtual ~EvacuationNotice() noexcept;
+  int64_t version;
+  std::vector<std::string>  zones;
+
+  _EvacuationNotice__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuationNotice & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationNotice &a, EvacuationNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationNotice& obj);
+
 typedef struct _LeaseRenew__isset {
-  _LeaseRenew__isset() : sequence(false), node(false), zone(false), appliedVersion(false), heardVersion(false) {}
+  _LeaseRenew__isset() : sequence(false), node(false), zone(false), appliedVersion(false), heardVersion(false), evacuationVersion(true) {}
   bool sequence :1;
   bool node :1;
   bool zone :1;
   bool appliedVersion :1;
   bool heardVersion :1;
+  bool evacuationVersion :1;
 } _LeaseRenew__isset;
 
 class LeaseRenew : public virtual ::apache::thrift::TBase {
@@ -4082,7 +4207,8 @@
                node(),
                zone(),
                appliedVersion(0),
-               heardVersion(0) {
+               heardVersion(0),
+               evacuationVersion(0LL) {
   }
 
   virtual ~LeaseRenew() noexcept;
@@ -4091,6 +4217,7 @@
   std::string zone;
   int64_t appliedVersion;
   int64_t heardVersion;
+  int64_t evacuationVersion;
 
   _LeaseRenew__isset __isset;
 
@@ -4104,6 +4231,8 @@
 
   void __set_heardVersion(const int64_t val);
 
+  void __set_evacuationVersion(const int64_t val);
+
   bool operator == (const LeaseRenew & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -4116,6 +4245,10 @@
       return false;
     if (!(heardVersion == rhs.heardVersion))
       return false;
+    if (__isset.evacuationVersion != rhs.__isset.evacuationVersion)
+      return false;
+    else if (__isset.evacuationVersion && !(evacuationVersion == rhs.evacuationVersion))
+      return false;
     return true;
   }
   bool operator != (const LeaseRenew &rhs) const {
@@ -4135,13 +4268,14 @@
 std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj);
 
 typedef struct _LeaseGrant__isset {
-  _LeaseGrant__isset() : sequence(false), granted(false), leaderHint(false), durationMicros(false), version(false), controllers(true) {}
+  _LeaseGrant__isset() : sequence(false), granted(false), leaderHint(false), durationMicros(false), version(false), controllers(true), evacuations(false) {}
   bool sequence :1;
   bool granted :1;
   bool leaderHint :1;
   bool durationMicros :1;
   bool version :1;
   bool controllers :1;
+  bool evacuations :1;
 } _LeaseGrant__isset;
 
 class LeaseGrant : public virtual ::apache::thrift::TBase {
@@ -4166,6 +4300,7 @@
   int64_t durationMicros;
   int64_t version;
   std::vector<Endpoint>  controllers;
+  EvacuationNotice evacuations;
 
   _LeaseGrant__isset __isset;
 
@@ -4181,6 +4316,8 @@
 
   void __set_controllers(const std::vector<Endpoint> & val);
 
+  void __set_evacuations(const EvacuationNotice& val);
+
   bool operator == (const LeaseGrant & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -4197,6 +4334,10 @@
       return false;
     else if (__isset.controllers && !(controllers == rhs.controllers))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const LeaseGrant &rhs) const {
@@ -4320,11 +4461,12 @@
 std::ostream& operator<<(std::ostream& out, const VersionQuery& obj);
 
 typedef struct _VersionReply__isset {
-  _VersionReply__isset() : sequence(false), version(false), sheet(false), zone(false) {}
+  _VersionReply__isset() : sequence(false), version(false), sheet(false), zone(false), evacuations(false) {}
   bool sequence :1;
   bool version :1;
   bool sheet :1;
   bool zone :1;
+  bool evacuations :1;
 } _VersionReply__isset;
 
 class VersionReply : public virtual ::apache::thrift::TBase {
@@ -4346,6 +4488,7 @@
   int64_t version;
   std::string sheet;
   std::string zone;
+  EvacuationNotice evacuations;
 
   _VersionReply__isset __isset;
 
@@ -4357,6 +4500,8 @@
 
   void __set_zone(const std::string& val);
 
+  void __set_evacuations(const EvacuationNotice& val);
+
   bool operator == (const VersionReply & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -4367,6 +4512,10 @@
       return false;
     if (!(zone == rhs.zone))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const VersionReply &rhs) const {
@@ -5381,11 +5530,15 @@
 std::ostream& operator<<(std::ostream& out, const EngineLoad& obj);
 
 typedef struct _FleetLoad__isset {
-  _FleetLoad__isset() : open(false), passMicros(false), engines(false), entries(false) {}
+  _FleetLoad__isset() : open(false), passMicros(false), engines(false), entries(false), group(false), epoch(true), term(true), sequence(true) {}
   bool open :1;
   bool passMicros :1;
   bool engines :1;
   bool entries :1;
+  bool group :1;
+  bool epoch :1;
+  bool term :1;
+  bool sequence :1;
 } _FleetLoad__isset;
 
 class FleetLoad : public virtual ::apache::thrift::TBase {
@@ -5398,7 +5551,11 @@
   FleetLoad() noexcept
             : open(0),
               passMicros(0),
-              entries(0) {
+              entries(0),
+              group(),
+              epoch(0LL),
+              term(0LL),
+              sequence(0LL) {
   }
 
   virtual ~FleetLoad() noexcept;
@@ -5406,6 +5563,10 @@
   int64_t passMicros;
   std::vector<EngineLoad>  engines;
   int32_t entries;
+  std::string group;
+  int64_t epoch;
+  int64_t term;
+  int64_t sequence;
 
   _FleetLoad__isset __isset;
 
@@ -5417,6 +5578,14 @@
 
   void __set_entries(const int32_t val);
 
+  void __set_group(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
   bool operator == (const FleetLoad & rhs) const
   {
     if (!(open == rhs.open))
@@ -5427,6 +5596,22 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (__isset.group != rhs.__isset.group)
+      return false;
+    else if (__isset.group && !(group == rhs.group))
+      return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
+    if (__isset.term != rhs.__isset.term)
+      return false;
+    else if (__isset.term && !(term == rhs.term))
+      return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const FleetLoad &rhs) const {
@@ -5882,7 +6067,7 @@
 std::ostream& operator<<(std::ostream& out, const StateOrder& obj);
 
 typedef struct _StateSnapshot__isset {
-  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false), orders(true), groups(false) {}
+  _StateSnapshot__isset() : formatVersion(false), lastIndex(false), lastTerm(false), replicas(false), current(false), sheet(false), versions(false), changes(false), clockMicros(false), records(false), orders(true), groups(false), evacuations(false) {}
   bool formatVersion :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -5895,6 +6080,7 @@
   bool records :1;
   bool orders :1;
   bool groups :1;
+  bool evacuations :1;
 } _StateSnapshot__isset;
 
 class StateSnapshot : public virtual ::apache::thrift::TBase {
@@ -5926,6 +6112,7 @@
   std::vector<StateRecord>  records;
   std::vector<StateOrder>  orders;
   std::vector<StateGroup>  groups;
+  EvacuationNotice evacuations;
 
   _StateSnapshot__isset __isset;
 
@@ -5953,6 +6140,8 @@
 
   void __set_groups(const std::vector<StateGroup> & val);
 
+  void __set_evacuations(const EvacuationNotice& val);
+
   bool operator == (const StateSnapshot & rhs) const
   {
     if (!(formatVersion == rhs.formatVersion))
@@ -5983,6 +6172,10 @@
       return false;
     else if (__isset.groups && !(groups == rhs.groups))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const StateSnapshot &rhs) const {
--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -23,8 +23,9 @@
   std::error_code error;
 };
 
-using control_call = std::variant<document_submitted, document_requested, backend_registered,
-                                  backend_withdrawn, metrics_requested, rejected_call>;
+using control_call =
+    std::variant<document_submitted, document_requested, zone_evacuation_submitted,
+                 backend_registered, backend_withdrawn, metrics_requested, rejected_call>;
 
 /// Reads calls of operators and backend servers.
 template <class W>
@@ -62,18 +63,34 @@
       case document_status::kFound:
         Respond(e.exchange, 200, e.text);
         return;
-      case document_status::kRedirected: {
-        endpoint leader{e.leader.host, port_};
-        std::string location = "http://" + ToString(leader) + target;
-        server_.Respond(e.exchange, 307, {{"Location", std::move(location)}}, {});
+      case document_status::kRedirected:
+        Redirect(e.exchange, e.leader, target);
         return;
-      }
       case document_status::kUnavailable:
         Respond(e.exchange, 503, "{}");
         return;
     }
   }
 
+  void Execute(const evacuation_answered& e) {
+    std::string target = std::exchange(targets_[e.exchange], {});
+    targets_.erase(e.exchange);
+    switch (e.status) {
+      case evacuation_status::kAccepted:
+        Respond(e.exchange, 200, "{}");
+        return;
+      case evacuation_status::kRedirected:
+        Redirect(e.exchange, e.leader, target);
+        return;
+      case evacuation_status::kUnavailable:
+        Respond(e.exchange, 503, "{}");
+        return;
+      case evacuation_status::kUnknownZone:
+        Respond(e.exchange, 404, "{}");
+        return;
+    }
+  }
+
   void Execute(const registration_answered& e) {
     targets_.erase(e.exchange);
     Respond(e.exchange, e.accepted ? 200 : 400, "{}");
@@ -107,6 +124,12 @@
         std::move(call));
   }
 
+  void Redirect(exchange_id exchange, const endpoint& to, const std::string& target) {
+    endpoint leader{to.host, port_};
+    std::string location = "http://" + ToString(leader) + target;
+    server_.Respond(exchange, 307, {{"Location", std::move(location)}}, {});
+  }
+
   void Respond(exchange_id exchange, unsigned status, std::string_view body) {
     server_.Respond(exchange, status, {{"Content-Type", "application/json"}}, body);
   }
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -33,6 +33,7 @@
   std::function<void(const crash_evidence&)> on_crash_evidence;
   std::function<void(const publish_document&)> on_document;
   std::function<void(const publish_fleet_load&)> on_fleet_load;
+  std::function<void(const publish_evacuations&)> on_evacuations;
   std::function<void(bool up)> on_engine_status;
   std::function<void(std::shared_ptr<const store_batch>)> on_store;
   std::function<void(const proposal_finished&)> on_proposal;
@@ -220,6 +221,9 @@
   void Execute(const publish_fleet_load& e) {
     if (hooks_.on_fleet_load) hooks_.on_fleet_load(e);
   }
+  void Execute(const publish_evacuations& e) {
+    if (hooks_.on_evacuations) hooks_.on_evacuations(e);
+  }
   void Execute(const publish_document& e) {
     if (hooks_.on_document) hooks_.on_document(e);
   }
--- a/src/io/wire.cc
+++ b/src/io/wire.cc
@@ -75,6 +75,7 @@
     wire_entry<56, config_push, wire::ConfigPush>,                  //
     wire_entry<57, version_query, wire::VersionQuery>,              //
     wire_entry<58, version_reply, wire::VersionReply>,              //
+    wire_entry<59, evacuation_notice, wire::EvacuationNotice>,      //
     wire_entry<80, fence_query, wire::FenceQuery>,                  //
     wire_entry<81, fence_reply, wire::FenceReply>,                  //
     wire_entry<82, fenced_order, wire::FencedOrder>,                //
--- a/src/io/wire_discovery.h
+++ b/src/io/wire_discovery.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROUTE_IO_WIRE_DISCOVERY_H_
 #define RADISHROUTE_IO_WIRE_DISCOVERY_H_
 
+#include <algorithm>
+
 #include "io/wire_basic.h"
 
 namespace radishroute {
@@ -21,6 +23,7 @@
   w.concurrencyLimit = Signed(m.concurrency_limit);
   w.checksFencing = m.checks_fencing;
   w.__set_home(Signed(m.home));
+  w.__set_coldMillis(static_cast<std::int32_t>(m.cold_remaining.count()));
   return w;
 }
 
@@ -40,6 +43,7 @@
   m.concurrency_limit = Unsigned(w.concurrencyLimit);
   m.checks_fencing = w.checksFencing;
   m.home = Unsigned(w.home);
+  m.cold_remaining = std::chrono::milliseconds(std::max(w.coldMillis, 0));
   return m;
 }
 
--- a/src/io/wire_engine.h
+++ b/src/io/wire_engine.h
@@ -118,6 +118,10 @@
   w.passMicros = MicrosToWire(m.pass);
   ListToWire(m.engines, w.engines);
   w.entries = static_cast<std::int32_t>(m.entries);
+  w.__set_group(m.group);
+  w.__set_epoch(Signed(m.epoch));
+  w.__set_term(Signed(m.term));
+  w.__set_sequence(Signed(m.sequence));
   return w;
 }
 
@@ -127,6 +131,10 @@
   m.pass = std::chrono::microseconds(w.passMicros);
   ConvertList(w.engines, m.engines, [&](const wire::EngineLoad& e) { return FromWire(e, ok); });
   m.entries = static_cast<std::uint32_t>(std::max(w.entries, 0));
+  m.group = w.group;
+  m.epoch = Unsigned(w.epoch);
+  m.term = Unsigned(w.term);
+  m.sequence = Unsigned(w.sequence);
   return m;
 }
 
--- a/src/io/wire_log.h
+++ b/src/io/wire_log.h
@@ -87,6 +87,13 @@
 
 inline void SetCommand(const group_pin& c, wire::Command& w) { w.__set_groupPin(ToWire(c)); }
 
+inline void SetCommand(const zone_evacuation& c, wire::Command& w) {
+  wire::ZoneEvacuation order;
+  order.zone = c.zone;
+  order.evacuated = c.evacuated;
+  w.__set_zoneEvacuation(order);
+}
+
 inline wire::Command ToWire(const command& c) {
   wire::Command w;
   std::visit([&](const auto& specific) { SetCommand(specific, w); }, c);
@@ -137,6 +144,9 @@
   if (w.__isset.orderCompletion) return FromWire(w.orderCompletion, ok);
   if (w.__isset.groupChange) return FromWire(w.groupChange, ok);
   if (w.__isset.groupPin) return FromWire(w.groupPin, ok);
+  if (w.__isset.zoneEvacuation) {
+    return zone_evacuation{w.zoneEvacuation.zone, w.zoneEvacuation.evacuated};
+  }
   // A command of a newer version: applying it as nothing would make replicas diverge.
   if (!w.__isset.noOperation) ok = false;
   return no_operation{};
--- a/src/io/wire_records.h
+++ b/src/io/wire_records.h
@@ -96,6 +96,17 @@
   return {Unsigned(w.proposal), EnumFromWire(w.verdict, outcome_verdict::kContradiction, ok)};
 }
 
+inline wire::EvacuationNotice ToWire(const evacuation_notice& m) {
+  wire::EvacuationNotice w;
+  w.version = Signed(m.version);
+  w.zones = m.zones;
+  return w;
+}
+
+inline evacuation_notice FromWire(const wire::EvacuationNotice& w, bool&) {
+  return {Unsigned(w.version), w.zones};
+}
+
 inline wire::LeaseRenew ToWire(const lease_renew& m) {
   wire::LeaseRenew w;
   w.sequence = Signed(m.sequence);
@@ -103,12 +114,17 @@
   w.zone = m.zone;
   w.appliedVersion = Signed(m.applied_version);
   w.heardVersion = Signed(m.highest_known_version);
+  w.__set_evacuationVersion(Signed(m.evacuation_version));
   return w;
 }
 
 inline lease_renew FromWire(const wire::LeaseRenew& w, bool&) {
-  return {Unsigned(w.sequence), w.node, w.zone, Unsigned(w.appliedVersion),
-          Unsigned(w.heardVersion)};
+  return {Unsigned(w.sequence),
+          w.node,
+          w.zone,
+          Unsigned(w.appliedVersion),
+          Unsigned(w.heardVersion),
+          Unsigned(w.evacuationVersion)};
 }
 
 inline wire::LeaseGrant ToWire(const lease_grant& m) {
@@ -121,6 +137,7 @@
   std::vector<wire::Endpoint> controllers;
   ListToWire(m.controllers, controllers);
   w.__set_controllers(std::move(controllers));
+  w.__set_evacuations(ToWire(m.evacuations));
   return w;
 }
 
@@ -133,6 +150,7 @@
   m.version = Unsigned(w.version);
   ConvertList(w.controllers, m.controllers,
               [&](const wire::Endpoint& e) { return FromWire(e, ok); });
+  m.evacuations = FromWire(w.evacuations, ok);
   return m;
 }
 
@@ -162,11 +180,12 @@
   w.version = Signed(m.version);
   w.sheet = m.sheet;
   w.zone = m.zone;
+  w.__set_evacuations(ToWire(m.evacuations));
   return w;
 }
 
-inline version_reply FromWire(const wire::VersionReply& w, bool&) {
-  return {Unsigned(w.sequence), Unsigned(w.version), w.sheet, w.zone};
+inline version_reply FromWire(const wire::VersionReply& w, bool& ok) {
+  return {Unsigned(w.sequence), Unsigned(w.version), w.sheet, w.zone, FromWire(w.evacuations, ok)};
 }
 
 }  // namespace radishroute
--- a/src/io/wire_state.cc
+++ b/src/io/wire_state.cc
@@ -8,6 +8,7 @@
 
 #include "io/wire_groups.h"
 #include "io/wire_log.h"
+#include "io/wire_records.h"
 #include "io/wire_traffic.h"
 #include "radishroute/state_codec.h"
 
@@ -142,6 +143,7 @@
   w.__isset.orders = true;
   ToWireList(state.groups, w.groups);
   w.__isset.groups = true;
+  w.__set_evacuations(radishroute::ToWire(state.evacuations));
   return w;
 }
 
@@ -157,6 +159,7 @@
   FromWireList(w.records, out.records.records, ok);
   FromWireList(w.orders, out.orders, ok);
   FromWireList(w.groups, out.groups, ok);
+  out.evacuations = radishroute::FromWire(w.evacuations, ok);
 }
 
 }  // namespace
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -156,6 +156,20 @@
       return "call-rejected";
     case event_code::kRegistrationRejected:
       return "registration-rejected";
+    case event_code::kEvacuationAnswered:
+      return "evacuation-answered";
+    case event_code::kEvacuationsChanged:
+      return "evacuations-changed";
+    case event_code::kEvacuationsApplied:
+      return "evacuations-applied";
+    case event_code::kBackendCold:
+      return "backend-cold";
+    case event_code::kRequestQueued:
+      return "request-queued";
+    case event_code::kConnectionEvicted:
+      return "connection-evicted";
+    case event_code::kCapacityChanged:
+      return "capacity-changed";
     case event_code::kSettingsReloaded:
       return "settings-reloaded";
     case event_code::kGroupUnpinned:
--- a/src/raft_log.cc
+++ b/src/raft_log.cc
@@ -27,6 +27,7 @@
   return c.change_id.size() + c.author.size() + c.backend.size() + c.name.size();
 }
 std::size_t VariableSize(const order_completion&) { return 0; }
+std::size_t VariableSize(const zone_evacuation& c) { return c.zone.size(); }
 std::size_t VariableSize(const group_change& c) {
   std::size_t slots = 0;
   for (const layer_placement& layer : c.placement.layers) slots += layer.slots.size();
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -171,6 +171,7 @@
   std::uint32_t losses = 2;
   calls.ReadNumber("tolerated_losses", losses, 0, 4);
   out.voters = 2 * losses + 1;
+  calls.Read("zones", out.zones, false);
   calls.Read("registration_timeout_ms", out.registration_timeout, std::chrono::milliseconds(100),
              std::chrono::hours(1));
   calls.ReportUnknownKeys();
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -17,8 +17,8 @@
 }
 
 snapshot_state state_machine::Save() const {
-  return {last_index_,     last_term_,     replicas_,     config_.Save(),
-          records_.Save(), orders_.Save(), groups_.Save()};
+  return {last_index_,     last_term_,     replicas_,      config_.Save(),
+          records_.Save(), orders_.Save(), groups_.Save(), evacuations_.Save()};
 }
 
 std::error_code state_machine::Load(snapshot_state state) {
@@ -27,7 +27,8 @@
   bool valid = loaded.config_.Load(std::move(state.config)) &&
                loaded.records_.Load(std::move(state.records)) &&
                loaded.orders_.Load(std::move(state.orders)) &&
-               loaded.groups_.Load(std::move(state.groups));
+               loaded.groups_.Load(std::move(state.groups)) &&
+               loaded.evacuations_.Load(state.evacuations);
   if (!valid) return errc::kSnapshotCorrupt;
   loaded.last_index_ = state.last_index;
   loaded.last_term_ = state.last_term;
--- a/tests/backend_selector_test.cc
+++ b/tests/backend_selector_test.cc
@@ -17,6 +17,7 @@
 
 fleet_load MakeLoad(int engines, std::uint32_t running) {
   fleet_load load;
+  load.open = true;
   for (int i = 0; i < engines; ++i) {
     endpoint address{"10.0.0.1", static_cast<std::uint16_t>(i + 1)};
     load.engines.push_back({address, i == engines / 2 ? 0 : running, 0, milliseconds(0)});
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -99,6 +99,7 @@
         self.front, self.probe = free_port(), free_port()
         self.dir = tempfile.mkdtemp(prefix="radishroute-gateway-")
         self.controllers = [f"{h}:{self.call_port}" for h in self.hosts]
+        self.zones = []
 
     def settings(self, name, values):
         path = os.path.join(self.dir, name + ".json")
@@ -117,7 +118,8 @@
             "admin_listen": f"{host}:{self.admin_port}",
             "control_listen": f"{host}:{self.link_port}",
             "calls": {"listen": f"{host}:{self.call_port}", "controllers": self.controllers,
-                      "first_start": first_start, "tolerated_losses": 1}})
+                      "first_start": first_start, "tolerated_losses": 1,
+                      "zones": self.zones}})
         self.cluster.start(f"controller-{number}", ["controller", "--settings", path])
 
     def start_gateway(self):
@@ -154,9 +156,9 @@
             host = response.headers["Location"].split("/")[2].split(":")[0]
         return 503, b""
 
-    def register(self, server, sequence, state="ready"):
+    def register(self, server, sequence, state="ready", zone="a"):
         body = json.dumps({"service": "desk", "address": f"127.0.0.1:{server.server_port}",
-                           "zone": "a", "version": "v1", "slots": 4, "state": state,
+                           "zone": zone, "version": "v1", "slots": 4, "state": state,
                            "sequence": sequence, "born": 1000})
         status, _ = self.control("PUT", "/instances/" + server.name, body)
         assert status == 200, status
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -728,4 +728,55 @@
   CHECK(shared[0].evidence.successes[0].content == fingerprint{1});
 }
 
+// Guards against requests that reach an engine of a zone which operators have evacuated, by a new
+// request, a retry or a resumed stream, and against a stream that is cut off by the evacuation.
+TEST_CASE("no request is sent to an evacuated zone, and streams there complete") {
+  forwarder_fixture f;
+  f.SendRequest("/draft/1");
+  auto running = f.SingleSentRequest();
+  f.BeginResponse(running.id, 200, false, "text/event-stream");
+  f.SendRequest("/look/1");
+  auto interrupted = f.SingleSentRequest();
+  f.Handle(evacuations_published{{3, {"a"}}});
+  CHECK(f.All<cancel_upstream>().empty());
+  f.Handle(upstream_response_bytes{running.id, "id: 1\ndata: x\n\n"});
+  CHECK(f.All<forward_bytes>().size() == 1);
+  f.Handle(upstream_response_end{running.id});
+  CHECK(f.All<forward_end>().size() == 1);
+  // A retry finds no backend server, and neither does a new request, which is told that it has not
+  // run.
+  f.Handle(upstream_call_failed{interrupted.id, upstream_stage::kConnecting});
+  CHECK(f.All<start_upstream>().empty());
+  f.SendRequest("/book/1");
+  CHECK(f.All<start_upstream>().empty());
+  CHECK(f.ErrorStatus() == 503);
+  // Another table changes nothing, the end of the evacuation does.
+  f.Handle(evacuations_published{{4, {}}});
+  f.SendRequest("/book/2");
+  CHECK(f.All<start_upstream>().size() == 1);
+}
+
+// Guards against a gateway that forgets an evacuation as soon as the directory changes.
+TEST_CASE("an evacuation holds for engines that register during it") {
+  forwarder_fixture f;
+  f.Handle(evacuations_published{{3, {"b"}}});
+  auto table = std::make_shared<routing_table>();
+  table->directory_known = true;
+  for (int i = 0; i < 2; ++i) {
+    announcement a;
+    a.backend = "new-" + std::to_string(i);
+    a.zone = i == 0 ? "a" : "b";
+    a.traffic_address = {"10.0.0.2", static_cast<std::uint16_t>(80 + i)};
+    a.concurrency_limit = 4;
+    (i == 0 ? table->pools["draft"].local : table->pools["draft"].remote)
+        .push_back(static_cast<std::uint32_t>(i));
+    table->backends.push_back(a);
+  }
+  f.Handle(routing_table_published{table, steady_time::max()});
+  for (int i = 0; i < 20; ++i) {
+    f.SendRequest("/book/1");
+    CHECK(f.SingleSentRequest().backend == "new-0");
+  }
+}
+
 }  // namespace radishroute
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -67,6 +67,7 @@
   12: i32 concurrencyLimit
   13: bool checksFencing
   14: optional i64 home = 0
+  15: optional i32 coldMillis = 0
 }
 struct DirectoryDelta { 1: list<Announcement> records }
 struct DirectoryDigest { 1: i64 recordCount; 2: i64 hash; 3: optional bool reply = false }
@@ -125,6 +126,7 @@
   9: i64 bytes
 }
 struct GroupPin { 1: string group; 2: bool pinned }
+struct ZoneEvacuation { 1: string zone; 2: bool evacuated }
 // Exactly one field is set.
 struct Command {
   1: optional NoOperation noOperation
@@ -136,6 +138,7 @@
   11: optional OrderCompletion orderCompletion
   15: optional GroupChange groupChange
   16: optional GroupPin groupPin
+  17: optional ZoneEvacuation zoneEvacuation
 }
 struct LogEntry { 1: i64 term; 2: i64 index; 3: Command body }
 struct RaftHeader { 1: i32 logGroup; 2: i64 sender; 3: i64 recipient; 4: i64 term }
@@ -206,6 +209,9 @@
 }
 struct OutcomeReply { 1: i64 proposal; 2: i32 verdict }
 
+// Evacuated availability zones; the version is the log index of the last change. `messageType` number 59.
+struct EvacuationNotice { 1: i64 version; 2: list<string> zones }
+
 // Configuration leases. A duration is in microseconds.
 struct LeaseRenew {
   1: i64 sequence
@@ -213,6 +219,7 @@
   3: string zone
   4: i64 appliedVersion
   5: i64 heardVersion
+  6: optional i64 evacuationVersion = 0
 }
 struct LeaseGrant {
   1: i64 sequence
@@ -221,10 +228,17 @@
   4: i64 durationMicros
   5: i64 version
   6: optional list<Endpoint> controllers = []
+  7: optional EvacuationNotice evacuations
 }
 struct ConfigPush { 1: i64 version; 2: string author; 3: binary sheet }
 struct VersionQuery { 1: i64 sequence }
-struct VersionReply { 1: i64 sequence; 2: i64 version; 3: binary sheet; 4: string zone }
+struct VersionReply {
+  1: i64 sequence
+  2: i64 version
+  3: binary sheet
+  4: string zone
+  5: optional EvacuationNotice evacuations
+}
 
 // Fenced orders. `messageType` numbers 80-89.
 struct FenceQuery { 1: i64 sequence; 2: string backend; 3: i64 agentIncarnation }
@@ -298,7 +312,16 @@
 }
 
 struct EngineLoad { 1: Endpoint address; 2: i32 running; 3: i32 waiting; 4: i32 ageMillis }
-struct FleetLoad { 1: bool open; 2: i64 passMicros; 3: list<EngineLoad> engines; 4: i32 entries }
+struct FleetLoad {
+  1: bool open
+  2: i64 passMicros
+  3: list<EngineLoad> engines
+  4: i32 entries
+  5: optional string group
+  6: optional i64 epoch = 0
+  7: optional i64 term = 0
+  8: optional i64 sequence = 0
+}
 
 // Contents of a snapshot of the state machine.
 struct StateGroup {
@@ -351,6 +374,7 @@
   10: list<StateRecord> records
   20: optional list<StateOrder> orders = []
   25: optional list<StateGroup> groups
+  26: optional EvacuationNotice evacuations
 }
 
 // Precedes each message in a frame. `messageType` numbers are listed in src/io/wire.cc.
