Tell gateways that a server declared down in a split is up

The half that does not receive a server's registrations declares it down at all gateways; the other half sees no change and sends nothing. A controller that learns from another one that a server it has as down is up now tells its entries. The new test in registration_test failed before: no message to the entry was sent.

--- a/include/radishroute/discovery.h
+++ b/include/radishroute/discovery.h
@@ -115,6 +115,7 @@
                               reduce_context& ctx);
   void OnPushedDelta(link_id link, const directory_delta& delta, reduce_context& ctx);
   void SendToAll(const directory_delta& delta, bool controllers_only, reduce_context& ctx);
+  void SendToEntries(const directory_delta& delta, reduce_context& ctx) const;
   void ExchangeRegistrations(reduce_context& ctx);
   void ExpireRegistrations(reduce_context& ctx);
 
--- a/src/discovery_registration.cc
+++ b/src/discovery_registration.cc
@@ -141,6 +141,19 @@
   }
 }
 
+// This controller may have told entries that the backend server is down, while it was cut off from
+// the one that receives the registrations. That one sees no change and sends nothing.
+void directory::SendToEntries(const directory_delta& delta, reduce_context& ctx) const {
+  if (delta.records.empty()) return;
+  std::vector<link_id> entries;
+  for (const auto& [link, kind] : push_links_) {
+    if (!kind.to_controller) entries.push_back(link);
+  }
+  if (entries.empty()) return;
+  ctx.Emit(count{counter::kDirectoryDeltasSent, entries.size()});
+  ctx.Emit(broadcast_message{std::move(entries), delta});
+}
+
 void directory::Handle(const backend_registered& registered, reduce_context& ctx) {
   if (!IsPlausible(registered.record, ctx.wall)) {
     RejectRegistration(registered, "implausible", ctx);
@@ -179,6 +192,7 @@
   bool changed = was_pending && !pull_pending_;
   directory_delta corrections;
   directory_delta changes;
+  directory_delta returned;
   for (const announcement& record : delta.records) {
     auto current = records_.find(record.backend);
     bool outdated = current != records_.end() && record.status == backend_status::kDown &&
@@ -187,11 +201,16 @@
     // Another controller declared the backend server down, but this one has received a newer
     // registration.
     if (outdated && is_controller_) corrections.records.push_back(current->second);
+    bool was_down = current != records_.end() && current->second.status == backend_status::kDown;
     if (ResolveAddressConflict(record, changes, ctx) && AcceptRegistration(record, false, ctx)) {
       changed = true;
+      if (was_down && record.status == backend_status::kUp) returned.records.push_back(record);
     }
   }
-  if (is_controller_) SendToAll(corrections, false, ctx);
+  if (is_controller_) {
+    SendToAll(corrections, false, ctx);
+    SendToEntries(returned, ctx);
+  }
   if (changed || !changes.records.empty()) PublishRoutingTable(ctx);
 }
 
--- a/tests/registration_test.cc
+++ b/tests/registration_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <limits>
 
@@ -171,4 +172,30 @@
   }
 }
 
+// Guards against a backend server that gateways take for down for the rest of the day: during a
+// split of the controllers, those that do not receive its registrations declare it down, and the
+// one that does sees no change afterwards.
+TEST_CASE("entries learn from a controller that declared a backend server down that it is up") {
+  registration_fixture f;
+  f.ReceiveFromController(MakeRecord("e", 1, 5));
+  f.Tick(milliseconds(5001));
+  auto expired = f.fake.Sent<directory_delta>();
+  bool told = std::any_of(expired.begin(), expired.end(), [](const auto& sent) {
+    return sent.first == link_id{20} && sent.second.records.size() == 1 &&
+           sent.second.records[0].status == backend_status::kDown;
+  });
+  REQUIRE(told);
+  f.ReceiveFromController(MakeRecord("e", 1, 9));
+  auto sent = f.fake.All<broadcast_message>();
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].links == std::vector<link_id>{{20}});
+  const auto& delta = std::get<directory_delta>(sent[0].body);
+  REQUIRE(delta.records.size() == 1);
+  CHECK(delta.records[0].status == backend_status::kUp);
+  CHECK(delta.records[0].sequence == 9);
+  // Later repetitions tell entries nothing new.
+  f.ReceiveFromController(MakeRecord("e", 1, 10));
+  CHECK(f.fake.All<broadcast_message>().empty());
+}
+
 }  // namespace radishroute
