Bound the time in which a change of expert maps is prepared

Where experts are large for the links, preparing a map took over two seconds (76 ms an expert, up to 32 on a rank), longer than the demand for experts stays as it is: plans took effect when they were outdated, and the group's passes stayed long meanwhile. A change copies at most what a rank can copy in 250 ms; layers with the highest skew come first.

--- a/include/radishroute/forward/deployment.h
+++ b/include/radishroute/forward/deployment.h
@@ -76,6 +76,8 @@
   std::uint32_t experts = 0;
   std::uint32_t expert_slots_per_rank = 0;
   std::uint32_t spare_expert_slots_per_rank = 0;
+  /// Time in which a rank copies one expert; zero if unknown.
+  std::chrono::microseconds expert_copy_time = {};
 };
 
 struct service {
@@ -130,6 +132,9 @@
   const route* Find(std::string_view host, std::string_view path) const;
   const member_account* FindMember(std::string_view key) const;
   const service* FindService(std::string_view name) const;
+  /// Distinct priorities of the streaming routes that may lead to the service, the most urgent
+  /// first.
+  const std::vector<std::uint32_t>& StreamPriorities(std::string_view service) const;
   const deployment& Deployment() const { return deployment_; }
   std::uint64_t Version() const { return deployment_.version; }
 
@@ -139,6 +144,7 @@
   string_map<const route*> routes_;
   string_map<const member_account*> members_;
   string_map<const service*> services_;
+  string_map<std::vector<std::uint32_t>> stream_priorities_;
 };
 
 }  // namespace radishroute
--- a/src/experts/bounded_placement.cc
+++ b/src/experts/bounded_placement.cc
@@ -48,7 +48,9 @@
     candidate best{kNoSlot, kNoExpert, before * (1 - min_gain)};
     std::uint32_t hot = layer.HottestRank();
     for (std::uint32_t rank : ColdestRanks(layer)) {
-      if (rank == hot || added[rank] >= max_new_per_rank) continue;
+      bool is_full =
+          added[rank] >= max_new_per_rank || (!allowance.empty() && added[rank] >= allowance[rank]);
+      if (rank == hot || is_full) continue;
       std::uint32_t slot = layer.ReplaceableSlot(rank);
       if (slot == kNoSlot) continue;
       std::uint16_t replaced = layer.placement.slots[slot];
@@ -68,6 +70,33 @@
   return layer.placement;
 }
 
+// All ranks copy at the same time, so the rank with the most new experts determines how long the
+// preparation takes.
+expert_placement PlanLayers(const group_shape& shape, const expert_placement& current,
+                            const std::vector<std::vector<double>>& loads,
+                            std::uint32_t max_new_per_rank, std::uint32_t max_copies) {
+  std::vector<std::size_t> order(current.layers.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::vector<double> skew;
+  for (std::size_t i : order) {
+    skew.push_back(MeasureSkew(shape, current.layers[i], loads[i]).Ratio());
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t a, std::size_t b) { return skew[a] > skew[b]; });
+  bounded_placement planner;
+  planner.max_new_per_rank = max_new_per_rank;
+  planner.allowance.assign(shape.ranks, max_copies);
+  expert_placement next = current;
+  for (std::size_t i : order) {
+    next.layers[i] = planner.Plan(shape, current.layers[i], loads[i]);
+    for (const expert_move& move : FindMoves(shape, 0, current.layers[i], next.layers[i])) {
+      std::uint32_t& left = planner.allowance[move.slot / shape.slots_per_rank];
+      left -= std::min(left, 1U);
+    }
+  }
+  return next;
+}
+
 double MeanSkew(const group_shape& shape, const expert_placement& placement,
                 const std::vector<std::vector<double>>& loads) {
   double sum = 0;
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -145,12 +145,14 @@
   double choices = 0;
   for (const auto& set : group.choices) choices = std::accumulate(set.begin(), set.end(), choices);
   if (choices < limits_.min_choices_per_expert * shape.experts * shape.layers) return;
-  bounded_placement planner;
-  planner.max_new_per_rank = std::max(profile_->spare_expert_slots_per_rank, 1U);
-  expert_placement next;
-  for (std::uint32_t i = 0; i < shape.layers; ++i) {
-    next.layers.push_back(planner.Plan(shape, current->layers[i], group.choices[i]));
+  std::uint32_t max_copies = shape.layers * shape.slots_per_rank;
+  if (profile_->expert_copy_time.count() > 0) {
+    auto affordable = limits_.max_copy_time / profile_->expert_copy_time;
+    max_copies = static_cast<std::uint32_t>(std::clamp<std::int64_t>(affordable, 1, max_copies));
   }
+  expert_placement next =
+      PlanLayers(shape, *current, group.choices,
+                 std::max(profile_->spare_expert_slots_per_rank, 1U), max_copies);
   double before = MeanSkew(shape, *current, group.choices);
   double after = MeanSkew(shape, next, group.choices);
   if (before - after < limits_.min_gain * before) return;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -1,9 +1,12 @@
 #include "radishroute/placement.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <random>
 
+#include "radishroute/experts/bounded_placement.h"
+
 namespace radishroute {
 
 namespace {
@@ -94,4 +97,24 @@
   CHECK(value.steps_to_pay_back == 40);
 }
 
+// Guards against a change of all layers that takes so long to copy that the demand for experts has
+// moved on when it takes effect, and against one that spends its copies on balanced layers.
+TEST_CASE("a plan over all layers keeps to the copies of each rank") {
+  group_shape shape{24, 96, 16, 5};
+  expert_placement current = InitialPlacement(shape);
+  std::vector<std::vector<double>> loads;
+  for (std::uint32_t i = 0; i < shape.layers; ++i) loads.push_back(ZipfLoad(shape.experts, i + 1));
+  std::uint32_t max_copies = GENERATE(1, 3, 7, 80);
+  expert_placement next = PlanLayers(shape, current, loads, 2, max_copies);
+  std::vector<std::uint32_t> copies(shape.ranks, 0);
+  for (std::uint32_t i = 0; i < shape.layers; ++i) {
+    CHECK(IsValid(shape, next.layers[i]));
+    for (const expert_move& move : FindMoves(shape, i, current.layers[i], next.layers[i])) {
+      ++copies[move.slot / shape.slots_per_rank];
+    }
+  }
+  CHECK(*std::max_element(copies.begin(), copies.end()) <= max_copies);
+  CHECK(MeanSkew(shape, next, loads) < MeanSkew(shape, current, loads));
+}
+
 }  // namespace radishroute
