Let requests to engines wait in the gateway for room, if the settings ask for it

A caller that is refused returns after two seconds and more and is late, although room appears after a few passes. With wait_for_room, requests wait in order of urgency while their first token can still be in time, and are decided anew with each load report; where all streams have one priority, room is judged by the mean load of the group.

--- a/include/radishroute/forward/admission.h
+++ b/include/radishroute/forward/admission.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "radishroute/clock.h"
 #include "radishroute/engine_message.h"
@@ -24,11 +25,21 @@
   selected_backend chosen;
   /// Whether the caller is retrying a request that was refused before.
   bool is_caller_retry = false;
+  /// Distinct priorities of the streams of this service, the most urgent first; null if unknown.
+  const std::vector<std::uint32_t>* stream_priorities = nullptr;
+  /// Whether this process lets requests wait for room.
+  bool may_wait = false;
+  /// Time since the request arrived.
+  std::chrono::milliseconds waited{};
 };
 
 /// An admission decision and the values it is based on.
 struct admission_decision {
   bool admitted = true;
+  /// If not admitted: whether the request may be admitted later and is worth keeping until
+  /// `decide_by`, counted from its arrival.
+  bool waits = false;
+  std::chrono::milliseconds decide_by{};
   /// Requests that the backend server may have at once; zero if its capacity is unknown.
   double capacity = 0;
   /// Age of the leader's latest load report of the engine's group, and the mean duration of a
@@ -61,6 +72,8 @@
 
   /// Number of requests that one engine can have at once while this route's targets are met and a
   /// forward pass takes at most `pass_share` of the target gap.
+  const group_loads& Loads() const { return loads_; }
+
   static double Capacity(const route& matched_route, const engine_profile& engine,
                          std::uint32_t slots, double pass_share, const group_load* group);
 
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -19,6 +19,7 @@
 #include "radishroute/forward/event_stream.h"
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/forward/shared_retry_budget.h"
+#include "radishroute/forward/wait_queue.h"
 #include "radishroute/forward/withheld_backends.h"
 #include "radishroute/reduce_context.h"
 
@@ -28,6 +29,10 @@
   std::string zone;
   retry_budget_limits retries;
   std::size_t max_requests = 4000;
+  /// Whether requests to engines may wait for room instead of being refused at once.
+  bool wait_for_room = false;
+  /// Requests that wait for room on a backend server; a further one is decided at once.
+  std::size_t max_waiting = 200;
   /// Bodies of all requests in progress; a further one is refused.
   std::size_t max_request_bytes = std::size_t{32} << 20;
   /// Parts of responses of all requests that wait for their rest. Beyond it, the attempt with the
@@ -46,7 +51,9 @@
 class forwarder {
  public:
   explicit forwarder(forwarder_settings settings)
-      : settings_(std::move(settings)), retries_(settings_.retries) {}
+      : settings_(std::move(settings)),
+        retries_(settings_.retries),
+        waiting_(settings_.max_waiting) {}
 
   void Handle(const forward_received& e, reduce_context& ctx);
   void Handle(const forward_caller_closed& e, reduce_context& ctx);
@@ -102,6 +109,8 @@
     /// Admission decision of the first attempt, and the expected load it was based on.
     admission_decision admission;
     double load = 0;
+    /// When the request was sent after it had waited for room.
+    std::optional<steady_time> left_queue;
     /// An attempt that has ended may have run the request.
     bool may_have_run = false;
     /// An answer to this request has proved that its content crashes no backend server.
@@ -141,6 +150,11 @@
   std::string PickService(const route& matched_route, random_source& random) const;
   /// Starts an attempt. Returns kNone, or the reason why no attempt was started.
   refusal_reason Send(active_request& active, reduce_context& ctx);
+  /// Decides a first attempt. Returns kNone if the request may be sent now or waits.
+  refusal_reason Admit(active_request& active, const selected_backend& chosen,
+                       const engine_profile* engine, reduce_context& ctx);
+  /// Offers room to the waiting requests, in their order.
+  void ServeWaiting(reduce_context& ctx);
   /// Connections to one backend server of a service that this process may have.
   std::uint32_t MaxConnections(const service* target) const;
   bool IsCallerRetry(const active_request& active) const;
@@ -197,6 +211,7 @@
   std::uint32_t entries_ = kAssumedEntries;
   std::uint64_t next_attempt_id_ = 1;
   request_map requests_;
+  wait_queue waiting_;
   /// Bodies of the requests in progress.
   std::size_t request_bytes_ = 0;
   std::size_t response_bytes_ = 0;
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -125,6 +125,8 @@
   endpoint probe_listen;
   std::vector<endpoint> controllers;
   std::size_t max_requests = 4000;
+  /// Whether requests to engines may wait in the gateway for room instead of being refused at once.
+  bool wait_for_room = false;
   /// Time for which a draining process still accepts requests.
   std::chrono::milliseconds drain_notice{2500};
   /// Retries per request to a service, over all processes, within `retry_window`.
--- a/include/radishroute/state.h
+++ b/include/radishroute/state.h
@@ -11,6 +11,7 @@
 #include "radishroute/executions.h"
 #include "radishroute/experts/engine_watch.h"
 #include "radishroute/forward/forwarder.h"
+#include "radishroute/forward/queueing_admission.h"
 #include "radishroute/link_monitor.h"
 #include "radishroute/order_client.h"
 #include "radishroute/rank_agent.h"
@@ -36,7 +37,7 @@
 struct traffic_state {
   std::optional<request_table<P>> requests;
   std::optional<execution_table<P>> executions;
-  std::optional<forwarder<least_loaded_selector, engine_model_admission>> forwarding;
+  std::optional<forwarder<least_loaded_selector, queueing_admission>> forwarding;
 };
 
 /// State of one thread; each thread uses either the control or the traffic part.
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -101,6 +101,7 @@
     forwarder_settings forwarding;
     forwarding.zone = settings_.common.zone;
     forwarding.max_requests = settings_.max_requests;
+    forwarding.wait_for_room = settings_.wait_for_room;
     forwarding.drain_notice = settings_.drain_notice;
     forwarding.retries = {settings_.retry_ratio, settings_.retry_window,
                           static_cast<double>(settings_.retry_slack)};
--- a/src/forward/deployment.cc
+++ b/src/forward/deployment.cc
@@ -1,5 +1,6 @@
 #include "radishroute/forward/deployment.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <unordered_set>
@@ -60,6 +61,14 @@
   for (const member_account& m : deployment_.members) {
     for (const std::string& key : m.keys) members_[key] = &m;
   }
+  for (const route& r : deployment_.routes) {
+    if (r.kind != request_kind::kStreaming) continue;
+    for (const traffic_share& share : r.traffic_split) {
+      std::vector<std::uint32_t>& known = stream_priorities_[share.service];
+      auto at = std::lower_bound(known.begin(), known.end(), r.priority);
+      if (at == known.end() || *at != r.priority) known.insert(at, r.priority);
+    }
+  }
 }
 
 const route* route_index::Find(std::string_view host, std::string_view path) const {
@@ -84,4 +93,10 @@
   return it == services_.end() ? nullptr : it->second;
 }
 
+const std::vector<std::uint32_t>& route_index::StreamPriorities(std::string_view service) const {
+  static const std::vector<std::uint32_t> none;
+  auto it = stream_priorities_.find(service);
+  return it == stream_priorities_.end() ? none : it->second;
+}
+
 }  // namespace radishroute
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <random>
 
+#include "radishroute/forward/queueing_admission.h"
 #include "radishroute/http_header.h"
 
 namespace radishroute {
@@ -231,11 +232,11 @@
     return refusal_reason::kNoBackend;
   }
   // A request that was admitted once is not refused for load when it is retried.
-  admission_query admission_input{active.matched_route, engine, *chosen, IsCallerRetry(active)};
   if (active.attempts == 0) {
-    active.admission = admission_.Admit(admission_input, ctx.now, ctx.random);
-    active.load = chosen->load;
-    if (!active.admission.admitted) return refusal_reason::kQueueFull;
+    refusal_reason refused = Admit(active, *chosen, engine, ctx);
+    if (refused != refusal_reason::kNone || waiting_.Contains(active.request->exchange)) {
+      return refused;
+    }
   }
   active.current = attempt{{next_attempt_id_++}, chosen->backend, chosen->address, ctx.now};
   active.tried_backends.push_back(chosen->backend);
@@ -264,6 +265,62 @@
   return refusal_reason::kNone;
 }
 
+template <backend_selector Selector, forward_admission Admission>
+refusal_reason forwarder<Selector, Admission>::Admit(active_request& active,
+                                                     const selected_backend& chosen,
+                                                     const engine_profile* engine,
+                                                     reduce_context& ctx) {
+  exchange_id exchange = active.request->exchange;
+  auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - active.received);
+  admission_query query{active.matched_route,
+                        engine,
+                        chosen,
+                        IsCallerRetry(active),
+                        &active.routes->StreamPriorities(active.service),
+                        settings_.wait_for_room,
+                        waited};
+  active.admission = admission_.Admit(query, ctx.now, ctx.random);
+  active.load = chosen.load;
+  bool was_waiting = waiting_.Contains(exchange);
+  if (active.admission.waits) {
+    steady_time decide_by = active.received + active.admission.decide_by;
+    if (waiting_.Add(exchange, active.urgency, decide_by)) {
+      if (was_waiting) return refusal_reason::kNone;
+      ctx.Emit(count{counter::kRequestsQueued});
+      ctx.Emit(write_log{{event_code::kRequestQueued,
+                          log_level::kDebug,
+                          {{"request", active.request->id},
+                           {"route", active.matched_route->name},
+                           {"member", active.member},
+                           {"backend", chosen.backend},
+                           {"load", FormatTenths(chosen.load)},
+                           {"limit", FormatTenths(active.admission.capacity)},
+                           {"waiting", std::to_string(waiting_.Size())}}}});
+      return refusal_reason::kNone;
+    }
+  }
+  waiting_.Remove(exchange);
+  if (!active.admission.admitted) {
+    if (was_waiting) ctx.Emit(count{counter::kQueuedRequestsRefused});
+    return refusal_reason::kQueueFull;
+  }
+  if (was_waiting) {
+    active.left_queue = ctx.now;
+    ctx.Emit(count{counter::kQueuedRequestsSent});
+  }
+  return refusal_reason::kNone;
+}
+
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::ServeWaiting(reduce_context& ctx) {
+  for (exchange_id exchange : waiting_.InOrder()) {
+    auto it = requests_.find(exchange);
+    if (it == requests_.end()) continue;
+    refusal_reason refused = Send(it->second, ctx);
+    if (refused != refusal_reason::kNone) FailRequest(it->second, refused, ctx);
+  }
+}
+
 // A backend server resets connections beyond its limit, with the requests on them. The limit counts
 // those of all processes, so each of them keeps to an equal share.
 template <backend_selector Selector, forward_admission Admission>
@@ -728,8 +785,12 @@
     line.fields.push_back({"load_age_ms", std::to_string(active.admission.load_age.count())});
     line.fields.push_back({"pass_us", std::to_string(active.admission.pass.count())});
   }
+  if (active.left_queue) {
+    line.fields.push_back({"waited_us", ElapsedMicros(active.received, *active.left_queue)});
+  }
   ctx.Emit(write_log{std::move(line)});
   exchange_id exchange = active.request->exchange;
+  waiting_.Remove(exchange);
   request_bytes_ -= active.request->body.size();
   response_bytes_ -= active.counted_bytes;
   deadlines_.erase({active.deadline, exchange.value});
@@ -831,6 +892,8 @@
     return;
   }
   selector_.OnFleetLoad(*e.load, ctx.now);
+  ServeWaiting(ctx);
+  ScheduleNext(ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
@@ -839,6 +902,8 @@
     active_request& active = requests_.at({deadlines_.begin()->second});
     FailRequest(active, refusal_reason::kDeadlinePassed, ctx);
   }
+  auto next_decision = waiting_.NextDecision();
+  if (next_decision && *next_decision <= ctx.now) ServeWaiting(ctx);
   if (draining_ && ctx.now >= drain_answer_at_) EndUnfinished(ctx);
   CheckDrained(ctx);
   ScheduleNext(ctx);
@@ -882,6 +947,7 @@
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::ScheduleNext(reduce_context& ctx) const {
   if (!deadlines_.empty()) ctx.Emit(schedule_wakeup{deadlines_.begin()->first});
+  if (auto next = waiting_.NextDecision()) ctx.Emit(schedule_wakeup{*next});
   if (draining_ && !stop_forced_) {
     steady_time next = drain_deadline_;
     if (ctx.now < drain_answer_at_) next = drain_answer_at_;
@@ -890,6 +956,7 @@
   }
 }
 
+template class forwarder<least_loaded_selector, queueing_admission>;
 template class forwarder<least_loaded_selector, engine_model_admission>;
 template class forwarder<round_robin_selector, admit_all>;
 
