Learn the capacity of backend servers from latency, load and errors

Cause: the number of slots is taken as the capacity of each backend server, so a slow server gets as many requests as a fast one, and one that slows down early is filled to its slots.

Samples pair a latency, relative to the typical one of its route, with the total work that the server reports. Gateway setting `learned_capacity`, off by default, for services without an engine profile.

--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds drain_notice{2500};
   /// Time at the end of a drain that is left for writing the last answers.
   std::chrono::milliseconds drain_answer_time{200};
+  /// Learn the capacities of backend servers in services without an engine profile.
+  bool learned_capacity = false;
 };
 
 /// Lifecycle of callers' HTTP requests that are forwarded directly to backend servers. A request of
@@ -82,6 +84,8 @@
     bool wrong_backend = false;
     /// The response is a stream of events and no error.
     bool is_stream = false;
+    std::uint64_t incarnation = 0;
+    std::optional<reported_load> load = std::nullopt;
   };
 
   struct active_request {
@@ -173,6 +177,10 @@
   void CountBuffered(active_request& active, reduce_context& ctx);
   void SendBufferedResponse(active_request& active, reduce_context& ctx);
   void EndAttempt(active_request& active, attempt_result result, reduce_context& ctx);
+  /// Tells the selector what the attempt says about its backend server's capacity.
+  void LearnFrom(const active_request& active, attempt_result result, reduce_context& ctx);
+  /// Tells the selector for which services capacities are learned.
+  void UpdateLearnedServices();
   void FailRequest(active_request& active, refusal_reason reason, reduce_context& ctx);
   void Finish(active_request& active, std::string_view outcome, unsigned status,
               reduce_context& ctx);
--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -132,6 +132,8 @@
   std::chrono::milliseconds retry_window{10000};
   /// Further retries that one process may make beyond the ratio within the window.
   std::uint32_t retry_slack = 2;
+  /// Learn the capacities of backend servers in services without an engine profile.
+  bool learned_capacity = false;
 };
 
 /// Settings of a process that runs beside an engine of an expert-parallel group.
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -104,6 +104,7 @@
     forwarding.drain_notice = settings_.drain_notice;
     forwarding.retries = {settings_.retry_ratio, settings_.retry_window,
                           static_cast<double>(settings_.retry_slack)};
+    forwarding.learned_capacity = settings_.learned_capacity;
     auto& state = traffic_->State().traffic.forwarding;
     state.emplace(std::move(forwarding));
     wire_api& api = traffic_->Attach(
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -238,6 +238,7 @@
     if (!active.admission.admitted) return refusal_reason::kQueueFull;
   }
   active.current = attempt{{next_attempt_id_++}, chosen->backend, chosen->address, ctx.now};
+  active.current->incarnation = chosen->incarnation;
   active.tried_backends.push_back(chosen->backend);
   ++active.attempts;
   exchange_by_attempt_[active.current->id] = active.request->exchange;
@@ -337,17 +338,40 @@
 void forwarder<Selector, Admission>::EndAttempt(active_request& active, attempt_result result,
                                                 reduce_context& ctx) {
   if (!active.current) return;
+  if (settings_.learned_capacity) LearnFrom(active, result, ctx);
   selector_.OnDone(active.current->backend, result, ctx.now);
   exchange_by_attempt_.erase(active.current->id);
   active.current.reset();
 }
 
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::LearnFrom(const active_request& active, attempt_result result,
+                                               reduce_context& ctx) {
+  const attempt& a = *active.current;
+  bool first_byte_counts = a.is_stream && a.begun;
+  if (first_byte_counts && result == attempt_result::kCancelled) result = attempt_result::kServed;
+  auto latency = (first_byte_counts ? *a.begun : ctx.now) - a.sent;
+  auto change = selector_.OnFinished(
+      {a.backend, a.incarnation, active.matched_route->name, latency, a.load, result}, ctx.now);
+  if (!change) return;
+  ctx.Emit(count{counter::kCapacityChanges});
+  if (!change->logged) return;
+  ctx.Emit(write_log{{event_code::kCapacityChanged,
+                      log_level::kInfo,
+                      {{"backend", a.backend},
+                       {"old", FormatTenths(change->before)},
+                       {"new", FormatTenths(change->after)},
+                       {"evidence", std::string(ToString(change->evidence))},
+                       {"age_ms", std::to_string(change->age.count())}}}});
+}
+
 template <backend_selector Selector, forward_admission Admission>
 void forwarder<Selector, Admission>::Handle(const upstream_response_begin& e, reduce_context& ctx) {
   active_request* active = Find(e.id);
   if (active == nullptr) return;
   attempt& a = *active->current;
   if (e.response.load) selector_.OnLoad(a.backend, *e.response.load, ctx.now);
+  a.load = e.response.load;
   NoteBackendState(a, active->request->id, e.response, ctx);
   a.not_run = e.response.not_run;
   a.wrong_backend = e.response.wrong_backend;
@@ -756,6 +780,17 @@
   if (routes_ != nullptr && e.routes->Version() <= routes_->Version()) return;
   routes_ = e.routes;
   UpdateColdProfiles();
+  if (settings_.learned_capacity) UpdateLearnedServices();
+}
+
+// The engines of a group share its forward passes, so their limits say nothing one by one.
+template <backend_selector Selector, forward_admission Admission>
+void forwarder<Selector, Admission>::UpdateLearnedServices() {
+  service_set learned;
+  for (const service& s : routes_->Deployment().services) {
+    if (!s.engine) learned.insert(s.name);
+  }
+  selector_.LearnCapacity(std::move(learned));
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -213,6 +213,7 @@
                std::chrono::minutes(10));
   retries.ReadNumber("slack", out.retry_slack, 0, 100000);
   retries.ReportUnknownKeys();
+  reader.Read("learned_capacity", out.learned_capacity);
   reader.ReportUnknownKeys();
   return out;
 }
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -184,6 +184,35 @@
   CHECK(f.SingleSentRequest().may_reuse_connection == resumable);
 }
 
+// Guards against a learned capacity that has no effect, or one where it was not asked for: without
+// the setting, and for engines, which share the passes of their group.
+TEST_CASE("a backend server that answers late gets fewer requests if its capacity is learned") {
+  bool enabled = GENERATE(true, false);
+  bool is_engine = GENERATE(true, false);
+  forwarder_settings settings = forwarder_fixture::Settings();
+  settings.learned_capacity = enabled;
+  deployment d = MakeDeployment();
+  if (is_engine) d.services[0].engine = engine_profile{};
+  forwarder_fixture f(std::move(d), std::move(settings));
+  std::size_t changes = 0;
+  int late_requests = 0;
+  for (int i = 0; i < 40; ++i) {
+    f.SendRequest("/look/1");
+    start_upstream sent = f.SingleSentRequest();
+    bool late = sent.backend == "engine-1";
+    late_requests += late ? 1 : 0;
+    f.fake.Advance(milliseconds(late ? 900 : 100));
+    f.BeginResponse(sent.id, 200);
+    f.Handle(upstream_response_end{sent.id});
+    for (const write_log& line : f.All<write_log>()) {
+      changes += line.event.code == event_code::kCapacityChanged ? 1 : 0;
+    }
+  }
+  bool learned = enabled && !is_engine;
+  CHECK((changes > 0) == learned);
+  CHECK((late_requests < 12) == learned);
+}
+
 // Guards against failing an idempotent request after a server error, although it may be retried.
 TEST_CASE("an idempotent request is retried once after a failure") {
   forwarder_fixture f;
