--- a/include/radishroute/forward/learned_limits.h
+++ b/include/radishroute/forward/learned_limits.h
@@ -62,6 +62,9 @@
 /// Mean whose weight is bounded and decays with time, so that recent values replace earlier ones.
 class decayed_mean {
  public:
+  decayed_mean();
+  explicit decayed_mean(std::chrono::duration<double> half_life) : half_life_(half_life) {}
+
   void Add(double value, double max_weight, steady_time now);
   /// Prevents the decay since the last value, which is still valid.
   void Keep(steady_time now) { added_at_ = now; }
@@ -71,6 +74,7 @@
   double WithPrior(steady_time now) const;
 
  private:
+  std::chrono::duration<double> half_life_;
   double mean_ = 0;
   double weight_ = 0;
   steady_time added_at_;
@@ -79,7 +83,7 @@
 /// Typical latency of each route on a typical backend server, as a logarithm of seconds.
 class route_latencies {
  public:
-  /// The estimate for the sample's route; `first` is its start value if the route is unknown.
+  /// The estimate for the sample's route; `first` is its start value if there is no recent one.
   decayed_mean& Find(const capacity_sample& sample, double first, steady_time now);
 
  private:
--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -29,8 +29,9 @@
 // attributed to the request.
 constexpr std::uint32_t kErrorsBeforeAvoidance = 3;
 
-// Load added to an avoided backend server, so that it is used only if all others are full.
-constexpr double kAvoidedPenalty = 1000;
+// Load added to an avoided backend server, so that it is used only if all others are full. Above
+// the weighted load of a slow server with hundreds of requests.
+constexpr double kAvoidedPenalty = 1e6;
 
 // Maximum random load added to break ties between backend servers; less than one request.
 constexpr double kMaxJitter = 0.25;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -350,6 +350,8 @@
   const attempt& a = *active.current;
   bool first_byte_counts = a.is_stream && a.begun;
   if (first_byte_counts && result == attempt_result::kCancelled) result = attempt_result::kServed;
+  // A request that is rejected is answered faster than one that is run.
+  if (result == attempt_result::kServed && active.response.status >= 400) return;
   auto latency = (first_byte_counts ? *a.begun : ctx.now) - a.sent;
   auto change = selector_.OnFinished(
       {a.backend, a.incarnation, active.matched_route->name, latency, a.load, result}, ctx.now);
--- a/src/forward/learned_limits.cc
+++ b/src/forward/learned_limits.cc
@@ -19,6 +19,12 @@
 constexpr double kServerSamples = 8;
 constexpr double kRouteSamples = 64;
 
+// Half-life of a route's typical latency, longer because each route has only a part of the samples,
+// and the weight below which it is learned anew: servers are not blamed for a route that has
+// changed while nobody used it.
+constexpr std::chrono::duration<double> kRouteHalfLife{60};
+constexpr double kMinRouteWeight = 0.05;
+
 // Samples that the assumption of a typical speed counts as.
 constexpr double kPriorSamples = 1;
 
@@ -106,8 +112,10 @@
   return kNames[static_cast<std::size_t>(evidence)];
 }
 
+decayed_mean::decayed_mean() : decayed_mean(kEvidenceHalfLife) {}
+
 double decayed_mean::Weight(steady_time now) const {
-  double age = std::chrono::duration<double>(now - added_at_) / kEvidenceHalfLife;
+  double age = std::chrono::duration<double>(now - added_at_) / half_life_;
   return weight_ * std::exp2(-std::max(age, 0.0));
 }
 
@@ -126,9 +134,9 @@
   std::string key(sample.service);
   key.append(" ").append(sample.route);
   auto it = routes_.find(key);
-  if (it != routes_.end()) return it->second;
-  if (routes_.size() >= kMaxRoutes) routes_.clear();
-  decayed_mean& added = routes_[key];
+  if (it != routes_.end() && it->second.Weight(now) >= kMinRouteWeight) return it->second;
+  if (it == routes_.end() && routes_.size() >= kMaxRoutes) routes_.clear();
+  decayed_mean& added = routes_[key] = decayed_mean(kRouteHalfLife);
   added.Add(first, kRouteSamples, now);
   return added;
 }
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -213,6 +213,24 @@
   CHECK((late_requests < 12) == learned);
 }
 
+// Guards against requests that are drawn to a backend server because it rejects them fast.
+TEST_CASE("a backend server that rejects requests fast is not taken for a fast one") {
+  forwarder_settings settings = forwarder_fixture::Settings();
+  settings.learned_capacity = true;
+  forwarder_fixture f(MakeDeployment(), std::move(settings));
+  int rejected = 0;
+  for (int i = 0; i < 100; ++i) {
+    f.SendRequest("/look/1");
+    start_upstream sent = f.SingleSentRequest();
+    bool rejects = sent.backend == "engine-1";
+    rejected += rejects ? 1 : 0;
+    f.fake.Advance(milliseconds(rejects ? 5 : 200));
+    f.BeginResponse(sent.id, rejects ? 404 : 200);
+    f.Handle(upstream_response_end{sent.id});
+  }
+  CHECK(rejected < 65);
+}
+
 // Guards against failing an idempotent request after a server error, although it may be retried.
 TEST_CASE("an idempotent request is retried once after a failure") {
   forwarder_fixture f;
--- a/tests/learned_limits_test.cc
+++ b/tests/learned_limits_test.cc
@@ -394,6 +394,11 @@
     }
   }
   CHECK(f.Capacity(b).speed == Approx(1).epsilon(0.1));
+  SECTION("the route has changed while nobody used it") {
+    f.clock.Advance(std::chrono::hours(1));
+    f.Add(b, milliseconds(2000), 2);
+    CHECK(f.Capacity(b).speed == Approx(1).epsilon(0.1));
+  }
   SECTION("b is slow at low load") {
     for (int i = 0; i < 15; ++i) {
       f.Add(a, milliseconds(200), 2);
