--- a/src/settings.cc
+++ b/src/settings.cc
@@ -214,6 +214,7 @@
   retries.ReadNumber("slack", out.retry_slack, 0, 100000);
   retries.ReportUnknownKeys();
   reader.Read("wait_for_room", out.wait_for_room);
+  reader.Read("learned_capacity", out.learned_capacity);
   reader.ReportUnknownKeys();
   return out;
 }
