Test gateway and controller against clients outside the limits

Cause: bodies that are being read are checked against their common limit only when their head arrives, without what earlier heads announced; chunked bodies and unfinished heads are not checked at all, and nothing bounds connections.

The settings "memory_mb" and "max_descriptors" are parsed and have no effect yet.

--- a/include/radishroute/settings.h
+++ b/include/radishroute/settings.h
@@ -10,6 +10,7 @@
 #include "radishroute/discovery_message.h"
 #include "radishroute/group_settings.h"
 #include "radishroute/log_event.h"
+#include "radishroute/resource_limits.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -93,6 +94,7 @@
 
 struct controller_settings {
   common_settings common;
+  resource_limits limits;
   endpoint control_listen;
   /// Address at which replicas and entries reach this controller if it differs from
   /// `control_listen`.
@@ -120,6 +122,7 @@
 /// Settings of a process that forwards callers' HTTP requests to backend servers.
 struct gateway_settings {
   common_settings common;
+  resource_limits limits;
   endpoint http_listen;
   /// Address for readiness probes and metrics.
   endpoint probe_listen;
@@ -137,6 +140,7 @@
 /// Settings of a process that runs beside an engine of an expert-parallel group.
 struct sidecar_settings {
   common_settings common;
+  resource_limits limits;
   /// Address of the engine.
   endpoint engine;
   std::vector<endpoint> controllers;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -56,6 +56,11 @@
   return controllers;
 }
 
+void ReadLimits(settings_reader& reader, resource_limits& out) {
+  reader.ReadNumber("memory_mb", out.memory_mb, 1, 1000000);
+  reader.ReadNumber("max_descriptors", out.max_descriptors, 1, 1000000);
+}
+
 }  // namespace
 
 bool ParseEndpoint(std::string_view text, endpoint& out) {
@@ -156,6 +161,7 @@
   controller_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
+  ReadLimits(reader, out.limits);
   reader.Read("control_listen", out.control_listen, true);
   out.control_advertise = out.control_listen;
   reader.Read("control_advertise", out.control_advertise, false);
@@ -183,6 +189,7 @@
   sidecar_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
+  ReadLimits(reader, out.limits);
   reader.Read("engine", out.engine, true);
   std::uint16_t link_port = 0;
   reader.ReadNumber("link_port", link_port, 1, 65535);
@@ -196,6 +203,7 @@
   gateway_settings out;
   settings_reader reader(ParseSettingsText(text, errors), "", errors);
   ReadCommon(reader, out.common);
+  ReadLimits(reader, out.limits);
   settings_reader http = reader.Child("http");
   http.Read("listen", out.http_listen, true);
   http.Read("probe_listen", out.probe_listen, true);
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -61,8 +61,8 @@
         pass
 
 
-def start_engine(name):
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Engine)
+def start_engine(name, handler=Engine):
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     server.name = name
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
