Send the forms of unread responses to the leading controller

Cause: a controller that is not the leader answers GET /config with a short redirection, so the pipelined requests and the responses that are not read tested nothing there.

Change: these two forms go to the leader; crowds and bounds stay as they are.

--- a/tests/e2e/hostile_clients_test.py
+++ b/tests/e2e/hostile_clients_test.py
@@ -4,6 +4,7 @@
 bound, and that one ordinary request is answered afterwards.
 """
 
+import http.client
 import json
 import os
 import selectors
@@ -190,10 +191,15 @@
 
 def controller_forms():
     # Not a document, so that none of the bodies changes the configuration.
-    forms = bodies("PUT", "/config")
-    forms["pipelined requests"] = [[head("GET", "/config") * 3000] for _ in range(150)]
-    forms["responses that are not read"] = [[head("GET", "/config") * 20] for _ in range(60)]
-    return forms
+    return bodies("PUT", "/config")
+
+
+def leader_forms():
+    """Forms for the leader: other controllers answer with a short redirection."""
+    return {
+        "pipelined requests": [[head("GET", "/config") * 3000] for _ in range(150)],
+        "responses that are not read": [[head("GET", "/config") * 20] for _ in range(60)],
+    }
 
 
 def long_config(version):
@@ -227,6 +233,18 @@
         self.restart("controller-0", lambda: self.start_controller(0, first_start=False))
         self.wait_for("a controller", self.controller_answers)
 
+    def leader(self):
+        """Number of the controller that answers itself."""
+        def status(number):
+            try:
+                return call_at(self.hosts[number], self.call_port, "/config")
+            except OSError:
+                return 0
+        found = []
+        self.wait_for("a leader", lambda: found.extend(
+            n for n in range(3) if status(n) == 200) or found)
+        return found[0]
+
     def gateway_answers(self):
         return self.request("/book/0")[0] == 200
 
@@ -234,6 +252,15 @@
         return self.control_at(self.hosts[0], "GET", "/config", None)[0] == 200
 
 
+def call_at(host, port, path):
+    connection = http.client.HTTPConnection(host, port, timeout=2)
+    try:
+        connection.request("GET", path)
+        return connection.getresponse().status
+    finally:
+        connection.close()
+
+
 def play(d, name, process_name, address, payloads, answers):
     """Returns what was violated."""
     process = d.cluster.processes[process_name]
@@ -315,6 +342,10 @@
         failed += keeps_within_limits(d, "controller-0", (d.hosts[0], d.call_port),
                                       controller_forms(), d.restart_controller,
                                       d.controller_answers)
+        leader = d.leader()
+        failed += keeps_within_limits(
+            d, f"controller-{leader}", (d.hosts[leader], d.call_port), leader_forms(),
+            lambda: None, lambda: d.control("GET", "/config")[0] == 200)
         registrations.stopped.set()
         registrations.thread.join()
     assert not failed, "\n".join(failed)
