Give each process budgets of memory and descriptors for its clients

Cause: announced bodies were not reserved, and chunked bodies, unfinished heads, unparsed input and connections were not bounded together. Strings doubled as they grew, and freed bodies stayed in the process.

Change: resource_budget decides, without a network or clock, which use is granted and whose connection is closed: the one with the slowest progress for what it holds, never one whose request was forwarded. stream_server charges connections, heads and bodies to it, for the gateway's callers and probes and the controller's calls. With "memory_mb" set, the gateway's limits of requests in progress, waiting responses and unread responses follow from it; with "max_descriptors", connections to backend servers are limited too. Bodies, waiting responses and send buffers grow by a quarter, and connections give up the memory of long messages. Without the settings the former limits apply.

Not measured: callers within the limits at a gateway with 112 MB and 2,870 descriptors.

--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -20,6 +20,7 @@
 #include "radishroute/forward/forward_event.h"
 #include "radishroute/forward/shared_retry_budget.h"
 #include "radishroute/forward/withheld_backends.h"
+#include "radishroute/held_memory.h"
 #include "radishroute/reduce_context.h"
 
 namespace radishroute {
@@ -30,6 +31,8 @@
   std::size_t max_requests = 4000;
   /// Bodies of all requests in progress; a further one is refused.
   std::size_t max_request_bytes = std::size_t{32} << 20;
+  /// Heads count as part of `max_request_bytes`; many small headers take more memory than a body.
+  bool count_heads = false;
   /// Parts of responses of all requests that wait for their rest. Beyond it, the attempt with the
   /// most of them is given up.
   std::size_t max_response_bytes = std::size_t{24} << 20;
@@ -71,6 +74,10 @@
   /// Used until the leader has told the number.
   static constexpr std::uint32_t kAssumedEntries = 8;
 
+  std::size_t RequestBytes(const forward_request& request) const {
+    return request.body.size() + (settings_.count_heads ? HeldBytes(request.headers) : 0);
+  }
+
   struct attempt {
     upstream_id id;
     std::string backend;
--- a/src/cli/controller.cc
+++ b/src/cli/controller.cc
@@ -101,6 +101,7 @@
         }) {}
 
   int Run(bool bootstrap) {
+    ApplyMemoryLimit(settings_.limits);
     replica self{{}, settings_.common.zone, settings_.control_advertise, true, {}};
     std::error_code error = OpenLog(self, bootstrap);
     if (!error) node_.Thread().State().control.log->ConfigureGroups(settings_.groups);
@@ -157,6 +158,7 @@
     wire_api& api =
         node_.Thread().Attach(node_.Thread().Loop(), settings_.calls_listen.port,
                               [this](event&& e) { node_.Thread().Apply(std::move(e)); });
+    api.SetBudget(DivideForController(settings_.limits));
     return api.Start(settings_.calls_listen);
   }
 
--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -31,6 +31,7 @@
   }
 
   int Run() {
+    ApplyMemoryLimit(settings_.limits);
     BuildControl();
     if (auto error = BuildTraffic()) {
       std::cerr << ToString(settings_.http_listen) << ": " << error.message() << "\n";
@@ -102,13 +103,24 @@
     forwarding.zone = settings_.common.zone;
     forwarding.max_requests = settings_.max_requests;
     forwarding.drain_notice = settings_.drain_notice;
+    gateway_shares shares = DivideForGateway(settings_.limits);
+    if (settings_.limits.memory_mb > 0) {
+      forwarding.max_request_bytes = shares.request_bytes;
+      forwarding.max_response_bytes = shares.response_bytes;
+      forwarding.count_heads = true;
+    }
     forwarding.retries = {settings_.retry_ratio, settings_.retry_window,
                           static_cast<double>(settings_.retry_slack)};
+    // Each request in progress has one connection to a backend server.
+    if (shares.backend_connections > 0) {
+      forwarding.max_requests = std::min(forwarding.max_requests, shares.backend_connections);
+    }
     auto& state = traffic_->State().traffic.forwarding;
     state.emplace(std::move(forwarding));
     wire_api& api = traffic_->Attach(
         traffic_->Loop(), [this](event&& e) { traffic_->Apply(std::move(e)); },
         [&state] { return state->Ready(); });
+    api.SetBudget(shares);
     return api.Start(settings_.http_listen, settings_.probe_listen);
   }
 
--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -1,5 +1,7 @@
 #include "cli/process.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -144,6 +146,16 @@
   WriteLog(line);
 }
 
+// By default, freed bodies stay in the process: after the first one, glibc takes memory for others
+// of that length from its heap, which shrinks at its end only.
+void ApplyMemoryLimit(const resource_limits& limits) {
+  if (limits.memory_mb == 0) return;
+  constexpr int kMapBytes = 64 * 1024;
+  constexpr int kTrimBytes = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, kMapBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 void LogProcessEvent(event_code code, std::vector<log_field> fields) {
   WriteLog({code, log_level::kInfo, std::move(fields)});
 }
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -75,6 +75,9 @@
 /// Logs that a changed settings file was read, with its first fault if it has any.
 void LogReload(const std::string& file, const std::vector<settings_error>& errors);
 
+/// Makes the allocator give memory back to the system early, if the process has a memory budget.
+void ApplyMemoryLimit(const resource_limits& limits);
+
 void LogProcessEvent(event_code code, std::vector<log_field> fields);
 
 }  // namespace radishroute
--- a/src/cli/sidecar.cc
+++ b/src/cli/sidecar.cc
@@ -24,6 +24,7 @@
   }
 
   int Run() {
+    ApplyMemoryLimit(settings_.limits);
     node_hooks hooks;
     hooks.on_stop = [this](bool finished) { latch_.Report(0, finished); };
     thread_ = std::make_unique<thread>(MakeHello(settings_.common, process_role::kAgent), hooks);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -167,7 +167,7 @@
     }
   }
   bool too_many = requests_.size() >= settings_.max_requests ||
-                  request_bytes_ + request.body.size() > settings_.max_request_bytes;
+                  request_bytes_ + RequestBytes(request) > settings_.max_request_bytes;
   if (too_many) {
     Refuse(request, 503, refusal_reason::kTooManyRequests, kRetryAfterFull, ctx);
     return;
@@ -197,7 +197,7 @@
   active.deadline = deadline;
   retries_.OnRequest(active.service, ctx.now);
   auto [it, added] = requests_.emplace(request.exchange, std::move(active));
-  request_bytes_ += request.body.size();
+  request_bytes_ += RequestBytes(request);
   deadlines_.emplace(it->second.deadline, request.exchange.value);
   refusal_reason refused = Send(it->second, ctx);
   if (refused != refusal_reason::kNone) {
@@ -416,7 +416,7 @@
   } else if (active->is_passthrough) {
     ctx.Emit(forward_bytes{active->request->exchange, e.bytes});
   } else {
-    active->body.append(e.bytes);
+    AppendGrowingSlowly(active->body, e.bytes);
     if (active->body.size() > kMaxBufferedBytes) {
       if (active->HasBegun()) return GiveUpAttempt(*active, ctx);
       PassThrough(*active, ctx);
@@ -730,7 +730,7 @@
   }
   ctx.Emit(write_log{std::move(line)});
   exchange_id exchange = active.request->exchange;
-  request_bytes_ -= active.request->body.size();
+  request_bytes_ -= RequestBytes(*active.request);
   response_bytes_ -= active.counted_bytes;
   deadlines_.erase({active.deadline, exchange.value});
   requests_.erase(exchange);
--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -48,6 +48,14 @@
 
   std::error_code Start(const endpoint& listen) { return server_.Start(listen); }
 
+  /// Before Start. Parts that are zero keep the constant limits.
+  void SetBudget(const controller_shares& shares) {
+    client_limits limits;
+    if (shares.unsent_bytes > 0) limits.max_total_unsent_bytes = shares.unsent_bytes;
+    server_.SetLimits(limits);
+    server_.SetBudget(shares.callers);
+  }
+
   void Execute(const document_answered& e) {
     std::string target = std::exchange(targets_[e.exchange], {});
     WriteLog({event_code::kDocumentAnswered,
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -61,8 +61,17 @@
     return callers_.Start(callers);
   }
 
+  /// Before Start. Parts that are zero keep the constant limits.
+  void SetBudget(const gateway_shares& shares) {
+    callers_.SetBudget(shares.callers);
+    probes_.SetBudget(shares.probes);
+    backends_.SetMaxConnections(shares.backend_connections);
+    if (shares.unsent_bytes > 0) base_limits_.max_total_unsent_bytes = shares.unsent_bytes;
+    callers_.SetLimits(base_limits_);
+  }
+
   void SetBounds(const caller_limits& bounds) {
-    client_limits limits;
+    client_limits limits = base_limits_;
     limits.max_head_bytes = bounds.max_header_bytes;
     limits.max_body_bytes = bounds.max_body_bytes;
     limits.head_timeout = bounds.header_timeout;
@@ -115,6 +124,8 @@
 
   event_sink sink_;
   std::function<bool()> is_ready_;
+  /// Limits of callers but for what a document sets.
+  client_limits base_limits_;
   stream_server callers_;
   stream_server probes_;
   upstream_client backends_;
--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -181,6 +181,11 @@
   return used;
 }
 
+// Not summed over the headers: a head may come byte by byte. Strings have up to twice their length.
+std::size_t http_decoder::HeldBytes() const {
+  return head_bytes_ * 2 + head_.headers.capacity() * sizeof(http_header);
+}
+
 std::error_code http_decoder::Finish() {
   const http_parser_settings& settings = callbacks::Get();
   if (!in_message_) return {};
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -43,6 +43,9 @@
   /// Whether a part of a message has been read and its end has not.
   bool InMessage() const { return in_message_; }
 
+  /// Estimated memory of the part of a head that has been read.
+  std::size_t HeldBytes() const;
+
  private:
   struct callbacks;
 
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -1,11 +1,15 @@
 #include "io/stream_server.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
 #include "io/metrics.h"
 #include "radishroute/error.h"
+#include "radishroute/held_memory.h"
 
 namespace radishroute {
 
@@ -20,6 +24,15 @@
 // Bytes of further requests that a client may send before its response is complete.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
+// The same with a budget; one read of a connection takes at most so much.
+constexpr std::size_t kMaxBudgetedPipelinedBytes = 16 * 1024;
+
+// Input of an idle connection keeps no more memory than this.
+constexpr std::size_t kKeptInputBytes = 1024;
+
+// Under attack, thousands of connections a second are evicted or refused.
+constexpr std::chrono::seconds kLogInterval{1};
+
 steady_time Now() { return system_clock_source().Now(); }
 
 void AppendChunk(std::string& out, std::string_view bytes) {
@@ -48,6 +61,8 @@
   std::string input;
   http_head head;
   std::string body;
+  /// Memory of `head`.
+  std::size_t head_bytes = 0;
   std::uint64_t exchange = 0;
   /// Set while the response is written.
   bool begun = false;
@@ -60,6 +75,8 @@
   bool closing = false;
   bool removed = false;
   bool parsing = false;
+  /// Bytes of further requests were dropped; the connection ends after its response.
+  bool dropped_input = false;
   std::size_t length_left = 0;
   /// Bytes of responses that the system had not taken when they were last counted.
   std::size_t unsent_bytes = 0;
@@ -81,23 +98,68 @@
   return c == connections_.end() ? nullptr : c->second.get();
 }
 
+void stream_server::SetBudget(const budget_limits& limits) {
+  budget_.SetLimits(limits);
+  budgeted_ = budget_.IsLimited();
+}
+
+bool stream_server::Apply(const budget_decision& decision, budget_account account) {
+  for (const budget_eviction& eviction : decision.evicted) {
+    auto it = connections_.find(eviction.connection);
+    if (it == connections_.end()) continue;
+    CountMetric(counter::kConnectionsEvicted);
+    LogOverBudget(account, eviction.held, "evicted");
+    OnEnd(*it->second);
+  }
+  return decision.granted;
+}
+
+void stream_server::LogOverBudget(budget_account account, std::size_t bytes,
+                                  std::string_view reason) {
+  steady_time now = Now();
+  if (logged_ && now - *logged_ < kLogInterval) {
+    ++unlogged_;
+    return;
+  }
+  logged_ = now;
+  WriteLog({event_code::kConnectionEvicted,
+            log_level::kWarning,
+            {{"account", std::string(ToString(account))},
+             {"bytes", std::to_string(bytes)},
+             {"reason", std::string(reason)},
+             {"suppressed", std::to_string(std::exchange(unlogged_, 0))}}});
+}
+
 void stream_server::Accept(int socket) {
   std::uint64_t number = next_connection_++;
+  if (budgeted_ && !Apply(budget_.Open(number, Now()), budget_account::kConnections)) {
+    CountMetric(counter::kRequestsOverBudget);
+    LogOverBudget(budget_account::kConnections, 1, "refused");
+    close(socket);
+    return;
+  }
   auto c = std::make_unique<connection>(*this, number);
   connection* raw = c.get();
   c->active = Now();
   c->tcp = tcp_connection::Adopt(loop_, socket, {},
                                  {[this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
                                   [this, raw](tcp_end) { OnEnd(*raw); }});
-  if (c->tcp) connections_.emplace(number, std::move(c));
+  if (!c->tcp) {
+    budget_.Close(number);
+    return;
+  }
+  connections_.emplace(number, std::move(c));
 }
 
 void stream_server::OnBytes(connection& c, std::string_view bytes) {
   c.active = Now();
+  if (c.dropped_input) return;
+  if (budgeted_) budget_.OnReceived(c.number, bytes.size(), c.active);
   c.input.append(bytes);
   Parse(c);
   if (c.removed || c.closing) return;
-  if (c.exchange != 0 && c.input.size() > kMaxPipelinedBytes) c.tcp->SetReading(false);
+  std::size_t longest = budgeted_ ? kMaxBudgetedPipelinedBytes : kMaxPipelinedBytes;
+  if (c.exchange != 0 && c.input.size() > longest) c.tcp->SetReading(false);
 }
 
 void stream_server::Parse(connection& c) {
@@ -112,16 +174,56 @@
     if (error) Reject(c, error == errc::kHttpHeadTooLong ? 431 : 400);
   }
   c.parsing = false;
+  if (c.input.empty() && c.input.capacity() > kKeptInputBytes) FreeString(c.input);
+  if (budgeted_ && !c.removed && !c.closing) ChargeInput(c);
+}
+
+void stream_server::ChargeInput(connection& c) {
+  std::size_t bytes = c.input.capacity() + c.decoder.HeldBytes() + c.head_bytes;
+  budget_decision decision = budget_.Hold(c.number, budget_account::kHeads, bytes, c.active);
+  if (Apply(decision, budget_account::kHeads)) return;
+  CountMetric(counter::kRequestsOverBudget);
+  LogOverBudget(budget_account::kHeads, bytes, "refused");
+  if (c.exchange == 0) {
+    Reject(c, 503);
+    return;
+  }
+  // The request in progress is answered; those behind it have not been read.
+  FreeString(c.input);
+  c.dropped_input = c.close_after = true;
+  c.tcp->SetReading(false);
+  budget_.Hold(c.number, budget_account::kHeads, 0, c.active);
+}
+
+bool stream_server::ChargeBody(connection& c, std::size_t bytes) {
+  budget_decision decision = budget_.Hold(c.number, budget_account::kBodies, bytes, c.active);
+  if (Apply(decision, budget_account::kBodies)) return true;
+  CountMetric(counter::kRequestsOverBudget);
+  LogOverBudget(budget_account::kBodies, bytes, "refused");
+  Reject(c, 503);
+  return false;
+}
+
+void stream_server::ReleaseRequest(connection& c) {
+  c.head_bytes = 0;
+  if (!budgeted_) return;
+  budget_.Hold(c.number, budget_account::kBodies, 0, c.active);
+  budget_.Hold(c.number, budget_account::kHeads, 0, c.active);
 }
 
 void stream_server::OnHead(connection& c, http_head&& head) {
   c.head = std::move(head);
   c.body.clear();
-  if (c.head.content_length.value_or(0) > limits_.max_body_bytes) {
+  std::size_t length = c.head.content_length.value_or(0);
+  if (length > limits_.max_body_bytes) {
     Reject(c, 413);
     return;
   }
-  if (buffered_bytes_ + c.head.content_length.value_or(0) > limits_.max_buffered_bytes) {
+  if (budgeted_) {
+    c.head_bytes = HeldBytes(c.head.headers) + c.head.target.capacity();
+    if (length > 0 && !ChargeBody(c, length)) return;
+    GrowTo(c.body, length);
+  } else if (buffered_bytes_ + length > limits_.max_buffered_bytes) {
     Reject(c, 503);
     return;
   }
@@ -129,15 +231,26 @@
 }
 
 void stream_server::OnBody(connection& c, std::string_view bytes) {
-  if (c.closing) return;
+  if (c.closing || c.removed) return;
+  std::size_t needed = c.body.size() + bytes.size();
+  if (needed > limits_.max_body_bytes) {
+    Reject(c, 413);
+    return;
+  }
+  if (budgeted_ && needed > c.body.capacity()) {
+    std::size_t capacity = GrownCapacity(c.body.capacity(), needed, limits_.max_body_bytes);
+    if (!ChargeBody(c, capacity)) return;
+    GrowTo(c.body, capacity);
+  }
   c.body.append(bytes);
   buffered_bytes_ += bytes.size();
-  if (c.body.size() > limits_.max_body_bytes) Reject(c, 413);
 }
 
 void stream_server::OnComplete(connection& c) {
-  if (c.closing) return;
+  if (c.closing || c.removed) return;
   buffered_bytes_ -= c.body.size();
+  ReleaseRequest(c);
+  budget_.OnForwarded(c.number);
   c.exchange = next_exchange_++;
   c.begun = false;
   c.close_after = !c.head.keep_alive;
@@ -151,7 +264,10 @@
 
 void stream_server::Reject(connection& c, unsigned status) {
   buffered_bytes_ -= c.body.size();
-  c.body.clear();
+  FreeString(c.body);
+  FreeString(c.head.target);
+  c.head = {};
+  ReleaseRequest(c);
   if (on_.on_rejected) on_.on_rejected(status);
   std::string out = StatusLine(status);
   AppendHeader(out, "Content-Length", "0");
@@ -173,7 +289,7 @@
 
 void stream_server::CountUnsent(connection& c) {
   unsent_bytes_ -= c.unsent_bytes;
-  c.unsent_bytes = c.tcp->BufferedBytes();
+  c.unsent_bytes = budgeted_ ? c.tcp->BufferedMemory() : c.tcp->BufferedBytes();
   unsent_bytes_ += c.unsent_bytes;
 }
 
@@ -206,6 +322,9 @@
 
 void stream_server::Remove(connection& c) {
   c.removed = true;
+  budget_.Close(c.number);
+  // The connection itself stays until the next sweep.
+  FreeString(c.body);
   unsent_bytes_ -= std::exchange(c.unsent_bytes, 0);
   // An orderly end would complete the response.
   if (c.begun && c.ends_with_connection) c.tcp->Reset();
@@ -268,6 +387,7 @@
   exchanges_.erase(std::exchange(c.exchange, 0));
   c.begun = false;
   c.active = Now();
+  budget_.OnAnswered(c.number, c.active);
   // A response that began before the drain did not announce the end of its connection.
   if (c.close_after || closed_to_requests_) {
     CloseLater(c);
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -16,6 +16,7 @@
 #include "io/http_codec.h"
 #include "io/tcp.h"
 #include "radishroute/clock.h"
+#include "radishroute/resource_budget.h"
 #include "radishroute/types.h"
 
 namespace radishroute {
@@ -61,6 +62,8 @@
   std::error_code Start(const endpoint& listen) { return listener_.Start(listen); }
   void StopListening() { listener_.Stop(); }
   void SetLimits(const client_limits& limits) { limits_ = limits; }
+  /// Limits what all clients together use. Without it, `client_limits` alone applies.
+  void SetBudget(const budget_limits& limits);
 
   /// Starts a response. Without a length, the body is sent in chunks.
   void Begin(exchange_id id, unsigned status, const std::vector<http_header>& headers,
@@ -94,6 +97,13 @@
   void OnBody(connection& c, std::string_view bytes);
   void OnComplete(connection& c);
   void Reject(connection& c, unsigned status);
+  /// Closes the evicted connections; whether the use is granted.
+  bool Apply(const budget_decision& decision, budget_account account);
+  /// Charges the body's memory; rejects the request if it is not granted.
+  bool ChargeBody(connection& c, std::size_t bytes);
+  void ChargeInput(connection& c);
+  void ReleaseRequest(connection& c);
+  void LogOverBudget(budget_account account, std::size_t bytes, std::string_view reason);
   void OnEnd(connection& c);
   void FinishResponse(connection& c);
   void Send(connection& c, std::string_view bytes);
@@ -109,6 +119,11 @@
   io_loop& loop_;
   handlers on_;
   client_limits limits_;
+  resource_budget budget_;
+  bool budgeted_ = false;
+  /// The last line about the budget, and how many have been left out since.
+  std::optional<steady_time> logged_;
+  std::uint64_t unlogged_ = 0;
   tcp_listener listener_;
   std::uint64_t next_connection_ = 1;
   std::uint64_t next_exchange_ = 1;
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "radishroute/error.h"
+#include "radishroute/held_memory.h"
 
 namespace radishroute {
 
@@ -127,25 +128,42 @@
 
 void tcp_connection::Write(std::string_view bytes) {
   if (ended_ || wsi_ == nullptr) return;
-  output_.append(bytes);
+  AppendGrowingSlowly(output_, bytes);
   if (connected_) Flush();
 }
 
+void tcp_connection::Write(std::string&& bytes) {
+  if (BufferedBytes() > 0) {
+    Write(std::string_view(bytes));
+    return;
+  }
+  if (ended_ || wsi_ == nullptr) return;
+  output_.swap(bytes);
+  written_ = 0;
+  if (connected_) Flush();
+}
+
+// Connections are kept open; each would hold the memory of its longest message.
+void tcp_connection::ClearOutput() {
+  written_ = 0;
+  if (output_.capacity() > kCompactBytes) {
+    FreeString(output_);
+  } else {
+    output_.clear();
+  }
+}
+
 void tcp_connection::Flush() {
   while (written_ < output_.size()) {
     ssize_t n = send(socket_, output_.data() + written_, output_.size() - written_, MSG_NOSIGNAL);
     if (n < 0 && errno == EINTR) continue;
     // An error shows again when the socket is read, with what the peer sent before it.
-    if (n < 0 && errno != EAGAIN) {
-      output_.clear();
-      written_ = 0;
-    }
+    if (n < 0 && errno != EAGAIN) ClearOutput();
     if (n <= 0) break;
     written_ += static_cast<std::size_t>(n);
   }
   if (written_ == output_.size()) {
-    output_.clear();
-    written_ = 0;
+    ClearOutput();
     return;
   }
   if (written_ > kCompactBytes) {
@@ -188,6 +206,7 @@
 }
 
 void tcp_connection::SetReading(bool reading) {
+  reading_ = reading;
   if (wsi_ != nullptr) lws_rx_flow_control(wsi_, reading ? 1 : 0);
 }
 
@@ -214,7 +233,7 @@
     if (closing_) continue;
     on_.on_bytes({buffer.data(), static_cast<std::size_t>(n)});
     if (!*alive) return;
-    if (static_cast<std::size_t>(n) < buffer.size()) break;
+    if (!reading_ || static_cast<std::size_t>(n) < buffer.size()) break;
   }
 }
 
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -59,6 +59,8 @@
   tcp_connection& operator=(const tcp_connection&) = delete;
 
   void Write(std::string_view bytes);
+  /// Keeps the bytes without a copy if none wait to be written.
+  void Write(std::string&& bytes);
   /// Closes this side after the buffered bytes have been written. Input is dropped from now on;
   /// `on_end` follows when the peer has closed too.
   void CloseAfterWrites();
@@ -71,6 +73,8 @@
   /// Whether bytes of the peer wait to be read.
   bool HasUnreadInput() const;
   std::size_t BufferedBytes() const { return output_.size() - written_; }
+  /// Memory of the bytes that wait to be written.
+  std::size_t BufferedMemory() const { return BufferedBytes() == 0 ? 0 : output_.capacity(); }
   bool Connected() const { return connected_; }
 
   static lws_protocols Protocol();
@@ -84,6 +88,7 @@
   void ServeWritable();
   void WaitUntilWritable();
   void Flush();
+  void ClearOutput();
   void End(tcp_end how);
   static int OnFile(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
 
@@ -94,6 +99,7 @@
   bool connected_ = false;
   bool ended_ = false;
   bool closing_ = false;
+  bool reading_ = true;
   /// Set while the writable callback runs.
   bool in_writable_ = false;
   std::string output_;
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -97,6 +97,20 @@
   }
 }
 
+void upstream_client::MakeRoomInTotal() {
+  while (limits_.max_connections > 0 && connections_.size() >= limits_.max_connections) {
+    connection* oldest = nullptr;
+    for (auto& [to, numbers] : idle_) {
+      std::erase_if(numbers, [this](std::uint64_t n) { return !connections_.contains(n); });
+      if (numbers.empty()) continue;
+      connection* c = connections_.at(numbers.front()).get();
+      if (oldest == nullptr || c->reusable_until < oldest->reusable_until) oldest = c;
+    }
+    if (oldest == nullptr) return;
+    Remove(*oldest);
+  }
+}
+
 void upstream_client::Start(upstream_call call) {
   // Without an identity, a late response to an earlier request could not be told from its own.
   bool may_reuse = call.may_reuse && (!names_requests_ || !call.request_id.empty());
@@ -104,6 +118,7 @@
   bool reused = c != nullptr;
   if (!reused) {
     if (call.max_connections > 0) MakeRoom(call.to, call.max_connections);
+    MakeRoomInTotal();
     c = Open(call.to);
   }
   if (c == nullptr) {
@@ -118,7 +133,7 @@
   c->max_connections = call.max_connections;
   c->keep_alive = true;
   calls_[call.id.value] = c->number;
-  c->tcp->Write(call.bytes);
+  c->tcp->Write(std::move(call.bytes));
 }
 
 void upstream_client::Cancel(upstream_id id) {
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -41,6 +41,8 @@
   /// A connection is not used any more this long before the backend server may close it.
   std::chrono::milliseconds idle_margin{500};
   std::size_t max_idle_per_backend = 32;
+  /// See `SetMaxConnections`.
+  std::size_t max_connections = 0;
   std::size_t max_head_bytes = 64 * 1024;
   /// Bytes before a response: interim responses and responses to other requests.
   std::size_t max_skipped_bytes = std::size_t{1} << 20;
@@ -64,6 +66,10 @@
   upstream_client(const upstream_client&) = delete;
   upstream_client& operator=(const upstream_client&) = delete;
 
+  /// Connections to all backend servers, beyond which idle ones are closed; zero for no limit. The
+  /// caller bounds those in use.
+  void SetMaxConnections(std::size_t limit) { limits_.max_connections = limit; }
+
   void Start(upstream_call call);
   /// Closes the call's connection; no handler is called for it any more.
   void Cancel(upstream_id id);
@@ -77,6 +83,8 @@
   connection* Open(const endpoint& to);
   /// Closes idle connections to a backend server until there are fewer than `limit`.
   void MakeRoom(const endpoint& to, std::size_t limit);
+  /// Closes idle connections to any backend server until one more is within the limit.
+  void MakeRoomInTotal();
   void OnBytes(connection& c, std::string_view bytes);
   void OnHead(connection& c, http_head&& head);
   void OnComplete(connection& c);
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -267,4 +267,76 @@
   CHECK(f.second.get_future().wait_for(3s) == std::future_status::ready);
 }
 
+// Guards against memory that is taken for a body which the budget has no room for, and against a
+// refusal that leaves the budget charged.
+TEST_CASE("bodies beyond the budget are refused before they are read") {
+  server_fixture f;
+  f.respond = true;
+  f.OnLoop([&] { f.server->SetBudget({0, 64 * 1024, 10000}); });
+  SECTION("announced") { f.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10001\r\n\r\n"); }
+  SECTION("in chunks") {
+    f.Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    f.Send("2711\r\n" + std::string(10001, 'x') + "\r\n0\r\n\r\n");
+  }
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.starts_with("HTTP/1.1 503"));
+  CHECK(f.requests == 0);
+  f.Reconnect();
+  f.Send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 10000\r\n\r\n");
+  f.Send(std::string(10000, 'x'));
+  f.received.clear();
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a client that stops short and keeps all others out.
+TEST_CASE("a body that stops short gives way to one that is sent") {
+  server_fixture f;
+  f.respond = true;
+  f.OnLoop([&] { f.server->SetBudget({0, 64 * 1024, 10000}); });
+  f.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\nabc");
+  int stopped = f.client;
+  std::this_thread::sleep_for(600ms);
+  f.Connect();
+  f.Send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 5000\r\n\r\n");
+  f.Send(std::string(5000, 'x'));
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.starts_with("HTTP/1.1 200"));
+  std::swap(f.client, stopped);
+  CHECK(f.ReadsToEnd());
+  close(stopped);
+}
+
+// Guards against requests behind one in progress that take memory without bound, and against the
+// loss of the response to that one.
+TEST_CASE("requests behind one in progress are dropped beyond the budget") {
+  server_fixture f;
+  f.OnLoop([&] { f.server->SetBudget({0, 4096, 10000}); });
+  f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange_id exchange = f.first.get_future().get();
+  f.Send("GET /b HTTP/1.1\r\nHost: h\r\nX: " + std::string(8000, 'x') + "\r\n\r\n");
+  std::this_thread::sleep_for(50ms);
+  f.OnLoop([&] { f.server->Respond(exchange, 200, {}, "ok"); });
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.ends_with("ok"));
+  CHECK(f.requests == 1);
+}
+
+// Guards against descriptors that run out on clients that send nothing.
+TEST_CASE("connections beyond the budget are closed") {
+  server_fixture f;
+  f.respond = true;
+  f.OnLoop([&] { f.server->SetBudget({1, 0, 0}); });
+  f.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  f.first.get_future().get();
+  int kept = f.client;
+  f.Connect();
+  CHECK(f.ReadsToEnd());
+  std::this_thread::sleep_for(600ms);
+  f.Reconnect();
+  f.Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(f.second.get_future().wait_for(3s) == std::future_status::ready);
+  close(kept);
+}
+
 }  // namespace radishroute
