--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -61,8 +61,13 @@
         pass
 
 
+class EngineServer(http.server.ThreadingHTTPServer):
+    # With the default of 5, connections of a burst wait for a repeated opening packet.
+    request_queue_size = 128
+
+
 def start_engine(name, handler=Engine):
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    server = EngineServer(("127.0.0.1", 0), handler)
     server.name = name
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -156,9 +161,9 @@
             host = response.headers["Location"].split("/")[2].split(":")[0]
         return 503, b""
 
-    def register(self, server, sequence, state="ready", zone="a"):
+    def register(self, server, sequence, state="ready", zone="a", slots=4):
         body = json.dumps({"service": "desk", "address": f"127.0.0.1:{server.server_port}",
-                           "zone": zone, "version": "v1", "slots": 4, "state": state,
+                           "zone": zone, "version": "v1", "slots": slots, "state": state,
                            "sequence": sequence, "born": 1000})
         status, _ = self.control("PUT", "/instances/" + server.name, body)
         assert status == 200, status
