Charge bodies at a controller until their call is answered

Cause: a body left the budget when its call was handed on, while a document stays in memory until the log has committed it, so many documents of legal size in progress were not limited.

Change: stream_server takes how long bodies count; a controller charges them until the response, a gateway until the request is handed on, as the forwarder limits requests in progress.

Conclusion: the budgets of a controller cover documents in progress.

--- a/src/io/control_api.h
+++ b/src/io/control_api.h
@@ -53,7 +53,8 @@
     client_limits limits;
     if (shares.unsent_bytes > 0) limits.max_total_unsent_bytes = shares.unsent_bytes;
     server_.SetLimits(limits);
-    server_.SetBudget(shares.callers);
+    // A document stays in memory until the log has committed it.
+    server_.SetBudget(shares.callers, body_charge::kUntilAnswered);
   }
 
   void Execute(const document_answered& e) {
--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -98,7 +98,8 @@
   return c == connections_.end() ? nullptr : c->second.get();
 }
 
-void stream_server::SetBudget(const budget_limits& limits) {
+void stream_server::SetBudget(const budget_limits& limits, body_charge charge) {
+  charge_ = charge;
   budget_.SetLimits(limits);
   budgeted_ = budget_.IsLimited();
 }
@@ -204,11 +205,13 @@
   return false;
 }
 
-void stream_server::ReleaseRequest(connection& c) {
+void stream_server::ReleaseHead(connection& c) {
   c.head_bytes = 0;
-  if (!budgeted_) return;
-  budget_.Hold(c.number, budget_account::kBodies, 0, c.active);
-  budget_.Hold(c.number, budget_account::kHeads, 0, c.active);
+  if (budgeted_) budget_.Hold(c.number, budget_account::kHeads, 0, c.active);
+}
+
+void stream_server::ReleaseBody(connection& c) {
+  if (budgeted_) budget_.Hold(c.number, budget_account::kBodies, 0, c.active);
 }
 
 void stream_server::OnHead(connection& c, http_head&& head) {
@@ -249,7 +252,8 @@
 void stream_server::OnComplete(connection& c) {
   if (c.closing || c.removed) return;
   buffered_bytes_ -= c.body.size();
-  ReleaseRequest(c);
+  ReleaseHead(c);
+  if (charge_ == body_charge::kWhileRead) ReleaseBody(c);
   budget_.OnForwarded(c.number);
   c.exchange = next_exchange_++;
   c.begun = false;
@@ -267,7 +271,8 @@
   FreeString(c.body);
   FreeString(c.head.target);
   c.head = {};
-  ReleaseRequest(c);
+  ReleaseHead(c);
+  ReleaseBody(c);
   if (on_.on_rejected) on_.on_rejected(status);
   std::string out = StatusLine(status);
   AppendHeader(out, "Content-Length", "0");
@@ -387,6 +392,7 @@
   exchanges_.erase(std::exchange(c.exchange, 0));
   c.begun = false;
   c.active = Now();
+  ReleaseBody(c);
   budget_.OnAnswered(c.number, c.active);
   // A response that began before the drain did not announce the end of its connection.
   if (c.close_after || closed_to_requests_) {
--- a/src/io/stream_server.h
+++ b/src/io/stream_server.h
@@ -42,6 +42,13 @@
   std::size_t max_total_unsent_bytes = std::size_t{24} << 20;
 };
 
+/// How long the bodies of requests count towards the budget.
+enum class body_charge : std::uint8_t {
+  /// Until the request is handed on; its receiver has limits of its own.
+  kWhileRead,
+  kUntilAnswered,
+};
+
 /// HTTP/1.1 server that hands on heads and bodies unchanged and streams responses.
 class stream_server {
  public:
@@ -63,7 +70,7 @@
   void StopListening() { listener_.Stop(); }
   void SetLimits(const client_limits& limits) { limits_ = limits; }
   /// Limits what all clients together use. Without it, `client_limits` alone applies.
-  void SetBudget(const budget_limits& limits);
+  void SetBudget(const budget_limits& limits, body_charge charge = body_charge::kWhileRead);
 
   /// Starts a response. Without a length, the body is sent in chunks.
   void Begin(exchange_id id, unsigned status, const std::vector<http_header>& headers,
@@ -102,7 +109,8 @@
   /// Charges the body's memory; rejects the request if it is not granted.
   bool ChargeBody(connection& c, std::size_t bytes);
   void ChargeInput(connection& c);
-  void ReleaseRequest(connection& c);
+  void ReleaseHead(connection& c);
+  void ReleaseBody(connection& c);
   void LogOverBudget(budget_account account, std::size_t bytes, std::string_view reason);
   void OnEnd(connection& c);
   void FinishResponse(connection& c);
@@ -121,6 +129,7 @@
   client_limits limits_;
   resource_budget budget_;
   bool budgeted_ = false;
+  body_charge charge_ = body_charge::kWhileRead;
   /// The last line about the budget, and how many have been left out since.
   std::optional<steady_time> logged_;
   std::uint64_t unlogged_ = 0;
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -307,6 +307,27 @@
   close(stopped);
 }
 
+// Guards against memory that runs out on documents which wait for the log, and against room that is
+// not given back with the response.
+TEST_CASE("bodies can be charged until their request is answered") {
+  server_fixture f;
+  f.OnLoop([&] { f.server->SetBudget({0, 64 * 1024, 10000}, body_charge::kUntilAnswered); });
+  std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000\r\n\r\n";
+  f.Send(request + std::string(8000, 'x'));
+  exchange_id exchange = f.first.get_future().get();
+  int waiting = f.client;
+  std::this_thread::sleep_for(600ms);
+  f.Connect();
+  f.Send(request);
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.starts_with("HTTP/1.1 503"));
+  f.OnLoop([&] { f.server->Respond(exchange, 200, {}, "ok"); });
+  f.Reconnect();
+  f.Send(request + std::string(8000, 'x'));
+  CHECK(f.second.get_future().wait_for(3s) == std::future_status::ready);
+  close(waiting);
+}
+
 // Guards against requests behind one in progress that take memory without bound, and against the
 // loss of the response to that one.
 TEST_CASE("requests behind one in progress are dropped beyond the budget") {
