Read settings files without the buffer of a standard stream

A sidecar ended once with code 139 inside ReadFile, called by the look at the settings file each second; the top frames were those of the standard stream's copy of a file buffer, which throws on a failed read. Files are read with open and read now; a folder, a failed read and a file beyond 16 MiB give nothing, where a folder gave an empty text and a device was read without end before. Tests: reads beside replacing, cutting and removing a file, and the same on a running gateway, controller and sidecar.

--- a/src/cli/process.cc
+++ b/src/cli/process.cc
@@ -1,12 +1,14 @@
 #include "cli/process.h"
 
+#include <fcntl.h>
 #include <malloc.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 #include "io/metrics.h"
 
@@ -17,6 +19,9 @@
 // A file may change without a signal; its readers need the change within seconds.
 constexpr std::chrono::seconds kSettingsInterval{1};
 
+// Settings and sheets are far smaller; a device or an endless file is none.
+constexpr std::size_t kMaxFileBytes = std::size_t{16} << 20;
+
 sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -89,11 +94,22 @@
 }
 
 std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+  // A settings file is read each second and may be replaced, cut short or removed meanwhile. A
+  // failed read is a status here, while the buffer of a standard stream throws on it.
+  int file = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) return std::nullopt;
+  std::string text;
+  std::array<char, 16 * 1024> part;
+  ssize_t got = 0;
+  while (text.size() <= kMaxFileBytes) {
+    got = read(file, part.data(), part.size());
+    if (got < 0 && errno == EINTR) continue;
+    if (got <= 0) break;
+    text.append(part.data(), static_cast<std::size_t>(got));
+  }
+  close(file);
+  if (got < 0 || text.size() > kMaxFileBytes) return std::nullopt;
+  return text;
 }
 
 std::optional<work_sheet> LoadSheet(const std::string& file) {
