Show evacuated zones and the gateways that have them in force

Operators could not see whether an acknowledged evacuation had reached every gateway. The status of the leader lists the zones, and for each entry with a lease whether its version is in force; radishroute status prints the ones that are missing.

--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -95,6 +95,21 @@
   status["orders"] = std::move(orders);
 }
 
+void PrintEvacuations(const json& evacuations) {
+  if (evacuations.value("zones", json::array()).empty()) return;
+  std::size_t in_force = 0;
+  json entries = evacuations.value("entries", json::array());
+  for (const json& entry : entries) in_force += entry.value("in_force", false) ? 1 : 0;
+  std::cout << "evacuated zones";
+  for (const json& zone : evacuations["zones"]) std::cout << " " << zone.get<std::string>();
+  std::cout << ", in force at " << in_force << " of " << entries.size() << " entries\n";
+  for (const json& entry : entries) {
+    if (entry.value("in_force", false)) continue;
+    std::cout << "  not yet at " << entry.value("node", "") << " in " << entry.value("zone", "")
+              << "\n";
+  }
+}
+
 void PrintStatus(const json& status) {
   json config = status.value("config", json::object());
   std::cout << "configuration version " << config.value("version", 0) << " by "
@@ -102,6 +117,7 @@
   PrintZones(status.value("in_force", json::object()), std::cout);
   std::cout << "log index " << status.value("last_index", 0) << ", idempotency records "
             << status.value("records", 0) << "\n";
+  PrintEvacuations(status.value("evacuations", json::object()));
   for (const json& r : status.value("replicas", json::array())) {
     std::cout << (r.value("voting", false) ? "voter " : "learner ") << r.value("id", "") << " zone "
               << r.value("zone", "") << " " << r.value("address", "") << "\n";
--- a/src/cli/config_http.cc
+++ b/src/cli/config_http.cc
@@ -56,6 +56,18 @@
           {"replicas", replicas}};
 }
 
+// Evacuated availability zones, and the entries by the version of them that they have in force.
+json EvacuationsToJson(const config_http_backend& backend, steady_time now) {
+  evacuation_notice evacuations = backend.state->Evacuations().Save();
+  json entries = json::array();
+  for (const evacuation_report& entry : backend.leases->EvacuationReport(now)) {
+    entries.push_back({{"node", entry.node},
+                       {"zone", entry.zone},
+                       {"in_force", entry.version >= evacuations.version}});
+  }
+  return {{"version", evacuations.version}, {"zones", evacuations.zones}, {"entries", entries}};
+}
+
 http_answer Submit(const http_request& request, const config_http_backend& backend) {
   json body = json::parse(request.body, nullptr, false);
   bool valid = body.is_object() && body.contains("base_version") &&
@@ -91,6 +103,7 @@
   if (!backend.is_leader()) return ErrorAnswer(421, "not-leader");
   if (!change) {
     json status = ToJson(ReportStatus(*backend.state, *backend.leases, now));
+    status["evacuations"] = EvacuationsToJson(backend, now);
     if (backend.groups != nullptr) {
       status["groups"] = GroupsToJson(backend.groups->Report(backend.state->Groups()));
     }
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
+#include "cli/config_http.h"
 #include "fake_context.h"
 #include "platform/control_wire.h"
 #include "radishroute/config_client.h"
@@ -159,4 +161,32 @@
   CHECK(RejectedStatus(Decode("POST", "/evacuate/" + std::string(300, 'a'))) == 404);
 }
 
+// Guards against operators who cannot see which gateways still send to a zone that they evacuated.
+TEST_CASE("the status shows the evacuated zones and the entries that have them in force") {
+  entry_fixture f;
+  f.Renew({});
+  state_machine state;
+  f.leader.Do([&](auto& ctx) { state.Apply({1, 1, zone_evacuation{"b", true}}, ctx); });
+  config_http_backend backend;
+  backend.state = &state;
+  backend.leases = &f.leases;
+  backend.is_leader = [] { return true; };
+  backend.token = "t";
+  http_request request;
+  request.method = "GET";
+  request.path = "/v1/status";
+  request.headers["authorization"] = "Bearer t";
+  auto status = [&] {
+    auto answer = HandleConfigHttp(request, backend, f.leader.Now());
+    REQUIRE(answer);
+    return nlohmann::json::parse(answer->body)["evacuations"];
+  };
+  CHECK(status()["zones"] == nlohmann::json::array({"b"}));
+  REQUIRE(status()["entries"].size() == 1);
+  CHECK(status()["entries"][0]["in_force"] == false);
+  f.entry.Do([&](auto& ctx) { f.client.Handle({1}, evacuation_notice{1, {"b"}}, ctx); });
+  f.Renew({1, {"b"}});
+  CHECK(status()["entries"][0]["in_force"] == true);
+}
+
 }  // namespace radishroute
