--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -916,6 +916,8 @@
     LogCold(cold_.OnZoneReturned(zone, *table_, ctx.now, ctx.random), ctx);
   }
   PublishEligible(ctx);
+  // Those that no backend server is left for are refused at once.
+  ServeWaiting(ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
--- a/tests/wait_queue_test.cc
+++ b/tests/wait_queue_test.cc
@@ -73,12 +73,12 @@
     fake.Do([&](auto& ctx) { requests.Handle(e, ctx); });
   }
 
-  void Report(std::uint32_t running, std::uint32_t waiting = 0) {
+  void Report(std::uint32_t running, std::uint32_t waiting = 0, bool open = true) {
     auto load = std::make_shared<fleet_load>();
     load->group = "g";
     load->term = 1;
     load->sequence = next_report++;
-    load->open = true;
+    load->open = open;
     load->pass = 70ms;
     load->engines.push_back({{"10.0.0.1", 80}, running, waiting, 0ms});
     Handle(fleet_load_published{load});
@@ -168,6 +168,28 @@
   CHECK(f.fake.All<send_error_response>()[0].status == 503);
 }
 
+// Guards against a request that waits for a zone which is evacuated meanwhile: it must neither be
+// sent there nor be held.
+TEST_CASE("an evacuation refuses the requests that waited for its zone") {
+  waiting_fixture f;
+  f.Report(10, 20);
+  f.SendRequest();
+  f.Handle(evacuations_published{{1, {"a"}}});
+  CHECK(f.RefusedNow() == 1);
+  f.Report(0);
+  CHECK(f.SentNow() == 0);
+}
+
+// Guards against a request that is sent to a group which stopped while the request waited for it.
+TEST_CASE("a group that goes down refuses the requests that waited for it") {
+  waiting_fixture f;
+  f.Report(10, 20);
+  f.SendRequest();
+  f.Report(0, 0, false);
+  CHECK(f.SentNow() == 0);
+  CHECK(f.RefusedNow() == 1);
+}
+
 // Guards against a change for deployments that have not asked for it.
 TEST_CASE("without the setting no request waits") {
   waiting_fixture f(false);
