--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -31,8 +31,8 @@
   double min_gain = 0.12;
   /// Minimum number of counted choices per expert before a map is planned from them.
   double min_choices_per_expert = 20;
-  /// Longest time in which a rank copies the experts of one change. A change that takes longer than
-  /// the half-life of the counts is outdated when it takes effect.
+  /// Longest time in which a rank copies the experts of one change, if copying those of all layers
+  /// would take longer than the half-life: such a change is outdated when it takes effect.
   std::chrono::milliseconds max_copy_time{250};
 };
 
--- a/src/experts/bounded_placement.cc
+++ b/src/experts/bounded_placement.cc
@@ -78,6 +78,7 @@
   std::vector<std::size_t> order(current.layers.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
   std::vector<double> skew;
+  skew.reserve(order.size());
   for (std::size_t i : order) {
     skew.push_back(MeasureSkew(shape, current.layers[i], loads[i]).Ratio());
   }
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -146,13 +146,13 @@
   for (const auto& set : group.choices) choices = std::accumulate(set.begin(), set.end(), choices);
   if (choices < limits_.min_choices_per_expert * shape.experts * shape.layers) return;
   std::uint32_t max_copies = shape.layers * shape.slots_per_rank;
-  if (profile_->expert_copy_time.count() > 0) {
+  std::uint32_t new_per_rank = std::max(profile_->spare_expert_slots_per_rank, 1U);
+  // A change of all layers that is copied within the half-life of the counts is made at once.
+  if (profile_->expert_copy_time * (shape.layers * new_per_rank) > limits_.half_life) {
     auto affordable = limits_.max_copy_time / profile_->expert_copy_time;
     max_copies = static_cast<std::uint32_t>(std::clamp<std::int64_t>(affordable, 1, max_copies));
   }
-  expert_placement next =
-      PlanLayers(shape, *current, group.choices,
-                 std::max(profile_->spare_expert_slots_per_rank, 1U), max_copies);
+  expert_placement next = PlanLayers(shape, *current, group.choices, new_per_rank, max_copies);
   double before = MeanSkew(shape, *current, group.choices);
   double after = MeanSkew(shape, next, group.choices);
   if (before - after < limits_.min_gain * before) return;
