--- a/src/forward/backend_selector.cc
+++ b/src/forward/backend_selector.cc
@@ -145,7 +145,7 @@
   double current = std::exp2(-std::max(age, 0.0));
   double others = b.reported * current;
   if (b.service_load != nullptr) {
-    // Without this, servers that have not been heard of lately would seem to be idle, and with
+    // Without this, servers without a recent report would seem to be idle, and with
     // many processes that is true of most.
     double share = std::min(1.0, capacity_.Capacity(b.capacity, now).speed);
     double typical = std::max(0.0, b.service_load->WithPrior(now) * share - b.in_flight);
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -110,7 +110,7 @@
   CHECK(restored.Evacuations().Version() == 2);
 }
 
-// Guards against a gateway that goes on sending to an evacuated zone because a notice was lost, and
+// Guards against a gateway that keeps sending to an evacuated zone because a notice was lost, and
 // against one that returns to an earlier state because a notice came late.
 TEST_CASE("an entry applies the latest evacuations, from a notice or from its next grant") {
   entry_fixture f;
@@ -130,7 +130,7 @@
   CHECK(f.Published() == std::vector<std::vector<std::string>>{{}});
 }
 
-// Guards against entries that hear of an evacuation only with their next renewal.
+// Guards against entries that learn of an evacuation only with their next renewal.
 TEST_CASE("a committed evacuation is sent to all entries with a lease at once") {
   entry_fixture f;
   f.Renew({});
--- a/tests/resource_budget_test.cc
+++ b/tests/resource_budget_test.cc
@@ -217,7 +217,7 @@
     CHECK(s.request_bytes >= kBody);
     std::size_t used =
         bodies + heads + s.request_bytes / 2 * 3 + s.response_bytes / 4 * 5 + s.unsent_bytes;
-    // The process itself was measured with 16 MB.
+    // A process without clients takes 16 MB.
     CHECK(used + 16000000 <= mb * 1000000);
   }
   gateway_shares d = DivideForGateway({112, 2870});
