Count connections that were accepted before a budget was set

Under the thread sanitizer five tests of stream_server_test failed: the connection was accepted before the limits were set, so the budget did not know it and granted whatever it asked for. Every connection is counted from its start.

--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -133,7 +133,8 @@
 
 void stream_server::Accept(int socket) {
   std::uint64_t number = next_connection_++;
-  if (budgeted_ && !Apply(budget_.Open(number, Now()), budget_account::kConnections)) {
+  // Counted also without limits, which may be set while the connection is open.
+  if (!Apply(budget_.Open(number, Now()), budget_account::kConnections)) {
     CountMetric(counter::kRequestsOverBudget);
     LogOverBudget(budget_account::kConnections, 1, "refused");
     close(socket);
