Keep a gateway alive, and servers warm, when the cold rate of a service changes

Found by reading: the end of an evacuation looked up a profile that the configuration may have dropped since the last table, which ended the process; and a configuration that arrives after the directory marked every server as cold for its whole cold time.

--- a/src/forward/cold_backends.cc
+++ b/src/forward/cold_backends.cc
@@ -45,6 +45,10 @@
     auto found = profiles_.find(service);
     if (found == profiles_.end() || found->second.requests_per_second <= 0) continue;
     const cold_profile& profile = found->second;
+    // The configuration may arrive after the directory; its servers are not new then.
+    const std::string& name = service;
+    bool is_known = std::any_of(backends_.begin(), backends_.end(),
+                                [&](const auto& item) { return item.second.service == name; });
     for (const auto* indexes : {&pool.local, &pool.remote}) {
       for (std::uint32_t index : *indexes) {
         const announcement& record = table.backends[index];
@@ -58,7 +62,7 @@
         std::chrono::milliseconds remaining{};
         std::string_view source = "registration";
         if (changed) remaining = record.cold_remaining;
-        if (is_new && has_table_ && remaining < profile.duration) {
+        if (is_new && has_table_ && is_known && remaining < profile.duration) {
           remaining = profile.duration;
           source = "first-listed";
         }
@@ -82,9 +86,11 @@
   for (const announcement& record : table.backends) {
     auto it = backends_.find(record.backend);
     if (record.zone != zone || it == backends_.end()) continue;
-    const cold_profile& profile = profiles_.find(it->second.service)->second;
-    Mark(it->second, profile, profile.duration, now, random);
-    marked.push_back({record.backend, profile.duration, "evacuation-ended"});
+    // A configuration that has arrived since the last table may have ended the cold phase.
+    auto profile = profiles_.find(it->second.service);
+    if (profile == profiles_.end()) continue;
+    Mark(it->second, profile->second, profile->second.duration, now, random);
+    marked.push_back({record.backend, profile->second.duration, "evacuation-ended"});
   }
   return marked;
 }
--- a/tests/cold_backends_test.cc
+++ b/tests/cold_backends_test.cc
@@ -147,6 +147,20 @@
   CHECK_FALSE(cold.NextTurn("draft", now + 3001ms));
 }
 
+// Guards against servers that all count as cold because the configuration arrives after the
+// directory, and against a process that ends because a configuration has no cold phase any more.
+TEST_CASE("a configuration that changes beside the directory marks no server") {
+  random_source random{1};
+  steady_time now{1h};
+  cold_backends cold;
+  routing_table table = MakeTable({MakeEngine("e")});
+  cold.OnTable(table, now, random);
+  cold.SetProfiles({{"draft", {3000ms, kRate}}});
+  CHECK(cold.OnTable(table, now, random).empty());
+  cold.SetProfiles({});
+  CHECK(cold.OnZoneReturned("a", table, now, random).empty());
+}
+
 // Guards against limits where the configuration does not ask for them.
 TEST_CASE("services without a cold rate are not limited") {
   random_source random{1};
