Review: the number of an expert map is used twice after a lost lease

A leader whose lease runs out and that goes on in the same term forgets the versions that it has sent, and gives the next map a version that ranks may still take for the earlier one.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -26,6 +26,12 @@
 HEARTBEAT = 1.2
 
 
+# Memory and descriptors of the machines of the small deployments.
+LIMITS = {"gateway": {"memoryMb": 260, "maxFds": 4100},
+          "controller": {"memoryMb": 256, "maxFds": 4096},
+          "sidecar": {"memoryMb": 128, "maxFds": 2048}}
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -93,18 +99,17 @@
             process.wait(timeout=10)
         shutil.rmtree(self.dir, ignore_errors=True)
 
-    def start(self, role, host, first):
+    def start(self, role, host, first, app=""):
         name = f"{role}-{host}"
         data = os.path.join(self.dir, "data-" + name)
         os.makedirs(data, exist_ok=True)
         values = {
             "nodeName": name, "zone": "zone-a", "zones": {"zone-a": "region"}, "ip": host,
-            "internalPorts": self.internal, "dataDir": data, "firstStart": first,
+            "internalPorts": self.internal, "dataDir": data, "firstStart": first, "app": app,
             "seeds": [f"{core}:{self.control}" for core in self.cores],
             "listen": {"front": f"{host}:{self.front}", "ready": f"{host}:{self.ready}",
                        "control": f"{host}:{self.control}"},
-            "limits": {"memoryMb": 260 if role == "gateway" else 256,
-                       "maxFds": 4100 if role == "gateway" else 4096},
+            "limits": LIMITS[role],
             "faultTolerance": {"machines": 1},
             "bounds": {"graceS": 8, "retryBudgetRatio": 0.2, "budgetWindowS": 10},
         }
@@ -153,6 +158,19 @@
             port = int(port)
         return 503, b""
 
+    def call_direct(self, host):
+        """Status of a read of the configuration at one controller; only the leader answers 200."""
+        connection = http.client.HTTPConnection(host, self.control, timeout=1)
+        try:
+            connection.request("GET", "/config")
+            return connection.getresponse().status
+        finally:
+            connection.close()
+
+    def start_sidecar(self, number, engine):
+        return self.start("sidecar", f"{self.cores[0].rsplit('.', 2)[0]}.4.{number + 1}", first=True,
+                          app=engine)
+
     def add_engine(self, engine):
         self.engines.append(engine)
         self.put_instance(engine)
