Review: a client that pauses for 4 s loses its answer, too

The timeout for silent connections also ends those whose peer has a closed window. Six clients that pause for 4 s in an answer of 200 kB join the six that read steadily.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,10 +13,12 @@
 from harness2 import HOST, STABILITY, TROUBLE, Deployment, Engine, run, send_answer  # noqa: E402
 
 CLIENTS = 6
-ANSWER_BYTES = 16 << 20
 DEADLINE_MS = 8000
-# Bytes a second that a client takes; all of the answer takes two thirds of the deadline.
-RATE = ANSWER_BYTES / 5.3
+# These clients read a part of the answer, pause, and read the rest at full speed.
+PAUSED_BYTES, PAUSE_S = 200000, 4.0
+# These clients read at this rate; all of the answer takes two thirds of the deadline.
+STEADY_BYTES = 16 << 20
+RATE = STEADY_BYTES / 5.3
 PATTERN = bytes(range(256)) * 4096
 
 CONFIG = {"version": 1,
@@ -36,17 +38,18 @@
 class Client:
     """Sends two requests on one connection; the answer to the second one is long."""
 
-    def __init__(self, record, host, port, number):
+    def __init__(self, record, host, port, number, window, length, rate=None, pause=0.0):
         self.record, self.number = record, number
+        self.length, self.rate, self.pause = length, rate, pause
         self.connection = socket.socket()
         # A client that reads slowly has a small window.
-        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
         self.connection.settimeout(10)
         self.connection.connect((host, port))
         self.pending = b""
         self.result = None
 
-    def ask(self, length, rate):
+    def ask(self, length, rate=None, pause=0.0):
         request = f"{self.number}-{length}"
         self.connection.sendall(
             f"GET /report/{length} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request}\r\n"
@@ -61,6 +64,7 @@
         head, body = self.pending.split(b"\r\n\r\n", 1)
         status = int(head.split()[1])
         read = len(body)
+        time.sleep(pause)
         while read < length:
             if rate and read > rate * (time.time() - began):
                 time.sleep(0.005)
@@ -68,7 +72,8 @@
             try:
                 got = self.connection.recv(min(65536, length - read))
             except OSError as error:
-                return f"{request}: status {status}, {read} of {length} bytes, then {error}"
+                return (f"{request}: status {status}, {read} of {length} bytes after "
+                        f"{time.time() - began:.2f} s, then {error}")
             if not got:
                 return (f"{request}: status {status}, {read} of {length} bytes after "
                         f"{time.time() - began:.2f} s, then the connection was closed")
@@ -80,7 +85,11 @@
 
     def work(self):
         try:
-            self.result = self.ask(800, None) or self.ask(ANSWER_BYTES, RATE if TROUBLE else None)
+            self.result = self.ask(800)
+            if not self.result and TROUBLE:
+                self.result = self.ask(self.length, self.rate, self.pause)
+            elif not self.result:
+                self.result = self.ask(self.length)
         except OSError as error:
             self.result = f"{self.number}: {error}"
         if self.result:
@@ -104,16 +113,22 @@
         d.wait_ready()
         # The machines are in touch from here on: nothing is disturbed.
         time.sleep(STABILITY + 1)
-        clients = [Client(record, d.edges[0], d.front, f"c{n}") for n in range(CLIENTS)]
-        threads = [threading.Thread(target=c.work) for c in clients]
-        for thread in threads:
-            thread.start()
-            time.sleep(0.3)
-        for thread in threads:
-            thread.join()
-    cut = [c for c in clients if c.result]
-    record.line(f"{len(cut)} of {CLIENTS} requests were passed on and got no complete answer")
-    return len(cut) <= 3
+        cut = 0
+        for kind, more in (("paused", {"window": 16384, "length": PAUSED_BYTES, "pause": PAUSE_S}),
+                           ("steady", {"window": 65536, "length": STEADY_BYTES, "rate": RATE})):
+            clients = [Client(record, d.edges[0], d.front, f"{kind}-{n}", **more)
+                       for n in range(CLIENTS)]
+            threads = [threading.Thread(target=c.work) for c in clients]
+            for thread in threads:
+                thread.start()
+                time.sleep(0.3)
+            for thread in threads:
+                thread.join()
+            lost = len([c for c in clients if c.result])
+            record.line(f"{kind}: {lost} of {CLIENTS} requests were passed on and got no complete "
+                        "answer")
+            cut = max(cut, lost)
+    return cut <= 3
 
 
 run(FOLDER, case)
