--- a/review/harness2.py
+++ b/review/harness2.py
@@ -7,8 +7,10 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -33,9 +35,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def find(values, path):
@@ -277,6 +285,8 @@
 
 def run(folder, case):
     """Runs `case(record)`, which returns whether the rule held; exits as issue 42 asks."""
+    # Ends the processes that were started also if the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *unused: sys.exit(2))
     record = Record(folder)
     record.line(f"TROUBLE={'1' if TROUBLE else '0'}")
     try:
