Number expert maps once in a term, also after a lost lease

Cause: engine_groups cleared its groups whenever the leader's lease had expired, although the term went on if nobody else was elected. Versions and command numbers then began anew. A version that had been sent and that no rank had reported yet was given to another map, and results of earlier commands were taken for those of later ones.

Evidence: with the groups cleared at the end of the lease, engine_groups_test fails in 4 of its cases ("a version is sent with two maps", load reports numbered twice); with a command repeated as soon as its result is known, the case of the rate fails.

Fix: the groups are kept until the term ends. Only the result of the command sent last counts, for the commands and for the fence. A sidecar reports the result that it knew when the read of the state began, and drops it with the engine's incarnation. A new link to a rank with an arm order in transit counts as an order that may still be carried out. Versions stay within the range of their term.

--- a/include/radishroute/controller_log.h
+++ b/include/radishroute/controller_log.h
@@ -125,7 +125,7 @@
   }
 
   void Handle(link_id link, const engine_status& m, reduce_context& ctx) {
-    engines_.OnStatus(link, m, Core(), ctx);
+    engines_.OnStatus(link, m, Leadership(ctx.now), ctx);
   }
 
   void Handle(link_id link, const fleet_load& m, reduce_context& ctx) {
@@ -239,11 +239,15 @@
   void SetGroupJoiner(group_joiner joiner) { joiner_.emplace(std::move(joiner)); }
 
  private:
+  leadership Leadership(steady_time now) const {
+    return {Core().IsReadyLeader(now), Core().Term(), Core().LeaderAddress()};
+  }
+
   void UpdateRole(reduce_context& ctx) {
     documents_.OnProgress(Core(), State().Config(), ctx);
     evacuations_.OnProgress(Core(), ctx);
     if (joiner_) joiner_->OnProgress(Core(), ctx);
-    engines_.OnProgress(Core(), ctx);
+    engines_.OnProgress(Leadership(ctx.now), ctx);
     bool is_leader = Core().Role() == raft_role::kLeader && !Core().Failure();
     if (serving_ && (!is_leader || Core().Term() != serving_term_)) {
       log_.Machine().Records().StepDown();
--- a/include/radishroute/experts/engine_groups.h
+++ b/include/radishroute/experts/engine_groups.h
@@ -13,7 +13,6 @@
 #include "radishroute/experts/map_switch.h"
 #include "radishroute/experts/pass_meter.h"
 #include "radishroute/forward/deployment.h"
-#include "radishroute/raft.h"
 #include "radishroute/reduce_context.h"
 
 namespace radishroute {
@@ -36,13 +35,22 @@
   std::chrono::milliseconds max_copy_time{250};
 };
 
+/// Role of this process in the replicated log, at the time of an event.
+struct leadership {
+  /// False also for a leader whose lease has expired, although no other may have been elected.
+  bool leads = false;
+  std::uint64_t term = 0;
+  /// Address of the leader that this process knows; empty host if unknown.
+  endpoint leader;
+};
+
 /// Leader's side of the engines' expert-parallel groups: collects the counts of chosen experts,
 /// plans expert maps, and carries out map changes.
 class engine_groups {
  public:
   explicit engine_groups(engine_group_limits limits = {}) : limits_(limits) {}
 
-  void OnStatus(link_id link, const engine_status& status, const raft_core& core,
+  void OnStatus(link_id link, const engine_status& status, const leadership& role,
                 reduce_context& ctx);
   void OnDeployment(const route_index& routes);
   /// Passes on loads that the leader sends to one controller of each availability zone.
@@ -52,10 +60,12 @@
   void Handle(const link_opened& opened) { fanout_.Handle(opened); }
   void Handle(const link_closed& closed) { fanout_.Handle(closed); }
   /// Must be called after each event.
-  void OnProgress(const raft_core& core, reduce_context& ctx);
+  void OnProgress(const leadership& role, reduce_context& ctx);
 
  private:
   struct group_state {
+    explicit group_state(std::uint64_t term) : change(term) {}
+
     map_switch change;
     /// How often each expert was chosen, by set and expert, with decay.
     std::vector<std::vector<double>> choices;
@@ -68,21 +78,23 @@
     std::uint64_t load_sequence = 0;
   };
 
+  void AdoptRole(const leadership& role);
   void AddCounts(group_state& group, const engine_status& status) const;
   void Decay(group_state& group, steady_time now) const;
   void SendLoads(reduce_context& ctx);
   fleet_load MakeLoad(const std::string& name, group_state& group, reduce_context& ctx) const;
-  void Plan(const std::string& name, group_state& group, std::uint64_t term,
-            reduce_context& ctx) const;
+  void Plan(const std::string& name, group_state& group, reduce_context& ctx) const;
   void LogWaiting(const std::string& name, group_state& group, std::string_view reason,
                   reduce_context& ctx) const;
 
   engine_group_limits limits_;
+  /// Kept for a whole term: versions, commands and load reports are numbered in it.
   std::map<std::string, group_state> groups_;
   /// Profile of the expert-parallel engines; at most one service has such engines.
   std::optional<engine_profile> profile_;
   steady_time next_tick_;
   std::uint64_t term_ = 0;
+  bool leads_ = false;
   load_fanout fanout_;
 };
 
--- a/include/radishroute/experts/engine_watch.h
+++ b/include/radishroute/experts/engine_watch.h
@@ -48,6 +48,11 @@
   void Handle(link_id link, const engine_command& m, reduce_context& ctx);
 
  private:
+  struct command_result {
+    std::uint64_t number = 0;
+    engine_order_result result = engine_order_result::kNone;
+  };
+
   void Read(reduce_context& ctx);
   void SendNextCommand(reduce_context& ctx);
   void Report(const engine_report& report, reduce_context& ctx);
@@ -74,8 +79,10 @@
   std::uint64_t highest_term_ = 0;
   std::deque<engine_command> queued_commands_;
   std::optional<engine_command> current_command_;
-  std::uint64_t last_command_ = 0;
-  engine_order_result last_result_ = engine_order_result::kNone;
+  command_result last_result_;
+  /// Last result when the read in progress began: the engine's report may be older than the results
+  /// that have come since.
+  command_result result_at_read_;
   steady_time uncertain_until_;
 };
 
--- a/include/radishroute/experts/map_switch.h
+++ b/include/radishroute/experts/map_switch.h
@@ -21,6 +21,9 @@
   /// A change that is not prepared within this time is abandoned; copying experts takes a fraction
   /// of a second.
   std::chrono::milliseconds prepare_timeout{4000};
+  /// Time for which an order whose result is unknown may still be carried out: engines do so within
+  /// 12 s.
+  std::chrono::milliseconds max_order_delay{15000};
   /// Number of forward passes from the newest known pass to the pass at which the ranks switch
   /// maps.
   std::uint64_t initial_lead = 4;
@@ -34,20 +37,23 @@
 /// the whole group from beginning it. All ranks are armed to switch maps at that pass, and the pass
 /// is released only after every rank has reported that it is armed. While the result of an order is
 /// unknown the pass stays held, since a late order might still arm a rank.
+///
+/// Ranks compare maps by version only, so a version must never name two maps. An object belongs to
+/// one term and must be kept until that term ends, also while the leader's lease has expired: it
+/// numbers the versions and commands of its term.
 class map_switch {
  public:
   enum class phase : std::uint8_t { kIdle, kPreparing, kHolding, kArming, kReleasing };
 
-  explicit map_switch(map_switch_limits limits = {}) : limits_(limits) {}
+  /// `term` is the term in which this process leads.
+  explicit map_switch(std::uint64_t term, map_switch_limits limits = {})
+      : term_(term), limits_(limits) {}
 
   void OnStatus(link_id link, const engine_status& status, steady_time now);
-  /// Sends the commands of the current phase. `term` is the term in which this process leads.
-  void Advance(std::uint64_t term, reduce_context& ctx);
-  /// Starts a change; ignored unless ReadyToChange().
-  void Begin(const group_shape& shape, const expert_placement& to, std::uint64_t term,
-             reduce_context& ctx);
-  /// Discards all state. Must be called when another process may have become leader.
-  void Reset() { *this = map_switch(limits_); }
+  /// Sends the commands of the current phase.
+  void Advance(reduce_context& ctx);
+  /// Starts a change; ignored unless ReadyToChange() and HasVersions().
+  void Begin(const group_shape& shape, const expert_placement& to, reduce_context& ctx);
 
   phase Phase() const { return phase_; }
   /// Whether all ranks have recently reported an open group, in the same epoch.
@@ -57,6 +63,8 @@
   bool AnyRankDown(steady_time now) const;
   /// Whether all ranks are up with the same map, and no change is in progress.
   bool ReadyToChange(steady_time now) const;
+  /// Whether this term has versions left that no map has had.
+  bool HasVersions() const;
   /// Whether it is unknown which experts a rank holds under its current map.
   bool NeedsExperts(std::uint32_t rank) const;
   std::uint64_t MapVersion() const;
@@ -71,6 +79,8 @@
  private:
   struct rank_view {
     std::optional<link_id> link;
+    /// Link that `link` has replaced; messages on it may still be in transit.
+    std::optional<link_id> replaced_link;
     engine_status status;
     steady_time status_at;
     /// Experts that the rank last reported, and the version of their map.
@@ -79,27 +89,33 @@
     bool experts_known = false;
     /// Number of the command that no status has acknowledged yet; zero if there is none.
     std::uint64_t outstanding = 0;
-    steady_time command_sent_at;
+    /// When the last command was sent, and its operation; unset if there was none.
+    std::optional<steady_time> command_sent_at;
     engine_operation operation = engine_operation::kPrepare;
     steady_time uncertain_until;
+    /// The engine has answered a command of this term, so it refuses those of earlier leaders.
+    bool fenced = false;
   };
 
-  void Send(rank_view& rank, engine_command order, std::uint64_t term, reduce_context& ctx);
+  void OnLinkChanged(rank_view& rank, link_id link, steady_time now) const;
+  void Send(rank_view& rank, engine_command order, reduce_context& ctx);
   bool MaySend(const rank_view& rank, engine_operation operation, steady_time now) const;
   void EnterPhase(phase next, reduce_context& ctx);
-  void ReleaseAbandonedHold(std::uint64_t term, reduce_context& ctx);
-  void Prepare(std::uint64_t term, reduce_context& ctx);
-  void Hold(std::uint64_t term, reduce_context& ctx);
-  void Arm(std::uint64_t term, reduce_context& ctx);
-  void Release(std::uint64_t term, reduce_context& ctx);
-  bool FenceAllRanks(std::uint64_t term, reduce_context& ctx);
+  void ReleaseAbandonedHold(reduce_context& ctx);
+  void Prepare(reduce_context& ctx);
+  void Hold(reduce_context& ctx);
+  void Arm(reduce_context& ctx);
+  void Release(reduce_context& ctx);
+  bool FenceAllRanks(reduce_context& ctx);
+  std::uint64_t NextVersion() const;
   rank_view* HoldingRank();
 
+  std::uint64_t term_;
   map_switch_limits limits_;
   phase phase_ = phase::kIdle;
   std::uint64_t epoch_ = 0;
   std::vector<rank_view> ranks_;
-  std::uint64_t next_command_ = 1;
+  std::uint64_t commands_sent_ = 0;
   std::uint64_t new_version_ = 0;
   std::uint64_t highest_version_ = 0;
   std::vector<std::int32_t> new_map_;
@@ -108,10 +124,6 @@
   std::uint64_t lead_passes_ = 0;
   std::size_t holder_index_ = 0;
   steady_time phase_entered_at_;
-  /// Term for which the ranks are being fenced, and the ranks that have answered an order of that
-  /// term and therefore refuse orders of earlier leaders.
-  std::uint64_t fenced_term_ = 0;
-  std::vector<bool> fenced_;
 };
 
 }  // namespace radishroute
--- a/src/experts/engine_groups.cc
+++ b/src/experts/engine_groups.cc
@@ -42,17 +42,30 @@
   }
 }
 
-void engine_groups::OnStatus(link_id link, const engine_status& status, const raft_core& core,
+// While the lease has expired, this process does not lead, but it may go on in the same term: what
+// it has numbered there must not be numbered anew.
+void engine_groups::AdoptRole(const leadership& role) {
+  if (role.term != term_) groups_.clear();
+  term_ = role.term;
+  if (leads_ && !role.leads) {
+    // Passes that begin meanwhile are not reported.
+    for (auto& [name, group] : groups_) group.meter = {};
+  }
+  leads_ = role.leads;
+}
+
+void engine_groups::OnStatus(link_id link, const engine_status& status, const leadership& role,
                              reduce_context& ctx) {
+  AdoptRole(role);
   engine_status_reply reply;
   reply.sequence = status.sequence;
-  reply.leads = core.IsReadyLeader(ctx.now);
-  reply.leader_hint = core.LeaderAddress();
+  reply.leads = role.leads;
+  reply.leader_hint = role.leader;
   if (!reply.leads || status.group.empty()) {
     ctx.Emit(send_message{link, reply});
     return;
   }
-  group_state& group = groups_[status.group];
+  group_state& group = groups_.try_emplace(status.group, term_).first->second;
   group.change.OnStatus(link, status, ctx.now);
   group.meter.OnStep(group.change.NewestPass(), ctx.now);
   reply.wants_experts = group.change.NeedsExperts(status.rank);
@@ -62,7 +75,7 @@
     group.next_plan = ctx.now + limits_.change_interval;
   }
   AddCounts(group, status);
-  group.change.Advance(core.Term(), ctx);
+  group.change.Advance(ctx);
 }
 
 void engine_groups::OnRelayedLoad(link_id from, const fleet_load& load, reduce_context& ctx) const {
@@ -97,24 +110,19 @@
   return load;
 }
 
-void engine_groups::OnProgress(const raft_core& core, reduce_context& ctx) {
-  bool leads = core.IsReadyLeader(ctx.now);
-  if (!leads || term_ != core.Term()) {
-    if (!groups_.empty()) groups_.clear();
-    term_ = core.Term();
-    if (!leads) return;
-  }
-  if (ctx.now < next_tick_) return;
+void engine_groups::OnProgress(const leadership& role, reduce_context& ctx) {
+  AdoptRole(role);
+  if (!leads_ || ctx.now < next_tick_) return;
   next_tick_ = ctx.now + limits_.tick;
   if (!groups_.empty()) ctx.Emit(schedule_wakeup{next_tick_});
   SendLoads(ctx);
   for (auto& [name, group] : groups_) {
     bool was_changing = group.change.Phase() != map_switch::phase::kIdle;
-    group.change.Advance(term_, ctx);
+    group.change.Advance(ctx);
     bool changing = group.change.Phase() != map_switch::phase::kIdle;
     if (was_changing || changing) group.next_plan = ctx.now + limits_.change_interval;
     if (changing || ctx.now < group.next_plan) continue;
-    Plan(name, group, term_, ctx);
+    Plan(name, group, ctx);
   }
 }
 
@@ -130,12 +138,12 @@
                        {"epoch", std::to_string(group.change.Epoch())}}}});
 }
 
-void engine_groups::Plan(const std::string& name, group_state& group, std::uint64_t term,
-                         reduce_context& ctx) const {
+void engine_groups::Plan(const std::string& name, group_state& group, reduce_context& ctx) const {
   group.next_plan = ctx.now + limits_.change_interval / 2;
   if (!profile_) return LogWaiting(name, group, "no-profile", ctx);
   if (!group.change.AllRanksUp(ctx.now)) return LogWaiting(name, group, "rank-unknown", ctx);
   if (!group.change.ReadyToChange(ctx.now)) return LogWaiting(name, group, "ranks-differ", ctx);
+  if (!group.change.HasVersions()) return LogWaiting(name, group, "no-versions-left", ctx);
   if (group.choices.empty()) return LogWaiting(name, group, "no-counts", ctx);
   Decay(group, ctx.now);
   group_shape shape{group.change.Ranks(), profile_->experts, profile_->expert_sets,
@@ -160,7 +168,7 @@
   ctx.Emit(write_log{{event_code::kMapPlanned,
                       log_level::kInfo,
                       {{"skew", std::to_string(before)}, {"planned", std::to_string(after)}}}});
-  group.change.Begin(shape, next, term, ctx);
+  group.change.Begin(shape, next, ctx);
 }
 
 }  // namespace radishroute
--- a/src/experts/engine_watch.cc
+++ b/src/experts/engine_watch.cc
@@ -52,6 +52,7 @@
     return;
   }
   reading_since_ = ctx.now;
+  result_at_read_ = last_result_;
   if (ctx.now >= next_usage_read_) {
     next_usage_read_ = ctx.now + limits_.usage_interval;
     ctx.Emit(read_expert_usage{experts_wanted_});
@@ -79,6 +80,9 @@
   if (report.started != engine_started_ || report.epoch != epoch_) {
     engine_started_ = report.started;
     epoch_ = report.epoch;
+    // The engine's predecessor answered; this one has seen no fencing token.
+    last_result_ = {};
+    result_at_read_ = {};
     reported_counts_.clear();
     counts_.clear();
     experts_.clear();
@@ -101,8 +105,8 @@
     status.experts = experts_;
     experts_unsent_ = false;
   }
-  status.last_command = last_command_;
-  status.last_result = last_result_;
+  status.last_command = result_at_read_.number;
+  status.last_result = result_at_read_.result;
   if (uncertain_until_ > ctx.now) {
     status.uncertain =
         std::chrono::duration_cast<std::chrono::microseconds>(uncertain_until_ - ctx.now);
@@ -144,8 +148,7 @@
 
 void engine_watch::Handle(const engine_command_done& e, reduce_context& ctx) {
   if (!current_command_ || current_command_->number != e.number) return;
-  last_command_ = e.number;
-  last_result_ = e.result;
+  last_result_ = {e.number, e.result};
   // Only a late arm order can do harm: a late prepare, hold or release order no longer has an
   // effect.
   bool uncertain = e.result == engine_order_result::kUnknown &&
--- a/src/experts/map_switch.cc
+++ b/src/experts/map_switch.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-// Size of the version range of each term: leaders of different terms use different versions, and
-// later terms use higher ones.
-constexpr std::uint64_t kVersionsPerTerm = 1 << 20;
+// Size of the range of versions, and of command numbers, of each term: leaders of different terms
+// use different ones, and later terms use higher ones. The first of each range is not given.
+constexpr std::uint64_t kNumbersPerTerm = 1 << 20;
 
 log_event MakeSwitchEvent(event_code code, std::uint64_t version, std::uint64_t step) {
   return {
@@ -25,16 +25,14 @@
     // The engines keep no state of an earlier incarnation of the group.
     epoch_ = status.epoch;
     ranks_.assign(status.ranks, {});
-    fenced_.assign(status.ranks, false);
     phase_ = phase::kIdle;
     switch_step_ = 0;
     lead_passes_ = limits_.initial_lead;
   }
   rank_view& rank = ranks_[status.rank];
-  bool other_link = rank.link && *rank.link != link;
-  if (!other_link && rank.link && status.sequence <= rank.status.sequence) return;
-  if (other_link) rank.outstanding = 0;
-  rank.link = link;
+  if (rank.replaced_link == link) return;
+  if (rank.link == link && status.sequence <= rank.status.sequence) return;
+  if (rank.link != link) OnLinkChanged(rank, link, now);
   rank.status = status;
   rank.status_at = now;
   rank.uncertain_until = std::max(rank.uncertain_until, now + status.uncertain);
@@ -43,11 +41,26 @@
     rank.experts_version = status.map_version;
     rank.experts_known = true;
   }
-  if (rank.outstanding != 0 && status.last_command >= rank.outstanding) rank.outstanding = 0;
+  // A result of any other command, such as one of an earlier leader, says nothing about this one.
+  if (rank.outstanding != 0 && status.last_command == rank.outstanding) {
+    rank.outstanding = 0;
+    rank.fenced = rank.fenced || status.last_result == engine_order_result::kAccepted ||
+                  status.last_result == engine_order_result::kConflict;
+  }
   highest_version_ = std::max(
       {highest_version_, status.map_version, status.prepared_version, status.armed_version});
 }
 
+// A sidecar that has restarted does not know which orders its predecessor sent.
+void map_switch::OnLinkChanged(rank_view& rank, link_id link, steady_time now) const {
+  if (rank.outstanding != 0 && rank.operation == engine_operation::kArm) {
+    rank.uncertain_until = std::max(rank.uncertain_until, now + limits_.max_order_delay);
+  }
+  rank.outstanding = 0;
+  rank.replaced_link = rank.link;
+  rank.link = link;
+}
+
 bool map_switch::AllRanksUp(steady_time now) const {
   return !ranks_.empty() && std::all_of(ranks_.begin(), ranks_.end(), [&](const rank_view& r) {
     return r.link && r.status.open && now - r.status_at <= limits_.max_status_age;
@@ -106,16 +119,18 @@
   for (rank_view& rank : ranks_) rank.outstanding = 0;
 }
 
+// A command whose result is known is not repeated sooner than one that waits for its result: the
+// engine would refuse it again, as often as messages can be exchanged.
 bool map_switch::MaySend(const rank_view& rank, engine_operation operation, steady_time now) const {
   if (!rank.link) return false;
-  bool is_awaiting = rank.outstanding != 0 && rank.operation == operation;
-  return !is_awaiting || now - rank.command_sent_at > limits_.resend_after;
+  bool repeats = rank.command_sent_at && rank.operation == operation;
+  return !repeats || now - *rank.command_sent_at > limits_.resend_after;
 }
 
-void map_switch::Send(rank_view& rank, engine_command order, std::uint64_t term,
-                      reduce_context& ctx) {
-  order.term = term;
-  order.number = term * kVersionsPerTerm + next_command_++;
+void map_switch::Send(rank_view& rank, engine_command order, reduce_context& ctx) {
+  order.term = term_;
+  // Numbers may repeat after a whole range: a result is compared with the last command only.
+  order.number = term_ * kNumbersPerTerm + 1 + commands_sent_++ % (kNumbersPerTerm - 1);
   order.epoch = epoch_;
   rank.outstanding = order.number;
   rank.command_sent_at = ctx.now;
@@ -123,11 +138,15 @@
   ctx.Emit(send_message{*rank.link, std::move(order)});
 }
 
-void map_switch::Begin(const group_shape& shape, const expert_placement& to, std::uint64_t term,
-                       reduce_context& ctx) {
-  if (!ReadyToChange(ctx.now) || shape.ranks != ranks_.size()) return;
-  std::uint64_t version_floor = term * kVersionsPerTerm;
-  new_version_ = std::max(highest_version_, version_floor) + 1;
+std::uint64_t map_switch::NextVersion() const {
+  return std::max(highest_version_, term_ * kNumbersPerTerm) + 1;
+}
+
+bool map_switch::HasVersions() const { return NextVersion() < (term_ + 1) * kNumbersPerTerm; }
+
+void map_switch::Begin(const group_shape& shape, const expert_placement& to, reduce_context& ctx) {
+  if (!ReadyToChange(ctx.now) || !HasVersions() || shape.ranks != ranks_.size()) return;
+  new_version_ = NextVersion();
   highest_version_ = new_version_;
   new_sets_ = shape.layers;
   new_map_.clear();
@@ -137,26 +156,26 @@
   if (lead_passes_ == 0) lead_passes_ = limits_.initial_lead;
   EnterPhase(phase::kPreparing, ctx);
   ctx.Emit(write_log{MakeSwitchEvent(event_code::kMapProposed, new_version_, 0)});
-  Advance(term, ctx);
+  Advance(ctx);
 }
 
-void map_switch::Advance(std::uint64_t term, reduce_context& ctx) {
+void map_switch::Advance(reduce_context& ctx) {
   if (ranks_.empty()) return;
   switch (phase_) {
     case phase::kIdle:
-      ReleaseAbandonedHold(term, ctx);
+      ReleaseAbandonedHold(ctx);
       return;
     case phase::kPreparing:
-      Prepare(term, ctx);
+      Prepare(ctx);
       return;
     case phase::kHolding:
-      Hold(term, ctx);
+      Hold(ctx);
       return;
     case phase::kArming:
-      Arm(term, ctx);
+      Arm(ctx);
       return;
     case phase::kReleasing:
-      Release(term, ctx);
+      Release(ctx);
       return;
   }
 }
@@ -188,36 +207,26 @@
 
 // Sends every rank an order with this leader's fencing token. From then on, the ranks refuse orders
 // of former leaders that are still in transit.
-bool map_switch::FenceAllRanks(std::uint64_t term, reduce_context& ctx) {
-  if (fenced_term_ != term) {
-    fenced_term_ = term;
-    fenced_.assign(ranks_.size(), false);
-    for (rank_view& rank : ranks_) rank.outstanding = 0;
-  }
+bool map_switch::FenceAllRanks(reduce_context& ctx) {
   bool all_fenced = true;
-  for (std::size_t i = 0; i < ranks_.size(); ++i) {
-    rank_view& rank = ranks_[i];
-    bool answered = rank.status.last_command > term * kVersionsPerTerm &&
-                    (rank.status.last_result == engine_order_result::kAccepted ||
-                     rank.status.last_result == engine_order_result::kConflict);
-    fenced_[i] = fenced_[i] || answered;
-    if (fenced_[i]) continue;
+  for (rank_view& rank : ranks_) {
+    if (rank.fenced) continue;
     all_fenced = false;
-    // This version is never armed, so the order has no effect except for its token.
+    // No map has this version, so the order has no effect except for its token.
     engine_command disarm;
     disarm.operation = engine_operation::kDisarm;
-    disarm.map_version = std::max(highest_version_, term * kVersionsPerTerm) + kVersionsPerTerm / 2;
-    if (MaySend(rank, disarm.operation, ctx.now)) Send(rank, std::move(disarm), term, ctx);
+    disarm.map_version = term_ * kNumbersPerTerm;
+    if (MaySend(rank, disarm.operation, ctx.now)) Send(rank, std::move(disarm), ctx);
   }
   return all_fenced;
 }
 
 // Handles a pass that is held although no change is in progress, because of a former leader or a
 // late order.
-void map_switch::ReleaseAbandonedHold(std::uint64_t term, reduce_context& ctx) {
+void map_switch::ReleaseAbandonedHold(reduce_context& ctx) {
   rank_view* holder = HoldingRank();
   if (holder == nullptr || !AllRanksUp(ctx.now)) return;
-  if (!FenceAllRanks(term, ctx)) return;
+  if (!FenceAllRanks(ctx)) return;
   switch_step_ = holder->status.held_step;
   std::uint64_t armed = 0;
   bool uncertain = false;
@@ -232,17 +241,17 @@
     // Some ranks are already armed. Completing the change avoids having to undo an order.
     new_version_ = armed;
     EnterPhase(phase::kArming, ctx);
-    Advance(term, ctx);
+    Advance(ctx);
     return;
   }
   if (uncertain) return;
   engine_command release;
   release.operation = engine_operation::kRelease;
   release.step = holder->status.held_step;
-  if (MaySend(*holder, release.operation, ctx.now)) Send(*holder, std::move(release), term, ctx);
+  if (MaySend(*holder, release.operation, ctx.now)) Send(*holder, std::move(release), ctx);
 }
 
-void map_switch::Prepare(std::uint64_t term, reduce_context& ctx) {
+void map_switch::Prepare(reduce_context& ctx) {
   if (!AllRanksUp(ctx.now) || ctx.now - phase_entered_at_ > limits_.prepare_timeout) {
     EnterPhase(phase::kIdle, ctx);
     return;
@@ -253,7 +262,7 @@
     all_prepared = false;
     // Copying takes longer than the order; a rank that has begun copying needs no second order.
     bool is_copying = rank.outstanding == 0 && rank.operation == engine_operation::kPrepare &&
-                      rank.command_sent_at >= phase_entered_at_ &&
+                      rank.command_sent_at && *rank.command_sent_at >= phase_entered_at_ &&
                       rank.status.last_result == engine_order_result::kAccepted;
     if (is_copying || !MaySend(rank, engine_operation::kPrepare, ctx.now)) continue;
     engine_command prepare;
@@ -262,15 +271,15 @@
     prepare.experts = new_map_;
     prepare.sets = new_sets_;
     prepare.ranks = Ranks();
-    Send(rank, std::move(prepare), term, ctx);
+    Send(rank, std::move(prepare), ctx);
   }
   if (!all_prepared) return;
   EnterPhase(phase::kHolding, ctx);
   switch_step_ = 0;
-  Hold(term, ctx);
+  Hold(ctx);
 }
 
-void map_switch::Hold(std::uint64_t term, reduce_context& ctx) {
+void map_switch::Hold(reduce_context& ctx) {
   if (!AllRanksUp(ctx.now)) {
     EnterPhase(phase::kIdle, ctx);
     return;
@@ -278,7 +287,7 @@
   if (rank_view* holder = HoldingRank()) {
     switch_step_ = holder->status.held_step;
     EnterPhase(phase::kArming, ctx);
-    Arm(term, ctx);
+    Arm(ctx);
     return;
   }
   rank_view& holder = ranks_[holder_index_ % ranks_.size()];
@@ -293,15 +302,16 @@
     EnterPhase(phase::kIdle, ctx);
     return;
   }
-  if (switch_step_ != 0 && !MaySend(holder, engine_operation::kHold, ctx.now)) return;
+  bool may_raise_lead = switch_step_ == 0 && lead_passes_ < limits_.max_lead;
+  if (!may_raise_lead && !MaySend(holder, engine_operation::kHold, ctx.now)) return;
   if (switch_step_ == 0) switch_step_ = NewestPass() + lead_passes_;
   engine_command hold;
   hold.operation = engine_operation::kHold;
   hold.step = switch_step_;
-  Send(holder, std::move(hold), term, ctx);
+  Send(holder, std::move(hold), ctx);
 }
 
-void map_switch::Arm(std::uint64_t term, reduce_context& ctx) {
+void map_switch::Arm(reduce_context& ctx) {
   bool all_armed = true;
   bool none_armed = true;
   bool can_arm_all = true;
@@ -321,18 +331,18 @@
     arm.operation = engine_operation::kArm;
     arm.map_version = new_version_;
     arm.step = switch_step_;
-    Send(rank, std::move(arm), term, ctx);
+    Send(rank, std::move(arm), ctx);
   }
   if (all_armed && AllRanksUp(ctx.now)) {
     EnterPhase(phase::kReleasing, ctx);
-    Release(term, ctx);
+    Release(ctx);
     return;
   }
   // No rank is armed, and no order in transit can arm one: the change can be abandoned.
   if (none_armed && !can_arm_all && !uncertain) EnterPhase(phase::kIdle, ctx);
 }
 
-void map_switch::Release(std::uint64_t term, reduce_context& ctx) {
+void map_switch::Release(reduce_context& ctx) {
   rank_view* holder = HoldingRank();
   bool switched = std::all_of(ranks_.begin(), ranks_.end(), [&](const rank_view& rank) {
     return rank.status.map_version == new_version_;
@@ -348,7 +358,7 @@
   engine_command release;
   release.operation = engine_operation::kRelease;
   release.step = holder->status.held_step;
-  if (MaySend(*holder, release.operation, ctx.now)) Send(*holder, std::move(release), term, ctx);
+  if (MaySend(*holder, release.operation, ctx.now)) Send(*holder, std::move(release), ctx);
 }
 
 }  // namespace radishroute
--- a/tests/map_switch_test.cc
+++ b/tests/map_switch_test.cc
@@ -69,8 +69,8 @@
   std::array<engine_order_result, kRanks> last_result{};
   std::array<steady_time, kRanks> uncertain{};
   std::multimap<steady_time, std::pair<std::size_t, engine_command>> delayed_orders;
-  map_switch switcher;
   std::uint64_t term = 1;
+  map_switch switcher{1};
   std::uint64_t switches = 0;
 
   group_simulation(std::uint64_t seed, double share) : random(seed), unanswered_share(share) {}
@@ -143,9 +143,9 @@
       std::uint64_t before = ranks.front().map;
       fake.Do([&](auto& ctx) {
         if (switcher.ReadyToChange(ctx.now)) {
-          switcher.Begin(kShape, InitialPlacement(kShape), term, ctx);
+          switcher.Begin(kShape, InitialPlacement(kShape), ctx);
         } else {
-          switcher.Advance(term, ctx);
+          switcher.Advance(ctx);
         }
       });
       Deliver();
@@ -154,10 +154,7 @@
   }
 
   // Another process becomes leader without any state; orders in transit are still delivered.
-  void NewLeader() {
-    switcher.Reset();
-    ++term;
-  }
+  void NewLeader() { switcher = map_switch(++term); }
 };
 
 }  // namespace
@@ -182,6 +179,66 @@
   CHECK(simulation.ranks.front().map != 0);
 }
 
+// Guards against releasing a held pass before the ranks refuse orders of the former leader: their
+// results of its commands may have higher numbers than this leader's commands.
+TEST_CASE("only the result of its own command fences a rank") {
+  fake_context fake;
+  map_switch switcher(2);
+  engine_status s;
+  s.group = "g";
+  s.epoch = s.ranks = 1;
+  s.open = true;
+  s.held_step = 5;
+  s.last_result = engine_order_result::kAccepted;
+  auto report = [&](std::uint64_t last_command) {
+    ++s.sequence;
+    s.last_command = last_command;
+    switcher.OnStatus(link_id{1}, s, fake.Now());
+    fake.Do([&](auto& ctx) { switcher.Advance(ctx); });
+    return fake.Sent<engine_command>();
+  };
+  std::uint64_t former = std::uint64_t{7} << 20;
+  auto sent = report(former);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].second.operation == engine_operation::kDisarm);
+  CHECK(report(former).empty());
+  auto released = report(sent[0].second.number);
+  REQUIRE(released.size() == 1);
+  CHECK(released[0].second.operation == engine_operation::kRelease);
+}
+
+// Guards against giving up a change, and releasing its pass, while an arm order that a restarted
+// sidecar does not know may still be carried out.
+TEST_CASE("an order of a restarted sidecar may still be carried out") {
+  fake_context fake;
+  map_switch switcher(1);
+  constexpr group_shape kOneRank{1, 8, 1, 8};
+  engine_status s;
+  s.group = "g";
+  s.epoch = s.ranks = 1;
+  s.open = true;
+  auto report = [&](std::uint64_t link) {
+    ++s.sequence;
+    switcher.OnStatus(link_id{link}, s, fake.Now());
+    fake.Do([&](auto& ctx) { switcher.Advance(ctx); });
+    for (const auto& [to, sent] : fake.Sent<engine_command>()) {
+      if (sent.operation == engine_operation::kArm) continue;
+      s.last_command = sent.number;
+      s.last_result = engine_order_result::kAccepted;
+      if (sent.operation == engine_operation::kHold) s.held_step = sent.step;
+    }
+  };
+  report(1);
+  fake.Do([&](auto& ctx) { switcher.Begin(kOneRank, InitialPlacement(kOneRank), ctx); });
+  s.prepared_version = fake.Sent<engine_command>().front().second.map_version;
+  report(1);
+  report(1);
+  REQUIRE(switcher.Phase() == map_switch::phase::kArming);
+  s.prepared_version = 0;
+  report(2);
+  CHECK(switcher.Phase() == map_switch::phase::kArming);
+}
+
 // Guards against planning more new experts for a rank than fit in its spare memory.
 TEST_CASE("a planned map limits the new experts on each rank and lowers the skew") {
   group_shape shape{12, 72, 1, 8};
