Start a gateway without a leader from any controller that answers

What callers saw: a gateway that restarted while no leader was elected answered 503 for as long as that lasted, although a controller with the configuration answered it.

Cause: without a leader, the session of the gateway tries the controllers in turn and replaces its links to them several times a second. The replies with the configuration were forgotten with their links, and a controller that the session itself had just reached was not asked.

Fix: replies are kept until a configuration is adopted; the newest version still decides, and nothing older than a version known to exist is adopted. Every controller whose link opens is asked.

--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -53,8 +53,8 @@
   if (session_.OnOpened(opened)) {
     renewals_.clear();
     Renew(ctx);
-    return;
   }
+  // The session's controllers may be peers, too.
   bool peer = std::find(settings_.peers.begin(), settings_.peers.end(), opened.dialed) !=
               settings_.peers.end();
   if (!peer || (!settings_.documents && opened.peer.zone != settings_.zone)) return;
@@ -64,8 +64,8 @@
 
 void config_client::Handle(const link_closed& closed, reduce_context& ctx) {
   session_.OnClosed(closed, ctx);
+  // A reply stays valid: sessions replace their links to a controller while there is no leader.
   std::erase_if(link_by_peer_, [&](const auto& item) { return item.second == closed.link; });
-  peer_configs_.erase(closed.link);
 }
 
 void config_client::Renew(reduce_context& ctx) {
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -177,6 +177,22 @@
   CHECK(f.client.AppliedVersion() == 7);
 }
 
+// Guards against a restarted process that never serves without a leader because its session tries
+// the controllers in turn and replaces the links on which they have replied.
+TEST_CASE("a reply of a peer stays valid when its link is replaced") {
+  client_fixture f({first_controller}, {first_controller});
+  for (int i = 0; i < 3; ++i) f.Tick(milliseconds(1000));
+  f.OpenLink({8}, first_controller);
+  REQUIRE(f.LastSent<version_query>() != nullptr);
+  f.Receive({8}, version_reply{1, 6, Sheet(200), "zone-1"});
+  f.Reduce([&](reduce_context& ctx) {
+    f.client.Handle(link_closed{{8}, first_controller, {}}, ctx);
+  });
+  f.Tick(milliseconds(600));
+  CHECK(f.client.Ready());
+  CHECK(f.client.AppliedVersion() == 6);
+}
+
 // Guards against a restarted entry that adopts version 0 from a peer that has no version either.
 TEST_CASE("an entry without a version does not answer version queries") {
   client_fixture f;
