Require keys where the list of tenants is present but empty

Cause: the decoder made no difference between an empty list and an absent one, and the forwarder asked for a key only if the list was not empty. An empty key, as of a request without one, was looked up like any other, so a tenant with the key "" admitted everybody.

Fix: the list is optional. Absent, no keys are required; present, also empty or null, only its keys admit a request, and an empty key never does. The line deployment-applied tells the number of members, or "no-keys".

--- a/include/radishroute/forward/deployment.h
+++ b/include/radishroute/forward/deployment.h
@@ -113,8 +113,9 @@
   std::vector<route> routes;
   std::vector<service> services;
   caller_limits bounds;
-  /// If empty, no request needs an API key.
-  std::vector<member_account> members;
+  /// Members whose API keys admit requests; an empty list admits none. Absent if the configuration
+  /// requires no keys.
+  std::optional<std::vector<member_account>> members;
 };
 
 /// Checks that a deployment is consistent: known services, one route per host and path prefix,
@@ -130,6 +131,9 @@
 
   /// Returns the route with this host and the longest path prefix that matches `path`, or null.
   const route* Find(std::string_view host, std::string_view path) const;
+  /// Whether requests to routes that are not public need the API key of a member.
+  bool RequiresKey() const { return deployment_.members.has_value(); }
+  /// Returns the member with this API key, or null; null for an empty key.
   const member_account* FindMember(std::string_view key) const;
   const service* FindService(std::string_view name) const;
   /// Distinct priorities of the streaming routes that may lead to the service, the most urgent
--- a/src/cli/documents.cc
+++ b/src/cli/documents.cc
@@ -22,9 +22,12 @@
               {{"version", version}, {"error", error.message()}}});
     return nullptr;
   }
+  std::string members = parsed.members ? std::to_string(parsed.members->size()) : "no-keys";
   WriteLog({event_code::kDeploymentApplied,
             log_level::kInfo,
-            {{"version", version}, {"routes", std::to_string(parsed.routes.size())}}});
+            {{"version", version},
+             {"routes", std::to_string(parsed.routes.size())},
+             {"members", members}}});
   return std::make_shared<const route_index>(std::move(parsed));
 }
 
--- a/src/forward/deployment.cc
+++ b/src/forward/deployment.cc
@@ -30,6 +30,11 @@
   return weight > 0 && r.timeout.count() > 0 && prefix_is_valid;
 }
 
+const std::vector<member_account>& MembersOf(const deployment& d) {
+  static const std::vector<member_account> none;
+  return d.members ? *d.members : none;
+}
+
 }  // namespace
 
 std::string_view ToString(request_kind kind) {
@@ -46,7 +51,7 @@
     if (!host_prefixes.emplace(r.host, r.path_prefix).second) return errc::kInvalidDeployment;
   }
   std::unordered_set<std::string_view> keys;
-  for (const member_account& m : d.members) {
+  for (const member_account& m : MembersOf(d)) {
     std::unordered_set<std::string_view> member_keys(m.keys.begin(), m.keys.end());
     for (std::string_view key : member_keys) {
       if (!keys.insert(key).second) return errc::kInvalidDeployment;
@@ -58,8 +63,11 @@
 route_index::route_index(deployment d) : deployment_(std::move(d)) {
   for (const route& r : deployment_.routes) routes_[RouteKey(r.host, r.path_prefix)] = &r;
   for (const service& s : deployment_.services) services_[s.name] = &s;
-  for (const member_account& m : deployment_.members) {
-    for (const std::string& key : m.keys) members_[key] = &m;
+  for (const member_account& m : MembersOf(deployment_)) {
+    for (const std::string& key : m.keys) {
+      // A request without a key has an empty one.
+      if (!key.empty()) members_[key] = &m;
+    }
   }
   for (const route& r : deployment_.routes) {
     if (r.kind != request_kind::kStreaming) continue;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -160,7 +160,7 @@
     return;
   }
   const member_account* member = nullptr;
-  if (!routes_->Deployment().members.empty() && !matched_route->is_public) {
+  if (routes_->RequiresKey() && !matched_route->is_public) {
     member = routes_->FindMember(request.key);
     if (member == nullptr) {
       Refuse(request, 401, refusal_reason::kUnauthorized, std::nullopt, ctx);
--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -5,9 +5,11 @@
 #include <fstream>
 #include <sstream>
 
+#include "cli/documents.h"
 #include "fake_context.h"
 #include "platform/config_wire.h"
 #include "platform/http_wire.h"
+#include "radishroute/compression.h"
 #include "radishroute/config.h"
 #include "radishroute/error.h"
 
@@ -79,6 +81,47 @@
       MakeDocument("[]", R"([{"name":"x","apiKeys":["k"]},{"name":"y","apiKeys":["k"]}])")));
 }
 
+// Guards against routes that open to everybody when a configuration takes away the last tenant: the
+// presence of the list decides, also if it is empty or null.
+TEST_CASE("a configuration with an empty list of tenants requires keys") {
+  auto decode = [](const std::string& tenants) {
+    deployment out;
+    std::string text = R"({"version":7,"routes":[)" + streaming_route +
+                       R"(],"services":[{"name":"s"}])" + tenants + "}";
+    REQUIRE(!platform::DecodeDeployment(text, out));
+    return out;
+  };
+  CHECK(!route_index(decode("")).RequiresKey());
+  for (const char* tenants :
+       {R"(,"tenants":[])", R"(,"tenants":null)", R"(,"tenants":[{"name":"x"}])",
+        R"(,"tenants":[{"name":"x","apiKeys":[]}])", R"(,"tenants":[{"name":"x","apiKeys":null}])",
+        R"(,"tenants":[{"name":"x","apiKeys":[""]}])"}) {
+    INFO(tenants);
+    route_index index(decode(tenants));
+    CHECK(index.RequiresKey());
+    CHECK(index.FindMember("") == nullptr);
+    CHECK(index.FindMember("key") == nullptr);
+  }
+}
+
+// Guards against a list of tenants that is empty in the log and absent in a snapshot, or in what a
+// gateway reads.
+TEST_CASE("an empty list of tenants stays one from the log to a gateway") {
+  fake_context fake;
+  config_document document;
+  std::string text = R"({"version":7,"routes":[],"services":[],"tenants":[]})";
+  std::string stored;
+  REQUIRE(!Compress(text, stored));
+  fake.Do([&](auto& ctx) { document.Apply(MakeChange(7, stored), ctx); });
+  config_document restored;
+  REQUIRE(restored.Load(document.Save()));
+  publish_document published{restored.Version(),
+                             std::make_shared<const std::string>(restored.Sheet())};
+  auto index = ReadDocument(published);
+  REQUIRE(index != nullptr);
+  CHECK(index->RequiresKey());
+}
+
 // Guards against accepting a split without weight because the route names a service as well.
 TEST_CASE("weights that add up to zero are invalid beside a service") {
   auto error_with_weight = [](int weight) {
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -30,7 +30,7 @@
               MakeRoute("/book/", request_kind::kNonIdempotent, 2),
               MakeRoute("/draft/", request_kind::kStreaming, 2)};
   d.services = {{"draft", "/healthz", 0, std::nullopt}};
-  d.members = {{"club", {"key"}, std::nullopt}};
+  d.members = std::vector<member_account>{{"club", {"key"}, std::nullopt}};
   return d;
 }
 
@@ -431,6 +431,31 @@
   CHECK(f.SingleSentRequest().member == "club");
 }
 
+// Guards against running requests of anybody once no tenant is left.
+TEST_CASE("without any member only public routes are served") {
+  deployment d = MakeDeployment();
+  d.members.emplace();
+  d.routes.push_back(MakeRoute("/public/", request_kind::kIdempotent, 1));
+  d.routes.back().is_public = true;
+  forwarder_fixture f(d);
+  for (const char* key : {"key", "", "never-held"}) {
+    f.SendRequest("/book/1", key);
+    CHECK(f.ErrorStatus() == 401);
+    CHECK(f.All<start_upstream>().empty());
+  }
+  f.SendRequest("/public/1", "");
+  f.SingleSentRequest();
+}
+
+// Guards against requiring keys where the configuration has no members at all.
+TEST_CASE("without a list of members requests need no key") {
+  deployment d = MakeDeployment();
+  d.members.reset();
+  forwarder_fixture f(d);
+  f.SendRequest("/book/1", "");
+  f.SingleSentRequest();
+}
+
 // Guards against an engine that keeps working for a disconnected caller.
 TEST_CASE("the attempt is cancelled when the caller disconnects") {
   forwarder_fixture f;
