Leave out clients that an earlier rejection has cut off

A rejection adds bytes to a response buffer and may cut off the client with the most unread bytes, which may be one that is still to be rejected.

Fix: a connection that was removed meanwhile is left out.

--- a/src/io/stream_server.cc
+++ b/src/io/stream_server.cc
@@ -463,7 +463,10 @@
     }
   }
   for (connection* c : idle) OnEnd(*c);
-  for (connection* c : slow) Reject(*c, 408);
+  for (connection* c : slow) {
+    // The rejection of another client may have cut this one off.
+    if (!c->removed) Reject(*c, 408);
+  }
   CheckWritten();
 }
 
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -63,7 +63,7 @@
     ++requests;
     if (requests == 1) first.set_value(r.exchange);
     if (requests == 2) second.set_value(r.exchange);
-    if (respond) server->Respond(r.exchange, 200, {}, "ok");
+    if (respond) server->Respond(r.exchange, 200, {}, response);
   }
 
   /// Runs a task on the loop's thread and waits for it.
@@ -105,8 +105,9 @@
   int requests = 0;
   /// Written and read on the loop's thread.
   std::vector<exchange_id> closed;
-  /// Requests are answered at once.
+  /// Requests are answered at once, with `response`.
   bool respond = false;
+  std::string response = "ok";
   std::uint16_t port = 0;
   int client = -1;
   std::string received;
@@ -267,6 +268,47 @@
   CHECK(f.second.get_future().wait_for(3s) == std::future_status::ready);
 }
 
+// Guards against the end of the process when the rejection of one request cuts off another client
+// whose request is to be rejected as well.
+TEST_CASE("requests that stop short are rejected together with clients that do not read") {
+  server_fixture f;
+  client_limits limits;
+  limits.max_unsent_bytes = SIZE_MAX;
+  limits.max_total_unsent_bytes = SIZE_MAX;
+  limits.head_timeout = 300ms;
+  f.OnLoop([&] {
+    f.server->SetLimits(limits);
+    f.respond = true;
+  });
+  constexpr int kClients = 9;
+  std::vector<int> clients;
+  for (int i = 0; i < kClients; ++i) {
+    // The client in the middle leaves the most unread and is cut off first.
+    std::size_t mebibytes = i == kClients / 2 ? 24 : 16;
+    f.OnLoop([&] { f.response.assign(mebibytes << 20, 'x'); });
+    f.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::array<char, 1> begin;
+    REQUIRE(recv(f.client, begin.data(), begin.size(), 0) == 1);
+    clients.push_back(f.client);
+    f.Connect();
+  }
+  f.OnLoop([&] {
+    limits.max_total_unsent_bytes = 0;
+    f.server->SetLimits(limits);
+    f.response = "ok";
+  });
+  for (int client : clients) {
+    constexpr std::string_view kShort = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx";
+    REQUIRE(send(client, kShort.data(), kShort.size(), MSG_NOSIGNAL) > 0);
+  }
+  std::this_thread::sleep_for(1500ms);
+  f.Reconnect();
+  f.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(f.ReadsToEnd());
+  CHECK(f.received.ends_with("ok"));
+  for (int client : clients) close(client);
+}
+
 // Guards against memory that is taken for a body which the budget has no room for, and against a
 // refusal that leaves the budget charged.
 TEST_CASE("bodies beyond the budget are refused before they are read") {
