Leave out limits and zones that the platform does not state

Cause: the templates named `limits.memoryMb`, `limits.maxFds` and the entries of `zones`.

Change: the templates pass both tables on as JSON, whatever they hold, and platform/settings_wire turns them into this project's settings. What is absent is left out: without a limit there is no budget.

--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -3,6 +3,7 @@
 #include "cli/commands.h"
 #include "cli/options.h"
 #include "cli/process.h"
+#include "platform/settings_wire.h"
 #include "radishroute/sheet.h"
 
 namespace radishroute {
@@ -16,6 +17,7 @@
     return kExitUsage;
   }
   std::vector<settings_error> errors;
+  text = platform::TranslateSettings(*text);
   std::string role = SettingsRole(*text);
   if (role == "entry") {
     ParseEntrySettings(*text, errors);
--- a/src/cli/load_settings.h
+++ b/src/cli/load_settings.h
@@ -11,6 +11,7 @@
 #include "cli/process.h"
 #include "io/loop.h"
 #include "io/metrics.h"
+#include "platform/settings_wire.h"
 #include "radishroute/settings.h"
 
 namespace radishroute {
@@ -32,7 +33,7 @@
   }
   std::string file = parsed["settings"].as<std::string>();
   std::vector<settings_error> errors;
-  Settings settings = parse(ReadFile(file).value_or(""), errors);
+  Settings settings = parse(platform::TranslateSettings(ReadFile(file).value_or("")), errors);
   if (PrintErrors(file, errors)) return std::nullopt;
   ConfigureLogging(settings.common.log.file, settings.common.log.level);
   QuietLibwebsockets();
@@ -45,7 +46,7 @@
                                        Settings (*parse)(std::string_view,
                                                          std::vector<settings_error>&)) {
   std::vector<settings_error> errors;
-  Settings settings = parse(text, errors);
+  Settings settings = parse(platform::TranslateSettings(text), errors);
   LogReload(file, errors);
   if (!errors.empty()) return std::nullopt;
   return settings;
--- a/src/cli/voter.cc
+++ b/src/cli/voter.cc
@@ -6,6 +6,7 @@
 #include "cli/operator_client.h"
 #include "cli/options.h"
 #include "cli/process.h"
+#include "platform/settings_wire.h"
 
 namespace radishroute {
 
@@ -66,7 +67,8 @@
   };
   std::string file = value("settings");
   std::vector<settings_error> errors;
-  controller_settings settings = ParseControllerSettings(ReadFile(file).value_or(""), errors);
+  controller_settings settings =
+      ParseControllerSettings(platform::TranslateSettings(ReadFile(file).value_or("")), errors);
   if (PrintErrors(file, errors)) return kExitUsage;
   endpoint controller = settings.admin_listen;
   if (parsed->count("controller") > 0 && !ParseEndpoint(value("controller"), controller)) {
