--- a/src/cli/fault_handler.h
+++ b/src/cli/fault_handler.h
@@ -3,8 +3,8 @@
 
 namespace radishroute {
 
-/// Writes the signal, its origin, the thread and the stack to standard error when the process ends by
-/// a fault. The process still ends by that signal.
+/// Writes the signal, its origin, the thread and the stack to standard error when the process ends
+/// by a fault. The process still ends by that signal.
 void InstallFaultHandler();
 
 }  // namespace radishroute
