Soak: map changes of a group, and keys that no configuration holds

The soak played neither the leader's map changes nor a wrong key. It now runs two sidecars with stand-ins of the engines of a group, which change their expert maps during all faults, carry out some orders late or never, and open in new epochs; a pass that begins with two maps is a violation (MAP). Some callers use a key that no configuration holds; a run of one is a violation (ROUTE).

--- a/tests/e2e/platform_soak.py
+++ b/tests/e2e/platform_soak.py
@@ -3,9 +3,10 @@
     platform_soak.py PROGRAM [--seed N] [--seconds S] [--gateways N] [--callers N]
 
 Engines and callers are stand-ins in this process. Callers use their connections until these are gone,
-and resume streams that broke off. Stops, also of all gateways in turn, kills, pauses, restarts, disks
+and resume streams that broke off. Some use a key that no configuration holds. Stops, also of all gateways in turn, kills, pauses, restarts, disks
 that refuse writes and changes of the configuration follow each other and overlap. Engines refuse,
-crash, break off within an event, send an earlier answer once more, and send bytes without end.
+crash, break off within an event, send an earlier answer once more, and send bytes without end. Two
+ranks of a group change their expert maps meanwhile and carry out some orders late or never.
 """
 
 import argparse
@@ -20,12 +21,14 @@
 import threading
 import time
 
+import expert_ranks
 from cluster import Cluster, free_port
 from gateway_test import HOST, Deployment
 
 GATEWAYS = 3
 ENGINES = 4
 CALLERS = 10
+RANKS = 2
 EVENTS = 8
 # Times that the platform grants, in seconds.
 CONFIG_APPLY = 2.5
@@ -266,8 +269,10 @@
         number, stream = self.number(), choice.random() < 0.5
         path = "/stream/1" if stream else "/book/1"
         deadly = stream and choice.random() < 0.01
+        foreign = choice.random() < 0.03
         parts = f"p{choice.randrange(20)}:40," + (f"{DEADLY_PART}:10," if deadly else "")
-        headers = {"Host": HOST, "Authorization": "Bearer key-1", "Request-Id": number,
+        key = "never-held" if foreign else "key-1"
+        headers = {"Host": HOST, "Authorization": "Bearer " + key, "Request-Id": number,
                    "Deadline-Ms": "4000", "Prompt-Prefix": parts + f"{number}:100"}
         # A route that was added with a version that must be in force by now.
         added = [v for v, at in self.acknowledged if time.time() - at > CONFIG_APPLY]
@@ -291,6 +296,10 @@
             self.check_lost(number, stream, gateway, process, planned)
             return False
         self.count(str(response.status))
+        if foreign:
+            if number in self.runs:
+                self.violation(f"ROUTE: {number} ran with a key that no configuration holds")
+            return response.getheader("Connection") != "close"
         self.check(number, stream, response.status, body)
         if response.status in (401, 404) and calm and time.time() - gateway.calm_since > STABILITY:
             self.violation(f"CONFIG: {number} {path} got {response.status} from {gateway.name}")
@@ -365,7 +374,8 @@
             routes += [{**routes[0], "name": f"idle-{i}", "pathPrefix": f"/idle-{i}/"}
                        for i in range(500)]
             text = json.dumps({"version": version, "routes": routes,
-                               "services": [{"name": "desk", "healthPath": "/healthz"}],
+                               "services": [{"name": "desk", "healthPath": "/healthz"},
+                                            {"name": "writer", "engine": expert_ranks.ENGINE}],
                                "tenants": [{"name": "club", "apiKeys": ["key-1"]}]})
             try:
                 status, _ = self.deployment.control("PUT", "/config", text)
@@ -396,7 +406,7 @@
 
     def fault(self):
         kind = self.random.choice(["drain", "kill", "pause", "hup", "controller", "freeze", "engine",
-                                   "roll", "disk"])
+                                   "roll", "disk", "sidecar", "group"])
         gateway = self.random.choice(self.gateways)
         self.count("fault " + kind)
         # A signal before the process waits for it ends the process, which serves nobody yet.
@@ -419,6 +429,17 @@
                 gateway.process.send_signal(signal.SIGHUP)
         elif kind == "engine":
             self.random.choice(self.engines).crash()
+        elif kind == "sidecar":
+            number = self.random.randrange(RANKS)
+            process = self.cluster.processes[f"sidecar-{number}"]
+            if self.random.random() < 0.5:
+                self.pause(process, None)
+            else:
+                process.kill()
+                process.wait()
+                self.start_sidecar(number)
+        elif kind == "group":
+            self.group.restart()
         else:
             # One controller at a time, as the group tolerates the loss of one.
             number = self.random.randrange(3)
@@ -432,6 +453,13 @@
             for each in self.gateways:
                 each.calm_since = time.time() + 1.5
 
+    def start_sidecar(self, number):
+        d = self.deployment
+        settings = d.settings(f"sidecar-{number}", {
+            "role": "sidecar", "engine": self.group.addresses()[number],
+            "controllers": d.controllers, "link_port": d.link_port})
+        self.cluster.start(f"sidecar-{number}", ["sidecar", "--settings", settings])
+
     def drain(self, gateway, young):
         gateway.expected = gateway.expected or ("killed" if young else "drained")
         gateway.only_planned = gateway.only_planned and not young
@@ -482,6 +510,9 @@
             d.start_controller(number)
         self.engines = [Engine(self, n) for n in range(ENGINES)]
         self.gateways = [Gateway(self, n) for n in range(self.gateway_count)]
+        self.group = expert_ranks.RankGroup(self, RANKS)
+        for number in range(RANKS):
+            self.start_sidecar(number)
         threads = [threading.Thread(target=self.change_until_stopped, daemon=True),
                    threading.Thread(target=self.register_until_stopped, daemon=True)]
         threads += [threading.Thread(target=self.call_until_stopped, daemon=True,
@@ -525,7 +556,8 @@
         soak = Soak(cluster, options.seed, options.gateways, options.callers)
         soak.run(options.seconds)
     print(f"seed {options.seed}: {sum(soak.runs.values())} runs, {soak.crashes} crashes, "
-          f"{len(soak.acknowledged)} versions, {soak.most_memory} MB, {soak.counts}")
+          f"{len(soak.acknowledged)} versions, {soak.group.changes} maps, {soak.most_memory} MB, "
+          f"{soak.counts}")
     for text in soak.violations:
         print("violation:", text)
     if soak.violations:
