Soak: a third seed, and no traces of calls that sidecars leave

The stand-in of the engines printed a stack trace for each call that a killed sidecar left, which hid the result in the log.

--- a/tests/e2e/expert_ranks.py
+++ b/tests/e2e/expert_ranks.py
@@ -3,6 +3,7 @@
 
 import http.server
 import json
+import sys
 import threading
 import time
 
@@ -162,7 +163,13 @@
             def log_message(self, *unused):
                 pass
 
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        class Server(http.server.ThreadingHTTPServer):
+            def handle_error(self, request, client_address):
+                # Sidecars end in the middle of calls.
+                if not isinstance(sys.exc_info()[1], OSError):
+                    super().handle_error(request, client_address)
+
+        server = Server(("127.0.0.1", 0), Handler)
         server.daemon_threads = True
         threading.Thread(target=server.serve_forever, daemon=True).start()
         return server
--- a/tests/e2e/platform_soak_test.py
+++ b/tests/e2e/platform_soak_test.py
@@ -1,4 +1,4 @@
-"""Guards the promises to callers on the users' platform under random faults: two short runs from
+"""Guards the promises to callers on the users' platform under random faults: three short runs from
 fixed seeds. Longer runs: platform_soak.py."""
 
 import sys
@@ -6,12 +6,12 @@
 import platform_soak
 
 SECONDS = "20"
-SEEDS = ["2", "3"]
+SEEDS = ["2", "3", "4"]
 
 
 def main(program):
     codes = [platform_soak.main([program, "--seed", seed, "--seconds", SECONDS]) for seed in SEEDS]
-    assert codes == [0, 0], "a promise was broken"
+    assert codes == [0, 0, 0], "a promise was broken"
 
 
 if __name__ == "__main__":
