Name the messages in transit in the world of the group's tests

clang 14 refuses a lambda that captures a structured binding, so the linter failed on engine_groups_test. The queues hold named types now; the tests are the same: 5 of 5 pass, and the linter passes the file.

--- a/tests/engine_group_world.h
+++ b/tests/engine_group_world.h
@@ -136,6 +136,18 @@
     engine_command order;
   };
 
+  /// A status in transit to the leader.
+  struct sent_status {
+    link_id link;
+    engine_status status;
+  };
+
+  /// A message in transit to a sidecar.
+  struct sent_message {
+    link_id link;
+    message body;
+  };
+
   static std::vector<std::int32_t> InitialMap() {
     std::vector<std::int32_t> map(kRanks * kSlots, -1);
     for (std::uint32_t e = 0; e < kExperts; ++e) {
@@ -188,11 +200,13 @@
     }
     RunLeader();
     for (std::uint32_t r = 0; r < kRanks; ++r) {
-      for (auto inbox = std::exchange(to_sidecar_[r], {}); auto& [link, body] : inbox) {
-        if (link != links_[r]) continue;
+      for (auto inbox = std::exchange(to_sidecar_[r], {}); const sent_message& sent : inbox) {
+        if (sent.link != links_[r]) continue;
         ToWatch(r, [&](engine_watch& w, reduce_context& ctx) {
-          if (const auto* m = std::get_if<engine_status_reply>(&body)) w.Handle(link, *m, ctx);
-          if (const auto* m = std::get_if<engine_command>(&body)) w.Handle(link, *m, ctx);
+          if (const auto* m = std::get_if<engine_status_reply>(&sent.body)) {
+            w.Handle(sent.link, *m, ctx);
+          }
+          if (const auto* m = std::get_if<engine_command>(&sent.body)) w.Handle(sent.link, *m, ctx);
         });
       }
       CheckTimeout(r);
@@ -203,8 +217,9 @@
   void RunLeader() {
     if (paused_until_ && clock_.Now() < *paused_until_) return;
     paused_until_.reset();
-    for (auto inbox = std::exchange(to_leader_, {}); auto& [link, status] : inbox) {
-      FromLeader(Reduce([&](auto& ctx) { leader_->OnStatus(link, status, Role(), ctx); }));
+    for (auto inbox = std::exchange(to_leader_, {}); const sent_status& sent : inbox) {
+      FromLeader(
+          Reduce([&](auto& ctx) { leader_->OnStatus(sent.link, sent.status, Role(), ctx); }));
     }
     FromLeader(Reduce([&](auto& ctx) { leader_->OnProgress(Role(), ctx); }));
   }
@@ -213,7 +228,7 @@
     for (const effect& one : effects) {
       if (const auto* sent = std::get_if<send_message>(&one)) {
         for (std::uint32_t r = 0; r < kRanks; ++r) {
-          if (links_[r] == sent->link) to_sidecar_[r].emplace_back(sent->link, sent->body);
+          if (links_[r] == sent->link) to_sidecar_[r].push_back({sent->link, sent->body});
         }
         if (const auto* c = std::get_if<engine_command>(&sent->body)) OnCommandSent(*c);
       }
@@ -262,7 +277,7 @@
         if (links_[r] == closed->link) links_[r] = {};
       } else if (const auto* sent = std::get_if<send_message>(&one)) {
         const auto* status = std::get_if<engine_status>(&sent->body);
-        if (status != nullptr) to_leader_.emplace_back(sent->link, *status);
+        if (status != nullptr) to_leader_.push_back({sent->link, *status});
       } else if (const auto* usage = std::get_if<read_expert_usage>(&one)) {
         ReadUsage(r, usage->with_experts);
       } else if (std::holds_alternative<read_engine_report>(one)) {
@@ -423,8 +438,8 @@
   std::uint64_t term_ = 1;
   steady_time lease_lost_until_{};
   std::optional<steady_time> paused_until_;
-  std::deque<std::pair<link_id, engine_status>> to_leader_;
-  std::array<std::deque<std::pair<link_id, message>>, kRanks> to_sidecar_;
+  std::deque<sent_status> to_leader_;
+  std::array<std::deque<sent_message>, kRanks> to_sidecar_;
   std::array<std::optional<engine_watch>, kRanks> watches_;
   std::array<link_id, kRanks> links_{};
   std::uint64_t next_link_ = 1;
