Test answers that are broken off while nothing is being written

A scripted engine sends answers byte by byte, and a strict client reads what a real gateway makes of them: broken off by a reset or an early close before the head, within it, and in bodies with a length, in chunks or without a length.

--- /dev/null
+++ b/tests/e2e/broken_answers.py
@@ -0,0 +1,76 @@
+"""Scripts of answers that are broken, and of unusual ones that are sound, for `ScriptedEngine`."""
+
+from scripted_engine import CLOSE, CLOSE_AT_ONCE, READ_BODY, RESET, pause
+
+# More than the buffers of a connection hold, so that its writing goes on until the answer ends.
+LONG_UPLOAD = 3 << 20
+# The size in which connections are read.
+READ_SIZE = 16 << 10
+
+NAMED = b"Request-Id: {id}\r\nResponse-Signature: sig\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n" + NAMED
+LENGTH = b"Content-Length: 5\r\n\r\nsound"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Time for the peer to read what was sent before the connection is reset.
+READ_TIME = pause(0.1)
+
+
+def parts_of_answers():
+    """Beginnings of answers that end neither with their length nor with their last chunk."""
+    filler = HEAD + b"X-Filler: "
+    filler += b"f" * (READ_SIZE - len(filler) - len("{id}") - len("\r\n\r\n")) + b"\r\n\r\n"
+    return {
+        "nothing": b"",
+        "status-line": b"HTTP/1.1 200 O",
+        "field": HEAD + b"Content-Le",
+        "head-without-blank-line": HEAD,
+        "head": HEAD + b"\r\n",
+        "open-body": HEAD + b"\r\npart",
+        "open-body-of-one-read": filler,
+        "closing-open-body": HEAD + b"Connection: close\r\n\r\npart",
+        "old-open-body": HEAD.replace(b"1.1", b"1.0") + b"\r\npart",
+        "length": HEAD + b"Content-Length: 9\r\n\r\npart",
+        "chunk-size": CHUNKED + b"4",
+        "chunk": CHUNKED + b"4\r\npa",
+        "chunks": CHUNKED + b"4\r\npart\r\n",
+        "last-chunk": CHUNKED + b"4\r\npart\r\n0\r\n",
+        "trailers": CHUNKED + b"4\r\npart\r\n0\r\nX: y\r\n",
+    }
+
+
+def broken_off():
+    """Answers whose connection is reset, or closed before their length or last chunk."""
+    scripts = {}
+    for name, part in parts_of_answers().items():
+        scripts[f"reset-{name}"] = [READ_BODY, part, READ_TIME, RESET]
+        if "open-body" not in name and name != "head":
+            scripts[f"closed-{name}"] = [READ_BODY, part, CLOSE]
+    return scripts
+
+
+def sound():
+    """Sound answers that a careful reader might reject; their body is `sound`."""
+    odd = (b"!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blanks: \t v \t\r\nX-Text: \xe9\t\xff\r\n")
+    whole = [HEAD + LENGTH]
+    return {
+        "early-length": [HEAD + LENGTH, READ_BODY],
+        "early-chunks": [CHUNKED + b"5\r\nsound\r\n0\r\n\r\n", READ_BODY],
+        "early-open": [HEAD + b"\r\nsound", CLOSE],
+        "early-open-closed-at-once": [HEAD + b"\r\nsound", CLOSE_AT_ONCE],
+        "early-open-read-closed-at-once": [HEAD + b"\r\nsound", READ_TIME, CLOSE_AT_ONCE],
+        "early-length-reset": [HEAD + LENGTH, READ_TIME, RESET],
+        "open": [READ_BODY, HEAD + b"\r\nsound", CLOSE],
+        "old-open": [READ_BODY, HEAD.replace(b"1.1", b"1.0") + b"\r\nsound", CLOSE],
+        "odd-names": [READ_BODY, HEAD + odd + LENGTH],
+        "no-reason": [READ_BODY, b"HTTP/1.1 200\r\n" + NAMED + LENGTH],
+        "empty-reason": [READ_BODY, b"HTTP/1.1 200 \r\n" + NAMED + LENGTH],
+        "reason": [READ_BODY, b"HTTP/1.1 200 \xe9t\xe9\tsound\r\n" + NAMED + LENGTH],
+        "interim": [READ_BODY, b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n",
+                    HEAD + LENGTH],
+        "trailers": [READ_BODY, CHUNKED + b"2;a=b\r\nso\r\n03\r\nund\r\n000;c\r\nX-Any: v\r\n" + odd +
+                     b"\r\n"],
+        "same-id-twice": [READ_BODY, HEAD + b"request-id: {id}\r\n" + LENGTH],
+        "byte-by-byte": [READ_BODY, *[bytes([b]) for b in HEAD.split(b"{id}")[0]], b"{id}",
+                         *[bytes([b]) for b in HEAD.split(b"{id}")[1] + LENGTH]],
+        "whole": [READ_BODY, *whole],
+    }
--- /dev/null
+++ b/tests/e2e/broken_answers_test.py
@@ -0,0 +1,115 @@
+"""Guards callers of a gateway against answers of engines that are broken off, and sound answers against
+being rejected."""
+
+import http.client
+import json
+import sys
+import threading
+import time
+
+import broken_answers
+import strict_http
+from cluster import Cluster
+from gateway_test import HOST, Deployment
+from scripted_engine import Runs, ScriptedEngine
+
+KINDS = {"/book/": "non_idempotent", "/look/": "idempotent"}
+# Retries that a test may need; the budget has tests of its own.
+ALLOWANCE = 10000
+
+
+def config():
+    routes = [{"name": p, "host": HOST, "pathPrefix": p, "kind": kind, "timeoutMs": 4000,
+               "service": "desk", "attempts": 2}
+              for p, kind in KINDS.items()]
+    return json.dumps({"version": 1, "routes": routes,
+                       "services": [{"name": "desk", "healthPath": "/healthz"}],
+                       "tenants": [{"name": "club", "apiKeys": ["key-1"]}]})
+
+
+def sound(_, headers):
+    number = headers.get("Request-Id", "").encode()
+    return (broken_answers.HEAD + broken_answers.LENGTH).replace(b"{id}", number)
+
+
+class Check:
+    """Sends requests to a gateway before scripted engines and collects what is wrong."""
+
+    def __init__(self, deployment, scripts):
+        self.d = deployment
+        self.runs = Runs()
+        self.engines = [ScriptedEngine(f"engine-{n}", scripts, self.runs,
+                                       lambda _, h: h.get("Request-Id", ""), sound)
+                        for n in range(2)]
+        self.next_number = 0
+        self.wrong = []
+
+    def register_forever(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            for engine in self.engines:
+                try:
+                    self.d.register(engine, sequence)
+                except (OSError, AssertionError, http.client.HTTPException):
+                    pass
+            time.sleep(0.5)
+
+    def request(self, path, body=b"x"):
+        """Returns the id, and the status and body, or the error, of the answer."""
+        self.next_number += 1
+        number = f"n{self.next_number}"
+        try:
+            status, text, _ = strict_http.call(
+                f"127.0.0.1:{self.d.front}", "POST", path, body,
+                {"Host": HOST, "Authorization": "Bearer key-1", "Request-Id": number,
+                 "Deadline-Ms": "4000"}, 8)
+            return number, (status, text)
+        except (OSError, http.client.HTTPException) as error:
+            return number, type(error).__name__
+
+    def expect(self, name, number, got, wanted, runs):
+        if got != wanted or self.runs.of(number) != runs:
+            got = got if isinstance(got, str) else (got[0], got[1][:60])
+            self.wrong.append(f"{name} ({number}): got {got}, ran {self.runs.of(number)} times")
+
+    def is_replaced(self, name, upload):
+        """A broken answer is a 502 for a request that may not run again, and is asked for again
+        otherwise."""
+        number, got = self.request("/book/" + name, upload)
+        self.expect("/book/" + name, number, got, (502, b'{"reason":"none"}'), 1)
+        # On a connection that an earlier request has used.
+        self.request("/look/whole")
+        number, got = self.request("/look/" + name, upload)
+        self.expect("/look/" + name, number, got, (200, b"sound"), 2)
+
+    def is_passed_on(self, name, upload):
+        for path in ("/book/", "/look/"):
+            number, got = self.request(path + name, upload)
+            self.expect(path + name, number, got, (200, b"sound"), 1)
+
+
+def main(program):
+    broken = broken_answers.broken_off()
+    scripts = {**broken, **broken_answers.sound()}
+    with Cluster(program) as cluster:
+        d = Deployment(cluster)
+        check = Check(d, scripts)
+        for number in range(3):
+            d.start_controller(number)
+        d.start_gateway(retries={"slack": ALLOWANCE})
+        assert d.control("PUT", "/config", config())[0] == 200
+        threading.Thread(target=check.register_forever, daemon=True).start()
+        d.wait_for("a sound answer", lambda: check.request("/book/whole")[1] == (200, b"sound"))
+        for name in broken_answers.sound():
+            check.is_passed_on(name, b"x" * broken_answers.LONG_UPLOAD)
+        for name in broken:
+            check.is_replaced(name, b"x")
+    for text in check.wrong:
+        print("wrong:", text)
+    assert not check.wrong, f"{len(check.wrong)} answers"
+    print(f"broken answers test passed: {len(scripts)} scripts")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -127,12 +127,12 @@
                       "zones": self.zones}})
         self.cluster.start(f"controller-{number}", ["controller", "--settings", path])
 
-    def start_gateway(self):
+    def start_gateway(self, **extra):
         path = self.settings("gateway", {
             "role": "gateway", "drain_timeout_ms": 6000,
             "http": {"listen": f"127.0.0.1:{self.front}",
                      "probe_listen": f"127.0.0.1:{self.probe}", "drain_notice_ms": 500},
-            "controllers": self.controllers, "link_port": self.link_port})
+            "controllers": self.controllers, "link_port": self.link_port, **extra})
         self.cluster.start("gateway", ["gateway", "--settings", path])
 
     def control(self, method, path, body=None):
