Take the end of a connection for broken after a write has met its reset

Callers got a part of an answer as a complete one: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. Streams of events without a length ended as complete in the same way.

Cause: the system reports an error of a socket once. The failed write took it and dropped it, since a comment said that it shows again at the next read; a trace shows that the read returns 0, an orderly end, which completes an answer without a length.

The connection remembers the error, and the end after it counts as a reset. The exception is EPIPE as the first error: the peer had ended its side in order before, so its bytes are all there. A connection whose write failed is not kept for another request, which would fail unsent.

--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -127,7 +127,7 @@
 }
 
 void tcp_connection::Write(std::string_view bytes) {
-  if (ended_ || wsi_ == nullptr) return;
+  if (ended_ || write_failed_ || wsi_ == nullptr) return;
   AppendGrowingSlowly(output_, bytes);
   if (connected_) Flush();
 }
@@ -137,7 +137,7 @@
     Write(std::string_view(bytes));
     return;
   }
-  if (ended_ || wsi_ == nullptr) return;
+  if (ended_ || write_failed_ || wsi_ == nullptr) return;
   output_.swap(bytes);
   written_ = 0;
   if (connected_) Flush();
@@ -157,8 +157,7 @@
   while (written_ < output_.size()) {
     ssize_t n = send(socket_, output_.data() + written_, output_.size() - written_, MSG_NOSIGNAL);
     if (n < 0 && errno == EINTR) continue;
-    // An error shows again when the socket is read, with what the peer sent before it.
-    if (n < 0 && errno != EAGAIN) ClearOutput();
+    if (n < 0 && errno != EAGAIN) OnWriteError(errno);
     if (n <= 0) break;
     written_ += static_cast<std::size_t>(n);
   }
@@ -173,6 +172,16 @@
   WaitUntilWritable();
 }
 
+// The system reports an error of the socket once. The bytes that arrived before it can still be
+// read, but the read after them reports an orderly end. EPIPE means that the peer had ended its
+// side in order before the error (Linux reports a reset as ECONNRESET otherwise), so all of its
+// bytes have arrived.
+void tcp_connection::OnWriteError(int error) {
+  write_failed_ = true;
+  if (error != EPIPE) input_broken_ = true;
+  ClearOutput();
+}
+
 void tcp_connection::WaitUntilWritable() {
   if (!in_writable_) {
     lws_callback_on_writable(wsi_);
@@ -200,9 +209,13 @@
   ended_ = true;
 }
 
-bool tcp_connection::HasUnreadInput() const {
+bool tcp_connection::HasUnreadInput() {
+  if (wsi_ == nullptr) return false;
   char first = 0;
-  return wsi_ != nullptr && recv(socket_, &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  ssize_t n = recv(socket_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
+  // The next read does not report the error again.
+  if (n < 0 && errno != EAGAIN && errno != EINTR) input_broken_ = true;
+  return n > 0;
 }
 
 void tcp_connection::SetReading(bool reading) {
@@ -226,7 +239,7 @@
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
     if (n <= 0) {
-      End(n == 0 ? tcp_end::kClosed : tcp_end::kBroken);
+      End(n == 0 && !input_broken_ ? tcp_end::kClosed : tcp_end::kBroken);
       return;
     }
     // A socket that is closed with unread bytes is reset, and the peer may lose the response.
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -71,7 +71,9 @@
   void SetReading(bool reading);
 
   /// Whether bytes of the peer wait to be read.
-  bool HasUnreadInput() const;
+  bool HasUnreadInput();
+  /// Whether the system has taken all bytes that were to be written.
+  bool HasWrittenAll() const { return BufferedBytes() == 0 && !write_failed_; }
   std::size_t BufferedBytes() const { return output_.size() - written_; }
   /// Memory of the bytes that wait to be written.
   std::size_t BufferedMemory() const { return BufferedBytes() == 0 ? 0 : output_.capacity(); }
@@ -88,6 +90,7 @@
   void ServeWritable();
   void WaitUntilWritable();
   void Flush();
+  void OnWriteError(int error);
   void ClearOutput();
   void End(tcp_end how);
   static int OnFile(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
@@ -100,6 +103,10 @@
   bool ended_ = false;
   bool closing_ = false;
   bool reading_ = true;
+  /// A write has failed; nothing more is written.
+  bool write_failed_ = false;
+  /// An error was reported, after which bytes of the peer may be missing.
+  bool input_broken_ = false;
   /// Set while the writable callback runs.
   bool in_writable_ = false;
   std::string output_;
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -224,7 +224,7 @@
   auto& idle = idle_[c.to];
   steady_time now = Now();
   // A request that was answered before it was sent in full leaves the connection in its middle.
-  bool whole = c.tcp->BufferedBytes() == 0;
+  bool whole = c.tcp->HasWrittenAll();
   bool has_room = c.max_connections == 0 || open_[c.to] <= c.max_connections;
   if (whole && has_room && c.keep_alive && c.reusable_until > now &&
       idle.size() < limits_.max_idle_per_backend) {
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -4,6 +4,8 @@
 
 # More than the buffers of a connection hold, so that its writing goes on until the answer ends.
 LONG_UPLOAD = 3 << 20
+# More than a gateway holds back of an answer before it passes it on.
+LONG_BODY = b"x" * (300 << 10)
 # The size in which connections are read.
 READ_SIZE = 16 << 10
 
@@ -11,6 +13,8 @@
 HEAD = b"HTTP/1.1 200 OK\r\n" + NAMED
 LENGTH = b"Content-Length: 5\r\n\r\nsound"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = HEAD + b"Content-Type: text/event-stream\r\n"
+EVENT = b"id: 1\ndata: 1\n\n"
 # Time for the peer to read what was sent before the connection is reset.
 READ_TIME = pause(0.1)
 
@@ -42,12 +46,39 @@
     """Answers whose connection is reset, or closed before their length or last chunk."""
     scripts = {}
     for name, part in parts_of_answers().items():
+        # The reset is met by a write, with all or none of the answer read, or by a read.
+        scripts[f"reset-in-upload-{name}"] = [part, READ_TIME, RESET]
+        scripts[f"reset-unread-{name}"] = [part, RESET]
         scripts[f"reset-{name}"] = [READ_BODY, part, READ_TIME, RESET]
         if "open-body" not in name and name != "head":
             scripts[f"closed-{name}"] = [READ_BODY, part, CLOSE]
     return scripts
 
 
+def chunk(text):
+    return f"{len(text):x}\r\n".encode() + text + b"\r\n"
+
+
+def broken_streams():
+    """Streams of events that are reset while the request is written."""
+    return {
+        "stream-open": [EVENTS + b"\r\n" + EVENT, READ_TIME, RESET],
+        "stream-open-in-event": [EVENTS + b"\r\n" + EVENT + b"id: 2\n", READ_TIME, RESET],
+        "stream-length": [EVENTS + b"Content-Length: 60\r\n\r\n" + EVENT, READ_TIME, RESET],
+        "stream-chunks": [EVENTS + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENT), READ_TIME,
+                          RESET],
+    }
+
+
+def broken_long_bodies():
+    """Bodies that are passed on in parts and reset while the request is written."""
+    return {
+        "long-open": [HEAD + b"\r\n" + LONG_BODY, READ_TIME, RESET],
+        "long-length": [HEAD + b"Content-Length: 400000\r\n\r\n" + LONG_BODY, READ_TIME, RESET],
+        "long-chunks": [CHUNKED + chunk(LONG_BODY), READ_TIME, RESET],
+    }
+
+
 def sound():
     """Sound answers that a careful reader might reject; their body is `sound`."""
     odd = (b"!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blanks: \t v \t\r\nX-Text: \xe9\t\xff\r\n")
--- a/tests/e2e/broken_answers_test.py
+++ b/tests/e2e/broken_answers_test.py
@@ -13,23 +13,32 @@
 from gateway_test import HOST, Deployment
 from scripted_engine import Runs, ScriptedEngine
 
-KINDS = {"/book/": "non_idempotent", "/look/": "idempotent"}
+KINDS = {"/book/": "non_idempotent", "/look/": "idempotent", "/once/": "streaming",
+         "/resume/": "streaming"}
 # Retries that a test may need; the budget has tests of its own.
 ALLOWANCE = 10000
+EVENTS = 4
 
 
 def config():
     routes = [{"name": p, "host": HOST, "pathPrefix": p, "kind": kind, "timeoutMs": 4000,
-               "service": "desk", "attempts": 2}
+               "service": "desk", "attempts": 2, "resumable": p == "/resume/"}
               for p, kind in KINDS.items()]
     return json.dumps({"version": 1, "routes": routes,
                        "services": [{"name": "desk", "healthPath": "/healthz"}],
                        "tenants": [{"name": "club", "apiKeys": ["key-1"]}]})
 
 
-def sound(_, headers):
+def events(first):
+    return "".join(f"id: {n}\ndata: {n}\n\n" for n in range(first, EVENTS + 1)).encode()
+
+
+def sound(path, headers):
+    head, body = broken_answers.HEAD, b"sound"
+    if path.startswith(("/once/", "/resume/")):
+        head, body = broken_answers.EVENTS, events(int(headers.get("Last-Event-Id", 0)) + 1)
     number = headers.get("Request-Id", "").encode()
-    return (broken_answers.HEAD + broken_answers.LENGTH).replace(b"{id}", number)
+    return head.replace(b"{id}", number) + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
 class Check:
@@ -83,6 +92,17 @@
         number, got = self.request("/look/" + name, upload)
         self.expect("/look/" + name, number, got, (200, b"sound"), 2)
 
+    def is_cut_or_resumed(self, name, upload):
+        number, got = self.request("/once/" + name, upload)
+        self.expect("/once/" + name, number, got, "IncompleteRead", 1)
+        number, got = self.request("/resume/" + name, upload)
+        self.expect("/resume/" + name, number, got, (200, events(1)), 2)
+
+    def is_cut(self, name, upload):
+        for path in ("/book/", "/look/"):
+            number, got = self.request(path + name, upload)
+            self.expect(path + name, number, got, "IncompleteRead", 1)
+
     def is_passed_on(self, name, upload):
         for path in ("/book/", "/look/"):
             number, got = self.request(path + name, upload)
@@ -91,7 +111,9 @@
 
 def main(program):
     broken = broken_answers.broken_off()
-    scripts = {**broken, **broken_answers.sound()}
+    streams, long_bodies = broken_answers.broken_streams(), broken_answers.broken_long_bodies()
+    scripts = {**broken, **streams, **long_bodies, **broken_answers.sound()}
+    long_upload = b"x" * broken_answers.LONG_UPLOAD
     with Cluster(program) as cluster:
         d = Deployment(cluster)
         check = Check(d, scripts)
@@ -102,9 +124,14 @@
         threading.Thread(target=check.register_forever, daemon=True).start()
         d.wait_for("a sound answer", lambda: check.request("/book/whole")[1] == (200, b"sound"))
         for name in broken_answers.sound():
-            check.is_passed_on(name, b"x" * broken_answers.LONG_UPLOAD)
+            check.is_passed_on(name, long_upload)
         for name in broken:
-            check.is_replaced(name, b"x")
+            met_by_write = name.startswith(("reset-in-upload-", "reset-unread-"))
+            check.is_replaced(name, long_upload if met_by_write else b"x")
+        for name in streams:
+            check.is_cut_or_resumed(name, long_upload)
+        for name in long_bodies:
+            check.is_cut(name, long_upload)
     for text in check.wrong:
         print("wrong:", text)
     assert not check.wrong, f"{len(check.wrong)} answers"
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -12,6 +12,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "loopback_port.h"
 
@@ -29,9 +30,11 @@
   std::promise<tcp_end> ended;
   tcp_listener listener{loop, [this](int socket) { Accept(socket); }};
   std::string greeting;
+  bool close_after_greeting = true;
   std::thread thread;
 
-  explicit tcp_fixture(std::string text) : greeting(std::move(text)) {
+  explicit tcp_fixture(std::string text, bool close_after = true)
+      : greeting(std::move(text)), close_after_greeting(close_after) {
     static const lws_protocols protocols[] = {
         tcp_connection::Protocol(), tcp_listener::Protocol(), WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
@@ -60,7 +63,7 @@
                                        {[this](std::string_view bytes) { OnBytes(bytes); },
                                         [this](tcp_end how) { ended.set_value(how); }});
     connection->Write(greeting);
-    if (!greeting.empty()) connection->CloseAfterWrites();
+    if (!greeting.empty() && close_after_greeting) connection->CloseAfterWrites();
   }
 
   void OnBytes(std::string_view bytes) {
@@ -83,6 +86,17 @@
   }
 };
 
+void ResetAtClose(int socket) {
+  linger reset{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+tcp_end Await(std::promise<tcp_end>& ended) {
+  auto end = ended.get_future();
+  REQUIRE(end.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  return end.get();
+}
+
 }  // namespace
 
 // Guards against a long response that stalls after the first parts that its reader takes.
@@ -123,13 +137,35 @@
   SECTION("closed") {}
   SECTION("reset") {
     expected = tcp_end::kBroken;
-    linger reset{1, 0};
-    setsockopt(client, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    ResetAtClose(client);
   }
   close(client);
-  auto end = server.ended.get_future();
-  REQUIRE(end.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
-  CHECK(end.get() == expected);
+  CHECK(Await(server.ended) == expected);
+}
+
+// Guards against the same where a write meets the reset: the system reports it once, and the next
+// read ends like one of a connection that was closed in order.
+TEST_CASE("an orderly end is told from a reset while bytes are written") {
+  tcp_fixture server(std::string(std::size_t{8} << 20, 'x'), false);
+  int client = server.Connect();
+  REQUIRE(send(client, "abc", 3, 0) == 3);
+  char unread = 0;
+  REQUIRE(recv(client, &unread, 1, MSG_PEEK) == 1);
+  tcp_end expected = tcp_end::kBroken;
+  std::promise<void> held;
+  SECTION("reset") { ResetAtClose(client); }
+  SECTION("closed with unread bytes, which is a reset") {}
+  SECTION("closed in order and reset after that") {
+    expected = tcp_end::kClosed;
+    // The loop meets both at once.
+    server.loop.Post([&held] { held.get_future().wait(); });
+    shutdown(client, SHUT_WR);
+    close(std::exchange(client, -1));
+    held.set_value();
+  }
+  if (client >= 0) close(client);
+  CHECK(Await(server.ended) == expected);
+  CHECK(server.received == 3);
 }
 
 }  // namespace radishroute
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -9,6 +9,8 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <deque>
+#include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -37,7 +39,10 @@
             [this](upstream_id id, std::string_view bytes) {
               Record(std::to_string(id.value) + " body " + std::string(bytes));
             },
-            [this](upstream_id id) { Record(std::to_string(id.value) + " end"); },
+            [this](upstream_id id) {
+              Record(std::to_string(id.value) + " end");
+              if (after_end) after_end();
+            },
             [this](upstream_id id, upstream_stage stage) {
               Record(std::to_string(id.value) + " failed " + std::string(ToString(stage)));
             }});
@@ -78,9 +83,9 @@
     return event;
   }
 
-  void Call(std::uint64_t id, const std::string& request_id) {
-    loop.Post([this, id, request_id] {
-      client->Start({{id}, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", request_id, true});
+  void Call(std::uint64_t id, const std::string& request_id, const std::string& body = "") {
+    loop.Post([this, id, request_id, body] {
+      client->Start({{id}, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n" + body, request_id, true});
     });
   }
 
@@ -94,6 +99,12 @@
   /// Ends the client's connection in order.
   void CloseBackend() { close(std::exchange(backend, -1)); }
 
+  void ResetBackend() {
+    linger reset{1, 0};
+    setsockopt(backend, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    CloseBackend();
+  }
+
   /// Accepts the client's connection unless it is kept from an earlier call, and reads a request.
   void ReadRequest() {
     if (backend < 0) backend = accept(listener, nullptr, nullptr);
@@ -123,9 +134,14 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::deque<std::string> events;
+  /// Called on the loop's thread after a response has ended.
+  std::function<void()> after_end;
   std::thread thread;
 };
 
+// More than the buffers of a connection hold.
+const std::string kLongBody(std::size_t{16} << 20, 'x');
+
 constexpr const char* kRefusal =
     "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
 
@@ -279,6 +295,53 @@
   CHECK(f.NextEvent() == "1 failed waiting");
 }
 
+// Guards against a part of a response that passes for a whole one because its reset is met by a
+// write.
+TEST_CASE("a response that is reset while its request is written has failed") {
+  client_fixture f;
+  f.Call(1, "first", kLongBody);
+  f.ReadRequest();
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n";
+  std::string part;
+  SECTION("before the head") {}
+  SECTION("within the head") { part = head; }
+  SECTION("without a length") { part = head + "\r\n"; }
+  SECTION("of events") { part = head + "Content-Type: text/event-stream\r\n\r\n"; }
+  SECTION("with a length") { part = head + "Content-Length: 9\r\n\r\n"; }
+  SECTION("in chunks") { part = head + "Transfer-Encoding: chunked\r\n\r\n"; }
+  f.Respond(part);
+  bool answered = part.size() > head.size();
+  if (answered) CHECK(f.NextEvent() == "1 head 200");
+  // The loop waits to write before the reset comes, so that a write is the first to meet it.
+  std::this_thread::sleep_for(20ms);
+  f.ResetBackend();
+  CHECK(f.NextEvent() == (answered ? "1 failed answering" : "1 failed waiting"));
+}
+
+// Guards against a request that is sent on a connection whose reset was met by a write.
+TEST_CASE("a connection that was reset after a whole response is not used again") {
+  client_fixture f;
+  f.after_end = [&f] {
+    f.client->Start({{2}, f.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "second", true});
+  };
+  f.Call(1, "first", kLongBody);
+  f.ReadRequest();
+  // The loop meets the response and the reset at once.
+  std::promise<void> held;
+  f.loop.Post([&held] { held.get_future().wait(); });
+  f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 2\r\n\r\nok");
+  f.ResetBackend();
+  held.set_value();
+  CHECK(f.NextEvent() == "1 head 200");
+  CHECK(f.NextEvent() == "1 body ok");
+  CHECK(f.NextEvent() == "1 end");
+  f.after_end = nullptr;
+  f.ReadRequest();
+  f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: second\r\nContent-Length: 0\r\n\r\n");
+  CHECK(f.NextEvent() == "2 head 200");
+  CHECK(f.NextEvent() == "2 end");
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("a head without end is given up") {
   client_fixture f;
