Reject responses with a status that no final response may have

Callers got 0200 as 200, and 600 and 999 as they were. After a status below 100, a 101 or an interim status with a body they waited until their deadline: the response was dropped as an interim one.

Cause: http-parser reads a status as a number below 1000 with any number of digits, and everything below 200 counted as interim.

The status line is checked before http-parser reads it, and interim responses with framing are rejected, since they have no body.

--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -109,6 +109,7 @@
   kNotDrainable,
   kMalformedHttp,
   kHttpHeadTooLong,
+  kInvalidHttpStatus,
   kMalformedCall,
   kInvalidDeployment,
   kCompressionFailed,
--- a/src/error.cc
+++ b/src/error.cc
@@ -119,6 +119,8 @@
         return "message is not valid HTTP/1.1";
       case errc::kHttpHeadTooLong:
         return "HTTP header section exceeds the length limit";
+      case errc::kInvalidHttpStatus:
+        return "HTTP status is not one that a final response may have";
       case errc::kMalformedCall:
         return "API request is malformed";
       case errc::kInvalidDeployment:
--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "io/http_syntax.h"
 #include "radishroute/error.h"
 
 namespace radishroute {
@@ -116,12 +117,35 @@
   if (const std::string* expect = FindHeader(head_.headers, "expect")) {
     head_.expects_continue = EqualIgnoringCase(*expect, "100-continue");
   }
+  head_error_ = CheckHead();
+  if (head_error_) return kInvalidHead;
+  on_.on_head(std::move(head_));
+  return 0;
+}
+
+std::error_code http_decoder::CheckHead() const {
   // A blank in a name is read as a part of it or dropped, which hides framing headers.
   for (const http_header& header : head_.headers) {
-    if (header.name.find_first_of(" \t") != std::string::npos) return kInvalidHead;
+    if (header.name.find_first_of(" \t") != std::string::npos) return errc::kMalformedHttp;
   }
-  on_.on_head(std::move(head_));
-  return 0;
+  // Interim responses have no body (RFC 9110, 8.6); one with framing stands for the final response.
+  bool interim = side_ == http_side::kResponse && head_.status < 200;
+  bool framed = head_.content_length || FindHeader(head_.headers, "transfer-encoding") != nullptr;
+  if (interim && framed) return errc::kInvalidHttpStatus;
+  return {};
+}
+
+// http-parser accepts any number below 1000, with any number of digits.
+std::error_code http_decoder::CheckStartLine(std::string_view head) {
+  if (side_ == http_side::kRequest || start_line_checked_) return {};
+  std::size_t end = head.find('\n');
+  start_line_.append(head.substr(0, end));
+  if (end == std::string_view::npos) return {};
+  if (start_line_.ends_with('\r')) start_line_.pop_back();
+  start_line_checked_ = true;
+  std::error_code error = CheckStatusLine(start_line_);
+  start_line_.clear();
+  return error;
 }
 
 // A line that ends without CR, and a header that continues on the next line, are read differently
@@ -165,6 +189,8 @@
       error = errc::kMalformedHttp;
       return 0;
     }
+    error = CheckStartLine(bytes.substr(0, head));
+    if (error) return 0;
     used = http_parser_execute(parser_.get(), &settings, bytes.data(), head);
   }
   bool stopped = HTTP_PARSER_ERRNO(parser_.get()) != HPE_OK;
@@ -173,14 +199,25 @@
   }
   if (complete_ && HTTP_PARSER_ERRNO(parser_.get()) == HPE_PAUSED) {
     http_parser_pause(parser_.get(), 0);
-    complete_ = head_read_ = false;
+    complete_ = head_read_ = start_line_checked_ = false;
     on_.on_complete();
     return used;
   }
-  if (HTTP_PARSER_ERRNO(parser_.get()) != HPE_OK) error = errc::kMalformedHttp;
+  error = ParserError();
   return used;
 }
 
+std::error_code http_decoder::ParserError() const {
+  switch (HTTP_PARSER_ERRNO(parser_.get())) {
+    case HPE_OK:
+      return {};
+    case HPE_INVALID_STATUS:
+      return errc::kInvalidHttpStatus;
+    default:
+      return head_error_ ? head_error_ : errc::kMalformedHttp;
+  }
+}
+
 // Not summed over the headers: a head may come byte by byte. Strings have up to twice their length.
 std::size_t http_decoder::HeldBytes() const {
   return head_bytes_ * 2 + head_.headers.capacity() * sizeof(http_header);
@@ -191,7 +228,7 @@
   if (!in_message_) return {};
   http_parser_execute(parser_.get(), &settings, nullptr, 0);
   if (!complete_) return errc::kMalformedHttp;
-  complete_ = head_read_ = false;
+  complete_ = head_read_ = start_line_checked_ = false;
   on_.on_complete();
   return {};
 }
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -33,7 +33,7 @@
   http_decoder& operator=(const http_decoder&) = delete;
 
   /// Consumes bytes up to the end of the current message at most; returns how many. Errors:
-  /// kMalformedHttp, kHttpHeadTooLong.
+  /// kMalformedHttp, kHttpHeadTooLong, kInvalidHttpStatus.
   std::size_t Feed(std::string_view bytes, std::error_code& error);
 
   /// The connection ended in good order; completes a response that has no length. Error:
@@ -49,6 +49,9 @@
  private:
   struct callbacks;
 
+  std::error_code CheckHead() const;
+  std::error_code CheckStartLine(std::string_view head);
+  std::error_code ParserError() const;
   int OnHeadersComplete();
   void AddField(std::string_view part);
   void AddValue(std::string_view part);
@@ -60,6 +63,11 @@
   std::size_t max_head_bytes_;
   handlers on_;
   http_head head_;
+  /// Status line of a response, as far as it was read.
+  std::string start_line_;
+  bool start_line_checked_ = false;
+  /// Why the head was rejected.
+  std::error_code head_error_;
   std::string field_;
   std::string value_;
   bool in_value_ = false;
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -1,6 +1,6 @@
 """Scripts of answers that are broken, and of unusual ones that are sound, for `ScriptedEngine`."""
 
-from scripted_engine import CLOSE, CLOSE_AT_ONCE, READ_BODY, RESET, pause
+from scripted_engine import CLOSE, CLOSE_AT_ONCE, HOLD, READ_BODY, RESET, pause
 
 # More than the buffers of a connection hold, so that its writing goes on until the answer ends.
 LONG_UPLOAD = 3 << 20
@@ -79,6 +79,27 @@
     }
 
 
+def broken_statuses():
+    texts = ["000", "001", "020", "099", "20", "2", "0200", "2000", "600", "999", "-20", "+20", "2x0",
+             "0x0", "", "101"]
+    scripts = {f"status-{text}": b"HTTP/1.1 " + text.encode() + b" OK\r\n" + NAMED + LENGTH
+               for text in texts}
+    # Interim responses have neither a length nor a body.
+    for text in ("100", "103", "150", "199"):
+        scripts[f"status-{text}"] = f"HTTP/1.1 {text} OK\r\n".encode() + NAMED + LENGTH
+        scripts[f"status-{text}-empty"] = (f"HTTP/1.1 {text} OK\r\n".encode() + NAMED +
+                                           b"Content-Length: 0\r\n\r\n")
+        scripts[f"status-{text}-chunked"] = (f"HTTP/1.1 {text} OK\r\n".encode() + NAMED +
+                                             b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+    scripts["status-000-after-interim"] = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n" + NAMED +
+                                           LENGTH)
+    scripts = {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
+    interim = b"HTTP/1.1 150 OK\r\n" + NAMED + b"\r\n"
+    scripts["status-150-closed"] = [READ_BODY, interim, CLOSE]
+    scripts["status-150-reset"] = [READ_BODY, interim, READ_TIME, RESET]
+    return scripts
+
+
 def sound():
     """Sound answers that a careful reader might reject; their body is `sound`."""
     odd = (b"!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blanks: \t v \t\r\nX-Text: \xe9\t\xff\r\n")
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -43,6 +43,17 @@
   return fixture.error;
 }
 
+/// Decodes a response at once and byte by byte, which must give the same.
+std::error_code ErrorOfResponse(std::string_view response) {
+  decoder_fixture whole(http_side::kResponse);
+  whole.Feed(response, response.size());
+  decoder_fixture parts(http_side::kResponse);
+  parts.Feed(response, 1);
+  CHECK(whole.error == parts.error);
+  CHECK(whole.messages.size() == parts.messages.size());
+  return whole.error;
+}
+
 }  // namespace
 
 // Guards against reading a body as a part of the head when the end of the head comes in two reads.
@@ -137,6 +148,37 @@
   CHECK(chunked.messages.front().body == "part");
 }
 
+// Guards against a status that no caller understands, or that is read as another one.
+TEST_CASE("a status that no final response may have is rejected") {
+  for (const char* status : {"000", "001", "099", "20", "2", "0200", "2000", "600", "999", "-20",
+                             "+20", "2x0", "", " 200", "101"}) {
+    INFO(status);
+    std::string line = "HTTP/1.1 " + std::string(status) + " OK\r\n";
+    CHECK(ErrorOfResponse(line + "Content-Length: 2\r\n\r\nok") == errc::kInvalidHttpStatus);
+  }
+  for (const char* status : {"200", "299", "404", "599"}) {
+    INFO(status);
+    std::string line = "HTTP/1.1 " + std::string(status);
+    CHECK(!ErrorOfResponse(line + " OK\r\nContent-Length: 2\r\n\r\nok"));
+    CHECK(!ErrorOfResponse(line + "\r\nContent-Length: 2\r\n\r\nok"));
+    CHECK(!ErrorOfResponse(line + " \r\nContent-Length: 2\r\n\r\nok"));
+  }
+}
+
+// Guards against a request that waits for the final response until its deadline.
+TEST_CASE("an interim response with a body is rejected") {
+  for (const char* status : {"100", "103", "150", "199"}) {
+    INFO(status);
+    std::string line = "HTTP/1.1 " + std::string(status) + " X\r\n";
+    CHECK(ErrorOfResponse(line + "Content-Length: 2\r\n\r\n") == errc::kInvalidHttpStatus);
+    CHECK(ErrorOfResponse(line + "Content-Length: 0\r\n\r\n") == errc::kInvalidHttpStatus);
+    CHECK(ErrorOfResponse(line + "Transfer-Encoding: chunked\r\n\r\n") == errc::kInvalidHttpStatus);
+    CHECK(!ErrorOfResponse(line + "Link: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(ErrorOfResponse(line + "\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n") ==
+          errc::kInvalidHttpStatus);
+  }
+}
+
 // Guards against bytes that are no response being handed to a caller.
 TEST_CASE("bytes that are no response are rejected") {
   decoder_fixture fixture(http_side::kResponse);
