Reject heads of responses that can be read in two ways

Callers got answers as whole in whose head a line began with a blank or a tab, ended without CR, or in whose status line stood an empty line before it, two blanks, a control byte or another version. A folded line was passed on with the field before it; where it held the framing, callers waited until their deadline. A blank or a control byte in or after a name was rejected already.

Cause: only the heads of requests were checked for lines that end or continue oddly, which http-parser accepts.

One checker now reads the heads of both sides before http-parser and replaces the two scans of requests. It accepts names of token characters with a colon right after them, text without control bytes, and CR LF as the only end of a line; an end of the head that http-parser sees elsewhere is an error.

--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "io/http_syntax.h"
 #include "radishroute/error.h"
 
 namespace radishroute {
@@ -15,15 +14,15 @@
 // Any value but 0, 1 and 2 stops the parser.
 constexpr int kInvalidHead = -1;
 
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
-
 }  // namespace
 
 http_decoder::http_decoder(http_side side, std::size_t max_head_bytes, handlers on)
     : parser_(std::make_unique<http_parser>()),
       side_(side),
       max_head_bytes_(max_head_bytes),
-      on_(std::move(on)) {
+      on_(std::move(on)),
+      head_checker_(side == http_side::kRequest ? http_section::kRequestHead
+                                                : http_section::kResponseHead) {
   http_parser_init(parser_.get(), side == http_side::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_->data = this;
 }
@@ -105,7 +104,6 @@
   }
   head_read_ = true;
   head_bytes_ = 0;
-  last_ = before_last_ = 0;
   if (side_ == http_side::kRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_->method));
   } else {
@@ -124,10 +122,6 @@
 }
 
 std::error_code http_decoder::CheckHead() const {
-  // A blank in a name is read as a part of it or dropped, which hides framing headers.
-  for (const http_header& header : head_.headers) {
-    if (header.name.find_first_of(" \t") != std::string::npos) return errc::kMalformedHttp;
-  }
   // Interim responses have no body (RFC 9110, 8.6); one with framing stands for the final response.
   bool interim = side_ == http_side::kResponse && head_.status < 200;
   bool framed = head_.content_length || FindHeader(head_.headers, "transfer-encoding") != nullptr;
@@ -135,75 +129,38 @@
   return {};
 }
 
-// http-parser accepts any number below 1000, with any number of digits.
-std::error_code http_decoder::CheckStartLine(std::string_view head) {
-  if (side_ == http_side::kRequest || start_line_checked_) return {};
-  std::size_t end = head.find('\n');
-  start_line_.append(head.substr(0, end));
-  if (end == std::string_view::npos) return {};
-  if (start_line_.ends_with('\r')) start_line_.pop_back();
-  start_line_checked_ = true;
-  std::error_code error = CheckStatusLine(start_line_);
-  start_line_.clear();
-  return error;
-}
-
-// A line that ends without CR, and a header that continues on the next line, are read differently
-// by different servers; a request could be hidden in another one by them.
-bool http_decoder::HeadIsStrict(std::string_view bytes) {
-  for (char c : bytes) {
-    bool bare_line_feed = c == '\n' && last_ != '\r';
-    bool bare_return = last_ == '\r' && c != '\n';
-    bool folded = (c == ' ' || c == '\t') && last_ == '\n' && before_last_ == '\r';
-    if (bare_line_feed || bare_return || folded) return false;
-    before_last_ = last_;
-    last_ = c;
-  }
-  return true;
-}
-
-// The end of a head may arrive in several parts.
-std::size_t http_decoder::HeadLength(std::string_view bytes) {
-  for (std::size_t i = 0; i < bytes.size(); ++i) {
-    if (bytes[i] == kHeadEnd[end_matched_]) {
-      if (++end_matched_ < kHeadEnd.size()) continue;
-      end_matched_ = 0;
-      return i + 1;
-    }
-    end_matched_ = bytes[i] == kHeadEnd[0] ? 1 : 0;
-  }
-  return bytes.size();
+void http_decoder::ExpectMessage() {
+  complete_ = head_read_ = false;
+  head_checker_.Restart();
 }
 
 std::size_t http_decoder::Feed(std::string_view bytes, std::error_code& error) {
-  const http_parser_settings& settings = callbacks::Get();
   std::size_t used = 0;
   if (!head_read_) {
-    std::size_t head = HeadLength(bytes);
+    std::size_t head = head_checker_.Check(bytes, error);
     head_bytes_ += head;
-    if (head_bytes_ > max_head_bytes_) {
-      error = errc::kHttpHeadTooLong;
-      return 0;
-    }
-    if (side_ == http_side::kRequest && !HeadIsStrict(bytes.substr(0, head))) {
-      error = errc::kMalformedHttp;
-      return 0;
-    }
-    error = CheckStartLine(bytes.substr(0, head));
+    if (!error && head_bytes_ > max_head_bytes_) error = errc::kHttpHeadTooLong;
     if (error) return 0;
-    used = http_parser_execute(parser_.get(), &settings, bytes.data(), head);
+    used = Parse(bytes.substr(0, head), error);
+    bool ends_agree = complete_ || head_read_ == head_checker_.Done();
+    if (!error && !ends_agree) error = errc::kMalformedHttp;
   }
-  bool stopped = HTTP_PARSER_ERRNO(parser_.get()) != HPE_OK;
-  if (!stopped && used < bytes.size()) {
-    used += http_parser_execute(parser_.get(), &settings, bytes.data() + used, bytes.size() - used);
+  if (!error && !complete_ && used < bytes.size()) used += Parse(bytes.substr(used), error);
+  if (complete_) {
+    ExpectMessage();
+    on_.on_complete();
   }
-  if (complete_ && HTTP_PARSER_ERRNO(parser_.get()) == HPE_PAUSED) {
+  return used;
+}
+
+std::size_t http_decoder::Parse(std::string_view bytes, std::error_code& error) {
+  const http_parser_settings& settings = callbacks::Get();
+  std::size_t used = http_parser_execute(parser_.get(), &settings, bytes.data(), bytes.size());
+  if (complete_) {
     http_parser_pause(parser_.get(), 0);
-    complete_ = head_read_ = start_line_checked_ = false;
-    on_.on_complete();
-    return used;
+  } else {
+    error = ParserError();
   }
-  error = ParserError();
   return used;
 }
 
@@ -228,7 +185,7 @@
   if (!in_message_) return {};
   http_parser_execute(parser_.get(), &settings, nullptr, 0);
   if (!complete_) return errc::kMalformedHttp;
-  complete_ = head_read_ = start_line_checked_ = false;
+  ExpectMessage();
   on_.on_complete();
   return {};
 }
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -10,6 +10,7 @@
 #include <system_error>
 
 #include "io/http_message.h"
+#include "io/http_syntax.h"
 
 // Of http-parser, whose header clashes with that of libwebsockets.
 struct http_parser;
@@ -50,22 +51,20 @@
   struct callbacks;
 
   std::error_code CheckHead() const;
-  std::error_code CheckStartLine(std::string_view head);
   std::error_code ParserError() const;
   int OnHeadersComplete();
   void AddField(std::string_view part);
   void AddValue(std::string_view part);
-  std::size_t HeadLength(std::string_view bytes);
-  bool HeadIsStrict(std::string_view bytes);
+  void ExpectMessage();
+  /// Hands bytes to the parser, which stops at the end of a message.
+  std::size_t Parse(std::string_view bytes, std::error_code& error);
 
   std::unique_ptr<http_parser> parser_;
   http_side side_;
   std::size_t max_head_bytes_;
   handlers on_;
+  http_section_checker head_checker_;
   http_head head_;
-  /// Status line of a response, as far as it was read.
-  std::string start_line_;
-  bool start_line_checked_ = false;
   /// Why the head was rejected.
   std::error_code head_error_;
   std::string field_;
@@ -75,11 +74,6 @@
   bool head_read_ = false;
   bool complete_ = false;
   std::size_t head_bytes_ = 0;
-  /// Characters of the end of a head that the last part of it ended with.
-  std::size_t end_matched_ = 0;
-  // The last two bytes of the head so far, for the strict check across reads.
-  char last_ = 0;
-  char before_last_ = 0;
 };
 
 }  // namespace radishroute
--- a/src/io/http_syntax.cc
+++ b/src/io/http_syntax.cc
@@ -1,6 +1,7 @@
 #include "io/http_syntax.h"
 
 #include <algorithm>
+#include <array>
 
 #include "radishroute/error.h"
 
@@ -11,7 +12,30 @@
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
 constexpr std::size_t kStatusDigits = 3;
 
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
+
+constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+constexpr bool IsNameByte(char c) {
+  bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  return letter || IsDigit(c) || kNameSymbols.find(c) != std::string_view::npos;
+}
+
+constexpr std::array<bool, 256> MakeNameBytes() {
+  std::array<bool, 256> out{};
+  for (int c = 0; c < 256; ++c) out[static_cast<std::size_t>(c)] = IsNameByte(static_cast<char>(c));
+  return out;
+}
+
+constexpr std::array<bool, 256> kNameBytes = MakeNameBytes();
+
+bool IsName(char c) { return kNameBytes[static_cast<unsigned char>(c)]; }
+
+// Visible bytes, blanks, tabs, and bytes beyond ASCII, which older servers send.
+bool IsText(char c) {
+  auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
 
 // Classes of statuses are 1 to 5 (RFC 9110, 15). An upgrade (101) answers a request for one, which
 // no request here makes.
@@ -23,6 +47,7 @@
 }  // namespace
 
 std::error_code CheckStatusLine(std::string_view line) {
+  if (!std::all_of(line.begin(), line.end(), IsText)) return errc::kMalformedHttp;
   if (!line.starts_with(kVersionPrefix)) return errc::kMalformedHttp;
   line.remove_prefix(kVersionPrefix.size());
   if (line.size() < 2 || !IsDigit(line[0]) || line[1] != ' ') return errc::kMalformedHttp;
@@ -31,4 +56,67 @@
   return {};
 }
 
+void http_section_checker::Restart() {
+  next_ = section_ == http_section::kTrailers ? part::kLine : part::kStartLine;
+  start_line_.clear();
+  start_line_empty_ = true;
+  start_line_error_.clear();
+}
+
+std::size_t http_section_checker::Check(std::string_view bytes, std::error_code& error) {
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    if (!Accept(bytes[i])) {
+      error = start_line_error_ ? start_line_error_ : errc::kMalformedHttp;
+      return i;
+    }
+    if (Done()) return i + 1;
+  }
+  return bytes.size();
+}
+
+bool http_section_checker::Accept(char c) {
+  switch (next_) {
+    case part::kStartLine:
+      return AcceptInStartLine(c);
+    case part::kStartLineEnd:
+      return c == '\n' && EndStartLine();
+    case part::kLine:
+      next_ = c == '\r' ? part::kSectionEnd : part::kName;
+      return c == '\r' || IsName(c);
+    case part::kName:
+      if (c == ':') next_ = part::kValue;
+      return c == ':' || IsName(c);
+    case part::kValue:
+      if (c == '\r') next_ = part::kLineEnd;
+      return c == '\r' || IsText(c);
+    case part::kLineEnd:
+      next_ = part::kLine;
+      return c == '\n';
+    case part::kSectionEnd:
+      next_ = part::kDone;
+      return c == '\n';
+    case part::kDone:
+      break;
+  }
+  return false;
+}
+
+bool http_section_checker::AcceptInStartLine(char c) {
+  if (c == '\r') {
+    next_ = part::kStartLineEnd;
+    return true;
+  }
+  start_line_empty_ = false;
+  if (section_ == http_section::kResponseHead) start_line_ += c;
+  return c != '\n';
+}
+
+// http-parser checks the start lines of requests, and clients may send empty lines before them.
+bool http_section_checker::EndStartLine() {
+  bool repeat = section_ == http_section::kRequestHead && start_line_empty_;
+  next_ = repeat ? part::kStartLine : part::kLine;
+  if (section_ == http_section::kResponseHead) start_line_error_ = CheckStatusLine(start_line_);
+  return !start_line_error_;
+}
+
 }  // namespace radishroute
--- a/src/io/http_syntax.h
+++ b/src/io/http_syntax.h
@@ -1,6 +1,9 @@
 #ifndef RADISHROUTE_IO_HTTP_SYNTAX_H_
 #define RADISHROUTE_IO_HTTP_SYNTAX_H_
 
+#include <cstddef>
+#include <cstdint>
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -10,6 +13,47 @@
 /// kInvalidHttpStatus.
 std::error_code CheckStatusLine(std::string_view line);
 
+enum class http_section : std::uint8_t { kRequestHead, kResponseHead, kTrailers };
+
+/// Checks the lines of a head or of trailers, which http-parser reads leniently: a line that
+/// another reader ends, joins or names differently can hide a field or a whole message from it.
+class http_section_checker {
+ public:
+  explicit http_section_checker(http_section section) : section_(section) { Restart(); }
+
+  /// Checks bytes up to the empty line that ends the section; returns how many. Errors:
+  /// kMalformedHttp, kInvalidHttpStatus.
+  std::size_t Check(std::string_view bytes, std::error_code& error);
+  /// Whether the end of the section has been read.
+  bool Done() const { return next_ == part::kDone; }
+  /// Expects the next section of the same kind.
+  void Restart();
+
+ private:
+  enum class part : std::uint8_t {
+    kStartLine,
+    kStartLineEnd,
+    /// The first byte of a field line or of the empty line.
+    kLine,
+    kName,
+    kValue,
+    kLineEnd,
+    kSectionEnd,
+    kDone,
+  };
+
+  bool Accept(char c);
+  bool AcceptInStartLine(char c);
+  bool EndStartLine();
+
+  http_section section_;
+  part next_ = part::kStartLine;
+  /// Start line of a response, as far as it was read.
+  std::string start_line_;
+  bool start_line_empty_ = true;
+  std::error_code start_line_error_;
+};
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_IO_HTTP_SYNTAX_H_
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -100,6 +100,57 @@
     return scripts
 
 
+def broken_lines():
+    """Lines of a head or of trailers that no field may have."""
+    lines = {}
+    values = {"X-Any": b"v", "Content-Length": b"5", "Request-Id": b"{id}",
+              "Response-Signature": b"sig", "Transfer-Encoding": b"chunked", "Connection": b"close"}
+    for field, value in values.items():
+        name, middle = field.encode(), len(field) // 2
+        for what, bad in {"blank": b" ", "tab": b"\t", "control": b"\x01", "zero": b"\0",
+                          "delete": b"\x7f", "non-ascii": b"\xe9"}.items():
+            lines[f"{what}-before-{field}"] = bad + name + b": " + value + b"\r\n"
+            lines[f"{what}-in-{field}"] = name[:middle] + bad + name[middle:] + b": " + value + b"\r\n"
+            lines[f"{what}-after-{field}"] = name + bad + b": " + value + b"\r\n"
+        lines[f"folded-{field}"] = b"X-Any: v\r\n " + name + b": " + value + b"\r\n"
+        lines[f"bare-cr-{field}"] = b"X-Any: v\r" + name + b": " + value + b"\r\n"
+        lines[f"bare-lf-{field}"] = b"X-Any: v\n" + name + b": " + value + b"\r\n"
+        lines[f"zero-in-value-{field}"] = name + b": " + value + b"\0\r\n"
+        lines[f"cr-in-value-{field}"] = name + b": " + value + b"\rv\r\n"
+    lines["no-name"] = b": v\r\n"
+    lines["no-colon"] = b"X-Any\r\n"
+    lines["fold-of-nothing"] = b"X-Any: v\r\n \r\n"
+    return lines
+
+
+def broken_heads():
+    scripts = {}
+    status = b"HTTP/1.1 200 OK\r\n"
+    for name, line in broken_lines().items():
+        scripts[f"head-{name}"] = status + NAMED + line + LENGTH
+        if "X-Any" in name or "Request-Id" in name or name.startswith("no-"):
+            scripts[f"head-first-{name}"] = status + line + NAMED + LENGTH
+        if "Content-Length" in name:
+            # The only field that tells the length.
+            scripts[f"head-only-{name}"] = status + NAMED + line + b"\r\nsound"
+        if "Transfer-Encoding" in name:
+            scripts[f"head-only-{name}"] = status + NAMED + line + b"\r\n5\r\nsound\r\n0\r\n\r\n"
+    for name, line in {"blank-first": b" HTTP/1.1 200 OK\r\n", "empty-line-first": b"\r\n" + status,
+                       "two-blanks": b"HTTP/1.1  200 OK\r\n", "tab": b"HTTP/1.1\t200 OK\r\n",
+                       "bare-lf": b"HTTP/1.1 200 OK\n", "bare-cr": b"HTTP/1.1 200 O\rK\r\n",
+                       "zero": b"HTTP/1.1 200 O\0K\r\n", "control": b"HTTP/1.1 200 O\x01K\r\n",
+                       "version": b"HTTP/2.0 200 OK\r\n", "lower-case": b"http/1.1 200 OK\r\n",
+                       }.items():
+        scripts[f"status-line-{name}"] = line + NAMED + LENGTH
+    scripts["blank-line-bare-lf"] = status + NAMED + b"Content-Length: 5\r\n\nsound"
+    scripts["blank-line-bare-cr"] = status + NAMED + b"Content-Length: 5\r\n\rsound"
+    # The framing would be read differently by a reader that takes the first or the last field.
+    scripts["two-lengths"] = status + NAMED + b"Content-Length: 9\r\n" + LENGTH
+    scripts["length-and-chunks"] = (status + NAMED + b"Transfer-Encoding: chunked\r\n"
+                                    b"Content-Length: 15\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
+    return {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
+
+
 def sound():
     """Sound answers that a careful reader might reject; their body is `sound`."""
     odd = (b"!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blanks: \t v \t\r\nX-Text: \xe9\t\xff\r\n")
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -179,6 +179,37 @@
   }
 }
 
+// Guards against a head in which another reader finds other fields, or the end at another place.
+TEST_CASE("a response whose lines can be read in two ways is rejected") {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string rest = "Content-Length: 2\r\n\r\nok";
+  using namespace std::string_literals;
+  for (const std::string& line :
+       {" X: y\r\n"s, "\tX: y\r\n"s, "X : y\r\n"s, "X\t: y\r\n"s, "X Y: z\r\n"s, "\1X: y\r\n"s,
+        "X\1: y\r\n"s, "X\177Y: z\r\n"s, "X\0: y\r\n"s, "X\351: y\r\n"s, ": y\r\n"s, "X\r\n"s,
+        "X: y\n"s, "X: y\rZ: z\r\n"s, "X: y\0\r\n"s, "X: y\r\n z\r\n"s, "X: y\r\n\tz\r\n"s,
+        "X: y\r\n \r\n"s, "X: y\r\n Content-Length: 2\r\n"s}) {
+    INFO(line);
+    CHECK(ErrorOfResponse(status + line + rest) == errc::kMalformedHttp);
+    CHECK(ErrorOfResponse(status + "A: b\r\n" + line + rest) == errc::kMalformedHttp);
+    CHECK(ErrorOfResponse(status + "Content-Length: 2\r\n" + line + "\r\nok") ==
+          errc::kMalformedHttp);
+  }
+  CHECK(ErrorOfResponse(status + "Content-Length: 2\r\n\nok") == errc::kMalformedHttp);
+  CHECK(ErrorOfResponse(status + "Content-Length: 2\r\n\rok") == errc::kMalformedHttp);
+  for (const std::string& line :
+       {"\r\n" + status, " " + status, "HTTP/1.1 200 OK\n"s, "HTTP/1.1\t200 OK\r\n"s,
+        "HTTP/1.1 200 O\0K\r\n"s, "HTTP/2.0 200 OK\r\n"s, "http/1.1 200 OK\r\n"s}) {
+    INFO(line);
+    CHECK(ErrorOfResponse(line + rest) == errc::kMalformedHttp);
+  }
+  for (const std::string& line :
+       {"!#$%&'*+-.^_`|~09: v\r\n"s, "X:\r\n"s, "X: \t v \t\r\n"s, "X: \351\t\377\r\n"s}) {
+    INFO(line);
+    CHECK(!ErrorOfResponse(status + line + rest));
+  }
+}
+
 // Guards against bytes that are no response being handed to a caller.
 TEST_CASE("bytes that are no response are rejected") {
   decoder_fixture fixture(http_side::kResponse);
