Reject chunks and trailers that can be read in two ways

Callers got answers as whole whose trailers held a name with a blank, a folded line or a line without CR, whose chunk went on beyond its size, or in whose chunk lines stood a bare line end or a byte of 0.

Cause: the packaged http-parser lacks its strict checks of chunk lines, and names were checked at the end of the head only, not in trailers.

Bodies in chunks are now checked before http-parser down to the end of their trailers, on both sides, as requests have the same reader. If the head has been passed on, the client sees no last chunk.

Sound extensions, sizes with leading zeros and trailers pass.

--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -110,6 +110,7 @@
   kMalformedHttp,
   kHttpHeadTooLong,
   kInvalidHttpStatus,
+  kInvalidHttpFraming,
   kMalformedCall,
   kInvalidDeployment,
   kCompressionFailed,
--- a/src/error.cc
+++ b/src/error.cc
@@ -121,6 +121,8 @@
         return "HTTP header section exceeds the length limit";
       case errc::kInvalidHttpStatus:
         return "HTTP status is not one that a final response may have";
+      case errc::kInvalidHttpFraming:
+        return "HTTP body is framed in an invalid way";
       case errc::kMalformedCall:
         return "API request is malformed";
       case errc::kInvalidDeployment:
--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -115,6 +115,8 @@
   if (const std::string* expect = FindHeader(head_.headers, "expect")) {
     head_.expects_continue = EqualIgnoringCase(*expect, "100-continue");
   }
+  chunked_ = (parser_->flags & F_CHUNKED) != 0;
+  chunk_checker_.Restart();
   head_error_ = CheckHead();
   if (head_error_) return kInvalidHead;
   on_.on_head(std::move(head_));
@@ -145,7 +147,7 @@
     bool ends_agree = complete_ || head_read_ == head_checker_.Done();
     if (!error && !ends_agree) error = errc::kMalformedHttp;
   }
-  if (!error && !complete_ && used < bytes.size()) used += Parse(bytes.substr(used), error);
+  if (!error && !complete_ && used < bytes.size()) used += ParseBody(bytes.substr(used), error);
   if (complete_) {
     ExpectMessage();
     on_.on_complete();
@@ -153,6 +155,15 @@
   return used;
 }
 
+std::size_t http_decoder::ParseBody(std::string_view bytes, std::error_code& error) {
+  if (!chunked_) return Parse(bytes, error);
+  std::size_t checked = chunk_checker_.Check(bytes, error);
+  if (error) return 0;
+  std::size_t used = Parse(bytes.substr(0, checked), error);
+  if (error || complete_ != chunk_checker_.Done()) error = errc::kInvalidHttpFraming;
+  return used;
+}
+
 std::size_t http_decoder::Parse(std::string_view bytes, std::error_code& error) {
   const http_parser_settings& settings = callbacks::Get();
   std::size_t used = http_parser_execute(parser_.get(), &settings, bytes.data(), bytes.size());
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -34,7 +34,7 @@
   http_decoder& operator=(const http_decoder&) = delete;
 
   /// Consumes bytes up to the end of the current message at most; returns how many. Errors:
-  /// kMalformedHttp, kHttpHeadTooLong, kInvalidHttpStatus.
+  /// kMalformedHttp, kHttpHeadTooLong, kInvalidHttpStatus, kInvalidHttpFraming.
   std::size_t Feed(std::string_view bytes, std::error_code& error);
 
   /// The connection ended in good order; completes a response that has no length. Error:
@@ -56,6 +56,7 @@
   void AddField(std::string_view part);
   void AddValue(std::string_view part);
   void ExpectMessage();
+  std::size_t ParseBody(std::string_view bytes, std::error_code& error);
   /// Hands bytes to the parser, which stops at the end of a message.
   std::size_t Parse(std::string_view bytes, std::error_code& error);
 
@@ -64,6 +65,9 @@
   std::size_t max_head_bytes_;
   handlers on_;
   http_section_checker head_checker_;
+  http_chunk_checker chunk_checker_;
+  /// The body that is being read comes in chunks.
+  bool chunked_ = false;
   http_head head_;
   /// Why the head was rejected.
   std::error_code head_error_;
--- a/src/io/http_syntax.cc
+++ b/src/io/http_syntax.cc
@@ -16,6 +16,17 @@
 
 constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+// A longer size would overflow with one more digit.
+constexpr std::uint64_t kMaxChunkSize = UINT64_MAX >> 4;
+
+// Value of a hexadecimal digit; -1 for another byte.
+constexpr int HexValue(char c) {
+  if (IsDigit(c)) return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
 constexpr bool IsNameByte(char c) {
   bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
   return letter || IsDigit(c) || kNameSymbols.find(c) != std::string_view::npos;
@@ -119,4 +130,68 @@
   return !start_line_error_;
 }
 
+void http_chunk_checker::Restart() {
+  next_ = part::kFirstDigit;
+  size_ = 0;
+  trailers_.Restart();
+}
+
+std::size_t http_chunk_checker::Check(std::string_view bytes, std::error_code& error) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !Done() && !error) {
+    if (next_ == part::kData) {
+      std::size_t data = std::min<std::uint64_t>(size_, bytes.size() - used);
+      size_ -= data;
+      used += data;
+      if (size_ == 0) next_ = part::kDataEnd;
+    } else if (next_ == part::kTrailers) {
+      used += trailers_.Check(bytes.substr(used), error);
+      if (error) error = errc::kInvalidHttpFraming;
+    } else if (Accept(bytes[used])) {
+      ++used;
+    } else {
+      error = errc::kInvalidHttpFraming;
+    }
+  }
+  return used;
+}
+
+bool http_chunk_checker::Accept(char c) {
+  switch (next_) {
+    case part::kFirstDigit:
+      size_ = 0;
+      next_ = part::kSize;
+      return HexValue(c) >= 0 && AcceptInSize(c);
+    case part::kSize:
+      return AcceptInSize(c);
+    case part::kExtension:
+      if (c == '\r') next_ = part::kSizeLineEnd;
+      return c == '\r' || IsText(c);
+    case part::kSizeLineEnd:
+      next_ = size_ == 0 ? part::kTrailers : part::kData;
+      return c == '\n';
+    case part::kDataEnd:
+      next_ = part::kDataLineEnd;
+      return c == '\r';
+    case part::kDataLineEnd:
+      next_ = part::kFirstDigit;
+      return c == '\n';
+    case part::kData:
+    case part::kTrailers:
+      break;
+  }
+  return false;
+}
+
+bool http_chunk_checker::AcceptInSize(char c) {
+  int digit = HexValue(c);
+  if (digit < 0) {
+    next_ = c == '\r' ? part::kSizeLineEnd : part::kExtension;
+    return c == '\r' || c == ';' || c == ' ' || c == '\t';
+  }
+  if (size_ > kMaxChunkSize) return false;
+  size_ = size_ * 16 + static_cast<std::uint64_t>(digit);
+  return true;
+}
+
 }  // namespace radishroute
--- a/src/io/http_syntax.h
+++ b/src/io/http_syntax.h
@@ -54,6 +54,38 @@
   std::error_code start_line_error_;
 };
 
+/// Checks the chunk lines and the trailers of a body in chunks (RFC 9112, 7.1), for the same
+/// reason.
+class http_chunk_checker {
+ public:
+  /// Checks bytes up to the end of the trailers; returns how many. Error: kInvalidHttpFraming.
+  std::size_t Check(std::string_view bytes, std::error_code& error);
+  /// Whether the end of the trailers has been read.
+  bool Done() const { return trailers_.Done(); }
+  /// Expects another body.
+  void Restart();
+
+ private:
+  enum class part : std::uint8_t {
+    kFirstDigit,
+    kSize,
+    kExtension,
+    kSizeLineEnd,
+    kData,
+    kDataEnd,
+    kDataLineEnd,
+    kTrailers,
+  };
+
+  bool Accept(char c);
+  bool AcceptInSize(char c);
+
+  part next_ = part::kFirstDigit;
+  /// Size of the chunk, then what is left of it.
+  std::uint64_t size_ = 0;
+  http_section_checker trailers_{http_section::kTrailers};
+};
+
 }  // namespace radishroute
 
 #endif  // RADISHROUTE_IO_HTTP_SYNTAX_H_
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -71,11 +71,12 @@
 
 
 def broken_long_bodies():
-    """Bodies that are passed on in parts and reset while the request is written."""
+    """Bodies that are passed on in parts and turn out to be broken while the request is written."""
     return {
         "long-open": [HEAD + b"\r\n" + LONG_BODY, READ_TIME, RESET],
         "long-length": [HEAD + b"Content-Length: 400000\r\n\r\n" + LONG_BODY, READ_TIME, RESET],
         "long-chunks": [CHUNKED + chunk(LONG_BODY), READ_TIME, RESET],
+        "long-trailer": [CHUNKED + chunk(LONG_BODY) + b"0\r\nX any: v\r\n\r\n", HOLD],
     }
 
 
@@ -151,6 +152,22 @@
     return {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
 
 
+def broken_chunks():
+    scripts = {f"trailer-{name}": CHUNKED + b"5\r\nsound\r\n0\r\n" + line + b"\r\n"
+               for name, line in broken_lines().items()}
+    for name, body in {"longer-than-its-size": b"5\r\nsoundXX0\r\n\r\n",
+                       "bare-lf": b"5\nsound\r\n0\r\n\r\n", "bare-cr": b"5\rsound\r\n0\r\n\r\n",
+                       "lf-in-extension": b"5;a\nb\r\nsound\r\n0\r\n\r\n",
+                       "zero-in-extension": b"5;a\0b\r\nsound\r\n0\r\n\r\n",
+                       "blank-before-size": b" 5\r\nsound\r\n0\r\n\r\n",
+                       "no-size": b"\r\nsound\r\n0\r\n\r\n", "sign": b"+5\r\nsound\r\n0\r\n\r\n",
+                       "prefix": b"0x5\r\nsound\r\n0\r\n\r\n", "huge": b"f" * 17 + b"\r\nsound",
+                       "end-bare-lf": b"5\r\nsound\r\n0\r\n\n",
+                       "end-bare-cr": b"5\r\nsound\r\n0\r\n\rX"}.items():
+        scripts[f"chunk-{name}"] = CHUNKED + body
+    return {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
+
+
 def sound():
     """Sound answers that a careful reader might reject; their body is `sound`."""
     odd = (b"!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blanks: \t v \t\r\nX-Text: \xe9\t\xff\r\n")
--- a/tests/e2e/broken_answers_test.py
+++ b/tests/e2e/broken_answers_test.py
@@ -1,5 +1,5 @@
 """Guards callers of a gateway against answers of engines that are broken off, have a status that no answer
-may have, or a head that readers understand differently, and sound answers against being rejected."""
+may have, or a head or framing that readers understand differently, and sound answers against being rejected."""
 
 import http.client
 import json
@@ -111,7 +111,7 @@
 
 def main(program):
     broken = {**broken_answers.broken_off(), **broken_answers.broken_statuses(),
-              **broken_answers.broken_heads()}
+              **broken_answers.broken_heads(), **broken_answers.broken_chunks()}
     streams, long_bodies = broken_answers.broken_streams(), broken_answers.broken_long_bodies()
     scripts = {**broken, **streams, **long_bodies, **broken_answers.sound()}
     long_upload = b"x" * broken_answers.LONG_UPLOAD
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -210,6 +210,44 @@
   }
 }
 
+// Guards against a body that another reader ends at another place, or that is not the one that was
+// sent.
+TEST_CASE("chunks and trailers that can be read in two ways are rejected") {
+  using namespace std::string_literals;
+  const std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& body : {"5\r\nhelloXX0\r\n\r\n"s,
+                                  "5\nhello\r\n0\r\n\r\n"s,
+                                  "5\rhello\r\n0\r\n\r\n"s,
+                                  "5;a\nb\r\nhello\r\n0\r\n\r\n"s,
+                                  "5;a\0b\r\nhello\r\n0\r\n\r\n"s,
+                                  " 5\r\nhello\r\n0\r\n\r\n"s,
+                                  "\r\nhello\r\n0\r\n\r\n"s,
+                                  "+5\r\nhello\r\n0\r\n\r\n"s,
+                                  "0x5\r\nhello\r\n0\r\n\r\n"s,
+                                  "fffffffffffffffff\r\nhello"s,
+                                  "5\r\nhello\r\n0\r\n\n"s,
+                                  "5\r\nhello\r\n0\r\n\rX"s,
+                                  "0\r\n X: y\r\n\r\n"s,
+                                  "0\r\nX : y\r\n\r\n"s,
+                                  "0\r\nX Y: z\r\n\r\n"s,
+                                  "0\r\nX\1: y\r\n\r\n"s,
+                                  "0\r\nX: y\n\r\n"s,
+                                  "0\r\nX: y\r\n z\r\n\r\n"s,
+                                  "0\r\nX: \0\r\n\r\n"s,
+                                  "0\r\nX\r\n\r\n"s}) {
+    INFO(body);
+    CHECK(ErrorOfResponse(response + body) == errc::kInvalidHttpFraming);
+    CHECK(ErrorOf(request + body) == errc::kInvalidHttpFraming);
+  }
+  for (const std::string& body :
+       {"5\r\nhello\r\n0\r\n\r\n"s, "2;a=b\r\nhe\r\n03\r\nllo\r\n000;c\r\nX: y\r\n\r\n"s}) {
+    INFO(body);
+    CHECK(!ErrorOfResponse(response + body));
+    CHECK(!ErrorOf(request + body));
+  }
+}
+
 // Guards against bytes that are no response being handed to a caller.
 TEST_CASE("bytes that are no response are rejected") {
   decoder_fixture fixture(http_side::kResponse);
