Reject responses in a transfer coding that is not undone

Callers got the coded bytes of an answer in 'gzip, chunked' as its body, without the header that names the coding. With another coding at the end they waited until their deadline.

Cause: of the header, which concerns one connection and is dropped, only the chunks were taken in.

A response with any coding beside one 'chunked' is broken now, like any other framing that is not understood.

--- a/src/error.cc
+++ b/src/error.cc
@@ -122,7 +122,7 @@
       case errc::kInvalidHttpStatus:
         return "HTTP status is not one that a final response may have";
       case errc::kInvalidHttpFraming:
-        return "HTTP body is framed in an invalid way";
+        return "HTTP body is framed in an invalid or unsupported way";
       case errc::kMalformedCall:
         return "API request is malformed";
       case errc::kInvalidDeployment:
--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -128,7 +128,20 @@
   bool interim = side_ == http_side::kResponse && head_.status < 200;
   bool framed = head_.content_length || FindHeader(head_.headers, "transfer-encoding") != nullptr;
   if (interim && framed) return errc::kInvalidHttpStatus;
-  return {};
+  return side_ == http_side::kResponse ? CheckCoding() : std::error_code();
+}
+
+// The header is not forwarded, so a body in another coding would be taken for a plain one.
+std::error_code http_decoder::CheckCoding() const {
+  std::size_t codings = 0;
+  for (const http_header& header : head_.headers) {
+    if (!EqualIgnoringCase(header.name, "transfer-encoding")) continue;
+    std::string_view value = header.value;
+    value = value.substr(0, value.find_last_not_of(" \t") + 1);
+    if (!EqualIgnoringCase(value, "chunked")) return errc::kInvalidHttpFraming;
+    ++codings;
+  }
+  return codings > 1 ? errc::kInvalidHttpFraming : std::error_code();
 }
 
 void http_decoder::ExpectMessage() {
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -51,6 +51,7 @@
   struct callbacks;
 
   std::error_code CheckHead() const;
+  std::error_code CheckCoding() const;
   std::error_code ParserError() const;
   int OnHeadersComplete();
   void AddField(std::string_view part);
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -165,6 +165,11 @@
                        "end-bare-lf": b"5\r\nsound\r\n0\r\n\n",
                        "end-bare-cr": b"5\r\nsound\r\n0\r\n\rX"}.items():
         scripts[f"chunk-{name}"] = CHUNKED + body
+    for name, coding in {"unknown": b"gzip", "unknown-last": b"chunked, gzip", "similar": b"xchunked",
+                         "unknown-first": b"gzip, chunked", "twice": b"chunked, chunked",
+                         "two-fields": b"chunked\r\nTransfer-Encoding: chunked"}.items():
+        scripts[f"coding-{name}"] = (HEAD + b"Transfer-Encoding: " + coding +
+                                     b"\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
     return {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
 
 
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -248,6 +248,19 @@
   }
 }
 
+// Guards against a body that is handed on in a coding that its reader does not know of.
+TEST_CASE("a response in another transfer coding than chunks is rejected") {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  const std::string body = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+                             "xchunked", "chunked\r\nTransfer-Encoding: chunked"}) {
+    INFO(coding);
+    CHECK(ErrorOfResponse(head + coding + body) == errc::kInvalidHttpFraming);
+  }
+  CHECK(!ErrorOfResponse(head + "chunked" + body));
+  CHECK(!ErrorOfResponse(head + "Chunked \t" + body));
+}
+
 // Guards against bytes that are no response being handed to a caller.
 TEST_CASE("bytes that are no response are rejected") {
   decoder_fixture fixture(http_side::kResponse);
