Reject responses that name two requests

Callers got an answer with two different ids of requests as 200 if their own came first; else it was dropped as one to an earlier request, and they waited until their deadline.

Cause: the first field was taken as the only one.

Such a response is broken. The same id twice still passes.

Evidence: one of two scripted answers was passed on and one waited for by the code before; the unit test and both scripts pass now.

--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -13,6 +13,14 @@
 
 steady_time Now() { return system_clock_source().Now(); }
 
+// Whether the head names two requests; readers differ in which of them they take.
+bool NamesTwoRequests(const http_head& head, const std::string& identity_header) {
+  const std::string* first = FindHeader(head.headers, identity_header);
+  return std::any_of(head.headers.begin(), head.headers.end(), [&](const http_header& h) {
+    return EqualIgnoringCase(h.name, identity_header) && h.value != *first;
+  });
+}
+
 }  // namespace
 
 struct upstream_client::connection {
@@ -194,6 +202,11 @@
 void upstream_client::OnHead(connection& c, http_head&& head) {
   // Interim responses come before the response itself.
   if (head.status < 200) return;
+  if (names_requests_ && c.call.value != 0 && NamesTwoRequests(head, identity_header_)) {
+    c.foreign = true;
+    Fail(c, upstream_stage::kMalformed);
+    return;
+  }
   const std::string* id =
       names_requests_ ? FindHeader(head.headers, identity_header_) : &c.request_id;
   c.foreign = id != nullptr && !c.request_id.empty() && *id != c.request_id;
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -146,6 +146,8 @@
     scripts["blank-line-bare-lf"] = status + NAMED + b"Content-Length: 5\r\n\nsound"
     scripts["blank-line-bare-cr"] = status + NAMED + b"Content-Length: 5\r\n\rsound"
     # The framing would be read differently by a reader that takes the first or the last field.
+    scripts["two-ids"] = status + NAMED + b"Request-Id: other\r\n" + LENGTH
+    scripts["two-ids-other-first"] = status + b"Request-Id: other\r\n" + NAMED + LENGTH
     scripts["two-lengths"] = status + NAMED + b"Content-Length: 9\r\n" + LENGTH
     scripts["length-and-chunks"] = (status + NAMED + b"Transfer-Encoding: chunked\r\n"
                                     b"Content-Length: 15\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -171,6 +171,19 @@
   }
 }
 
+// Guards against a response of which this reader and the next one think that it belongs to
+// different requests.
+TEST_CASE("a response that names two requests is rejected") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  std::string named;
+  SECTION("its own first") { named = "Request-Id: first\r\nRequest-Id: other\r\n"; }
+  SECTION("the other first") { named = "Request-Id: other\r\nRequest-Id: first\r\n"; }
+  f.Respond("HTTP/1.1 200 OK\r\n" + named + "Content-Length: 2\r\n\r\nok");
+  CHECK(f.NextEvent() == "1 failed malformed");
+}
+
 // Guards against a call that never ends, and whose cancellation ends the process, when an answer of
 // an earlier request takes its place and the connection ends at any point of it.
 TEST_CASE("a call fails when its connection ends after an answer to an earlier request") {
