Read the answers of HTTP calls by the decoder of the gateway

Callers of an entry got broken answers as whole ones: cut off within their chunks, reset without a length, with the status 000, or with a head in which a name held a blank or a control byte. Sound answers after interim ones, with trailers, or sent early were lost.

Cause: http_client was built on the library's HTTP client, which does not tell an orderly end from a reset, reports an end within chunks as the end of the response, reads heads leniently and hides the bytes that would show it. Agents, operators' commands, load and the engine stand-ins share it.

http_client keeps its interface and uses upstream_client, so that all answers have one reader. Idle time, time to connect, the look at a kept connection and the end of event streams are as before.

--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -18,8 +18,7 @@
 
 void operator_client::Pause(std::chrono::milliseconds duration) {
   io_loop loop;
-  static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-  loop.CreateClientVhost(protocols);
+  loop.CreateClientVhost(http_client::Protocols());
   loop.SetTimerHandler([&loop] { loop.Stop(); });
   loop.WakeAt(std::chrono::steady_clock::now() + duration);
   loop.Run();
@@ -29,8 +28,7 @@
                            const std::string& path, const std::string& body,
                            std::chrono::milliseconds timeout) {
   io_loop loop;
-  static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-  loop.CreateClientVhost(protocols);
+  loop.CreateClientVhost(http_client::Protocols());
   operator_reply reply;
   http_client client(
       loop, {[&](http_client::call_id, unsigned status, const std::string&) {
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -38,8 +38,7 @@
                         [this](http_client::call_id call, http_call_result result) {
                           OnWeights(call, result);
                         }}) {
-    static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-    loop_.CreateClientVhost(protocols);
+    loop_.CreateClientVhost(http_client::Protocols());
     loop_.SetTimerHandler([this] { Apply(engine_timer_expired{}); });
   }
 
--- a/src/engine/rank_process.cc
+++ b/src/engine/rank_process.cc
@@ -66,8 +66,7 @@
                         [this](http_client::call_id call, http_call_result result) {
                           OnEnd(call, result == http_call_result::kComplete);
                         }}) {
-    static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-    loop_.CreateClientVhost(protocols);
+    loop_.CreateClientVhost(http_client::Protocols());
     loop_.SetTimerHandler([this] { Apply(rank_timer_expired{}); });
   }
 
--- a/src/io/loop.cc
+++ b/src/io/loop.cc
@@ -76,6 +76,16 @@
   if (loop != nullptr) loop->RunPosted();
 }
 
+lws_protocols io_loop::WakeProtocol() {
+  lws_protocols protocol{};
+  protocol.name = "wake";
+  protocol.callback = [](lws* wsi, lws_callback_reasons reason, void*, void*, size_t) {
+    if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) OnCancelled(wsi);
+    return 0;
+  };
+  return protocol;
+}
+
 void io_loop::WakeAt(steady_time at) {
   if (timer_at_ && *timer_at_ <= at) return;
   timer_at_ = at;
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -36,12 +36,6 @@
   /// Vhost without a listening socket, for client connections.
   lws_vhost* ClientVhost() { return client_vhost_; }
 
-  /// The HTTP client of this loop, of which there is one at most.
-  void SetHttpClient(void* client) { http_client_ = client; }
-  static void* HttpClientOf(lws* wsi) {
-    return static_cast<io_loop*>(lws_context_user(lws_get_context(wsi)))->http_client_;
-  }
-
   /// Protocols of adapters must be registered before this creates the client vhost.
   bool CreateClientVhost(const lws_protocols* protocols);
 
@@ -65,6 +59,9 @@
   /// Callback for LWS_CALLBACK_EVENT_WAIT_CANCELLED; adapters' protocols call it.
   static void OnCancelled(lws* wsi);
 
+  /// Protocol that runs posted tasks, for a loop whose adapters have none that does.
+  static lws_protocols WakeProtocol();
+
  private:
   struct timer {
     lws_sorted_usec_list_t sul{};
@@ -76,7 +73,6 @@
 
   lws_context* context_ = nullptr;
   lws_vhost* client_vhost_ = nullptr;
-  void* http_client_ = nullptr;
   timer timer_;
   std::optional<steady_time> timer_at_;
   task on_timer_;
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -52,11 +52,8 @@
       : links_(loop_, std::move(self), [this](event&& e) { Apply(std::move(e)); }),
         hooks_(std::move(hooks)),
         random_(std::random_device{}()) {
-    static const lws_protocols protocols[] = {link_transport::Protocol(),
-                                              http_client::Protocol(),
-                                              tcp_connection::Protocol(),
-                                              tcp_listener::Protocol(),
-                                              {}};
+    static const lws_protocols protocols[] = {
+        link_transport::Protocol(), tcp_connection::Protocol(), tcp_listener::Protocol(), {}};
     loop_.CreateClientVhost(protocols);
     loop_.SetTimerHandler([this] { Apply(timer_expired{}); });
     state_.links.emplace();
--- a/src/io/tcp.cc
+++ b/src/io/tcp.cc
@@ -209,15 +209,18 @@
   ended_ = true;
 }
 
-bool tcp_connection::HasUnreadInput() {
-  if (wsi_ == nullptr) return false;
+ssize_t tcp_connection::Peek() {
   char first = 0;
   ssize_t n = recv(socket_, &first, 1, MSG_PEEK | MSG_DONTWAIT);
   // The next read does not report the error again.
   if (n < 0 && errno != EAGAIN && errno != EINTR) input_broken_ = true;
-  return n > 0;
+  return n;
 }
 
+bool tcp_connection::HasUnreadInput() { return wsi_ != nullptr && Peek() > 0; }
+
+bool tcp_connection::HasUnreadEvent() { return wsi_ == nullptr || Peek() >= 0 || input_broken_; }
+
 void tcp_connection::SetReading(bool reading) {
   reading_ = reading;
   if (wsi_ != nullptr) lws_rx_flow_control(wsi_, reading ? 1 : 0);
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -72,6 +72,8 @@
 
   /// Whether bytes of the peer wait to be read.
   bool HasUnreadInput();
+  /// Whether bytes of the peer, its end or an error wait to be read.
+  bool HasUnreadEvent();
   /// Whether the system has taken all bytes that were to be written.
   bool HasWrittenAll() const { return BufferedBytes() == 0 && !write_failed_; }
   std::size_t BufferedBytes() const { return output_.size() - written_; }
@@ -93,6 +95,8 @@
   void OnWriteError(int error);
   void ClearOutput();
   void End(tcp_end how);
+  /// Looks at the next byte; the result of recv.
+  ssize_t Peek();
   static int OnFile(lws* wsi, lws_callback_reasons reason, void* user, void* in, size_t len);
 
   io_loop& loop_;
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -73,7 +73,9 @@
     auto found = connections_.find(it->second.back());
     it->second.pop_back();
     if (found == connections_.end()) continue;
-    if (found->second->reusable_until > now) return found->second.get();
+    bool usable = found->second->reusable_until > now &&
+                  !(limits_.checks_idle && found->second->tcp->HasUnreadEvent());
+    if (usable) return found->second.get();
     Remove(*found->second);
   }
   return nullptr;
@@ -84,7 +86,7 @@
   auto c = std::make_unique<connection>(*this, number, to);
   connection* raw = c.get();
   c->since = Now();
-  c->tcp = tcp_connection::Connect(loop_, to, {},
+  c->tcp = tcp_connection::Connect(loop_, to, limits_.tcp,
                                    {[this, raw](std::string_view bytes) { OnBytes(*raw, bytes); },
                                     [this, raw](tcp_end how) { OnEnd(*raw, how); }});
   if (!c->tcp) return nullptr;
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -41,6 +41,10 @@
   /// A connection is not used any more this long before the backend server may close it.
   std::chrono::milliseconds idle_margin{500};
   std::size_t max_idle_per_backend = 32;
+  /// Look at an idle connection before it is used: its end may not have been read yet, and the
+  /// outcome of a request that meets it is unknown.
+  bool checks_idle = false;
+  tcp_options tcp;
   /// See `SetMaxConnections`.
   std::size_t max_connections = 0;
   std::size_t max_head_bytes = 64 * 1024;
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -32,8 +32,7 @@
                  Apply(call_ended{call, result});
                }},
               std::min(connections, kMaxKeptConnections)) {
-  static const lws_protocols protocols[] = {http_client::Protocol(), {}};
-  loop_.CreateClientVhost(protocols);
+  loop_.CreateClientVhost(http_client::Protocols());
   loop_.SetTimerHandler([this] { Apply(load_timer_expired{}); });
 }
 
