Log and count what is wrong with a broken response

A broken response left a line with its stage only, and none at agents and sidecars, so an operator could not tell a reset from a status that no response may have.

Each response that is rejected now has a fault (reset, closed, invalid-status, invalid-head, invalid-framing, too-long, unidentified). Gateways name it in forward-attempt-failed beside the request and the backend server, agents and sidecars in engine-call-failed with the engine, and all count it in broken_responses.

Both scripted tests check the line of each of their broken answers and the counters; the unit test of the catalogue holds errors.md against the names.

--- a/include/radishroute/effect.h
+++ b/include/radishroute/effect.h
@@ -157,6 +157,10 @@
   retry_reason reason = retry_reason::kRefusedByBackend;
 };
 
+struct count_broken_response {
+  response_fault fault = response_fault::kNone;
+};
+
 struct observe_latency {
   latency_metric which = latency_metric::kAnswer;
   priority_class cls = priority_class::kInteractive;
@@ -199,6 +203,7 @@
     count,                            //
     count_refusal,                    //
     count_retry,                      //
+    count_broken_response,            //
     observe_latency,                  //
     drain_connections,                //
     close_idle_callers,               //
--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -76,12 +76,36 @@
   kEngineStalled,
   kLinkLost,
   kAgentRestarted,
+  kEngineError,
 };
 
-inline constexpr std::size_t kRetryReasonCount = 6;
+inline constexpr std::size_t kRetryReasonCount = 7;
 
 std::string_view ToString(retry_reason reason);
 
+/// What is wrong with a response that is not complete and valid.
+enum class response_fault : std::uint8_t {
+  kNone,
+  /// The connection was reset or lost before the end.
+  kReset,
+  /// The connection was closed in order before the end.
+  kClosed,
+  /// A status that no final response may have.
+  kInvalidStatus,
+  /// Lines of the head that readers understand differently.
+  kInvalidHead,
+  /// Chunks, trailers or a transfer coding that cannot be read.
+  kInvalidFraming,
+  /// More bytes than any response has there.
+  kTooLong,
+  /// The response names two requests, or none where an earlier one may be repeated.
+  kUnidentified,
+};
+
+inline constexpr std::size_t kResponseFaultCount = 8;
+
+std::string_view ToString(response_fault fault);
+
 /// Errors of internal operations, as std::error_code values.
 enum class errc {
   kOk = 0,
--- a/include/radishroute/forward/forward_event.h
+++ b/include/radishroute/forward/forward_event.h
@@ -116,6 +116,8 @@
 struct upstream_call_failed {
   upstream_id id;
   upstream_stage stage = upstream_stage::kConnecting;
+  /// What was wrong with the response; kNone while connecting.
+  response_fault fault = response_fault::kNone;
 };
 
 enum class probe_result : std::uint8_t {
--- a/include/radishroute/forward/forwarder.h
+++ b/include/radishroute/forward/forwarder.h
@@ -175,8 +175,8 @@
                                        reduce_context& ctx) const;
   bool Retry(active_request& active, retry_reason reason, reduce_context& ctx);
   bool MayRetry(const active_request& active) const;
-  /// Retries a request whose connection was lost, or ends it.
-  void RetryAfterLoss(active_request& active, reduce_context& ctx);
+  /// Retries a request whose response was broken, or ends it.
+  void RetryAfterLoss(active_request& active, retry_reason reason, reduce_context& ctx);
   /// Whether the request of an attempt may be the cause if its backend server crashes.
   static bool MayBeCause(const attempt& current, steady_time now);
   /// Finds out whether the backend server has crashed; a request that may be retried waits for it.
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -35,7 +35,7 @@
                reply.answer.status = status;
              },
              [&](http_client::call_id, std::string_view bytes) { reply.answer.body += bytes; },
-             [&](http_client::call_id, http_call_result result) {
+             [&](http_client::call_id, http_call_result result, response_fault) {
                reply.result = result;
                loop.Stop();
              }});
--- a/src/engine/engine.cc
+++ b/src/engine/engine.cc
@@ -35,7 +35,7 @@
                           statuses_[call] = status;
                         },
                         [](http_client::call_id, std::string_view) {},
-                        [this](http_client::call_id call, http_call_result result) {
+                        [this](http_client::call_id call, http_call_result result, response_fault) {
                           OnWeights(call, result);
                         }}) {
     loop_.CreateClientVhost(http_client::Protocols());
--- a/src/engine/rank_process.cc
+++ b/src/engine/rank_process.cc
@@ -63,7 +63,7 @@
                         [this](http_client::call_id call, std::string_view bytes) {
                           calls_[call].body.append(bytes);
                         },
-                        [this](http_client::call_id call, http_call_result result) {
+                        [this](http_client::call_id call, http_call_result result, response_fault) {
                           OnEnd(call, result == http_call_result::kComplete);
                         }}) {
     loop_.CreateClientVhost(http_client::Protocols());
--- a/src/error.cc
+++ b/src/error.cc
@@ -58,11 +58,18 @@
 
 std::string_view ToString(retry_reason reason) {
   constexpr std::array<std::string_view, kRetryReasonCount> kNames = {
-      "refused-by-backend", "backend-unreachable", "engine-crashed",
-      "engine-stalled",     "link-lost",           "agent-restarted"};
+      "refused-by-backend", "backend-unreachable", "engine-crashed", "engine-stalled",
+      "link-lost",          "agent-restarted",     "engine-error"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
+std::string_view ToString(response_fault fault) {
+  constexpr std::array<std::string_view, kResponseFaultCount> kNames = {
+      "none",         "reset",           "closed",   "invalid-status",
+      "invalid-head", "invalid-framing", "too-long", "unidentified"};
+  return kNames[static_cast<std::size_t>(fault)];
+}
+
 namespace {
 
 class radishroute_category final : public std::error_category {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -532,7 +532,7 @@
 void forwarder<Selector, Admission>::GiveUpAttempt(active_request& active, reduce_context& ctx) {
   upstream_id id = active.current->id;
   ctx.Emit(cancel_upstream{id});
-  Handle(upstream_call_failed{id, upstream_stage::kMalformed}, ctx);
+  Handle(upstream_call_failed{id, upstream_stage::kMalformed, response_fault::kTooLong}, ctx);
 }
 
 template <backend_selector Selector, forward_admission Admission>
@@ -551,7 +551,7 @@
   if (active == nullptr) return;
   if (active->is_streaming && active->events.HasPartialEvent()) {
     // The connection was closed properly, but in the middle of an event.
-    Handle(upstream_call_failed{e.id, upstream_stage::kAnswering}, ctx);
+    Handle(upstream_call_failed{e.id, upstream_stage::kAnswering, response_fault::kClosed}, ctx);
     return;
   }
   bool not_run = active->current->not_run;
@@ -604,12 +604,14 @@
   active_request* active = Find(e.id);
   if (active == nullptr) return;
   bool unsent = e.stage == upstream_stage::kConnecting;
+  if (e.fault != response_fault::kNone) ctx.Emit(count_broken_response{e.fault});
   ctx.Emit(write_log{
       {event_code::kForwardAttemptFailed,
        log_level::kInfo,
        {{"request", active->request->id},
         {"backend", active->current->backend},
         {"stage", std::string(ToString(e.stage))},
+        {"fault", std::string(ToString(e.fault))},
         {"after_us", ElapsedMicros(active->current->sent, ctx.now)},
         {"begun_us",
          active->current->begun ? ElapsedMicros(*active->current->begun, ctx.now) : "none"}}}});
@@ -632,13 +634,16 @@
   if (may_be_crash && MayBeCause(lost, ctx.now)) {
     ProbeAfterLoss(*active, lost, ctx);
   } else {
-    RetryAfterLoss(*active, ctx);
+    bool malformed = e.stage == upstream_stage::kMalformed;
+    RetryAfterLoss(*active, malformed ? retry_reason::kEngineError : retry_reason::kEngineCrashed,
+                   ctx);
   }
 }
 
 template <backend_selector Selector, forward_admission Admission>
-void forwarder<Selector, Admission>::RetryAfterLoss(active_request& active, reduce_context& ctx) {
-  if (!active.is_passthrough && Retry(active, retry_reason::kEngineCrashed, ctx)) return;
+void forwarder<Selector, Admission>::RetryAfterLoss(active_request& active, retry_reason reason,
+                                                    reduce_context& ctx) {
+  if (!active.is_passthrough && Retry(active, reason, ctx)) return;
   FailRequest(active, refusal_reason::kNoBackend, ctx);
 }
 
@@ -672,7 +677,7 @@
     if (crashed && !crashes_.IsTrusted(request.content, ctx.now)) {
       FailRequest(found->second, refusal_reason::kNoBackend, ctx);
     } else {
-      RetryAfterLoss(found->second, ctx);
+      RetryAfterLoss(found->second, retry_reason::kEngineCrashed, ctx);
     }
   }
   ScheduleNext(ctx);
--- a/src/io/engine_api.cc
+++ b/src/io/engine_api.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "io/broken_response.h"
 #include "io/rank_json.h"
 
 namespace radishroute {
@@ -20,13 +21,14 @@
 engine_api::engine_api(io_loop& loop, endpoint engine, event_sink sink)
     : engine_(std::move(engine)),
       sink_(std::move(sink)),
-      client_(
-          loop,
-          {[this](http_client::call_id call, unsigned status, const std::string& type) {
-             OnBegin(call, status, type);
-           },
-           [this](http_client::call_id call, std::string_view bytes) { OnBytes(call, bytes); },
-           [this](http_client::call_id call, http_call_result result) { OnEnd(call, result); }}) {}
+      client_(loop,
+              {[this](http_client::call_id call, unsigned status, const std::string& type) {
+                 OnBegin(call, status, type);
+               },
+               [this](http_client::call_id call, std::string_view bytes) { OnBytes(call, bytes); },
+               [this](http_client::call_id call, http_call_result result, response_fault fault) {
+                 OnEnd(call, result, fault);
+               }}) {}
 
 void engine_api::Execute(const start_engine_call& e) {
   std::vector<http_header> headers = {
@@ -90,14 +92,16 @@
   if (it != dispatches_.end()) sink_(engine_answer_bytes{it->second, std::string(bytes)});
 }
 
-void engine_api::OnEnd(http_client::call_id call, http_call_result result) {
+void engine_api::OnEnd(http_client::call_id call, http_call_result result, response_fault fault) {
   if (call == probe_call_) {
     probe_call_ = 0;
+    ReportBrokenResponse("probe", {}, engine_, fault);
     sink_(engine_probe_done{probe_number_, result == http_call_result::kComplete});
     return;
   }
   if (call == rank_call_) {
     rank_call_ = 0;
+    ReportBrokenResponse("rank", {}, engine_, fault);
     rank_call_finished finished{rank_number_, {}};
     if (result == http_call_result::kComplete) finished.progress = ParseRankProgress(rank_answer_);
     sink_(std::move(finished));
@@ -116,6 +120,7 @@
       sink_(engine_call_failed{id, dispatch_failure::kEngineUnreachable, false});
       return;
     case http_call_result::kBroken:
+      ReportBrokenResponse("request", ToString(id.request), engine_, fault);
       sink_(engine_call_failed{id, dispatch_failure::kEngineCrashed, true});
       return;
   }
--- a/src/io/engine_api.h
+++ b/src/io/engine_api.h
@@ -24,7 +24,7 @@
   void Execute(const call_rank& e);
 
  private:
-  void OnEnd(http_client::call_id call, http_call_result result);
+  void OnEnd(http_client::call_id call, http_call_result result, response_fault fault);
 
   void OnBegin(http_client::call_id call, unsigned status, const std::string& type);
   void OnBytes(http_client::call_id call, std::string_view bytes);
--- a/src/io/engine_port.h
+++ b/src/io/engine_port.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROUTE_IO_ENGINE_PORT_H_
 #define RADISHROUTE_IO_ENGINE_PORT_H_
 
+#include <array>
 #include <chrono>
 #include <concepts>
 #include <functional>
@@ -9,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "io/broken_response.h"
 #include "io/metrics.h"
 #include "io/upstream_client.h"
 #include "radishroute/effect.h"
@@ -48,7 +50,9 @@
                 {[this](upstream_id id, http_head&& head) { calls_[id].status = head.status; },
                  [this](upstream_id id, std::string_view bytes) { OnBody(id, bytes); },
                  [this](upstream_id id) { OnEnd(id); },
-                 [this](upstream_id id, upstream_stage stage) { OnFailed(id, stage); }}),
+                 [this](upstream_id id, upstream_stage stage, response_fault fault) {
+                   OnFailed(id, stage, fault);
+                 }}),
         timeouts_(loop, kCallTimeout / 4, [this] { CheckTimeouts(); }) {}
 
   void Execute(const read_engine_report&) {
@@ -84,7 +88,7 @@
     body.append(bytes);
     if (body.size() <= kMaxBodyBytes) return;
     client_.Cancel(id);
-    OnFailed(id, upstream_stage::kMalformed);
+    OnFailed(id, upstream_stage::kMalformed, response_fault::kTooLong);
   }
 
   void OnEnd(upstream_id id) {
@@ -93,9 +97,10 @@
     Deliver(node.mapped(), engine_order_result::kUnknown);
   }
 
-  void OnFailed(upstream_id id, upstream_stage stage) {
+  void OnFailed(upstream_id id, upstream_stage stage, response_fault fault) {
     auto node = calls_.extract(id);
     if (!node) return;
+    ReportBrokenResponse(ToString(node.mapped().kind), {}, engine_, fault);
     node.mapped().status = 0;
     bool unsent = stage == upstream_stage::kConnecting;
     Deliver(node.mapped(), unsent ? engine_order_result::kFailed : engine_order_result::kUnknown);
@@ -123,6 +128,11 @@
     }
   }
 
+  static std::string_view ToString(call_kind kind) {
+    constexpr std::array<std::string_view, 3> kNames = {"report", "choices", "order"};
+    return kNames[static_cast<std::size_t>(kind)];
+  }
+
   static void LogUnreadable(const char* name, const std::string& body) {
     constexpr std::size_t kLoggedBytes = 200;
     WriteLog({event_code::kEngineReportUnreadable,
@@ -138,7 +148,7 @@
     }
     for (upstream_id id : late) {
       client_.Cancel(id);
-      OnFailed(id, upstream_stage::kWaiting);
+      OnFailed(id, upstream_stage::kWaiting, response_fault::kNone);
     }
   }
 
--- a/src/io/forward_api.h
+++ b/src/io/forward_api.h
@@ -52,8 +52,8 @@
                      sink_(upstream_response_bytes{id, std::string(bytes)});
                    },
                    [this](upstream_id id) { sink_(upstream_response_end{id}); },
-                   [this](upstream_id id, upstream_stage stage) {
-                     sink_(upstream_call_failed{id, stage});
+                   [this](upstream_id id, upstream_stage stage, response_fault fault) {
+                     sink_(upstream_call_failed{id, stage, fault});
                    }}) {}
 
   std::error_code Start(const endpoint& callers, const endpoint& probes) {
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -49,10 +49,11 @@
                    {[this](upstream_id id, http_head&& head) { OnHead(id.value, head); },
                     [this](upstream_id id, std::string_view bytes) { OnBytes(id.value, bytes); },
                     [this](upstream_id id) { OnEnd(id.value); },
-                    [this](upstream_id id, upstream_stage stage) {
+                    [this](upstream_id id, upstream_stage stage, response_fault fault) {
                       bool unsent = stage == upstream_stage::kConnecting;
                       Finish(id.value,
-                             unsent ? http_call_result::kNotSent : http_call_result::kBroken);
+                             unsent ? http_call_result::kNotSent : http_call_result::kBroken,
+                             fault);
                     }},
                    Limits(max_kept_per_server)) {}
 
@@ -96,16 +97,20 @@
 void http_client::OnEnd(call_id id) {
   const call& c = calls_.at(id);
   bool whole = !c.event_stream || c.tail == kStreamEnd;
-  Finish(id, whole ? http_call_result::kComplete : http_call_result::kBroken);
+  if (whole) {
+    Finish(id, http_call_result::kComplete, response_fault::kNone);
+  } else {
+    Finish(id, http_call_result::kBroken, response_fault::kClosed);
+  }
 }
 
-void http_client::Finish(call_id id, http_call_result result) {
+void http_client::Finish(call_id id, http_call_result result, response_fault fault) {
   // The caller has to know the id before the event.
   if (id == starting_) {
-    bool posted = loop_.Post([this, id, result] { Finish(id, result); });
+    bool posted = loop_.Post([this, id, result, fault] { Finish(id, result, fault); });
     if (posted) return;
   }
-  if (calls_.erase(id) > 0) on_.on_end(id, result);
+  if (calls_.erase(id) > 0) on_.on_end(id, result, fault);
 }
 
 }  // namespace radishroute
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -41,7 +41,8 @@
   struct handlers {
     std::function<void(call_id, unsigned status, const std::string& content_type)> on_begin;
     std::function<void(call_id, std::string_view bytes)> on_bytes;
-    std::function<void(call_id, http_call_result)> on_end;
+    /// The fault tells what makes a response kBroken.
+    std::function<void(call_id, http_call_result, response_fault fault)> on_end;
   };
 
   http_client(io_loop& loop, handlers on, std::size_t max_kept_per_server = kMaxKeptPerServer);
@@ -71,7 +72,7 @@
   void OnHead(call_id id, const http_head& head);
   void OnBytes(call_id id, std::string_view bytes);
   void OnEnd(call_id id);
-  void Finish(call_id id, http_call_result result);
+  void Finish(call_id id, http_call_result result, response_fault fault);
 
   io_loop& loop_;
   handlers on_;
--- a/src/io/metrics.cc
+++ b/src/io/metrics.cc
@@ -29,6 +29,7 @@
   std::array<std::atomic<std::uint64_t>, kCounterCount> counters{};
   std::array<std::atomic<std::uint64_t>, kRefusalReasonCount> refusals{};
   std::array<std::atomic<std::uint64_t>, kRetryReasonCount> retries{};
+  std::array<std::atomic<std::uint64_t>, kResponseFaultCount> broken_responses{};
   std::mutex latency_mutex;
   std::array<std::array<latency_series, kPriorityClassCount>, kLatencyMetricCount> latencies;
 };
@@ -84,6 +85,10 @@
   Store().retries[Index(reason)].fetch_add(1, std::memory_order_relaxed);
 }
 
+void CountBrokenResponse(response_fault fault) {
+  Store().broken_responses[Index(fault)].fetch_add(1, std::memory_order_relaxed);
+}
+
 void ObserveLatency(latency_metric which, priority_class cls, std::chrono::microseconds value) {
   std::lock_guard lock(Store().latency_mutex);
   latency_series& series = Store().latencies[Index(which)][ClassIndex(cls)];
@@ -95,6 +100,9 @@
 std::uint64_t MetricValue(counter which) { return Store().counters[Index(which)].load(); }
 std::uint64_t RefusalValue(refusal_reason reason) { return Store().refusals[Index(reason)].load(); }
 std::uint64_t RetryValue(retry_reason reason) { return Store().retries[Index(reason)].load(); }
+std::uint64_t BrokenResponseValue(response_fault fault) {
+  return Store().broken_responses[Index(fault)].load();
+}
 
 std::string RenderMetrics() {
   std::ostringstream out;
@@ -110,6 +118,10 @@
     out << "radishroute_retries_total{reason=\"" << ToString(static_cast<retry_reason>(i)) << "\"} "
         << Store().retries[i].load() << "\n";
   }
+  for (std::size_t i = 1; i < kResponseFaultCount; ++i) {
+    out << "radishroute_broken_responses_total{fault=\"" << ToString(static_cast<response_fault>(i))
+        << "\"} " << Store().broken_responses[i].load() << "\n";
+  }
   std::lock_guard lock(Store().latency_mutex);
   for (std::size_t i = 0; i < kLatencyMetricCount; ++i) {
     RenderLatency(out, static_cast<latency_metric>(i));
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -16,11 +16,13 @@
 void CountMetric(counter which, std::uint64_t by = 1);
 void CountRefusal(refusal_reason reason);
 void CountRetry(retry_reason reason);
+void CountBrokenResponse(response_fault fault);
 void ObserveLatency(latency_metric which, priority_class cls, std::chrono::microseconds value);
 
 std::uint64_t MetricValue(counter which);
 std::uint64_t RefusalValue(refusal_reason reason);
 std::uint64_t RetryValue(retry_reason reason);
+std::uint64_t BrokenResponseValue(response_fault fault);
 
 /// All metrics in the text exposition format that scrapers read.
 std::string RenderMetrics();
--- a/src/io/node_thread.h
+++ b/src/io/node_thread.h
@@ -213,6 +213,7 @@
   void Execute(const count& e) { CountMetric(e.which, e.by); }
   void Execute(const count_refusal& e) { CountRefusal(e.reason); }
   void Execute(const count_retry& e) { CountRetry(e.reason); }
+  void Execute(const count_broken_response& e) { CountBrokenResponse(e.fault); }
   void Execute(const observe_latency& e) { ObserveLatency(e.which, e.cls, e.value); }
 
   void Execute(const publish_fleet_load& e) {
--- a/src/io/order_api.cc
+++ b/src/io/order_api.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "io/broken_response.h"
+
 namespace radishroute {
 
 namespace {
@@ -26,9 +28,8 @@
                        if (call == call_) status_ = status;
                      },
                      [](http_client::call_id, std::string_view) {},
-                     [this](http_client::call_id call, http_call_result result) {
-                       OnEnd(call, result);
-                     }}) {}
+                     [this](http_client::call_id call, http_call_result result,
+                            response_fault fault) { OnEnd(call, result, fault); }}) {}
 
 void order_api::Execute(const start_engine_order& e) {
   if (call_ != 0) client_.Cancel(call_);
@@ -47,9 +48,10 @@
   call_ = 0;
 }
 
-void order_api::OnEnd(http_client::call_id call, http_call_result result) {
+void order_api::OnEnd(http_client::call_id call, http_call_result result, response_fault fault) {
   if (call != call_) return;
   call_ = 0;
+  ReportBrokenResponse("order", std::to_string(order_.token), engine_, fault);
   engine_order_finished finished{order_, std::nullopt};
   if (result == http_call_result::kComplete) finished.status = StatusOf(status_);
   sink_(std::move(finished));
--- a/src/io/order_api.h
+++ b/src/io/order_api.h
@@ -20,7 +20,7 @@
   void Execute(const cancel_engine_order& e);
 
  private:
-  void OnEnd(http_client::call_id call, http_call_result result);
+  void OnEnd(http_client::call_id call, http_call_result result, response_fault fault);
 
   endpoint engine_;
   event_sink sink_;
--- a/src/io/upstream_client.cc
+++ b/src/io/upstream_client.cc
@@ -13,6 +13,13 @@
 
 steady_time Now() { return system_clock_source().Now(); }
 
+response_fault FaultOf(std::error_code error) {
+  if (error == errc::kInvalidHttpStatus) return response_fault::kInvalidStatus;
+  if (error == errc::kInvalidHttpFraming) return response_fault::kInvalidFraming;
+  if (error == errc::kHttpHeadTooLong) return response_fault::kTooLong;
+  return response_fault::kInvalidHead;
+}
+
 // Whether the head names two requests; readers differ in which of them they take.
 bool NamesTwoRequests(const http_head& head, const std::string& identity_header) {
   const std::string* first = FindHeader(head.headers, identity_header);
@@ -132,7 +139,7 @@
     c = Open(call.to);
   }
   if (c == nullptr) {
-    on_.on_failed(call.id, upstream_stage::kConnecting);
+    on_.on_failed(call.id, upstream_stage::kConnecting, response_fault::kNone);
     return;
   }
   c->call = call.id;
@@ -194,7 +201,7 @@
     if (c.removed) return;
     if (c.call.value != 0 && !c.answered) c.skipped_bytes += used;
     if (error || c.skipped_bytes > limits_.max_skipped_bytes) {
-      Fail(c, upstream_stage::kMalformed);
+      Fail(c, upstream_stage::kMalformed, error ? FaultOf(error) : response_fault::kTooLong);
       return;
     }
     bytes.remove_prefix(used);
@@ -206,7 +213,7 @@
   if (head.status < 200) return;
   if (names_requests_ && c.call.value != 0 && NamesTwoRequests(head, identity_header_)) {
     c.foreign = true;
-    Fail(c, upstream_stage::kMalformed);
+    Fail(c, upstream_stage::kMalformed, response_fault::kUnidentified);
     return;
   }
   const std::string* id =
@@ -216,7 +223,7 @@
   // A response to an earlier request that is sent once more; the one to this request may follow.
   if (id == nullptr && c.reused) {
     c.foreign = true;
-    Fail(c, upstream_stage::kMalformed);
+    Fail(c, upstream_stage::kMalformed, response_fault::kUnidentified);
     return;
   }
   c.answered = true;
@@ -269,14 +276,15 @@
   upstream_stage stage = upstream_stage::kWaiting;
   if (how == tcp_end::kConnectFailed) stage = upstream_stage::kConnecting;
   if (c.answered) stage = upstream_stage::kAnswering;
-  Fail(c, stage);
+  response_fault fault = clean ? response_fault::kClosed : response_fault::kReset;
+  Fail(c, stage, stage == upstream_stage::kConnecting ? response_fault::kNone : fault);
 }
 
-void upstream_client::Fail(connection& c, upstream_stage stage) {
+void upstream_client::Fail(connection& c, upstream_stage stage, response_fault fault) {
   upstream_id call = std::exchange(c.call, {});
   calls_.erase(call.value);
   Remove(c);
-  on_.on_failed(call, stage);
+  on_.on_failed(call, stage, fault);
 }
 
 void upstream_client::Remove(connection& c) {
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -59,7 +59,7 @@
     std::function<void(upstream_id, http_head&&)> on_head;
     std::function<void(upstream_id, std::string_view)> on_body;
     std::function<void(upstream_id)> on_end;
-    std::function<void(upstream_id, upstream_stage)> on_failed;
+    std::function<void(upstream_id, upstream_stage, response_fault)> on_failed;
   };
 
   /// `identity_header` names the header that carries `upstream_call::request_id`. It is empty if
@@ -93,7 +93,7 @@
   void OnHead(connection& c, http_head&& head);
   void OnComplete(connection& c);
   void OnEnd(connection& c, tcp_end how);
-  void Fail(connection& c, upstream_stage stage);
+  void Fail(connection& c, upstream_stage stage, response_fault fault);
   void Remove(connection& c);
   void EndProbe(std::uint64_t number, probe_result result);
   void Sweep();
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -25,7 +25,7 @@
                [this](http_client::call_id id, std::string_view bytes) {
                  Apply(call_bytes{calls_.at(id), std::string(bytes)});
                },
-               [this](http_client::call_id id, http_call_result result) {
+               [this](http_client::call_id id, http_call_result result, response_fault) {
                  std::uint64_t call = calls_.at(id);
                  calls_.erase(id);
                  clients_.erase(call);
--- a/tests/catalogue_test.cc
+++ b/tests/catalogue_test.cc
@@ -30,7 +30,7 @@
 }
 
 // Guards against a problem type or counter label that is not documented.
-TEST_CASE("every refusal, failure and retry reason is listed in errors.md") {
+TEST_CASE("every refusal, failure, retry reason and response fault is listed in errors.md") {
   std::string page = ReadPage("errors.md");
   auto check_listed = [&](std::string_view name) {
     INFO(name);
@@ -45,6 +45,9 @@
   for (std::size_t i = 0; i < kRetryReasonCount; ++i) {
     check_listed(ToString(static_cast<retry_reason>(i)));
   }
+  for (std::size_t i = 1; i < kResponseFaultCount; ++i) {
+    check_listed(ToString(static_cast<response_fault>(i)));
+  }
 }
 
 }  // namespace radishroute
--- a/tests/e2e/broken_agent_answers_test.py
+++ b/tests/e2e/broken_agent_answers_test.py
@@ -2,6 +2,8 @@
 
 import http.client
 import json
+import os
+import re
 import sys
 import time
 import uuid
@@ -40,14 +42,16 @@
 class Check:
     def __init__(self, cluster):
         self.cluster, self.runs, self.wrong, self.next_number = cluster, Runs(), [], 0
+        self.faults, self.admin = {}, []
         self.engines = [ScriptedEngine(f"engine-{n}", {}, self.runs, request_of, sound)
                         for n in range(2)]
 
     def start_agents(self, entry):
         for engine in self.engines:
+            self.admin.append(free_address())
             self.cluster.start_with_settings("agent", {
                 "node": f"agent-{engine.name}", "zone": "a", "traffic_listen": free_address(),
-                "admin_listen": free_address(), "entries": [entry["control_listen"]],
+                "admin_listen": self.admin[-1], "entries": [entry["control_listen"]],
                 "backend": {"address": f"127.0.0.1:{engine.server_port}", "kind": "engine",
                             "models": ["bench", "draft"]}})
 
@@ -89,6 +93,28 @@
         self.play(script)
         self.expect("quote " + name, self.request("quote", upload),
                     lambda got, runs: got == (200, b"sound") and runs == 2)
+        fault = broken_answers.fault_of(name)
+        self.faults[fault] = self.faults.get(fault, 0) + 2
+
+    def causes_can_be_found(self):
+        """An operator finds what was wrong in the log of the engine's agent."""
+        logged, counted = {}, {}
+        for engine, admin in zip(self.engines, self.admin):
+            with open(os.path.join(self.cluster.dir, f"agent-{engine.name}.log")) as file:
+                for line in file:
+                    fields = dict(word.split("=", 1) for word in line.split() if "=" in word)
+                    if fields.get("name") != "engine-call-failed" or fields["call"] != "request":
+                        continue
+                    if fields["engine"] != f"127.0.0.1:{engine.server_port}":
+                        self.wrong.append(line)
+                    logged[fields["fault"]] = logged.get(fields["fault"], 0) + 1
+            text = strict_http.call(admin, "GET", "/metrics")[1].decode()
+            for name, value in re.findall(r'broken_responses_total{fault="(.*)"} (\d+)', text):
+                counted[name] = counted.get(name, 0) + int(value)
+        for fault, number in self.faults.items():
+            if logged.get(fault) != number or counted.get(fault, 0) < number:
+                self.wrong.append(f"{fault}: {number} answers, {logged.get(fault)} lines, "
+                                  f"{counted.get(fault)} counted")
 
     def is_passed_on(self, name, script, upload):
         self.play(script)
@@ -133,6 +159,9 @@
         for name, script in broken.items():
             check.is_replaced(name, script, UPLOAD if name.startswith(("reset-in-", "reset-un"))
                               else 0)
+        # Lines are written by a thread of their own.
+        time.sleep(1)
+        check.causes_can_be_found()
         for name, script in streams().items():
             check.is_no_whole_stream(name, script, UPLOAD)
     assert not check.wrong, f"{len(check.wrong)} answers"
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -201,3 +201,18 @@
                          *[bytes([b]) for b in HEAD.split(b"{id}")[1] + LENGTH]],
         "whole": [READ_BODY, *whole],
     }
+
+
+def fault_of(name):
+    """What a reader of the answer finds wrong, as it is named in logs and counters."""
+    if name.startswith("closed-") or name == "status-150-closed":
+        return "closed"
+    if name.startswith("reset-") or name == "status-150-reset":
+        return "reset"
+    if name.startswith("status-line-"):
+        return "invalid-status" if name == "status-line-two-blanks" else "invalid-head"
+    if name.startswith("status-"):
+        return "invalid-status"
+    if name.startswith(("trailer-", "chunk-", "coding-")):
+        return "invalid-framing"
+    return "unidentified" if name.startswith("two-ids") else "invalid-head"
--- a/tests/e2e/broken_answers_test.py
+++ b/tests/e2e/broken_answers_test.py
@@ -3,6 +3,7 @@
 
 import http.client
 import json
+import os
 import sys
 import threading
 import time
@@ -52,6 +53,7 @@
                         for n in range(2)]
         self.next_number = 0
         self.wrong = []
+        self.faults = {}
 
     def register_forever(self):
         sequence = 0
@@ -86,12 +88,34 @@
         """A broken answer is a 502 for a request that may not run again, and is asked for again
         otherwise."""
         number, got = self.request("/book/" + name, upload)
+        self.faults[number] = broken_answers.fault_of(name)
         self.expect("/book/" + name, number, got, (502, b'{"reason":"none"}'), 1)
         # On a connection that an earlier request has used.
         self.request("/look/whole")
         number, got = self.request("/look/" + name, upload)
+        self.faults[number] = broken_answers.fault_of(name)
         self.expect("/look/" + name, number, got, (200, b"sound"), 2)
 
+    def causes_can_be_found(self):
+        """An operator finds what was wrong, and at which engine, by the request's id."""
+        with open(os.path.join(self.d.dir, "gateway.log")) as file:
+            lines = [line for line in file if "name=forward-attempt-failed" in line]
+        logged = {}
+        for line in lines:
+            fields = dict(word.split("=", 1) for word in line.split() if "=" in word)
+            logged[fields["request"]] = (fields["fault"], fields["backend"])
+        for number, fault in self.faults.items():
+            found, backend = logged.get(number, (None, None))
+            if found != fault or backend not in [engine.name for engine in self.engines]:
+                self.wrong.append(f"{number}: {found} of {backend} logged, not {fault}")
+        text = strict_http.call(f"127.0.0.1:{self.d.probe}", "GET", "/metrics")[1].decode()
+        for fault in set(self.faults.values()):
+            name = f'radishroute_broken_responses_total{{fault="{fault}"}} '
+            counted = next(int(line[len(name):]) for line in text.splitlines()
+                           if line.startswith(name))
+            if counted < list(self.faults.values()).count(fault):
+                self.wrong.append(f"{name}{counted}")
+
     def is_cut_or_resumed(self, name, upload):
         number, got = self.request("/once/" + name, upload)
         self.expect("/once/" + name, number, got, "IncompleteRead", 1)
@@ -133,6 +157,9 @@
             check.is_cut_or_resumed(name, long_upload)
         for name in long_bodies:
             check.is_cut(name, long_upload)
+        # Lines are written by a thread of their own.
+        time.sleep(1)
+        check.causes_can_be_found()
     for text in check.wrong:
         print("wrong:", text)
     assert not check.wrong, f"{len(check.wrong)} answers"
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -1,5 +1,6 @@
 #include "radishroute/forward/forwarder.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "fake_context.h"
@@ -396,6 +397,48 @@
   CHECK(f.All<forward_abort>().front().exchange == exchange);
 }
 
+// Guards against a broken response that leaves no trace, and against its backend server getting the
+// next request as if it were sound.
+TEST_CASE("a broken response is logged, counted and held against its backend server") {
+  forwarder_fixture f;
+  auto [path, retried] =
+      GENERATE(table<const char*, bool>({{"/book/1", false}, {"/look/1", true}}));
+  f.SendRequest(path);
+  start_upstream first = f.SingleSentRequest();
+  f.Handle(
+      upstream_call_failed{first.id, upstream_stage::kMalformed, response_fault::kInvalidStatus});
+  REQUIRE(f.All<count_broken_response>().size() == 1);
+  CHECK(f.All<count_broken_response>()[0].fault == response_fault::kInvalidStatus);
+  const log_event line = f.All<write_log>().front().event;
+  CHECK(line.code == event_code::kForwardAttemptFailed);
+  auto has = [&](const std::string& key, const std::string& value) {
+    return std::any_of(line.fields.begin(), line.fields.end(), [&](const log_field& field) {
+      return field.key == key && field.value == value;
+    });
+  };
+  CHECK(has("backend", first.backend));
+  CHECK(has("fault", "invalid-status"));
+  CHECK(f.All<start_upstream>().size() == (retried ? 1 : 0));
+  if (retried) CHECK(f.All<count_retry>()[0].reason == retry_reason::kEngineError);
+  if (!retried) CHECK(f.ErrorStatus() == 502);
+  for (int i = 0; i < 3; ++i) {
+    f.SendRequest("/book/1");
+    CHECK(f.SingleSentRequest().backend != first.backend);
+  }
+}
+
+// Guards against a refusal that is believed although the response with it is broken.
+TEST_CASE("a broken refusal promises nothing") {
+  forwarder_fixture f;
+  f.SendRequest("/book/1");
+  start_upstream first = f.SingleSentRequest();
+  f.BeginResponse(first.id, 503, true);
+  f.Handle(
+      upstream_call_failed{first.id, upstream_stage::kMalformed, response_fault::kInvalidFraming});
+  CHECK(f.All<start_upstream>().empty());
+  CHECK(f.ErrorStatus() == 502);
+}
+
 // Guards against bytes that are no answer and never end, which would fill the memory.
 TEST_CASE("an event or an error without end is given up") {
   forwarder_fixture f;
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <deque>
@@ -43,7 +44,8 @@
               Record(std::to_string(id.value) + " end");
               if (after_end) after_end();
             },
-            [this](upstream_id id, upstream_stage stage) {
+            [this](upstream_id id, upstream_stage stage, response_fault fault) {
+              last_fault = fault;
               Record(std::to_string(id.value) + " failed " + std::string(ToString(stage)));
             }});
     listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -134,6 +136,8 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::deque<std::string> events;
+  /// What was wrong with the response of the call that failed last.
+  std::atomic<response_fault> last_fault = response_fault::kNone;
   /// Called on the loop's thread after a response has ended.
   std::function<void()> after_end;
   std::thread thread;
@@ -182,6 +186,7 @@
   SECTION("the other first") { named = "Request-Id: other\r\nRequest-Id: first\r\n"; }
   f.Respond("HTTP/1.1 200 OK\r\n" + named + "Content-Length: 2\r\n\r\nok");
   CHECK(f.NextEvent() == "1 failed malformed");
+  CHECK(f.last_fault == response_fault::kUnidentified);
 }
 
 // Guards against a call that never ends, and whose cancellation ends the process, when an answer of
@@ -329,6 +334,47 @@
   std::this_thread::sleep_for(20ms);
   f.ResetBackend();
   CHECK(f.NextEvent() == (answered ? "1 failed answering" : "1 failed waiting"));
+  CHECK(f.last_fault == response_fault::kReset);
+}
+
+// Guards against a broken response whose cause an operator cannot find.
+TEST_CASE("a failed call tells what was wrong with its response") {
+  client_fixture f;
+  f.Call(1, "first");
+  f.ReadRequest();
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n";
+  response_fault expected = response_fault::kNone;
+  std::string response;
+  SECTION("closed") {
+    expected = response_fault::kClosed;
+    response = head + "Content-Length: 9\r\n\r\nok";
+  }
+  SECTION("status") {
+    expected = response_fault::kInvalidStatus;
+    response = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok";
+  }
+  SECTION("head") {
+    expected = response_fault::kInvalidHead;
+    response = head + "X Y: z\r\n\r\nok";
+  }
+  SECTION("framing") {
+    expected = response_fault::kInvalidFraming;
+    response = head + "Transfer-Encoding: gzip\r\n\r\nok";
+  }
+  SECTION("length of the head") {
+    expected = response_fault::kTooLong;
+    response = head + "X: " + std::string(std::size_t{128} << 10, 'x');
+  }
+  SECTION("identity") {
+    expected = response_fault::kUnidentified;
+    response = head + "Request-Id: other\r\n\r\nok";
+  }
+  f.Respond(response);
+  if (expected == response_fault::kClosed) f.CloseBackend();
+  std::string event = f.NextEvent();
+  while (event.starts_with("1 head") || event.starts_with("1 body")) event = f.NextEvent();
+  CHECK(event.starts_with("1 failed"));
+  CHECK(f.last_fault == expected);
 }
 
 // Guards against a request that is sent on a connection whose reset was met by a write.
