Tell a malformed response from a crash at agents

A request whose engine answered with bytes that are no HTTP was charged with a crash, and its content was quarantined after two of them.

Cause: each call without a whole response counted as a lost engine.

A malformed response now fails the dispatch with engine-error and the engine is probed, as after a reset. Entries retry such a dispatch elsewhere if its kind allows that; before, engine-error ended the request.

Evidence: both unit tests failed on the code before, and pass now with all 399; the scripted answers of e2e/broken_agent_answers_test pass.

--- a/src/executions_engine.h
+++ b/src/executions_engine.h
@@ -100,6 +100,7 @@
     health_.RequestProbe(first, ctx);
   } else {
     Fail(failed.id, failed.reason, ctx);
+    health_.RequestProbe(false, ctx);
   }
   StartQueued(ctx);
   ScheduleNext(ctx);
--- a/src/io/engine_api.cc
+++ b/src/io/engine_api.cc
@@ -16,6 +16,13 @@
 // Counts of the largest map as JSON take about 300 KB.
 constexpr std::size_t kMaxRankAnswerBytes = std::size_t{4} << 20;
 
+// A response that breaks the protocol shows that the engine lives; its request is no cause of a
+// crash.
+dispatch_failure FailureOf(response_fault fault) {
+  bool lost = fault == response_fault::kReset || fault == response_fault::kClosed;
+  return lost ? dispatch_failure::kEngineCrashed : dispatch_failure::kEngineError;
+}
+
 }  // namespace
 
 engine_api::engine_api(io_loop& loop, endpoint engine, event_sink sink)
@@ -121,7 +128,7 @@
       return;
     case http_call_result::kBroken:
       ReportBrokenResponse("request", ToString(id.request), engine_, fault);
-      sink_(engine_call_failed{id, dispatch_failure::kEngineCrashed, true});
+      sink_(engine_call_failed{id, FailureOf(fault), true});
       return;
   }
 }
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -392,6 +392,9 @@
     case dispatch_failure::kEngineCrashed:
       Retry(*request, retry_reason::kEngineCrashed, refusal_reason::kNone, failed.reason, ctx);
       return;
+    case dispatch_failure::kEngineError:
+      Retry(*request, retry_reason::kEngineError, refusal_reason::kNone, failed.reason, ctx);
+      return;
     case dispatch_failure::kEngineStalled:
       Retry(*request, retry_reason::kEngineStalled, refusal_reason::kNone, failed.reason, ctx);
       return;
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -172,6 +172,22 @@
   CHECK(f.Problem()->outcome == run_outcome::kUnknown);
 }
 
+// Guards against a failure of a request that another backend server could have run.
+TEST_CASE("a request whose engine broke the protocol is retried elsewhere") {
+  entry_fixture f;
+  auto dispatch = f.Submit("small");
+  int attempts = 0;
+  for (; dispatch; dispatch = f.SentDispatch()) {
+    ++attempts;
+    f.Apply(message_received{f.link,
+                             dispatch_failed{dispatch->id, dispatch_failure::kEngineError, {}}});
+  }
+  CHECK(attempts > 1);
+  REQUIRE(f.Problem() != nullptr);
+  CHECK(f.Problem()->failure == dispatch_failure::kEngineError);
+  CHECK(f.Problem()->outcome == run_outcome::kUnknown);
+}
+
 // Guards against older shares being restored by a dispatch from an entry with an older
 // configuration.
 TEST_CASE("an agent keeps the shares of the highest configuration version") {
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -120,6 +120,21 @@
   CHECK(f.fake.Sent<dispatch_failed>().size() == 1);
 }
 
+// Guards against content that is quarantined because its engine sends responses that break the
+// protocol.
+TEST_CASE("a response that breaks the protocol is not reported as a crash") {
+  agent_fixture f;
+  dispatch_id a = f.Dispatch(1, false);
+  f.fake.Do([&](auto& ctx) {
+    f.table.Handle(engine_call_failed{a, dispatch_failure::kEngineError, true}, ctx);
+  });
+  REQUIRE(f.fake.Sent<dispatch_failed>().size() == 1);
+  CHECK(f.fake.Sent<dispatch_failed>()[0].second.reason == dispatch_failure::kEngineError);
+  CHECK(f.fake.All<probe_engine>().size() == 1);
+  f.fake.Do([&](auto& ctx) { f.table.Handle(engine_probe_done{1, false}, ctx); });
+  CHECK(f.fake.Sent<crash_report>().empty());
+}
+
 // Guards against a stream that hangs on a stalled engine while heartbeats continue.
 TEST_CASE("a stream without progress is cancelled") {
   agent_fixture f;
