Judge a broken refusal as an unknown outcome in load

load counted a 429 'not-run' as a refusal although its connection was closed before its length, so the checks of fault runs believed it.

Cause: how the call had ended was looked at for answers with status 200 only.

--- a/src/load/outcome.cc
+++ b/src/load/outcome.cc
@@ -40,7 +40,12 @@
 judgement Judge(const received_answer& answer, std::string_view expected, bool in_time) {
   if (answer.result == http_call_result::kNotSent) return {load_outcome::kUnreachable, "not_sent"};
   if (answer.status == 0) return {load_outcome::kUnknown, "connection_lost"};
-  if (answer.status != 200) return JudgeProblem(answer.body, answer.status);
+  if (answer.status != 200) {
+    // A refusal of which a part is missing promises nothing.
+    if (answer.result == http_call_result::kBroken)
+      return {load_outcome::kUnknown, "connection_lost"};
+    return JudgeProblem(answer.body, answer.status);
+  }
   // A stream that fails ends with this event in place of the rest.
   constexpr std::string_view kErrorEvent = "event: error\ndata: ";
   std::string_view body = answer.body;
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -162,6 +162,17 @@
   CHECK(Judge(answer, right, true).outcome == load_outcome::kUnknown);
 }
 
+TEST_CASE("a broken answer is judged neither whole nor a refusal", "[load]") {
+  // Guards against a refusal that counts although its answer was broken off, so that it may be
+  // false.
+  std::string right = engine_answer(R"({"max_tokens":3})").Whole();
+  received_answer answer{200, "application/json", right, http_call_result::kBroken};
+  CHECK(Judge(answer, right, true).outcome == load_outcome::kUnknown);
+  answer = {429, "application/problem+json", kNotRunProblem, http_call_result::kBroken};
+  CHECK(Judge(answer, right, true).outcome == load_outcome::kUnknown);
+  CHECK(Judge(answer, right, true).reason == "connection_lost");
+}
+
 TEST_CASE("a service call without an answer is sent again with its key", "[load]") {
   // Guards against a resend with a new key, to the same entry, or marked as the first submission.
   fake_entries entries(OneBooking());
