Read answers strictly in the clients of the tests

The clients that judge answers in the end-to-end tests, cluster.py among them, took broken answers for whole: http.client folds lines, takes the rest of a head for body after a line that is no field, and accepts chunks that end without CR LF and trailers that are cut off.

--- a/tests/e2e/broken_tool_answers_test.py
+++ b/tests/e2e/broken_tool_answers_test.py
@@ -1,12 +1,14 @@
 """Guards the readers of answers beside the path of requests: a sidecar's reports, an agent's orders,
 operators' commands and the load generator must not take a broken answer for a whole one."""
 
+import http.client
 import json
 import os
 import sys
 
 import broken_answers
 import invariants
+import strict_http
 from cluster import Cluster, free_address, wait_until
 from scripted_engine import CLOSE, HOLD, READ_BODY, Runs, ScriptedEngine
 
@@ -43,6 +45,23 @@
 every_time.last = 0
 
 
+def strict_client_accepts_whole_answers_only():
+    """Guards the tests that judge answers by this client."""
+    broken = {**broken_answers.broken_off(), **broken_answers.broken_statuses(),
+              **broken_answers.broken_heads(), **broken_answers.broken_chunks()}
+    # Two ids are for readers that know what an id is.
+    broken = {name: script for name, script in broken.items() if "two-ids" not in name}
+    scripts = {**broken, **broken_answers.sound()}
+    server = ScriptedEngine("server", scripts, Runs(), every_time, sound(b""))
+    for name in scripts:
+        try:
+            got = strict_http.call(f"127.0.0.1:{server.server_port}", "POST", "/" + name, b"x",
+                                   timeout=2)[:2]
+        except (OSError, http.client.HTTPException) as error:
+            got = type(error).__name__
+        assert (got == (200, b"sound")) == (name not in broken), (name, got)
+
+
 def commands_fail(cluster):
     """Guards operators against the state that a broken answer tells."""
     server = ScriptedEngine("controller", {}, Runs(), every_time, sound(STATUS))
@@ -108,6 +127,7 @@
 
 
 def main(program):
+    strict_client_accepts_whole_answers_only()
     with Cluster(program) as cluster:
         commands_fail(cluster)
         load_counts_no_answer(cluster)
--- a/tests/e2e/budget_normal_test.py
+++ b/tests/e2e/budget_normal_test.py
@@ -1,10 +1,10 @@
 """Sends what clients within the limits send to a gateway with small budgets."""
 
-import http.client
 import sys
 import threading
 import time
 
+import strict_http
 from cluster import Cluster
 from gateway_test import HOST, Deployment, call, config, start_engine
 
@@ -34,7 +34,7 @@
 
 
 def connect(d):
-    return http.client.HTTPConnection("127.0.0.1", d.front, timeout=10)
+    return strict_http.StrictConnection("127.0.0.1", d.front, timeout=10)
 
 
 def keeps_idle_connections(d):
--- a/tests/e2e/caller_test.py
+++ b/tests/e2e/caller_test.py
@@ -9,6 +9,7 @@
 import sys
 import time
 
+import strict_http
 from cluster import Cluster, wait_until
 
 # Twice the limit that the event loop sets.
@@ -29,7 +30,7 @@
 
 
 def connect(entry, **extra):
-    return http.client.HTTPConnection(entry["http"]["listen"], timeout=10, **extra)
+    return strict_http.StrictConnection(entry["http"]["listen"], timeout=10, **extra)
 
 
 def malformed_input(cluster, entry):
@@ -128,6 +129,7 @@
     def answered():
         connection = http.client.HTTPSConnection(entry["http"]["listen"], timeout=5,
                                                  context=context)
+        connection.response_class = strict_http.StrictResponse
         return post(connection, body(stream=True))[1].endswith(b"data: [DONE]\n\n")
     wait_until(answered, what="answer over TLS")
     offers_http2(cluster, entry, certificate)
--- a/tests/e2e/cluster.py
+++ b/tests/e2e/cluster.py
@@ -8,7 +8,8 @@
 import subprocess
 import tempfile
 import time
-import urllib.request
+
+import strict_http
 
 SHEET = """table,name,class,deadline_ms,worth,repeat,weight,floor_percent,hour,requests
 class,,transactional,,,,,10,,
@@ -212,9 +213,7 @@
 
     def fault(self, engine, fault, value=0):
         body = json.dumps({"fault": fault, "value": value}).encode()
-        request = urllib.request.Request(
-            f"http://{self.engines[engine]}/v1/fault", data=body, method="POST")
-        urllib.request.urlopen(request, timeout=5).read()
+        strict_http.fetch(self.engines[engine], "/v1/fault", body)
 
     def run_plan(self, plan, targets=None, timeout=120, name="load", arguments=()):
         """Runs a plan and returns the finished process, its result and its records file."""
@@ -257,8 +256,7 @@
                 if not self.network or entry["zone"] == zone]
 
     def metrics(self, settings):
-        text = urllib.request.urlopen(
-            f"http://{settings['admin_listen']}/metrics", timeout=5).read().decode()
+        text = strict_http.fetch(settings["admin_listen"], "/metrics")
         pairs = (line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
         return {name: float(value) for name, value in pairs}
 
--- a/tests/e2e/failures_test.py
+++ b/tests/e2e/failures_test.py
@@ -1,6 +1,5 @@
 """Kills, stops and restarts processes during load; every answer is checked by the load tool."""
 
-import http.client
 import json
 import os
 import re
@@ -9,6 +8,7 @@
 import threading
 import time
 
+import strict_http
 from cluster import Cluster, free_address, wait_until
 from relay import Relay
 
@@ -80,7 +80,7 @@
         return counts
 
     def call(self, entry, prompt, tokens=16, stream=False):
-        connection = http.client.HTTPConnection(self.entries[entry]["http"]["listen"], timeout=10)
+        connection = strict_http.StrictConnection(self.entries[entry]["http"]["listen"], timeout=10)
         body = json.dumps({"model": "draft", "max_tokens": tokens, "stream": stream,
                            "messages": [{"role": "user", "content": prompt}]})
         connection.request("POST", "/v1/chat/completions", body,
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -1,6 +1,5 @@
 """Runs controllers and a gateway as processes against stand-ins of engines, through HTTP."""
 
-import http.client
 import http.server
 import json
 import os
@@ -11,6 +10,7 @@
 import threading
 import time
 
+import strict_http
 from cluster import Cluster, free_port
 
 HOST = "shop.example"
@@ -75,7 +75,7 @@
 
 
 def call(port, method, path, body=None, headers=None):
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    connection = strict_http.StrictConnection("127.0.0.1", port, timeout=5)
     try:
         connection.request(method, path, body=body, headers=headers or {})
         response = connection.getresponse()
@@ -151,7 +151,7 @@
 
     def control_at(self, host, method, path, body):
         for _ in range(3):
-            connection = http.client.HTTPConnection(host, self.call_port, timeout=2)
+            connection = strict_http.StrictConnection(host, self.call_port, timeout=2)
             connection.request(method, path, body=body)
             response = connection.getresponse()
             answer = response.read()
@@ -175,7 +175,7 @@
 
     def voters(self, number):
         """Voters that a controller knows, itself among them; zero if it is none."""
-        connection = http.client.HTTPConnection(self.hosts[number], self.admin_port, timeout=2)
+        connection = strict_http.StrictConnection(self.hosts[number], self.admin_port, timeout=2)
         connection.request("GET", "/voters", headers={"Authorization": "Bearer t"})
         state = json.loads(connection.getresponse().read())
         connection.close()
--- a/tests/e2e/hostile_clients_test.py
+++ b/tests/e2e/hostile_clients_test.py
@@ -4,7 +4,6 @@
 bound, and that one ordinary request is answered afterwards.
 """
 
-import http.client
 import json
 import os
 import selectors
@@ -13,6 +12,7 @@
 import threading
 import time
 
+import strict_http
 from cluster import Cluster
 from gateway_test import HOST, Deployment, Engine, call, config, start_engine
 
@@ -253,7 +253,7 @@
 
 
 def call_at(host, port, path):
-    connection = http.client.HTTPConnection(host, port, timeout=2)
+    connection = strict_http.StrictConnection(host, port, timeout=2)
     try:
         connection.request("GET", path)
         return connection.getresponse().status
--- a/tests/e2e/load_test.py
+++ b/tests/e2e/load_test.py
@@ -4,8 +4,8 @@
 import sys
 import threading
 import time
-import urllib.request
 
+import strict_http
 from cluster import Cluster, wait_until
 
 QUOTES = {"seconds": 1, "arrivals": "fixed", "kinds": [
@@ -15,7 +15,7 @@
 
 
 def fetch(address, path):
-    return json.load(urllib.request.urlopen(f"http://{address}{path}", timeout=5))
+    return json.loads(strict_http.fetch(address, path))
 
 
 def outcomes(result, cls):
--- a/tests/e2e/orders_test.py
+++ b/tests/e2e/orders_test.py
@@ -7,9 +7,8 @@
 import sys
 import threading
 import time
-import urllib.error
-import urllib.request
 
+import strict_http
 from cluster import Cluster, free_address, wait_until
 
 SETTLE_MS = 1500
@@ -31,12 +30,7 @@
 def direct(cluster, engine, token, name):
     """Sends an order past the agent; returns the HTTP status."""
     body = json.dumps({"order": "set_version", "token": token, "name": name}).encode()
-    request = urllib.request.Request(
-        f"http://{cluster.engines[engine]}/v1/orders", data=body, method="POST")
-    try:
-        return urllib.request.urlopen(request, timeout=5).status
-    except urllib.error.HTTPError as error:
-        return error.code
+    return strict_http.call(cluster.engines[engine], "POST", "/v1/orders", body)[0]
 
 
 def status(cluster):
--- a/tests/e2e/path_test.py
+++ b/tests/e2e/path_test.py
@@ -1,6 +1,5 @@
 """Guards the whole path: an answer that is lost, mixed up or cut, also while an entry drains."""
 
-import http.client
 import json
 import signal
 import socket
@@ -8,6 +7,7 @@
 import threading
 import time
 
+import strict_http
 from cluster import Cluster, wait_until
 
 
@@ -26,16 +26,16 @@
 def draining_is_announced(cluster):
     """Guards against a drain that a balancer learns of only from lost connections."""
     address = cluster.entries["entry-1"]["http"]["listen"]
-    kept = [http.client.HTTPConnection(address, timeout=5) for _ in range(2)]
+    kept = [strict_http.StrictConnection(address, timeout=5) for _ in range(2)]
     for connection in kept:
         assert call(connection)[0].status == 200
-    assert call(http.client.HTTPConnection(address, timeout=5), "GET", "/v1/health")[0].status == 200
+    assert call(strict_http.StrictConnection(address, timeout=5), "GET", "/v1/health")[0].status == 200
     cluster.processes["entry-1"].send_signal(signal.SIGTERM)
     time.sleep(0.15)
     # New connections and kept ones get a typed refusal, which closes them.
-    health, _ = call(http.client.HTTPConnection(address, timeout=5), "GET", "/v1/health")
+    health, _ = call(strict_http.StrictConnection(address, timeout=5), "GET", "/v1/health")
     assert health.status == 503, health.status
-    for connection in (kept[0], http.client.HTTPConnection(address, timeout=5)):
+    for connection in (kept[0], strict_http.StrictConnection(address, timeout=5)):
         response, text = call(connection)
         problem = json.loads(text)
         assert response.status == 503 and problem["title"] == "draining", problem
--- a/tests/e2e/platform_soak.py
+++ b/tests/e2e/platform_soak.py
@@ -22,6 +22,7 @@
 import time
 
 import expert_ranks
+import strict_http
 from cluster import Cluster, free_port
 from gateway_test import HOST, Deployment
 
@@ -258,7 +259,7 @@
         while not self.stopping:
             if connection is None:
                 gateway = choice.choice(self.gateways)
-                connection = http.client.HTTPConnection("127.0.0.1", gateway.front, timeout=8)
+                connection = strict_http.StrictConnection("127.0.0.1", gateway.front, timeout=8)
             if not self.call_once(connection, gateway, choice):
                 connection.close()
                 connection = None
@@ -312,7 +313,7 @@
         if events != stream_text(1, last):
             self.violation(f"ORDER: {headers['Request-Id']} got {got[:200]!r}")
         others = [g for g in self.gateways if g is not gateway] or [gateway]
-        connection = http.client.HTTPConnection("127.0.0.1", choice.choice(others).front, timeout=8)
+        connection = strict_http.StrictConnection("127.0.0.1", choice.choice(others).front, timeout=8)
         number = self.number()
         headers = {**headers, "Request-Id": number, "Prompt-Prefix": f"{number}:100"}
         if last:
--- a/tests/e2e/zone_test.py
+++ b/tests/e2e/zone_test.py
@@ -1,7 +1,6 @@
 """Guards a zone that is cut off, in both or in one direction: lost idempotent work inside it, untyped
 refusals, a change that the other zones do not take, a false report, and a version that goes back."""
 
-import http.client
 import json
 import os
 import re
@@ -9,6 +8,7 @@
 import time
 import uuid
 
+import strict_http
 from cluster import Cluster, wait_until
 from invariants import applied_versions, find_reverted_versions
 from zone_network import ZoneNetwork
@@ -39,7 +39,7 @@
 
 def book(entry):
     """Submits one new booking and returns its status and problem document."""
-    connection = http.client.HTTPConnection(entry["http"]["listen"], timeout=12)
+    connection = strict_http.StrictConnection(entry["http"]["listen"], timeout=12)
     connection.request("POST", "/v1/services/bench/book", "{}", {
         "x-member": "cinar", "x-work-kind": "booking", "idempotency-key": uuid7(),
         "x-first-submission": "true"})
