Soak: engines send the broken answers

The engines reset long uploads after a part of an answer without a length, and answer with the statuses, heads and chunks of the scripted tests, about 2 in 100 requests; ranks of the group answer some reports in the same way. Callers send some long uploads and read strictly.

--- a/tests/e2e/expert_ranks.py
+++ b/tests/e2e/expert_ranks.py
@@ -135,12 +135,27 @@
             protocol_version = "HTTP/1.1"
 
             def answer(self, status, body):
+                if group.soak.random.random() < 0.02:
+                    self.answer_malformed(body)
+                    return
                 text = json.dumps(body).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(text)))
                 self.end_headers()
                 self.wfile.write(text)
 
+            def answer_malformed(self, body):
+                """Would mislead the leader if it were read."""
+                group.soak.count("malformed report")
+                text = json.dumps({**body, "map": 1 << 40, "counts": [1]}).encode()
+                length = f"Content-Length: {len(text)}\r\n".encode()
+                head = group.soak.random.choice([
+                    b"HTTP/1.1 000 OK\r\n" + length, b"HTTP/1.1 200 OK\r\nX Any: v\r\n" + length,
+                    b"HTTP/1.1 200 OK\r\nX: v\r\n\tw\r\n" + length,
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(text) + 1}\r\n".encode()])
+                self.wfile.write(head + b"\r\n" + text)
+                self.close_connection = True
+
             def do_GET(self):
                 if self.path == "/report":
                     self.answer(200, group.report(rank))
--- a/tests/e2e/platform_soak.py
+++ b/tests/e2e/platform_soak.py
@@ -5,8 +5,10 @@
 Engines and callers are stand-ins in this process. Callers use their connections until these are gone,
 and resume streams that broke off. Some use a key that no configuration holds. Stops, also of all gateways in turn, kills, pauses, restarts, disks
 that refuse writes and changes of the configuration follow each other and overlap. Engines refuse,
-crash, break off within an event, send an earlier answer once more, and send bytes without end. Two
-ranks of a group change their expert maps meanwhile and carry out some orders late or never.
+crash, break off within an event, send an earlier answer once more, and send bytes without end. They reset
+long uploads after a part of an answer without a length, and answer with statuses, heads and chunks that no
+answer may have. Two ranks of a group change their expert maps meanwhile and carry out some orders late or
+never.
 """
 
 import argparse
@@ -21,10 +23,12 @@
 import threading
 import time
 
+import broken_answers
 import expert_ranks
 import strict_http
 from cluster import Cluster, free_port
 from gateway_test import HOST, Deployment
+from scripted_engine import RECEIVE_BUFFER
 
 GATEWAYS = 3
 ENGINES = 4
@@ -41,6 +45,9 @@
 MAX_CRASHES = 8
 # Memory of a gateway's machine.
 MAX_MEMORY_MB = 160
+LONG_UPLOAD = b"x" * broken_answers.LONG_UPLOAD
+MALFORMED = [script[1] for script in {**broken_answers.broken_heads(), **broken_answers.broken_chunks(),
+                                      **broken_answers.broken_statuses()}.values()]
 # Files that a controller writes under these names first; as links to a full device they refuse it.
 NEW_FILES = ["vote.new", "snapshot.new", "segment.new"]
 SLOW_SECONDS = 2.5
@@ -71,7 +78,10 @@
     def start(self):
         self.incarnation += 1
         self.name = f"engine-{self.number}-{self.incarnation}"
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(128)
         self.server_port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
@@ -106,8 +116,11 @@
             earlier = b""
             while line := reader.readline():
                 headers = http.client.parse_headers(reader)
-                reader.read(int(headers.get("Content-Length", 0)))
-                earlier = self.answer(connection, line.split()[1].decode(), headers, earlier)
+                path, length = line.split()[1].decode(), int(headers.get("Content-Length", 0))
+                if length == len(LONG_UPLOAD) and self.soak.random.random() < 0.5:
+                    self.reset_upload(connection, path, headers)
+                reader.read(length)
+                earlier = self.answer(connection, path, headers, earlier)
         except (OSError, ValueError):
             pass
         finally:
@@ -115,6 +128,21 @@
                 self.connections.discard(connection)
             connection.close()
 
+    def reset_upload(self, connection, path, headers):
+        """Sends a part of an answer without a length while the request is being written."""
+        number = headers.get("Request-Id", "")
+        self.soak.on_run(number, path)
+        self.soak.count("reset in an upload")
+        kind, part = "text/plain", number[:1]
+        if path.startswith("/stream/"):
+            start = int(headers.get("Last-Event-Id", 0)) + 1
+            kind, part = "text/event-stream", stream_text(start, min(start, EVENTS)).decode()
+        connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\nContent-Type: {kind}\r\n\r\n"
+                           f"{part}".encode())
+        time.sleep(self.soak.random.choice([0, 0.05]))
+        reset(connection)
+        raise OSError
+
     def answer(self, connection, path, headers, earlier):
         """Answers a request; returns the answer without a length, if it can be sent once more."""
         number = headers.get("Request-Id", "")
@@ -134,6 +162,12 @@
             connection.sendall(head + (b"\r\n" if luck > 0.998 else b"X: "))
             while True:
                 connection.sendall(b"x" * 65536)
+        if 0.97 < luck < 0.99:
+            self.soak.count("malformed answer")
+            connection.sendall(self.soak.random.choice(MALFORMED).replace(b"{id}", number.encode()))
+            while connection.recv(65536):
+                pass
+            raise OSError
         if DEADLY_PART + ":" in headers.get("Prompt-Prefix", ""):
             time.sleep(0.02)
             self.soak.on_crash()
@@ -282,9 +316,10 @@
             path = f"/book/v{added[-1]}/1"
         elif not stream and choice.random() < 0.05:
             path = "/book/slow/1"
+        body = LONG_UPLOAD if choice.random() < 0.02 else b"x"
         process, planned = gateway.process, gateway.only_planned
         try:
-            connection.request("POST", path, body=b"x", headers=headers)
+            connection.request("POST", path, body=body, headers=headers)
             response = connection.getresponse()
             body = response.read()
         except http.client.IncompleteRead as broken:
@@ -292,6 +327,9 @@
             if stream and not deadly:
                 self.resume(gateway, headers, broken.partial, choice)
             return False
+        except strict_http.MalformedResponse as error:
+            self.violation(f"MIXED: {number} got {error}")
+            return False
         except (OSError, http.client.HTTPException):
             self.count("connection lost")
             self.check_lost(number, stream, gateway, process, planned)
