--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -5,14 +5,12 @@
 #include <future>
 #include <thread>
 
-#include "loopback_port.h"
-
 namespace radishroute {
 
 // Guards against a replica that waits for ever for the end of a write that was lost in a full
 // queue.
 TEST_CASE("the result of an operation is delivered although the queue is full") {
-  static const lws_protocols protocols[] = {WakeProtocol(), {}};
+  static const lws_protocols protocols[] = {io_loop::WakeProtocol(), {}};
   io_loop loop;
   loop.CreateClientVhost(protocols);
   std::size_t posted = 0;
--- a/tests/stream_server_test.cc
+++ b/tests/stream_server_test.cc
@@ -23,7 +23,7 @@
 struct server_fixture {
   server_fixture() {
     static const lws_protocols protocols[] = {
-        tcp_connection::Protocol(), tcp_listener::Protocol(), WakeProtocol(), {}};
+        tcp_connection::Protocol(), tcp_listener::Protocol(), io_loop::WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
     server = std::make_unique<stream_server>(
         loop, stream_server::handlers{[this](received_request&& r) { OnRequest(r); },
--- a/tests/tcp_test.cc
+++ b/tests/tcp_test.cc
@@ -36,7 +36,7 @@
   explicit tcp_fixture(std::string text, bool close_after = true)
       : greeting(std::move(text)), close_after_greeting(close_after) {
     static const lws_protocols protocols[] = {
-        tcp_connection::Protocol(), tcp_listener::Protocol(), WakeProtocol(), {}};
+        tcp_connection::Protocol(), tcp_listener::Protocol(), io_loop::WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
     REQUIRE(!listener.Start({"127.0.0.1", Port()}));
     thread = std::thread([this] { loop.Run(); });
--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -29,7 +29,8 @@
 /// A client on a loop of its own, and a backend server that the test plays on a plain socket.
 struct client_fixture {
   explicit client_fixture(const std::string& identity_header = "Request-Id") {
-    static const lws_protocols protocols[] = {tcp_connection::Protocol(), WakeProtocol(), {}};
+    static const lws_protocols protocols[] = {
+        tcp_connection::Protocol(), io_loop::WakeProtocol(), {}};
     loop.CreateClientVhost(protocols);
     client = std::make_unique<upstream_client>(
         loop, identity_header,
