--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -145,7 +145,7 @@
 };
 
 // More than the buffers of a connection hold.
-const std::string kLongBody(std::size_t{16} << 20, 'x');
+std::string LongBody() { return std::string(std::size_t{16} << 20, 'x'); }
 
 constexpr const char* kRefusal =
     "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
@@ -318,7 +318,7 @@
 // write.
 TEST_CASE("a response that is reset while its request is written has failed") {
   client_fixture f;
-  f.Call(1, "first", kLongBody);
+  f.Call(1, "first", LongBody());
   f.ReadRequest();
   const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n";
   std::string part;
@@ -384,7 +384,7 @@
   f.after_end = [&f] {
     f.client->Start({{2}, f.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "second", true});
   };
-  f.Call(1, "first", kLongBody);
+  f.Call(1, "first", LongBody());
   f.ReadRequest();
   // The loop meets the response and the reset at once.
   std::promise<void> held;
