Wait for both engines before tests rely on retries

Cause: the test waited for one response only. Its log shows engine-2 in the gateway's directory 191 ms after the stream had ended, so there was no engine to resume it at. The product is not at fault.

The tests of broken answers, which need a second engine for each retry, wait in the same way now. No check is changed.

--- a/tests/e2e/broken_agent_answers_test.py
+++ b/tests/e2e/broken_agent_answers_test.py
@@ -154,7 +154,9 @@
         assert cluster.apply_sheet().returncode == 0
         check.start_agents(check.entry)
         check.play([READ_BODY, sound("plain", {})])
-        wait_until(lambda: check.request("booking", 0) == ((200, b"sound"), 1), 20, "an answer")
+        # A request can be retried once the entry knows both agents.
+        wait_until(lambda: check.request("booking", 0) == ((200, b"sound"), 1) and
+                   all("plain" in e.requested for e in check.engines), 20, "answers of both engines")
         for name, script in broken_answers.sound().items():
             check.is_passed_on(name, script, UPLOAD)
         for name, script in broken.items():
--- a/tests/e2e/broken_answers_test.py
+++ b/tests/e2e/broken_answers_test.py
@@ -148,7 +148,9 @@
         d.start_gateway(retries={"slack": ALLOWANCE})
         assert d.control("PUT", "/config", config())[0] == 200
         threading.Thread(target=check.register_forever, daemon=True).start()
-        d.wait_for("a sound answer", lambda: check.request("/book/whole")[1] == (200, b"sound"))
+        # A request can be retried once the gateway knows both engines.
+        d.wait_for("sound answers of both engines", lambda: check.request("/book/whole")[1] ==
+                   (200, b"sound") and all("whole" in e.requested for e in check.engines))
         for name in broken_answers.sound():
             check.is_passed_on(name, long_upload)
         for name in broken:
--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -301,7 +301,9 @@
         for engine in engines:
             d.register(engine, 1)
         d.wait_for("a ready gateway", lambda: call(d.probe, "GET", "/readyz")[0] == 200)
-        d.wait_for("a first response", lambda: d.request("/book/0")[0] == 200)
+        # A stream can be resumed once the gateway knows both.
+        d.wait_for("responses of both engines", lambda: d.request("/book/0")[0] == 200 and
+                   {name for *_, name in Engine.seen} == {engine.name for engine in engines})
         serves_faithfully(d)
         resumes_streams(d)
         keeps_configuration(d)
--- a/tests/e2e/scripted_engine.py
+++ b/tests/e2e/scripted_engine.py
@@ -58,6 +58,8 @@
         `sound(path, headers)` a sound answer."""
         self.name, self.scripts, self.runs = name, scripts, runs
         self.identify, self.sound = identify, sound
+        # Last parts of the paths of requests that have come.
+        self.requested = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         self.listener.bind(("127.0.0.1", 0))
@@ -77,6 +79,7 @@
             while line := reader.readline():
                 headers = http.client.parse_headers(reader)
                 path = line.split()[1].decode()
+                self.requested.add(path.rsplit("/", 1)[-1])
                 number = self.identify(path, headers)
                 script = self.script_of(path, number) or [READ_BODY, self.sound(path, headers)]
                 body = int(headers.get("Content-Length", 0))
