Reject responses of HTTP/1.0 in a transfer coding

Callers got answers of HTTP/1.0 in chunks with the chunks undone. HTTP/1.0 has no transfer codings, so the reader behind us would take another body from the same bytes (RFC 9112, 6.1: the framing is faulty).

Cause: http-parser reads codings in each version, and the check of the coding did not look at the version.

Such a response is broken now, like any other framing that can be read in two ways. Those with a length or without one pass as before.

--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -136,6 +136,8 @@
   std::size_t codings = 0;
   for (const http_header& header : head_.headers) {
     if (!EqualIgnoringCase(header.name, "transfer-encoding")) continue;
+    // A reader of HTTP/1.0 takes the chunks for the body (RFC 9112, 6.1).
+    if (!head_.allows_chunks) return errc::kInvalidHttpFraming;
     std::string_view value = header.value;
     value = value.substr(0, value.find_last_not_of(" \t") + 1);
     if (!EqualIgnoringCase(value, "chunked")) return errc::kInvalidHttpFraming;
--- a/tests/e2e/broken_answers.py
+++ b/tests/e2e/broken_answers.py
@@ -185,6 +185,8 @@
                          "two-fields": b"chunked\r\nTransfer-Encoding: chunked"}.items():
         scripts[f"coding-{name}"] = (HEAD + b"Transfer-Encoding: " + coding +
                                      b"\r\n\r\n5\r\nsound\r\n0\r\n\r\n")
+    # HTTP/1.0 has no transfer codings, so a reader of that version takes the chunks for the body.
+    scripts["coding-old-version"] = (CHUNKED.replace(b"1.1", b"1.0") + b"5\r\nsound\r\n0\r\n\r\n")
     return {name: [READ_BODY, text, HOLD] for name, text in scripts.items()}
 
 
--- a/tests/e2e/strict_http.py
+++ b/tests/e2e/strict_http.py
@@ -42,7 +42,9 @@
         interim = status.startswith(b"1")
         is_coded = any(name.lower() == b"transfer-encoding" and value.lower() != b"chunked"
                        for name, value in framing)
-        if status == b"101" or len(framing) > (0 if interim else 1) or is_coded:
+        is_old = lines[0].startswith(b"HTTP/1.0") and any(
+            name.lower() == b"transfer-encoding" for name, _ in framing)
+        if status == b"101" or len(framing) > (0 if interim else 1) or is_coded or is_old:
             raise MalformedResponse(lines)
         if not interim:
             return b"".join(lines)
--- a/tests/http_codec_test.cc
+++ b/tests/http_codec_test.cc
@@ -258,6 +258,8 @@
     INFO(coding);
     CHECK(ErrorOfResponse(head + coding + body) == errc::kInvalidHttpFraming);
   }
+  CHECK(ErrorOfResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + body) ==
+        errc::kInvalidHttpFraming);
   for (const char* coding : {"chunked", "Chunked \t", "\tchunked\t", "chunked  "}) {
     INFO(coding);
     CHECK(!ErrorOfResponse(head + coding + body));
