--- a/tests/e2e/gateway_test.py
+++ b/tests/e2e/gateway_test.py
@@ -75,13 +75,7 @@
 
 
 def call(port, method, path, body=None, headers=None):
-    connection = strict_http.StrictConnection("127.0.0.1", port, timeout=5)
-    try:
-        connection.request(method, path, body=body, headers=headers or {})
-        response = connection.getresponse()
-        return response.status, response.read(), response.headers
-    finally:
-        connection.close()
+    return strict_http.call(f"127.0.0.1:{port}", method, path, body, headers)
 
 
 def config(version, prefix="/book/"):
