--- a/src/io/http_codec.cc
+++ b/src/io/http_codec.cc
@@ -128,11 +128,11 @@
   bool interim = side_ == http_side::kResponse && head_.status < 200;
   bool framed = head_.content_length || FindHeader(head_.headers, "transfer-encoding") != nullptr;
   if (interim && framed) return errc::kInvalidHttpStatus;
-  return side_ == http_side::kResponse ? CheckCoding() : std::error_code();
+  return side_ == http_side::kResponse ? ReadCoding() : std::error_code();
 }
 
 // The header is not forwarded, so a body in another coding would be taken for a plain one.
-std::error_code http_decoder::CheckCoding() {
+std::error_code http_decoder::ReadCoding() {
   std::size_t codings = 0;
   for (const http_header& header : head_.headers) {
     if (!EqualIgnoringCase(header.name, "transfer-encoding")) continue;
--- a/src/io/http_codec.h
+++ b/src/io/http_codec.h
@@ -51,7 +51,8 @@
   struct callbacks;
 
   std::error_code CheckHead();
-  std::error_code CheckCoding();
+  /// Finds out whether the body of a response comes in chunks, and tells the parser.
+  std::error_code ReadCoding();
   std::error_code ParserError() const;
   int OnHeadersComplete();
   void AddField(std::string_view part);
