Wait for restarted engines before a test crashes the others

Cause: the scenario before restarts two engines and the test went on after a second. The entry's log shows both agents down since 3.3 s when the crash took the other two, so no backend server was listed and the service was unknown.

The scenario now waits until each entry lists all agents; at the start of the test, too, the last state of each counts, not the number of lines.

--- a/tests/e2e/failures_test.py
+++ b/tests/e2e/failures_test.py
@@ -44,9 +44,16 @@
         self.agents[name] = settings
 
     def wait_for_backends(self):
-        """Waits until each entry knows every backend server."""
-        wait_until(lambda: all(self.log_count(name, "backend-up") >= len(self.agents)
-                               for name in self.entries), what="backend servers known")
+        """Waits until each entry lists every backend server."""
+        wait_until(lambda: all(self.listed(name) == set(self.agents) for name in self.entries),
+                   what="backend servers listed")
+
+    def listed(self, entry):
+        """Backend servers that an entry has listed last, by its log."""
+        with open(os.path.join(self.dir, entry + ".log")) as file:
+            changes = re.findall(r"name=backend-(up|down) backend=(\S+)", file.read())
+        last = {backend: change for change, backend in changes}
+        return {backend for backend, change in last.items() if change == "up"}
 
     def log_count(self, name, text):
         with open(os.path.join(self.dir, name + ".log")) as file:
@@ -177,6 +184,8 @@
 
 def crash_takes_agent(cluster):
     """The agent dies with its engine, so only the entries can tell of the crash."""
+    # Two engines have been restarted; without them the crash would leave no backend server.
+    cluster.wait_for_backends()
     done = threading.Event()
     dead = []
 
