Take a test's handler out of use on the thread that calls it

The race is in the test, which came with; the product has no part in it.

The loop's thread now takes the handler as it calls it.

--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -43,7 +43,7 @@
             },
             [this](upstream_id id) {
               Record(std::to_string(id.value) + " end");
-              if (after_end) after_end();
+              if (auto once = std::exchange(after_end, nullptr)) once();
             },
             [this](upstream_id id, upstream_stage stage, response_fault fault) {
               last_fault = fault;
@@ -139,7 +139,7 @@
   std::deque<std::string> events;
   /// What was wrong with the response of the call that failed last.
   std::atomic<response_fault> last_fault = response_fault::kNone;
-  /// Called on the loop's thread after a response has ended.
+  /// Called once on the loop's thread, after a response has ended.
   std::function<void()> after_end;
   std::thread thread;
 };
@@ -395,7 +395,6 @@
   CHECK(f.NextEvent() == "1 head 200");
   CHECK(f.NextEvent() == "1 body ok");
   CHECK(f.NextEvent() == "1 end");
-  f.after_end = nullptr;
   f.ReadRequest();
   f.Respond("HTTP/1.1 200 OK\r\nRequest-Id: second\r\nContent-Length: 0\r\n\r\n");
   CHECK(f.NextEvent() == "2 head 200");
