Log the lag of entries that apply a version late

config-distributed tells when every entry has a version, and says nothing as long as a storm of changes lasts. The leader now keeps the time of each commit and logs config-entry-late with the entry, its lag and how often an entry with a newer version was served first; config_entries_late counts them.

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,6 +54,11 @@
   static constexpr std::chrono::milliseconds kStalledAfter{300};
   /// A document that an entry has not applied after this time is sent again.
   static constexpr std::chrono::milliseconds kPushTimeout{2000};
+  /// An entry that applies a version later than this after its commit is logged: half of the
+  /// shortest bound that a deployment sets.
+  static constexpr std::chrono::milliseconds kLateAfter{1000};
+  /// Commits whose time is kept.
+  static constexpr std::size_t kMaxCommitTimes = 256;
 
   void BecomeLeader(steady_time now);
   void StepDown();
@@ -85,6 +91,9 @@
     std::uint64_t pushed = 0;
     std::size_t pushed_bytes = 0;
     steady_time pushed_at;
+    /// Times that an entry with a newer version was served before this one, since the latter's
+    /// last push.
+    std::uint32_t passed_over = 0;
 
     /// Whether a document was sent that the entry may still apply.
     bool AwaitsPush(steady_time now) const {
@@ -101,6 +110,14 @@
     std::uint64_t bytes = 0;
   };
 
+  struct commit_time {
+    std::uint64_t version = 0;
+    steady_time at;
+  };
+
+  /// Logs an entry whose renewal shows that it applied a version late.
+  void LogIfLate(const std::string& node, const lease& held, std::uint64_t applied,
+                 reduce_context& ctx) const;
   void Push(lease& to, const config_document& config, reduce_context& ctx);
   void PushToOutdated(const config_document& config, reduce_context& ctx);
   void LogIfDistributed(reduce_context& ctx);
@@ -108,6 +125,8 @@
   std::optional<steady_time> leader_since_;
   /// Keyed by the entry's node name.
   std::map<std::string, lease> leases_;
+  /// Oldest first.
+  std::deque<commit_time> commits_;
   /// Absent while every entry with a lease has the latest version.
   std::optional<distribution> distribution_;
 };
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -56,6 +56,7 @@
   kLeaderFound = 605,
   kLeaderLeft = 606,
   kConfigDistributed = 607,
+  kConfigEntryLate = 608,
   kOrderCommitted = 700,
   kOrderEnded = 701,
   kOrderFenceLearned = 702,
--- a/include/radishroute/metric.h
+++ b/include/radishroute/metric.h
@@ -70,9 +70,10 @@
   kConnectionsEvicted,
   kRequestsOverBudget,
   kCapacityChanges,
+  kConfigEntriesLate,
 };
 
-inline constexpr std::size_t kCounterCount = 61;
+inline constexpr std::size_t kCounterCount = 62;
 
 std::string_view ToString(counter c);
 
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -12,6 +12,7 @@
 void config_leases::StepDown() {
   leader_since_.reset();
   leases_.clear();
+  commits_.clear();
   distribution_.reset();
 }
 
@@ -46,13 +47,37 @@
     return std::make_pair(a->applied != 0, b->expires_at) <
            std::make_pair(b->applied != 0, a->expires_at);
   });
+  std::uint64_t newest_served = 0;
   for (lease* held : outdated) {
-    if (in_transit > 0 && in_transit + config.Sheet().size() > kMaxBytesInTransit) break;
+    if (in_transit > 0 && in_transit + config.Sheet().size() > kMaxBytesInTransit) {
+      if (held->applied < newest_served) ++held->passed_over;
+      continue;
+    }
+    newest_served = std::max(newest_served, held->applied);
     Push(*held, config, ctx);
     in_transit += held->pushed_bytes;
   }
 }
 
+void config_leases::LogIfLate(const std::string& node, const lease& held, std::uint64_t applied,
+                              reduce_context& ctx) const {
+  if (held.applied == 0 || applied <= held.applied) return;
+  auto missed = std::find_if(commits_.begin(), commits_.end(),
+                             [&](const commit_time& c) { return c.version > held.applied; });
+  if (missed == commits_.end()) return;
+  auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(ctx.now - missed->at);
+  if (lag < kLateAfter) return;
+  ctx.Emit(count{counter::kConfigEntriesLate});
+  ctx.Emit(write_log{{event_code::kConfigEntryLate,
+                      log_level::kWarning,
+                      {{"entry", node},
+                       {"zone", held.zone},
+                       {"version", std::to_string(missed->version)},
+                       {"applied", std::to_string(applied)},
+                       {"lag_ms", std::to_string(lag.count())},
+                       {"passed_over", std::to_string(held.passed_over)}}}});
+}
+
 void config_leases::LogIfDistributed(reduce_context& ctx) {
   if (!distribution_) return;
   std::size_t entries = 0;
@@ -96,6 +121,8 @@
     // Later than the expiry at the entry, which runs from the sending of the renewal and subtracts
     // the clock drift.
     held.expires_at = ctx.now + kLeaseDuration;
+    LogIfLate(renew.node, held, renew.applied_version, ctx);
+    if (renew.applied_version > held.applied) held.passed_over = 0;
     held.applied = renew.applied_version;
     held.evacuation_version = renew.evacuation_version;
   }
@@ -112,6 +139,8 @@
 
 void config_leases::OnCommitted(const config_document& config, reduce_context& ctx) {
   if (!leader_since_) return;
+  commits_.push_back({config.Version(), ctx.now});
+  if (commits_.size() > kMaxCommitTimes) commits_.pop_front();
   distribution_ = distribution{config.Version(), ctx.now};
   PushToOutdated(config, ctx);
 }
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -96,6 +96,8 @@
       return "leader-left";
     case event_code::kConfigDistributed:
       return "config-distributed";
+    case event_code::kConfigEntryLate:
+      return "config-entry-late";
     case event_code::kOrderCommitted:
       return "order-committed";
     case event_code::kOrderEnded:
--- a/src/metric.cc
+++ b/src/metric.cc
@@ -65,7 +65,8 @@
                                                                   "fleet_loads_outdated",
                                                                   "connections_evicted",
                                                                   "requests_over_budget",
-                                                                  "capacity_changes"};
+                                                                  "capacity_changes",
+                                                                  "config_entries_late"};
   return kNames[static_cast<std::size_t>(c)];
 }
 
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -330,6 +330,26 @@
   CHECK(f.fake.All<write_log>().size() == 1);
 }
 
+// Guards against entries that are late for a change while nothing tells which and why.
+TEST_CASE("an entry that applies a version late is logged with its lag") {
+  lease_fixture f;
+  constexpr std::size_t kDocumentBytes = config_leases::kMaxBytesInTransit;
+  f.Commit(1, kDocumentBytes);
+  for (std::uint64_t entry = 1; entry <= 2; ++entry) f.Renew(entry, 1);
+  f.Commit(2, kDocumentBytes);
+  f.fake.Advance(config_leases::kLateAfter - milliseconds(1));
+  f.Renew(1, 2);
+  CHECK(f.fake.All<write_log>().empty());
+  f.Renew(2, 1);
+  f.fake.Advance(milliseconds(1));
+  f.Renew(2, 2);
+  REQUIRE(!f.fake.All<write_log>().empty());
+  const log_event late = f.fake.All<write_log>()[0].event;
+  CHECK(late.code == event_code::kConfigEntryLate);
+  CHECK(late.fields[0].value == "e2");
+  CHECK(late.fields[4].value == std::to_string(config_leases::kLateAfter.count()));
+}
+
 // Guards against a leader that fills its link with documents, so that its heartbeats come too late.
 TEST_CASE("documents in transit to all entries are bounded") {
   lease_fixture f;
