Serve the entry with the oldest configuration first

Callers at the last gateways were handled by a configuration that was acknowledged as replaced seconds before. Cause: the entry that renewed its lease last got the next document. One that has just applied a version has just renewed, so in a storm of changes the same entries got each version while the others waited round after round.

The oldest version now comes first, so that an entry waits for one round at most, whatever the rate of changes. Entries that left their last document unanswered come last: otherwise suspended ones, whose version is the oldest, would hold up the others.

Before: with 150 entries, a round of 1.6 s and a change each 350 ms, the last entry lags 10.4 s behind a commit in the new test, against a bound of 2.5 s, and a silent entry is served before one that answers; both tests failed. After: both pass.

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -99,6 +99,10 @@
     bool AwaitsPush(steady_time now) const {
       return pushed > applied && now - pushed_at < kPushTimeout;
     }
+    /// Whether the entry has been silent since the latest document was sent.
+    bool LeftPushUnanswered() const {
+      return pushed > applied && expires_at - kLeaseDuration <= pushed_at;
+    }
   };
 
   /// Pushes of one version to the entries, until all of them have applied it.
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -1,6 +1,8 @@
 #include "radishroute/config_leases.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace radishroute {
 
@@ -41,11 +43,15 @@
       outdated.push_back(&held);
     }
   }
-  // An entry without any version must not serve yet. Of the others, one that has renewed its lease
-  // recently is the least likely to be suspended or cut off.
-  std::stable_sort(outdated.begin(), outdated.end(), [](const lease* a, const lease* b) {
-    return std::make_pair(a->applied != 0, b->expires_at) <
-           std::make_pair(b->applied != 0, a->expires_at);
+  // An entry without any version must not serve yet. Of the others, the one with the oldest version
+  // comes first, so that none waits for more than one round whatever the rate of changes; one that
+  // has not answered its last document may be suspended or cut off and comes last. Among equals,
+  // one that has renewed its lease recently is the least likely to be.
+  auto rank = [](const lease* held) {
+    return std::make_tuple(held->applied != 0, held->LeftPushUnanswered(), held->applied);
+  };
+  std::stable_sort(outdated.begin(), outdated.end(), [&](const lease* a, const lease* b) {
+    return std::make_pair(rank(a), b->expires_at) < std::make_pair(rank(b), a->expires_at);
   });
   std::uint64_t newest_served = 0;
   for (lease* held : outdated) {
--- a/tests/config_distribution_test.cc
+++ b/tests/config_distribution_test.cc
@@ -25,6 +25,9 @@
 // Time within which a change must be in force while nothing is lost.
 constexpr milliseconds kInForceTarget{2000};
 
+// Time after the acknowledgement of a change at which no gateway may decide by an older one.
+constexpr milliseconds kApplyBound{2500};
+
 /// A document with the given number of routes, whose names are random and whose fields repeat.
 std::string MakeDocument(std::uint64_t version, int routes) {
   std::mt19937_64 random(version);
@@ -287,6 +290,20 @@
   CHECK(world.Amplification() <= 1.0);
 }
 
+// Guards against entries that are passed over in each round, because those that were served in the
+// previous one renew their lease more often and come first again.
+TEST_CASE("no entry waits several rounds for a change while others get each of them") {
+  constexpr int kEntries = 150;
+  constexpr std::size_t kLinkBytesPerSecond = 4'000'000;
+  distribution_world world(kEntries, kLinkBytesPerSecond);
+  for (std::uint64_t version = 1; version <= 30; ++version) {
+    world.Commit(version, MakeDocument(version, 3000));
+    world.Run(350ms);
+  }
+  world.Run(10s);
+  CHECK(world.LongestLag().count() <= kApplyBound.count());
+}
+
 // Guards against documents to suspended machines that use up the bound on bytes in transit.
 TEST_CASE("suspended entries do not delay a change at the others") {
   constexpr int kEntries = 120;
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -350,6 +350,22 @@
   CHECK(late.fields[4].value == std::to_string(config_leases::kLateAfter.count()));
 }
 
+// Guards against silent entries that delay a change at the others, since theirs is the oldest
+// version.
+TEST_CASE("an entry that left a document unanswered is served after the others") {
+  lease_fixture f;
+  constexpr std::size_t kDocumentBytes = config_leases::kMaxBytesInTransit;
+  f.Commit(1, kDocumentBytes);
+  for (std::uint64_t entry = 1; entry <= 3; ++entry) f.Renew(entry, 1);
+  f.Commit(2, kDocumentBytes);
+  REQUIRE(f.Pushes() == 1);
+  REQUIRE(f.fake.Sent<config_push>()[0].first == link_id{1});
+  f.fake.Advance(config_leases::kPushTimeout);
+  f.Renew(3, 2);
+  REQUIRE(f.Pushes() == 1);
+  CHECK(f.fake.Sent<config_push>()[0].first == link_id{2});
+}
+
 // Guards against a leader that fills its link with documents, so that its heartbeats come too late.
 TEST_CASE("documents in transit to all entries are bounded") {
   lease_fixture f;
