--- a/include/radishroute/config_client.h
+++ b/include/radishroute/config_client.h
@@ -71,6 +71,7 @@
 
   void Renew(reduce_context& ctx);
   void Apply(std::uint64_t version, const std::string& sheet, reduce_context& ctx);
+  void ApplyPatchedSheet(const config_push& push, reduce_context& ctx);
   void BecomeReady(reduce_context& ctx);
   void ApplyEvacuations(const evacuation_notice& notice, reduce_context& ctx);
   void PublishLease(reduce_context& ctx);
@@ -82,7 +83,10 @@
   directory& backends_;
   leader_session session_;
   record_client records_;
+  /// As it was received, or plain after a patch.
   std::string sheet_;
+  /// False from a patch that could not be applied until a whole document has come.
+  bool accepts_patch_ = true;
   std::uint64_t applied_ = 0;
   /// Highest version known to exist; an entry that does not serve yet applies no lower one.
   std::uint64_t highest_known_version_ = 0;
--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -11,6 +11,7 @@
 
 #include "radishroute/config.h"
 #include "radishroute/config_message.h"
+#include "radishroute/config_patches.h"
 #include "radishroute/event.h"
 #include "radishroute/reduce_context.h"
 
@@ -69,8 +70,9 @@
                const endpoint& leader_hint, reduce_context& ctx,
                const std::vector<replica>& replicas = {},
                const evacuation_notice& evacuations = {});
-  /// Starts to push a newly committed version to the entries with an unexpired lease. Each entry
-  /// has at most one document in transit and gets the latest version next.
+  /// Starts to push a newly committed version to the entries with an unexpired lease if this
+  /// controller leads. Each entry has at most one document in transit and gets the latest version
+  /// next, as a patch to the version that it has applied where that is smaller.
   void OnCommitted(const config_document& config, reduce_context& ctx);
   /// Tells all entries with an unexpired lease at once; later grants repeat it.
   void OnEvacuationsChanged(const evacuation_notice& evacuations, reduce_context& ctx) const;
@@ -87,9 +89,11 @@
     steady_time expires_at;
     std::uint64_t applied = 0;
     std::uint64_t evacuation_version = 0;
+    bool accepts_patch = false;
     /// Latest version sent on `link`; zero if none.
     std::uint64_t pushed = 0;
     std::size_t pushed_bytes = 0;
+    bool pushed_patch = false;
     steady_time pushed_at;
     /// Times that an entry with a newer version was served before this one, since the latter's
     /// last push.
@@ -111,6 +115,8 @@
     /// Time of the commit, or at a new leader the time at which an entry was found outdated.
     steady_time started_at;
     std::uint64_t pushes = 0;
+    /// Those of the pushes that sent a patch.
+    std::uint64_t patches = 0;
     std::uint64_t bytes = 0;
   };
 
@@ -122,13 +128,15 @@
   /// Logs an entry whose renewal shows that it applied a version late.
   void LogIfLate(const std::string& node, const lease& held, std::uint64_t applied,
                  reduce_context& ctx) const;
-  void Push(lease& to, const config_document& config, reduce_context& ctx);
+  void Push(lease& to, const config_document& config, const config_patch* patch,
+            reduce_context& ctx);
   void PushToOutdated(const config_document& config, reduce_context& ctx);
   void LogIfDistributed(reduce_context& ctx);
 
   std::optional<steady_time> leader_since_;
   /// Keyed by the entry's node name.
   std::map<std::string, lease> leases_;
+  config_patches patches_;
   /// Oldest first.
   std::deque<commit_time> commits_;
   /// Absent while every entry with a lease has the latest version.
--- a/include/radishroute/config_message.h
+++ b/include/radishroute/config_message.h
@@ -3,9 +3,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "radishroute/text_patch.h"
 #include "radishroute/types.h"
 #include "radishroute/zone_evacuations.h"
 
@@ -21,6 +23,8 @@
   std::uint64_t highest_known_version = 0;
   /// Version of the evacuations that the entry has applied.
   std::uint64_t evacuation_version = 0;
+  /// Whether the entry takes a patch to `applied_version`; false after one could not be applied.
+  bool accepts_patch = false;
 };
 
 /// Response to a renewal. If not granted, `leader_hint` names the leader if it is known.
@@ -37,11 +41,21 @@
   evacuation_notice evacuations = {};
 };
 
-/// Sends the current configuration to an entry.
+/// Change from one version of the configuration document to a later one.
+struct config_patch {
+  std::uint64_t base_version = 0;
+  text_patch changes;
+};
+
+/// Sends the current configuration to an entry, as a whole or as a patch.
 struct config_push {
   std::uint64_t version = 0;
   std::string author;
+  /// Empty if there is a patch.
   std::string sheet;
+  std::optional<config_patch> patch = {};
+
+  std::size_t Bytes() const { return patch ? patch->changes.Bytes() : sheet.size(); }
 };
 
 /// Asks another entry for its configuration.
--- a/include/radishroute/error.h
+++ b/include/radishroute/error.h
@@ -138,6 +138,7 @@
   kMalformedCall,
   kInvalidDeployment,
   kCompressionFailed,
+  kPatchMismatch,
 };
 
 const std::error_category& RadishrouteCategory();
--- a/include/radishroute/log_event.h
+++ b/include/radishroute/log_event.h
@@ -57,6 +57,7 @@
   kLeaderLeft = 606,
   kConfigDistributed = 607,
   kConfigEntryLate = 608,
+  kConfigPatchRejected = 609,
   kOrderCommitted = 700,
   kOrderEnded = 701,
   kOrderFenceLearned = 702,
--- a/src/config_client.cc
+++ b/src/config_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "radishroute/compression.h"
+#include "radishroute/error.h"
 #include "radishroute/invariant.h"
 
 namespace radishroute {
@@ -74,9 +76,10 @@
   renewals_[sequence] = ctx.now;
   if (renewals_.size() > kMaxRenewalsInFlight) renewals_.erase(renewals_.begin());
   next_renewal_ = ctx.now + kRenewInterval;
-  ctx.Emit(send_message{*session_.Link(),
-                        lease_renew{sequence, settings_.node, settings_.zone, applied_,
-                                    highest_known_version_, evacuation_version_.value_or(0)}});
+  ctx.Emit(send_message{
+      *session_.Link(),
+      lease_renew{sequence, settings_.node, settings_.zone, applied_, highest_known_version_,
+                  evacuation_version_.value_or(0), accepts_patch_}});
   ctx.Emit(schedule_wakeup{next_renewal_});
 }
 
@@ -148,11 +151,38 @@
   highest_known_version_ = std::max(highest_known_version_, push.version);
   // Version 0 means that nothing has been committed.
   if (push.version == 0) return;
-  Apply(push.version, push.sheet, ctx);
+  if (push.patch) {
+    ApplyPatchedSheet(push, ctx);
+  } else {
+    Apply(push.version, push.sheet, ctx);
+    accepts_patch_ = true;
+  }
   PublishLease(ctx);
   Renew(ctx);
 }
 
+void config_client::ApplyPatchedSheet(const config_push& push, reduce_context& ctx) {
+  if (push.version <= applied_) return;
+  std::string base;
+  std::string sheet;
+  std::error_code error = push.patch->base_version == applied_
+                              ? Decompress(sheet_, base)
+                              : make_error_code(errc::kPatchMismatch);
+  if (!error) error = ApplyPatch(base, push.patch->changes, sheet);
+  // The renewal that follows asks for the whole document.
+  accepts_patch_ = !error;
+  if (error) {
+    ctx.Emit(write_log{{event_code::kConfigPatchRejected,
+                        log_level::kWarning,
+                        {{"version", std::to_string(push.version)},
+                         {"base", std::to_string(push.patch->base_version)},
+                         {"applied", std::to_string(applied_)},
+                         {"error", error.message()}}}});
+    return;
+  }
+  Apply(push.version, sheet, ctx);
+}
+
 void config_client::Apply(std::uint64_t version, const std::string& sheet, reduce_context& ctx) {
   // An entry that already serves under an older version gains by any newer one.
   bool eligible = ready_ ? version > applied_ : version >= highest_known_version_;
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -18,17 +18,24 @@
   distribution_.reset();
 }
 
-void config_leases::Push(lease& to, const config_document& config, reduce_context& ctx) {
-  std::size_t bytes = config.Sheet().size();
-  to.pushed = config.Version();
-  to.pushed_bytes = bytes;
+void config_leases::Push(lease& to, const config_document& config, const config_patch* patch,
+                         reduce_context& ctx) {
+  config_push push{config.Version(), config.Current().author, {}};
+  if (patch != nullptr) {
+    push.patch = *patch;
+  } else {
+    push.sheet = config.Sheet();
+  }
+  to.pushed = push.version;
+  to.pushed_bytes = push.Bytes();
+  to.pushed_patch = patch != nullptr;
   to.pushed_at = ctx.now;
   if (distribution_) {
     ++distribution_->pushes;
-    distribution_->bytes += bytes;
+    if (to.pushed_patch) ++distribution_->patches;
+    distribution_->bytes += to.pushed_bytes;
   }
-  ctx.Emit(send_message{to.link,
-                        config_push{config.Version(), config.Current().author, config.Sheet()}});
+  ctx.Emit(send_message{to.link, std::move(push)});
 }
 
 // An entry renews its lease once it has applied a version, which makes room for the next push.
@@ -54,14 +61,18 @@
     return std::make_pair(rank(a), b->expires_at) < std::make_pair(rank(b), a->expires_at);
   });
   std::uint64_t newest_served = 0;
+  bool full = false;
   for (lease* held : outdated) {
-    if (in_transit > 0 && in_transit + config.Sheet().size() > kMaxBytesInTransit) {
+    const config_patch* patch = held->accepts_patch ? patches_.Find(held->applied) : nullptr;
+    std::size_t bytes = patch != nullptr ? patch->changes.Bytes() : config.Sheet().size();
+    full = full || (in_transit > 0 && in_transit + bytes > kMaxBytesInTransit);
+    if (full) {
       if (held->applied < newest_served) ++held->passed_over;
       continue;
     }
     newest_served = std::max(newest_served, held->applied);
-    Push(*held, config, ctx);
-    in_transit += held->pushed_bytes;
+    in_transit += bytes;
+    Push(*held, config, patch, ctx);
   }
 }
 
@@ -99,6 +110,7 @@
                       {{"version", std::to_string(distribution_->version)},
                        {"entries", std::to_string(entries)},
                        {"pushes", std::to_string(distribution_->pushes)},
+                       {"patches", std::to_string(distribution_->patches)},
                        {"bytes", std::to_string(distribution_->bytes)},
                        {"after_ms", std::to_string(after.count())}}}});
   distribution_.reset();
@@ -131,6 +143,9 @@
     if (renew.applied_version > held.applied) held.passed_over = 0;
     held.applied = renew.applied_version;
     held.evacuation_version = renew.evacuation_version;
+    held.accepts_patch = renew.accepts_patch;
+    // The entry could not apply the patch.
+    if (held.pushed_patch && !held.accepts_patch) held.pushed = 0;
   }
   bool granted = grant.granted;
   ctx.Emit(send_message{link, std::move(grant)});
@@ -139,11 +154,13 @@
     distribution_ = distribution{config.Version(), ctx.now};
   }
   if (!distribution_) return;
+  patches_.Remember(config);
   PushToOutdated(config, ctx);
   LogIfDistributed(ctx);
 }
 
 void config_leases::OnCommitted(const config_document& config, reduce_context& ctx) {
+  patches_.Remember(config);
   if (!leader_since_) return;
   commits_.push_back({config.Version(), ctx.now});
   if (commits_.size() > kMaxCommitTimes) commits_.pop_front();
--- a/src/error.cc
+++ b/src/error.cc
@@ -136,6 +136,8 @@
         return "configuration is invalid";
       case errc::kCompressionFailed:
         return "text cannot be compressed or decompressed";
+      case errc::kPatchMismatch:
+        return "patch is damaged or was made for another text";
       case errc::kNotDrainable:
         return "process does not take this command";
     }
--- a/src/gen-cpp/wire_types.cpp
+++ b/src/gen-cpp/wire_types.cpp
@@ -10546,6 +10546,11 @@
   this->evacuationVersion = val;
 __isset.evacuationVersion = true;
 }
+
+void LeaseRenew::__set_acceptsPatch(const bool val) {
+  this->acceptsPatch = val;
+__isset.acceptsPatch = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeaseRenew& obj)
 {
   obj.printTo(out);
@@ -10622,6 +10627,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsPatch);
+          this->__isset.acceptsPatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10664,6 +10677,11 @@
     xfer += oprot->writeI64(this->evacuationVersion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.acceptsPatch) {
+    xfer += oprot->writeFieldBegin("acceptsPatch", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->acceptsPatch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10677,6 +10695,7 @@
   swap(a.appliedVersion, b.appliedVersion);
   swap(a.heardVersion, b.heardVersion);
   swap(a.evacuationVersion, b.evacuationVersion);
+  swap(a.acceptsPatch, b.acceptsPatch);
   swap(a.__isset, b.__isset);
 }
 
@@ -10687,6 +10706,7 @@
   appliedVersion = other350.appliedVersion;
   heardVersion = other350.heardVersion;
   evacuationVersion = other350.evacuationVersion;
+  acceptsPatch = other350.acceptsPatch;
   __isset = other350.__isset;
 }
 LeaseRenew::LeaseRenew(LeaseRenew&& other351) noexcept {
@@ -10696,6 +10716,7 @@
   appliedVersion = other351.appliedVersion;
   heardVersion = other351.heardVersion;
   evacuationVersion = other351.evacuationVersion;
+  acceptsPatch = other351.acceptsPatch;
   __isset = other351.__isset;
 }
 LeaseRenew& LeaseRenew::operator=(const LeaseRenew& other352) {
@@ -10705,6 +10726,7 @@
   appliedVersion = other352.appliedVersion;
   heardVersion = other352.heardVersion;
   evacuationVersion = other352.evacuationVersion;
+  acceptsPatch = other352.acceptsPatch;
   __isset = other352.__isset;
   return *this;
 }
@@ -10715,6 +10737,7 @@
   appliedVersion = other353.appliedVersion;
   heardVersion = other353.heardVersion;
   evacuationVersion = other353.evacuationVersion;
+  acceptsPatch = other353.acceptsPatch;
   __isset = other353.__isset;
   return *this;
 }
@@ -10727,6 +10750,7 @@
   out << ", " << "appliedVersion=" << to_string(appliedVersion);
   out << ", " << "heardVersion=" << to_string(heardVersion);
   out << ", " << "evacuationVersion="; (__isset.evacuationVersion ? (out << to_string(evacuationVersion)) : (out << "<null>"));
+  out << ", " << "acceptsPatch="; (__isset.acceptsPatch ? (out << to_string(acceptsPatch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10988,6 +11012,338 @@
 }
 
 
+TextEdit::~TextEdit() noexcept {
+}
+
+
+void TextEdit::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void TextEdit::__set_length(const int64_t val) {
+  this->length = val;
+}
+
+void TextEdit::__set_inserted(const int64_t val) {
+  this->inserted = val;
+}
+std::ostream& operator<<(std::ostream& out, const TextEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TextEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->inserted);
+          this->__isset.inserted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TextEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TextEdit");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inserted", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->inserted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TextEdit &a, TextEdit &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.length, b.length);
+  swap(a.inserted, b.inserted);
+  swap(a.__isset, b.__isset);
+}
+
+TextEdit::TextEdit(const TextEdit& other364) noexcept {
+  offset = other364.offset;
+  length = other364.length;
+  inserted = other364.inserted;
+  __isset = other364.__isset;
+}
+TextEdit::TextEdit(TextEdit&& other365) noexcept {
+  offset = other365.offset;
+  length = other365.length;
+  inserted = other365.inserted;
+  __isset = other365.__isset;
+}
+TextEdit& TextEdit::operator=(const TextEdit& other366) noexcept {
+  offset = other366.offset;
+  length = other366.length;
+  inserted = other366.inserted;
+  __isset = other366.__isset;
+  return *this;
+}
+TextEdit& TextEdit::operator=(TextEdit&& other367) noexcept {
+  offset = other367.offset;
+  length = other367.length;
+  inserted = other367.inserted;
+  __isset = other367.__isset;
+  return *this;
+}
+void TextEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TextEdit(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "inserted=" << to_string(inserted);
+  out << ")";
+}
+
+
+ConfigPatch::~ConfigPatch() noexcept {
+}
+
+
+void ConfigPatch::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void ConfigPatch::__set_textHash(const int64_t val) {
+  this->textHash = val;
+}
+
+void ConfigPatch::__set_edits(const std::vector<TextEdit> & val) {
+  this->edits = val;
+}
+
+void ConfigPatch::__set_inserted(const std::string& val) {
+  this->inserted = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->textHash);
+          this->__isset.textHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->edits.clear();
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _etype371;
+            xfer += iprot->readListBegin(_etype371, _size368);
+            this->edits.resize(_size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
+            {
+              xfer += this->edits[_i372].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.edits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->inserted);
+          this->__isset.inserted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPatch");
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("textHash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->textHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
+    std::vector<TextEdit> ::const_iterator _iter373;
+    for (_iter373 = this->edits.begin(); _iter373 != this->edits.end(); ++_iter373)
+    {
+      xfer += (*_iter373).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inserted", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->inserted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPatch &a, ConfigPatch &b) {
+  using ::std::swap;
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.textHash, b.textHash);
+  swap(a.edits, b.edits);
+  swap(a.inserted, b.inserted);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPatch::ConfigPatch(const ConfigPatch& other374) {
+  baseVersion = other374.baseVersion;
+  textHash = other374.textHash;
+  edits = other374.edits;
+  inserted = other374.inserted;
+  __isset = other374.__isset;
+}
+ConfigPatch::ConfigPatch(ConfigPatch&& other375) noexcept {
+  baseVersion = other375.baseVersion;
+  textHash = other375.textHash;
+  edits = std::move(other375.edits);
+  inserted = std::move(other375.inserted);
+  __isset = other375.__isset;
+}
+ConfigPatch& ConfigPatch::operator=(const ConfigPatch& other376) {
+  baseVersion = other376.baseVersion;
+  textHash = other376.textHash;
+  edits = other376.edits;
+  inserted = other376.inserted;
+  __isset = other376.__isset;
+  return *this;
+}
+ConfigPatch& ConfigPatch::operator=(ConfigPatch&& other377) noexcept {
+  baseVersion = other377.baseVersion;
+  textHash = other377.textHash;
+  edits = std::move(other377.edits);
+  inserted = std::move(other377.inserted);
+  __isset = other377.__isset;
+  return *this;
+}
+void ConfigPatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPatch(";
+  out << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "textHash=" << to_string(textHash);
+  out << ", " << "edits=" << to_string(edits);
+  out << ", " << "inserted=" << to_string(inserted);
+  out << ")";
+}
+
+
 ConfigPush::~ConfigPush() noexcept {
 }
 
@@ -11003,6 +11359,11 @@
 void ConfigPush::__set_sheet(const std::string& val) {
   this->sheet = val;
 }
+
+void ConfigPush::__set_patch(const ConfigPatch& val) {
+  this->patch = val;
+__isset.patch = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
 {
   obj.printTo(out);
@@ -11055,6 +11416,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->patch.read(iprot);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11084,6 +11453,11 @@
   xfer += oprot->writeBinary(this->sheet);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.patch) {
+    xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->patch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11094,33 +11468,38 @@
   swap(a.version, b.version);
   swap(a.author, b.author);
   swap(a.sheet, b.sheet);
+  swap(a.patch, b.patch);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other364) {
-  version = other364.version;
-  author = other364.author;
-  sheet = other364.sheet;
-  __isset = other364.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other378) {
+  version = other378.version;
+  author = other378.author;
+  sheet = other378.sheet;
+  patch = other378.patch;
+  __isset = other378.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other365) noexcept {
-  version = other365.version;
-  author = std::move(other365.author);
-  sheet = std::move(other365.sheet);
-  __isset = other365.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other379) noexcept {
+  version = other379.version;
+  author = std::move(other379.author);
+  sheet = std::move(other379.sheet);
+  patch = std::move(other379.patch);
+  __isset = other379.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other366) {
-  version = other366.version;
-  author = other366.author;
-  sheet = other366.sheet;
-  __isset = other366.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other380) {
+  version = other380.version;
+  author = other380.author;
+  sheet = other380.sheet;
+  patch = other380.patch;
+  __isset = other380.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other367) noexcept {
-  version = other367.version;
-  author = std::move(other367.author);
-  sheet = std::move(other367.sheet);
-  __isset = other367.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other381) noexcept {
+  version = other381.version;
+  author = std::move(other381.author);
+  sheet = std::move(other381.sheet);
+  patch = std::move(other381.patch);
+  __isset = other381.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -11129,6 +11508,7 @@
   out << "version=" << to_string(version);
   out << ", " << "author=" << to_string(author);
   out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11208,22 +11588,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionQuery::VersionQuery(const VersionQuery& other368) noexcept {
-  sequence = other368.sequence;
-  __isset = other368.__isset;
+VersionQuery::VersionQuery(const VersionQuery& other382) noexcept {
+  sequence = other382.sequence;
+  __isset = other382.__isset;
 }
-VersionQuery::VersionQuery(VersionQuery&& other369) noexcept {
-  sequence = other369.sequence;
-  __isset = other369.__isset;
+VersionQuery::VersionQuery(VersionQuery&& other383) noexcept {
+  sequence = other383.sequence;
+  __isset = other383.__isset;
 }
-VersionQuery& VersionQuery::operator=(const VersionQuery& other370) noexcept {
-  sequence = other370.sequence;
-  __isset = other370.__isset;
+VersionQuery& VersionQuery::operator=(const VersionQuery& other384) noexcept {
+  sequence = other384.sequence;
+  __isset = other384.__isset;
   return *this;
 }
-VersionQuery& VersionQuery::operator=(VersionQuery&& other371) noexcept {
-  sequence = other371.sequence;
-  __isset = other371.__isset;
+VersionQuery& VersionQuery::operator=(VersionQuery&& other385) noexcept {
+  sequence = other385.sequence;
+  __isset = other385.__isset;
   return *this;
 }
 void VersionQuery::printTo(std::ostream& out) const {
@@ -11379,38 +11759,38 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionReply::VersionReply(const VersionReply& other372) {
-  sequence = other372.sequence;
-  version = other372.version;
-  sheet = other372.sheet;
-  zone = other372.zone;
-  evacuations = other372.evacuations;
-  __isset = other372.__isset;
-}
-VersionReply::VersionReply(VersionReply&& other373) noexcept {
-  sequence = other373.sequence;
-  version = other373.version;
-  sheet = std::move(other373.sheet);
-  zone = std::move(other373.zone);
-  evacuations = std::move(other373.evacuations);
-  __isset = other373.__isset;
-}
-VersionReply& VersionReply::operator=(const VersionReply& other374) {
-  sequence = other374.sequence;
-  version = other374.version;
-  sheet = other374.sheet;
-  zone = other374.zone;
-  evacuations = other374.evacuations;
-  __isset = other374.__isset;
+VersionReply::VersionReply(const VersionReply& other386) {
+  sequence = other386.sequence;
+  version = other386.version;
+  sheet = other386.sheet;
+  zone = other386.zone;
+  evacuations = other386.evacuations;
+  __isset = other386.__isset;
+}
+VersionReply::VersionReply(VersionReply&& other387) noexcept {
+  sequence = other387.sequence;
+  version = other387.version;
+  sheet = std::move(other387.sheet);
+  zone = std::move(other387.zone);
+  evacuations = std::move(other387.evacuations);
+  __isset = other387.__isset;
+}
+VersionReply& VersionReply::operator=(const VersionReply& other388) {
+  sequence = other388.sequence;
+  version = other388.version;
+  sheet = other388.sheet;
+  zone = other388.zone;
+  evacuations = other388.evacuations;
+  __isset = other388.__isset;
   return *this;
 }
-VersionReply& VersionReply::operator=(VersionReply&& other375) noexcept {
-  sequence = other375.sequence;
-  version = other375.version;
-  sheet = std::move(other375.sheet);
-  zone = std::move(other375.zone);
-  evacuations = std::move(other375.evacuations);
-  __isset = other375.__isset;
+VersionReply& VersionReply::operator=(VersionReply&& other389) noexcept {
+  sequence = other389.sequence;
+  version = other389.version;
+  sheet = std::move(other389.sheet);
+  zone = std::move(other389.zone);
+  evacuations = std::move(other389.evacuations);
+  __isset = other389.__isset;
   return *this;
 }
 void VersionReply::printTo(std::ostream& out) const {
@@ -11534,30 +11914,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceQuery::FenceQuery(const FenceQuery& other376) {
-  sequence = other376.sequence;
-  backend = other376.backend;
-  agentIncarnation = other376.agentIncarnation;
-  __isset = other376.__isset;
+FenceQuery::FenceQuery(const FenceQuery& other390) {
+  sequence = other390.sequence;
+  backend = other390.backend;
+  agentIncarnation = other390.agentIncarnation;
+  __isset = other390.__isset;
 }
-FenceQuery::FenceQuery(FenceQuery&& other377) noexcept {
-  sequence = other377.sequence;
-  backend = std::move(other377.backend);
-  agentIncarnation = other377.agentIncarnation;
-  __isset = other377.__isset;
+FenceQuery::FenceQuery(FenceQuery&& other391) noexcept {
+  sequence = other391.sequence;
+  backend = std::move(other391.backend);
+  agentIncarnation = other391.agentIncarnation;
+  __isset = other391.__isset;
 }
-FenceQuery& FenceQuery::operator=(const FenceQuery& other378) {
-  sequence = other378.sequence;
-  backend = other378.backend;
-  agentIncarnation = other378.agentIncarnation;
-  __isset = other378.__isset;
+FenceQuery& FenceQuery::operator=(const FenceQuery& other392) {
+  sequence = other392.sequence;
+  backend = other392.backend;
+  agentIncarnation = other392.agentIncarnation;
+  __isset = other392.__isset;
   return *this;
 }
-FenceQuery& FenceQuery::operator=(FenceQuery&& other379) noexcept {
-  sequence = other379.sequence;
-  backend = std::move(other379.backend);
-  agentIncarnation = other379.agentIncarnation;
-  __isset = other379.__isset;
+FenceQuery& FenceQuery::operator=(FenceQuery&& other393) noexcept {
+  sequence = other393.sequence;
+  backend = std::move(other393.backend);
+  agentIncarnation = other393.agentIncarnation;
+  __isset = other393.__isset;
   return *this;
 }
 void FenceQuery::printTo(std::ostream& out) const {
@@ -11713,38 +12093,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FenceReply::FenceReply(const FenceReply& other380) {
-  sequence = other380.sequence;
-  agentIncarnation = other380.agentIncarnation;
-  granted = other380.granted;
-  leaderHint = other380.leaderHint;
-  fence = other380.fence;
-  __isset = other380.__isset;
+FenceReply::FenceReply(const FenceReply& other394) {
+  sequence = other394.sequence;
+  agentIncarnation = other394.agentIncarnation;
+  granted = other394.granted;
+  leaderHint = other394.leaderHint;
+  fence = other394.fence;
+  __isset = other394.__isset;
 }
-FenceReply::FenceReply(FenceReply&& other381) noexcept {
-  sequence = other381.sequence;
-  agentIncarnation = other381.agentIncarnation;
-  granted = other381.granted;
-  leaderHint = std::move(other381.leaderHint);
-  fence = other381.fence;
-  __isset = other381.__isset;
+FenceReply::FenceReply(FenceReply&& other395) noexcept {
+  sequence = other395.sequence;
+  agentIncarnation = other395.agentIncarnation;
+  granted = other395.granted;
+  leaderHint = std::move(other395.leaderHint);
+  fence = other395.fence;
+  __isset = other395.__isset;
 }
-FenceReply& FenceReply::operator=(const FenceReply& other382) {
-  sequence = other382.sequence;
-  agentIncarnation = other382.agentIncarnation;
-  granted = other382.granted;
-  leaderHint = other382.leaderHint;
-  fence = other382.fence;
-  __isset = other382.__isset;
+FenceReply& FenceReply::operator=(const FenceReply& other396) {
+  sequence = other396.sequence;
+  agentIncarnation = other396.agentIncarnation;
+  granted = other396.granted;
+  leaderHint = other396.leaderHint;
+  fence = other396.fence;
+  __isset = other396.__isset;
   return *this;
 }
-FenceReply& FenceReply::operator=(FenceReply&& other383) noexcept {
-  sequence = other383.sequence;
-  agentIncarnation = other383.agentIncarnation;
-  granted = other383.granted;
-  leaderHint = std::move(other383.leaderHint);
-  fence = other383.fence;
-  __isset = other383.__isset;
+FenceReply& FenceReply::operator=(FenceReply&& other397) noexcept {
+  sequence = other397.sequence;
+  agentIncarnation = other397.agentIncarnation;
+  granted = other397.granted;
+  leaderHint = std::move(other397.leaderHint);
+  fence = other397.fence;
+  __isset = other397.__isset;
   return *this;
 }
 void FenceReply::printTo(std::ostream& out) const {
@@ -11902,38 +12282,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FencedOrder::FencedOrder(const FencedOrder& other384) {
-  backend = other384.backend;
-  token = other384.token;
-  kind = other384.kind;
-  name = other384.name;
-  bytes = other384.bytes;
-  __isset = other384.__isset;
+FencedOrder::FencedOrder(const FencedOrder& other398) {
+  backend = other398.backend;
+  token = other398.token;
+  kind = other398.kind;
+  name = other398.name;
+  bytes = other398.bytes;
+  __isset = other398.__isset;
 }
-FencedOrder::FencedOrder(FencedOrder&& other385) noexcept {
-  backend = std::move(other385.backend);
-  token = other385.token;
-  kind = other385.kind;
-  name = std::move(other385.name);
-  bytes = other385.bytes;
-  __isset = other385.__isset;
+FencedOrder::FencedOrder(FencedOrder&& other399) noexcept {
+  backend = std::move(other399.backend);
+  token = other399.token;
+  kind = other399.kind;
+  name = std::move(other399.name);
+  bytes = other399.bytes;
+  __isset = other399.__isset;
 }
-FencedOrder& FencedOrder::operator=(const FencedOrder& other386) {
-  backend = other386.backend;
-  token = other386.token;
-  kind = other386.kind;
-  name = other386.name;
-  bytes = other386.bytes;
-  __isset = other386.__isset;
+FencedOrder& FencedOrder::operator=(const FencedOrder& other400) {
+  backend = other400.backend;
+  token = other400.token;
+  kind = other400.kind;
+  name = other400.name;
+  bytes = other400.bytes;
+  __isset = other400.__isset;
   return *this;
 }
-FencedOrder& FencedOrder::operator=(FencedOrder&& other387) noexcept {
-  backend = std::move(other387.backend);
-  token = other387.token;
-  kind = other387.kind;
-  name = std::move(other387.name);
-  bytes = other387.bytes;
-  __isset = other387.__isset;
+FencedOrder& FencedOrder::operator=(FencedOrder&& other401) noexcept {
+  backend = std::move(other401.backend);
+  token = other401.token;
+  kind = other401.kind;
+  name = std::move(other401.name);
+  bytes = other401.bytes;
+  __isset = other401.__isset;
   return *this;
 }
 void FencedOrder::printTo(std::ostream& out) const {
@@ -12057,30 +12437,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderReply::OrderReply(const OrderReply& other388) {
-  backend = other388.backend;
-  token = other388.token;
-  status = other388.status;
-  __isset = other388.__isset;
+OrderReply::OrderReply(const OrderReply& other402) {
+  backend = other402.backend;
+  token = other402.token;
+  status = other402.status;
+  __isset = other402.__isset;
 }
-OrderReply::OrderReply(OrderReply&& other389) noexcept {
-  backend = std::move(other389.backend);
-  token = other389.token;
-  status = other389.status;
-  __isset = other389.__isset;
+OrderReply::OrderReply(OrderReply&& other403) noexcept {
+  backend = std::move(other403.backend);
+  token = other403.token;
+  status = other403.status;
+  __isset = other403.__isset;
 }
-OrderReply& OrderReply::operator=(const OrderReply& other390) {
-  backend = other390.backend;
-  token = other390.token;
-  status = other390.status;
-  __isset = other390.__isset;
+OrderReply& OrderReply::operator=(const OrderReply& other404) {
+  backend = other404.backend;
+  token = other404.token;
+  status = other404.status;
+  __isset = other404.__isset;
   return *this;
 }
-OrderReply& OrderReply::operator=(OrderReply&& other391) noexcept {
-  backend = std::move(other391.backend);
-  token = other391.token;
-  status = other391.status;
-  __isset = other391.__isset;
+OrderReply& OrderReply::operator=(OrderReply&& other405) noexcept {
+  backend = std::move(other405.backend);
+  token = other405.token;
+  status = other405.status;
+  __isset = other405.__isset;
   return *this;
 }
 void OrderReply::printTo(std::ostream& out) const {
@@ -12202,30 +12582,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRange::StepRange(const StepRange& other392) noexcept {
-  mapVersion = other392.mapVersion;
-  first = other392.first;
-  last = other392.last;
-  __isset = other392.__isset;
+StepRange::StepRange(const StepRange& other406) noexcept {
+  mapVersion = other406.mapVersion;
+  first = other406.first;
+  last = other406.last;
+  __isset = other406.__isset;
 }
-StepRange::StepRange(StepRange&& other393) noexcept {
-  mapVersion = other393.mapVersion;
-  first = other393.first;
-  last = other393.last;
-  __isset = other393.__isset;
+StepRange::StepRange(StepRange&& other407) noexcept {
+  mapVersion = other407.mapVersion;
+  first = other407.first;
+  last = other407.last;
+  __isset = other407.__isset;
 }
-StepRange& StepRange::operator=(const StepRange& other394) noexcept {
-  mapVersion = other394.mapVersion;
-  first = other394.first;
-  last = other394.last;
-  __isset = other394.__isset;
+StepRange& StepRange::operator=(const StepRange& other408) noexcept {
+  mapVersion = other408.mapVersion;
+  first = other408.first;
+  last = other408.last;
+  __isset = other408.__isset;
   return *this;
 }
-StepRange& StepRange::operator=(StepRange&& other395) noexcept {
-  mapVersion = other395.mapVersion;
-  first = other395.first;
-  last = other395.last;
-  __isset = other395.__isset;
+StepRange& StepRange::operator=(StepRange&& other409) noexcept {
+  mapVersion = other409.mapVersion;
+  first = other409.first;
+  last = other409.last;
+  __isset = other409.__isset;
   return *this;
 }
 void StepRange::printTo(std::ostream& out) const {
@@ -12330,26 +12710,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ExpertMap::ExpertMap(const ExpertMap& other396) {
-  version = other396.version;
-  slots = other396.slots;
-  __isset = other396.__isset;
+ExpertMap::ExpertMap(const ExpertMap& other410) {
+  version = other410.version;
+  slots = other410.slots;
+  __isset = other410.__isset;
 }
-ExpertMap::ExpertMap(ExpertMap&& other397) noexcept {
-  version = other397.version;
-  slots = std::move(other397.slots);
-  __isset = other397.__isset;
+ExpertMap::ExpertMap(ExpertMap&& other411) noexcept {
+  version = other411.version;
+  slots = std::move(other411.slots);
+  __isset = other411.__isset;
 }
-ExpertMap& ExpertMap::operator=(const ExpertMap& other398) {
-  version = other398.version;
-  slots = other398.slots;
-  __isset = other398.__isset;
+ExpertMap& ExpertMap::operator=(const ExpertMap& other412) {
+  version = other412.version;
+  slots = other412.slots;
+  __isset = other412.__isset;
   return *this;
 }
-ExpertMap& ExpertMap::operator=(ExpertMap&& other399) noexcept {
-  version = other399.version;
-  slots = std::move(other399.slots);
-  __isset = other399.__isset;
+ExpertMap& ExpertMap::operator=(ExpertMap&& other413) noexcept {
+  version = other413.version;
+  slots = std::move(other413.slots);
+  __isset = other413.__isset;
   return *this;
 }
 void ExpertMap::printTo(std::ostream& out) const {
@@ -12504,14 +12884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loaded.clear();
-            uint32_t _size400;
-            ::apache::thrift::protocol::TType _etype403;
-            xfer += iprot->readListBegin(_etype403, _size400);
-            this->loaded.resize(_size400);
-            uint32_t _i404;
-            for (_i404 = 0; _i404 < _size400; ++_i404)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->loaded.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += iprot->readI64(this->loaded[_i404]);
+              xfer += iprot->readI64(this->loaded[_i418]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12540,14 +12920,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size405;
-            ::apache::thrift::protocol::TType _etype408;
-            xfer += iprot->readListBegin(_etype408, _size405);
-            this->cells.resize(_size405);
-            uint32_t _i409;
-            for (_i409 = 0; _i409 < _size405; ++_i409)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->cells.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += iprot->readI32(this->cells[_i409]);
+              xfer += iprot->readI32(this->cells[_i423]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12560,14 +12940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size410;
-            ::apache::thrift::protocol::TType _etype413;
-            xfer += iprot->readListBegin(_etype413, _size410);
-            this->counts.resize(_size410);
-            uint32_t _i414;
-            for (_i414 = 0; _i414 < _size410; ++_i414)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->counts.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += iprot->readI32(this->counts[_i414]);
+              xfer += iprot->readI32(this->counts[_i428]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12632,10 +13012,10 @@
   xfer += oprot->writeFieldBegin("loaded", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->loaded.size()));
-    std::vector<int64_t> ::const_iterator _iter415;
-    for (_iter415 = this->loaded.begin(); _iter415 != this->loaded.end(); ++_iter415)
+    std::vector<int64_t> ::const_iterator _iter429;
+    for (_iter429 = this->loaded.begin(); _iter429 != this->loaded.end(); ++_iter429)
     {
-      xfer += oprot->writeI64((*_iter415));
+      xfer += oprot->writeI64((*_iter429));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12652,10 +13032,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cells.size()));
-    std::vector<int32_t> ::const_iterator _iter416;
-    for (_iter416 = this->cells.begin(); _iter416 != this->cells.end(); ++_iter416)
+    std::vector<int32_t> ::const_iterator _iter430;
+    for (_iter430 = this->cells.begin(); _iter430 != this->cells.end(); ++_iter430)
     {
-      xfer += oprot->writeI32((*_iter416));
+      xfer += oprot->writeI32((*_iter430));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12664,10 +13044,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter417;
-    for (_iter417 = this->counts.begin(); _iter417 != this->counts.end(); ++_iter417)
+    std::vector<int32_t> ::const_iterator _iter431;
+    for (_iter431 = this->counts.begin(); _iter431 != this->counts.end(); ++_iter431)
     {
-      xfer += oprot->writeI32((*_iter417));
+      xfer += oprot->writeI32((*_iter431));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12700,70 +13080,70 @@
   swap(a.__isset, b.__isset);
 }
 
-RankReport::RankReport(const RankReport& other418) {
-  sequence = other418.sequence;
-  group = other418.group;
-  shape = other418.shape;
-  rank = other418.rank;
-  incarnation = other418.incarnation;
-  step = other418.step;
-  granted = other418.granted;
-  loaded = other418.loaded;
-  window = other418.window;
-  windowMicros = other418.windowMicros;
-  cells = other418.cells;
-  counts = other418.counts;
-  windowSteps = other418.windowSteps;
-  __isset = other418.__isset;
-}
-RankReport::RankReport(RankReport&& other419) noexcept {
-  sequence = other419.sequence;
-  group = std::move(other419.group);
-  shape = std::move(other419.shape);
-  rank = other419.rank;
-  incarnation = other419.incarnation;
-  step = other419.step;
-  granted = other419.granted;
-  loaded = std::move(other419.loaded);
-  window = other419.window;
-  windowMicros = other419.windowMicros;
-  cells = std::move(other419.cells);
-  counts = std::move(other419.counts);
-  windowSteps = other419.windowSteps;
-  __isset = other419.__isset;
-}
-RankReport& RankReport::operator=(const RankReport& other420) {
-  sequence = other420.sequence;
-  group = other420.group;
-  shape = other420.shape;
-  rank = other420.rank;
-  incarnation = other420.incarnation;
-  step = other420.step;
-  granted = other420.granted;
-  loaded = other420.loaded;
-  window = other420.window;
-  windowMicros = other420.windowMicros;
-  cells = other420.cells;
-  counts = other420.counts;
-  windowSteps = other420.windowSteps;
-  __isset = other420.__isset;
+RankReport::RankReport(const RankReport& other432) {
+  sequence = other432.sequence;
+  group = other432.group;
+  shape = other432.shape;
+  rank = other432.rank;
+  incarnation = other432.incarnation;
+  step = other432.step;
+  granted = other432.granted;
+  loaded = other432.loaded;
+  window = other432.window;
+  windowMicros = other432.windowMicros;
+  cells = other432.cells;
+  counts = other432.counts;
+  windowSteps = other432.windowSteps;
+  __isset = other432.__isset;
+}
+RankReport::RankReport(RankReport&& other433) noexcept {
+  sequence = other433.sequence;
+  group = std::move(other433.group);
+  shape = std::move(other433.shape);
+  rank = other433.rank;
+  incarnation = other433.incarnation;
+  step = other433.step;
+  granted = other433.granted;
+  loaded = std::move(other433.loaded);
+  window = other433.window;
+  windowMicros = other433.windowMicros;
+  cells = std::move(other433.cells);
+  counts = std::move(other433.counts);
+  windowSteps = other433.windowSteps;
+  __isset = other433.__isset;
+}
+RankReport& RankReport::operator=(const RankReport& other434) {
+  sequence = other434.sequence;
+  group = other434.group;
+  shape = other434.shape;
+  rank = other434.rank;
+  incarnation = other434.incarnation;
+  step = other434.step;
+  granted = other434.granted;
+  loaded = other434.loaded;
+  window = other434.window;
+  windowMicros = other434.windowMicros;
+  cells = other434.cells;
+  counts = other434.counts;
+  windowSteps = other434.windowSteps;
+  __isset = other434.__isset;
   return *this;
 }
-RankReport& RankReport::operator=(RankReport&& other421) noexcept {
-  sequence = other421.sequence;
-  group = std::move(other421.group);
-  shape = std::move(other421.shape);
-  rank = other421.rank;
-  incarnation = other421.incarnation;
-  step = other421.step;
-  granted = other421.granted;
-  loaded = std::move(other421.loaded);
-  window = other421.window;
-  windowMicros = other421.windowMicros;
-  cells = std::move(other421.cells);
-  counts = std::move(other421.counts);
-  windowSteps = other421.windowSteps;
-  __isset = other421.__isset;
+RankReport& RankReport::operator=(RankReport&& other435) noexcept {
+  sequence = other435.sequence;
+  group = std::move(other435.group);
+  shape = std::move(other435.shape);
+  rank = other435.rank;
+  incarnation = other435.incarnation;
+  step = other435.step;
+  granted = other435.granted;
+  loaded = std::move(other435.loaded);
+  window = other435.window;
+  windowMicros = other435.windowMicros;
+  cells = std::move(other435.cells);
+  counts = std::move(other435.counts);
+  windowSteps = other435.windowSteps;
+  __isset = other435.__isset;
   return *this;
 }
 void RankReport::printTo(std::ostream& out) const {
@@ -12885,14 +13265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->ranges.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->ranges.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += this->ranges[_i426].read(iprot);
+              xfer += this->ranges[_i440].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12921,14 +13301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size427;
-            ::apache::thrift::protocol::TType _etype430;
-            xfer += iprot->readListBegin(_etype430, _size427);
-            this->maps.resize(_size427);
-            uint32_t _i431;
-            for (_i431 = 0; _i431 < _size427; ++_i431)
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->maps.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
             {
-              xfer += this->maps[_i431].read(iprot);
+              xfer += this->maps[_i445].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12973,10 +13353,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter432;
-    for (_iter432 = this->ranges.begin(); _iter432 != this->ranges.end(); ++_iter432)
+    std::vector<StepRange> ::const_iterator _iter446;
+    for (_iter446 = this->ranges.begin(); _iter446 != this->ranges.end(); ++_iter446)
     {
-      xfer += (*_iter432).write(oprot);
+      xfer += (*_iter446).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12993,10 +13373,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter433;
-    for (_iter433 = this->maps.begin(); _iter433 != this->maps.end(); ++_iter433)
+    std::vector<ExpertMap> ::const_iterator _iter447;
+    for (_iter447 = this->maps.begin(); _iter447 != this->maps.end(); ++_iter447)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter447).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13020,50 +13400,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StepGrant::StepGrant(const StepGrant& other434) {
-  sequence = other434.sequence;
-  group = other434.group;
-  leads = other434.leads;
-  leaderHint = other434.leaderHint;
-  ranges = other434.ranges;
-  loadMap = other434.loadMap;
-  droppableThrough = other434.droppableThrough;
-  maps = other434.maps;
-  __isset = other434.__isset;
-}
-StepGrant::StepGrant(StepGrant&& other435) noexcept {
-  sequence = other435.sequence;
-  group = std::move(other435.group);
-  leads = other435.leads;
-  leaderHint = std::move(other435.leaderHint);
-  ranges = std::move(other435.ranges);
-  loadMap = other435.loadMap;
-  droppableThrough = other435.droppableThrough;
-  maps = std::move(other435.maps);
-  __isset = other435.__isset;
-}
-StepGrant& StepGrant::operator=(const StepGrant& other436) {
-  sequence = other436.sequence;
-  group = other436.group;
-  leads = other436.leads;
-  leaderHint = other436.leaderHint;
-  ranges = other436.ranges;
-  loadMap = other436.loadMap;
-  droppableThrough = other436.droppableThrough;
-  maps = other436.maps;
-  __isset = other436.__isset;
+StepGrant::StepGrant(const StepGrant& other448) {
+  sequence = other448.sequence;
+  group = other448.group;
+  leads = other448.leads;
+  leaderHint = other448.leaderHint;
+  ranges = other448.ranges;
+  loadMap = other448.loadMap;
+  droppableThrough = other448.droppableThrough;
+  maps = other448.maps;
+  __isset = other448.__isset;
+}
+StepGrant::StepGrant(StepGrant&& other449) noexcept {
+  sequence = other449.sequence;
+  group = std::move(other449.group);
+  leads = other449.leads;
+  leaderHint = std::move(other449.leaderHint);
+  ranges = std::move(other449.ranges);
+  loadMap = other449.loadMap;
+  droppableThrough = other449.droppableThrough;
+  maps = std::move(other449.maps);
+  __isset = other449.__isset;
+}
+StepGrant& StepGrant::operator=(const StepGrant& other450) {
+  sequence = other450.sequence;
+  group = other450.group;
+  leads = other450.leads;
+  leaderHint = other450.leaderHint;
+  ranges = other450.ranges;
+  loadMap = other450.loadMap;
+  droppableThrough = other450.droppableThrough;
+  maps = other450.maps;
+  __isset = other450.__isset;
   return *this;
 }
-StepGrant& StepGrant::operator=(StepGrant&& other437) noexcept {
-  sequence = other437.sequence;
-  group = std::move(other437.group);
-  leads = other437.leads;
-  leaderHint = std::move(other437.leaderHint);
-  ranges = std::move(other437.ranges);
-  loadMap = other437.loadMap;
-  droppableThrough = other437.droppableThrough;
-  maps = std::move(other437.maps);
-  __isset = other437.__isset;
+StepGrant& StepGrant::operator=(StepGrant&& other451) noexcept {
+  sequence = other451.sequence;
+  group = std::move(other451.group);
+  leads = other451.leads;
+  leaderHint = std::move(other451.leaderHint);
+  ranges = std::move(other451.ranges);
+  loadMap = other451.loadMap;
+  droppableThrough = other451.droppableThrough;
+  maps = std::move(other451.maps);
+  __isset = other451.__isset;
   return *this;
 }
 void StepGrant::printTo(std::ostream& out) const {
@@ -13292,14 +13672,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size438;
-            ::apache::thrift::protocol::TType _etype441;
-            xfer += iprot->readListBegin(_etype441, _size438);
-            this->counts.resize(_size438);
-            uint32_t _i442;
-            for (_i442 = 0; _i442 < _size438; ++_i442)
+            uint32_t _size452;
+            ::apache::thrift::protocol::TType _etype455;
+            xfer += iprot->readListBegin(_etype455, _size452);
+            this->counts.resize(_size452);
+            uint32_t _i456;
+            for (_i456 = 0; _i456 < _size452; ++_i456)
             {
-              xfer += iprot->readI32(this->counts[_i442]);
+              xfer += iprot->readI32(this->counts[_i456]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13312,14 +13692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size443;
-            ::apache::thrift::protocol::TType _etype446;
-            xfer += iprot->readListBegin(_etype446, _size443);
-            this->experts.resize(_size443);
-            uint32_t _i447;
-            for (_i447 = 0; _i447 < _size443; ++_i447)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->experts.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += iprot->readI32(this->experts[_i447]);
+              xfer += iprot->readI32(this->experts[_i461]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13444,10 +13824,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter448;
-    for (_iter448 = this->counts.begin(); _iter448 != this->counts.end(); ++_iter448)
+    std::vector<int32_t> ::const_iterator _iter462;
+    for (_iter462 = this->counts.begin(); _iter462 != this->counts.end(); ++_iter462)
     {
-      xfer += oprot->writeI32((*_iter448));
+      xfer += oprot->writeI32((*_iter462));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13456,10 +13836,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter449;
-    for (_iter449 = this->experts.begin(); _iter449 != this->experts.end(); ++_iter449)
+    std::vector<int32_t> ::const_iterator _iter463;
+    for (_iter463 = this->experts.begin(); _iter463 != this->experts.end(); ++_iter463)
     {
-      xfer += oprot->writeI32((*_iter449));
+      xfer += oprot->writeI32((*_iter463));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13519,98 +13899,98 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatus::EngineStatus(const EngineStatus& other450) {
-  sequence = other450.sequence;
-  group = other450.group;
-  epoch = other450.epoch;
-  rank = other450.rank;
-  ranks = other450.ranks;
-  open = other450.open;
-  step = other450.step;
-  mapVersion = other450.mapVersion;
-  preparedVersion = other450.preparedVersion;
-  armedVersion = other450.armedVersion;
-  armedStep = other450.armedStep;
-  heldStep = other450.heldStep;
-  counts = other450.counts;
-  experts = other450.experts;
-  lastCommand = other450.lastCommand;
-  lastResult = other450.lastResult;
-  uncertainMicros = other450.uncertainMicros;
-  address = other450.address;
-  running = other450.running;
-  waiting = other450.waiting;
-  __isset = other450.__isset;
+EngineStatus::EngineStatus(const EngineStatus& other464) {
+  sequence = other464.sequence;
+  group = other464.group;
+  epoch = other464.epoch;
+  rank = other464.rank;
+  ranks = other464.ranks;
+  open = other464.open;
+  step = other464.step;
+  mapVersion = other464.mapVersion;
+  preparedVersion = other464.preparedVersion;
+  armedVersion = other464.armedVersion;
+  armedStep = other464.armedStep;
+  heldStep = other464.heldStep;
+  counts = other464.counts;
+  experts = other464.experts;
+  lastCommand = other464.lastCommand;
+  lastResult = other464.lastResult;
+  uncertainMicros = other464.uncertainMicros;
+  address = other464.address;
+  running = other464.running;
+  waiting = other464.waiting;
+  __isset = other464.__isset;
 }
-EngineStatus::EngineStatus(EngineStatus&& other451) noexcept {
-  sequence = other451.sequence;
-  group = std::move(other451.group);
-  epoch = other451.epoch;
-  rank = other451.rank;
-  ranks = other451.ranks;
-  open = other451.open;
-  step = other451.step;
-  mapVersion = other451.mapVersion;
-  preparedVersion = other451.preparedVersion;
-  armedVersion = other451.armedVersion;
-  armedStep = other451.armedStep;
-  heldStep = other451.heldStep;
-  counts = std::move(other451.counts);
-  experts = std::move(other451.experts);
-  lastCommand = other451.lastCommand;
-  lastResult = other451.lastResult;
-  uncertainMicros = other451.uncertainMicros;
-  address = std::move(other451.address);
-  running = other451.running;
-  waiting = other451.waiting;
-  __isset = other451.__isset;
+EngineStatus::EngineStatus(EngineStatus&& other465) noexcept {
+  sequence = other465.sequence;
+  group = std::move(other465.group);
+  epoch = other465.epoch;
+  rank = other465.rank;
+  ranks = other465.ranks;
+  open = other465.open;
+  step = other465.step;
+  mapVersion = other465.mapVersion;
+  preparedVersion = other465.preparedVersion;
+  armedVersion = other465.armedVersion;
+  armedStep = other465.armedStep;
+  heldStep = other465.heldStep;
+  counts = std::move(other465.counts);
+  experts = std::move(other465.experts);
+  lastCommand = other465.lastCommand;
+  lastResult = other465.lastResult;
+  uncertainMicros = other465.uncertainMicros;
+  address = std::move(other465.address);
+  running = other465.running;
+  waiting = other465.waiting;
+  __isset = other465.__isset;
 }
-EngineStatus& EngineStatus::operator=(const EngineStatus& other452) {
-  sequence = other452.sequence;
-  group = other452.group;
-  epoch = other452.epoch;
-  rank = other452.rank;
-  ranks = other452.ranks;
-  open = other452.open;
-  step = other452.step;
-  mapVersion = other452.mapVersion;
-  preparedVersion = other452.preparedVersion;
-  armedVersion = other452.armedVersion;
-  armedStep = other452.armedStep;
-  heldStep = other452.heldStep;
-  counts = other452.counts;
-  experts = other452.experts;
-  lastCommand = other452.lastCommand;
-  lastResult = other452.lastResult;
-  uncertainMicros = other452.uncertainMicros;
-  address = other452.address;
-  running = other452.running;
-  waiting = other452.waiting;
-  __isset = other452.__isset;
+EngineStatus& EngineStatus::operator=(const EngineStatus& other466) {
+  sequence = other466.sequence;
+  group = other466.group;
+  epoch = other466.epoch;
+  rank = other466.rank;
+  ranks = other466.ranks;
+  open = other466.open;
+  step = other466.step;
+  mapVersion = other466.mapVersion;
+  preparedVersion = other466.preparedVersion;
+  armedVersion = other466.armedVersion;
+  armedStep = other466.armedStep;
+  heldStep = other466.heldStep;
+  counts = other466.counts;
+  experts = other466.experts;
+  lastCommand = other466.lastCommand;
+  lastResult = other466.lastResult;
+  uncertainMicros = other466.uncertainMicros;
+  address = other466.address;
+  running = other466.running;
+  waiting = other466.waiting;
+  __isset = other466.__isset;
   return *this;
 }
-EngineStatus& EngineStatus::operator=(EngineStatus&& other453) noexcept {
-  sequence = other453.sequence;
-  group = std::move(other453.group);
-  epoch = other453.epoch;
-  rank = other453.rank;
-  ranks = other453.ranks;
-  open = other453.open;
-  step = other453.step;
-  mapVersion = other453.mapVersion;
-  preparedVersion = other453.preparedVersion;
-  armedVersion = other453.armedVersion;
-  armedStep = other453.armedStep;
-  heldStep = other453.heldStep;
-  counts = std::move(other453.counts);
-  experts = std::move(other453.experts);
-  lastCommand = other453.lastCommand;
-  lastResult = other453.lastResult;
-  uncertainMicros = other453.uncertainMicros;
-  address = std::move(other453.address);
-  running = other453.running;
-  waiting = other453.waiting;
-  __isset = other453.__isset;
+EngineStatus& EngineStatus::operator=(EngineStatus&& other467) noexcept {
+  sequence = other467.sequence;
+  group = std::move(other467.group);
+  epoch = other467.epoch;
+  rank = other467.rank;
+  ranks = other467.ranks;
+  open = other467.open;
+  step = other467.step;
+  mapVersion = other467.mapVersion;
+  preparedVersion = other467.preparedVersion;
+  armedVersion = other467.armedVersion;
+  armedStep = other467.armedStep;
+  heldStep = other467.heldStep;
+  counts = std::move(other467.counts);
+  experts = std::move(other467.experts);
+  lastCommand = other467.lastCommand;
+  lastResult = other467.lastResult;
+  uncertainMicros = other467.uncertainMicros;
+  address = std::move(other467.address);
+  running = other467.running;
+  waiting = other467.waiting;
+  __isset = other467.__isset;
   return *this;
 }
 void EngineStatus::printTo(std::ostream& out) const {
@@ -13766,34 +14146,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineStatusReply::EngineStatusReply(const EngineStatusReply& other454) {
-  sequence = other454.sequence;
-  leads = other454.leads;
-  leaderHint = other454.leaderHint;
-  wantsExperts = other454.wantsExperts;
-  __isset = other454.__isset;
-}
-EngineStatusReply::EngineStatusReply(EngineStatusReply&& other455) noexcept {
-  sequence = other455.sequence;
-  leads = other455.leads;
-  leaderHint = std::move(other455.leaderHint);
-  wantsExperts = other455.wantsExperts;
-  __isset = other455.__isset;
-}
-EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other456) {
-  sequence = other456.sequence;
-  leads = other456.leads;
-  leaderHint = other456.leaderHint;
-  wantsExperts = other456.wantsExperts;
-  __isset = other456.__isset;
+EngineStatusReply::EngineStatusReply(const EngineStatusReply& other468) {
+  sequence = other468.sequence;
+  leads = other468.leads;
+  leaderHint = other468.leaderHint;
+  wantsExperts = other468.wantsExperts;
+  __isset = other468.__isset;
+}
+EngineStatusReply::EngineStatusReply(EngineStatusReply&& other469) noexcept {
+  sequence = other469.sequence;
+  leads = other469.leads;
+  leaderHint = std::move(other469.leaderHint);
+  wantsExperts = other469.wantsExperts;
+  __isset = other469.__isset;
+}
+EngineStatusReply& EngineStatusReply::operator=(const EngineStatusReply& other470) {
+  sequence = other470.sequence;
+  leads = other470.leads;
+  leaderHint = other470.leaderHint;
+  wantsExperts = other470.wantsExperts;
+  __isset = other470.__isset;
   return *this;
 }
-EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other457) noexcept {
-  sequence = other457.sequence;
-  leads = other457.leads;
-  leaderHint = std::move(other457.leaderHint);
-  wantsExperts = other457.wantsExperts;
-  __isset = other457.__isset;
+EngineStatusReply& EngineStatusReply::operator=(EngineStatusReply&& other471) noexcept {
+  sequence = other471.sequence;
+  leads = other471.leads;
+  leaderHint = std::move(other471.leaderHint);
+  wantsExperts = other471.wantsExperts;
+  __isset = other471.__isset;
   return *this;
 }
 void EngineStatusReply::printTo(std::ostream& out) const {
@@ -13926,14 +14306,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->experts.clear();
-            uint32_t _size458;
-            ::apache::thrift::protocol::TType _etype461;
-            xfer += iprot->readListBegin(_etype461, _size458);
-            this->experts.resize(_size458);
-            uint32_t _i462;
-            for (_i462 = 0; _i462 < _size458; ++_i462)
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->experts.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
             {
-              xfer += iprot->readI32(this->experts[_i462]);
+              xfer += iprot->readI32(this->experts[_i476]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14002,10 +14382,10 @@
   xfer += oprot->writeFieldBegin("experts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->experts.size()));
-    std::vector<int32_t> ::const_iterator _iter463;
-    for (_iter463 = this->experts.begin(); _iter463 != this->experts.end(); ++_iter463)
+    std::vector<int32_t> ::const_iterator _iter477;
+    for (_iter477 = this->experts.begin(); _iter477 != this->experts.end(); ++_iter477)
     {
-      xfer += oprot->writeI32((*_iter463));
+      xfer += oprot->writeI32((*_iter477));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14038,54 +14418,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineCommand::EngineCommand(const EngineCommand& other464) {
-  term = other464.term;
-  number = other464.number;
-  epoch = other464.epoch;
-  operation = other464.operation;
-  mapVersion = other464.mapVersion;
-  step = other464.step;
-  experts = other464.experts;
-  sets = other464.sets;
-  ranks = other464.ranks;
-  __isset = other464.__isset;
+EngineCommand::EngineCommand(const EngineCommand& other478) {
+  term = other478.term;
+  number = other478.number;
+  epoch = other478.epoch;
+  operation = other478.operation;
+  mapVersion = other478.mapVersion;
+  step = other478.step;
+  experts = other478.experts;
+  sets = other478.sets;
+  ranks = other478.ranks;
+  __isset = other478.__isset;
 }
-EngineCommand::EngineCommand(EngineCommand&& other465) noexcept {
-  term = other465.term;
-  number = other465.number;
-  epoch = other465.epoch;
-  operation = other465.operation;
-  mapVersion = other465.mapVersion;
-  step = other465.step;
-  experts = std::move(other465.experts);
-  sets = other465.sets;
-  ranks = other465.ranks;
-  __isset = other465.__isset;
+EngineCommand::EngineCommand(EngineCommand&& other479) noexcept {
+  term = other479.term;
+  number = other479.number;
+  epoch = other479.epoch;
+  operation = other479.operation;
+  mapVersion = other479.mapVersion;
+  step = other479.step;
+  experts = std::move(other479.experts);
+  sets = other479.sets;
+  ranks = other479.ranks;
+  __isset = other479.__isset;
 }
-EngineCommand& EngineCommand::operator=(const EngineCommand& other466) {
-  term = other466.term;
-  number = other466.number;
-  epoch = other466.epoch;
-  operation = other466.operation;
-  mapVersion = other466.mapVersion;
-  step = other466.step;
-  experts = other466.experts;
-  sets = other466.sets;
-  ranks = other466.ranks;
-  __isset = other466.__isset;
+EngineCommand& EngineCommand::operator=(const EngineCommand& other480) {
+  term = other480.term;
+  number = other480.number;
+  epoch = other480.epoch;
+  operation = other480.operation;
+  mapVersion = other480.mapVersion;
+  step = other480.step;
+  experts = other480.experts;
+  sets = other480.sets;
+  ranks = other480.ranks;
+  __isset = other480.__isset;
   return *this;
 }
-EngineCommand& EngineCommand::operator=(EngineCommand&& other467) noexcept {
-  term = other467.term;
-  number = other467.number;
-  epoch = other467.epoch;
-  operation = other467.operation;
-  mapVersion = other467.mapVersion;
-  step = other467.step;
-  experts = std::move(other467.experts);
-  sets = other467.sets;
-  ranks = other467.ranks;
-  __isset = other467.__isset;
+EngineCommand& EngineCommand::operator=(EngineCommand&& other481) noexcept {
+  term = other481.term;
+  number = other481.number;
+  epoch = other481.epoch;
+  operation = other481.operation;
+  mapVersion = other481.mapVersion;
+  step = other481.step;
+  experts = std::move(other481.experts);
+  sets = other481.sets;
+  ranks = other481.ranks;
+  __isset = other481.__isset;
   return *this;
 }
 void EngineCommand::printTo(std::ostream& out) const {
@@ -14230,34 +14610,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLoad::EngineLoad(const EngineLoad& other468) {
-  address = other468.address;
-  running = other468.running;
-  waiting = other468.waiting;
-  ageMillis = other468.ageMillis;
-  __isset = other468.__isset;
-}
-EngineLoad::EngineLoad(EngineLoad&& other469) noexcept {
-  address = std::move(other469.address);
-  running = other469.running;
-  waiting = other469.waiting;
-  ageMillis = other469.ageMillis;
-  __isset = other469.__isset;
-}
-EngineLoad& EngineLoad::operator=(const EngineLoad& other470) {
-  address = other470.address;
-  running = other470.running;
-  waiting = other470.waiting;
-  ageMillis = other470.ageMillis;
-  __isset = other470.__isset;
+EngineLoad::EngineLoad(const EngineLoad& other482) {
+  address = other482.address;
+  running = other482.running;
+  waiting = other482.waiting;
+  ageMillis = other482.ageMillis;
+  __isset = other482.__isset;
+}
+EngineLoad::EngineLoad(EngineLoad&& other483) noexcept {
+  address = std::move(other483.address);
+  running = other483.running;
+  waiting = other483.waiting;
+  ageMillis = other483.ageMillis;
+  __isset = other483.__isset;
+}
+EngineLoad& EngineLoad::operator=(const EngineLoad& other484) {
+  address = other484.address;
+  running = other484.running;
+  waiting = other484.waiting;
+  ageMillis = other484.ageMillis;
+  __isset = other484.__isset;
   return *this;
 }
-EngineLoad& EngineLoad::operator=(EngineLoad&& other471) noexcept {
-  address = std::move(other471.address);
-  running = other471.running;
-  waiting = other471.waiting;
-  ageMillis = other471.ageMillis;
-  __isset = other471.__isset;
+EngineLoad& EngineLoad::operator=(EngineLoad&& other485) noexcept {
+  address = std::move(other485.address);
+  running = other485.running;
+  waiting = other485.waiting;
+  ageMillis = other485.ageMillis;
+  __isset = other485.__isset;
   return *this;
 }
 void EngineLoad::printTo(std::ostream& out) const {
@@ -14358,14 +14738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size472;
-            ::apache::thrift::protocol::TType _etype475;
-            xfer += iprot->readListBegin(_etype475, _size472);
-            this->engines.resize(_size472);
-            uint32_t _i476;
-            for (_i476 = 0; _i476 < _size472; ++_i476)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->engines.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += this->engines[_i476].read(iprot);
+              xfer += this->engines[_i490].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14442,10 +14822,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineLoad> ::const_iterator _iter477;
-    for (_iter477 = this->engines.begin(); _iter477 != this->engines.end(); ++_iter477)
+    std::vector<EngineLoad> ::const_iterator _iter491;
+    for (_iter491 = this->engines.begin(); _iter491 != this->engines.end(); ++_iter491)
     {
-      xfer += (*_iter477).write(oprot);
+      xfer += (*_iter491).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14493,50 +14873,50 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetLoad::FleetLoad(const FleetLoad& other478) {
-  open = other478.open;
-  passMicros = other478.passMicros;
-  engines = other478.engines;
-  entries = other478.entries;
-  group = other478.group;
-  epoch = other478.epoch;
-  term = other478.term;
-  sequence = other478.sequence;
-  __isset = other478.__isset;
-}
-FleetLoad::FleetLoad(FleetLoad&& other479) noexcept {
-  open = other479.open;
-  passMicros = other479.passMicros;
-  engines = std::move(other479.engines);
-  entries = other479.entries;
-  group = std::move(other479.group);
-  epoch = other479.epoch;
-  term = other479.term;
-  sequence = other479.sequence;
-  __isset = other479.__isset;
-}
-FleetLoad& FleetLoad::operator=(const FleetLoad& other480) {
-  open = other480.open;
-  passMicros = other480.passMicros;
-  engines = other480.engines;
-  entries = other480.entries;
-  group = other480.group;
-  epoch = other480.epoch;
-  term = other480.term;
-  sequence = other480.sequence;
-  __isset = other480.__isset;
+FleetLoad::FleetLoad(const FleetLoad& other492) {
+  open = other492.open;
+  passMicros = other492.passMicros;
+  engines = other492.engines;
+  entries = other492.entries;
+  group = other492.group;
+  epoch = other492.epoch;
+  term = other492.term;
+  sequence = other492.sequence;
+  __isset = other492.__isset;
+}
+FleetLoad::FleetLoad(FleetLoad&& other493) noexcept {
+  open = other493.open;
+  passMicros = other493.passMicros;
+  engines = std::move(other493.engines);
+  entries = other493.entries;
+  group = std::move(other493.group);
+  epoch = other493.epoch;
+  term = other493.term;
+  sequence = other493.sequence;
+  __isset = other493.__isset;
+}
+FleetLoad& FleetLoad::operator=(const FleetLoad& other494) {
+  open = other494.open;
+  passMicros = other494.passMicros;
+  engines = other494.engines;
+  entries = other494.entries;
+  group = other494.group;
+  epoch = other494.epoch;
+  term = other494.term;
+  sequence = other494.sequence;
+  __isset = other494.__isset;
   return *this;
 }
-FleetLoad& FleetLoad::operator=(FleetLoad&& other481) noexcept {
-  open = other481.open;
-  passMicros = other481.passMicros;
-  engines = std::move(other481.engines);
-  entries = other481.entries;
-  group = std::move(other481.group);
-  epoch = other481.epoch;
-  term = other481.term;
-  sequence = other481.sequence;
-  __isset = other481.__isset;
+FleetLoad& FleetLoad::operator=(FleetLoad&& other495) noexcept {
+  open = other495.open;
+  passMicros = other495.passMicros;
+  engines = std::move(other495.engines);
+  entries = other495.entries;
+  group = std::move(other495.group);
+  epoch = other495.epoch;
+  term = other495.term;
+  sequence = other495.sequence;
+  __isset = other495.__isset;
   return *this;
 }
 void FleetLoad::printTo(std::ostream& out) const {
@@ -14653,14 +15033,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size482;
-            ::apache::thrift::protocol::TType _etype485;
-            xfer += iprot->readListBegin(_etype485, _size482);
-            this->ranges.resize(_size482);
-            uint32_t _i486;
-            for (_i486 = 0; _i486 < _size482; ++_i486)
+            uint32_t _size496;
+            ::apache::thrift::protocol::TType _etype499;
+            xfer += iprot->readListBegin(_etype499, _size496);
+            this->ranges.resize(_size496);
+            uint32_t _i500;
+            for (_i500 = 0; _i500 < _size496; ++_i500)
             {
-              xfer += this->ranges[_i486].read(iprot);
+              xfer += this->ranges[_i500].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14689,14 +15069,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->maps.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->maps.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size501;
+            ::apache::thrift::protocol::TType _etype504;
+            xfer += iprot->readListBegin(_etype504, _size501);
+            this->maps.resize(_size501);
+            uint32_t _i505;
+            for (_i505 = 0; _i505 < _size501; ++_i505)
             {
-              xfer += this->maps[_i491].read(iprot);
+              xfer += this->maps[_i505].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14781,10 +15161,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<StepRange> ::const_iterator _iter492;
-    for (_iter492 = this->ranges.begin(); _iter492 != this->ranges.end(); ++_iter492)
+    std::vector<StepRange> ::const_iterator _iter506;
+    for (_iter506 = this->ranges.begin(); _iter506 != this->ranges.end(); ++_iter506)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter506).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14801,10 +15181,10 @@
   xfer += oprot->writeFieldBegin("maps", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->maps.size()));
-    std::vector<ExpertMap> ::const_iterator _iter493;
-    for (_iter493 = this->maps.begin(); _iter493 != this->maps.end(); ++_iter493)
+    std::vector<ExpertMap> ::const_iterator _iter507;
+    for (_iter507 = this->maps.begin(); _iter507 != this->maps.end(); ++_iter507)
     {
-      xfer += (*_iter493).write(oprot);
+      xfer += (*_iter507).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14856,66 +15236,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StateGroup::StateGroup(const StateGroup& other494) {
-  name = other494.name;
-  shape = other494.shape;
-  ranges = other494.ranges;
-  proposed = other494.proposed;
-  highestMap = other494.highestMap;
-  maps = other494.maps;
-  pinned = other494.pinned;
-  changedMap = other494.changedMap;
-  reason = other494.reason;
-  bytes = other494.bytes;
-  bytesMoved = other494.bytesMoved;
-  changes = other494.changes;
-  __isset = other494.__isset;
+StateGroup::StateGroup(const StateGroup& other508) {
+  name = other508.name;
+  shape = other508.shape;
+  ranges = other508.ranges;
+  proposed = other508.proposed;
+  highestMap = other508.highestMap;
+  maps = other508.maps;
+  pinned = other508.pinned;
+  changedMap = other508.changedMap;
+  reason = other508.reason;
+  bytes = other508.bytes;
+  bytesMoved = other508.bytesMoved;
+  changes = other508.changes;
+  __isset = other508.__isset;
 }
-StateGroup::StateGroup(StateGroup&& other495) noexcept {
-  name = std::move(other495.name);
-  shape = std::move(other495.shape);
-  ranges = std::move(other495.ranges);
-  proposed = other495.proposed;
-  highestMap = other495.highestMap;
-  maps = std::move(other495.maps);
-  pinned = other495.pinned;
-  changedMap = other495.changedMap;
-  reason = std::move(other495.reason);
-  bytes = other495.bytes;
-  bytesMoved = other495.bytesMoved;
-  changes = other495.changes;
-  __isset = other495.__isset;
+StateGroup::StateGroup(StateGroup&& other509) noexcept {
+  name = std::move(other509.name);
+  shape = std::move(other509.shape);
+  ranges = std::move(other509.ranges);
+  proposed = other509.proposed;
+  highestMap = other509.highestMap;
+  maps = std::move(other509.maps);
+  pinned = other509.pinned;
+  changedMap = other509.changedMap;
+  reason = std::move(other509.reason);
+  bytes = other509.bytes;
+  bytesMoved = other509.bytesMoved;
+  changes = other509.changes;
+  __isset = other509.__isset;
 }
-StateGroup& StateGroup::operator=(const StateGroup& other496) {
-  name = other496.name;
-  shape = other496.shape;
-  ranges = other496.ranges;
-  proposed = other496.proposed;
-  highestMap = other496.highestMap;
-  maps = other496.maps;
-  pinned = other496.pinned;
-  changedMap = other496.changedMap;
-  reason = other496.reason;
-  bytes = other496.bytes;
-  bytesMoved = other496.bytesMoved;
-  changes = other496.changes;
-  __isset = other496.__isset;
+StateGroup& StateGroup::operator=(const StateGroup& other510) {
+  name = other510.name;
+  shape = other510.shape;
+  ranges = other510.ranges;
+  proposed = other510.proposed;
+  highestMap = other510.highestMap;
+  maps = other510.maps;
+  pinned = other510.pinned;
+  changedMap = other510.changedMap;
+  reason = other510.reason;
+  bytes = other510.bytes;
+  bytesMoved = other510.bytesMoved;
+  changes = other510.changes;
+  __isset = other510.__isset;
   return *this;
 }
-StateGroup& StateGroup::operator=(StateGroup&& other497) noexcept {
-  name = std::move(other497.name);
-  shape = std::move(other497.shape);
-  ranges = std::move(other497.ranges);
-  proposed = other497.proposed;
-  highestMap = other497.highestMap;
-  maps = std::move(other497.maps);
-  pinned = other497.pinned;
-  changedMap = other497.changedMap;
-  reason = std::move(other497.reason);
-  bytes = other497.bytes;
-  bytesMoved = other497.bytesMoved;
-  changes = other497.changes;
-  __isset = other497.__isset;
+StateGroup& StateGroup::operator=(StateGroup&& other511) noexcept {
+  name = std::move(other511.name);
+  shape = std::move(other511.shape);
+  ranges = std::move(other511.ranges);
+  proposed = other511.proposed;
+  highestMap = other511.highestMap;
+  maps = std::move(other511.maps);
+  pinned = other511.pinned;
+  changedMap = other511.changedMap;
+  reason = std::move(other511.reason);
+  bytes = other511.bytes;
+  bytesMoved = other511.bytesMoved;
+  changes = other511.changes;
+  __isset = other511.__isset;
   return *this;
 }
 void StateGroup::printTo(std::ostream& out) const {
@@ -15063,34 +15443,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other498) {
-  version = other498.version;
-  changeId = other498.changeId;
-  author = other498.author;
-  sheetHash = other498.sheetHash;
-  __isset = other498.__isset;
-}
-StateVersion::StateVersion(StateVersion&& other499) noexcept {
-  version = other499.version;
-  changeId = std::move(other499.changeId);
-  author = std::move(other499.author);
-  sheetHash = other499.sheetHash;
-  __isset = other499.__isset;
-}
-StateVersion& StateVersion::operator=(const StateVersion& other500) {
-  version = other500.version;
-  changeId = other500.changeId;
-  author = other500.author;
-  sheetHash = other500.sheetHash;
-  __isset = other500.__isset;
+StateVersion::StateVersion(const StateVersion& other512) {
+  version = other512.version;
+  changeId = other512.changeId;
+  author = other512.author;
+  sheetHash = other512.sheetHash;
+  __isset = other512.__isset;
+}
+StateVersion::StateVersion(StateVersion&& other513) noexcept {
+  version = other513.version;
+  changeId = std::move(other513.changeId);
+  author = std::move(other513.author);
+  sheetHash = other513.sheetHash;
+  __isset = other513.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other514) {
+  version = other514.version;
+  changeId = other514.changeId;
+  author = other514.author;
+  sheetHash = other514.sheetHash;
+  __isset = other514.__isset;
   return *this;
 }
-StateVersion& StateVersion::operator=(StateVersion&& other501) noexcept {
-  version = other501.version;
-  changeId = std::move(other501.changeId);
-  author = std::move(other501.author);
-  sheetHash = other501.sheetHash;
-  __isset = other501.__isset;
+StateVersion& StateVersion::operator=(StateVersion&& other515) noexcept {
+  version = other515.version;
+  changeId = std::move(other515.changeId);
+  author = std::move(other515.author);
+  sheetHash = other515.sheetHash;
+  __isset = other515.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -15264,42 +15644,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StateChange::StateChange(const StateChange& other502) {
-  changeId = other502.changeId;
-  baseVersion = other502.baseVersion;
-  sheetHash = other502.sheetHash;
-  verdict = other502.verdict;
-  version = other502.version;
-  winner = other502.winner;
-  __isset = other502.__isset;
-}
-StateChange::StateChange(StateChange&& other503) noexcept {
-  changeId = std::move(other503.changeId);
-  baseVersion = other503.baseVersion;
-  sheetHash = other503.sheetHash;
-  verdict = other503.verdict;
-  version = other503.version;
-  winner = std::move(other503.winner);
-  __isset = other503.__isset;
-}
-StateChange& StateChange::operator=(const StateChange& other504) {
-  changeId = other504.changeId;
-  baseVersion = other504.baseVersion;
-  sheetHash = other504.sheetHash;
-  verdict = other504.verdict;
-  version = other504.version;
-  winner = other504.winner;
-  __isset = other504.__isset;
+StateChange::StateChange(const StateChange& other516) {
+  changeId = other516.changeId;
+  baseVersion = other516.baseVersion;
+  sheetHash = other516.sheetHash;
+  verdict = other516.verdict;
+  version = other516.version;
+  winner = other516.winner;
+  __isset = other516.__isset;
+}
+StateChange::StateChange(StateChange&& other517) noexcept {
+  changeId = std::move(other517.changeId);
+  baseVersion = other517.baseVersion;
+  sheetHash = other517.sheetHash;
+  verdict = other517.verdict;
+  version = other517.version;
+  winner = std::move(other517.winner);
+  __isset = other517.__isset;
+}
+StateChange& StateChange::operator=(const StateChange& other518) {
+  changeId = other518.changeId;
+  baseVersion = other518.baseVersion;
+  sheetHash = other518.sheetHash;
+  verdict = other518.verdict;
+  version = other518.version;
+  winner = other518.winner;
+  __isset = other518.__isset;
   return *this;
 }
-StateChange& StateChange::operator=(StateChange&& other505) noexcept {
-  changeId = std::move(other505.changeId);
-  baseVersion = other505.baseVersion;
-  sheetHash = other505.sheetHash;
-  verdict = other505.verdict;
-  version = other505.version;
-  winner = std::move(other505.winner);
-  __isset = other505.__isset;
+StateChange& StateChange::operator=(StateChange&& other519) noexcept {
+  changeId = std::move(other519.changeId);
+  baseVersion = other519.baseVersion;
+  sheetHash = other519.sheetHash;
+  verdict = other519.verdict;
+  version = other519.version;
+  winner = std::move(other519.winner);
+  __isset = other519.__isset;
   return *this;
 }
 void StateChange::printTo(std::ostream& out) const {
@@ -15560,62 +15940,62 @@
   swap(a.__isset, b.__isset);
 }
 
-StateRecord::StateRecord(const StateRecord& other506) {
-  member = other506.member;
-  key = other506.key;
-  contentHash = other506.contentHash;
-  dispatch = other506.dispatch;
-  backend = other506.backend;
-  backendIncarnation = other506.backendIncarnation;
-  status = other506.status;
-  answerStored = other506.answerStored;
-  answerStatus = other506.answerStatus;
-  answerType = other506.answerType;
-  answer = other506.answer;
-  __isset = other506.__isset;
-}
-StateRecord::StateRecord(StateRecord&& other507) noexcept {
-  member = std::move(other507.member);
-  key = std::move(other507.key);
-  contentHash = other507.contentHash;
-  dispatch = std::move(other507.dispatch);
-  backend = std::move(other507.backend);
-  backendIncarnation = other507.backendIncarnation;
-  status = other507.status;
-  answerStored = other507.answerStored;
-  answerStatus = other507.answerStatus;
-  answerType = std::move(other507.answerType);
-  answer = std::move(other507.answer);
-  __isset = other507.__isset;
-}
-StateRecord& StateRecord::operator=(const StateRecord& other508) {
-  member = other508.member;
-  key = other508.key;
-  contentHash = other508.contentHash;
-  dispatch = other508.dispatch;
-  backend = other508.backend;
-  backendIncarnation = other508.backendIncarnation;
-  status = other508.status;
-  answerStored = other508.answerStored;
-  answerStatus = other508.answerStatus;
-  answerType = other508.answerType;
-  answer = other508.answer;
-  __isset = other508.__isset;
+StateRecord::StateRecord(const StateRecord& other520) {
+  member = other520.member;
+  key = other520.key;
+  contentHash = other520.contentHash;
+  dispatch = other520.dispatch;
+  backend = other520.backend;
+  backendIncarnation = other520.backendIncarnation;
+  status = other520.status;
+  answerStored = other520.answerStored;
+  answerStatus = other520.answerStatus;
+  answerType = other520.answerType;
+  answer = other520.answer;
+  __isset = other520.__isset;
+}
+StateRecord::StateRecord(StateRecord&& other521) noexcept {
+  member = std::move(other521.member);
+  key = std::move(other521.key);
+  contentHash = other521.contentHash;
+  dispatch = std::move(other521.dispatch);
+  backend = std::move(other521.backend);
+  backendIncarnation = other521.backendIncarnation;
+  status = other521.status;
+  answerStored = other521.answerStored;
+  answerStatus = other521.answerStatus;
+  answerType = std::move(other521.answerType);
+  answer = std::move(other521.answer);
+  __isset = other521.__isset;
+}
+StateRecord& StateRecord::operator=(const StateRecord& other522) {
+  member = other522.member;
+  key = other522.key;
+  contentHash = other522.contentHash;
+  dispatch = other522.dispatch;
+  backend = other522.backend;
+  backendIncarnation = other522.backendIncarnation;
+  status = other522.status;
+  answerStored = other522.answerStored;
+  answerStatus = other522.answerStatus;
+  answerType = other522.answerType;
+  answer = other522.answer;
+  __isset = other522.__isset;
   return *this;
 }
-StateRecord& StateRecord::operator=(StateRecord&& other509) noexcept {
-  member = std::move(other509.member);
-  key = std::move(other509.key);
-  contentHash = other509.contentHash;
-  dispatch = std::move(other509.dispatch);
-  backend = std::move(other509.backend);
-  backendIncarnation = other509.backendIncarnation;
-  status = other509.status;
-  answerStored = other509.answerStored;
-  answerStatus = other509.answerStatus;
-  answerType = std::move(other509.answerType);
-  answer = std::move(other509.answer);
-  __isset = other509.__isset;
+StateRecord& StateRecord::operator=(StateRecord&& other523) noexcept {
+  member = std::move(other523.member);
+  key = std::move(other523.key);
+  contentHash = other523.contentHash;
+  dispatch = std::move(other523.dispatch);
+  backend = std::move(other523.backend);
+  backendIncarnation = other523.backendIncarnation;
+  status = other523.status;
+  answerStored = other523.answerStored;
+  answerStatus = other523.answerStatus;
+  answerType = std::move(other523.answerType);
+  answer = std::move(other523.answer);
+  __isset = other523.__isset;
   return *this;
 }
 void StateRecord::printTo(std::ostream& out) const {
@@ -15745,30 +16125,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateOrder::StateOrder(const StateOrder& other510) {
-  token = other510.token;
-  order = other510.order;
-  status = other510.status;
-  __isset = other510.__isset;
+StateOrder::StateOrder(const StateOrder& other524) {
+  token = other524.token;
+  order = other524.order;
+  status = other524.status;
+  __isset = other524.__isset;
 }
-StateOrder::StateOrder(StateOrder&& other511) noexcept {
-  token = other511.token;
-  order = std::move(other511.order);
-  status = other511.status;
-  __isset = other511.__isset;
+StateOrder::StateOrder(StateOrder&& other525) noexcept {
+  token = other525.token;
+  order = std::move(other525.order);
+  status = other525.status;
+  __isset = other525.__isset;
 }
-StateOrder& StateOrder::operator=(const StateOrder& other512) {
-  token = other512.token;
-  order = other512.order;
-  status = other512.status;
-  __isset = other512.__isset;
+StateOrder& StateOrder::operator=(const StateOrder& other526) {
+  token = other526.token;
+  order = other526.order;
+  status = other526.status;
+  __isset = other526.__isset;
   return *this;
 }
-StateOrder& StateOrder::operator=(StateOrder&& other513) noexcept {
-  token = other513.token;
-  order = std::move(other513.order);
-  status = other513.status;
-  __isset = other513.__isset;
+StateOrder& StateOrder::operator=(StateOrder&& other527) noexcept {
+  token = other527.token;
+  order = std::move(other527.order);
+  status = other527.status;
+  __isset = other527.__isset;
   return *this;
 }
 void StateOrder::printTo(std::ostream& out) const {
@@ -15895,14 +16275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size514;
-            ::apache::thrift::protocol::TType _etype517;
-            xfer += iprot->readListBegin(_etype517, _size514);
-            this->replicas.resize(_size514);
-            uint32_t _i518;
-            for (_i518 = 0; _i518 < _size514; ++_i518)
+            uint32_t _size528;
+            ::apache::thrift::protocol::TType _etype531;
+            xfer += iprot->readListBegin(_etype531, _size528);
+            this->replicas.resize(_size528);
+            uint32_t _i532;
+            for (_i532 = 0; _i532 < _size528; ++_i532)
             {
-              xfer += this->replicas[_i518].read(iprot);
+              xfer += this->replicas[_i532].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15931,14 +16311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->versions.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size533;
+            ::apache::thrift::protocol::TType _etype536;
+            xfer += iprot->readListBegin(_etype536, _size533);
+            this->versions.resize(_size533);
+            uint32_t _i537;
+            for (_i537 = 0; _i537 < _size533; ++_i537)
             {
-              xfer += this->versions[_i523].read(iprot);
+              xfer += this->versions[_i537].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15951,14 +16331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size524;
-            ::apache::thrift::protocol::TType _etype527;
-            xfer += iprot->readListBegin(_etype527, _size524);
-            this->changes.resize(_size524);
-            uint32_t _i528;
-            for (_i528 = 0; _i528 < _size524; ++_i528)
+            uint32_t _size538;
+            ::apache::thrift::protocol::TType _etype541;
+            xfer += iprot->readListBegin(_etype541, _size538);
+            this->changes.resize(_size538);
+            uint32_t _i542;
+            for (_i542 = 0; _i542 < _size538; ++_i542)
             {
-              xfer += this->changes[_i528].read(iprot);
+              xfer += this->changes[_i542].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15979,14 +16359,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->records.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size543;
+            ::apache::thrift::protocol::TType _etype546;
+            xfer += iprot->readListBegin(_etype546, _size543);
+            this->records.resize(_size543);
+            uint32_t _i547;
+            for (_i547 = 0; _i547 < _size543; ++_i547)
             {
-              xfer += this->records[_i533].read(iprot);
+              xfer += this->records[_i547].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15999,14 +16379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size534;
-            ::apache::thrift::protocol::TType _etype537;
-            xfer += iprot->readListBegin(_etype537, _size534);
-            this->orders.resize(_size534);
-            uint32_t _i538;
-            for (_i538 = 0; _i538 < _size534; ++_i538)
+            uint32_t _size548;
+            ::apache::thrift::protocol::TType _etype551;
+            xfer += iprot->readListBegin(_etype551, _size548);
+            this->orders.resize(_size548);
+            uint32_t _i552;
+            for (_i552 = 0; _i552 < _size548; ++_i552)
             {
-              xfer += this->orders[_i538].read(iprot);
+              xfer += this->orders[_i552].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16019,14 +16399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->groups.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size553;
+            ::apache::thrift::protocol::TType _etype556;
+            xfer += iprot->readListBegin(_etype556, _size553);
+            this->groups.resize(_size553);
+            uint32_t _i557;
+            for (_i557 = 0; _i557 < _size553; ++_i557)
             {
-              xfer += this->groups[_i543].read(iprot);
+              xfer += this->groups[_i557].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16075,10 +16455,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter544;
-    for (_iter544 = this->replicas.begin(); _iter544 != this->replicas.end(); ++_iter544)
+    std::vector<Replica> ::const_iterator _iter558;
+    for (_iter558 = this->replicas.begin(); _iter558 != this->replicas.end(); ++_iter558)
     {
-      xfer += (*_iter544).write(oprot);
+      xfer += (*_iter558).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16095,10 +16475,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-    std::vector<StateVersion> ::const_iterator _iter545;
-    for (_iter545 = this->versions.begin(); _iter545 != this->versions.end(); ++_iter545)
+    std::vector<StateVersion> ::const_iterator _iter559;
+    for (_iter559 = this->versions.begin(); _iter559 != this->versions.end(); ++_iter559)
     {
-      xfer += (*_iter545).write(oprot);
+      xfer += (*_iter559).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16107,10 +16487,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<StateChange> ::const_iterator _iter546;
-    for (_iter546 = this->changes.begin(); _iter546 != this->changes.end(); ++_iter546)
+    std::vector<StateChange> ::const_iterator _iter560;
+    for (_iter560 = this->changes.begin(); _iter560 != this->changes.end(); ++_iter560)
     {
-      xfer += (*_iter546).write(oprot);
+      xfer += (*_iter560).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16123,10 +16503,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StateRecord> ::const_iterator _iter547;
-    for (_iter547 = this->records.begin(); _iter547 != this->records.end(); ++_iter547)
+    std::vector<StateRecord> ::const_iterator _iter561;
+    for (_iter561 = this->records.begin(); _iter561 != this->records.end(); ++_iter561)
     {
-      xfer += (*_iter547).write(oprot);
+      xfer += (*_iter561).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16136,10 +16516,10 @@
     xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-      std::vector<StateOrder> ::const_iterator _iter548;
-      for (_iter548 = this->orders.begin(); _iter548 != this->orders.end(); ++_iter548)
+      std::vector<StateOrder> ::const_iterator _iter562;
+      for (_iter562 = this->orders.begin(); _iter562 != this->orders.end(); ++_iter562)
       {
-        xfer += (*_iter548).write(oprot);
+        xfer += (*_iter562).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -16149,10 +16529,10 @@
     xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-      std::vector<StateGroup> ::const_iterator _iter549;
-      for (_iter549 = this->groups.begin(); _iter549 != this->groups.end(); ++_iter549)
+      std::vector<StateGroup> ::const_iterator _iter563;
+      for (_iter563 = this->groups.begin(); _iter563 != this->groups.end(); ++_iter563)
       {
-        xfer += (*_iter549).write(oprot);
+        xfer += (*_iter563).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -16186,70 +16566,70 @@
   swap(a.__isset, b.__isset);
 }
 
-StateSnapshot::StateSnapshot(const StateSnapshot& other550) {
-  formatVersion = other550.formatVersion;
-  lastIndex = other550.lastIndex;
-  lastTerm = other550.lastTerm;
-  replicas = other550.replicas;
-  current = other550.current;
-  sheet = other550.sheet;
-  versions = other550.versions;
-  changes = other550.changes;
-  clockMicros = other550.clockMicros;
-  records = other550.records;
-  orders = other550.orders;
-  groups = other550.groups;
-  evacuations = other550.evacuations;
-  __isset = other550.__isset;
-}
-StateSnapshot::StateSnapshot(StateSnapshot&& other551) noexcept {
-  formatVersion = other551.formatVersion;
-  lastIndex = other551.lastIndex;
-  lastTerm = other551.lastTerm;
-  replicas = std::move(other551.replicas);
-  current = std::move(other551.current);
-  sheet = std::move(other551.sheet);
-  versions = std::move(other551.versions);
-  changes = std::move(other551.changes);
-  clockMicros = other551.clockMicros;
-  records = std::move(other551.records);
-  orders = std::move(other551.orders);
-  groups = std::move(other551.groups);
-  evacuations = std::move(other551.evacuations);
-  __isset = other551.__isset;
-}
-StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other552) {
-  formatVersion = other552.formatVersion;
-  lastIndex = other552.lastIndex;
-  lastTerm = other552.lastTerm;
-  replicas = other552.replicas;
-  current = other552.current;
-  sheet = other552.sheet;
-  versions = other552.versions;
-  changes = other552.changes;
-  clockMicros = other552.clockMicros;
-  records = other552.records;
-  orders = other552.orders;
-  groups = other552.groups;
-  evacuations = other552.evacuations;
-  __isset = other552.__isset;
+StateSnapshot::StateSnapshot(const StateSnapshot& other564) {
+  formatVersion = other564.formatVersion;
+  lastIndex = other564.lastIndex;
+  lastTerm = other564.lastTerm;
+  replicas = other564.replicas;
+  current = other564.current;
+  sheet = other564.sheet;
+  versions = other564.versions;
+  changes = other564.changes;
+  clockMicros = other564.clockMicros;
+  records = other564.records;
+  orders = other564.orders;
+  groups = other564.groups;
+  evacuations = other564.evacuations;
+  __isset = other564.__isset;
+}
+StateSnapshot::StateSnapshot(StateSnapshot&& other565) noexcept {
+  formatVersion = other565.formatVersion;
+  lastIndex = other565.lastIndex;
+  lastTerm = other565.lastTerm;
+  replicas = std::move(other565.replicas);
+  current = std::move(other565.current);
+  sheet = std::move(other565.sheet);
+  versions = std::move(other565.versions);
+  changes = std::move(other565.changes);
+  clockMicros = other565.clockMicros;
+  records = std::move(other565.records);
+  orders = std::move(other565.orders);
+  groups = std::move(other565.groups);
+  evacuations = std::move(other565.evacuations);
+  __isset = other565.__isset;
+}
+StateSnapshot& StateSnapshot::operator=(const StateSnapshot& other566) {
+  formatVersion = other566.formatVersion;
+  lastIndex = other566.lastIndex;
+  lastTerm = other566.lastTerm;
+  replicas = other566.replicas;
+  current = other566.current;
+  sheet = other566.sheet;
+  versions = other566.versions;
+  changes = other566.changes;
+  clockMicros = other566.clockMicros;
+  records = other566.records;
+  orders = other566.orders;
+  groups = other566.groups;
+  evacuations = other566.evacuations;
+  __isset = other566.__isset;
   return *this;
 }
-StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other553) noexcept {
-  formatVersion = other553.formatVersion;
-  lastIndex = other553.lastIndex;
-  lastTerm = other553.lastTerm;
-  replicas = std::move(other553.replicas);
-  current = std::move(other553.current);
-  sheet = std::move(other553.sheet);
-  versions = std::move(other553.versions);
-  changes = std::move(other553.changes);
-  clockMicros = other553.clockMicros;
-  records = std::move(other553.records);
-  orders = std::move(other553.orders);
-  groups = std::move(other553.groups);
-  evacuations = std::move(other553.evacuations);
-  __isset = other553.__isset;
+StateSnapshot& StateSnapshot::operator=(StateSnapshot&& other567) noexcept {
+  formatVersion = other567.formatVersion;
+  lastIndex = other567.lastIndex;
+  lastTerm = other567.lastTerm;
+  replicas = std::move(other567.replicas);
+  current = std::move(other567.current);
+  sheet = std::move(other567.sheet);
+  versions = std::move(other567.versions);
+  changes = std::move(other567.changes);
+  clockMicros = other567.clockMicros;
+  records = std::move(other567.records);
+  orders = std::move(other567.orders);
+  groups = std::move(other567.groups);
+  evacuations = std::move(other567.evacuations);
+  __isset = other567.__isset;
   return *this;
 }
 void StateSnapshot::printTo(std::ostream& out) const {
@@ -16364,26 +16744,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FrameHeader::FrameHeader(const FrameHeader& other554) noexcept {
-  protocolVersion = other554.protocolVersion;
-  messageType = other554.messageType;
-  __isset = other554.__isset;
+FrameHeader::FrameHeader(const FrameHeader& other568) noexcept {
+  protocolVersion = other568.protocolVersion;
+  messageType = other568.messageType;
+  __isset = other568.__isset;
 }
-FrameHeader::FrameHeader(FrameHeader&& other555) noexcept {
-  protocolVersion = other555.protocolVersion;
-  messageType = other555.messageType;
-  __isset = other555.__isset;
+FrameHeader::FrameHeader(FrameHeader&& other569) noexcept {
+  protocolVersion = other569.protocolVersion;
+  messageType = other569.messageType;
+  __isset = other569.__isset;
 }
-FrameHeader& FrameHeader::operator=(const FrameHeader& other556) noexcept {
-  protocolVersion = other556.protocolVersion;
-  messageType = other556.messageType;
-  __isset = other556.__isset;
+FrameHeader& FrameHeader::operator=(const FrameHeader& other570) noexcept {
+  protocolVersion = other570.protocolVersion;
+  messageType = other570.messageType;
+  __isset = other570.__isset;
   return *this;
 }
-FrameHeader& FrameHeader::operator=(FrameHeader&& other557) noexcept {
-  protocolVersion = other557.protocolVersion;
-  messageType = other557.messageType;
-  __isset = other557.__isset;
+FrameHeader& FrameHeader::operator=(FrameHeader&& other571) noexcept {
+  protocolVersion = other571.protocolVersion;
+  messageType = other571.messageType;
+  __isset = other571.__isset;
   return *this;
 }
 void FrameHeader::printTo(std::ostream& out) const {
--- a/src/gen-cpp/wire_types.h
+++ b/src/gen-cpp/wire_types.h
@@ -149,6 +149,10 @@
 
 class LeaseGrant;
 
+class TextEdit;
+
+class ConfigPatch;
+
 class ConfigPush;
 
 class VersionQuery;
@@ -4186,13 +4190,14 @@
 std::ostream& operator<<(std::ostream& out, const EvacuationNotice& obj);
 
 typedef struct _LeaseRenew__isset {
-  _LeaseRenew__isset() : sequence(false), node(false), zone(false), appliedVersion(false), heardVersion(false), evacuationVersion(true) {}
+  _LeaseRenew__isset() : sequence(false), node(false), zone(false), appliedVersion(false), heardVersion(false), evacuationVersion(true), acceptsPatch(true) {}
   bool sequence :1;
   bool node :1;
   bool zone :1;
   bool appliedVersion :1;
   bool heardVersion :1;
   bool evacuationVersion :1;
+  bool acceptsPatch :1;
 } _LeaseRenew__isset;
 
 class LeaseRenew : public virtual ::apache::thrift::TBase {
@@ -4208,7 +4213,8 @@
                zone(),
                appliedVersion(0),
                heardVersion(0),
-               evacuationVersion(0LL) {
+               evacuationVersion(0LL),
+               acceptsPatch(false) {
   }
 
   virtual ~LeaseRenew() noexcept;
@@ -4218,6 +4224,7 @@
   int64_t appliedVersion;
   int64_t heardVersion;
   int64_t evacuationVersion;
+  bool acceptsPatch;
 
   _LeaseRenew__isset __isset;
 
@@ -4233,6 +4240,8 @@
 
   void __set_evacuationVersion(const int64_t val);
 
+  void __set_acceptsPatch(const bool val);
+
   bool operator == (const LeaseRenew & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -4249,6 +4258,10 @@
       return false;
     else if (__isset.evacuationVersion && !(evacuationVersion == rhs.evacuationVersion))
       return false;
+    if (__isset.acceptsPatch != rhs.__isset.acceptsPatch)
+      return false;
+    else if (__isset.acceptsPatch && !(acceptsPatch == rhs.acceptsPatch))
+      return false;
     return true;
   }
   bool operator != (const LeaseRenew &rhs) const {
@@ -4356,11 +4369,136 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj);
 
+typedef struct _TextEdit__isset {
+  _TextEdit__isset() : offset(false), length(false), inserted(false) {}
+  bool offset :1;
+  bool length :1;
+  bool inserted :1;
+} _TextEdit__isset;
+
+class TextEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextEdit(const TextEdit&) noexcept;
+  TextEdit(TextEdit&&) noexcept;
+  TextEdit& operator=(const TextEdit&) noexcept;
+  TextEdit& operator=(TextEdit&&) noexcept;
+  TextEdit() noexcept
+           : offset(0),
+             length(0),
+             inserted(0) {
+  }
+
+  virtual ~TextEdit() noexcept;
+  int64_t offset;
+  int64_t length;
+  int64_t inserted;
+
+  _TextEdit__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_length(const int64_t val);
+
+  void __set_inserted(const int64_t val);
+
+  bool operator == (const TextEdit & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(length == rhs.length))
+      return false;
+    if (!(inserted == rhs.inserted))
+      return false;
+    return true;
+  }
+  bool operator != (const TextEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextEdit &a, TextEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const TextEdit& obj);
+
+typedef struct _ConfigPatch__isset {
+  _ConfigPatch__isset() : baseVersion(false), textHash(false), edits(false), inserted(false) {}
+  bool baseVersion :1;
+  bool textHash :1;
+  bool edits :1;
+  bool inserted :1;
+} _ConfigPatch__isset;
+
+class ConfigPatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPatch(const ConfigPatch&);
+  ConfigPatch(ConfigPatch&&) noexcept;
+  ConfigPatch& operator=(const ConfigPatch&);
+  ConfigPatch& operator=(ConfigPatch&&) noexcept;
+  ConfigPatch() noexcept
+              : baseVersion(0),
+                textHash(0),
+                inserted() {
+  }
+
+  virtual ~ConfigPatch() noexcept;
+  int64_t baseVersion;
+  int64_t textHash;
+  std::vector<TextEdit>  edits;
+  std::string inserted;
+
+  _ConfigPatch__isset __isset;
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_textHash(const int64_t val);
+
+  void __set_edits(const std::vector<TextEdit> & val);
+
+  void __set_inserted(const std::string& val);
+
+  bool operator == (const ConfigPatch & rhs) const
+  {
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(textHash == rhs.textHash))
+      return false;
+    if (!(edits == rhs.edits))
+      return false;
+    if (!(inserted == rhs.inserted))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPatch &a, ConfigPatch &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPatch& obj);
+
 typedef struct _ConfigPush__isset {
-  _ConfigPush__isset() : version(false), author(false), sheet(false) {}
+  _ConfigPush__isset() : version(false), author(false), sheet(false), patch(false) {}
   bool version :1;
   bool author :1;
   bool sheet :1;
+  bool patch :1;
 } _ConfigPush__isset;
 
 class ConfigPush : public virtual ::apache::thrift::TBase {
@@ -4380,6 +4518,7 @@
   int64_t version;
   std::string author;
   std::string sheet;
+  ConfigPatch patch;
 
   _ConfigPush__isset __isset;
 
@@ -4389,6 +4528,8 @@
 
   void __set_sheet(const std::string& val);
 
+  void __set_patch(const ConfigPatch& val);
+
   bool operator == (const ConfigPush & rhs) const
   {
     if (!(version == rhs.version))
@@ -4397,6 +4538,10 @@
       return false;
     if (!(sheet == rhs.sheet))
       return false;
+    if (__isset.patch != rhs.__isset.patch)
+      return false;
+    else if (__isset.patch && !(patch == rhs.patch))
+      return false;
     return true;
   }
   bool operator != (const ConfigPush &rhs) const {
--- a/src/io/wire_records.h
+++ b/src/io/wire_records.h
@@ -115,6 +115,7 @@
   w.appliedVersion = Signed(m.applied_version);
   w.heardVersion = Signed(m.highest_known_version);
   w.__set_evacuationVersion(Signed(m.evacuation_version));
+  w.__set_acceptsPatch(m.accepts_patch);
   return w;
 }
 
@@ -124,7 +125,8 @@
           w.zone,
           Unsigned(w.appliedVersion),
           Unsigned(w.heardVersion),
-          Unsigned(w.evacuationVersion)};
+          Unsigned(w.evacuationVersion),
+          w.acceptsPatch};
 }
 
 inline wire::LeaseGrant ToWire(const lease_grant& m) {
@@ -154,16 +156,44 @@
   return m;
 }
 
+inline wire::ConfigPatch ToWire(const config_patch& m) {
+  wire::ConfigPatch w;
+  w.baseVersion = Signed(m.base_version);
+  w.textHash = Signed(m.changes.text_hash);
+  for (const text_edit& edit : m.changes.edits) {
+    wire::TextEdit& e = w.edits.emplace_back();
+    e.offset = Signed(edit.offset);
+    e.length = Signed(edit.length);
+    e.inserted = Signed(edit.inserted);
+  }
+  w.inserted = m.changes.inserted;
+  return w;
+}
+
+inline config_patch FromWire(const wire::ConfigPatch& w, bool&) {
+  config_patch m;
+  m.base_version = Unsigned(w.baseVersion);
+  m.changes.text_hash = Unsigned(w.textHash);
+  for (const wire::TextEdit& e : w.edits) {
+    m.changes.edits.push_back({Unsigned(e.offset), Unsigned(e.length), Unsigned(e.inserted)});
+  }
+  m.changes.inserted = w.inserted;
+  return m;
+}
+
 inline wire::ConfigPush ToWire(const config_push& m) {
   wire::ConfigPush w;
   w.version = Signed(m.version);
   w.author = m.author;
   w.sheet = m.sheet;
+  if (m.patch) w.__set_patch(ToWire(*m.patch));
   return w;
 }
 
-inline config_push FromWire(const wire::ConfigPush& w, bool&) {
-  return {Unsigned(w.version), w.author, w.sheet};
+inline config_push FromWire(const wire::ConfigPush& w, bool& ok) {
+  config_push m{Unsigned(w.version), w.author, w.sheet};
+  if (w.__isset.patch) m.patch = FromWire(w.patch, ok);
+  return m;
 }
 
 inline wire::VersionQuery ToWire(const version_query& m) {
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -98,6 +98,8 @@
       return "config-distributed";
     case event_code::kConfigEntryLate:
       return "config-entry-late";
+    case event_code::kConfigPatchRejected:
+      return "config-patch-rejected";
     case event_code::kOrderCommitted:
       return "order-committed";
     case event_code::kOrderEnded:
--- a/tests/config_distribution_test.cc
+++ b/tests/config_distribution_test.cc
@@ -43,6 +43,14 @@
   return text + "}";
 }
 
+/// The document with a new version and one more route.
+std::string AddRoute(const std::string& document, std::uint64_t version) {
+  std::string text = document;
+  text.replace(0, text.find(','), "{\"version\":" + std::to_string(version));
+  return text.insert(text.size() - 2, ",{\"name\":\"new\",\"host\":\"shop.example\"," +
+                                          std::string("\"pathPrefix\":\"/new/\"}"));
+}
+
 /// One leader and its entries. The leader's link to the network is slow and shared equally by the
 /// links to entries that have bytes to send; the other direction takes no time.
 class distribution_world {
@@ -84,9 +92,10 @@
   void Suspend(int number) { At(number).suspended = true; }
 
   /// Longest time from a commit until an entry that runs had applied that version or a later one.
-  milliseconds LongestLag() const {
+  milliseconds LongestLag(std::uint64_t first_version = 0) const {
     steady_time::duration longest{};
     for (const auto& [version, at] : committed_at_) {
+      if (version < first_version) continue;
       for (const auto& e : entries_) {
         if (e->suspended) continue;
         auto applied = e->applied.lower_bound(version);
@@ -97,6 +106,9 @@
     return std::chrono::duration_cast<milliseconds>(longest);
   }
 
+  std::size_t DocumentBytesSent() const { return document_bytes_sent_; }
+  std::size_t LatestDocumentBytes() const { return config_.Sheet().size(); }
+
   /// Bytes of documents that the leader has sent, over those that every entry needs.
   double Amplification() const {
     return static_cast<double>(document_bytes_sent_) /
@@ -210,8 +222,8 @@
       if (sent == nullptr || !number_by_link_.contains(sent->link)) continue;
       std::size_t bytes = kSmallMessageBytes;
       if (const auto* push = std::get_if<config_push>(&sent->body)) {
-        bytes += push->sheet.size();
-        document_bytes_sent_ += push->sheet.size();
+        bytes += push->Bytes();
+        document_bytes_sent_ += push->Bytes();
       }
       At(number_by_link_.at(sent->link)).incoming.push_back({sent->body, bytes});
     }
@@ -304,6 +316,30 @@
   CHECK(world.LongestLag().count() <= kApplyBound.count());
 }
 
+// Guards against the transfer of whole documents for small changes: at the size to come, the leader
+// sends one to each entry more slowly than changes may come.
+TEST_CASE("small changes of a large configuration are in force in time at 580 entries") {
+  constexpr int kEntries = 580;
+  constexpr std::size_t kLinkBytesPerSecond = 4'000'000;
+  distribution_world world(kEntries, kLinkBytesPerSecond);
+  std::string document = MakeDocument(1, 1500);
+  world.Commit(1, document);
+  world.Run(6s);
+  std::size_t before = world.DocumentBytesSent();
+  std::size_t largest = 0;
+  for (std::uint64_t version = 2; version <= 8; ++version) {
+    document = AddRoute(document, version);
+    world.Commit(version, document);
+    world.Run(350ms);
+    largest = std::max(largest, world.DocumentBytesSent() - before);
+    before = world.DocumentBytesSent();
+  }
+  world.Run(1s);
+  CHECK(world.LongestLag(2).count() <= kApplyBound.count());
+  // A tenth of the documents.
+  CHECK(largest <= kEntries * world.LatestDocumentBytes() / 10);
+}
+
 // Guards against documents to suspended machines that use up the bound on bytes in transit.
 TEST_CASE("suspended entries do not delay a change at the others") {
   constexpr int kEntries = 120;
--- a/tests/config_lease_test.cc
+++ b/tests/config_lease_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 #include <vector>
@@ -299,8 +300,8 @@
       leases.OnCommitted(config, ctx);
     });
   }
-  void Renew(std::uint64_t entry, std::uint64_t applied) {
-    lease_renew renew{1, "e" + std::to_string(entry), "z1", applied, applied};
+  void Renew(std::uint64_t entry, std::uint64_t applied, bool accepts_patch = false) {
+    lease_renew renew{1, "e" + std::to_string(entry), "z1", applied, applied, 0, accepts_patch};
     fake.Do([&](auto& ctx) { leases.OnRenew({entry}, renew, config, {}, ctx); });
   }
   std::size_t Pushes() const { return fake.Sent<config_push>().size(); }
@@ -401,6 +402,64 @@
   CHECK(f.Pushes() == 1);
 }
 
+// Guards against patches to entries that cannot apply them: of an earlier release, without the base
+// or with a damaged copy of it.
+TEST_CASE("an entry gets a patch only to a version that it holds, and the document on request") {
+  constexpr std::size_t kDocumentBytes = 10'000;
+  constexpr bool kAcceptsPatch = true;
+  lease_fixture f;
+  f.Commit(1, kDocumentBytes);
+  f.Renew(1, 1, kAcceptsPatch);
+  f.Renew(2, 1);
+  f.Renew(3, 0, kAcceptsPatch);
+  REQUIRE(f.Pushes() == 1);
+  CHECK_FALSE(f.fake.Sent<config_push>()[0].second.patch);
+  f.Commit(2, kDocumentBytes + 1);
+  REQUIRE(f.Pushes() == 2);
+  const config_push patched = f.fake.Sent<config_push>()[0].second;
+  REQUIRE(patched.patch);
+  CHECK(patched.version == 2);
+  CHECK(patched.patch->base_version == 1);
+  CHECK(patched.sheet.empty());
+  std::string sheet;
+  REQUIRE_FALSE(ApplyPatch(std::string(kDocumentBytes, 'x'), patched.patch->changes, sheet));
+  CHECK(sheet == f.config.Sheet());
+  CHECK_FALSE(f.fake.Sent<config_push>()[1].second.patch);
+  // The patch could not be applied.
+  f.Renew(1, 1);
+  REQUIRE(f.Pushes() == 1);
+  CHECK_FALSE(f.fake.Sent<config_push>()[0].second.patch);
+  CHECK(f.fake.Sent<config_push>()[0].second.sheet == f.config.Sheet());
+}
+
+// Guards against an entry that serves under a text that no operator sent, or waits for good.
+TEST_CASE("an entry applies a patch to its own version and asks for the document otherwise") {
+  client_fixture f;
+  f.OpenLink({1}, first_controller);
+  f.ReceiveGrant(f.LastSent<lease_renew>()->sequence, 1);
+  f.Receive({1}, config_push{1, "ayse", Sheet(100)});
+  CHECK(f.LastSent<lease_renew>()->accepts_patch);
+  config_push push{2, "ayse", {}, config_patch{1, {}}};
+  REQUIRE_FALSE(MakePatch(Sheet(100), Sheet(200), push.patch->changes));
+  f.Receive({1}, push);
+  CHECK(f.client.AppliedVersion() == 2);
+  CHECK(f.LastSent<lease_renew>()->accepts_patch);
+  // A repeated patch is harmless.
+  f.Receive({1}, push);
+  CHECK(f.LastSent<lease_renew>()->accepts_patch);
+  push.version = 3;
+  f.Receive({1}, push);
+  CHECK(f.client.AppliedVersion() == 2);
+  CHECK_FALSE(f.LastSent<lease_renew>()->accepts_patch);
+  CHECK(std::any_of(f.effects.begin(), f.effects.end(), [](const effect& e) {
+    const auto* log = std::get_if<write_log>(&e);
+    return log != nullptr && log->event.code == event_code::kConfigPatchRejected;
+  }));
+  f.Receive({1}, config_push{3, "ayse", Sheet(300)});
+  CHECK(f.client.AppliedVersion() == 3);
+  CHECK(f.LastSent<lease_renew>()->accepts_patch);
+}
+
 // Guards against unauthorized changes, invalid sheets in the log, and conflicts that are not
 // reported as such.
 TEST_CASE("operators change and query the configuration over HTTP") {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -104,4 +104,20 @@
   }
 }
 
+// Guards against an entry that applies a part of a patch, or gets none because its request is lost.
+TEST_CASE("a patch of the configuration survives encoding") {
+  config_push in{
+      7, "ayse", {}, config_patch{5, {0xFFFFFFFFFFFFFFF0ULL, {{1, 2, 3}, {4, 5, 0}}, "a"}}};
+  auto out = std::get<config_push>(RoundTrip(in));
+  REQUIRE(out.patch);
+  CHECK(out.patch->base_version == 5);
+  CHECK(out.patch->changes.text_hash == in.patch->changes.text_hash);
+  CHECK(out.patch->changes.edits == in.patch->changes.edits);
+  CHECK(out.patch->changes.inserted == "a");
+  CHECK_FALSE(std::get<config_push>(RoundTrip(config_push{7, "ayse", "sheet"})).patch);
+  lease_renew renew;
+  renew.accepts_patch = true;
+  CHECK(std::get<lease_renew>(RoundTrip(renew)).accepts_patch);
+}
+
 }  // namespace radishroute
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -220,6 +220,7 @@
   4: i64 appliedVersion
   5: i64 heardVersion
   6: optional i64 evacuationVersion = 0
+  7: optional bool acceptsPatch = false
 }
 struct LeaseGrant {
   1: i64 sequence
@@ -230,7 +231,9 @@
   6: optional list<Endpoint> controllers = []
   7: optional EvacuationNotice evacuations
 }
-struct ConfigPush { 1: i64 version; 2: string author; 3: binary sheet }
+struct TextEdit { 1: i64 offset; 2: i64 length; 3: i64 inserted }
+struct ConfigPatch { 1: i64 baseVersion; 2: i64 textHash; 3: list<TextEdit> edits; 4: binary inserted }
+struct ConfigPush { 1: i64 version; 2: string author; 3: binary sheet; 4: optional ConfigPatch patch }
 struct VersionQuery { 1: i64 sequence }
 struct VersionReply {
   1: i64 sequence
