Let no full queue drop a new configuration at a gateway

The control thread handed new routes to the traffic thread by a post that a full queue refuses. The version counted as applied all the same, so it would have been in force only with the next change. Found by reading; no play showed such a refusal, and the queue of 65,536 events cannot be filled without a network. Evacuations are already passed on this way.

--- a/src/cli/gateway.cc
+++ b/src/cli/gateway.cc
@@ -138,7 +138,8 @@
     if (!routes) return;
     caller_limits bounds = routes->Deployment().bounds;
     traffic_->Loop().Post([this, bounds] { traffic_->Extension().SetBounds(bounds); });
-    traffic_->Post(deployment_published{std::move(routes)});
+    // A full queue must not lose it: the leader counts this version as applied.
+    traffic_->PostCompletion(deployment_published{std::move(routes)});
   }
 
   gateway_settings settings_;
