Admit callers that return late after those that can be in time

Cause: a caller that returns after a refusal was admitted up to the full capacity, while first requests leave room for more urgent ones. A returning caller has waited for 2 s and is late in any case. So the late ones filled the passes, lengthened them for all, and had those refused that could have been in time, who returned late in turn.

Returning callers now leave two requests an engine more free than first ones; the share that is admitted into that room as before keeps them from starving.

--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -24,6 +24,10 @@
 // Capacity per engine, in requests, that routes of each priority leave free for more urgent ones.
 constexpr std::array<double, 3> kHeadroom = {0, 1, 2};
 
+// Capacity per engine, in requests, that callers who return after a refusal leave free besides.
+// They are late in any case, while a request that comes for the first time can still be in time.
+constexpr double kReturnHeadroom = 2;
+
 // Probability that a less urgent request is admitted beyond that, up to the engine's capacity, so
 // that a surge of urgent requests does not starve the less urgent ones.
 constexpr double kHeadroomAdmitProbability = 0.15;
@@ -87,7 +91,7 @@
       Capacity(matched_route, *query.engine, query.chosen.slots, kLargestPassShareOfGap, group);
   decision.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - group->received);
   decision.pass = group->report->pass;
-  double headroom = query.is_caller_retry ? 0 : kHeadroom[priority];
+  double headroom = kHeadroom[priority] + (query.is_caller_retry ? kReturnHeadroom : 0);
   double unreserved = Capacity(matched_route, *query.engine, query.chosen.slots,
                                kMaxPassShareOfGap[priority], group) -
                       headroom;
--- a/tests/forward_admission_test.cc
+++ b/tests/forward_admission_test.cc
@@ -38,8 +38,9 @@
 /// and then gets an event each pass.
 class group_simulation {
  public:
-  explicit group_simulation(const std::array<traffic_class, kClasses>& traffic)
-      : traffic_(traffic) {
+  explicit group_simulation(const std::array<traffic_class, kClasses>& traffic,
+                            bool callers_return = false)
+      : traffic_(traffic), callers_return_(callers_return) {
     profile_.slots = kSlots;
     profile_.steps_per_pass = 6;
     profile_.step = 5850us;
@@ -59,6 +60,7 @@
 
  private:
   static constexpr double kSlowdown = 1.6;
+  static constexpr auto kRetryAfter = 2s;
   static constexpr int kPassesToBegin = 2;
   static constexpr int kPassesOfStream = 23;
 
@@ -69,6 +71,12 @@
     bool late = false;
   };
 
+  struct returning_caller {
+    std::size_t of_class = 0;
+    steady_time asked;
+    steady_time returns_at;
+  };
+
   struct engine {
     std::vector<stream> running;
     std::deque<stream> waiting;
@@ -109,12 +117,19 @@
     for (std::size_t c = 0; c < kClasses; ++c) {
       std::poisson_distribution<int> count(traffic_[c].requests_per_second *
                                            real_seconds(pass).count());
-      for (int left = count(random_); left > 0; --left) Ask(c);
+      for (int left = count(random_); left > 0; --left) {
+        ++result_.asked[c];
+        Ask(c, now_, false);
+      }
+    }
+    while (!returning_.empty() && returning_.front().returns_at <= now_) {
+      returning_caller caller = returning_.front();
+      returning_.pop_front();
+      Ask(caller.of_class, caller.asked, true);
     }
   }
 
-  void Ask(std::size_t of_class) {
-    ++result_.asked[of_class];
+  void Ask(std::size_t of_class, steady_time asked, bool is_retry) {
     auto least = std::min_element(engines_.begin(), engines_.end(),
                                   [](const auto& a, const auto& b) { return a.Load() < b.Load(); });
     admission_query query;
@@ -122,9 +137,14 @@
     query.engine = &profile_;
     query.chosen.load = static_cast<double>(least->Load() + 1);
     query.chosen.slots = kSlots;
-    if (!admission_.Admit(query, now_, random_).admitted) return;
+    query.is_caller_retry = is_retry;
+    if (!admission_.Admit(query, now_, random_).admitted) {
+      bool returns = callers_return_ && !is_retry;
+      if (returns) returning_.push_back({of_class, asked, now_ + kRetryAfter});
+      return;
+    }
     // Engines take the most urgent waiting request first.
-    stream added{of_class, now_};
+    stream added{of_class, asked};
     auto at = std::find_if(least->waiting.begin(), least->waiting.end(),
                            [&](const stream& s) { return s.of_class > of_class; });
     least->waiting.insert(at, added);
@@ -149,6 +169,8 @@
   }
 
   std::array<traffic_class, kClasses> traffic_;
+  bool callers_return_;
+  std::deque<returning_caller> returning_;
   engine_profile profile_;
   std::array<route, kClasses> routes_;
   std::array<engine, kEngines> engines_;
@@ -186,4 +208,21 @@
   CHECK(least >= 0.1);
 }
 
+// Guards against callers who return after a refusal, late already, and take the room of those who
+// come for the first time, so that these are refused and return late in turn.
+TEST_CASE("callers that return late leave room for those that can be in time") {
+  constexpr std::array<traffic_class, kClasses> kTraffic = {
+      {{25, 3, 0.9}, {34, 1.6, 0.66}, {11, 0.8, 0.24}}};
+  constexpr bool kCallersReturn = true;
+  // Share that a deployment with such a load asks for.
+  constexpr double kFloor = 0.44;
+  outcome o = group_simulation(kTraffic, kCallersReturn).Run(60s);
+  double urgent = Share(o.in_time[0], o.asked[0]);
+  double middle = Share(o.in_time[1], o.asked[1]);
+  INFO("urgent in time " << urgent << ", next " << middle << ", worth "
+                         << EarnedWorth(o, kTraffic));
+  CHECK(urgent >= 0.9);
+  CHECK(middle >= kFloor);
+}
+
 }  // namespace radishroute
