Schedule one wakeup for all entries whose push waits

The leader asked for a wakeup for each waiting entry on each renewal: 580 times 580 a second at the size to come. One for the earliest turn is enough.

--- a/include/radishroute/config_leases.h
+++ b/include/radishroute/config_leases.h
@@ -103,8 +103,8 @@
     steady_time pushed_at;
     /// Time at which a further push keeps to `kPushInterval`.
     steady_time push_due_at;
-    /// Times that an entry with a newer version was served before this one, since the latter's
-    /// last push.
+    /// Times that an entry with a newer version was served before this one, since this one last
+    /// applied a version.
     std::uint32_t passed_over = 0;
 
     /// Whether a document was sent that the entry may still apply.
--- a/src/config_leases.cc
+++ b/src/config_leases.cc
@@ -43,6 +43,7 @@
 void config_leases::PushToOutdated(const config_document& config, reduce_context& ctx) {
   std::size_t in_transit = 0;
   std::vector<lease*> outdated;
+  std::optional<steady_time> next_turn;
   for (auto& [node, held] : leases_) {
     if (held.link.value == 0 || held.expires_at <= ctx.now) continue;
     if (held.AwaitsPush(ctx.now)) {
@@ -50,11 +51,12 @@
     } else if (held.applied >= config.Version()) {
       continue;
     } else if (held.MayPushAt() > ctx.now) {
-      ctx.Emit(schedule_wakeup{held.MayPushAt()});
+      next_turn = std::min(next_turn.value_or(held.MayPushAt()), held.MayPushAt());
     } else {
       outdated.push_back(&held);
     }
   }
+  if (next_turn) ctx.Emit(schedule_wakeup{*next_turn});
   // An entry without any version must not serve yet. Of the others, the one with the oldest version
   // comes first, so that none waits for more than one round whatever the rate of changes; one that
   // has not answered its last document may be suspended or cut off and comes last. Among equals,
